--- /dev/null
+++ b/internal/cataloger/member.go
@@ -0,0 +1,25 @@
+package cataloger
+
+import "time"
+
+// Member is one daemon.
+type Member struct {
+	Name string
+	// Incarnation grows with each start of the daemon.
+	Incarnation uint64
+	// Address is the caller API's host:port.
+	Address string
+	// PeerAddress is the host:port for other daemons.
+	PeerAddress string
+	DataCentre  DataCentre
+	Region      string
+	State       State
+	LastHeard   time.Time
+}
+
+// Fleet is a view of members, targets and links at one moment; readers must not change it.
+type Fleet struct {
+	Members []Member
+	Targets []Target
+	Links   []Link
+}
--- /dev/null
+++ b/internal/cataloger/target.go
@@ -0,0 +1,135 @@
+package cataloger
+
+import "slices"
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Workspace names a workspace.
+type Workspace string
+
+// Role says what a VM is for.
+type Role string
+
+// Roles of VMs.
+const (
+	RoleEntry  Role = "entry"
+	RoleTarget Role = "target"
+)
+
+// VM is a machine on the platform's list.
+type VM struct {
+	Name       string
+	DataCentre DataCentre
+	Role       Role
+	// Address is the caller API's host:port on an entry VM.
+	Address string
+	Leaving bool
+	Targets []Target
+}
+
+// TargetType tells engines from plain services.
+type TargetType string
+
+// Types of targets.
+const (
+	TypeEngine  TargetType = "engine"
+	TypeService TargetType = "service"
+)
+
+// State says whether a target takes new work.
+type State string
+
+// States of a target.
+const (
+	StateJoining State = "joining"
+	StateLive    State = "live"
+	StateSuspect State = "suspect"
+	StateLeaving State = "leaving"
+	StateDead    State = "dead"
+)
+
+// Holding is a range of layers of one model version that an engine holds.
+type Holding struct {
+	Model   string
+	Version string
+	// FirstLayer is inclusive, EndLayer exclusive.
+	FirstLayer uint32
+	EndLayer   uint32
+	Adapters   []string
+	Ready      bool
+}
+
+// Target is a model engine or an instance of a plain service.
+type Target struct {
+	Name       string
+	VM         string
+	DataCentre DataCentre
+	// Address is host:port.
+	Address string
+	Type    TargetType
+	// Kind is the kind of accelerator.
+	Kind string
+	// Service is the service that an instance of a plain service serves.
+	Service string
+	// ChecksFencing is true where the target refuses orders with an old fencing number.
+	ChecksFencing bool
+	// PrefillRate and DecodeRate are in layer-tokens a second.
+	PrefillRate float64
+	DecodeRate  float64
+	// MemoryBytes is the accelerator memory for weights and KV cache.
+	MemoryBytes uint64
+	Role        string
+	Holdings    []Holding
+	State       State
+}
+
+// WithState returns a copy in another state.
+func (t Target) WithState(s State) Target {
+	t.State = s
+	return t
+}
+
+// WithHoldings returns a copy with other holdings.
+func (t Target) WithHoldings(h []Holding) Target {
+	t.Holdings = slices.Clone(h)
+	return t
+}
+
+// Link is the directed connection between two targets.
+type Link struct {
+	From string
+	To   string
+	// Bandwidth is in bytes a second.
+	Bandwidth float64
+	// LatencySeconds is one way.
+	LatencySeconds float64
+}
+
+// Stage is one step of a route: the layers that one target runs.
+type Stage struct {
+	Target  string
+	Address string
+	// FirstLayer is inclusive, EndLayer exclusive.
+	FirstLayer uint32
+	EndLayer   uint32
+}
+
+// Route is a chain of stages that covers the layers of one model version.
+type Route struct {
+	Model   string
+	Version string
+	Stages  []Stage
+}
+
+// Covers tells whether the stages cover [0,layers) exactly once, in order.
+func (r Route) Covers(layers uint32) bool {
+	next := uint32(0)
+	for _, s := range r.Stages {
+		if s.FirstLayer != next || s.EndLayer <= s.FirstLayer {
+			return false
+		}
+		next = s.EndLayer
+	}
+	return next == layers && layers > 0
+}
--- /dev/null
+++ b/internal/linker/doc.go
@@ -0,0 +1,2 @@
+// Package linker carries calls between daemons over yamux streams with protobuf bodies.
+package linker
--- /dev/null
+++ b/internal/queuer/doc.go
@@ -0,0 +1,2 @@
+// Package queuer joins goroutines by bounded rings.
+package queuer
--- /dev/null
+++ b/internal/queuer/ring.go
@@ -0,0 +1,71 @@
+package queuer
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrFull is returned by Offer when the ring has no room.
+var ErrFull = errors.New("ring full")
+
+// Ring is a bounded first-in-first-out queue between goroutines.
+type Ring[T any] struct {
+	slots chan T
+}
+
+// NewRing returns a ring with room for size values.
+func NewRing[T any](size int) *Ring[T] {
+	return &Ring[T]{slots: make(chan T, size)}
+}
+
+// Offer adds v, or returns ErrFull at once.
+func (r *Ring[T]) Offer(v T) error {
+	select {
+	case r.slots <- v:
+		return nil
+	default:
+		return ErrFull
+	}
+}
+
+// Put adds v, waiting for room until ctx is done.
+func (r *Ring[T]) Put(ctx context.Context, v T) error {
+	select {
+	case r.slots <- v:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Take removes the oldest value, waiting until ctx is done.
+func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+	select {
+	case v := <-r.slots:
+		return v, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// Poll removes the oldest value, if there is one.
+func (r *Ring[T]) Poll() (T, bool) {
+	select {
+	case v := <-r.slots:
+		return v, true
+	default:
+		var zero T
+		return zero, false
+	}
+}
+
+// Values returns the receiving end, for use in a select.
+func (r *Ring[T]) Values() <-chan T { return r.slots }
+
+// Len returns how many values are waiting.
+func (r *Ring[T]) Len() int { return len(r.slots) }
+
+// Cap returns the size of the ring.
+func (r *Ring[T]) Cap() int { return cap(r.slots) }
--- /dev/null
+++ b/internal/storer/doc.go
@@ -0,0 +1,2 @@
+// Package storer is the seam to the platform's object API and VM list.
+package storer
--- /dev/null
+++ b/internal/timer/doc.go
@@ -0,0 +1,2 @@
+// Package timer passes time in as an interface.
+package timer
