--- /dev/null
+++ b/internal/engineer/doc.go
@@ -0,0 +1,2 @@
+// Package engineer calls model engines.
+package engineer
--- /dev/null
+++ b/internal/engineer/pool.go
@@ -0,0 +1,75 @@
+package engineer
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	keepAlivePeriod = 15 * time.Second
+	idleTimeout     = 90 * time.Second
+	pingTimeout     = 5 * time.Second
+)
+
+// HTTPClient returns a client that speaks HTTP/2 without TLS.
+func HTTPClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:     dialer.DialContext,
+		Protocols:       protocols,
+		IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: keepAlivePeriod,
+			PingTimeout:     pingTimeout,
+		},
+	}}
+}
+
+// Pool hands out one Engine per address, all over the connections of one client.
+type Pool struct {
+	client  *http.Client
+	mu      sync.RWMutex
+	engines map[string]*Engine
+}
+
+// NewPool returns a pool over client.
+func NewPool(client *http.Client) *Pool {
+	return &Pool{client: client, engines: make(map[string]*Engine)}
+}
+
+// Get returns the engine at address (host:port), making it on first use.
+func (p *Pool) Get(address string) *Engine {
+	p.mu.RLock()
+	e := p.engines[address]
+	p.mu.RUnlock()
+	if e != nil {
+		return e
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[address]; e != nil {
+		return e
+	}
+	e = New(p.client, address)
+	p.engines[address] = e
+	return e
+}
+
+// Keep forgets every engine whose address is not listed.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a := range p.engines {
+		if !addresses[a] {
+			delete(p.engines, a)
+		}
+	}
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() { p.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/engineer/prefix.go
@@ -0,0 +1,60 @@
+package engineer
+
+import (
+	"errors"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlockBytes is the length of the prompt blocks over which prefix caches hash.
+const PrefixBlockBytes = 256
+
+// MaxPrefixBlocks bounds how many leading blocks of a prompt are hashed.
+const MaxPrefixBlocks = 32
+
+// PromptBytesPerToken converts the length of a prompt to tokens.
+const PromptBytesPerToken = 4
+
+// Prefixes returns the hash of each whole-block prefix of a prompt under a model version and adapter, shortest first.
+func Prefixes(model, version, adapter string, prompt []byte) []uint64 {
+	blocks := min(len(prompt)/PrefixBlockBytes, MaxPrefixBlocks)
+	if blocks == 0 {
+		return nil
+	}
+	hashes := make([]uint64, blocks)
+	d := xxhash.New()
+	_, _ = d.WriteString(model + "\x00" + version + "\x00" + adapter + "\x00")
+	for i := range hashes {
+		_, _ = d.Write(prompt[i*PrefixBlockBytes : (i+1)*PrefixBlockBytes])
+		hashes[i] = d.Sum64()
+	}
+	return hashes
+}
+
+// PromptTokens returns the number of tokens that a prompt of n bytes takes.
+func PromptTokens(n int) int { return n/PromptBytesPerToken + 1 }
+
+// FailedTargetHeader is the error metadata in which an engine names the stage that failed.
+const FailedTargetHeader = "Rattantray-Failed-Target"
+
+// FailedTarget returns the stage that err names as failed, or "".
+func FailedTarget(err error) string {
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		return ce.Meta().Get(FailedTargetHeader)
+	}
+	return ""
+}
+
+// WithFailedTarget returns err as a connect error that names the failed stage, unless it names one already.
+func WithFailedTarget(err error, target string) error {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		ce = connect.NewError(connect.CodeUnavailable, err)
+	}
+	if ce.Meta().Get(FailedTargetHeader) == "" {
+		ce.Meta().Set(FailedTargetHeader, target)
+	}
+	return ce
+}
--- /dev/null
+++ b/internal/enginefaker/ledger.go
@@ -0,0 +1,114 @@
+package enginefaker
+
+import (
+	"sync"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+const maxLedgerRuns = 100_000
+
+// Run records the layers that the engine ran for one attempt of a request.
+type Run struct {
+	Workspace  string `json:"workspace"`
+	RequestID  string `json:"request-id"`
+	Attempt    uint32 `json:"attempt"`
+	FirstLayer uint32 `json:"first-layer"`
+	EndLayer   uint32 `json:"end-layer"`
+	// FirstPosition and EndPosition bound the positions run.
+	FirstPosition uint64 `json:"first-position"`
+	EndPosition   uint64 `json:"end-position"`
+}
+
+// OrderRecord records an order as received.
+type OrderRecord struct {
+	OrderID    string `json:"order-id"`
+	Fencing    uint64 `json:"fencing"`
+	Action     string `json:"action"`
+	Model      string `json:"model"`
+	Version    string `json:"version"`
+	Adapter    string `json:"adapter"`
+	FirstLayer uint32 `json:"first-layer"`
+	EndLayer   uint32 `json:"end-layer"`
+	Role       string `json:"role"`
+	Accepted   bool   `json:"accepted"`
+	Reason     string `json:"reason,omitempty"`
+}
+
+// Refused counts the requests and activations that the engine refused, by reason.
+type Refused map[string]int
+
+// Ledger is what GET /ledger answers.
+type Ledger struct {
+	Target   string              `json:"target"`
+	Runs     []Run               `json:"runs"`
+	Orders   []OrderRecord       `json:"orders"`
+	Canceled []Run               `json:"canceled"`
+	Refused  Refused             `json:"refused"`
+	Holdings []cataloger.Holding `json:"holdings"`
+	// DroppedRuns counts runs that were forgotten to bound the ledger.
+	DroppedRuns int `json:"dropped-runs"`
+}
+
+type ledger struct {
+	mu      sync.Mutex
+	runs    []*Run
+	orders  []OrderRecord
+	cancels []Run
+	refused Refused
+	dropped int
+}
+
+func newLedger() *ledger { return &ledger{refused: Refused{}} }
+
+func (l *ledger) begin(r Run) *Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.runs) >= maxLedgerRuns {
+		l.runs = append(l.runs[:0], l.runs[maxLedgerRuns/2:]...)
+		l.dropped += maxLedgerRuns / 2
+	}
+	l.runs = append(l.runs, &r)
+	return &r
+}
+
+func (l *ledger) ran(r *Run, position uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.EndPosition = position + 1
+}
+
+func (l *ledger) order(o OrderRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders = append(l.orders, o)
+}
+
+func (l *ledger) cancel(r Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.cancels) < maxLedgerRuns {
+		l.cancels = append(l.cancels, r)
+	}
+}
+
+func (l *ledger) refuse(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused[reason]++
+}
+
+func (l *ledger) snapshot() Ledger {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Ledger{Refused: Refused{}, DroppedRuns: l.dropped}
+	for _, r := range l.runs {
+		s.Runs = append(s.Runs, *r)
+	}
+	s.Orders = append(s.Orders, l.orders...)
+	s.Canceled = append(s.Canceled, l.cancels...)
+	for k, v := range l.refused {
+		s.Refused[k] = v
+	}
+	return s
+}
--- /dev/null
+++ b/internal/solver/network.go
@@ -0,0 +1,134 @@
+package solver
+
+import "math"
+
+// tolerance is the share of the largest capacity below which a residual counts as none.
+const tolerance = 1e-9
+
+// Network is a directed graph with capacities; it is not safe for concurrent use.
+type Network struct {
+	head  []int32
+	edges []arc
+	level []int32
+	next  []int32
+	queue []int32
+	zero  float64
+}
+
+// arc is one direction of an edge; arc i and arc i^1 are the two directions.
+type arc struct {
+	to       int32
+	sibling  int32
+	residual float64
+	capacity float64
+}
+
+// NewNetwork returns a network of so many nodes, numbered from 0, without edges.
+func NewNetwork(nodes int) *Network {
+	n := &Network{head: make([]int32, nodes), level: make([]int32, nodes), next: make([]int32, nodes)}
+	for i := range n.head {
+		n.head[i] = -1
+	}
+	return n
+}
+
+// AddEdge adds an edge and returns its number; a capacity that is infinite or negative is taken as MaxFloat64/4 or 0.
+func (n *Network) AddEdge(from, to int, capacity float64) int {
+	capacity = min(max(capacity, 0), math.MaxFloat64/4)
+	id := len(n.edges)
+	n.edges = append(n.edges,
+		arc{to: int32(to), sibling: n.head[from], residual: capacity, capacity: capacity},
+		arc{to: int32(from), sibling: n.head[to]})
+	n.head[from] = int32(id)
+	n.head[to] = int32(id + 1)
+	return id
+}
+
+// Flow returns the flow over an edge.
+func (n *Network) Flow(edge int) float64 {
+	return max(n.edges[edge^1].residual, 0)
+}
+
+// Capacity returns the capacity of an edge.
+func (n *Network) Capacity(edge int) float64 { return n.edges[edge].capacity }
+
+// SetCapacity changes the capacity of an edge to at least its flow; MaxFlow may then be called again.
+func (n *Network) SetCapacity(edge int, capacity float64) {
+	flow := n.Flow(edge)
+	n.edges[edge].capacity = max(capacity, flow)
+	n.edges[edge].residual = n.edges[edge].capacity - flow
+}
+
+// MaxFlow raises the flow from source to sink to its maximum and returns what was added since the last call.
+func (n *Network) MaxFlow(source, sink int) float64 {
+	n.zero = n.smallest()
+	added := 0.0
+	for n.rank(source, sink) {
+		copy(n.next, n.head)
+		for {
+			f := n.push(int32(source), int32(sink), math.MaxFloat64)
+			if f <= n.zero {
+				break
+			}
+			added += f
+		}
+	}
+	return added
+}
+
+// smallest returns the residual that counts as none.
+func (n *Network) smallest() float64 {
+	largest := 0.0
+	for i := 0; i < len(n.edges); i += 2 {
+		if c := n.edges[i].capacity; c < math.MaxFloat64/8 {
+			largest = max(largest, c)
+		}
+	}
+	return largest * tolerance
+}
+
+// rank numbers the nodes by their distance from source and tells whether sink is reached.
+func (n *Network) rank(source, sink int) bool {
+	for i := range n.level {
+		n.level[i] = -1
+	}
+	n.level[source] = 0
+	n.queue = append(n.queue[:0], int32(source))
+	for q := 0; q < len(n.queue); q++ {
+		v := n.queue[q]
+		for e := n.head[v]; e >= 0; e = n.edges[e].sibling {
+			a := &n.edges[e]
+			if a.residual > n.zero && n.level[a.to] < 0 {
+				n.level[a.to] = n.level[v] + 1
+				n.queue = append(n.queue, a.to)
+			}
+		}
+	}
+	return n.level[sink] >= 0
+}
+
+// push sends up to limit from v to sink along ranked edges and returns what it sent.
+func (n *Network) push(v, sink int32, limit float64) float64 {
+	if v == sink {
+		return limit
+	}
+	sent := 0.0
+	for ; n.next[v] >= 0; n.next[v] = n.edges[n.next[v]].sibling {
+		e := n.next[v]
+		a := &n.edges[e]
+		if a.residual <= n.zero || n.level[a.to] != n.level[v]+1 {
+			continue
+		}
+		f := n.push(a.to, sink, min(limit-sent, a.residual))
+		if f <= 0 {
+			continue
+		}
+		n.edges[e].residual -= f
+		n.edges[e^1].residual += f
+		sent += f
+		if limit-sent <= n.zero {
+			return sent
+		}
+	}
+	return sent
+}
