Add selector and dispatcher over the fake engines

Cause: the thin path needs a route, an attempt and its replacement. Change: the selector walks the hops of the max-flow by weight and picks the cheapest of a few draws by live load; the dispatcher runs an attempt, checks each token, and on failure resumes, imports the KV cache or prefills again under a retry budget. Measured: nothing yet; go test -race ./internal/dispatcher passes over loopback engines.

--- /dev/null
+++ b/internal/dispatcher/counters.go
@@ -0,0 +1,50 @@
+package dispatcher
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattantray/rattantray/internal/verifier"
+)
+
+// counters are the dispatcher's metrics.
+type counters struct {
+	attempts  metrics.Counter
+	tokens    metrics.Counter
+	resumed   metrics.Counter
+	imported  metrics.Counter
+	refilled  metrics.Counter
+	moved     metrics.Counter
+	broken    metrics.Counter
+	stalled   metrics.Counter
+	invalid   metrics.Counter
+	refused   metrics.Counter
+	noBudget  metrics.Counter
+	exhausted metrics.Counter
+	reasons   map[verifier.Reason]metrics.Counter
+}
+
+func newCounters(r metrics.Registry) *counters {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	count := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	c := &counters{
+		attempts:  count("dispatcher.attempts"),
+		tokens:    count("dispatcher.tokens"),
+		resumed:   count("dispatcher.recovered.resume"),
+		imported:  count("dispatcher.recovered.kv-import"),
+		refilled:  count("dispatcher.recovered.prefill"),
+		moved:     count("dispatcher.moved"),
+		broken:    count("dispatcher.failed.broken"),
+		stalled:   count("dispatcher.failed.stalled"),
+		invalid:   count("dispatcher.failed.invalid"),
+		refused:   count("dispatcher.failed.refused"),
+		noBudget:  count("dispatcher.retry-budget-spent"),
+		exhausted: count("dispatcher.attempts-exhausted"),
+		reasons:   make(map[verifier.Reason]metrics.Counter),
+	}
+	for _, reason := range verifier.Reasons() {
+		c.reasons[reason] = count("verifier." + reason.String())
+	}
+	return c
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,134 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/internal/verifier"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Defaults of a Dispatcher.
+const (
+	DefaultFirstTokenStall = 2 * time.Second
+	DefaultResumeWait      = 30 * time.Millisecond
+	DefaultExportWait      = 15 * time.Millisecond
+	DefaultImportWait      = time.Second
+	DefaultProbeWait       = 100 * time.Millisecond
+	DefaultCancelWait      = 2 * time.Second
+	DefaultRecoverWait     = 5 * time.Second
+	// maxCancels bounds the Cancel calls in progress.
+	maxCancels = 256
+)
+
+// Dispatcher runs jobs; set the exported fields before the first Run.
+type Dispatcher struct {
+	Clock  timer.Clock
+	Random *rand.Rand
+	Log    zerolog.Logger
+	// Metrics takes the counters; their names begin with "dispatcher." and "verifier.".
+	Metrics metrics.Registry
+	// Pick returns a route and the permit that accounts for it; its errors are refusals that nothing ran.
+	Pick func(selector.Request) (cataloger.Route, *selector.Permit, error)
+	// Substitute returns the route with a lost target's stages given to others.
+	Substitute func(req selector.Request, route cataloger.Route, lost string) (cataloger.Route, *selector.Permit, bool)
+	// Engine returns the engine at an address.
+	Engine func(address string) *engineer.Engine
+	// Leaving tells whether a target's streams should move elsewhere.
+	Leaving func(target string) bool
+	// Failed reports a target that lost a stream.
+	Failed func(target string)
+	// Stalled reports the targets of a chain that went silent while each of them still answers.
+	Stalled func(targets []string)
+
+	// MaxStall and MinStall bound the silence between tokens that is waited for.
+	MaxStall time.Duration
+	MinStall time.Duration
+	// FirstTokenStall is waited for the first token beyond twice the expected time.
+	FirstTokenStall time.Duration
+	// ResumeWait, ExportWait, ImportWait, ProbeWait and CancelWait bound the calls of a recovery.
+	ResumeWait time.Duration
+	ExportWait time.Duration
+	ImportWait time.Duration
+	ProbeWait  time.Duration
+	CancelWait time.Duration
+	// RecoverWait is how long an answer in progress waits for a chain to be found.
+	RecoverWait time.Duration
+
+	random  sync.Mutex
+	budgets *budgets
+	counts  *counters
+	cancels chan struct{}
+	wait    sync.WaitGroup
+}
+
+// New returns a dispatcher over a selector and a pool of engines, with the defaults.
+func New(clock timer.Clock, random *rand.Rand, log zerolog.Logger, registry metrics.Registry, s *selector.Selector, pool *engineer.Pool) *Dispatcher {
+	d := &Dispatcher{
+		Clock: clock, Random: random, Log: log, Metrics: registry,
+		MaxStall: DefaultMaxStall, MinStall: DefaultMinStall, FirstTokenStall: DefaultFirstTokenStall,
+		ResumeWait: DefaultResumeWait, ExportWait: DefaultExportWait, ImportWait: DefaultImportWait,
+		ProbeWait: DefaultProbeWait, CancelWait: DefaultCancelWait, RecoverWait: DefaultRecoverWait,
+		budgets: newBudgets(),
+		counts:  newCounters(registry),
+		cancels: make(chan struct{}, maxCancels),
+	}
+	if s != nil {
+		d.Pick, d.Substitute, d.Leaving, d.Failed, d.Stalled = s.Pick, s.Substitute, s.Leaving, s.Fail, s.Blame
+	}
+	if pool != nil {
+		d.Engine = pool.Get
+	}
+	return d
+}
+
+// Run runs a job and calls emit once for each token, in order; its error is a refuser.Refusal, or the error of emit.
+func (d *Dispatcher) Run(ctx context.Context, job Job, emit func(Part) error) error {
+	job = job.withDefaults()
+	if err := job.check(); err != nil {
+		return err
+	}
+	if !job.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, job.Deadline)
+		defer cancel()
+	}
+	d.budgets.earn(budgetKey{job.Workspace, job.Service}, job.RetryBudget)
+	r := &run{
+		d:         d,
+		job:       job,
+		emit:      emit,
+		checker:   verifier.New(job.RequestID, job.Version, job.Layers, job.StartPosition, job.end()),
+		attempt:   job.FirstAttempt,
+		delivered: job.Delivered,
+		prefixes:  engineer.Prefixes(job.Model, job.Version, job.Adapter, job.Prompt),
+		begun:     d.Clock.Now(),
+	}
+	return r.run(ctx)
+}
+
+// Wait returns when every Cancel sent to engines has been answered or timed out.
+func (d *Dispatcher) Wait() { d.wait.Wait() }
+
+func (d *Dispatcher) float() float64 {
+	d.random.Lock()
+	defer d.random.Unlock()
+	return d.Random.Float64()
+}
+
+// interrupted returns the refusal for a context that is done.
+func interrupted(ctx context.Context, fact refuser.Fact) *refuser.Refusal {
+	if context.Cause(ctx) == context.DeadlineExceeded || ctx.Err() == context.DeadlineExceeded {
+		return refuser.New(refuser.DeadlineExceeded, "the deadline passed while the request ran").WithFact(fact)
+	}
+	return refuser.New(refuser.Canceled, "the caller cancelled the request").WithFact(fact)
+}
--- /dev/null
+++ b/internal/dispatcher/job.go
@@ -0,0 +1,81 @@
+package dispatcher
+
+import (
+	"time"
+
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Job is a request for a model.
+type Job struct {
+	Workspace string
+	Service   string
+	RequestID string
+	Model     string
+	Version   string
+	Adapter   string
+	// Layers is the number of layers of the model.
+	Layers uint32
+	Prompt []byte
+	// MaxTokens bounds the whole answer, with the tokens before StartPosition.
+	MaxTokens uint32
+	Priority  uint32
+	// Deadline is when the caller stops waiting; zero is never.
+	Deadline time.Time
+	// StartPosition is the position of the first token to deliver.
+	StartPosition uint64
+	// Delivered holds the tokens before StartPosition, where they are known.
+	Delivered [][]byte
+	// FirstAttempt is greater than any attempt made before; 0 stands for 1.
+	FirstAttempt uint32
+	// MaxAttempts bounds the attempts that are made after failures, with the first; 0 stands for DefaultMaxAttempts.
+	MaxAttempts int
+	// RetryBudget is the share of requests that may be retried; 0 stands for DefaultRetryBudget, less is none.
+	RetryBudget float64
+}
+
+// Defaults of a job.
+const (
+	DefaultMaxAttempts = 5
+	DefaultRetryBudget = 0.2
+)
+
+// Part is one token of the answer, delivered once and in order.
+type Part struct {
+	Attempt  uint32
+	Position uint64
+	Data     []byte
+	Last     bool
+	Receipt  *v1.Receipt
+}
+
+func (j Job) withDefaults() Job {
+	if j.FirstAttempt == 0 {
+		j.FirstAttempt = 1
+	}
+	if j.MaxAttempts <= 0 {
+		j.MaxAttempts = DefaultMaxAttempts
+	}
+	if j.RetryBudget == 0 {
+		j.RetryBudget = DefaultRetryBudget
+	}
+	return j
+}
+
+// check returns a refusal of a job that cannot be run.
+func (j Job) check() error {
+	switch {
+	case j.RequestID == "":
+		return refuser.New(refuser.MalformedRequest, "request-id: must not be empty")
+	case j.Layers == 0:
+		return refuser.New(refuser.MalformedRequest, "layers: the model of the service has none")
+	case j.MaxTokens == 0:
+		return refuser.New(refuser.MalformedRequest, "max-tokens: must be at least 1")
+	case j.StartPosition >= uint64(j.MaxTokens):
+		return refuser.New(refuser.MalformedRequest, "position %d: the answer ends before %d", j.StartPosition, j.MaxTokens)
+	}
+	return nil
+}
+
+func (j Job) end() uint64 { return uint64(j.MaxTokens) }
--- /dev/null
+++ b/internal/dispatcher/run.go
@@ -0,0 +1,233 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/verifier"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// run is the state of one job over all its attempts.
+type run struct {
+	d         *Dispatcher
+	job       Job
+	emit      func(Part) error
+	checker   *verifier.Checker
+	attempt   uint32
+	delivered [][]byte
+	prefixes  []uint64
+	begun     time.Time
+	// avoid names the targets that failed this job.
+	avoid []string
+	// failures counts attempts that were replaced because they failed.
+	failures int
+	// mayHaveRun is set once an engine may have run a layer.
+	mayHaveRun bool
+	gaps       gapEstimator
+	// leaveChecked is when the stages were last asked whether they leave.
+	leaveChecked time.Time
+	// stay is set where the stream could not move off a leaving target.
+	stay bool
+}
+
+// plan is how the next attempt begins.
+type plan struct {
+	route  cataloger.Route
+	permit *selector.Permit
+	// imported is set where every stage has the KV cache already.
+	imported bool
+	// resume is set where the engine still holds the stream of the present attempt.
+	resume bool
+}
+
+func (r *run) fact() refuser.Fact {
+	if r.mayHaveRun {
+		return refuser.FactMayHaveRun
+	}
+	return refuser.FactNotRun
+}
+
+func (r *run) run(ctx context.Context) error {
+	p, err := r.pick(ctx)
+	for err == nil {
+		var f *failure
+		f, err = r.try(ctx, &p)
+		if err != nil || f == nil {
+			return err
+		}
+		p, err = r.recover(ctx, p, f)
+	}
+	return err
+}
+
+// try runs one attempt; a nil failure with a nil error is the end of the answer.
+func (r *run) try(ctx context.Context, p *plan) (*failure, error) {
+	r.d.counts.attempts.Inc(1)
+	f, err := r.follow(ctx, p)
+	if f == nil && err == nil {
+		p.permit.Done()
+		return nil, nil
+	}
+	if err != nil {
+		p.permit.Done()
+		r.cancel(p.route, r.attempt)
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		p.permit.Done()
+		r.cancel(p.route, r.attempt)
+		return nil, interrupted(ctx, r.fact())
+	}
+	return f, nil
+}
+
+// request returns what the selector is asked for.
+func (r *run) request() selector.Request {
+	return selector.Request{
+		Model: r.job.Model, Version: r.job.Version, Adapter: r.job.Adapter,
+		PromptTokens: engineer.PromptTokens(len(r.job.Prompt)) + len(r.delivered),
+		Prefixes:     r.prefixes,
+		MaxTokens:    r.job.MaxTokens - uint32(r.checker.Next()),
+		Avoid:        r.avoid,
+	}
+}
+
+// pick asks for a route; an answer in progress waits a while for one.
+func (r *run) pick(ctx context.Context) (plan, error) {
+	giveUp := r.d.Clock.Now().Add(r.d.RecoverWait)
+	for try := 0; ; try++ {
+		route, permit, err := r.d.Pick(r.request())
+		if err == nil {
+			return plan{route: route, permit: permit}, nil
+		}
+		refusal := refuser.From(err)
+		if r.failures == 0 || !r.d.Clock.Now().Before(giveUp) {
+			return plan{}, refusal.WithFact(r.fact())
+		}
+		if r.d.Clock.Sleep(ctx, r.backoff(try)) != nil {
+			return plan{}, interrupted(ctx, r.fact())
+		}
+	}
+}
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+)
+
+// backoff returns a random time up to a limit that doubles with each try.
+func (r *run) backoff(try int) time.Duration {
+	limit := min(firstBackoff<<min(try, 10), maxBackoff)
+	return time.Duration((0.25 + 0.75*r.d.float()) * float64(limit))
+}
+
+// recover decides how to go on after a failed attempt, or returns the final refusal.
+func (r *run) recover(ctx context.Context, p plan, f *failure) (plan, error) {
+	if f.kind == failedMove {
+		return r.move(ctx, p, f), nil
+	}
+	r.count(f)
+	if f.resumable && !p.resume {
+		r.d.Log.Debug().Str("request-id", r.job.RequestID).Uint32("attempt", r.attempt).Msg("resume")
+		return plan{route: p.route, permit: p.permit, resume: true}, nil
+	}
+	r.failures++
+	r.blame(ctx, p, f)
+	if err := r.permitted(f); err != nil {
+		p.permit.Done()
+		r.cancel(p.route, r.attempt)
+		return plan{}, err
+	}
+	if r.failures > 1 {
+		if r.d.Clock.Sleep(ctx, r.backoff(r.failures-2)) != nil {
+			p.permit.Done()
+			r.cancel(p.route, r.attempt)
+			return plan{}, interrupted(ctx, r.fact())
+		}
+	}
+	return r.next(ctx, p, f)
+}
+
+// move takes the stream off a leaving target, or goes on with it where that cannot be done.
+func (r *run) move(ctx context.Context, p plan, f *failure) plan {
+	if moved, ok := r.replace(ctx, p, f); ok {
+		return moved
+	}
+	r.stay = true
+	return plan{route: p.route, permit: p.permit, resume: true}
+}
+
+// permitted returns the final refusal where the job may not be tried again.
+func (r *run) permitted(f *failure) error {
+	if r.failures >= r.job.MaxAttempts {
+		r.d.counts.exhausted.Inc(1)
+		return r.final(refuser.AttemptsExhausted, f)
+	}
+	key := budgetKey{r.job.Workspace, r.job.Service}
+	if !r.d.budgets.spend(key, r.job.RetryBudget) {
+		r.d.counts.noBudget.Inc(1)
+		return r.final(refuser.RetryBudgetSpent, f)
+	}
+	return nil
+}
+
+// finalRetryAfter is when a caller may try again after the dispatcher gave up.
+const finalRetryAfter = time.Second
+
+func (r *run) final(code refuser.Code, f *failure) error {
+	return refuser.New(code, "attempt %d: %s", r.attempt, f).
+		WithFact(r.fact()).WithRetryAfter(finalRetryAfter).WithCause(f.err)
+}
+
+// next ends the old attempt and plans a new one: on the same chain but for the lost target where its KV cache can be had, else on a fresh chain.
+func (r *run) next(ctx context.Context, old plan, f *failure) (plan, error) {
+	if p, ok := r.replace(ctx, old, f); ok {
+		return p, nil
+	}
+	old.permit.Done()
+	r.cancel(old.route, r.attempt)
+	r.advance(f)
+	p, err := r.pick(ctx)
+	if err == nil {
+		r.d.counts.refilled.Inc(1)
+	}
+	return p, err
+}
+
+// fencedStep is added to the attempt number when engines have seen a greater one.
+const fencedStep = 16
+
+func (r *run) advance(f *failure) {
+	r.attempt++
+	if f.kind == failedFenced {
+		r.attempt += fencedStep
+	}
+}
+
+func (r *run) shun(target string) {
+	if target != "" && !slices.Contains(r.avoid, target) {
+		r.avoid = append(r.avoid, target)
+	}
+}
+
+// deliver checks a part and emits it where it is the next token.
+func (r *run) deliver(m *message) (verifier.Verdict, verifier.Reason, error) {
+	verdict, reason := r.checker.Check(m)
+	if verdict != verifier.Deliver {
+		r.d.counts.reasons[reason].Inc(1)
+		return verdict, reason, nil
+	}
+	r.delivered = append(r.delivered, m.Data)
+	r.d.counts.tokens.Inc(1)
+	err := r.emit(Part{
+		Attempt: m.Attempt, Position: m.Position, Data: m.Data, Last: r.checker.Done(), Receipt: m.Receipt,
+	})
+	return verdict, reason, errors.Wrap(err, "emit")
+}
--- a/internal/enginefaker/faults.go
+++ b/internal/enginefaker/faults.go
@@ -87,7 +87,6 @@
 type faults struct {
 	mu   sync.Mutex
 	list []*activeFault
-	died chan struct{}
 	dead bool
 }
 
@@ -96,7 +95,7 @@
 	left int
 }
 
-func newFaults() *faults { return &faults{died: make(chan struct{})} }
+func newFaults() *faults { return &faults{} }
 
 func (f *faults) set(list []Fault) {
 	f.mu.Lock()
@@ -107,12 +106,6 @@
 		f.list = append(f.list, &activeFault{Fault: x, left: x.Times})
 		dead = dead || x.Kind == FaultDie
 	}
-	switch {
-	case dead && !f.dead:
-		close(f.died)
-	case !dead && f.dead:
-		f.died = make(chan struct{})
-	}
 	f.dead = dead
 }
 
@@ -140,10 +133,3 @@
 	defer f.mu.Unlock()
 	return !f.dead
 }
-
-// death returns a channel that is closed when the engine dies.
-func (f *faults) death() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.died
-}
--- /dev/null
+++ b/internal/selector/permit.go
@@ -0,0 +1,130 @@
+package selector
+
+import (
+	"time"
+
+	commonv1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+)
+
+const (
+	// everyToken is how many first tokens of a stream are all observed; later ones are observed every observeEvery.
+	everyToken   = 4
+	observeEvery = 8
+)
+
+// Permit accounts for one attempt on a route; a nil Permit does nothing.
+type Permit struct {
+	s       *Selector
+	legs    [maxStages]leg
+	n       int
+	tokens  int
+	prefill bool
+	done    bool
+	first   time.Duration
+	// prefixes are what the targets will have cached after the prefill.
+	prefixes []uint64
+}
+
+// leg is the attempt's part of one target.
+type leg struct {
+	t       *target
+	layers  float64
+	prefill float64
+	link    *link
+	nominal float64
+}
+
+// grant requires s.mu and counts the way that a walker found as outstanding.
+func (s *Selector) grant(w *walker) *Permit {
+	p := &Permit{s: s, n: w.n, prefill: true, prefixes: w.req.Prefixes}
+	for i := range w.n {
+		st := w.steps[i]
+		h := &w.g.holders[st.holder]
+		layers := float64(st.end - st.first)
+		l := leg{t: h.t, layers: layers, prefill: layers * w.prefillTokens(h.t), link: st.link}
+		if st.edge != nil {
+			l.nominal = st.edge.nominal + st.edge.latency
+		}
+		p.first += time.Duration((l.t.load(w.now)/h.decode + (l.t.prefillWork+l.prefill)/h.prefill) * float64(time.Second))
+		l.t.streams++
+		l.t.decodeLayers += layers
+		l.t.prefillWork += l.prefill
+		p.legs[i] = l
+	}
+	return p
+}
+
+// Observe takes in the receipt of the next token.
+func (p *Permit) Observe(r *commonv1.Receipt) {
+	if p == nil {
+		return
+	}
+	p.tokens++
+	if p.tokens > everyToken && p.tokens%observeEvery != 0 {
+		return
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	now := p.s.Clock.Now()
+	if p.prefill {
+		p.endPrefill(now)
+		return
+	}
+	if r == nil || len(r.Stages) != p.n {
+		return
+	}
+	for i, st := range r.Stages {
+		if l := p.legs[i].link; l != nil && st.Transfer != nil {
+			l.observe(now, st.Transfer.AsDuration().Seconds(), p.legs[i].nominal)
+		}
+	}
+}
+
+// endPrefill releases the prefill and believes that the targets have the prefixes cached now.
+func (p *Permit) endPrefill(now time.Time) {
+	if !p.prefill {
+		return
+	}
+	p.prefill = false
+	for i := range p.n {
+		l := &p.legs[i]
+		l.t.prefillWork = max(l.t.prefillWork-l.prefill, 0)
+		l.t.succeed(now)
+		for _, prefix := range p.prefixes {
+			p.s.prefixes.add(prefix, l.t.name, now, assumedHit)
+		}
+	}
+}
+
+// Done releases what is outstanding; it may be called more than once.
+func (p *Permit) Done() {
+	if p == nil {
+		return
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	if p.prefill {
+		p.prefixes = nil
+		for i := range p.n {
+			l := &p.legs[i]
+			l.t.prefillWork = max(l.t.prefillWork-l.prefill, 0)
+		}
+	}
+	for i := range p.n {
+		l := &p.legs[i]
+		l.t.streams = max(l.t.streams-1, 0)
+		l.t.decodeLayers = max(l.t.decodeLayers-l.layers, 0)
+	}
+}
+
+// FirstToken returns the expected time to the first token, from what was outstanding when the permit was granted.
+func (p *Permit) FirstToken() time.Duration {
+	if p == nil {
+		return 0
+	}
+	return p.first
+}
--- /dev/null
+++ b/internal/selector/pick.go
@@ -0,0 +1,303 @@
+package selector
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Request says what route is wanted.
+type Request struct {
+	Model   string
+	Version string
+	Adapter string
+	// PromptTokens counts what has to be prefilled, with tokens delivered earlier.
+	PromptTokens int
+	// Prefixes are the hashes that engineer.Prefixes returns for the prompt.
+	Prefixes  []uint64
+	MaxTokens uint32
+	// Avoid names targets that are taken only where there is no other chain.
+	Avoid []string
+}
+
+func (r Request) key() Key { return Key{r.Model, r.Version, r.Adapter} }
+
+const (
+	maxStages  = 16
+	maxHits    = 8
+	drawTrials = 12
+)
+
+// walker finds one route.
+type walker struct {
+	s      *Selector
+	g      *graph
+	req    Request
+	now    time.Time
+	tokens float64
+	hits   [maxHits]hit
+	nhits  int
+	steps  [maxStages]step
+	n      int
+}
+
+// step is one stage on the way, with the last edge taken into it.
+type step struct {
+	holder int32
+	first  uint32
+	end    uint32
+	link   *link
+	edge   *edge
+}
+
+// Pick returns the route for a request and the permit that accounts for it, or a refuser.Refusal that nothing ran.
+func (s *Selector) Pick(req Request) (cataloger.Route, *Permit, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.graphs[req.key()]
+	if g == nil {
+		return cataloger.Route{}, nil, refuser.New(refuser.NoPipeline, "model %s version %s is not in force here", req.Model, req.Version)
+	}
+	w := walker{s: s, g: g, req: req, now: s.Clock.Now(), tokens: float64(max(req.MaxTokens, 1))}
+	if req.MaxTokens == 0 {
+		w.tokens = DefaultTokens
+	}
+	if len(req.Prefixes) > 0 {
+		w.nhits = len(s.prefixes.hits(req.Prefixes, w.now, w.hits[:0:maxHits]))
+	}
+	if !w.walk() && !w.cover() {
+		return cataloger.Route{}, nil, refuser.New(refuser.NoPipeline, "no chain of live targets covers the %d layers of %s %s", g.model.Layers, req.Model, req.Version).
+			WithRetryAfter(noPipelineRetry)
+	}
+	route := w.route()
+	return route, s.grant(&w), nil
+}
+
+// noPipelineRetry is when a caller may try again after no chain was found.
+const noPipelineRetry = time.Second
+
+// walk goes from the start to the last layer, at each state to the cheapest of a few targets drawn by weight.
+func (w *walker) walk() bool {
+	w.n = 0
+	st := w.g.states[0]
+	for st.layer < w.g.model.Layers {
+		e := w.next(st)
+		if e == nil || !w.take(st, e) {
+			return false
+		}
+		st = w.g.states[e.to]
+	}
+	return true
+}
+
+// take adds an edge to the way; it fails where the way gets too long.
+func (w *walker) take(st state, e *edge) bool {
+	end := w.g.states[e.to].layer
+	if w.n > 0 && w.steps[w.n-1].holder == e.holder {
+		w.steps[w.n-1].end = end
+		return true
+	}
+	if w.n == maxStages {
+		return false
+	}
+	w.steps[w.n] = step{holder: e.holder, first: st.layer, end: end, link: e.link, edge: e}
+	w.n++
+	return true
+}
+
+func (w *walker) next(st state) *edge {
+	var best *edge
+	bestCost := math.Inf(1)
+	probe := w.s.Random.Float64() < w.s.ProbeShare
+	drawn := 0
+	for trial := 0; trial < drawTrials && drawn < w.s.Draws; trial++ {
+		e := w.g.draw(st, w.s.Random.Float64())
+		if e == nil || !w.accept(e) {
+			continue
+		}
+		drawn++
+		if probe {
+			return e
+		}
+		if c := w.cost(e); c < bestCost {
+			best, bestCost = e, c
+		}
+	}
+	for i := range w.nhits {
+		if e := w.hitEdge(st, w.hits[i].target); e != nil {
+			if c := w.cost(e); c < bestCost {
+				best, bestCost = e, c
+			}
+		}
+	}
+	return best
+}
+
+// hitEdge returns the edge to a target that may have the prefix cached, or nil.
+func (w *walker) hitEdge(st state, name string) *edge {
+	for i := st.first; i < st.end; i++ {
+		e := &w.g.edges[i]
+		if w.g.holders[e.holder].t.name == name {
+			if w.accept(e) {
+				return e
+			}
+			return nil
+		}
+	}
+	return nil
+}
+
+// accept tells whether a drawn edge is a candidate; targets that start slowly are accepted in proportion.
+func (w *walker) accept(e *edge) bool {
+	t := w.g.holders[e.holder].t
+	if !t.trusted(w.now) || len(w.req.Avoid) > 0 && slices.Contains(w.req.Avoid, t.name) {
+		return false
+	}
+	if t.kvShare > kvFull && w.s.Random.Float64() > (1-t.kvShare)/(1-kvFull) {
+		return false
+	}
+	if ramp := t.ramp(w.now, w.s.SlowStart); ramp < 1 {
+		return w.s.Random.Float64() < ramp
+	}
+	return true
+}
+
+// cost returns the expected seconds per token that the edge adds, prefill included.
+func (w *walker) cost(e *edge) float64 {
+	h := &w.g.holders[e.holder]
+	t := h.t
+	layers := float64(e.layers)
+	decode := (t.load(w.now) + layers) / h.decode
+	prefill := (t.prefillWork + layers*w.prefillTokens(t)) / h.prefill
+	cost := decode + prefill/w.tokens
+	if e.link != nil {
+		ratio := e.link.current(w.now)
+		cost += (e.latency + e.nominal) * ratio
+		cost += e.nominal * ratio * float64(w.req.PromptTokens) / w.tokens
+	}
+	return cost
+}
+
+func (w *walker) prefillTokens(t *target) float64 {
+	tokens := float64(w.req.PromptTokens)
+	for i := range w.nhits {
+		if w.hits[i].target == t.name {
+			saved := w.hits[i].blocks * engineer.PrefixBlockBytes / engineer.PromptBytesPerToken
+			return math.Max(tokens-saved, 0)
+		}
+	}
+	return tokens
+}
+
+// cover finds a chain without regard to weights, trusting as few suspected or avoided targets as it must.
+func (w *walker) cover() bool {
+	avoided := func(h *holder) bool { return slices.Contains(w.req.Avoid, h.t.name) }
+	levels := []func(h *holder) bool{
+		func(h *holder) bool { return h.t.trusted(w.now) && !avoided(h) },
+		func(h *holder) bool { return h.t.usable() && !avoided(h) },
+		func(h *holder) bool { return h.t.usable() },
+	}
+	return slices.ContainsFunc(levels, w.coverBy)
+}
+
+// coverBy goes on, layer by layer, with the allowed holder that reaches furthest, which finds a chain if there is one.
+func (w *walker) coverBy(allowed func(h *holder) bool) bool {
+	w.n = 0
+	for layer := uint32(0); layer < w.g.model.Layers; {
+		best := int32(-1)
+		offset := w.s.Random.IntN(max(len(w.g.holders), 1))
+		for k := range w.g.holders {
+			i := int32((k + offset) % len(w.g.holders))
+			h := &w.g.holders[i]
+			if h.first > layer || h.end <= layer || !allowed(h) {
+				continue
+			}
+			if best < 0 || w.further(h, &w.g.holders[best]) {
+				best = i
+			}
+		}
+		if best < 0 || w.n == maxStages {
+			return false
+		}
+		st := step{holder: best, first: layer, end: w.g.holders[best].end}
+		if w.n > 0 {
+			st.link = w.s.linkOf(w.g.holders[w.steps[w.n-1].holder].t.name, w.g.holders[best].t.name)
+		}
+		w.steps[w.n] = st
+		w.n++
+		layer = st.end
+	}
+	return w.n > 0
+}
+
+func (w *walker) further(a, b *holder) bool {
+	if a.end != b.end {
+		return a.end > b.end
+	}
+	return a.t.load(w.now)/a.decode < b.t.load(w.now)/b.decode
+}
+
+func (w *walker) route() cataloger.Route {
+	r := cataloger.Route{Model: w.g.model.Name, Version: w.g.model.Version, Stages: make([]cataloger.Stage, w.n)}
+	for i := range w.n {
+		t := w.g.holders[w.steps[i].holder].t
+		r.Stages[i] = cataloger.Stage{Target: t.name, Address: t.info.Address, FirstLayer: w.steps[i].first, EndLayer: w.steps[i].end}
+	}
+	return r
+}
+
+// Substitute returns the route with the stages on a lost target given to others; ok is false where no single target can take a stage over.
+func (s *Selector) Substitute(req Request, route cataloger.Route, lost string) (cataloger.Route, *Permit, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.graphs[req.key()]
+	if g == nil || len(route.Stages) > maxStages {
+		return cataloger.Route{}, nil, false
+	}
+	w := walker{s: s, g: g, req: req, now: s.Clock.Now(), tokens: float64(max(req.MaxTokens, 1))}
+	for _, st := range route.Stages {
+		name := st.Target
+		if name == lost {
+			name = ""
+		}
+		best := w.substitute(st, name, lost)
+		if best < 0 {
+			return cataloger.Route{}, nil, false
+		}
+		next := step{holder: best, first: st.FirstLayer, end: st.EndLayer}
+		if w.n > 0 {
+			next.link = s.linkOf(g.holders[w.steps[w.n-1].holder].t.name, g.holders[best].t.name)
+		}
+		w.steps[w.n] = next
+		w.n++
+	}
+	return w.route(), s.grant(&w), true
+}
+
+// substitute returns the holder named, or with no name the least loaded other one, for the layers of a stage.
+func (w *walker) substitute(st cataloger.Stage, name, lost string) int32 {
+	best := int32(-1)
+	for i := range w.g.holders {
+		h := &w.g.holders[i]
+		if h.first > st.FirstLayer || h.end < st.EndLayer || h.t.name == lost {
+			continue
+		}
+		if name != "" {
+			if h.t.name == name {
+				return int32(i)
+			}
+			continue
+		}
+		if !h.t.trusted(w.now) || slices.Contains(w.req.Avoid, h.t.name) {
+			continue
+		}
+		if best < 0 || h.t.load(w.now)/h.decode < w.g.holders[best].t.load(w.now)/w.g.holders[best].decode {
+			best = int32(i)
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/selector/selector.go
@@ -0,0 +1,249 @@
+package selector
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/timer"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
+)
+
+// Model is a model version, with one adapter or none, that requests may name.
+type Model struct {
+	Name    string
+	Version string
+	Adapter string
+	Layers  uint32
+	// ActivationBytes is what one token's activation takes on a link; 0 makes links free.
+	ActivationBytes uint64
+}
+
+// Key names a model version with one adapter or none.
+type Key struct{ Name, Version, Adapter string }
+
+// Key returns what requests name the model by.
+func (m Model) Key() Key { return Key{m.Name, m.Version, m.Adapter} }
+
+// Defaults of a Selector.
+const (
+	DefaultFanOut     = 32
+	DefaultDraws      = 4
+	DefaultProbeShare = 0.01
+	DefaultSlowStart  = 10 * time.Second
+	DefaultTokens     = 64
+)
+
+// Selector picks routes; set the exported fields before the first Update.
+type Selector struct {
+	Clock  timer.Clock
+	Random *rand.Rand
+	// SameDataCentre and BetweenDataCentres stand for links that the fleet does not list.
+	SameDataCentre     cataloger.Link
+	BetweenDataCentres cataloger.Link
+	// FanOut bounds the links that are considered out of a target at one layer.
+	FanOut int
+	// Draws is how many targets are drawn by weight and compared at each step.
+	Draws int
+	// ProbeShare is the share of steps that follow the weights alone, so that a target or link that got better is found.
+	ProbeShare float64
+	// SlowStart is how long a target that joins or returns takes to get its whole share.
+	SlowStart time.Duration
+
+	// updating keeps one Update at a time without holding up Pick.
+	updating sync.Mutex
+
+	mu       sync.Mutex
+	graphs   map[Key]*graph
+	targets  map[string]*target
+	links    map[linkKey]*link
+	prefixes *prefixIndex
+	fleet    cataloger.Fleet
+	models   []Model
+	updated  bool
+}
+
+// New returns a selector with the defaults.
+func New(clock timer.Clock, random *rand.Rand) *Selector {
+	return &Selector{
+		Clock:              clock,
+		Random:             random,
+		SameDataCentre:     cataloger.Link{Bandwidth: 1.25e9, LatencySeconds: 0.0002},
+		BetweenDataCentres: cataloger.Link{Bandwidth: 1.25e8, LatencySeconds: 0.002},
+		FanOut:             DefaultFanOut,
+		Draws:              DefaultDraws,
+		ProbeShare:         DefaultProbeShare,
+		SlowStart:          DefaultSlowStart,
+		graphs:             make(map[Key]*graph),
+		targets:            make(map[string]*target),
+		links:              make(map[linkKey]*link),
+		prefixes:           newPrefixIndex(),
+	}
+}
+
+// Update takes on a view of the fleet and the models in force; it may take a second on a large fleet and does not hold up Pick.
+func (s *Selector) Update(fleet cataloger.Fleet, models []Model) {
+	s.updating.Lock()
+	defer s.updating.Unlock()
+	s.takeFleet(fleet, models)
+	graphs := make(map[Key]*graph, len(models))
+	for _, m := range models {
+		if _, done := graphs[m.Key()]; !done {
+			graphs[m.Key()] = s.build(m, fleet)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, g := range graphs {
+		g.blend(s.graphs[key])
+	}
+	s.graphs = graphs
+}
+
+// Reweigh computes the weights anew from the link speeds seen so far; call it every few seconds.
+func (s *Selector) Reweigh() {
+	s.mu.Lock()
+	fleet, models, ok := s.fleet, s.models, s.updated
+	s.mu.Unlock()
+	if ok {
+		s.Update(fleet, models)
+	}
+}
+
+// takeFleet renews the states of targets and links and forgets those that are gone.
+func (s *Selector) takeFleet(fleet cataloger.Fleet, models []Model) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	first := !s.updated
+	s.fleet, s.models, s.updated = fleet, models, true
+	targets := make(map[string]*target, len(fleet.Targets))
+	for _, info := range fleet.Targets {
+		if info.Type == cataloger.TypeService {
+			continue
+		}
+		t := s.targets[info.Name]
+		switch {
+		case t == nil && first:
+			t = &target{name: info.Name, rampFrom: now.Add(-s.SlowStart)}
+		case t == nil, !usableState(t.info.State) && usableState(info.State):
+			if t == nil {
+				t = &target{name: info.Name}
+			}
+			t.rampFrom = now
+		}
+		t.info = info
+		targets[info.Name] = t
+	}
+	s.targets = targets
+	links := make(map[linkKey]*link, len(fleet.Links))
+	for k, l := range s.links {
+		if targets[k.from] != nil && targets[k.to] != nil {
+			links[k] = l
+		}
+	}
+	s.links = links
+	for _, l := range fleet.Links {
+		s.linkOf(l.From, l.To).setNominal(l)
+	}
+}
+
+// linkOf requires s.mu and returns the state of a link, made on first use.
+func (s *Selector) linkOf(from, to string) *link {
+	k := linkKey{from, to}
+	l := s.links[k]
+	if l == nil {
+		l = &link{ratio: 1}
+		s.links[k] = l
+	}
+	return l
+}
+
+// nominal returns a link's stated bandwidth and latency.
+func (s *Selector) nominal(l *link, from, to cataloger.Target) cataloger.Link {
+	switch {
+	case l != nil && l.listed:
+		return l.nominal
+	case from.DataCentre == to.DataCentre:
+		return s.SameDataCentre
+	}
+	return s.BetweenDataCentres
+}
+
+// Bound returns how many tokens a second the fleet can generate with a model, by maximum flow.
+func (s *Selector) Bound(key Key) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.graphs[key]; g != nil {
+		return g.bound
+	}
+	return 0
+}
+
+// Leaving tells whether a target leaves or is gone.
+func (s *Selector) Leaving(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	return t == nil || t.info.State == cataloger.StateLeaving || t.reportedLeaving
+}
+
+// ObserveLoad takes in a target's own report.
+func (s *Selector) ObserveLoad(name string, r *enginev1.LoadResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil {
+		return
+	}
+	now := s.Clock.Now()
+	t.reportAt = now.Add(-r.Age.AsDuration())
+	t.othersRunning = math.Max(0, float64(r.Running)-t.streams)
+	t.reportedLeaving = r.Leaving
+	t.kvShare = 0
+	if r.KvTotalBytes > 0 {
+		t.kvShare = float64(r.KvUsedBytes) / float64(r.KvTotalBytes)
+	}
+}
+
+// ObserveCache takes in a prefix-cache event of a target.
+func (s *Selector) ObserveCache(name string, prefix uint64, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if removed {
+		s.prefixes.remove(prefix, name)
+		return
+	}
+	s.prefixes.add(prefix, name, s.Clock.Now(), confirmedHit)
+}
+
+// Fail marks a target as failed, so that it gets no work for a time that doubles with each failure in a row.
+func (s *Selector) Fail(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[name]; t != nil {
+		t.fail(s.Clock.Now(), s.Random.Float64())
+	}
+}
+
+// blameLimit is the blame at which a target counts as failed.
+const blameLimit = 0.6
+
+// Blame spreads the fault for a silent chain over its targets; one that is blamed again and again counts as failed.
+func (s *Selector) Blame(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		t := s.targets[name]
+		if t == nil {
+			continue
+		}
+		t.blame += 1 / float64(len(names))
+		if t.blame >= blameLimit {
+			t.blame = 0
+			t.fail(s.Clock.Now(), s.Random.Float64())
+		}
+	}
+}
--- /dev/null
+++ b/internal/selector/state.go
@@ -0,0 +1,143 @@
+package selector
+
+import (
+	"math"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+const (
+	firstSuspicion = 500 * time.Millisecond
+	maxSuspicion   = 30 * time.Second
+	// reportFade is the age at which a load report counts for 1/e.
+	reportFade = 2 * time.Second
+	// linkGain is the share of a new reading in a link's estimate.
+	linkGain = 0.2
+	// linkForget is the time without readings in which a bad estimate halves its excess.
+	linkForget = 10 * time.Second
+	// minRamp is the share that a target starts with.
+	minRamp = 0.1
+	// kvFull is the share of KV memory in use beyond which a target is avoided.
+	kvFull = 0.9
+)
+
+// target is the live state of one engine.
+type target struct {
+	name string
+	info cataloger.Target
+	// streams counts this router's streams, decodeLayers their layers on the target.
+	streams      float64
+	decodeLayers float64
+	// prefillWork is the layer-tokens of this router's unfinished prefills.
+	prefillWork float64
+	// othersRunning is the streams of other routers at reportAt.
+	othersRunning   float64
+	reportAt        time.Time
+	kvShare         float64
+	reportedLeaving bool
+	// rampFrom is when the target joined or returned.
+	rampFrom     time.Time
+	suspectUntil time.Time
+	failures     int
+	// blame is the target's part in chains that went silent, halved by each success.
+	blame float64
+}
+
+func usableState(s cataloger.State) bool {
+	return s == cataloger.StateLive || s == cataloger.StateSuspect
+}
+
+// usable tells whether the target may get new work at all.
+func (t *target) usable() bool { return usableState(t.info.State) && !t.reportedLeaving }
+
+// trusted tells whether the target is not suspected.
+func (t *target) trusted(now time.Time) bool {
+	return t.usable() && t.info.State != cataloger.StateSuspect && !now.Before(t.suspectUntil)
+}
+
+// ramp returns the share of its rate that the target gets, from minRamp to 1.
+func (t *target) ramp(now time.Time, slowStart time.Duration) float64 {
+	since := now.Sub(t.rampFrom)
+	if since >= slowStart {
+		return 1
+	}
+	return math.Max(minRamp, since.Seconds()/slowStart.Seconds())
+}
+
+func (t *target) fail(now time.Time, jitter float64) {
+	if now.Before(t.suspectUntil) {
+		return
+	}
+	pause := min(firstSuspicion<<min(t.failures, 10), maxSuspicion)
+	t.failures++
+	t.suspectUntil = now.Add(time.Duration(float64(pause) * (0.75 + jitter/2)))
+	t.rampFrom = t.suspectUntil
+}
+
+func (t *target) succeed(now time.Time) {
+	t.blame /= 2
+	if !now.Before(t.suspectUntil) {
+		t.failures = 0
+	}
+}
+
+// load returns the layers of all streams on the target: this router's now and the others' as far as the report still counts.
+func (t *target) load(now time.Time) float64 {
+	if t.othersRunning == 0 {
+		return t.decodeLayers
+	}
+	layers := float64(t.span())
+	if t.streams > 0 {
+		layers = t.decodeLayers / t.streams
+	}
+	fade := math.Exp(-now.Sub(t.reportAt).Seconds() / reportFade.Seconds())
+	return t.decodeLayers + t.othersRunning*layers*fade
+}
+
+func (t *target) span() uint32 {
+	if len(t.info.Holdings) == 0 {
+		return 0
+	}
+	h := t.info.Holdings[0]
+	return h.EndLayer - h.FirstLayer
+}
+
+type linkKey struct{ from, to string }
+
+// link is the live state of the connection between two targets.
+type link struct {
+	nominal cataloger.Link
+	listed  bool
+	// ratio is the measured transfer time over the nominal one, at least 1.
+	ratio float64
+	seen  time.Time
+}
+
+func (l *link) setNominal(n cataloger.Link) {
+	l.nominal = n
+	l.listed = true
+}
+
+// observe takes in one transfer.
+func (l *link) observe(now time.Time, took, nominal float64) {
+	if nominal <= 0 {
+		return
+	}
+	r := math.Max(1, took/nominal)
+	l.ratio = l.current(now)
+	l.ratio += linkGain * (r - l.ratio)
+	l.seen = now
+}
+
+// current returns the ratio, less what has been forgotten since the last reading.
+func (l *link) current(now time.Time) float64 {
+	if l.ratio <= 1 {
+		return 1
+	}
+	age := now.Sub(l.seen)
+	if age < time.Second {
+		return l.ratio
+	}
+	return 1 + (l.ratio-1)*math.Exp2(-age.Seconds()/linkForget.Seconds())
+}
--- a/internal/solver/chain.go
+++ b/internal/solver/chain.go
@@ -44,6 +44,8 @@
 	From  int
 	To    int
 	Layer uint32
+	// End is the first layer at which the token may leave To; 0 for Sink.
+	End uint32
 	// Flow and Capacity are in tokens a second.
 	Flow     float64
 	Capacity float64
@@ -163,7 +165,7 @@
 		}
 	}
 	for _, h := range entering[0] {
-		b.add(Hop{From: Source, To: h, Capacity: math.Inf(1)}, b.source, b.in(h, 0))
+		b.add(Hop{From: Source, To: h, End: b.boundaries[1], Capacity: math.Inf(1)}, b.source, b.in(h, 0))
 	}
 	for h := range b.c.Holders {
 		for i := b.bySegment[h][0]; i < b.bySegment[h][1]; i++ {
@@ -180,10 +182,10 @@
 		return
 	}
 	if runsOn {
-		b.add(Hop{From: h, To: h, Layer: layer, Capacity: math.Inf(1)}, b.out(h, p), b.in(h, p))
+		b.add(Hop{From: h, To: h, Layer: layer, End: b.boundaries[p+1], Capacity: math.Inf(1)}, b.out(h, p), b.in(h, p))
 	}
 	for _, to := range b.neighbours(h, entering) {
-		b.add(Hop{From: h, To: to, Layer: layer, Capacity: b.linkRate(h, to)}, b.out(h, p), b.in(to, p))
+		b.add(Hop{From: h, To: to, Layer: layer, End: b.boundaries[p+1], Capacity: b.linkRate(h, to)}, b.out(h, p), b.in(to, p))
 	}
 }
 
