--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -127,7 +128,7 @@
 
 // interrupted returns the refusal for a context that is done.
 func interrupted(ctx context.Context, fact refuser.Fact) *refuser.Refusal {
-	if context.Cause(ctx) == context.DeadlineExceeded || ctx.Err() == context.DeadlineExceeded {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refuser.New(refuser.DeadlineExceeded, "the deadline passed while the request ran").WithFact(fact)
 	}
 	return refuser.New(refuser.Canceled, "the caller cancelled the request").WithFact(fact)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -77,6 +77,7 @@
 	b.update()
 	pool := engineer.NewPool(client)
 	b.dispatcher = New(timer.System{}, rand.New(rand.NewPCG(3, 4)), zerolog.Nop(), b.registry, b.selector, pool)
+	b.dispatcher.MinStall = time.Second
 	t.Cleanup(func() {
 		b.dispatcher.Wait()
 		pool.Close()
--- a/internal/dispatcher/failure.go
+++ b/internal/dispatcher/failure.go
@@ -46,7 +46,9 @@
 	// head is set where the first stage itself refused.
 	head   bool
 	reason verifier.Reason
-	err    error
+	// moved is the plan that takes over from a leaving target.
+	moved plan
+	err   error
 }
 
 // String implements fmt.Stringer.
--- /dev/null
+++ b/internal/dispatcher/fault_test.go
@@ -0,0 +1,311 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/enginefaker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// at calls do with the target of a stage once, when token position arrives.
+func at(position uint64, stage int, do func(target string)) func(Part) error {
+	return func(p Part) error {
+		if p.Position == position {
+			do(p.Receipt.Stages[stage].Target)
+		}
+		return nil
+	}
+}
+
+func TestFaultsMidAnswer(t *testing.T) {
+	cases := []struct {
+		kind    enginefaker.FaultKind
+		times   int
+		counter string
+	}{
+		{enginefaker.FaultBreak, 1, "dispatcher.failed.broken"},
+		{enginefaker.FaultDie, 0, "dispatcher.failed.broken"},
+		{enginefaker.FaultStall, 0, "dispatcher.failed.stalled"},
+		{enginefaker.FaultSkipLayer, 1, "verifier.layer-missing"},
+		{enginefaker.FaultDuplicateLayer, 1, "verifier.layer-repeated"},
+		{enginefaker.FaultWrongVersion, 1, "verifier.wrong-version"},
+	}
+	for _, c := range cases {
+		for stage := range 3 {
+			t.Run(fmt.Sprintf("%s/stage %d", c.kind, stage), func(t *testing.T) {
+				b := newBench(t, threeStagesTwice, nil)
+				job := testJob("r", 30)
+				col := &collector{t: t, job: job}
+				col.each = at(5, stage, func(target string) {
+					require.NoError(t, b.engines[target].SetFaults(enginefaker.Fault{Kind: c.kind, Times: c.times}))
+				})
+				require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+				col.requireWhole()
+				require.GreaterOrEqual(t, b.count(c.counter), int64(1))
+				require.Greater(t, col.parts[29].Attempt, col.parts[0].Attempt)
+			})
+		}
+	}
+}
+
+func TestWrongPartsFromHead(t *testing.T) {
+	cases := []struct {
+		kind    enginefaker.FaultKind
+		counter string
+		// replaced is set where the attempt cannot go on.
+		replaced bool
+	}{
+		{enginefaker.FaultSkipPosition, "verifier.skipped-position", true},
+		{enginefaker.FaultForeignRequest, "verifier.foreign-request", false},
+		{enginefaker.FaultOldAttempt, "verifier.old-attempt", false},
+		{enginefaker.FaultRepeatPosition, "verifier.repeated-position", false},
+	}
+	for _, c := range cases {
+		t.Run(string(c.kind), func(t *testing.T) {
+			b := newBench(t, threeStagesTwice, nil)
+			job := testJob("r", 30)
+			col := &collector{t: t, job: job}
+			for _, e := range b.engines {
+				require.NoError(t, e.SetFaults(enginefaker.Fault{Kind: c.kind, Times: 1, AfterTokens: 7}))
+			}
+			require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+			col.requireWhole()
+			require.GreaterOrEqual(t, b.count(c.counter), int64(1))
+			require.Equal(t, c.replaced, col.parts[29].Attempt > 1)
+		})
+	}
+}
+
+func TestBeforeFirstToken(t *testing.T) {
+	cases := []enginefaker.Fault{
+		{Kind: enginefaker.FaultRefuse, Times: 1},
+		{Kind: enginefaker.FaultDropAnswer, RPC: "Generate", Times: 1},
+		{Kind: enginefaker.FaultBreak, Times: 1},
+		{Kind: enginefaker.FaultDie},
+	}
+	for _, fault := range cases {
+		t.Run(string(fault.Kind), func(t *testing.T) {
+			b := newBench(t, threeStagesTwice, nil)
+			require.NoError(t, b.engines["e0"].SetFaults(fault))
+			for i := range 4 {
+				job := testJob(fmt.Sprint("r", i), 10)
+				col := &collector{t: t, job: job}
+				require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+				col.requireWhole()
+			}
+			require.Positive(t, b.count("dispatcher.failed.refused")+b.count("dispatcher.failed.broken"))
+		})
+	}
+}
+
+func TestTwoFaultsInOneAnswer(t *testing.T) {
+	b := newBench(t, [][2]uint32{{0, 4}, {0, 4}, {4, 8}, {4, 8}, {8, 12}, {8, 12}, {0, 6}, {6, 12}}, nil)
+	job := testJob("r", 40)
+	col := &collector{t: t, job: job}
+	die := func(target string) {
+		require.NoError(t, b.engines[target].SetFaults(enginefaker.Fault{Kind: enginefaker.FaultDie}))
+	}
+	first, second := at(5, 1, die), at(20, 0, die)
+	col.each = func(p Part) error { return errors.CombineErrors(first(p), second(p)) }
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	col.requireWhole()
+}
+
+func TestCutConnectionIsResumed(t *testing.T) {
+	b := newBench(t, threeStagesTwice, nil)
+	inner := b.dispatcher.Engine
+	b.dispatcher.Engine = func(address string) *engineer.Engine {
+		e := *inner(address)
+		generate := e.Generate
+		e.Generate = func(ctx context.Context, req *enginev1.GenerateRequest) (*engineer.Stream, error) {
+			s, err := generate(ctx, req)
+			if err != nil {
+				return nil, err
+			}
+			left := 6
+			return &engineer.Stream{Close: s.Close, Receive: func() (*enginev1.GenerateResponse, error) {
+				left--
+				if left < 0 {
+					return nil, connect.NewError(connect.CodeUnavailable, errors.New("connection reset"))
+				}
+				return s.Receive()
+			}}, nil
+		}
+		return &e
+	}
+	job := testJob("r", 30)
+	col := &collector{t: t, job: job}
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	col.requireWhole()
+	require.Equal(t, uint32(1), col.parts[29].Attempt)
+	require.Equal(t, int64(1), b.count("dispatcher.recovered.resume"))
+	require.Zero(t, b.count("dispatcher.recovered.prefill"))
+}
+
+func (b *bench) setState(name string, s cataloger.State) {
+	targets := append([]cataloger.Target(nil), b.fleet.Targets...)
+	for i := range targets {
+		if targets[i].Name == name {
+			targets[i] = targets[i].WithState(s)
+		}
+	}
+	b.fleet.Targets = targets
+	b.update()
+}
+
+// slow makes a token take a few milliseconds, so that streams last.
+func slow(c *enginefaker.Config) { c.DecodeRate = 1000 }
+
+func TestLeavingTargetIsMovedWithItsCache(t *testing.T) {
+	for stage := range 3 {
+		t.Run(fmt.Sprint("stage ", stage), func(t *testing.T) {
+			b := newBench(t, threeStagesTwice, slow)
+			job := testJob("r", 60)
+			col := &collector{t: t, job: job}
+			left := ""
+			col.each = at(5, stage, func(target string) {
+				left = target
+				b.setState(target, cataloger.StateLeaving)
+			})
+			require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+			col.requireWhole()
+			require.Equal(t, int64(1), b.count("dispatcher.moved"))
+			require.Zero(t, b.count("dispatcher.recovered.prefill"))
+			require.NotEqual(t, left, col.parts[59].Receipt.Stages[stage].Target)
+			for i, s := range col.parts[59].Receipt.Stages {
+				require.Equal(t, i != stage, s.Target == col.parts[0].Receipt.Stages[i].Target)
+			}
+		})
+	}
+}
+
+func TestLeavingTargetWithoutSubstituteIsNotCut(t *testing.T) {
+	b := newBench(t, [][2]uint32{{0, 4}, {4, 8}, {8, 12}}, slow)
+	job := testJob("r", 60)
+	col := &collector{t: t, job: job}
+	col.each = at(5, 1, func(target string) { b.setState(target, cataloger.StateLeaving) })
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	col.requireWhole()
+	require.Equal(t, uint32(1), col.parts[59].Attempt)
+}
+
+func TestCancelReachesEveryStage(t *testing.T) {
+	cases := []struct {
+		name string
+		code refuser.Code
+		stop func(cancel context.CancelFunc, job *Job)
+	}{
+		{"caller cancels", refuser.Canceled, func(cancel context.CancelFunc, _ *Job) { time.AfterFunc(100*time.Millisecond, cancel) }},
+		{"deadline", refuser.DeadlineExceeded, func(_ context.CancelFunc, job *Job) { job.Deadline = time.Now().Add(100 * time.Millisecond) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, [][2]uint32{{0, 4}, {4, 8}, {8, 12}}, slow)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			job := testJob("r", 1000)
+			c.stop(cancel, &job)
+			col := &collector{t: t, job: job}
+			r := refuser.From(b.dispatcher.Run(ctx, job, col.emit))
+			require.Equal(t, c.code, r.Code)
+			require.Equal(t, refuser.FactMayHaveRun, r.Fact)
+			b.dispatcher.Wait()
+			for name, e := range b.engines {
+				l := e.Ledger()
+				require.Len(t, l.Canceled, 1, name)
+				require.Equal(t, "r", l.Canceled[0].RequestID)
+			}
+		})
+	}
+}
+
+func TestEmitErrorEndsTheRunAndCancels(t *testing.T) {
+	b := newBench(t, [][2]uint32{{0, 12}}, nil)
+	gone := errors.New("caller gone")
+	col := &collector{t: t, job: testJob("r", 30), each: func(p Part) error {
+		if p.Position == 3 {
+			return gone
+		}
+		return nil
+	}}
+	require.ErrorIs(t, b.dispatcher.Run(t.Context(), col.job, col.emit), gone)
+	b.dispatcher.Wait()
+	require.Len(t, b.engines["e0"].Ledger().Canceled, 1)
+}
+
+func TestFinalRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  enginefaker.Fault
+		budget float64
+		code   refuser.Code
+		fact   refuser.Fact
+	}{
+		{"every attempt breaks", enginefaker.Fault{Kind: enginefaker.FaultBreak}, 0, refuser.AttemptsExhausted, refuser.FactMayHaveRun},
+		{"no budget", enginefaker.Fault{Kind: enginefaker.FaultBreak}, -1, refuser.RetryBudgetSpent, refuser.FactMayHaveRun},
+		{"every attempt is refused", enginefaker.Fault{Kind: enginefaker.FaultRefuse}, 0, refuser.AttemptsExhausted, refuser.FactNotRun},
+		{"every version is wrong", enginefaker.Fault{Kind: enginefaker.FaultWrongVersion}, 0, refuser.AttemptsExhausted, refuser.FactMayHaveRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, threeStagesTwice, nil)
+			for _, e := range b.engines {
+				require.NoError(t, e.SetFaults(c.fault))
+			}
+			job := testJob("r", 10)
+			job.RetryBudget = c.budget
+			col := &collector{t: t, job: job}
+			r := refuser.From(b.dispatcher.Run(t.Context(), job, col.emit))
+			require.Equal(t, c.code, r.Code, r.Error())
+			require.Equal(t, c.fact, r.Fact)
+			require.Positive(t, r.RetryAfter)
+			require.Empty(t, col.parts)
+			if c.fact == refuser.FactNotRun {
+				for name, e := range b.engines {
+					require.Empty(t, e.Ledger().Runs, name)
+				}
+			}
+		})
+	}
+}
+
+func TestOldAttemptIsFencedByEngines(t *testing.T) {
+	b := newBench(t, [][2]uint32{{0, 12}}, nil)
+	job := testJob("r", 10)
+	job.FirstAttempt = 7
+	col := &collector{t: t, job: job}
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	old := b.dispatcher.Engine(b.fleet.Targets[0].Address)
+	s, err := old.Generate(t.Context(), &enginev1.GenerateRequest{
+		Workspace: "w", RequestId: "r", Attempt: 6, Model: "m", Version: "v1", MaxTokens: 10,
+		Route: []*enginev1.Stage{{Target: "e0", EndLayer: 12}},
+	})
+	require.NoError(t, err)
+	_, err = s.Receive()
+	require.Equal(t, connect.CodeAborted, connect.CodeOf(err))
+	require.NoError(t, s.Close())
+	again := &collector{t: t, job: testJob("r", 10)}
+	require.NoError(t, b.dispatcher.Run(t.Context(), again.job, again.emit))
+	again.requireWhole()
+}
+
+func TestContinueFromAnotherEntry(t *testing.T) {
+	b := newBench(t, threeStagesTwice, nil)
+	job := testJob("r", 20)
+	job.StartPosition = 8
+	job.FirstAttempt = 3
+	job.Delivered = enginefaker.Answer("m", "v1", "", job.Prompt, 0, 8)
+	col := &collector{t: t, job: job}
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	col.requireWhole()
+}
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -33,8 +33,6 @@
 	gaps       gapEstimator
 	// leaveChecked is when the stages were last asked whether they leave.
 	leaveChecked time.Time
-	// stay is set where the stream could not move off a leaving target.
-	stay bool
 }
 
 // plan is how the next attempt begins.
@@ -131,7 +129,7 @@
 // recover decides how to go on after a failed attempt, or returns the final refusal.
 func (r *run) recover(ctx context.Context, p plan, f *failure) (plan, error) {
 	if f.kind == failedMove {
-		return r.move(ctx, p, f), nil
+		return f.moved, nil
 	}
 	r.count(f)
 	if f.resumable && !p.resume {
@@ -155,15 +153,6 @@
 	return r.next(ctx, p, f)
 }
 
-// move takes the stream off a leaving target, or goes on with it where that cannot be done.
-func (r *run) move(ctx context.Context, p plan, f *failure) plan {
-	if moved, ok := r.replace(ctx, p, f); ok {
-		return moved
-	}
-	r.stay = true
-	return plan{route: p.route, permit: p.permit, resume: true}
-}
-
 // permitted returns the final refusal where the job may not be tried again.
 func (r *run) permitted(f *failure) error {
 	if r.failures >= r.job.MaxAttempts {
--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -10,7 +10,7 @@
 	// DefaultMaxStall bounds how long a silent stream is waited for after its first token.
 	DefaultMaxStall = 2 * time.Second
 	// DefaultMinStall keeps short pauses of fast streams from counting as stalls.
-	DefaultMinStall = 100 * time.Millisecond
+	DefaultMinStall = 400 * time.Millisecond
 	meanGain        = 1.0 / 8
 	deviationGain   = 1.0 / 4
 	// stallMargin is in mean deviations.
--- /dev/null
+++ b/internal/engineer/failure.go
@@ -0,0 +1,35 @@
+package engineer
+
+import (
+	"errors"
+
+	"connectrpc.com/connect"
+)
+
+// FailedTargetHeader is the error metadata in which an engine names the stage that failed.
+const FailedTargetHeader = "Rattantray-Failed-Target"
+
+// FailedTarget returns the stage that err names as failed, or "".
+func FailedTarget(err error) string {
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		return ce.Meta().Get(FailedTargetHeader)
+	}
+	return ""
+}
+
+// WithFailedTarget returns err as a connect error of this engine that names the failed stage, or the one that err names already.
+func WithFailedTarget(err error, target string) error {
+	if named := FailedTarget(err); named != "" {
+		target = named
+	}
+	code := connect.CodeUnavailable
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		code = ce.Code()
+		err = errors.New(ce.Message())
+	}
+	out := connect.NewError(code, err)
+	out.Meta().Set(FailedTargetHeader, target)
+	return out
+}
--- a/internal/engineer/prefix.go
+++ b/internal/engineer/prefix.go
@@ -1,11 +1,6 @@
 package engineer
 
-import (
-	"errors"
-
-	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // PrefixBlockBytes is the length of the prompt blocks over which prefix caches hash.
 const PrefixBlockBytes = 256
@@ -34,27 +29,3 @@
 
 // PromptTokens returns the number of tokens that a prompt of n bytes takes.
 func PromptTokens(n int) int { return n/PromptBytesPerToken + 1 }
-
-// FailedTargetHeader is the error metadata in which an engine names the stage that failed.
-const FailedTargetHeader = "Rattantray-Failed-Target"
-
-// FailedTarget returns the stage that err names as failed, or "".
-func FailedTarget(err error) string {
-	var ce *connect.Error
-	if errors.As(err, &ce) {
-		return ce.Meta().Get(FailedTargetHeader)
-	}
-	return ""
-}
-
-// WithFailedTarget returns err as a connect error that names the failed stage, unless it names one already.
-func WithFailedTarget(err error, target string) error {
-	var ce *connect.Error
-	if !errors.As(err, &ce) {
-		ce = connect.NewError(connect.CodeUnavailable, err)
-	}
-	if ce.Meta().Get(FailedTargetHeader) == "" {
-		ce.Meta().Set(FailedTargetHeader, target)
-	}
-	return ce
-}
--- a/internal/enginefaker/service.go
+++ b/internal/enginefaker/service.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/rattantray/rattantray/internal/engineer"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 )
 
@@ -139,11 +140,7 @@
 	if ctx.Err() != nil {
 		return connect.NewError(connect.CodeCanceled, err)
 	}
-	var ce *connect.Error
-	if errors.As(err, &ce) {
-		return ce
-	}
-	return connect.NewError(connect.CodeUnavailable, err)
+	return engineer.WithFailedTarget(err, e.cfg.Name)
 }
 
 func (e *Engine) isLeaving() bool {
--- a/internal/selector/graph.go
+++ b/internal/selector/graph.go
@@ -22,6 +22,8 @@
 	model   Model
 	bound   float64
 	holders []holder
+	// byTarget lists the holders of each target.
+	byTarget map[string][]int32
 	// states[0] is the start; each other state is a holder at the end of one of its segments.
 	states []state
 	edges  []edge
@@ -61,7 +63,7 @@
 
 // build solves the chains of a model over the usable targets.
 func (s *Selector) build(m Model, fleet cataloger.Fleet) *graph {
-	g := &graph{model: m}
+	g := &graph{model: m, byTarget: make(map[string][]int32)}
 	s.mu.Lock()
 	now := s.Clock.Now()
 	for i := range fleet.Targets {
@@ -128,6 +130,7 @@
 		if g.model.Adapter != "" && !slices.Contains(h.Adapters, g.model.Adapter) {
 			continue
 		}
+		g.byTarget[t.name] = append(g.byTarget[t.name], int32(len(g.holders)))
 		g.holders = append(g.holders, holder{
 			t: t, first: h.FirstLayer, end: min(h.EndLayer, g.model.Layers),
 			decode: rateOr(t.info.DecodeRate, t.info.PrefillRate), prefill: rateOr(t.info.PrefillRate, t.info.DecodeRate),
--- a/internal/selector/pick.go
+++ b/internal/selector/pick.go
@@ -139,13 +139,9 @@
 
 // hitEdge returns the edge to a target that may have the prefix cached, or nil.
 func (w *walker) hitEdge(st state, name string) *edge {
-	for i := st.first; i < st.end; i++ {
-		e := &w.g.edges[i]
-		if w.g.holders[e.holder].t.name == name {
-			if w.accept(e) {
-				return e
-			}
-			return nil
+	for _, h := range w.g.byTarget[name] {
+		if e := w.g.edgeTo(st, h); e != nil && w.accept(e) {
+			return e
 		}
 	}
 	return nil
