--- /dev/null
+++ b/internal/forwarder/conn.go
@@ -0,0 +1,87 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+var errSealed = errors.New("connection sealed")
+
+// countedConn knows whether anything was written since a request got the connection, and can be sealed against writing.
+type countedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes uint64
+	sealed bool
+}
+
+// Write implements net.Conn; the write is counted before it starts.
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+func (c *countedConn) count() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal refuses further writes and returns how many writes were started.
+func (c *countedConn) seal() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
+
+func dialCounted(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn}, nil
+	}
+}
+
+// writeProof watches one request and proves that none of it was written.
+type writeProof struct {
+	mu     sync.Mutex
+	conn   *countedConn
+	before uint64
+	// unknown is set where the connection cannot be watched.
+	unknown bool
+}
+
+// gotConn notes the connection that the request is about to be written to.
+func (p *writeProof) gotConn(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counted, ok := conn.(*countedConn)
+	if !ok || p.conn != nil {
+		p.unknown = true
+		return
+	}
+	p.conn = counted
+	p.before = counted.count()
+}
+
+// unwritten tells whether no byte of the request was written; none can be written afterwards.
+func (p *writeProof) unwritten() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unknown {
+		return false
+	}
+	return p.conn == nil || p.conn.seal() == p.before
+}
--- /dev/null
+++ b/internal/forwarder/doc.go
@@ -0,0 +1,2 @@
+// Package forwarder runs requests on plain services over HTTP and proves whether a failed request may have run.
+package forwarder
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,223 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Headers of the contract with plain services.
+const (
+	// HeaderRequestID carries the request id, which is unique within its workspace.
+	HeaderRequestID = "Idempotency-Key"
+	// HeaderWorkspace carries the workspace; a service that deduplicates must scope request ids by it.
+	HeaderWorkspace = "Rattantray-Workspace"
+	// HeaderDeadline carries the time that is left, in milliseconds.
+	HeaderDeadline = "Rattantray-Timeout-Ms"
+	// HeaderNotRun is "true" on an answer to a request that the service did not run.
+	HeaderNotRun = "Rattantray-Not-Run"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// idleTimeout is short so that a request seldom meets a connection that the service is just closing.
+	idleTimeout         = 2 * time.Second
+	maxIdlePerTarget    = 64
+	defaultAnswerBytes  = 16 << 20
+	discardedErrorBytes = 512
+)
+
+// Request is one call of a plain service.
+type Request struct {
+	Workspace cataloger.Workspace
+	Service   string
+	RequestID string
+	// Method is an HTTP method and a path, as "POST /bookings".
+	Method  string
+	Payload []byte
+	// Deadline ends the attempt; the zero time is no deadline.
+	Deadline time.Time
+	// Idempotent allows repeated attempts where it is not known that an attempt did not run.
+	Idempotent bool
+}
+
+// Answer is the whole answer of a plain service.
+type Answer struct {
+	Status int
+	Body   []byte
+	// Header holds the headers that are passed on.
+	Header http.Header
+	// Target names the instance that answered.
+	Target string
+}
+
+// Forwarder makes single attempts; its zero value is ready for use.
+type Forwarder struct {
+	Clock timer.Clock
+	// Transport makes the HTTP exchange; it must dial by a net.Conn of its own for each HTTP/1.1 connection. New sets one.
+	Transport http.RoundTripper
+	// MaxAnswerBytes bounds an answer.
+	MaxAnswerBytes int64
+}
+
+// New returns a forwarder with a transport of its own.
+func New(clock timer.Clock) *Forwarder {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Forwarder{
+		Clock: clock,
+		Transport: &http.Transport{
+			DialContext:         dialCounted(dialer.DialContext),
+			MaxIdleConnsPerHost: maxIdlePerTarget,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+			ForceAttemptHTTP2:   false,
+		},
+		MaxAnswerBytes: defaultAnswerBytes,
+	}
+}
+
+// Close closes idle connections.
+func (f *Forwarder) Close() {
+	if t, ok := f.Transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
+
+// Forward makes one attempt on one instance; an error is a *refuser.Refusal whose fact is proven.
+func (f *Forwarder) Forward(ctx context.Context, target cataloger.Target, r Request) (Answer, error) {
+	if !r.Deadline.IsZero() {
+		left := r.Deadline.Sub(f.Clock.Now())
+		if left <= 0 {
+			return Answer{}, refuser.New(refuser.DeadlineExceeded, "before the request was sent").WithFact(refuser.FactNotRun)
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
+	proof := &writeProof{}
+	req, err := f.request(ctx, target, r, proof)
+	if err != nil {
+		return Answer{}, err
+	}
+	resp, err := f.Transport.RoundTrip(req)
+	if err != nil {
+		return Answer{}, failure(ctx, target, proof, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return f.answer(ctx, target, resp)
+}
+
+// onceBody hides the type of its reader, and goes with no GetBody, so that net/http cannot send the request again by itself.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+func (f *Forwarder) request(ctx context.Context, target cataloger.Target, r Request, proof *writeProof) (*http.Request, error) {
+	method, path, ok := strings.Cut(r.Method, " ")
+	if !ok || method == "" || !strings.HasPrefix(path, "/") || strings.ContainsAny(path, " \r\n") {
+		return nil, refuser.New(refuser.UnknownMethod, "method %q is not an HTTP method and a path", r.Method)
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { proof.gotConn(info.Conn) }}
+	body := onceBody{bytes.NewReader(r.Payload)}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+target.Address+path, body)
+	if err != nil {
+		return nil, refuser.New(refuser.MalformedRequest, "%s", err)
+	}
+	req.ContentLength = int64(len(r.Payload))
+	if len(r.Payload) > 0 {
+		req.Header.Set("Content-Type", contentType(r.Payload))
+	}
+	req.Header.Set(HeaderRequestID, r.RequestID)
+	req.Header.Set(HeaderWorkspace, string(r.Workspace))
+	if !r.Deadline.IsZero() {
+		left := r.Deadline.Sub(f.Clock.Now()).Milliseconds()
+		req.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	return req, nil
+}
+
+func contentType(payload []byte) string {
+	if json.Valid(payload) {
+		return "application/json"
+	}
+	return "application/octet-stream"
+}
+
+// failure turns a failed exchange into a refusal: not-run only where nothing of the request was written.
+func failure(ctx context.Context, target cataloger.Target, proof *writeProof, err error) *refuser.Refusal {
+	fact := refuser.FactMayHaveRun
+	if proof.unwritten() {
+		fact = refuser.FactNotRun
+	}
+	code := refuser.TargetFailed
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		code = refuser.DeadlineExceeded
+	case ctx.Err() != nil:
+		code = refuser.Canceled
+	}
+	return refuser.New(code, "%s: %s", target.Name, err).WithFact(fact).WithCause(err)
+}
+
+func (f *Forwarder) answer(ctx context.Context, target cataloger.Target, resp *http.Response) (Answer, error) {
+	if strings.EqualFold(resp.Header.Get(HeaderNotRun), "true") {
+		return Answer{}, notRun(target, resp)
+	}
+	switch resp.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, discardedErrorBytes))
+		return Answer{}, refuser.New(refuser.TargetFailed, "%s answered %s: %s", target.Name, resp.Status, bytes.TrimSpace(text)).
+			WithRetryAfter(retryAfter(resp))
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, f.MaxAnswerBytes+1))
+	if err != nil {
+		code := refuser.TargetFailed
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			code = refuser.DeadlineExceeded
+		}
+		return Answer{}, refuser.New(code, "%s: answer cut off: %s", target.Name, err).WithFact(refuser.FactMayHaveRun).WithCause(err)
+	}
+	if int64(len(body)) > f.MaxAnswerBytes {
+		return Answer{}, refuser.New(refuser.AnswerInvalid, "%s: answer is over %d bytes", target.Name, f.MaxAnswerBytes)
+	}
+	return Answer{Status: resp.StatusCode, Body: body, Header: passed(resp.Header), Target: target.Name}, nil
+}
+
+func notRun(target cataloger.Target, resp *http.Response) *refuser.Refusal {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, discardedErrorBytes))
+	return refuser.New(refuser.TargetRefused, "%s answered %s: %s", target.Name, resp.Status, bytes.TrimSpace(text)).
+		WithRetryAfter(retryAfter(resp))
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+var passedHeaders = []string{"Content-Type", "Content-Language", "Location", "Etag"}
+
+func passed(h http.Header) http.Header {
+	out := http.Header{}
+	for _, name := range passedHeaders {
+		if v := h.Values(name); len(v) > 0 {
+			out[name] = v
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/tokener/claims.go
@@ -0,0 +1,101 @@
+package tokener
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Claims is what a resume token says.
+type Claims struct {
+	Workspace string
+	Service   string
+	RequestID string
+	Attempt   uint32
+	// Position is the next position that the caller needs.
+	Position uint64
+	// PayloadDigest is the SHA-256 of the request's payload.
+	PayloadDigest [32]byte
+	// Issued is in whole milliseconds.
+	Issued time.Time
+	// Member names the daemon that served the answer.
+	Member string
+	// Incarnation of that daemon.
+	Incarnation uint64
+}
+
+// WithPosition returns a copy that continues elsewhere.
+func (c Claims) WithPosition(position uint64) Claims {
+	c.Position = position
+	return c
+}
+
+// WithIssued returns a copy with another issue time.
+func (c Claims) WithIssued(t time.Time) Claims {
+	c.Issued = t
+	return c
+}
+
+const maxNameBytes = 1024
+
+var errDamaged = errors.New("token is damaged")
+
+// append writes the claims in the token's one canonical form: each string behind its length, each number as a varint.
+func (c Claims) append(b []byte) []byte {
+	for _, s := range []string{c.Workspace, c.Service, c.RequestID, c.Member} {
+		b = binary.AppendUvarint(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	b = binary.AppendUvarint(b, uint64(c.Attempt))
+	b = binary.AppendUvarint(b, c.Position)
+	b = binary.AppendUvarint(b, uint64(c.Issued.UnixMilli()))
+	b = binary.AppendUvarint(b, c.Incarnation)
+	return append(b, c.PayloadDigest[:]...)
+}
+
+func parseClaims(b []byte) (Claims, error) {
+	var c Claims
+	r := reader{rest: b}
+	c.Workspace = r.text()
+	c.Service = r.text()
+	c.RequestID = r.text()
+	c.Member = r.text()
+	attempt := r.number()
+	c.Attempt = uint32(attempt)
+	c.Position = r.number()
+	issued := r.number()
+	c.Issued = time.UnixMilli(int64(issued))
+	c.Incarnation = r.number()
+	if r.failed || uint64(c.Attempt) != attempt || int64(issued) < 0 || len(r.rest) != len(c.PayloadDigest) {
+		return Claims{}, errDamaged
+	}
+	copy(c.PayloadDigest[:], r.rest)
+	return c, nil
+}
+
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (r *reader) number() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 || (n > 1 && r.rest[n-1] == 0) {
+		r.failed = true
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *reader) text() string {
+	n := r.number()
+	if r.failed || n > maxNameBytes || n > uint64(len(r.rest)) {
+		r.failed = true
+		return ""
+	}
+	s := string(r.rest[:n])
+	r.rest = r.rest[n:]
+	return s
+}
