--- /dev/null
+++ b/internal/platformfaker/platform.go
@@ -0,0 +1,319 @@
+package platformfaker
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// Config sets up a Platform.
+type Config struct {
+	// Clock is the system clock where nil.
+	Clock timer.Clock
+	// History is the number of changes that watches can resume from; 0 is DefaultHistory.
+	History int
+	// VMLag is the age of the VM list that callers get.
+	VMLag time.Duration
+	// BookmarkInterval is the time between bookmarks of an idle watch; 0 is DefaultBookmarkInterval.
+	BookmarkInterval time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultHistory          = 10_000
+	DefaultBookmarkInterval = 5 * time.Second
+)
+
+// Ledger counts calls and faults.
+type Ledger struct {
+	Calls    map[Operation]uint64 `json:"calls"`
+	Watches  int                  `json:"watches"`
+	Revision uint64               `json:"revision"`
+	Objects  int                  `json:"objects"`
+	// BytesRead and BytesWritten count the values that went through.
+	BytesRead    uint64 `json:"bytes-read"`
+	BytesWritten uint64 `json:"bytes-written"`
+}
+
+type change struct {
+	revision uint64
+	key      string
+	before   storer.Object
+	existed  bool
+	after    storer.Object
+	deleted  bool
+}
+
+type vmList struct {
+	at  time.Time
+	vms []cataloger.VM
+}
+
+// Platform is the fake; it is safe for use by several goroutines.
+type Platform struct {
+	cfg Config
+
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]storer.Object
+	// changes holds the last changes with revisions without gaps, the oldest first.
+	changes []change
+	changed chan struct{}
+	vms     []vmList
+	faults  []*activeFault
+	ledger  Ledger
+}
+
+// New returns an empty platform.
+func New(cfg Config) *Platform {
+	if cfg.Clock == nil {
+		cfg.Clock = timer.System{}
+	}
+	if cfg.History <= 0 {
+		cfg.History = DefaultHistory
+	}
+	if cfg.BookmarkInterval <= 0 {
+		cfg.BookmarkInterval = DefaultBookmarkInterval
+	}
+	return &Platform{
+		cfg:     cfg,
+		objects: map[string]storer.Object{},
+		changed: make(chan struct{}),
+		ledger:  Ledger{Calls: map[Operation]uint64{}},
+	}
+}
+
+// Store returns the platform as a Store without a network between.
+func (p *Platform) Store() storer.Store {
+	return storer.Store{
+		Get:     p.get,
+		List:    p.list,
+		Put:     p.put,
+		Delete:  p.remove,
+		Watch:   p.watch,
+		ListVMs: p.listVMs,
+	}
+}
+
+// SetVMs replaces the VM list; callers see it after VMLag.
+func (p *Platform) SetVMs(vms []cataloger.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = append(p.vms, vmList{at: p.cfg.Clock.Now(), vms: slices.Clone(vms)})
+}
+
+// Compact forgets every change, so that watches can only start at the present revision.
+func (p *Platform) Compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changes = nil
+	p.broadcast()
+}
+
+// Ledger returns the counts so far.
+func (p *Platform) Ledger() Ledger {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.ledger
+	l.Calls = make(map[Operation]uint64, len(p.ledger.Calls))
+	for op, n := range p.ledger.Calls {
+		l.Calls[op] = n
+	}
+	l.Revision = p.revision
+	l.Objects = len(p.objects)
+	return l
+}
+
+// broadcast wakes the watches; the caller holds the lock.
+func (p *Platform) broadcast() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// enter counts a call and applies the faults that hold before it takes effect.
+func (p *Platform) enter(ctx context.Context, op Operation, key string) error {
+	p.mu.Lock()
+	p.ledger.Calls[op]++
+	_, outage := p.meet(FaultOutage, op, key)
+	_, limited := p.meet(FaultRateLimit, op, key)
+	slow, isSlow := p.meet(FaultSlow, op, key)
+	p.mu.Unlock()
+	if isSlow {
+		if err := p.cfg.Clock.Sleep(ctx, time.Duration(slow.Delay)); err != nil {
+			return storer.Mark(err, storer.ErrUnavailable)
+		}
+	}
+	switch {
+	case outage:
+		return errors.Wrapf(storer.ErrUnavailable, "%s %s", op, key)
+	case limited:
+		return errors.Wrapf(storer.ErrRateLimited, "%s %s", op, key)
+	}
+	return ctx.Err()
+}
+
+func (p *Platform) get(ctx context.Context, key string) (storer.Object, error) {
+	if err := p.enter(ctx, OperationGet, key); err != nil {
+		return storer.Object{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, ok := p.objects[key]
+	if f, stale := p.meet(FaultStaleRead, OperationGet, key); stale {
+		o, ok = p.past(key, p.staleRevision(f))
+	}
+	if !ok {
+		return storer.Object{}, errors.Wrapf(storer.ErrNotFound, "get %s", key)
+	}
+	p.ledger.BytesRead += uint64(len(o.Value))
+	return clone(o), nil
+}
+
+func (p *Platform) list(ctx context.Context, prefix string) ([]storer.Object, uint64, error) {
+	if err := p.enter(ctx, OperationList, prefix); err != nil {
+		return nil, 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	objects, revision := p.objects, p.revision
+	if f, stale := p.meet(FaultStaleRead, OperationList, prefix); stale {
+		revision = p.staleRevision(f)
+		objects = p.pastAll(revision)
+	}
+	var out []storer.Object
+	for key, o := range objects {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, clone(o))
+			p.ledger.BytesRead += uint64(len(o.Value))
+		}
+	}
+	slices.SortFunc(out, func(a, b storer.Object) int { return strings.Compare(a.Key, b.Key) })
+	return out, revision, nil
+}
+
+func (p *Platform) put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	if err := p.enter(ctx, OperationPut, key); err != nil {
+		return 0, err
+	}
+	if len(value) > storer.MaxValueBytes {
+		return 0, errors.Wrapf(storer.ErrTooLarge, "put %s: %d bytes", key, len(value))
+	}
+	return p.write(OperationPut, key, value, expected)
+}
+
+func (p *Platform) remove(ctx context.Context, key string, expected uint64) (uint64, error) {
+	if err := p.enter(ctx, OperationDelete, key); err != nil {
+		return 0, err
+	}
+	return p.write(OperationDelete, key, nil, expected)
+}
+
+func (p *Platform) write(op Operation, key string, value []byte, expected uint64) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, lost := p.meet(FaultRequestLost, op, key); lost {
+		return 0, errors.Wrapf(storer.ErrUncertain, "%s %s", op, key)
+	}
+	_, answerLost := p.meet(FaultAnswerLost, op, key)
+	err := p.apply(op, key, value, expected)
+	switch {
+	case answerLost:
+		return 0, errors.Wrapf(storer.ErrUncertain, "%s %s", op, key)
+	case err != nil:
+		return 0, err
+	}
+	return p.revision, nil
+}
+
+func (p *Platform) apply(op Operation, key string, value []byte, expected uint64) error {
+	before, existed := p.objects[key]
+	switch {
+	case op == OperationDelete && !existed:
+		return errors.Wrapf(storer.ErrNotFound, "delete %s", key)
+	case before.Version != expected:
+		return errors.Wrapf(storer.ErrConflict, "%s %s: stored version %d, expected %d", op, key, before.Version, expected)
+	}
+	p.revision++
+	c := change{revision: p.revision, key: key, before: before, existed: existed}
+	if op == OperationDelete {
+		delete(p.objects, key)
+		c.deleted = true
+		c.after = storer.Object{Key: key, Version: p.revision}
+	} else {
+		c.after = storer.Object{Key: key, Value: slices.Clone(value), Version: p.revision}
+		p.objects[key] = c.after
+		p.ledger.BytesWritten += uint64(len(value))
+	}
+	p.changes = append(p.changes, c)
+	if over := len(p.changes) - p.cfg.History; over > 0 {
+		p.changes = slices.Delete(p.changes, 0, over)
+	}
+	p.broadcast()
+	return nil
+}
+
+func (p *Platform) staleRevision(f Fault) uint64 {
+	back := min(max(f.Revisions, 1), uint64(len(p.changes)))
+	return p.revision - back
+}
+
+// past returns the object as it was at a revision.
+func (p *Platform) past(key string, revision uint64) (storer.Object, bool) {
+	for _, c := range p.changes {
+		if c.revision > revision && c.key == key {
+			return c.before, c.existed
+		}
+	}
+	o, ok := p.objects[key]
+	return o, ok
+}
+
+func (p *Platform) pastAll(revision uint64) map[string]storer.Object {
+	objects := make(map[string]storer.Object, len(p.objects))
+	for key, o := range p.objects {
+		objects[key] = o
+	}
+	for i := len(p.changes) - 1; i >= 0 && p.changes[i].revision > revision; i-- {
+		c := p.changes[i]
+		if c.existed {
+			objects[c.key] = c.before
+		} else {
+			delete(objects, c.key)
+		}
+	}
+	return objects
+}
+
+func (p *Platform) listVMs(ctx context.Context) ([]cataloger.VM, error) {
+	if err := p.enter(ctx, OperationListVMs, ""); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := p.cfg.Clock.Now().Add(-p.cfg.VMLag)
+	current := 0
+	for i, l := range p.vms {
+		if !l.at.After(seen) {
+			current = i
+		}
+	}
+	// The list before the first SetVMs is not known, so the first one shows at once.
+	p.vms = slices.Delete(p.vms, 0, current)
+	if len(p.vms) == 0 {
+		return nil, nil
+	}
+	return slices.Clone(p.vms[0].vms), nil
+}
+
+func clone(o storer.Object) storer.Object {
+	o.Value = slices.Clone(o.Value)
+	return o
+}
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 
@@ -60,3 +61,29 @@
 	// ListVMs returns the platform's list of VMs, which lags.
 	ListVMs func(ctx context.Context) ([]cataloger.VM, error)
 }
+
+var errorNames = []struct {
+	err  error
+	name string
+}{
+	{ErrNotFound, "not-found"},
+	{ErrConflict, "conflict"},
+	{ErrUncertain, "uncertain"},
+	{ErrUnavailable, "unavailable"},
+	{ErrRateLimited, "rate-limited"},
+	{ErrTooLarge, "too-large"},
+	{ErrCompacted, "compacted"},
+}
+
+// ErrorName returns the kebab-case name of a Store's error.
+func ErrorName(err error) string {
+	for _, e := range errorNames {
+		if errors.Is(err, e.err) {
+			return e.name
+		}
+	}
+	return "other"
+}
+
+// Mark returns err as an error that is also kind, for errors.Is of any library.
+func Mark(err, kind error) error { return fmt.Errorf("%w: %w", kind, err) }
