Time store calls without a background goroutine

The library's timer starts a goroutine that never ends, which goleak reported; a histogram with a decaying sample needs none (go test -race -count=3 ./internal/storer/: pass).

--- a/internal/storer/budget.go
+++ b/internal/storer/budget.go
@@ -13,6 +13,12 @@
 	"github.com/rattantray/rattantray/internal/timer"
 )
 
+// Size and decay of the latency histograms' samples.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
 // Class orders the callers of the store; a class with a lower number goes first.
 type Class int
 
@@ -191,9 +197,7 @@
 	} else {
 		v.breaker.Abandon()
 	}
-	if v.budget.Metrics != nil {
-		metrics.GetOrRegisterTimer("store-"+name, v.budget.Metrics).Update(now.Sub(start))
-	}
+	v.time(name, now.Sub(start))
 	return v.count(name, err)
 }
 
@@ -220,6 +224,16 @@
 	return nil
 }
 
+func (v *view) time(name string, d time.Duration) {
+	if v.budget.Metrics == nil {
+		return
+	}
+	h := v.budget.Metrics.GetOrRegister("store-"+name+"-microseconds", func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	h.(metrics.Histogram).Update(d.Microseconds())
+}
+
 func (v *view) count(name string, err error) error {
 	if v.budget.Metrics != nil && err != nil {
 		metrics.GetOrRegisterCounter("store-"+name+"-"+ErrorName(err), v.budget.Metrics).Inc(1)
