--- /dev/null
+++ b/internal/linker/serve.go
@@ -0,0 +1,213 @@
+package linker
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	acceptRetryDelay = 50 * time.Millisecond
+	// noticeStreams is how many streams a connection has beside those of calls.
+	noticeStreams = 1
+)
+
+// Serve answers the connections of a listener until ctx is done or Close is called.
+func (p *Peer) Serve(ctx context.Context, listener net.Listener) error {
+	stopListening := func() { _ = listener.Close() }
+	defer context.AfterFunc(ctx, stopListening)()
+	defer context.AfterFunc(p.ctx, stopListening)()
+	defer stopListening()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil || p.ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		}
+		if err != nil && errors.Is(err, net.ErrClosed) {
+			return errors.Wrap(err, "accept peers")
+		}
+		if err != nil {
+			p.config.Log.Warn().Err(err).Msg("accepting a peer failed")
+			_ = p.config.Clock.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
+		p.admit(ctx, conn)
+	}
+}
+
+// admit serves a connection in a goroutine of its own, unless there are too many.
+func (p *Peer) admit(ctx context.Context, conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.accepted) >= p.config.MaxConnections {
+		p.config.Log.Warn().Int("limit", p.config.MaxConnections).Msg("peer connection refused")
+		_ = conn.Close()
+		return
+	}
+	p.accepted[conn] = struct{}{}
+	p.spawn(func() {
+		p.serveConn(ctx, conn)
+		_ = conn.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.accepted, conn)
+	})
+}
+
+func (p *Peer) serveConn(ctx context.Context, raw net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)()
+	handshakeCtx, cancelHandshake := context.WithTimeout(ctx, p.config.HandshakeTimeout)
+	defer cancelHandshake()
+	conn, caller, err := p.acceptSecured(handshakeCtx, raw)
+	if err != nil {
+		p.config.Log.Warn().Err(err).Stringer("remote", raw.RemoteAddr()).Msg("peer refused")
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	session, err := yamux.Server(conn, p.yamuxConfig())
+	if err != nil {
+		return
+	}
+	defer func() { _ = session.Close() }()
+	slots := make(chan struct{}, p.config.MaxStreams+noticeStreams)
+	for {
+		stream, err := session.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+			p.wg.Go(func() {
+				defer func() { <-slots }()
+				p.serveStream(ctx, caller.Name, stream)
+			})
+		default:
+			p.refuseStream(stream)
+		}
+	}
+}
+
+// refuseStream answers a call that is over the limit of streams, without reading it.
+func (p *Peer) refuseStream(stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	refusal := refuser.New(refuser.PeerUnavailable, "peer has %d calls in progress", p.config.MaxStreams)
+	p.writeReply(stream, refusalReply(refusal))
+}
+
+func (p *Peer) serveStream(ctx context.Context, caller string, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetReadDeadline(time.Now().Add(p.config.CallTimeout))
+	for {
+		var envelope peerv1.Envelope
+		if err := readFrame(stream, &envelope, p.frameLimit()); err != nil {
+			p.refuseUnread(stream, err)
+			return
+		}
+		if !envelope.OneWay {
+			p.answer(ctx, caller, stream, &envelope)
+			return
+		}
+		_, err := p.handle(ctx, caller, &envelope)
+		if err != nil {
+			p.config.Log.Debug().Err(err).Str("method", envelope.Method).Str("peer", caller).Msg("message not handled")
+		}
+		_ = stream.SetReadDeadline(time.Now().Add(2 * p.config.IdleTimeout))
+	}
+}
+
+// refuseUnread answers an envelope that could not be read; no handler has seen it.
+func (p *Peer) refuseUnread(stream *yamux.Stream, err error) {
+	switch {
+	case errors.Is(err, io.EOF):
+	case errors.Is(err, errOversize):
+		p.writeReply(stream, refusalReply(refuser.New(refuser.PayloadTooLarge, "%s", err.Error())))
+	default:
+		p.writeReply(stream, refusalReply(refuser.New(refuser.MalformedRequest, "envelope: %s", err.Error())))
+	}
+}
+
+// answer runs one call; its context ends with the caller's wait or when the caller goes away.
+func (p *Peer) answer(ctx context.Context, caller string, stream *yamux.Stream, envelope *peerv1.Envelope) {
+	timeout := time.Duration(envelope.TimeoutMs) * time.Millisecond
+	if timeout == 0 {
+		timeout = p.config.CallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_ = stream.SetReadDeadline(time.Time{})
+	p.wg.Go(func() {
+		// The caller sends nothing more, so a read ends when it closes the stream.
+		var b [1]byte
+		_, _ = stream.Read(b[:])
+		cancel()
+	})
+	msg, err := p.handle(ctx, caller, envelope)
+	reply := p.encodeReply(envelope.Method, msg, err)
+	p.writeReply(stream, reply)
+	_ = stream.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (p *Peer) handle(ctx context.Context, caller string, envelope *peerv1.Envelope) (msg proto.Message, err error) {
+	p.mu.Lock()
+	h, ok := p.handlers[envelope.Method]
+	p.mu.Unlock()
+	if !ok {
+		return nil, refuser.New(refuser.UnknownMethod, "peer method %q", envelope.Method)
+	}
+	defer func() {
+		if v := recover(); v != nil {
+			p.config.Log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Str("method", envelope.Method).Msg("peer handler panicked")
+			err = refuser.New(refuser.Internal, "handler of %s failed", envelope.Method)
+		}
+	}()
+	return h(ctx, caller, envelope.Body)
+}
+
+func (p *Peer) encodeReply(method string, msg proto.Message, err error) *peerv1.Reply {
+	if err != nil {
+		return refusalReply(refuser.From(err))
+	}
+	if msg == nil {
+		return &peerv1.Reply{}
+	}
+	body, err := proto.Marshal(msg)
+	if err != nil {
+		return refusalReply(refuser.New(refuser.Internal, "encode the reply to %s", method).WithFact(refuser.FactRan))
+	}
+	if len(body) > p.config.MaxMessageBytes {
+		refusal := refuser.New(refuser.PayloadTooLarge, "reply to %s takes %d bytes, at most %d", method, len(body), p.config.MaxMessageBytes)
+		return refusalReply(refusal.WithFact(refuser.FactRan))
+	}
+	return &peerv1.Reply{Body: body}
+}
+
+func refusalReply(r *refuser.Refusal) *peerv1.Reply {
+	return &peerv1.Reply{
+		Code:         uint32(r.Code),
+		Message:      r.Message,
+		Fact:         uint32(r.Fact),
+		RetryAfterMs: uint32(max(r.RetryAfter, 0) / time.Millisecond),
+		AnswerDigest: r.Digest,
+	}
+}
+
+func (p *Peer) writeReply(stream *yamux.Stream, reply *peerv1.Reply) {
+	_ = stream.SetWriteDeadline(time.Now().Add(p.config.WriteTimeout))
+	if err := writeFrame(stream, reply, p.frameLimit()); err != nil {
+		p.config.Log.Debug().Err(err).Msg("peer reply not sent")
+	}
+}
