--- /dev/null
+++ b/internal/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander gives fenced orders to targets and records their intent in the store.
+package commander
--- /dev/null
+++ b/internal/planner/doc.go
@@ -0,0 +1,2 @@
+// Package planner decides which layers, versions, adapters and roles each target of a model holds.
+package planner
