Add the caller API, the Go client, metrics and the first commands

Cause: requests need a way in, a client that retries only what is safe, and operators need commands.

Resume tokens name the execution, so that another entry can go on with an engine's stream.

--- /dev/null
+++ b/internal/bencher/bench.go
@@ -0,0 +1,175 @@
+package bencher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/rattantray/rattantray/internal/timer"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Kind is one kind of request in a load.
+type Kind struct {
+	// Name labels the figures of this kind.
+	Name      string
+	Workspace string
+	Service   string
+	Method    string
+	Payload   []byte
+	MaxTokens uint32
+	// Weight is the share of requests of this kind.
+	Weight float64
+	// Once asks for at most one run.
+	Once bool
+}
+
+// Bench sends requests at a rate that does not depend on the answers.
+type Bench struct {
+	// Send runs one request and calls emit for each part.
+	Send func(ctx context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error
+	// Rate is in requests a second.
+	Rate     float64
+	Duration time.Duration
+	// Timeout is the deadline of each request.
+	Timeout time.Duration
+	Kinds   []Kind
+	Seed    uint64
+	Clock   timer.Clock
+	// Progress is called about once a second; nil for none.
+	Progress func(Progress)
+
+	sent     atomic.Int64
+	running  atomic.Int64
+	finished atomic.Int64
+	refused  atomic.Int64
+}
+
+// Progress is the state of a running load.
+type Progress struct {
+	Elapsed  time.Duration
+	Sent     int64
+	Running  int64
+	Finished int64
+	Refused  int64
+}
+
+const progressInterval = time.Second
+
+// Run sends the load, waits for every answer and returns what was seen.
+func (b *Bench) Run(ctx context.Context) *Report {
+	rng := rand.New(rand.NewPCG(b.Seed, b.Seed))
+	report := newReport(b.Kinds)
+	begin := b.Clock.Now()
+	stop := b.startProgress(ctx, begin)
+	defer stop()
+	var wg sync.WaitGroup
+	due := begin
+	for {
+		due = due.Add(b.gap(rng))
+		if due.Sub(begin) > b.Duration {
+			break
+		}
+		if b.Clock.Sleep(ctx, due.Sub(b.Clock.Now())) != nil {
+			break
+		}
+		kind := b.choose(rng)
+		intended := due
+		b.sent.Add(1)
+		wg.Go(func() { b.one(ctx, kind, intended, report) })
+	}
+	wg.Wait()
+	report.finish(b.Clock.Now().Sub(begin), b.Duration)
+	return report
+}
+
+// gap draws the time to the next request of a Poisson process.
+func (b *Bench) gap(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.ExpFloat64() / b.Rate * float64(time.Second))
+}
+
+func (b *Bench) choose(rng *rand.Rand) int {
+	total := 0.0
+	for _, k := range b.Kinds {
+		total += k.Weight
+	}
+	pick := rng.Float64() * total
+	for i, k := range b.Kinds {
+		pick -= k.Weight
+		if pick < 0 {
+			return i
+		}
+	}
+	return len(b.Kinds) - 1
+}
+
+// one sends a request; its times count from when it was due, so that a slow router does not hide its own delay.
+func (b *Bench) one(ctx context.Context, kind int, due time.Time, report *Report) {
+	b.running.Add(1)
+	defer b.running.Add(-1)
+	k := b.Kinds[kind]
+	req := &v1.Request{
+		Workspace: k.Workspace,
+		Service:   k.Service,
+		Method:    k.Method,
+		RequestId: uuid.Must(uuid.NewV7()).String(),
+		Payload:   k.Payload,
+		MaxTokens: k.MaxTokens,
+		Timeout:   durationpb.New(b.Timeout),
+	}
+	if k.Once {
+		strict := false
+		req.Idempotent = &strict
+	}
+	result := Result{Kind: kind, RequestID: req.RequestId, Once: k.Once}
+	previous := time.Time{}
+	err := b.Send(ctx, req, func(p *v1.SendResponse) error {
+		now := b.Clock.Now()
+		if result.Parts == 0 {
+			result.First = now.Sub(due)
+		} else {
+			result.Gaps = append(result.Gaps, now.Sub(previous))
+		}
+		previous = now
+		result.Parts++
+		result.Complete = p.Last
+		result.HTTPStatus = p.HttpStatus
+		return nil
+	})
+	result.Total = b.Clock.Now().Sub(due)
+	if err != nil {
+		result.Refusal = refuser.From(err)
+		b.refused.Add(1)
+	}
+	b.finished.Add(1)
+	report.add(result)
+}
+
+func (b *Bench) startProgress(ctx context.Context, begin time.Time) (stop func()) {
+	if b.Progress == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for b.Clock.Sleep(ctx, progressInterval) == nil {
+			b.Progress(Progress{
+				Elapsed:  b.Clock.Now().Sub(begin),
+				Sent:     b.sent.Load(),
+				Running:  b.running.Load(),
+				Finished: b.finished.Load(),
+				Refused:  b.refused.Load(),
+			})
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
--- /dev/null
+++ b/internal/bencher/report.go
@@ -0,0 +1,174 @@
+package bencher
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	lowestMicros       = 1
+	highestMicros      = int64(10 * time.Minute / time.Microsecond)
+	significantFigures = 3
+)
+
+// Result is what became of one request.
+type Result struct {
+	Kind      int
+	RequestID string
+	Once      bool
+	Parts     int
+	Complete  bool
+	First     time.Duration
+	Total     time.Duration
+	Gaps      []time.Duration
+	// Refusal is nil where the whole answer came.
+	Refusal    *refuser.Refusal
+	HTTPStatus uint32
+}
+
+// Quantiles summarizes a histogram of durations in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50-ms"`
+	P95   float64 `json:"p95-ms"`
+	P99   float64 `json:"p99-ms"`
+	Max   float64 `json:"max-ms"`
+}
+
+// KindReport is what became of the requests of one kind.
+type KindReport struct {
+	Name     string `json:"name"`
+	Sent     int64  `json:"sent"`
+	Answered int64  `json:"answered"`
+	// NotRun, Ran and MayHaveRun count the refusals by the fact that they state.
+	NotRun     int64 `json:"not-run"`
+	Ran        int64 `json:"ran"`
+	MayHaveRun int64 `json:"may-have-run"`
+	// Incomplete counts answers that ended without their last part and without a refusal.
+	Incomplete int64            `json:"incomplete"`
+	Refusals   map[string]int64 `json:"refusals"`
+	First      Quantiles        `json:"first-part"`
+	Gap        Quantiles        `json:"between-parts"`
+	Total      Quantiles        `json:"total"`
+
+	first *hdrhistogram.Histogram
+	gap   *hdrhistogram.Histogram
+	total *hdrhistogram.Histogram
+}
+
+// Report is what a load saw.
+type Report struct {
+	Elapsed time.Duration `json:"elapsed-ns"`
+	// OfferedRate and AnsweredRate are in requests a second.
+	OfferedRate  float64       `json:"offered-rate"`
+	AnsweredRate float64       `json:"answered-rate"`
+	TokenRate    float64       `json:"token-rate"`
+	Kinds        []*KindReport `json:"kinds"`
+	// Audit is filled in where ledgers were read.
+	Audit *Audit `json:"audit,omitempty"`
+
+	mu      sync.Mutex
+	tokens  int64
+	results []Result
+}
+
+func newReport(kinds []Kind) *Report {
+	r := &Report{}
+	for _, k := range kinds {
+		r.Kinds = append(r.Kinds, &KindReport{
+			Name:     k.Name,
+			Refusals: map[string]int64{},
+			first:    newHistogram(),
+			gap:      newHistogram(),
+			total:    newHistogram(),
+		})
+	}
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicros, highestMicros, significantFigures)
+}
+
+func (r *Report) add(res Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gaps := res.Gaps
+	res.Gaps = nil
+	r.results = append(r.results, res)
+	k := r.Kinds[res.Kind]
+	k.Sent++
+	r.tokens += int64(res.Parts)
+	if res.Parts > 0 {
+		record(k.first, res.First)
+	}
+	for _, g := range gaps {
+		record(k.gap, g)
+	}
+	if res.Refusal != nil {
+		k.refuse(res.Refusal)
+		return
+	}
+	if !res.Complete {
+		k.Incomplete++
+		return
+	}
+	k.Answered++
+	record(k.total, res.Total)
+}
+
+func (k *KindReport) refuse(refusal *refuser.Refusal) {
+	k.Refusals[fmt.Sprintf("%s/%s", refusal.Code, refusal.Fact)]++
+	switch refusal.Fact {
+	case refuser.FactNotRun:
+		k.NotRun++
+	case refuser.FactRan:
+		k.Ran++
+	default:
+		k.MayHaveRun++
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
+}
+
+func (r *Report) finish(elapsed, sending time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Elapsed = elapsed
+	var sent, answered int64
+	for _, k := range r.Kinds {
+		sent += k.Sent
+		answered += k.Answered
+		k.First = quantiles(k.first)
+		k.Gap = quantiles(k.gap)
+		k.Total = quantiles(k.total)
+	}
+	r.OfferedRate = float64(sent) / sending.Seconds()
+	r.AnsweredRate = float64(answered) / elapsed.Seconds()
+	r.TokenRate = float64(r.tokens) / elapsed.Seconds()
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	const microsPerMilli = 1000.0
+	return Quantiles{
+		Count: h.TotalCount(),
+		P50:   float64(h.ValueAtQuantile(50)) / microsPerMilli,
+		P95:   float64(h.ValueAtQuantile(95)) / microsPerMilli,
+		P99:   float64(h.ValueAtQuantile(99)) / microsPerMilli,
+		Max:   float64(h.Max()) / microsPerMilli,
+	}
+}
+
+// Results returns what became of each request.
+func (r *Report) Results() []Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results
+}
--- /dev/null
+++ b/internal/command/exiter/doc.go
@@ -0,0 +1,2 @@
+// Package exiter maps the errors of commands to exit codes and messages.
+package exiter
--- /dev/null
+++ b/internal/command/member/doc.go
@@ -0,0 +1,2 @@
+// Package member is the command 'member'.
+package member
--- /dev/null
+++ b/internal/command/member/list/doc.go
@@ -0,0 +1,2 @@
+// Package list is the command 'member list'.
+package list
--- /dev/null
+++ b/internal/command/request/get/doc.go
@@ -0,0 +1,2 @@
+// Package get is the command 'request get'.
+package get
--- /dev/null
+++ b/internal/command/request/send/doc.go
@@ -0,0 +1,2 @@
+// Package send is the command 'request send'.
+package send
--- /dev/null
+++ b/internal/command/router/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain is the command 'router drain'.
+package drain
--- /dev/null
+++ b/internal/command/router/status/doc.go
@@ -0,0 +1,2 @@
+// Package status is the command 'router status'.
+package status
--- /dev/null
+++ b/internal/command/service/apply/apply.go
@@ -0,0 +1,131 @@
+package apply
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/user"
+
+	"connectrpc.com/connect"
+	"github.com/spf13/cobra"
+
+	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/maker"
+	"github.com/rattantray/rattantray/internal/command/streamer"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/api/rattantray/v1/rattantrayv1connect"
+)
+
+// Options holds what the command depends on and its flags.
+type Options struct {
+	IO       *streamer.IOStreams
+	Operator func() (rattantrayv1connect.OperatorServiceClient, error)
+	ReadFile func(name string) ([]byte, error)
+
+	File    string
+	Author  string
+	Version uint64
+	// HasVersion is true where the operator named the version seen.
+	HasVersion bool
+	DryRun     bool
+}
+
+// NewCmdApply returns the command; runF replaces its action in tests.
+func NewCmdApply(f *maker.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Operator: f.Operator, ReadFile: os.ReadFile}
+	cmd := &cobra.Command{
+		Use:   "apply",
+		Short: "Store a service document and bring the fleet in line with it",
+		Long: `Store a service document if the stored version is the one that you saw.
+
+Without --version the newest version is read first; where another operator
+stores a version in between, the command reports a conflict and the difference.`,
+		Example: `  rattantray service apply -f assistant.yaml
+  rattantray service apply -f assistant.yaml --version 42
+  rattantray service apply -f - --dry-run < assistant.yaml`,
+		Args: exiter.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opts.File == "" {
+				return exiter.Flagf("name the document with --file, or - for standard input")
+			}
+			opts.HasVersion = cmd.Flags().Changed("version")
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return run(cmd.Context(), opts)
+		},
+	}
+	cmd.Flags().StringVarP(&opts.File, "file", "f", "", "Read the document from `path`, or - for standard input")
+	cmd.Flags().Uint64Var(&opts.Version, "version", 0, "Store only over this `version`; 0 creates only")
+	cmd.Flags().StringVar(&opts.Author, "author", author(), "Record this `name` in the history")
+	cmd.Flags().BoolVar(&opts.DryRun, "dry-run", false, "Check the document and store nothing")
+	return cmd
+}
+
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func run(ctx context.Context, opts *Options) error {
+	document, err := read(opts)
+	if err != nil {
+		return err
+	}
+	client, err := opts.Operator()
+	if err != nil {
+		return err
+	}
+	req := &v1.ApplyRequest{Document: document, Author: opts.Author, DryRun: opts.DryRun}
+	if opts.HasVersion {
+		req.ExpectedVersion = &opts.Version
+	}
+	resp, err := client.Apply(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	return report(opts, resp.Msg)
+}
+
+func read(opts *Options) ([]byte, error) {
+	if opts.File == "-" {
+		return io.ReadAll(opts.IO.In)
+	}
+	document, err := opts.ReadFile(opts.File)
+	if err != nil {
+		return nil, exiter.Flagf("read the document: %s", err)
+	}
+	return document, nil
+}
+
+func report(opts *Options, resp *v1.ApplyResponse) error {
+	s := opts.IO
+	switch resp.Result {
+	case v1.ApplyResult_APPLY_RESULT_ACCEPTED:
+		if opts.DryRun {
+			s.Printf("%s the document is valid; nothing was stored\n", s.Green("ok"))
+			return nil
+		}
+		s.Printf("%s version %d\n", s.Green("accepted"), resp.Version)
+		return nil
+	case v1.ApplyResult_APPLY_RESULT_REFUSED:
+		s.Errorf("%s: the document has errors\n", s.Red("refused"))
+		for _, p := range resp.Problems {
+			s.Errorf("  %s:%d: %s: %s\n", opts.File, p.Line, p.Path, p.Message)
+		}
+		if len(resp.Problems) == 0 {
+			s.Errorf("  %s\n", resp.Message)
+		}
+		return &exiter.CodeError{Code: exiter.Error}
+	case v1.ApplyResult_APPLY_RESULT_CONFLICT:
+		s.Errorf("%s: version %d is stored; %s\n%s", s.Red("conflict"), resp.Version, resp.Message, resp.Difference)
+		s.Errorf("Take the difference in and apply again with --version %d.\n", resp.Version)
+		return &exiter.CodeError{Code: exiter.Conflict}
+	default:
+		s.Errorf("%s: %s\n", s.Red("unknown"), resp.Message)
+		s.Errorf("Ask with 'rattantray service view' when the store answers again.\n")
+		return &exiter.CodeError{Code: exiter.Uncertain}
+	}
+}
--- /dev/null
+++ b/internal/command/service/apply/doc.go
@@ -0,0 +1,2 @@
+// Package apply is the command 'service apply'.
+package apply
--- /dev/null
+++ b/internal/command/service/history/doc.go
@@ -0,0 +1,2 @@
+// Package history is the command 'service history'.
+package history
--- /dev/null
+++ b/internal/command/service/remove/doc.go
@@ -0,0 +1,2 @@
+// Package remove is the command 'service delete'.
+package remove
--- /dev/null
+++ b/internal/command/service/status/doc.go
@@ -0,0 +1,2 @@
+// Package status is the command 'service status'.
+package status
--- /dev/null
+++ b/internal/command/service/view/doc.go
@@ -0,0 +1,2 @@
+// Package view is the command 'service view'.
+package view
--- /dev/null
+++ b/internal/command/target/doc.go
@@ -0,0 +1,2 @@
+// Package target is the command 'target'.
+package target
--- /dev/null
+++ b/internal/command/target/list/doc.go
@@ -0,0 +1,2 @@
+// Package list is the command 'target list'.
+package list
--- /dev/null
+++ b/internal/command/target/view/doc.go
@@ -0,0 +1,2 @@
+// Package view is the command 'target view'.
+package view
--- /dev/null
+++ b/internal/command/version/doc.go
@@ -0,0 +1,2 @@
+// Package version is the command 'version'.
+package version
--- /dev/null
+++ b/internal/receiver/exchange.go
@@ -0,0 +1,270 @@
+package receiver
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/tokener"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	unset = -1 * time.Nanosecond
+	// attemptStride keeps the attempts of a resumed answer above those of the stream that it replaces.
+	attemptStride = 1 << 10
+)
+
+// exchange is one request on its way through the receiver.
+type exchange struct {
+	receiver *Receiver
+	req      *v1.Request
+	doc      *documenter.Document
+	method   documenter.Method
+	begin    time.Time
+	deadline time.Time
+	digest   [sha256.Size]byte
+	emitPart func(*v1.SendResponse) error
+
+	execution    string
+	firstAttempt uint32
+	position     uint64
+	attempt      uint32
+	// started is true once the request may have reached a target.
+	started   bool
+	replayed  bool
+	queueWait time.Duration
+	first     time.Duration
+	last      time.Time
+	parts     int64
+}
+
+func (x *exchange) run(ctx context.Context, header http.Header) error {
+	r := x.receiver
+	if err := checkShape(x.req); err != nil {
+		return err
+	}
+	end, err := r.Begin()
+	if err != nil {
+		return err
+	}
+	defer end()
+	if err := x.prepare(header); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+	defer cancel()
+	if x.req.OrderingKey != "" {
+		return x.final(ctx, x.runOrdered(ctx))
+	}
+	return x.final(ctx, x.runAdmitted(ctx))
+}
+
+var errDeadline = errors.New("deadline exceeded")
+
+// prepare looks the service up and checks the request against it.
+func (x *exchange) prepare(header http.Header) error {
+	r := x.receiver
+	doc, workspace, err := r.find(x.req.Workspace, x.req.Service)
+	if err != nil {
+		return err
+	}
+	if err := r.Authorize(header, doc, workspace); err != nil {
+		return err
+	}
+	if err := checkService(x.req, doc); err != nil {
+		return err
+	}
+	x.doc = doc
+	x.method, _ = doc.Method(x.req.Method)
+	x.deadline = deadlineOf(x.req, doc.Limits, x.begin)
+	if t := time.Duration(x.method.Timeout); t > 0 && x.begin.Add(t).Before(x.deadline) {
+		x.deadline = x.begin.Add(t)
+	}
+	x.digest = payloadDigest(x.req)
+	return x.checkToken()
+}
+
+// checkToken takes the place up at which an earlier stream was cut.
+func (x *exchange) checkToken() error {
+	x.execution = x.req.RequestId + "~" + uuid.NewString()
+	x.firstAttempt = 1
+	if len(x.req.ResumeToken) == 0 {
+		return nil
+	}
+	claims, err := x.receiver.Tokens.Check(x.req.ResumeToken, tokener.Claims{
+		Workspace:     x.req.Workspace,
+		Service:       x.req.Service,
+		RequestID:     x.req.RequestId,
+		PayloadDigest: x.digest,
+	})
+	if err != nil {
+		return err
+	}
+	x.execution = claims.Execution
+	x.firstAttempt = (claims.Attempt/attemptStride + 1) * attemptStride
+	x.position = uint64(len(x.req.Delivered))
+	return nil
+}
+
+// idempotent tells whether the request may run more than once; the caller can only make it stricter.
+func (x *exchange) idempotent() bool {
+	if x.req.Idempotent != nil && !*x.req.Idempotent {
+		return false
+	}
+	return x.doc.Type == documenter.TypeModel || x.method.Idempotent
+}
+
+// runAdmitted waits for admission and runs the request.
+func (x *exchange) runAdmitted(ctx context.Context) error {
+	r := x.receiver
+	cost, expected := x.cost()
+	waiting := r.Clock.Now()
+	grant, err := r.Admit(ctx, admitter.Request{
+		Service:   x.doc.Name,
+		Workspace: cataloger.Workspace(x.req.Workspace),
+		Cost:      cost,
+		Priority:  x.req.Priority,
+		Deadline:  x.deadline,
+		Expected:  expected,
+	})
+	x.queueWait = r.Clock.Now().Sub(waiting)
+	if err != nil {
+		return err
+	}
+	err = x.execute(ctx)
+	grant.Done(x.result(err))
+	return err
+}
+
+func (x *exchange) execute(ctx context.Context) error {
+	switch {
+	case !x.idempotent():
+		return x.runOnce(ctx)
+	case x.doc.Type == documenter.TypeModel:
+		return x.generate(ctx, x.emitToken)
+	default:
+		return x.forward(ctx)
+	}
+}
+
+// cost estimates the tokens and the time that the request takes.
+func (x *exchange) cost() (float64, time.Duration) {
+	if x.doc.Type != documenter.TypeModel {
+		return 1, 0
+	}
+	prompt := engineer.PromptTokens(len(x.req.Payload))
+	most := int(x.maxTokens()) - len(x.req.Delivered)
+	most = max(most, 1)
+	return float64(prompt + most), x.receiver.Expected(x.doc.Name, prompt, most)
+}
+
+func (x *exchange) maxTokens() uint32 {
+	if x.req.MaxTokens > 0 {
+		return x.req.MaxTokens
+	}
+	if x.doc.Limits.MaxTokens > 0 {
+		return x.doc.Limits.MaxTokens
+	}
+	return defaultMaxTokens
+}
+
+const defaultMaxTokens = 256
+
+func (x *exchange) result(err error) admitter.Result {
+	res := admitter.Result{OK: err == nil}
+	if x.doc.Type == documenter.TypeModel && err == nil {
+		res.Tokens = float64(engineer.PromptTokens(len(x.req.Payload))) + float64(x.parts)
+	}
+	if err != nil {
+		switch refuser.From(err).Code {
+		case refuser.TargetRefused, refuser.NoPipeline, refuser.NoTarget:
+			res.Overloaded = true
+		}
+	}
+	return res
+}
+
+// final turns the end of the context into a refusal that says whether the request may have run.
+func (x *exchange) final(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	if x.begun() && refuser.From(err).Fact == refuser.FactNotRun {
+		err = refuser.From(err).WithFact(refuser.FactMayHaveRun)
+	}
+	if ctx.Err() == nil || isRefusal(err) {
+		return err
+	}
+	code := refuser.Canceled
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		code = refuser.DeadlineExceeded
+	}
+	refusal := refuser.New(code, "after %s", x.receiver.Clock.Now().Sub(x.begin).Round(time.Millisecond))
+	if !x.started {
+		return refusal.WithFact(refuser.FactNotRun).WithCause(err)
+	}
+	return refusal.WithFact(refuser.FactMayHaveRun).WithCause(err)
+}
+
+// begun tells whether the caller has a part of the answer.
+func (x *exchange) begun() bool { return x.parts > 0 || len(x.req.Delivered) > 0 }
+
+func isRefusal(err error) bool {
+	var r *refuser.Refusal
+	return errors.As(err, &r)
+}
+
+// record adds the request to the metrics and the log.
+func (x *exchange) record(err error) {
+	r := x.receiver
+	now := r.Clock.Now()
+	code := refuser.OK
+	if err != nil {
+		code = refuser.From(err).Code
+	}
+	observation := meter.Request{Code: code, Total: now.Sub(x.begin), First: x.first, QueueWait: x.queueWait, Tokens: x.parts}
+	if x.doc != nil {
+		observation.Workspace = x.req.Workspace
+		observation.Class = x.req.Service
+	} else {
+		// Names that no document knows must not make series.
+		observation.Workspace = meter.OtherWorkspace
+		observation.Class = meter.OtherWorkspace
+	}
+	r.Meter.Observe(observation)
+	event := r.Log.Debug()
+	if err != nil {
+		event = r.Log.Info().Err(err).Stringer("fact", refuser.From(err).Fact)
+	}
+	event.Str("request-id", x.req.GetRequestId()).
+		Str("workspace", x.req.GetWorkspace()).
+		Str("service", x.req.GetService()).
+		Uint32("attempt", x.attempt).
+		Int64("parts", x.parts).
+		Dur("total", now.Sub(x.begin)).
+		Stringer("code", code).
+		Msg("request ended")
+}
+
+func payloadDigest(req *v1.Request) [sha256.Size]byte {
+	h := sha256.New()
+	for _, field := range [][]byte{[]byte(req.Service), []byte(req.Method), req.Payload} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		h.Write(size[:])
+		h.Write(field)
+	}
+	return [sha256.Size]byte(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/receiver/receiver.go
@@ -0,0 +1,210 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/internal/tokener"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Receiver serves rattantray.v1.RouterService; the fields are set before it serves.
+type Receiver struct {
+	Log   zerolog.Logger
+	Clock timer.Clock
+	// Self is the name and incarnation that resume tokens carry.
+	Self        string
+	Incarnation uint64
+	Tokens      *tokener.Tokener
+	Meter       *meter.Meter
+
+	// Begin takes a new request in and returns what ends it, or a refusal while the daemon is not ready or draining.
+	Begin func() (end func(), err error)
+	// Lookup returns the document in force.
+	Lookup func(service string) (*documenter.Document, uint64, bool)
+	// Authorize checks who calls for a workspace.
+	Authorize func(header http.Header, doc *documenter.Document, workspace documenter.Workspace) error
+	// Entries returns the entry addresses for a caller in a data centre and how long they are good.
+	Entries func(dc cataloger.DataCentre, workspace cataloger.Workspace, service string) ([]*v1.Entry, time.Duration, error)
+	// Admit waits for the permission to run.
+	Admit func(ctx context.Context, r admitter.Request) (*admitter.Grant, error)
+	// Expected estimates how long a generation takes; zero where it is not known.
+	Expected func(service string, promptTokens, maxTokens int) time.Duration
+	// Generate runs a model request and emits its tokens.
+	Generate func(ctx context.Context, g Generation, emit func(Token) error) error
+	// Forward runs a request on a plain service.
+	Forward func(ctx context.Context, doc *documenter.Document, r forwarder.Request) (forwarder.Answer, error)
+	// Once runs a request at most once.
+	Once func(ctx context.Context, r journaler.Request, run journaler.RunFunc) (journaler.Outcome, error)
+	// Outcome returns the kept outcome of a request that ran at most once.
+	Outcome func(ctx context.Context, workspace cataloger.Workspace, id string) (journaler.Outcome, error)
+	// Enter takes a place under an ordering key.
+	Enter func(ctx context.Context, p Place) (Turn, error)
+}
+
+// Generation is a model request that is ready to run.
+type Generation struct {
+	Workspace cataloger.Workspace
+	Service   string
+	// Execution names the run towards the engines; it is unique for each request that is sent.
+	Execution    string
+	Model        documenter.Model
+	Prompt       []byte
+	MaxTokens    uint32
+	Priority     uint32
+	Deadline     time.Time
+	FirstAttempt uint32
+	// Delivered are the tokens that the caller has.
+	Delivered [][]byte
+	Retry     documenter.Retry
+	// Cut is true where an earlier stream of this execution may still be kept by an engine.
+	Cut bool
+}
+
+// Token is one checked token of an answer.
+type Token struct {
+	Attempt  uint32
+	Position uint64
+	Data     []byte
+	Last     bool
+	Receipt  *v1.Receipt
+}
+
+// Place is a request's place under an ordering key.
+type Place struct {
+	Workspace cataloger.Workspace
+	Key       string
+	Sequence  uint64
+	RequestID string
+	Deadline  time.Time
+	Ordering  documenter.Ordering
+}
+
+// Turn lets a finished answer out in its order.
+type Turn struct {
+	// Wait returns when the answer may be delivered; size is what it takes in memory, in bytes.
+	Wait func(ctx context.Context, size int) error
+	// Done says that the answer was delivered, or that there is none.
+	Done func()
+}
+
+// Resolve implements rattantray.v1.RouterService.
+func (r *Receiver) Resolve(_ context.Context, req *connect.Request[v1.ResolveRequest]) (*connect.Response[v1.ResolveResponse], error) {
+	msg := req.Msg
+	doc, workspace, err := r.find(msg.Workspace, msg.Service)
+	if err != nil {
+		return nil, refuser.From(err).Connect()
+	}
+	if err := r.Authorize(req.Header(), doc, workspace); err != nil {
+		return nil, refuser.From(err).Connect()
+	}
+	entries, ttl, err := r.Entries(cataloger.DataCentre(msg.DataCentre), cataloger.Workspace(msg.Workspace), msg.Service)
+	if err != nil {
+		return nil, refuser.From(err).Connect()
+	}
+	return connect.NewResponse(&v1.ResolveResponse{Entries: entries, TimeToLive: durationpb.New(ttl)}), nil
+}
+
+// Send implements rattantray.v1.RouterService.
+func (r *Receiver) Send(ctx context.Context, req *connect.Request[v1.SendRequest], stream *connect.ServerStream[v1.SendResponse]) error {
+	return r.serve(ctx, req.Msg.GetRequest(), req.Header(), stream.Send)
+}
+
+// Call implements rattantray.v1.RouterService.
+func (r *Receiver) Call(ctx context.Context, req *connect.Request[v1.CallRequest]) (*connect.Response[v1.CallResponse], error) {
+	out := &v1.CallResponse{RequestId: req.Msg.GetRequest().GetRequestId()}
+	x, err := r.exchange(ctx, req.Msg.GetRequest(), req.Header(), func(p *v1.SendResponse) error {
+		out.Data = append(out.Data, p.Data...)
+		out.Attempt = p.Attempt
+		out.HttpStatus = p.HttpStatus
+		out.Parts++
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	out.Replayed = x.replayed
+	return connect.NewResponse(out), nil
+}
+
+// Get implements rattantray.v1.RouterService.
+func (r *Receiver) Get(ctx context.Context, req *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error) {
+	msg := req.Msg
+	if msg.Workspace == "" || msg.RequestId == "" {
+		return nil, refuser.New(refuser.MalformedRequest, "workspace and request-id are needed").Connect()
+	}
+	out, err := r.Outcome(ctx, cataloger.Workspace(msg.Workspace), msg.RequestId)
+	if err != nil {
+		return nil, refuser.From(err).Connect()
+	}
+	return connect.NewResponse(toGetResponse(msg.RequestId, out)), nil
+}
+
+func toGetResponse(id string, out journaler.Outcome) *v1.GetResponse {
+	resp := &v1.GetResponse{RequestId: id, Outcome: outcomeOf(out)}
+	if resp.Outcome != v1.Outcome_OUTCOME_RAN {
+		return resp
+	}
+	resp.HttpStatus = uint32(out.Answer.Status)
+	resp.AnswerDigest = out.Digest[:]
+	if out.Kept {
+		resp.Data = out.Answer.Body
+	}
+	return resp
+}
+
+func outcomeOf(out journaler.Outcome) v1.Outcome {
+	switch {
+	case out.Running:
+		return v1.Outcome_OUTCOME_RUNNING
+	case out.Fact == refuser.FactRan:
+		return v1.Outcome_OUTCOME_RAN
+	case out.Fact == refuser.FactNotRun:
+		return v1.Outcome_OUTCOME_NOT_RUN
+	case out.Fact == refuser.FactMayHaveRun:
+		return v1.Outcome_OUTCOME_MAY_HAVE_RUN
+	default:
+		return v1.Outcome_OUTCOME_UNKNOWN_ID
+	}
+}
+
+func (r *Receiver) serve(ctx context.Context, req *v1.Request, header http.Header, emit func(*v1.SendResponse) error) error {
+	_, err := r.exchange(ctx, req, header, emit)
+	return err
+}
+
+// exchange runs one request and returns a connect error where it is refused.
+func (r *Receiver) exchange(ctx context.Context, req *v1.Request, header http.Header, emit func(*v1.SendResponse) error) (*exchange, error) {
+	x := &exchange{receiver: r, req: req, begin: r.Clock.Now(), emitPart: emit, queueWait: unset, first: unset}
+	err := x.run(ctx, header)
+	x.record(err)
+	if err != nil {
+		return nil, refuser.From(err).Connect()
+	}
+	return x, nil
+}
+
+func (r *Receiver) find(workspace, service string) (*documenter.Document, documenter.Workspace, error) {
+	doc, _, ok := r.Lookup(service)
+	if !ok {
+		return nil, documenter.Workspace{}, refuser.New(refuser.UnknownService, "no service %q is in force", service)
+	}
+	w, ok := doc.Workspace(workspace)
+	if !ok {
+		return nil, documenter.Workspace{}, refuser.New(refuser.UnknownWorkspace, "service %q does not serve workspace %q", service, workspace)
+	}
+	return doc, w, nil
+}
--- /dev/null
+++ b/internal/receiver/runner.go
@@ -0,0 +1,217 @@
+package receiver
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/tokener"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// generate runs a model request.
+func (x *exchange) generate(ctx context.Context, emit func(Token) error) error {
+	x.started = true
+	return x.receiver.Generate(ctx, Generation{
+		Workspace:    cataloger.Workspace(x.req.Workspace),
+		Service:      x.doc.Name,
+		Execution:    x.execution,
+		Model:        *x.doc.Model,
+		Prompt:       x.req.Payload,
+		MaxTokens:    x.maxTokens(),
+		Priority:     x.req.Priority,
+		Deadline:     x.deadline,
+		FirstAttempt: x.firstAttempt,
+		Delivered:    x.req.Delivered,
+		Retry:        x.doc.Retry,
+		Cut:          len(x.req.ResumeToken) > 0,
+	}, emit)
+}
+
+// emitToken passes a token on; the first one of each attempt carries a resume token.
+func (x *exchange) emitToken(t Token) error {
+	part := &v1.SendResponse{
+		RequestId: x.req.RequestId,
+		Attempt:   t.Attempt,
+		Position:  t.Position,
+		Data:      t.Data,
+		Last:      t.Last,
+		Receipt:   t.Receipt,
+	}
+	if t.Attempt != x.attempt && !t.Last {
+		part.ResumeToken = x.sign(t)
+	}
+	x.attempt = t.Attempt
+	return x.emit(part)
+}
+
+func (x *exchange) sign(t Token) []byte {
+	return x.receiver.Tokens.Sign(tokener.Claims{
+		Workspace:     x.req.Workspace,
+		Service:       x.req.Service,
+		RequestID:     x.req.RequestId,
+		Execution:     x.execution,
+		Attempt:       t.Attempt,
+		Position:      t.Position + 1,
+		PayloadDigest: x.digest,
+		Member:        x.receiver.Self,
+		Incarnation:   x.receiver.Incarnation,
+	})
+}
+
+func (x *exchange) emit(part *v1.SendResponse) error {
+	now := x.receiver.Clock.Now()
+	if x.parts == 0 {
+		x.first = now.Sub(x.begin)
+	} else {
+		x.receiver.Meter.Gap(x.req.Workspace, x.req.Service, now.Sub(x.last))
+	}
+	x.last = now
+	x.parts++
+	x.position = part.Position + 1
+	return x.emitPart(part)
+}
+
+// forward runs an idempotent request on a plain service.
+func (x *exchange) forward(ctx context.Context) error {
+	x.started = true
+	answer, err := x.receiver.Forward(ctx, x.doc, x.plainRequest(true))
+	if err != nil {
+		return err
+	}
+	return x.emitWhole(uint32(answer.Status), answer.Body)
+}
+
+func (x *exchange) plainRequest(idempotent bool) forwarder.Request {
+	return forwarder.Request{
+		Workspace:  cataloger.Workspace(x.req.Workspace),
+		Service:    x.doc.Name,
+		RequestID:  x.req.RequestId,
+		Method:     x.req.Method,
+		Payload:    x.req.Payload,
+		Deadline:   x.deadline,
+		Idempotent: idempotent,
+	}
+}
+
+// emitWhole delivers what the caller does not have yet of a whole answer as one part.
+func (x *exchange) emitWhole(status uint32, body []byte) error {
+	return x.emit(&v1.SendResponse{
+		RequestId:  x.req.RequestId,
+		Attempt:    x.firstAttempt,
+		Position:   x.position,
+		Data:       body,
+		Last:       true,
+		HttpStatus: status,
+	})
+}
+
+// runOnce runs a request at most once and delivers its outcome.
+func (x *exchange) runOnce(ctx context.Context) error {
+	streamed := false
+	outcome, err := x.receiver.Once(ctx, journaler.Request{
+		Workspace:     cataloger.Workspace(x.req.Workspace),
+		ID:            x.req.RequestId,
+		PayloadDigest: x.digest,
+		Deadline:      x.deadline,
+		Mode:          x.doc.AtMostOnce.Mode,
+		Retention:     time.Duration(x.doc.AtMostOnce.Retention),
+		AnswerBytes:   x.doc.AtMostOnce.AnswerBytes,
+		BoundTo:       x.req.BoundTo,
+	}, func(ctx context.Context) (journaler.Answer, error) {
+		if x.doc.Type == documenter.TypeModel {
+			streamed = true
+			return x.generateOnce(ctx)
+		}
+		return x.forwardOnce(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	x.replayed = outcome.Replayed
+	if streamed {
+		return nil
+	}
+	return x.deliver(outcome)
+}
+
+// generateOnce streams the answer while it is collected for the journal.
+func (x *exchange) generateOnce(ctx context.Context) (journaler.Answer, error) {
+	var body bytes.Buffer
+	err := x.generate(ctx, func(t Token) error {
+		body.Write(t.Data)
+		return x.emitToken(t)
+	})
+	if err != nil {
+		return journaler.Answer{}, err
+	}
+	return journaler.Answer{Status: http.StatusOK, Body: body.Bytes()}, nil
+}
+
+func (x *exchange) forwardOnce(ctx context.Context) (journaler.Answer, error) {
+	x.started = true
+	answer, err := x.receiver.Forward(ctx, x.doc, x.plainRequest(false))
+	if err != nil {
+		return journaler.Answer{}, err
+	}
+	return journaler.Answer{Status: answer.Status, Body: answer.Body}, nil
+}
+
+func (x *exchange) deliver(outcome journaler.Outcome) error {
+	switch {
+	case outcome.Running:
+		return refuser.New(refuser.AlreadyRunning, "request %q is in progress", x.req.RequestId)
+	case outcome.Fact != refuser.FactRan:
+		return refuser.New(refuser.OutcomeUncertain, "request %q was claimed and its outcome is not known", x.req.RequestId).WithFact(outcome.Fact)
+	case !outcome.Kept:
+		return refuser.New(refuser.AlreadyRan, "request %q ran and its answer is not kept", x.req.RequestId).WithDigest(outcome.Digest[:])
+	}
+	body := outcome.Answer.Body
+	have := bytes.Join(x.req.Delivered, nil)
+	if !bytes.HasPrefix(body, have) {
+		return refuser.New(refuser.ResumeTokenInvalid, "the delivered parts are not of this answer").WithFact(refuser.FactRan)
+	}
+	return x.emitWhole(uint32(outcome.Answer.Status), body[len(have):])
+}
+
+// runOrdered runs the request at once and holds its answer back until its turn.
+func (x *exchange) runOrdered(ctx context.Context) error {
+	turn, err := x.receiver.Enter(ctx, Place{
+		Workspace: cataloger.Workspace(x.req.Workspace),
+		Key:       x.req.OrderingKey,
+		Sequence:  x.req.Sequence,
+		RequestID: x.req.RequestId,
+		Deadline:  x.deadline,
+		Ordering:  x.doc.Ordering,
+	})
+	if err != nil {
+		return err
+	}
+	defer turn.Done()
+	deliver := x.emitPart
+	var held []*v1.SendResponse
+	size := 0
+	x.emitPart = func(p *v1.SendResponse) error {
+		held = append(held, p)
+		size += len(p.Data)
+		return nil
+	}
+	if err := x.runAdmitted(ctx); err != nil {
+		return err
+	}
+	if err := turn.Wait(ctx, size); err != nil {
+		return err
+	}
+	for _, p := range held {
+		if err := deliver(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/setter/doc.go
@@ -0,0 +1,2 @@
+// Package setter reads settings from flags and environment variables and checks them.
+package setter
--- /dev/null
+++ b/internal/setter/setter.go
@@ -0,0 +1,162 @@
+package setter
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/pflag"
+)
+
+// Prefix starts the name of every environment variable of the program.
+const Prefix = "RATTANTRAY_"
+
+// Environ returns the environment; tests replace it.
+var Environ = os.Environ
+
+// BadSetting is a setting whose value is not accepted.
+type BadSetting struct {
+	// Name is the name of the flag.
+	Name     string
+	Value    string
+	Accepted string
+	// Source is the flag or the environment variable that gave the value.
+	Source string
+}
+
+// Error implements error.
+func (b *BadSetting) Error() string {
+	source := b.Source
+	if source == "" {
+		source = "--" + b.Name
+	}
+	return fmt.Sprintf("setting %s: %q is not accepted: want %s", source, b.Value, b.Accepted)
+}
+
+// Variable returns the environment variable of a flag.
+func Variable(flag string) string {
+	return Prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Bind gives each flag that was not set on the command line the value of its environment variable.
+func Bind(flags *pflag.FlagSet) error {
+	values := environment()
+	var bad error
+	flags.VisitAll(func(f *pflag.Flag) {
+		value, ok := values[Variable(f.Name)]
+		if !ok || f.Changed || bad != nil {
+			return
+		}
+		if err := flags.Set(f.Name, value); err != nil {
+			bad = &BadSetting{Name: f.Name, Value: value, Accepted: accepted(f), Source: Variable(f.Name)}
+		}
+	})
+	return bad
+}
+
+// Unknown returns the environment variables with the prefix that no flag of the sets reads, sorted.
+func Unknown(sets ...*pflag.FlagSet) []string {
+	known := map[string]bool{}
+	for _, set := range sets {
+		set.VisitAll(func(f *pflag.Flag) { known[Variable(f.Name)] = true })
+	}
+	var unknown []string
+	for name := range environment() {
+		if !known[name] {
+			unknown = append(unknown, name)
+		}
+	}
+	slices.Sort(unknown)
+	return unknown
+}
+
+// Log writes the effective value of every flag as one line; values of secret flags are masked.
+func Log(log zerolog.Logger, flags *pflag.FlagSet, secret ...string) {
+	event := log.Info()
+	flags.VisitAll(func(f *pflag.Flag) {
+		value := f.Value.String()
+		if slices.Contains(secret, f.Name) && value != "" {
+			value = "(set)"
+		}
+		event.Str(f.Name, value)
+	})
+	event.Msg("effective settings")
+}
+
+// Address checks that a setting is an IP address and a port.
+func Address(name, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || port == "" || net.ParseIP(host) == nil {
+		return &BadSetting{Name: name, Value: value, Accepted: "an IP address and a port, as 127.0.0.1:7070"}
+	}
+	return nil
+}
+
+// NotEmpty checks that a setting has a value.
+func NotEmpty(name, value string) error {
+	if value == "" {
+		return &BadSetting{Name: name, Value: value, Accepted: "a value that is not empty"}
+	}
+	return nil
+}
+
+// OneOf checks that a setting has one of the values.
+func OneOf(name, value string, values ...string) error {
+	if slices.Contains(values, value) {
+		return nil
+	}
+	return &BadSetting{Name: name, Value: value, Accepted: "one of " + strings.Join(values, ", ")}
+}
+
+// Positive checks that a number is above zero.
+func Positive[T ~int | ~int64 | ~float64](name string, value T) error {
+	if value > 0 {
+		return nil
+	}
+	return &BadSetting{Name: name, Value: fmt.Sprint(value), Accepted: "a value above 0"}
+}
+
+// First returns the first error that is a bad setting.
+func First(checks ...error) error {
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// IsBad tells whether err is a bad setting.
+func IsBad(err error) bool {
+	var bad *BadSetting
+	return errors.As(err, &bad)
+}
+
+func environment() map[string]string {
+	values := map[string]string{}
+	for _, line := range Environ() {
+		name, value, _ := strings.Cut(line, "=")
+		if strings.HasPrefix(name, Prefix) {
+			values[name] = value
+		}
+	}
+	return values
+}
+
+func accepted(f *pflag.Flag) string {
+	switch f.Value.Type() {
+	case "duration":
+		return "a duration, as 1m30s"
+	case "int", "uint32", "int64", "uint64":
+		return "a whole number"
+	case "float64":
+		return "a number"
+	case "bool":
+		return "true or false"
+	}
+	return "a " + f.Value.Type()
+}
