--- a/internal/documenter/document.go
+++ b/internal/documenter/document.go
@@ -1,7 +1,10 @@
 package documenter
 
 import (
+	"strings"
 	"time"
+
+	"github.com/invopop/jsonschema"
 )
 
 // Format is the value of the format field of every service document.
@@ -30,97 +33,129 @@
 // Duration is a time.Duration that is written as 1m30s.
 type Duration time.Duration
 
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// String returns the shortest form, as 5m and not 5m0s.
+func (d Duration) String() string {
+	s := time.Duration(d).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+// JSONSchema returns the schema of a duration.
+func (Duration) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{
+		Type:        "string",
+		Pattern:     `^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$`,
+		Description: "A duration with its unit, as 500ms, 30s or 1h30m.",
+	}
+}
+
 // Document describes one service; it is immutable once parsed.
 type Document struct {
-	Format string `yaml:"format" json:"format"`
-	Name   string `yaml:"name" json:"name"`
-	Owner  string `yaml:"owner" json:"owner"`
-	Type   Type   `yaml:"type" json:"type"`
+	Format string `yaml:"format" json:"format" jsonschema:"required,enum=rattantray/service/v1"`
+	Name   string `yaml:"name" json:"name" jsonschema:"required,pattern=^[a-z0-9]+(-[a-z0-9]+)*$,maxLength=63"`
+	Owner  string `yaml:"owner" json:"owner" jsonschema:"required,minLength=1,maxLength=200"`
+	Type   Type   `yaml:"type" json:"type" jsonschema:"required,enum=model,enum=plain"`
 	// Workspaces lists who may call the service.
-	Workspaces []Workspace `yaml:"workspaces" json:"workspaces"`
-	Model      *Model      `yaml:"model,omitempty" json:"model,omitempty"`
-	Plain      *Plain      `yaml:"plain,omitempty" json:"plain,omitempty"`
-	AtMostOnce AtMostOnce  `yaml:"at-most-once,omitempty" json:"at-most-once,omitempty"`
-	Ordering   Ordering    `yaml:"ordering,omitempty" json:"ordering,omitempty"`
-	Limits     Limits      `yaml:"limits,omitempty" json:"limits,omitempty"`
-	Priorities Priorities  `yaml:"priorities,omitempty" json:"priorities,omitempty"`
-	Retry      Retry       `yaml:"retry,omitempty" json:"retry,omitempty"`
+	Workspaces []Workspace `yaml:"workspaces" json:"workspaces" jsonschema:"required,minItems=1,maxItems=5000"`
+	Model      *Model      `yaml:"model,omitempty" json:"model,omitzero"`
+	Plain      *Plain      `yaml:"plain,omitempty" json:"plain,omitzero"`
+	AtMostOnce AtMostOnce  `yaml:"at-most-once,omitempty" json:"at-most-once,omitzero"`
+	Ordering   Ordering    `yaml:"ordering,omitempty" json:"ordering,omitzero"`
+	Limits     Limits      `yaml:"limits,omitempty" json:"limits,omitzero"`
+	Priorities Priorities  `yaml:"priorities,omitempty" json:"priorities,omitzero"`
+	Retry      Retry       `yaml:"retry,omitempty" json:"retry,omitzero"`
 }
 
 // Workspace is a caller's share of a service.
 type Workspace struct {
-	Name string `yaml:"name" json:"name"`
+	Name string `yaml:"name" json:"name" jsonschema:"required,pattern=^[a-z0-9]+(-[a-z0-9]+)*$,maxLength=63"`
 	// Share is the weight in fair queueing.
-	Share float64 `yaml:"share,omitempty" json:"share,omitempty"`
+	Share float64 `yaml:"share,omitempty" json:"share,omitzero" jsonschema:"exclusiveMinimum=0,maximum=1000000"`
 	// Rate is in requests a second over all entries; 0 is unlimited.
-	Rate float64 `yaml:"rate,omitempty" json:"rate,omitempty"`
+	Rate float64 `yaml:"rate,omitempty" json:"rate,omitzero" jsonschema:"minimum=0,maximum=1000000"`
 	// Concurrency bounds the requests in progress over all entries; 0 is unlimited.
-	Concurrency int `yaml:"concurrency,omitempty" json:"concurrency,omitempty"`
+	Concurrency int `yaml:"concurrency,omitempty" json:"concurrency,omitzero" jsonschema:"minimum=0,maximum=1000000"`
 }
 
 // Model names what a model service runs.
 type Model struct {
-	Name    string `yaml:"name" json:"name"`
-	Version string `yaml:"version" json:"version"`
-	Layers  uint32 `yaml:"layers" json:"layers"`
-	Adapter string `yaml:"adapter,omitempty" json:"adapter,omitempty"`
+	Name    string `yaml:"name" json:"name" jsonschema:"required,pattern=^[A-Za-z0-9][A-Za-z0-9._/-]*$,maxLength=128"`
+	Version string `yaml:"version" json:"version" jsonschema:"required,pattern=^[A-Za-z0-9][A-Za-z0-9._/-]*$,maxLength=128"`
+	Layers  uint32 `yaml:"layers" json:"layers" jsonschema:"required,minimum=1,maximum=4096"`
+	Adapter string `yaml:"adapter,omitempty" json:"adapter,omitzero" jsonschema:"pattern=^[A-Za-z0-9][A-Za-z0-9._/-]*$,maxLength=128"`
 	// LayerBytes is the size of one layer's weights.
-	LayerBytes uint64 `yaml:"layer-bytes,omitempty" json:"layer-bytes,omitempty"`
+	LayerBytes uint64 `yaml:"layer-bytes,omitempty" json:"layer-bytes,omitzero" jsonschema:"minimum=1,maximum=1099511627776"`
 	// ActivationBytes is what one token's activation takes on a link.
-	ActivationBytes uint64 `yaml:"activation-bytes,omitempty" json:"activation-bytes,omitempty"`
+	ActivationBytes uint64 `yaml:"activation-bytes,omitempty" json:"activation-bytes,omitzero" jsonschema:"minimum=1,maximum=1073741824"`
 }
 
 // Plain describes the calls of a plain service.
 type Plain struct {
-	Methods []Method `yaml:"methods" json:"methods"`
+	Methods []Method `yaml:"methods" json:"methods" jsonschema:"required,minItems=1,maxItems=200"`
 }
 
 // Method is one call of a plain service.
 type Method struct {
 	// Name is an HTTP method and a path, as "POST /bookings".
-	Name       string   `yaml:"name" json:"name"`
-	Idempotent bool     `yaml:"idempotent,omitempty" json:"idempotent,omitempty"`
-	Timeout    Duration `yaml:"timeout,omitempty" json:"timeout,omitempty"`
+	Name       string   `yaml:"name" json:"name" jsonschema:"required,pattern=^(GET|HEAD|POST|PUT|PATCH|DELETE) /[!-~]*$,maxLength=500"`
+	Idempotent bool     `yaml:"idempotent,omitempty" json:"idempotent,omitzero"`
+	Timeout    Duration `yaml:"timeout,omitempty" json:"timeout,omitzero"`
 }
 
 // AtMostOnce governs requests that are not idempotent.
 type AtMostOnce struct {
-	Mode AtMostOnceMode `yaml:"mode,omitempty" json:"mode,omitempty"`
+	Mode AtMostOnceMode `yaml:"mode,omitempty" json:"mode,omitzero" jsonschema:"enum=journal,enum=bound"`
 	// Retention is how long outcomes are kept; older request ids are refused.
-	Retention Duration `yaml:"retention,omitempty" json:"retention,omitempty"`
+	Retention Duration `yaml:"retention,omitempty" json:"retention,omitzero"`
 	// AnswerBytes is the largest answer that is kept whole.
-	AnswerBytes int `yaml:"answer-bytes,omitempty" json:"answer-bytes,omitempty"`
+	AnswerBytes int `yaml:"answer-bytes,omitempty" json:"answer-bytes,omitzero" jsonschema:"minimum=1,maximum=262144"`
 }
 
 // Ordering governs requests with an ordering key.
 type Ordering struct {
 	// Wait bounds how long an answer waits for a predecessor.
-	Wait Duration `yaml:"wait,omitempty" json:"wait,omitempty"`
+	Wait Duration `yaml:"wait,omitempty" json:"wait,omitzero"`
 	// BufferBytes bounds the answers held back under one key.
-	BufferBytes int `yaml:"buffer-bytes,omitempty" json:"buffer-bytes,omitempty"`
+	BufferBytes int `yaml:"buffer-bytes,omitempty" json:"buffer-bytes,omitzero" jsonschema:"minimum=1,maximum=1073741824"`
 }
 
 // Limits bounds single requests and the queue.
 type Limits struct {
-	PayloadBytes int      `yaml:"payload-bytes,omitempty" json:"payload-bytes,omitempty"`
-	MaxTokens    uint32   `yaml:"max-tokens,omitempty" json:"max-tokens,omitempty"`
-	Queue        int      `yaml:"queue,omitempty" json:"queue,omitempty"`
-	Deadline     Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
-	MaxDeadline  Duration `yaml:"max-deadline,omitempty" json:"max-deadline,omitempty"`
+	PayloadBytes int      `yaml:"payload-bytes,omitempty" json:"payload-bytes,omitzero" jsonschema:"minimum=1,maximum=67108864"`
+	MaxTokens    uint32   `yaml:"max-tokens,omitempty" json:"max-tokens,omitzero" jsonschema:"minimum=1,maximum=1048576"`
+	Queue        int      `yaml:"queue,omitempty" json:"queue,omitzero" jsonschema:"minimum=1,maximum=100000"`
+	Deadline     Duration `yaml:"deadline,omitempty" json:"deadline,omitzero"`
+	MaxDeadline  Duration `yaml:"max-deadline,omitempty" json:"max-deadline,omitzero"`
 }
 
 // Priorities governs the order within a workspace.
 type Priorities struct {
 	// Ageing is the wait that raises a request by one priority.
-	Ageing Duration `yaml:"ageing,omitempty" json:"ageing,omitempty"`
-	Max    uint32   `yaml:"max,omitempty" json:"max,omitempty"`
+	Ageing Duration `yaml:"ageing,omitempty" json:"ageing,omitzero"`
+	Max    uint32   `yaml:"max,omitempty" json:"max,omitzero" jsonschema:"minimum=1,maximum=100"`
 }
 
 // Retry bounds repeated attempts.
 type Retry struct {
-	MaxAttempts int `yaml:"max-attempts,omitempty" json:"max-attempts,omitempty"`
+	// MaxAttempts counts the first attempt; 1 turns retries off.
+	MaxAttempts int `yaml:"max-attempts,omitempty" json:"max-attempts,omitzero" jsonschema:"minimum=1,maximum=10"`
 	// Budget is the share of requests that may be retried.
-	Budget float64 `yaml:"budget,omitempty" json:"budget,omitempty"`
+	Budget float64 `yaml:"budget,omitempty" json:"budget,omitzero" jsonschema:"exclusiveMinimum=0,maximum=1"`
 }
 
 // Workspace returns the entry of a workspace and whether there is one.
