--- a/internal/cataloger/member.go
+++ b/internal/cataloger/member.go
@@ -14,7 +14,9 @@
 	DataCentre  DataCentre
 	Region      string
 	State       State
-	LastHeard   time.Time
+	// Load is the work in progress as a share of what the daemon takes; it is known within a data centre only.
+	Load      float64
+	LastHeard time.Time
 }
 
 // Fleet is a view of members, targets and links at one moment; readers must not change it.
--- /dev/null
+++ b/internal/drainer/doc.go
@@ -0,0 +1,2 @@
+// Package drainer shuts a daemon down in steps that cut no request.
+package drainer
--- /dev/null
+++ b/internal/resolver/resolver.go
@@ -0,0 +1,171 @@
+package resolver
+
+import (
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/tracker"
+)
+
+const (
+	// DefaultTimeToLive is how long callers keep an answer.
+	DefaultTimeToLive = 10 * time.Second
+	// DefaultEntries is how many entries an answer names at most.
+	DefaultEntries = 4
+	// DefaultLoadBound is the load, relative to the mean of its data centre, above which an entry is not the first choice.
+	DefaultLoadBound = 1.25
+)
+
+// Query says who asks for what.
+type Query struct {
+	// DataCentre of the caller; empty where it is not known.
+	DataCentre cataloger.DataCentre
+	Workspace  cataloger.Workspace
+	Service    string
+	// Caller tells callers of one workspace apart, as the host of the remote address does; may be empty.
+	Caller string
+}
+
+// Entry is one address in the order of preference.
+type Entry struct {
+	Address     string
+	DataCentre  cataloger.DataCentre
+	Name        string
+	Incarnation uint64
+}
+
+// Resolver holds the rules for answers; its zero value takes the defaults.
+type Resolver struct {
+	// DataCentre of the daemon, used for callers that do not name theirs.
+	DataCentre cataloger.DataCentre
+	TimeToLive time.Duration
+	Entries    int
+	LoadBound  float64
+}
+
+// tier is the closeness of a member to the caller.
+type tier int
+
+const (
+	tierDataCentre tier = iota
+	tierRegion
+	tierElsewhere
+	tiers
+)
+
+// Resolve returns the entries for a caller, best first, and how long the answer may be kept.
+// Entries that leave, are suspect or are dead are never named; where live ones exist in more than one data centre, the answer spans at least two.
+func (r Resolver) Resolve(fleet cataloger.Fleet, q Query) ([]Entry, time.Duration) {
+	groups := r.group(fleet.Members, q)
+	key := string(q.Workspace) + "\x00" + q.Service + "\x00" + q.Caller
+	limit := r.entries()
+	var ordered []cataloger.Member
+	for _, g := range groups {
+		ordered = append(ordered, r.order(g, key)...)
+	}
+	chosen := spanDataCentres(ordered, limit)
+	out := make([]Entry, 0, len(chosen))
+	for _, m := range chosen {
+		out = append(out, Entry{Address: m.Address, DataCentre: m.DataCentre, Name: m.Name, Incarnation: m.Incarnation})
+	}
+	return out, r.timeToLive()
+}
+
+func (r Resolver) timeToLive() time.Duration {
+	if r.TimeToLive <= 0 {
+		return DefaultTimeToLive
+	}
+	return r.TimeToLive
+}
+
+func (r Resolver) entries() int {
+	if r.Entries <= 0 {
+		return DefaultEntries
+	}
+	return r.Entries
+}
+
+func (r Resolver) loadBound() float64 {
+	if r.LoadBound <= 0 {
+		return DefaultLoadBound
+	}
+	return r.LoadBound
+}
+
+// group sorts the usable members by their closeness to the caller.
+func (r Resolver) group(members []cataloger.Member, q Query) [tiers][]cataloger.Member {
+	dc := q.DataCentre
+	region, known := regionOf(members, dc)
+	if !known {
+		dc = r.DataCentre
+		region, _ = regionOf(members, dc)
+	}
+	var groups [tiers][]cataloger.Member
+	for _, m := range members {
+		if m.State != cataloger.StateLive || m.Address == "" {
+			continue
+		}
+		t := tierElsewhere
+		switch {
+		case m.DataCentre == dc:
+			t = tierDataCentre
+		case region != "" && m.Region == region:
+			t = tierRegion
+		}
+		groups[t] = append(groups[t], m)
+	}
+	return groups
+}
+
+// regionOf looks up the region of a data centre among all members, also those that cannot be used now.
+func regionOf(members []cataloger.Member, dc cataloger.DataCentre) (string, bool) {
+	if dc == "" {
+		return "", false
+	}
+	for _, m := range members {
+		if m.DataCentre == dc {
+			return m.Region, true
+		}
+	}
+	return "", false
+}
+
+// order ranks members by rendezvous hashing; those over the load bound go behind the others.
+func (r Resolver) order(members []cataloger.Member, key string) []cataloger.Member {
+	candidates := make([]tracker.Candidate, len(members))
+	total := 0.0
+	for i, m := range members {
+		candidates[i] = tracker.Candidate{Name: m.Name}
+		total += m.Load
+	}
+	bound := r.loadBound() * total / float64(max(len(members), 1))
+	var within, over []cataloger.Member
+	for _, i := range tracker.Rank(candidates, key, len(candidates)) {
+		if members[i].Load > bound {
+			over = append(over, members[i])
+			continue
+		}
+		within = append(within, members[i])
+	}
+	return append(within, over...)
+}
+
+// spanDataCentres takes the first members, and gives the last place to another data centre if they are all in one.
+func spanDataCentres(ordered []cataloger.Member, limit int) []cataloger.Member {
+	if len(ordered) <= limit {
+		return ordered
+	}
+	chosen := ordered[:limit:limit]
+	for _, m := range chosen {
+		if m.DataCentre != chosen[0].DataCentre {
+			return chosen
+		}
+	}
+	for _, m := range ordered[limit:] {
+		if m.DataCentre != chosen[0].DataCentre {
+			// The first choice stays even where an answer has one place only.
+			return append(chosen[:max(limit-1, 1)], m)
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/tracker/machine.go
@@ -0,0 +1,274 @@
+package tracker
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// Message is a Gossip on its way to a peer address.
+type Message struct {
+	To     string
+	Gossip *peerv1.Gossip
+}
+
+// Machine decides on membership: events and time in, messages out; it does no I/O and is not safe for concurrent use.
+// Time is the monotonic time since any fixed moment.
+type Machine struct {
+	options Options
+	random  *rand.Rand
+	started time.Duration
+	now     time.Duration
+
+	self    *memberEntry
+	members map[string]*memberEntry
+	// order holds the members by name, so that a run repeats under one seed.
+	order   []*memberEntry
+	targets map[string]*targetEntry
+	seeds   []string
+	// listed holds the peer addresses of the entry VMs on the platform's list.
+	listed map[string]string
+
+	// changes numbers every change of the table.
+	changes uint64
+	digest  uint64
+
+	watchers      []*memberEntry
+	watched       map[string]*doubt
+	stale         bool
+	lastHeartbeat time.Duration
+	lastContact   time.Duration
+	subscribers   map[string]time.Duration
+	votes         map[string]*vote
+	syncs         map[string]*syncState
+	held          map[string]heldEntry
+
+	news       map[string]struct{}
+	targetNews map[string]struct{}
+	// relays and targetRelays are passed on inside the data centre only.
+	relays       map[string]struct{}
+	targetRelays map[string]struct{}
+
+	superseded bool
+	synced     bool
+	out        []Message
+}
+
+// NewMachine returns a machine that knows itself and some addresses to try.
+func NewMachine(o Options, self cataloger.Member, epoch uint64, seeds []string, random *rand.Rand, now time.Duration) *Machine {
+	m := &Machine{
+		options:      o.withDefaults(),
+		random:       random,
+		started:      now,
+		now:          now,
+		members:      map[string]*memberEntry{},
+		targets:      map[string]*targetEntry{},
+		seeds:        slices.Clone(seeds),
+		listed:       map[string]string{},
+		watched:      map[string]*doubt{},
+		subscribers:  map[string]time.Duration{},
+		votes:        map[string]*vote{},
+		syncs:        map[string]*syncState{},
+		held:         map[string]heldEntry{},
+		news:         map[string]struct{}{},
+		targetNews:   map[string]struct{}{},
+		relays:       map[string]struct{}{},
+		targetRelays: map[string]struct{}{},
+	}
+	m.self = &memberEntry{
+		name:        self.Name,
+		hash:        xxhash.Sum64String(self.Name),
+		incarnation: self.Incarnation,
+		epoch:       epoch,
+		address:     self.Address,
+		peerAddress: self.PeerAddress,
+		dataCentre:  self.DataCentre,
+		region:      self.Region,
+		since:       now,
+		heard:       now,
+	}
+	m.insert(m.self)
+	m.lastContact = now - m.options.Contact
+	m.lastHeartbeat = now - time.Duration(random.Int64N(int64(m.options.Heartbeat)))
+	return m
+}
+
+// Tick acts on the passing of time; it is to be called every Options.Tick.
+func (m *Machine) Tick(now time.Duration) []Message {
+	gap := now - m.now
+	m.now = max(now, m.now)
+	if gap > m.options.Pause {
+		m.resumeAfterPause()
+	}
+	m.refreshWatches()
+	m.releaseHeld()
+	m.ageMembers()
+	m.watch()
+	m.finishVotes()
+	m.sendHeartbeats()
+	m.contactAbsent()
+	m.flushNews()
+	return m.take()
+}
+
+// Receive takes a message of a peer.
+func (m *Machine) Receive(now time.Duration, from string, g *peerv1.Gossip) []Message {
+	if now-m.now <= m.options.Pause {
+		// A longer gap is for Tick to find.
+		m.now = max(now, m.now)
+	}
+	if from == m.self.name {
+		return nil
+	}
+	m.hear(from, g)
+	switch g.Kind {
+	case peerv1.GossipKind_GOSSIP_KIND_HEARTBEAT:
+		m.compare(from, g.Digest)
+	case peerv1.GossipKind_GOSSIP_KIND_PING:
+		m.receivePing(from, g)
+	case peerv1.GossipKind_GOSSIP_KIND_ACK:
+		m.receiveAck(from, g)
+	case peerv1.GossipKind_GOSSIP_KIND_QUERY:
+		m.receiveQuery(from, g)
+	case peerv1.GossipKind_GOSSIP_KIND_VOTE:
+		m.receiveVote(from, g)
+	case peerv1.GossipKind_GOSSIP_KIND_NEWS:
+		m.receiveNews(g)
+	case peerv1.GossipKind_GOSSIP_KIND_SYNC:
+		m.receiveSync(from, g)
+	case peerv1.GossipKind_GOSSIP_KIND_DELTA:
+		m.receiveDelta(from, g)
+	}
+	return m.take()
+}
+
+// Leave announces that this daemon leaves.
+func (m *Machine) Leave(now time.Duration) []Message {
+	m.now = max(now, m.now)
+	if m.self.status < peerv1.MemberStatus_MEMBER_STATUS_LEAVING {
+		m.setStatus(m.self, peerv1.MemberStatus_MEMBER_STATUS_LEAVING)
+		m.publish(m.self)
+		m.flushNews()
+	}
+	return m.take()
+}
+
+// Leaving tells whether this daemon has been marked as leaving, or another process has taken its name.
+func (m *Machine) Leaving() bool {
+	return m.superseded || m.self.status >= peerv1.MemberStatus_MEMBER_STATUS_LEAVING
+}
+
+// Superseded tells whether another process has taken the name of this daemon.
+func (m *Machine) Superseded() bool { return m.superseded }
+
+// Changes returns a number that grows with every change of the table or of what this daemon can reach.
+func (m *Machine) Changes() uint64 { return m.changes }
+
+// Digest returns the digest of the table.
+func (m *Machine) Digest() uint64 { return m.digest }
+
+// Synced tells whether the table of another daemon has been taken over since the start.
+func (m *Machine) Synced() bool { return m.synced }
+
+// Incarnation returns the current incarnation of this daemon.
+func (m *Machine) Incarnation() uint64 { return m.self.incarnation }
+
+// resumeAfterPause keeps the daemon's own pause from being taken for the silence of others.
+func (m *Machine) resumeAfterPause() {
+	for _, e := range m.members {
+		e.heard = m.now
+	}
+	for _, d := range m.watched {
+		*d = doubt{}
+	}
+	clear(m.votes)
+}
+
+// hear notes that a member lives, and tells it bad news about itself.
+func (m *Machine) hear(from string, g *peerv1.Gossip) {
+	e, ok := m.members[from]
+	if !ok || g.Incarnation < e.incarnation {
+		return
+	}
+	e.heard = m.now
+	if e.unreachable {
+		e.unreachable = false
+		m.changes++
+	}
+	if d := m.watched[from]; d != nil {
+		*d = doubt{}
+	}
+	if v := m.votes[from]; v != nil {
+		m.answerVote(v, from, true)
+	}
+	bad := e.status == peerv1.MemberStatus_MEMBER_STATUS_SUSPECT || e.status == peerv1.MemberStatus_MEMBER_STATUS_DEAD
+	if bad && g.Incarnation == e.incarnation {
+		m.send(e.peerAddress, &peerv1.Gossip{
+			Kind:    peerv1.GossipKind_GOSSIP_KIND_NEWS,
+			Members: []*peerv1.MemberEntry{e.proto(m.now)},
+		})
+	}
+}
+
+func (m *Machine) send(address string, g *peerv1.Gossip) {
+	if address == "" || address == m.self.peerAddress || m.superseded {
+		return
+	}
+	g.Incarnation = m.self.incarnation
+	m.out = append(m.out, Message{To: address, Gossip: g})
+}
+
+func (m *Machine) take() []Message {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// setStatus changes the status of a known member.
+func (m *Machine) setStatus(e *memberEntry, s peerv1.MemberStatus) {
+	m.digest ^= e.digest()
+	e.status = s
+	e.since = m.now
+	m.digest ^= e.digest()
+	m.noteChange(e)
+}
+
+func (m *Machine) noteChange(e *memberEntry) {
+	m.changes++
+	e.changed = m.changes
+	m.stale = true
+}
+
+func (m *Machine) noteTargetChange(e *targetEntry) {
+	m.changes++
+	e.changed = m.changes
+}
+
+// insert adds an entry that is not in the table.
+func (m *Machine) insert(e *memberEntry) {
+	m.members[e.name] = e
+	at, _ := slices.BinarySearchFunc(m.order, e.name, compareName)
+	m.order = slices.Insert(m.order, at, e)
+	m.digest ^= e.digest()
+	m.noteChange(e)
+}
+
+// forget removes an entry from the table.
+func (m *Machine) forget(e *memberEntry) {
+	delete(m.members, e.name)
+	delete(m.syncs, e.name)
+	if at, ok := slices.BinarySearchFunc(m.order, e.name, compareName); ok {
+		m.order = slices.Delete(m.order, at, at+1)
+	}
+	m.digest ^= e.digest()
+	m.changes++
+	m.stale = true
+}
+
+func compareName(e *memberEntry, name string) int { return cmp.Compare(e.name, name) }
--- /dev/null
+++ b/internal/tracker/network_test.go
@@ -0,0 +1,222 @@
+package tracker
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// node is a machine on the test network.
+type node struct {
+	m        *Machine
+	name     string
+	address  string
+	dc       cataloger.DataCentre
+	nextTick time.Duration
+	alive    bool
+	// pausedUntil stops ticks and deliveries.
+	pausedUntil time.Duration
+	// skew is added to the time that the machine sees.
+	skew     time.Duration
+	sent     int
+	received int
+	bytes    int
+}
+
+type delivery struct {
+	at   time.Duration
+	seq  int
+	from string
+	to   string
+	msg  *peerv1.Gossip
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at != d[j].at {
+		return d[i].at < d[j].at
+	}
+	return d[i].seq < d[j].seq
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// network delivers messages between machines in virtual time.
+type network struct {
+	random  *rand.Rand
+	now     time.Duration
+	seq     int
+	nodes   map[string]*node
+	order   []*node
+	queue   deliveries
+	loss    float64
+	dup     float64
+	delay   time.Duration
+	jitter  time.Duration
+	blocked func(from, to *node) bool
+	// count turns on the count of encoded bytes.
+	count  bool
+	onStep func(n *node)
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		random: rand.New(rand.NewPCG(seed, seed)),
+		nodes:  map[string]*node{},
+		delay:  time.Millisecond,
+		jitter: time.Millisecond,
+	}
+}
+
+// add starts a node; an address that exists is taken over by the new process.
+func (n *network) add(name string, dc, region string, incarnation uint64, seeds ...string) *node {
+	address := name + ":1"
+	self := cataloger.Member{
+		Name:        name,
+		Incarnation: incarnation,
+		Address:     name + ":80",
+		PeerAddress: address,
+		DataCentre:  cataloger.DataCentre(dc),
+		Region:      region,
+	}
+	random := rand.New(rand.NewPCG(n.random.Uint64(), 1))
+	nd := &node{
+		m:       NewMachine(Options{}, self, random.Uint64(), seeds, random, n.now),
+		name:    name,
+		address: address,
+		dc:      self.DataCentre,
+		alive:   true,
+	}
+	nd.nextTick = n.now + time.Duration(n.random.Int64N(int64(100*time.Millisecond)))
+	if old := n.nodes[address]; old != nil {
+		for i := range n.order {
+			if n.order[i] == old {
+				n.order[i] = nd
+			}
+		}
+	} else {
+		n.order = append(n.order, nd)
+	}
+	n.nodes[address] = nd
+	return nd
+}
+
+func (n *network) post(from *node, out []Message) {
+	for _, msg := range out {
+		from.sent++
+		if n.count {
+			from.bytes += proto.Size(msg.Gossip)
+		}
+		copies := 1
+		if n.random.Float64() < n.dup {
+			copies = 2
+		}
+		for range copies {
+			if n.random.Float64() < n.loss {
+				continue
+			}
+			n.seq++
+			at := n.now + n.delay + time.Duration(n.random.Int64N(int64(n.jitter)+1))
+			heap.Push(&n.queue, delivery{at: at, seq: n.seq, from: from.address, to: msg.To, msg: msg.Gossip})
+		}
+	}
+}
+
+// run lets the time pass.
+func (n *network) run(d time.Duration) {
+	end := n.now + d
+	for {
+		next := n.nextNode()
+		at := end
+		if next != nil && next.nextTick < at {
+			at = next.nextTick
+		}
+		if len(n.queue) > 0 && n.queue[0].at <= at {
+			n.deliver(heap.Pop(&n.queue).(delivery))
+			continue
+		}
+		n.now = at
+		if at >= end {
+			return
+		}
+		next.nextTick += 100 * time.Millisecond
+		if next.pausedUntil > n.now {
+			next.nextTick = next.pausedUntil
+			continue
+		}
+		n.post(next, next.m.Tick(n.now+next.skew))
+		if n.onStep != nil {
+			n.onStep(next)
+		}
+	}
+}
+
+func (n *network) nextNode() *node {
+	var best *node
+	for _, nd := range n.order {
+		if nd.alive && (best == nil || nd.nextTick < best.nextTick) {
+			best = nd
+		}
+	}
+	return best
+}
+
+func (n *network) deliver(d delivery) {
+	n.now = max(n.now, d.at)
+	from, to := n.nodes[d.from], n.nodes[d.to]
+	if to == nil || !to.alive || n.blocked != nil && n.blocked(from, to) {
+		return
+	}
+	if to.pausedUntil > n.now {
+		d.at = to.pausedUntil
+		heap.Push(&n.queue, d)
+		return
+	}
+	to.received++
+	n.post(to, to.m.Receive(n.now+to.skew, from.name, d.msg))
+	if n.onStep != nil {
+		n.onStep(to)
+	}
+}
+
+// grow adds size nodes over data centres and waits until they know each other.
+func (n *network) grow(size, dataCentres int) {
+	for i := range size {
+		dc := i % dataCentres
+		n.add(fmt.Sprintf("r%03d", i), fmt.Sprintf("dc%02d", dc), fmt.Sprintf("region%d", dc/2), 1, "r000:1", "r001:1")
+	}
+}
+
+// states returns how each live node sees a member.
+func (n *network) states(name string) map[cataloger.State]int {
+	out := map[cataloger.State]int{}
+	for _, nd := range n.order {
+		if !nd.alive || nd.name == name {
+			continue
+		}
+		out[nd.state(name)]++
+	}
+	return out
+}
+
+func (nd *node) state(name string) cataloger.State {
+	e := nd.m.members[name]
+	if e == nil || !e.present() {
+		return cataloger.StateDead
+	}
+	return nd.m.member(e, func(time.Duration) time.Time { return time.Time{} }).State
+}
--- /dev/null
+++ b/internal/tracker/news.go
@@ -0,0 +1,370 @@
+package tracker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// mismatchWait is how long digests may differ before tables are compared; news in flight settles most differences.
+const mismatchWait = 300 * time.Millisecond
+
+// delegateKey is what the delegates of a data centre are ranked by.
+var delegateKey = xxhash.Sum64String("delegate")
+
+// syncState is how far this daemon has read another one's table.
+type syncState struct {
+	epoch         uint64
+	seen          uint64
+	mismatched    bool
+	mismatchSince time.Duration
+	lastSync      time.Duration
+}
+
+// heldEntry is bad news that waits for a refutation.
+type heldEntry struct {
+	entry *peerv1.MemberEntry
+	due   time.Duration
+}
+
+// learnDirect takes what the sender of a message says of itself.
+func (m *Machine) learnDirect(g *peerv1.Gossip) {
+	for _, p := range g.Members {
+		if m.learn(p) {
+			m.news[p.Name] = struct{}{}
+			continue
+		}
+		known := m.members[p.Name]
+		if known == nil || known == m.self || p.Incarnation == known.incarnation && p.Status == known.status {
+			continue
+		}
+		m.send(p.PeerAddress, &peerv1.Gossip{
+			Kind:    peerv1.GossipKind_GOSSIP_KIND_NEWS,
+			Members: []*peerv1.MemberEntry{known.proto(m.now)},
+		})
+	}
+}
+
+// learn takes a received entry into the table if it is newer than the known one.
+func (m *Machine) learn(p *peerv1.MemberEntry) bool {
+	if p.Name == m.self.name {
+		m.learnSelf(p)
+		return false
+	}
+	known := m.members[p.Name]
+	if known == nil {
+		if p.Status == peerv1.MemberStatus_MEMBER_STATUS_DEAD && time.Duration(p.DeadSeconds)*time.Second >= m.options.Tombstone {
+			return false
+		}
+		e := memberFromProto(p, m.now)
+		m.insert(&e)
+		return true
+	}
+	if !supersedes(p, known) {
+		return false
+	}
+	m.digest ^= known.digest()
+	fresh := memberFromProto(p, m.now)
+	if p.Incarnation == known.incarnation {
+		fresh.heard = known.heard
+	}
+	*known = fresh
+	m.digest ^= known.digest()
+	m.noteChange(known)
+	if d := m.watched[p.Name]; d != nil {
+		*d = doubt{}
+	}
+	return true
+}
+
+// learnSelf answers what others say of this daemon: bad news is refuted, a leaving mark is accepted.
+func (m *Machine) learnSelf(p *peerv1.MemberEntry) {
+	if !supersedes(p, m.self) || m.superseded {
+		return
+	}
+	if p.Epoch != m.self.epoch && m.now-m.started >= m.options.Settling {
+		m.superseded = true
+		m.changes++
+		return
+	}
+	if p.Epoch == m.self.epoch && p.Incarnation == m.self.incarnation && p.Status == peerv1.MemberStatus_MEMBER_STATUS_LEAVING {
+		m.setStatus(m.self, p.Status)
+		m.publish(m.self)
+		return
+	}
+	m.digest ^= m.self.digest()
+	m.self.incarnation = p.Incarnation + 1
+	m.digest ^= m.self.digest()
+	m.noteChange(m.self)
+	m.publish(m.self)
+}
+
+// publish tells everybody about an entry with the next tick.
+func (m *Machine) publish(e *memberEntry) { m.news[e.name] = struct{}{} }
+
+// flushNews sends what is to be told: own news to everybody near and to delegates elsewhere, relayed news near only.
+func (m *Machine) flushNews() {
+	if len(m.news)+len(m.targetNews) > 0 {
+		messages := m.newsMessages(m.news, m.targetNews)
+		m.tellNear(messages)
+		m.tellDelegates(messages)
+		m.tellSuspects()
+		clear(m.news)
+		clear(m.targetNews)
+	}
+	if len(m.relays)+len(m.targetRelays) > 0 {
+		m.tellNear(m.newsMessages(m.relays, m.targetRelays))
+		clear(m.relays)
+		clear(m.targetRelays)
+	}
+}
+
+// newsMessages packs entries into messages of a bounded size.
+func (m *Machine) newsMessages(members, targets map[string]struct{}) []*peerv1.Gossip {
+	var out []*peerv1.Gossip
+	room := 0
+	next := func() *peerv1.Gossip {
+		if room == 0 {
+			out = append(out, &peerv1.Gossip{Kind: peerv1.GossipKind_GOSSIP_KIND_NEWS})
+			room = m.options.DeltaEntries
+		}
+		room--
+		return out[len(out)-1]
+	}
+	for _, name := range sortedKeys(members) {
+		if e := m.members[name]; e != nil {
+			g := next()
+			g.Members = append(g.Members, e.proto(m.now))
+		}
+	}
+	for _, name := range sortedKeys(targets) {
+		if e := m.targets[name]; e != nil {
+			g := next()
+			g.Targets = append(g.Targets, e.TargetEntry)
+		}
+	}
+	return out
+}
+
+func (m *Machine) tellNear(messages []*peerv1.Gossip) {
+	for _, e := range m.order {
+		if e != m.self && e.present() && e.dataCentre == m.self.dataCentre {
+			m.sendAll(e, messages, false)
+		}
+	}
+}
+
+func (m *Machine) tellDelegates(messages []*peerv1.Gossip) {
+	for _, group := range m.farGroups() {
+		for _, e := range topScores(group, delegateKey, m.options.Delegates) {
+			m.sendAll(e, messages, true)
+		}
+	}
+}
+
+// tellSuspects gives suspects elsewhere the chance to refute at once.
+func (m *Machine) tellSuspects() {
+	for _, name := range sortedKeys(m.news) {
+		e := m.members[name]
+		if e == nil || e.status != peerv1.MemberStatus_MEMBER_STATUS_SUSPECT || e.dataCentre == m.self.dataCentre {
+			continue
+		}
+		m.send(e.peerAddress, &peerv1.Gossip{
+			Kind:    peerv1.GossipKind_GOSSIP_KIND_NEWS,
+			Members: []*peerv1.MemberEntry{e.proto(m.now)},
+		})
+	}
+}
+
+// farGroups returns the live members of each other data centre.
+func (m *Machine) farGroups() [][]*memberEntry {
+	groups := map[cataloger.DataCentre][]*memberEntry{}
+	for _, e := range m.order {
+		if e.dataCentre != m.self.dataCentre && e.status == peerv1.MemberStatus_MEMBER_STATUS_LIVE && !e.unreachable {
+			groups[e.dataCentre] = append(groups[e.dataCentre], e)
+		}
+	}
+	out := make([][]*memberEntry, 0, len(groups))
+	for _, dc := range sortedKeys(groups) {
+		out = append(out, groups[dc])
+	}
+	return out
+}
+
+func (m *Machine) sendAll(e *memberEntry, messages []*peerv1.Gossip, relay bool) {
+	for _, g := range messages {
+		m.send(e.peerAddress, &peerv1.Gossip{
+			Kind:    g.Kind,
+			Relay:   relay,
+			Members: g.Members,
+			Targets: g.Targets,
+		})
+	}
+}
+
+func (m *Machine) receiveNews(g *peerv1.Gossip) {
+	for _, p := range g.Members {
+		if m.learn(p) && g.Relay {
+			m.relays[p.Name] = struct{}{}
+		}
+	}
+	for _, p := range g.Targets {
+		if m.learnTarget(p) && g.Relay {
+			m.targetRelays[p.Name] = struct{}{}
+		}
+	}
+}
+
+// compare asks for a peer's changes where the tables have differed for a while.
+func (m *Machine) compare(from string, digest uint64) {
+	peer := m.members[from]
+	if peer == nil {
+		return
+	}
+	s := m.syncs[from]
+	if s == nil {
+		s = &syncState{lastSync: m.now - m.options.Sync}
+		m.syncs[from] = s
+	}
+	if digest == m.digest {
+		s.mismatched = false
+		m.synced = true
+		return
+	}
+	if !s.mismatched {
+		s.mismatched = true
+		s.mismatchSince = m.now
+	}
+	settled := m.now-s.mismatchSince >= mismatchWait || !m.synced
+	if settled && m.now-s.lastSync >= m.options.Sync {
+		m.sendSync(peer, s)
+	}
+}
+
+func (m *Machine) sendSync(peer *memberEntry, s *syncState) {
+	s.lastSync = m.now
+	m.send(peer.peerAddress, &peerv1.Gossip{
+		Kind:   peerv1.GossipKind_GOSSIP_KIND_SYNC,
+		Digest: m.digest,
+		Epoch:  s.epoch,
+		Since:  s.seen,
+	})
+}
+
+// receiveSync answers with the entries that changed after what the peer has seen.
+func (m *Machine) receiveSync(from string, g *peerv1.Gossip) {
+	peer := m.members[from]
+	if peer == nil {
+		return
+	}
+	since := g.Since
+	if g.Epoch != m.self.epoch {
+		since = 0
+	}
+	delta := m.delta(since)
+	m.send(peer.peerAddress, delta)
+	m.compare(from, g.Digest)
+}
+
+func (m *Machine) delta(since uint64) *peerv1.Gossip {
+	type item struct {
+		changed uint64
+		member  *memberEntry
+		target  *targetEntry
+	}
+	var items []item
+	for _, e := range m.order {
+		if e.changed > since {
+			items = append(items, item{changed: e.changed, member: e})
+		}
+	}
+	for _, e := range m.targets {
+		if e.changed > since {
+			items = append(items, item{changed: e.changed, target: e})
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.changed, b.changed) })
+	g := &peerv1.Gossip{
+		Kind:  peerv1.GossipKind_GOSSIP_KIND_DELTA,
+		Epoch: m.self.epoch,
+		Since: since,
+		UpTo:  m.changes,
+	}
+	if len(items) > m.options.DeltaEntries {
+		items = items[:m.options.DeltaEntries]
+		g.UpTo = items[len(items)-1].changed
+		g.More = true
+	}
+	for _, it := range items {
+		if it.member != nil {
+			g.Members = append(g.Members, it.member.proto(m.now))
+			continue
+		}
+		g.Targets = append(g.Targets, it.target.TargetEntry)
+	}
+	return g
+}
+
+// receiveDelta takes a peer's changes; bad news about members that seem to live waits for a refutation.
+func (m *Machine) receiveDelta(from string, g *peerv1.Gossip) {
+	peer := m.members[from]
+	s := m.syncs[from]
+	if peer == nil || s == nil {
+		return
+	}
+	if s.epoch != g.Epoch {
+		s.epoch = g.Epoch
+		s.seen = 0
+	}
+	if g.Since > s.seen {
+		return
+	}
+	for _, p := range g.Members {
+		if !m.hold(p) {
+			m.learn(p)
+		}
+	}
+	for _, p := range g.Targets {
+		m.learnTarget(p)
+	}
+	s.seen = max(s.seen, g.UpTo)
+	if g.More {
+		m.sendSync(peer, s)
+		return
+	}
+	m.synced = true
+}
+
+// hold keeps bad news back and tells the member of it, and returns false where the entry can be taken at once.
+func (m *Machine) hold(p *peerv1.MemberEntry) bool {
+	known := m.members[p.Name]
+	bad := p.Status == peerv1.MemberStatus_MEMBER_STATUS_SUSPECT || p.Status == peerv1.MemberStatus_MEMBER_STATUS_DEAD
+	if !bad || known == nil || known == m.self || !known.working() || !supersedes(p, known) {
+		return false
+	}
+	if old, ok := m.held[p.Name]; ok && !supersedes(p, &memberEntry{incarnation: old.entry.Incarnation, epoch: old.entry.Epoch, status: old.entry.Status}) {
+		return true
+	}
+	m.held[p.Name] = heldEntry{entry: p, due: m.now + m.options.Hold}
+	m.send(known.peerAddress, &peerv1.Gossip{
+		Kind:    peerv1.GossipKind_GOSSIP_KIND_NEWS,
+		Members: []*peerv1.MemberEntry{p},
+	})
+	return true
+}
+
+// releaseHeld takes bad news that nobody refuted in time.
+func (m *Machine) releaseHeld() {
+	for _, name := range sortedKeys(m.held) {
+		h := m.held[name]
+		if m.now >= h.due {
+			delete(m.held, name)
+			m.learn(h.entry)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tracker/options.go
@@ -0,0 +1,95 @@
+package tracker
+
+import "time"
+
+// Options are the sizes and times of membership; zero values take the defaults.
+type Options struct {
+	// Tick is the interval at which the machine acts by itself.
+	Tick time.Duration
+	// Heartbeat is the interval at which a member tells its watchers that it lives.
+	Heartbeat time.Duration
+	// Silence is the time without a message after which a watcher starts to doubt a member.
+	Silence time.Duration
+	// Confirm is the time in which others can say that they hear a doubted member.
+	Confirm time.Duration
+	// VoteWait is the time that a voter waits for an ack of the doubted member.
+	VoteWait time.Duration
+	// Suspicion is the time that a suspect has to refute before it is dead.
+	Suspicion time.Duration
+	// Hold is the time that a member has to refute bad news which comes from another daemon's table.
+	Hold time.Duration
+	// Pause is the gap between two ticks from which on the daemon counts as having been paused.
+	Pause time.Duration
+	// Sync is the least time between two comparisons of tables with one peer.
+	Sync time.Duration
+	// Contact is the interval at which an absent address is tried.
+	Contact time.Duration
+	// Tombstone is how long a dead member is remembered.
+	Tombstone time.Duration
+	// TargetAbsence is how long a target has to be missing from the list of VMs before it is removed.
+	TargetAbsence time.Duration
+	// Settling is the time after its start in which a daemon takes its name over from an earlier process.
+	Settling time.Duration
+	// NearWatchers and FarWatchers are how many daemons inside and outside the data centre watch a member.
+	NearWatchers int
+	FarWatchers  int
+	// Helpers is how many more daemons are asked about a doubted member.
+	Helpers int
+	// Delegates is how many daemons of each other data centre are told news, to pass it on there.
+	Delegates int
+	// DeltaEntries bounds the entries of one message.
+	DeltaEntries int
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		Tick:          100 * time.Millisecond,
+		Heartbeat:     400 * time.Millisecond,
+		Silence:       900 * time.Millisecond,
+		Confirm:       500 * time.Millisecond,
+		VoteWait:      200 * time.Millisecond,
+		Suspicion:     5 * time.Second,
+		Hold:          600 * time.Millisecond,
+		Pause:         400 * time.Millisecond,
+		Sync:          800 * time.Millisecond,
+		Contact:       time.Second,
+		Tombstone:     24 * time.Hour,
+		TargetAbsence: 30 * time.Second,
+		Settling:      10 * time.Second,
+		NearWatchers:  2,
+		FarWatchers:   2,
+		Helpers:       2,
+		Delegates:     2,
+		DeltaEntries:  64,
+	}
+}
+
+func (o Options) withDefaults() Options {
+	d := DefaultOptions()
+	setDefault(&o.Tick, d.Tick)
+	setDefault(&o.Heartbeat, d.Heartbeat)
+	setDefault(&o.Silence, d.Silence)
+	setDefault(&o.Confirm, d.Confirm)
+	setDefault(&o.VoteWait, d.VoteWait)
+	setDefault(&o.Suspicion, d.Suspicion)
+	setDefault(&o.Hold, d.Hold)
+	setDefault(&o.Pause, d.Pause)
+	setDefault(&o.Sync, d.Sync)
+	setDefault(&o.Contact, d.Contact)
+	setDefault(&o.Tombstone, d.Tombstone)
+	setDefault(&o.TargetAbsence, d.TargetAbsence)
+	setDefault(&o.Settling, d.Settling)
+	setDefault(&o.NearWatchers, d.NearWatchers)
+	setDefault(&o.FarWatchers, d.FarWatchers)
+	setDefault(&o.Helpers, d.Helpers)
+	setDefault(&o.Delegates, d.Delegates)
+	setDefault(&o.DeltaEntries, d.DeltaEntries)
+	return o
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/tracker/rendezvous.go
@@ -0,0 +1,105 @@
+package tracker
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// Candidate is an owner that rendezvous hashing may choose.
+type Candidate struct {
+	Name string
+	// Weight is the share of keys relative to other candidates; 0 counts as 1.
+	Weight float64
+}
+
+// Rendezvous returns the member that owns a key, and false where there are no members.
+// When a member comes or goes, only the keys that it owns then or owned before move.
+func Rendezvous(members []cataloger.Member, key string) (cataloger.Member, bool) {
+	best, bestScore := -1, uint64(0)
+	hash := xxhash.Sum64String(key)
+	for i := range members {
+		score := pairScore(xxhash.Sum64String(members[i].Name), hash)
+		if best < 0 || score > bestScore || score == bestScore && members[i].Name < members[best].Name {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return cataloger.Member{}, false
+	}
+	return members[best], true
+}
+
+// Rank returns the indexes of the n best candidates for a key, the owner first.
+func Rank(candidates []Candidate, key string, n int) []int {
+	type scored struct {
+		index int
+		score float64
+	}
+	hash := xxhash.Sum64String(key)
+	all := make([]scored, len(candidates))
+	for i, c := range candidates {
+		all[i] = scored{index: i, score: weightedScore(pairScore(xxhash.Sum64String(c.Name), hash), c.Weight)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(candidates[a.index].Name, candidates[b.index].Name)
+	})
+	out := make([]int, 0, min(n, len(all)))
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.index)
+	}
+	return out
+}
+
+// pairScore mixes two hashes into a score that is even over all pairs.
+func pairScore(a, b uint64) uint64 {
+	const (
+		m1 = 0xbf58476d1ce4e5b9
+		m2 = 0x94d049bb133111eb
+	)
+	x := a ^ (b*m1 + m2)
+	x = (x ^ x>>30) * m1
+	x = (x ^ x>>27) * m2
+	return x ^ x>>31
+}
+
+// weightedScore turns a score into one whose maximum falls on a candidate in proportion to its weight.
+func weightedScore(score uint64, weight float64) float64 {
+	if weight <= 0 {
+		weight = 1
+	}
+	const mantissa = 1 << 53
+	u := (float64(score>>11) + 0.5) / mantissa
+	return -weight / math.Log(u)
+}
+
+// RankMembers returns up to n members in the order of their claim to a key.
+func RankMembers(members []cataloger.Member, key string, n int) []cataloger.Member {
+	candidates := make([]Candidate, len(members))
+	for i, m := range members {
+		candidates[i] = Candidate{Name: m.Name}
+	}
+	var out []cataloger.Member
+	for _, i := range Rank(candidates, key, n) {
+		out = append(out, members[i])
+	}
+	return out
+}
+
+// Live returns the members that are live.
+func Live(members []cataloger.Member) []cataloger.Member {
+	var out []cataloger.Member
+	for _, m := range members {
+		if m.State == cataloger.StateLive {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,316 @@
+package tracker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/queuer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// Method is the name of the peer handler that takes Gossip messages.
+const Method = "gossip"
+
+const (
+	inboxSize = 1024
+	// minListInterval and listRate bound how often a daemon reads the list of VMs, and how often all daemons together do.
+	minListInterval = time.Second
+	listRate        = 4
+	listTimeout     = 5 * time.Second
+)
+
+// Tracker runs the membership of one daemon; set the exported fields before Run.
+type Tracker struct {
+	// Local is this daemon; its Incarnation has to grow with each start.
+	Local cataloger.Member
+	// Seeds are peer addresses to try.
+	Seeds []string
+	// Link carries the messages; register Handle under Method at the same peer.
+	Link linker.Link
+	// ListVMs reads the platform's list; nil where there is none.
+	ListVMs func(ctx context.Context) ([]cataloger.VM, error)
+	// PeerAddress returns the peer address of an entry VM; where nil, the VM's host with the port of Local.PeerAddress.
+	PeerAddress func(cataloger.VM) string
+	Options     Options
+	Clock       timer.Clock
+	Random      *rand.Rand
+	Log         zerolog.Logger
+
+	once     sync.Once
+	started  time.Time
+	machine  *Machine
+	inbox    *queuer.Ring[func(now time.Duration) []Message]
+	fleet    atomic.Pointer[cataloger.Fleet]
+	status   atomic.Pointer[Status]
+	dropped  atomic.Uint64
+	sent     atomic.Uint64
+	received atomic.Uint64
+
+	mu          sync.Mutex
+	subscribers map[chan struct{}]struct{}
+	built       uint64
+}
+
+// Status is the state of this daemon's membership.
+type Status struct {
+	Incarnation uint64
+	// Synced is true once the table of another daemon has been taken over.
+	Synced bool
+	// Leaving is true once this daemon is marked as leaving.
+	Leaving bool
+	// Superseded is true where another process has taken this daemon's name.
+	Superseded bool
+	Digest     uint64
+	// Sent, Received and Dropped count messages.
+	Sent     uint64
+	Received uint64
+	Dropped  uint64
+}
+
+func (t *Tracker) init() {
+	t.once.Do(func() {
+		if t.Clock == nil {
+			t.Clock = timer.System{}
+		}
+		if t.Random == nil {
+			t.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		}
+		if t.PeerAddress == nil {
+			t.PeerAddress = t.peerAddressByPort
+		}
+		t.Options = t.Options.withDefaults()
+		t.started = t.Clock.Now()
+		t.inbox = queuer.NewRing[func(time.Duration) []Message](inboxSize)
+		t.subscribers = map[chan struct{}]struct{}{}
+		t.machine = NewMachine(t.Options, t.Local, t.Random.Uint64(), t.Seeds, t.Random, 0)
+		t.rebuild()
+	})
+}
+
+func (t *Tracker) peerAddressByPort(vm cataloger.VM) string {
+	host, _, err := net.SplitHostPort(vm.Address)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(t.Local.PeerAddress)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// Run takes part in membership until ctx is done.
+func (t *Tracker) Run(ctx context.Context) error {
+	t.init()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticks := make(chan struct{})
+	wg.Go(func() { t.tick(ctx, ticks) })
+	if t.ListVMs != nil {
+		wg.Go(func() { t.readList(ctx) })
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks:
+			t.apply(t.machine.Tick)
+		case f := <-t.inbox.Values():
+			t.apply(f)
+		}
+	}
+}
+
+// apply runs one event, and those that wait behind it, on the machine.
+func (t *Tracker) apply(f func(now time.Duration) []Message) {
+	for ok := true; ok; f, ok = t.inbox.Poll() {
+		for _, msg := range f(t.now()) {
+			t.send(msg)
+		}
+	}
+	t.rebuild()
+}
+
+func (t *Tracker) send(msg Message) {
+	if err := t.Link.Notify(msg.To, Method, msg.Gossip); err != nil {
+		t.dropped.Add(1)
+		return
+	}
+	t.sent.Add(1)
+}
+
+func (t *Tracker) now() time.Duration { return t.Clock.Now().Sub(t.started) }
+
+// tick gives the machine its ticks; one that comes late is not made up for.
+func (t *Tracker) tick(ctx context.Context, ticks chan<- struct{}) {
+	for t.Clock.Sleep(ctx, t.Options.Tick) == nil {
+		select {
+		case ticks <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readList reads the list of VMs; the interval grows with the fleet, so that all daemons together keep one rate.
+func (t *Tracker) readList(ctx context.Context) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		vms, err := t.ListVMs(callCtx)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			t.Log.Warn().Err(err).Msg("list of VMs not read")
+		}
+		if err == nil {
+			t.post(ctx, func(now time.Duration) []Message { return t.machine.SetVMs(now, vms, t.PeerAddress) })
+		}
+		if t.Clock.Sleep(ctx, t.listInterval()) != nil {
+			return
+		}
+	}
+}
+
+func (t *Tracker) listInterval() time.Duration {
+	members := len(t.Fleet().Members)
+	base := max(minListInterval, time.Duration(members)*time.Second/listRate)
+	// Drawn evenly around the base, so that daemons started together spread out.
+	return base/2 + rand.N(base)
+}
+
+func (t *Tracker) post(ctx context.Context, f func(now time.Duration) []Message) {
+	_ = t.inbox.Put(ctx, f)
+}
+
+// Handle takes a Gossip message of a peer; it is a linker.Handler.
+func (t *Tracker) Handle(_ context.Context, peer string, body []byte) (proto.Message, error) {
+	t.init()
+	var g peerv1.Gossip
+	if err := proto.Unmarshal(body, &g); err != nil {
+		return nil, errors.Wrap(err, "decode gossip")
+	}
+	t.received.Add(1)
+	err := t.inbox.Offer(func(now time.Duration) []Message { return t.machine.Receive(now, peer, &g) })
+	if err != nil {
+		t.dropped.Add(1)
+	}
+	return nil, err
+}
+
+// ReportTarget publishes the result of a probe.
+func (t *Tracker) ReportTarget(ctx context.Context, name string, r TargetReport) {
+	t.init()
+	t.post(ctx, func(now time.Duration) []Message { return t.machine.ReportTarget(now, name, r) })
+}
+
+// Leave tells the fleet that this daemon leaves.
+func (t *Tracker) Leave(ctx context.Context) {
+	t.init()
+	t.post(ctx, func(now time.Duration) []Message { return t.machine.Leave(now) })
+}
+
+// rebuild publishes new snapshots where the table has changed.
+func (t *Tracker) rebuild() {
+	m := t.machine
+	t.status.Store(&Status{
+		Incarnation: m.Incarnation(),
+		Synced:      m.Synced(),
+		Leaving:     m.Leaving(),
+		Superseded:  m.Superseded(),
+		Digest:      m.Digest(),
+	})
+	if t.fleet.Load() != nil && t.built == m.Changes() {
+		return
+	}
+	t.built = m.Changes()
+	f := m.Fleet(t.started.Add)
+	t.fleet.Store(&f)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for ch := range t.subscribers {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Fleet returns the newest view; it must not be changed.
+func (t *Tracker) Fleet() cataloger.Fleet {
+	t.init()
+	return *t.fleet.Load()
+}
+
+// Status returns the state of this daemon's membership.
+func (t *Tracker) Status() Status {
+	t.init()
+	s := *t.status.Load()
+	s.Sent = t.sent.Load()
+	s.Received = t.received.Load()
+	s.Dropped = t.dropped.Load()
+	return s
+}
+
+// Self returns this daemon as the fleet sees it.
+func (t *Tracker) Self() cataloger.Member {
+	for _, m := range t.Fleet().Members {
+		if m.Name == t.Local.Name {
+			return m
+		}
+	}
+	return t.Local
+}
+
+// Subscribe returns a channel that holds a value after each change of the view, and a function that ends it.
+func (t *Tracker) Subscribe() (<-chan struct{}, func()) {
+	t.init()
+	ch := make(chan struct{}, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.subscribers[ch] = struct{}{}
+	return ch, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.subscribers, ch)
+	}
+}
+
+// Owner returns the live member that has the duty of a kind for a key.
+func (t *Tracker) Owner(kind, key string) cataloger.Member {
+	m, ok := Rendezvous(Live(t.Fleet().Members), kind+"/"+key)
+	if !ok {
+		return t.Local
+	}
+	return m
+}
+
+// Owners returns up to n live members for a duty, the first in charge first.
+func (t *Tracker) Owners(kind, key string, n int) []cataloger.Member {
+	return RankMembers(Live(t.Fleet().Members), kind+"/"+key, n)
+}
+
+// watchersPerDataCentre is how many daemons of a data centre watch the store.
+const watchersPerDataCentre = 2
+
+// Watchers returns the daemons that watch the store for a data centre.
+func (t *Tracker) Watchers(dc cataloger.DataCentre) []cataloger.Member {
+	var near []cataloger.Member
+	for _, m := range Live(t.Fleet().Members) {
+		if m.DataCentre == dc {
+			near = append(near, m)
+		}
+	}
+	return RankMembers(near, "watcher", watchersPerDataCentre)
+}
