Admit by start-time fair queueing over token cost

Cause: the thin admitter let one workspace take every slot and knew no queue. Change: a pure scheduler per service: weighted start-time fair queueing over cost that is corrected at the end of a request, bounded queues per workspace and in all, priorities with ageing, refusal at once of what cannot meet its deadline at the measured rate, token bucket and concurrency per workspace, an adaptive concurrency limit, a reserve of slots for workspaces under their share. The admitter around it locks per service and keeps one timer.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -2,88 +2,325 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/breaker"
+	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
-const (
-	defaultConcurrency = 256
-	retryAfter         = time.Second
-)
+const defaultInitialLimit = 64
 
-// Admitter admits requests to the services in force.
+// Admitter admits requests to the services in force; it is safe for concurrent use.
 type Admitter struct {
 	Clock timer.Clock
+	// Rand spreads the times for retries; nil takes a random seed.
+	Rand *rand.Rand
+	// InitialLimit is the concurrency that the adaptive limit of each service starts from.
+	InitialLimit int
+	// Reserve is the part of the limit that only workspaces under their share may use.
+	Reserve float64
+	// InitialShare gives this entry's share of limits that are new; nil gives it all.
+	InitialShare func(service string, w documenter.Workspace) limiter.Share
+	// Observe is called with each decision; nil where nobody listens.
+	Observe func(Decision)
 
-	mu       sync.Mutex
+	mu       sync.RWMutex
 	services map[string]*service
+	closed   bool
+}
+
+// Decision is the outcome of Admit.
+type Decision struct {
+	Request Request
+	// Wait is the time from the request to the decision.
+	Wait time.Duration
+	// Code is refuser.OK for a grant.
+	Code refuser.Code
+}
+
+// Status is the load of one service at this entry.
+type Status struct {
+	Limit, InProgress, Waiting int
 }
 
+// service guards the scheduler of one service.
 type service struct {
-	document *documenter.Document
-	slots    chan struct{}
+	mu        sync.Mutex
+	scheduler *Scheduler
+	clock     timer.Clock
+	armed     time.Time
+	stop      func() bool
 }
 
 // New returns an admitter without services.
 func New(clock timer.Clock) *Admitter {
-	return &Admitter{Clock: clock, services: map[string]*service{}}
+	return &Admitter{
+		Clock:        clock,
+		InitialLimit: defaultInitialLimit,
+		Reserve:      defaultReserve,
+		services:     map[string]*service{},
+	}
 }
 
-// Configure brings the admitter in line with the documents in force.
+// Configure brings the admitter in line with the documents in force; requests waiting for a removed service are refused.
 func (a *Admitter) Configure(documents []*documenter.Document) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	next := map[string]*service{}
+	next := make(map[string]*service, len(documents))
 	for _, d := range documents {
 		s := a.services[d.Name]
 		if s == nil {
-			s = &service{slots: make(chan struct{}, defaultConcurrency)}
+			s = a.newService()
 		}
-		s.document = d
 		next[d.Name] = s
+		a.configure(s, d)
+	}
+	for name, s := range a.services {
+		if next[name] == nil {
+			s.close(refuser.New(refuser.UnknownService, "service %q was deleted", name))
+		}
 	}
 	a.services = next
 }
 
-// Grant is the permission to run one request.
-type Grant struct {
-	once sync.Once
-	free func(Result)
+func (a *Admitter) newService() *service {
+	random := a.Rand
+	if random == nil {
+		random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	settings := Settings{Reserve: a.Reserve}
+	return &service{
+		scheduler: NewScheduler(settings, breaker.NewLimit(a.InitialLimit), rand.New(rand.NewPCG(random.Uint64(), 0))),
+		clock:     a.Clock,
+	}
 }
 
-// Done ends the grant; calls after the first have no effect.
-func (g *Grant) Done(r Result) { g.once.Do(func() { g.free(r) }) }
+func (a *Admitter) configure(s *service, d *documenter.Document) {
+	settings := Settings{
+		Queue:   d.Limits.Queue,
+		Ageing:  time.Duration(d.Priorities.Ageing),
+		Reserve: a.Reserve,
+	}
+	share := func(w documenter.Workspace) limiter.Share {
+		if a.InitialShare == nil {
+			return wholeShare(w)
+		}
+		return a.InitialShare(d.Name, w)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Configure(a.Clock.Now(), settings, d.Workspaces, share)
+	s.settle()
+}
 
-// Admit waits until the request may run, or returns a *refuser.Refusal with the fact not-run at once.
+func (a *Admitter) service(name string) *service {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.services[name]
+}
+
+// Admit waits until the request may run, or returns a *refuser.Refusal with the fact not-run as soon as it is certain
+// that the request will not run.
 func (a *Admitter) Admit(ctx context.Context, r Request) (*Grant, error) {
-	a.mu.Lock()
-	s := a.services[r.Service]
-	a.mu.Unlock()
+	started := a.Clock.Now()
+	grant, refusal := a.admit(ctx, r)
+	if a.Observe != nil {
+		d := Decision{Request: r, Wait: a.Clock.Now().Sub(started)}
+		if refusal != nil {
+			d.Code = refusal.Code
+		}
+		a.Observe(d)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return grant, nil
+}
+
+func (a *Admitter) admit(ctx context.Context, r Request) (*Grant, *refuser.Refusal) {
+	a.mu.RLock()
+	s, closed := a.services[r.Service], a.closed
+	a.mu.RUnlock()
+	if closed {
+		return nil, refuser.New(refuser.Draining, "the entry is shutting down")
+	}
 	if s == nil {
 		return nil, refuser.New(refuser.UnknownService, "no service %q", r.Service)
 	}
-	if _, ok := s.document.Workspace(string(r.Workspace)); !ok {
-		return nil, refuser.New(refuser.UnknownWorkspace, "service %q does not serve workspace %q", r.Service, r.Workspace)
+	t := s.offer(r)
+	if t.ready != nil {
+		select {
+		case <-t.ready:
+		case <-ctx.Done():
+			return nil, s.abandon(ctx, t)
+		}
+	}
+	if t.State == TicketRefused {
+		return nil, t.Refusal
 	}
-	if !r.Deadline.IsZero() && a.Clock.Now().Add(r.Expected).After(r.Deadline) {
-		return nil, refuser.New(refuser.DeadlineTooShort, "the deadline leaves less than the expected %s", r.Expected)
+	return &Grant{service: s, ticket: t}, nil
+}
+
+// SetShares changes what this entry may use of the limits of workspaces.
+func (a *Admitter) SetShares(shares map[limiter.Key]limiter.Share) {
+	for key, share := range shares {
+		s := a.service(key.Service)
+		if s == nil {
+			continue
+		}
+		s.mu.Lock()
+		s.scheduler.SetShare(a.Clock.Now(), key.Workspace, share)
+		s.settle()
+		s.mu.Unlock()
 	}
-	select {
-	case s.slots <- struct{}{}:
-		return &Grant{free: func(Result) { <-s.slots }}, nil
-	case <-ctx.Done():
-		return nil, refuser.New(refuser.Canceled, "the caller gave up").WithFact(refuser.FactNotRun)
-	default:
-		return nil, refuser.New(refuser.QueueFull, "the entry is at its limit").WithRetryAfter(retryAfter)
+}
+
+// SetCapacity bounds the adaptive limit of a service to the requests that its targets can hold.
+func (a *Admitter) SetCapacity(name string, requests int) {
+	s := a.service(name)
+	if s == nil {
+		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.limit.Max = float64(max(1, requests))
+	s.scheduler.Advance(a.Clock.Now())
+	s.settle()
 }
 
-// Run serves until ctx is done.
+// Usage returns what workspaces with limits asked for since the last call.
+func (a *Admitter) Usage() []limiter.Demand {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	var demands []limiter.Demand
+	for name, s := range a.services {
+		s.mu.Lock()
+		s.scheduler.Usage(a.Clock.Now(), func(w cataloger.Workspace, rate, wanted float64) {
+			key := limiter.Key{Service: name, Workspace: w}
+			demands = append(demands, limiter.Demand{Key: key, Rate: rate, Wanted: wanted})
+		})
+		s.mu.Unlock()
+	}
+	return demands
+}
+
+// Status returns the load of a service and whether it is in force.
+func (a *Admitter) Status(name string) (Status, bool) {
+	s := a.service(name)
+	if s == nil {
+		return Status{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Status{Limit: s.scheduler.Limit(), InProgress: s.scheduler.InProgress(), Waiting: s.scheduler.Waiting()}, true
+}
+
+// Run waits until ctx is done, then refuses every waiting and further request.
 func (a *Admitter) Run(ctx context.Context) error {
 	<-ctx.Done()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	for _, s := range a.services {
+		s.close(refuser.New(refuser.Draining, "the entry is shutting down"))
+	}
 	return nil
 }
+
+func (s *service) offer(r Request) *Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.scheduler.Offer(s.clock.Now(), r)
+	if t.State == TicketWaiting {
+		t.ready = make(chan struct{})
+	}
+	s.settle()
+	return t
+}
+
+// abandon settles a ticket whose caller gave up; a grant that came meanwhile is given back unused.
+func (s *service) abandon(ctx context.Context, t *Ticket) *refuser.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	switch t.State {
+	case TicketGranted:
+		s.scheduler.Return(now, t)
+	case TicketWaiting:
+		s.scheduler.Cancel(now, t)
+	case TicketRefused:
+		return t.Refusal
+	}
+	s.settle()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuser.New(refuser.DeadlineExceeded, "the deadline passed while waiting")
+	}
+	return refuser.New(refuser.Canceled, "the caller gave up while waiting").WithFact(refuser.FactNotRun)
+}
+
+// settle answers the tickets decided and arms the timer for the next one that runs out of time.
+func (s *service) settle() {
+	for _, t := range s.scheduler.Decided() {
+		if t.ready != nil {
+			close(t.ready)
+		}
+	}
+	next := s.scheduler.Next()
+	if next.Equal(s.armed) {
+		return
+	}
+	s.disarm()
+	if next.IsZero() {
+		return
+	}
+	s.armed = next
+	s.stop = s.clock.AfterFunc(next.Sub(s.clock.Now()), s.advance)
+}
+
+func (s *service) disarm() {
+	if s.stop != nil {
+		s.stop()
+	}
+	s.stop = nil
+	s.armed = time.Time{}
+}
+
+func (s *service) advance() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = time.Time{}
+	s.scheduler.Advance(s.clock.Now())
+	s.settle()
+}
+
+func (s *service) close(r *refuser.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Close(r)
+	s.settle()
+}
+
+// Grant is the permission to run one request.
+type Grant struct {
+	service *service
+	ticket  *Ticket
+	once    sync.Once
+}
+
+// Done ends the grant; calls after the first have no effect.
+func (g *Grant) Done(r Result) {
+	g.once.Do(func() {
+		g.service.mu.Lock()
+		defer g.service.mu.Unlock()
+		g.service.scheduler.Finish(g.service.clock.Now(), g.ticket, r)
+		g.service.settle()
+	})
+}
--- /dev/null
+++ b/internal/admitter/refusals.go
@@ -0,0 +1,120 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	maxWait       = time.Hour
+)
+
+// expect returns the time from grant to end; an idle service is not held to a correction from busier times.
+func (s *Scheduler) expect(now time.Time, t *Ticket) time.Duration {
+	expected := t.Request.Expected
+	if expected <= 0 {
+		if rate := s.limit.CostRate(); rate > 0 {
+			return time.Duration(t.cost / rate * float64(time.Second))
+		}
+		return 0
+	}
+	corrected := s.estimator.correct(now, expected)
+	if s.inProgress == 0 {
+		return min(corrected, expected)
+	}
+	return corrected
+}
+
+func (s *Scheduler) checkDeadline(now time.Time, t *Ticket) *refuser.Refusal {
+	deadline := t.Request.Deadline
+	if deadline.IsZero() {
+		return nil
+	}
+	if !now.Before(deadline) {
+		return refuser.New(refuser.DeadlineExceeded, "the deadline passed before admission")
+	}
+	t.latest = deadline.Add(-t.expected)
+	if t.latest.Before(now) {
+		return refuser.New(refuser.DeadlineTooShort, "%s are left and %s are expected", deadline.Sub(now), t.expected)
+	}
+	return nil
+}
+
+// checkWait refuses what the measured rate of the workspace cannot grant in time.
+func (s *Scheduler) checkWait(now time.Time, t *Ticket) *refuser.Refusal {
+	if t.latest.IsZero() {
+		return nil
+	}
+	wait := s.wait(t.flow, t.flow.ahead(t.rank))
+	over := now.Add(wait).Sub(t.latest)
+	if over < 0 {
+		return nil
+	}
+	return refuser.New(refuser.DeadlineTooShort, "the expected wait of %s leaves too little time", wait).
+		WithRetryAfter(s.spread(over))
+}
+
+// wait is the expected time until the cost ahead in the queue of f has been granted.
+func (s *Scheduler) wait(f *flow, ahead float64) time.Duration {
+	perSlot := s.limit.CostRate()
+	if perSlot <= 0 {
+		return 0
+	}
+	weights := s.busyWeight
+	if !f.busy() {
+		weights += f.weight
+	}
+	rate := perSlot * float64(s.limit.Value()) * f.weight / weights
+	rate = max(rate, f.drainRate)
+	rate = min(rate, perSlot*max(1, f.share.Concurrency))
+	return time.Duration(min(ahead/rate, maxWait.Seconds()) * float64(time.Second))
+}
+
+// checkQueue refuses a request whose workspace has a full queue, unless a less urgent one gives way to it.
+func (s *Scheduler) checkQueue(t *Ticket) *refuser.Refusal {
+	f := t.flow
+	if f.queue.Len() >= s.settings.Queue {
+		worst := f.worst()
+		if worst.Request.Priority >= t.Request.Priority || !ticketBefore(t, worst) {
+			return s.fullRefusal(f)
+		}
+		return nil
+	}
+	if s.waiting < s.settings.TotalQueue {
+		return nil
+	}
+	if f.queue.Len() > 0 && s.backlog.top() == f {
+		return s.fullRefusal(f)
+	}
+	return nil
+}
+
+func (s *Scheduler) fullRefusal(f *flow) *refuser.Refusal {
+	after := s.spread(s.wait(f, f.queued))
+	if !f.underConcurrency() {
+		return refuser.New(refuser.ConcurrencyLimited, "%d requests are in progress and %d wait", f.inProgress, f.queue.Len()).
+			WithRetryAfter(after)
+	}
+	return refuser.New(refuser.QueueFull, "%d requests of the workspace wait", f.queue.Len()).WithRetryAfter(after)
+}
+
+func (s *Scheduler) rateRefusal(wait time.Duration) *refuser.Refusal {
+	return refuser.New(refuser.RateLimited, "the workspace is over its rate").WithRetryAfter(s.spread(wait))
+}
+
+// spread adds up to half to a time for a retry, so that refused callers do not come back together.
+func (s *Scheduler) spread(d time.Duration) time.Duration {
+	d = max(minRetryAfter, min(d, maxRetryAfter))
+	return d + time.Duration(s.rand.Float64()*0.5*float64(d))
+}
+
+func (s *Scheduler) expiredRefusal(now time.Time, t *Ticket) *refuser.Refusal {
+	if !now.Before(t.Request.Deadline) {
+		return refuser.New(refuser.DeadlineExceeded, "the deadline passed while waiting")
+	}
+	return refuser.New(refuser.DeadlineTooShort, "%s are left after waiting and %s are expected",
+		t.Request.Deadline.Sub(now), t.expected).WithRetryAfter(s.spread(s.wait(t.flow, t.flow.queued)))
+}
--- /dev/null
+++ b/internal/admitter/ticket.go
@@ -0,0 +1,42 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// TicketState says what was decided on a request.
+type TicketState uint8
+
+// States of a ticket.
+const (
+	TicketWaiting TicketState = iota
+	TicketGranted
+	TicketRefused
+	TicketDone
+)
+
+// Ticket is the place of one request in a Scheduler.
+type Ticket struct {
+	Request Request
+	State   TicketState
+	// Refusal is set where State is TicketRefused.
+	Refusal *refuser.Refusal
+
+	flow     *flow
+	cost     float64
+	expected time.Duration
+	// rank orders the queue: the arrival, moved ahead by the ageing time for each priority.
+	rank     int64
+	sequence uint64
+	// latest is when the request must be granted to meet its deadline; zero where it has none.
+	latest  time.Time
+	granted time.Time
+
+	queuePlace, expiryPlace int
+	ready                   chan struct{}
+}
+
+// Granted returns when the request was granted.
+func (t *Ticket) Granted() time.Time { return t.granted }
