Check settings and callers' requests, with the tables that show it

Cause: bad input must get a clear error and run nothing; settings must name what is wrong with them.

Conclusion: refusals before dispatch state not-run, refusals after a part never do.

--- /dev/null
+++ b/internal/receiver/receiver_test.go
@@ -0,0 +1,396 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/internal/tokener"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// bench is a receiver over scripted parts.
+type bench struct {
+	*Receiver
+	ran     int
+	jobs    []Generation
+	places  []Place
+	admits  []admitter.Request
+	done    []admitter.Result
+	emitted []*v1.SendResponse
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	clock := timer.System{}
+	tokens, err := tokener.New(clock, time.Minute, []byte("0123456789abcdef"))
+	require.NoError(t, err)
+	b := &bench{}
+	model := &documenter.Document{
+		Name:       "assistant",
+		Type:       documenter.TypeModel,
+		Workspaces: []documenter.Workspace{{Name: "counter"}},
+		Model:      &documenter.Model{Name: "m", Version: "v1", Layers: 4},
+		Limits:     documenter.Limits{PayloadBytes: 64, MaxTokens: 16, Deadline: documenter.Duration(time.Second), MaxDeadline: documenter.Duration(time.Minute)},
+	}
+	plain := &documenter.Document{
+		Name:       "bookings",
+		Type:       documenter.TypePlain,
+		Workspaces: []documenter.Workspace{{Name: "counter"}},
+		Plain:      &documenter.Plain{Methods: []documenter.Method{{Name: "POST /bookings"}, {Name: "GET /status", Idempotent: true}}},
+	}
+	documents := map[string]*documenter.Document{"assistant": model, "bookings": plain}
+	b.Receiver = &Receiver{
+		Log:       zerolog.Nop(),
+		Clock:     clock,
+		Self:      "router-1",
+		Tokens:    tokens,
+		Meter:     meter.New(),
+		Begin:     func() (func(), error) { return func() {}, nil },
+		Authorize: func(http.Header, *documenter.Document, documenter.Workspace) error { return nil },
+		Lookup: func(name string) (*documenter.Document, uint64, bool) {
+			d, ok := documents[name]
+			return d, 1, ok
+		},
+		Admit: func(_ context.Context, r admitter.Request) (*admitter.Grant, error) {
+			b.admits = append(b.admits, r)
+			return admitted(t, clock, model, plain, r), nil
+		},
+		Expected: func(string, int, int) time.Duration { return 0 },
+		Generate: b.generate,
+		Forward: func(context.Context, *documenter.Document, forwarder.Request) (forwarder.Answer, error) {
+			b.ran++
+			return forwarder.Answer{Status: http.StatusCreated, Body: []byte("booked")}, nil
+		},
+		Once: b.once,
+		Enter: func(_ context.Context, p Place) (Turn, error) {
+			b.places = append(b.places, p)
+			return Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}}, nil
+		},
+	}
+	return b
+}
+
+func admitted(t *testing.T, clock timer.Clock, model, plain *documenter.Document, r admitter.Request) *admitter.Grant {
+	a := admitter.New(clock)
+	a.Configure([]*documenter.Document{model.WithDefaults(), plain.WithDefaults()})
+	g, err := a.Admit(t.Context(), r)
+	require.NoError(t, err)
+	return g
+}
+
+func (b *bench) generate(_ context.Context, g Generation, emit func(Token) error) error {
+	b.ran++
+	b.jobs = append(b.jobs, g)
+	start := uint64(len(g.Delivered))
+	for p := start; p < 3; p++ {
+		if err := emit(Token{Attempt: g.FirstAttempt, Position: p, Data: []byte{byte('a' + p)}, Last: p == 2}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) once(ctx context.Context, _ journaler.Request, run journaler.RunFunc) (journaler.Outcome, error) {
+	answer, err := run(ctx)
+	return journaler.Outcome{Fact: refuser.FactRan, Answer: answer, Kept: true}, err
+}
+
+func (b *bench) send(ctx context.Context, req *v1.Request) error {
+	b.emitted = nil
+	err := b.serve(ctx, req, http.Header{}, func(p *v1.SendResponse) error {
+		b.emitted = append(b.emitted, p)
+		return nil
+	})
+	if err != nil {
+		return refuser.From(err)
+	}
+	return nil
+}
+
+func modelRequest() *v1.Request {
+	return &v1.Request{Workspace: "counter", Service: "assistant", RequestId: "r-1", Payload: []byte("draft"), MaxTokens: 3}
+}
+
+func plainRequest(method string) *v1.Request {
+	return &v1.Request{Workspace: "counter", Service: "bookings", Method: method, RequestId: "r-1"}
+}
+
+func with(req *v1.Request, change func(*v1.Request)) *v1.Request {
+	change(req)
+	return req
+}
+
+func TestBadInputIsRefusedAndNothingRuns(t *testing.T) {
+	tests := []struct {
+		name string
+		req  *v1.Request
+		code refuser.Code
+	}{
+		{"no request", nil, refuser.MalformedRequest},
+		{"no workspace", with(modelRequest(), func(r *v1.Request) { r.Workspace = "" }), refuser.MalformedRequest},
+		{"no request id", with(modelRequest(), func(r *v1.Request) { r.RequestId = "" }), refuser.MalformedRequest},
+		{"long request id", with(modelRequest(), func(r *v1.Request) { r.RequestId = strings.Repeat("x", 201) }), refuser.MalformedRequest},
+		{"control character", with(modelRequest(), func(r *v1.Request) { r.RequestId = "a\nb" }), refuser.MalformedRequest},
+		{"invalid UTF-8", with(modelRequest(), func(r *v1.Request) { r.Workspace = "\xff" }), refuser.MalformedRequest},
+		{"sequence without a key", with(modelRequest(), func(r *v1.Request) { r.Sequence = 1 }), refuser.MalformedRequest},
+		{"key without a sequence", with(modelRequest(), func(r *v1.Request) { r.OrderingKey = "k" }), refuser.MalformedRequest},
+		{"priority", with(modelRequest(), func(r *v1.Request) { r.Priority = 10 }), refuser.MalformedRequest},
+		{"negative timeout", with(modelRequest(), func(r *v1.Request) { r.Timeout = durationpb.New(-1) }), refuser.MalformedRequest},
+		{"empty prompt", with(modelRequest(), func(r *v1.Request) { r.Payload = nil }), refuser.MalformedRequest},
+		{"method of a model", with(modelRequest(), func(r *v1.Request) { r.Method = "GET /" }), refuser.MalformedRequest},
+		{"too many tokens", with(modelRequest(), func(r *v1.Request) { r.MaxTokens = 17 }), refuser.MalformedRequest},
+		{"delivered without a token", with(modelRequest(), func(r *v1.Request) { r.Delivered = [][]byte{{1}} }), refuser.MalformedRequest},
+		{"oversize", with(modelRequest(), func(r *v1.Request) { r.Payload = make([]byte, 65) }), refuser.PayloadTooLarge},
+		{"unknown service", with(modelRequest(), func(r *v1.Request) { r.Service = "none" }), refuser.UnknownService},
+		{"foreign workspace", with(modelRequest(), func(r *v1.Request) { r.Workspace = "other" }), refuser.UnknownWorkspace},
+		{"unknown method", plainRequest("DELETE /bookings"), refuser.UnknownMethod},
+		{"forged token", with(modelRequest(), func(r *v1.Request) { r.ResumeToken = []byte("forged") }), refuser.ResumeTokenInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			r := refuser.From(b.send(t.Context(), tt.req))
+			require.Equal(t, tt.code, r.Code, r.Error())
+			require.Equal(t, refuser.FactNotRun, r.Fact)
+			require.Zero(t, b.ran)
+			require.Empty(t, b.admits)
+		})
+	}
+}
+
+func TestTokenOfAnotherRequestIsRefused(t *testing.T) {
+	b := newBench(t)
+	require.NoError(t, b.send(t.Context(), modelRequest()))
+	token := b.emitted[0].ResumeToken
+	require.NotEmpty(t, token)
+	for name, change := range map[string]func(*v1.Request){
+		"request id": func(r *v1.Request) { r.RequestId = "r-2" },
+		"payload":    func(r *v1.Request) { r.Payload = []byte("other") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := with(modelRequest(), change)
+			req.ResumeToken = token
+			require.Equal(t, refuser.ResumeTokenInvalid, refuser.From(b.send(t.Context(), req)).Code)
+			require.Equal(t, 1, b.ran)
+		})
+	}
+}
+
+func TestResumeContinuesTheExecutionWithHigherAttempts(t *testing.T) {
+	b := newBench(t)
+	require.NoError(t, b.send(t.Context(), modelRequest()))
+	req := modelRequest()
+	req.ResumeToken = b.emitted[0].ResumeToken
+	req.Delivered = [][]byte{[]byte("a")}
+	require.NoError(t, b.send(t.Context(), req))
+	require.Equal(t, b.jobs[0].Execution, b.jobs[1].Execution)
+	require.Greater(t, b.jobs[1].FirstAttempt, b.jobs[0].FirstAttempt+attemptStride-2)
+	require.True(t, b.jobs[1].Cut)
+	require.Equal(t, uint64(1), b.emitted[0].Position)
+	require.Len(t, b.emitted, 2)
+}
+
+func TestExecutionsOfOneRequestIDDiffer(t *testing.T) {
+	b := newBench(t)
+	require.NoError(t, b.send(t.Context(), modelRequest()))
+	require.NoError(t, b.send(t.Context(), modelRequest()))
+	require.NotEqual(t, b.jobs[0].Execution, b.jobs[1].Execution)
+}
+
+func TestOnlyStrictRequestsUseTheJournal(t *testing.T) {
+	strict, loose := false, true
+	tests := []struct {
+		name string
+		req  *v1.Request
+		want bool
+	}{
+		{"model", modelRequest(), false},
+		{"model made strict", with(modelRequest(), func(r *v1.Request) { r.Idempotent = &strict }), true},
+		{"booking", plainRequest("POST /bookings"), true},
+		{"booking cannot be relaxed", with(plainRequest("POST /bookings"), func(r *v1.Request) { r.Idempotent = &loose }), true},
+		{"status", plainRequest("GET /status"), false},
+		{"status made strict", with(plainRequest("GET /status"), func(r *v1.Request) { r.Idempotent = &strict }), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			journaled := false
+			b.Once = func(ctx context.Context, r journaler.Request, run journaler.RunFunc) (journaler.Outcome, error) {
+				journaled = true
+				return b.once(ctx, r, run)
+			}
+			require.NoError(t, b.send(t.Context(), tt.req))
+			require.Equal(t, tt.want, journaled)
+			require.True(t, b.emitted[len(b.emitted)-1].Last)
+		})
+	}
+}
+
+func TestOutcomesOfTheJournal(t *testing.T) {
+	kept := journaler.Outcome{Fact: refuser.FactRan, Kept: true, Replayed: true, Answer: journaler.Answer{Status: 201, Body: []byte("booked")}}
+	tests := []struct {
+		name    string
+		outcome journaler.Outcome
+		want    string
+		code    refuser.Code
+		fact    refuser.Fact
+	}{
+		{"kept", kept, "booked", 0, 0},
+		{"running", journaler.Outcome{Running: true}, "", refuser.AlreadyRunning, refuser.FactMayHaveRun},
+		{"ran, not kept", journaler.Outcome{Fact: refuser.FactRan}, "", refuser.AlreadyRan, refuser.FactRan},
+		{"may have run", journaler.Outcome{Fact: refuser.FactMayHaveRun}, "", refuser.OutcomeUncertain, refuser.FactMayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.Once = func(context.Context, journaler.Request, journaler.RunFunc) (journaler.Outcome, error) {
+				return tt.outcome, nil
+			}
+			err := b.send(t.Context(), plainRequest("POST /bookings"))
+			require.Zero(t, b.ran)
+			if tt.code != 0 {
+				require.Equal(t, tt.code, refuser.From(err).Code)
+				require.Equal(t, tt.fact, refuser.From(err).Fact)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tt.want, string(b.emitted[0].Data))
+			require.Equal(t, uint32(201), b.emitted[0].HttpStatus)
+		})
+	}
+}
+
+func TestCallReturnsTheWholeAnswer(t *testing.T) {
+	b := newBench(t)
+	resp, err := b.Call(t.Context(), connect.NewRequest(&v1.CallRequest{Request: modelRequest()}))
+	require.NoError(t, err)
+	require.Equal(t, "abc", string(resp.Msg.Data))
+	require.Equal(t, uint64(3), resp.Msg.Parts)
+}
+
+func TestDeadlineIsRefusedWithTheTruth(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(*bench)
+		fact refuser.Fact
+	}{
+		{"while waiting for admission", func(b *bench) {
+			b.Admit = func(ctx context.Context, _ admitter.Request) (*admitter.Grant, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+		}, refuser.FactNotRun},
+		{"while running", func(b *bench) {
+			b.Generate = func(ctx context.Context, _ Generation, _ func(Token) error) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}, refuser.FactMayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				tt.set(b)
+				begin := time.Now()
+				r := refuser.From(b.send(t.Context(), modelRequest()))
+				require.Equal(t, refuser.DeadlineExceeded, r.Code)
+				require.Equal(t, tt.fact, r.Fact)
+				require.Equal(t, time.Second, time.Since(begin))
+			})
+		})
+	}
+}
+
+func TestNotRunIsNotSaidAfterAPart(t *testing.T) {
+	b := newBench(t)
+	b.Generate = func(_ context.Context, g Generation, emit func(Token) error) error {
+		if err := emit(Token{Attempt: 1, Data: []byte("a")}); err != nil {
+			return err
+		}
+		return refuser.New(refuser.NoPipeline, "every chain is gone")
+	}
+	r := refuser.From(b.send(t.Context(), modelRequest()))
+	require.Equal(t, refuser.NoPipeline, r.Code)
+	require.Equal(t, refuser.FactMayHaveRun, r.Fact)
+}
+
+func TestOrderedAnswerIsHeldBackUntilItsTurn(t *testing.T) {
+	b := newBench(t)
+	var sizes []int
+	ended := false
+	b.Enter = func(_ context.Context, p Place) (Turn, error) {
+		b.places = append(b.places, p)
+		return Turn{
+			Wait: func(_ context.Context, size int) error {
+				sizes = append(sizes, size)
+				require.Empty(t, b.emitted)
+				return nil
+			},
+			Done: func() { ended = true },
+		}, nil
+	}
+	req := modelRequest()
+	req.OrderingKey = "reports"
+	req.Sequence = 2
+	require.NoError(t, b.send(t.Context(), req))
+	require.Len(t, b.emitted, 3)
+	require.Equal(t, []int{3}, sizes)
+	require.True(t, ended)
+	require.Equal(t, uint64(2), b.places[0].Sequence)
+	require.Equal(t, cataloger.Workspace("counter"), b.places[0].Workspace)
+}
+
+func TestRefusalWhileDrainingTakesNothingIn(t *testing.T) {
+	b := newBench(t)
+	b.Begin = func() (func(), error) { return nil, refuser.New(refuser.Draining, "shutting down") }
+	r := refuser.From(b.send(t.Context(), modelRequest()))
+	require.Equal(t, refuser.Draining, r.Code)
+	require.Equal(t, refuser.FactNotRun, r.Fact)
+	require.Zero(t, b.ran)
+}
+
+func TestErrorOfTheCallersStreamEndsTheRun(t *testing.T) {
+	b := newBench(t)
+	gone := errors.New("connection reset")
+	err := b.serve(t.Context(), modelRequest(), http.Header{}, func(*v1.SendResponse) error { return gone })
+	require.ErrorContains(t, err, "connection reset")
+}
+
+func FuzzCheckShape(f *testing.F) {
+	f.Add("counter", "assistant", "r-1", "key", uint64(1), uint32(3), int64(1), []byte("token"))
+	f.Add("", "\xff", strings.Repeat("x", 300), "", uint64(1), uint32(99), int64(-1), []byte(nil))
+	f.Fuzz(func(t *testing.T, workspace, service, id, key string, sequence uint64, priority uint32, timeout int64, token []byte) {
+		req := &v1.Request{
+			Workspace: workspace, Service: service, RequestId: id, OrderingKey: key, Sequence: sequence,
+			Priority: priority, Timeout: durationpb.New(time.Duration(timeout)), ResumeToken: token,
+		}
+		if checkShape(req) != nil {
+			return
+		}
+		require.NotEmpty(t, req.Workspace)
+		require.NotEmpty(t, req.Service)
+		require.NotEmpty(t, req.RequestId)
+		require.LessOrEqual(t, req.Priority, uint32(maxPriority))
+		require.Equal(t, req.OrderingKey == "", req.Sequence == 0)
+		require.True(t, deadlineOf(req, documenter.Limits{}, time.Unix(0, 0)).After(time.Unix(0, 0)))
+	})
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"net"
 	"time"
 
 	"github.com/spf13/pflag"
@@ -103,6 +104,8 @@
 		optionalAddress("advertise", s.Advertise),
 		optionalAddress("peer-advertise", s.PeerAdvertise),
 		optionalAddress("admin-listen", s.AdminListen),
+		reachable("advertise", s.Advertise, "listen", s.Listen),
+		reachable("peer-advertise", s.PeerAdvertise, "peer-listen", s.PeerListen),
 		addresses("peer", s.Peers),
 		setter.Address("platform", s.Platform),
 		setter.Positive("store-reads", s.StoreReads),
@@ -172,6 +175,18 @@
 	return setter.Address(name, value)
 }
 
+// reachable checks that others are not told an address that stands for every interface.
+func reachable(name, value, listenName, listen string) error {
+	if value == "" {
+		value = listen
+	}
+	host, _, _ := net.SplitHostPort(value)
+	if ip := net.ParseIP(host); ip != nil && ip.IsUnspecified() {
+		return &setter.BadSetting{Name: name, Value: value, Accepted: "an address that others can reach, since --" + listenName + " names every interface"}
+	}
+	return nil
+}
+
 func addresses(name string, values []string) error {
 	for _, v := range values {
 		if err := setter.Address(name, v); err != nil {
