--- a/internal/selector/graph.go
+++ b/internal/selector/graph.go
@@ -81,10 +81,12 @@
 			nominals[k] = l.nominal
 		}
 	}
+	prompt := s.promptShare(m.Key())
 	s.mu.Unlock()
-	chains := solver.Chains{Layers: m.Layers, ActivationBytes: float64(m.ActivationBytes), FanOut: s.FanOut}
+	chains := solver.Chains{Layers: m.Layers, ActivationBytes: float64(m.ActivationBytes) * (1 + prompt), FanOut: s.FanOut}
 	for _, h := range g.holders {
-		chains.Holders = append(chains.Holders, solver.Holder{Rate: h.decode, FirstLayer: h.first, EndLayer: h.end})
+		rate := h.decode / (1 + prompt*h.decode/h.prefill)
+		chains.Holders = append(chains.Holders, solver.Holder{Rate: rate, FirstLayer: h.first, EndLayer: h.end})
 	}
 	nominal := func(from, to int) cataloger.Link {
 		a, b := g.holders[from].t, g.holders[to].t
@@ -182,22 +184,46 @@
 			cmp.Compare(a.To, b.To),
 		)
 	})
-	for _, h := range hops {
+	capacity := make([]float64, len(hops))
+	for i, h := range hops {
 		from := states[place{h.From, h.Layer}]
 		e := edge{holder: int32(h.To), to: states[place{h.To, h.End}], layers: h.End - h.Layer}
 		if h.From != h.To && h.From != solver.Source {
 			setLink(&e, h.From, h.To)
 		}
-		e.weight = h.Flow + spareWeight*min(h.Capacity, g.holders[h.To].decode/float64(h.End-h.Layer))
+		e.weight = h.Flow
+		capacity[i] = min(h.Capacity, g.holders[h.To].decode/float64(h.End-h.Layer))
 		if g.states[from].end == 0 {
 			g.states[from].first = int32(len(g.edges))
 		}
 		g.edges = append(g.edges, e)
 		g.states[from].end = int32(len(g.edges))
 	}
+	g.addSpare(capacity)
 	g.sum()
 }
 
+// addSpare gives each edge a small weight by what it and everything behind it could carry, so that idle targets are found.
+func (g *graph) addSpare(capacity []float64) {
+	order := make([]int, len(g.states))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(g.states[b].layer, g.states[a].layer) })
+	onward := make([]float64, len(g.states))
+	for _, i := range order {
+		st := g.states[i]
+		if st.layer == g.model.Layers {
+			onward[i] = math.Inf(1)
+		}
+		for k := st.first; k < st.end; k++ {
+			spare := min(capacity[k], onward[g.edges[k].to])
+			onward[i] += spare
+			g.edges[k].weight += spareWeight * spare
+		}
+	}
+}
+
 // sum renews the running sums that draws use.
 func (g *graph) sum() {
 	for _, st := range g.states {
--- a/internal/selector/pick.go
+++ b/internal/selector/pick.go
@@ -27,6 +27,8 @@
 func (r Request) key() Key { return Key{r.Model, r.Version, r.Adapter} }
 
 const (
+	// runOnWait weighs the wait where a target runs on past a layer at which others could take over.
+	runOnWait  = 1.25
 	maxStages  = 16
 	maxHits    = 8
 	drawTrials = 12
@@ -73,8 +75,8 @@
 		return cataloger.Route{}, nil, refuser.New(refuser.NoPipeline, "no chain of live targets covers the %d layers of %s %s", g.model.Layers, req.Model, req.Version).
 			WithRetryAfter(noPipelineRetry)
 	}
-	route := w.route()
-	return route, s.grant(&w), nil
+	s.observeRequest(req.key(), float64(req.PromptTokens), w.tokens)
+	return w.route(), s.grant(&w), nil
 }
 
 // noPipelineRetry is when a caller may try again after no chain was found.
@@ -167,13 +169,17 @@
 	h := &w.g.holders[e.holder]
 	t := h.t
 	layers := float64(e.layers)
-	decode := (t.load(w.now) + layers) / h.decode
+	wait := t.load(w.now)
+	if e.link == nil && w.n > 0 {
+		wait *= runOnWait
+	}
+	decode := (wait + layers) / h.decode
 	prefill := (t.prefillWork + layers*w.prefillTokens(t)) / h.prefill
 	cost := decode + prefill/w.tokens
 	if e.link != nil {
 		ratio := e.link.current(w.now)
 		cost += (e.latency + e.nominal) * ratio
-		cost += e.nominal * ratio * float64(w.req.PromptTokens) / w.tokens
+		cost += e.nominal * ratio * w.prefillTokens(t) / w.tokens
 	}
 	return cost
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -63,6 +63,8 @@
 	fleet    cataloger.Fleet
 	models   []Model
 	updated  bool
+	// prompts is the mean number of prompt tokens per generated one.
+	prompts map[Key]float64
 }
 
 // New returns a selector with the defaults.
@@ -80,6 +82,7 @@
 		targets:            make(map[string]*target),
 		links:              make(map[linkKey]*link),
 		prefixes:           newPrefixIndex(),
+		prompts:            make(map[Key]float64),
 	}
 }
 
@@ -150,6 +153,21 @@
 	}
 }
 
+// promptGain is the share of one request in the mean of prompt tokens per generated token.
+const promptGain = 0.01
+
+// promptShare requires s.mu and returns the mean number of prompt tokens per generated one.
+func (s *Selector) promptShare(k Key) float64 { return s.prompts[k] }
+
+// observeRequest requires s.mu and takes a request into the mean.
+func (s *Selector) observeRequest(k Key, prompt, generated float64) {
+	ratio := prompt / generated
+	if mean, ok := s.prompts[k]; ok {
+		ratio = mean + promptGain*(ratio-mean)
+	}
+	s.prompts[k] = ratio
+}
+
 // linkOf requires s.mu and returns the state of a link, made on first use.
 func (s *Selector) linkOf(from, to string) *link {
 	k := linkKey{from, to}
--- a/internal/selector/state.go
+++ b/internal/selector/state.go
@@ -12,6 +12,10 @@
 	maxSuspicion   = 30 * time.Second
 	// reportFade is the age at which a load report counts for 1/e.
 	reportFade = 2 * time.Second
+	// reportLife is the age at which it no longer counts.
+	reportLife = 4 * reportFade
+	// healthyRatio is what still counts as a link at its stated speed.
+	healthyRatio = 1.05
 	// linkGain is the share of a new reading in a link's estimate.
 	linkGain = 0.2
 	// linkForget is the time without readings in which a bad estimate halves its excess.
@@ -84,14 +88,15 @@
 
 // load returns the layers of all streams on the target: this router's now and the others' as far as the report still counts.
 func (t *target) load(now time.Time) float64 {
-	if t.othersRunning == 0 {
+	age := now.Sub(t.reportAt)
+	if t.othersRunning == 0 || age > reportLife {
 		return t.decodeLayers
 	}
 	layers := float64(t.span())
 	if t.streams > 0 {
 		layers = t.decodeLayers / t.streams
 	}
-	fade := math.Exp(-now.Sub(t.reportAt).Seconds() / reportFade.Seconds())
+	fade := math.Exp(-age.Seconds() / reportFade.Seconds())
 	return t.decodeLayers + t.othersRunning*layers*fade
 }
 
@@ -130,14 +135,21 @@
 	l.seen = now
 }
 
-// current returns the ratio, less what has been forgotten since the last reading.
-func (l *link) current(now time.Time) float64 {
-	if l.ratio <= 1 {
+// current returns the transfer time over the nominal one, with waiting.
+func (l *link) current(now time.Time) float64 { return l.faded(l.ratio, now) }
+
+// faded returns a ratio, less what has been forgotten since the last reading.
+func (l *link) faded(ratio float64, now time.Time) float64 {
+	if ratio <= 1 {
 		return 1
 	}
 	age := now.Sub(l.seen)
 	if age < time.Second {
-		return l.ratio
+		return ratio
+	}
+	faded := 1 + (ratio-1)*math.Exp2(-age.Seconds()/linkForget.Seconds())
+	if faded < healthyRatio {
+		return 1
 	}
-	return 1 + (l.ratio-1)*math.Exp2(-age.Seconds()/linkForget.Seconds())
+	return faded
 }
--- a/internal/solver/chain.go
+++ b/internal/solver/chain.go
@@ -25,12 +25,15 @@
 	Bandwidth func(from, to int) float64
 	// FanOut bounds the links out of a holder at one layer, fastest first; 0 is no bound.
 	FanOut int
-	// Rounds is how often the rate of holders with overlaps is shared out anew; 0 takes DefaultRounds.
+	// Rounds is how often the rate of holders with overlaps is shared out anew; 0 takes fewer rounds the more holders there are.
 	Rounds int
 }
 
-// DefaultRounds is the usual number of rounds.
-const DefaultRounds = 8
+const (
+	maxRounds = 40
+	// roundHolders is the product of rounds and holders that is worth its time.
+	roundHolders = 2000
+)
 
 // Source and Sink stand for the ends of a chain in Hop.
 const (
@@ -53,8 +56,10 @@
 
 // Flow is a feasible way to share tokens out over chains.
 type Flow struct {
-	// Bound is in tokens a second; it is the exact maximum where no holdings overlap.
+	// Bound is in tokens a second; it is the exact maximum where no holdings overlap or links are free, else at most that.
 	Bound float64
+	// Limit is in tokens a second what no flow exceeds, as it is reached with free links.
+	Limit float64
 	// Hops lists every possible hop, also those without flow, ordered by From, then Layer.
 	Hops []Hop
 	// Used is the layer-tokens a second of each holder.
@@ -67,27 +72,17 @@
 	b.addSegments()
 	b.split()
 	b.addHops()
-	bound := b.net.MaxFlow(b.source, b.sink)
+	bound := b.fill()
 	rounds := c.Rounds
 	if rounds == 0 {
-		rounds = DefaultRounds
+		rounds = min(roundHolders/max(len(c.Holders), 1), maxRounds)
 	}
-	for range rounds {
-		if !b.share() {
-			break
-		}
-		added := b.net.MaxFlow(b.source, b.sink)
-		bound += added
-		if added <= bound*roundGain {
-			break
-		}
+	if b.overlaps() {
+		bound = b.improve(bound, rounds)
 	}
 	return b.result(bound)
 }
 
-// roundGain is the share of the bound below which a further round is not worth it.
-const roundGain = 1e-4
-
 // segment is the run between two neighbouring boundaries on one holder.
 type segment struct {
 	holder int
@@ -114,6 +109,8 @@
 	// bySegment holds the range of each holder's segments.
 	bySegment [][2]int
 	hops      []hopEdge
+	// limit is the bound of free links, where holdings overlap.
+	limit float64
 }
 
 func newBuilder(c Chains) *builder {
@@ -216,44 +213,8 @@
 	return others[:b.c.FanOut]
 }
 
-// share gives rate that a holder leaves unused on some segments to those that are full, and tells whether any moved.
-func (b *builder) share() bool {
-	moved := false
-	for h, holder := range b.c.Holders {
-		segments := b.segments[b.bySegment[h][0]:b.bySegment[h][1]]
-		if len(segments) < 2 {
-			continue
-		}
-		used, full := 0.0, 0.0
-		for _, s := range segments {
-			flow, layers := b.net.Flow(s.edge), float64(s.end-s.first)
-			used += flow * layers
-			if flow >= b.net.Capacity(s.edge)*(1-fullShare) {
-				full += layers
-			}
-		}
-		spare := holder.Rate - used
-		if full == 0 || spare <= holder.Rate*fullShare {
-			continue
-		}
-		for _, s := range segments {
-			flow := b.net.Flow(s.edge)
-			if flow >= b.net.Capacity(s.edge)*(1-fullShare) {
-				b.net.SetCapacity(s.edge, flow+spare/full)
-			} else {
-				b.net.SetCapacity(s.edge, flow)
-			}
-		}
-		moved = true
-	}
-	return moved
-}
-
-// fullShare is the share of a capacity below which what is left counts as none.
-const fullShare = 1e-6
-
 func (b *builder) result(bound float64) Flow {
-	f := Flow{Bound: bound, Hops: make([]Hop, len(b.hops)), Used: make([]float64, len(b.c.Holders))}
+	f := Flow{Bound: bound, Limit: max(b.limit, bound), Hops: make([]Hop, len(b.hops)), Used: make([]float64, len(b.c.Holders))}
 	for i, e := range b.hops {
 		f.Hops[i] = e.hop
 		f.Hops[i].Flow = b.net.Flow(e.edge)
--- a/internal/solver/network.go
+++ b/internal/solver/network.go
@@ -59,6 +59,20 @@
 	n.edges[edge].residual = n.edges[edge].capacity - flow
 }
 
+// Reset takes all flow off the network and gives an edge another capacity by its number.
+func (n *Network) Reset(capacity func(edge int, old float64) float64) {
+	for e := 0; e < len(n.edges); e += 2 {
+		c := min(max(capacity(e, n.edges[e].capacity), 0), math.MaxFloat64/4)
+		n.edges[e].capacity, n.edges[e].residual = c, c
+		n.edges[e+1].residual = 0
+	}
+}
+
+// Cut tells whether an edge is in the minimum cut that ended the last MaxFlow.
+func (n *Network) Cut(edge int) bool {
+	return n.level[n.edges[edge^1].to] >= 0 && n.level[n.edges[edge].to] < 0
+}
+
 // MaxFlow raises the flow from source to sink to its maximum and returns what was added since the last call.
 func (n *Network) MaxFlow(source, sink int) float64 {
 	n.zero = n.smallest()
