--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -12,12 +12,6 @@
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 )
 
-// leaveCheck is how often a stream asks whether a stage's target leaves.
-const leaveCheck = 200 * time.Millisecond
-
-// minMoveTokens is how many tokens must be left for a stream to move off a leaving target.
-const minMoveTokens = 8
-
 // follow starts the attempt of a plan and delivers its tokens; the error is that of emit.
 func (r *run) follow(ctx context.Context, p *plan) (*failure, error) {
 	actx, cancel := context.WithCancelCause(ctx)
@@ -29,7 +23,7 @@
 	dog.begin(began, r.firstBound(p))
 	stream, err := r.open(actx, p)
 	if err != nil {
-		return r.failed(classify(actx, err, head), 0), nil
+		return r.failed(r.resumeFailure(p, classify(actx, err, head), head), 0), nil
 	}
 	defer func() { _ = stream.Close() }()
 	for tokens := 0; ; {
@@ -49,6 +43,7 @@
 		if m.RequestId == r.job.RequestID && m.Attempt == r.attempt {
 			if tokens > 0 {
 				r.gaps.observe(now.Sub(began))
+				r.tail.observe(now, now.Sub(began))
 			}
 			tokens++
 			r.resumed(p)
@@ -57,7 +52,7 @@
 			return f, nil
 		}
 		began = r.d.Clock.Now()
-		dog.begin(began, r.bound(p, tokens))
+		dog.begin(began, r.bound(p, tokens, began))
 	}
 }
 
@@ -78,18 +73,22 @@
 	switch verdict {
 	case verifier.Fail:
 		r.mayHaveRun = true
-		return &failure{kind: failedInvalid, target: r.culprit(m, p.route, head), reason: reason}, nil
+		return &failure{kind: failedInvalid, target: culprit(m, p.route, head, reason), reason: reason}, nil
 	case verifier.Deliver:
 		r.mayHaveRun = true
+		r.receipt = m.Receipt
 		p.permit.Observe(m.Receipt)
 	}
 	return nil, nil
 }
 
-// culprit returns the first target whose run differs from the route.
-func (r *run) culprit(m *message, route cataloger.Route, head string) string {
+// culprit returns the first target whose run differs from the route, the first stage for parts out of place, or "" where any target may be at fault.
+func culprit(m *message, route cataloger.Route, head string, reason verifier.Reason) string {
+	if reason == verifier.ReasonSkippedPosition || reason == verifier.ReasonNoReceipt {
+		return head
+	}
 	for i, s := range route.Stages {
-		if m.Receipt == nil || i >= len(m.Receipt.Stages) {
+		if i >= len(m.Receipt.Stages) {
 			return s.Target
 		}
 		run := m.Receipt.Stages[i]
@@ -97,7 +96,7 @@
 			return s.Target
 		}
 	}
-	return head
+	return ""
 }
 
 // failed notes whether the attempt may have run a layer.
@@ -116,11 +115,11 @@
 	return r.d.FirstTokenStall + 2*p.permit.FirstToken()
 }
 
-func (r *run) bound(p *plan, tokens int) time.Duration {
+func (r *run) bound(p *plan, tokens int, now time.Time) time.Duration {
 	if tokens == 0 {
 		return r.firstBound(p)
 	}
-	return r.gaps.bound(r.d.MinStall, r.d.MaxStall)
+	return r.gaps.bound(r.tail.least(now, r.d.MinStall), r.d.MaxStall)
 }
 
 func (r *run) open(ctx context.Context, p *plan) (*engineer.Stream, error) {
@@ -160,34 +159,3 @@
 		r.d.counts.resumed.Inc(1)
 	}
 }
-
-// move takes the stream off a leaving target, if there is one and enough of the answer is left; otherwise the stream goes on.
-func (r *run) move(ctx context.Context, now time.Time, p plan) *failure {
-	if r.d.Leaving == nil || r.d.Substitute == nil || now.Sub(r.leaveChecked) < leaveCheck {
-		return nil
-	}
-	r.leaveChecked = now
-	if r.job.end()-r.checker.Next() < minMoveTokens {
-		return nil
-	}
-	f := &failure{kind: failedMove, target: r.leaving(p.route)}
-	if f.target == "" {
-		return nil
-	}
-	moved, ok := r.replace(ctx, p, f)
-	if !ok {
-		return nil
-	}
-	f.moved = moved
-	return f
-}
-
-// leaving returns the first target of the route that leaves, or "".
-func (r *run) leaving(route cataloger.Route) string {
-	for _, s := range route.Stages {
-		if r.d.Leaving(s.Target) {
-			return s.Target
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/internal/dispatcher/bench_test.go
@@ -0,0 +1,157 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/enginefaker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+)
+
+const benchTokens = 64
+
+// instant is an engine that answers at once, without a network.
+func instant() *engineer.Engine {
+	return &engineer.Engine{
+		Generate: func(_ context.Context, req *enginev1.GenerateRequest) (*engineer.Stream, error) {
+			receipt := &v1.Receipt{Version: "v1"}
+			for _, s := range req.Route {
+				receipt.Stages = append(receipt.Stages, &v1.StageRun{Target: s.Target, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
+			}
+			position := req.StartPosition
+			return &engineer.Stream{
+				Close: func() error { return nil },
+				Receive: func() (*enginev1.GenerateResponse, error) {
+					position++
+					return &enginev1.GenerateResponse{RequestId: req.RequestId, Attempt: req.Attempt, Position: position - 1, Receipt: receipt}, nil
+				},
+			}, nil
+		},
+		Cancel: func(context.Context, *enginev1.CancelRequest) (*enginev1.CancelResponse, error) { return nil, nil },
+	}
+}
+
+// BenchmarkToken measures what the dispatcher itself adds per token, with selection, checks, watchdog and accounting.
+func BenchmarkToken(b *testing.B) {
+	for _, streams := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			w := newBench(b, threeStagesTwice, nil)
+			engine := instant()
+			w.dispatcher.Engine = func(string) *engineer.Engine { return engine }
+			var id atomic.Int64
+			b.SetParallelism(max(streams/10, 1))
+			b.ReportAllocs()
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				left := 0
+				emit := func(Part) error {
+					left--
+					return nil
+				}
+				for pb.Next() {
+					if left > 0 {
+						left--
+						continue
+					}
+					left = benchTokens
+					if err := w.dispatcher.Run(b.Context(), testJob(fmt.Sprint(id.Add(1)), benchTokens), emit); err != nil {
+						b.Error(err)
+						return
+					}
+					left = benchTokens - 1
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
+
+// BenchmarkLoopback compares whole answers by the dispatcher with direct calls of the same fake engine.
+func BenchmarkLoopback(b *testing.B) {
+	unlimited := func(c *enginefaker.Config) { c.PrefillRate, c.DecodeRate = 0, 0 }
+	w := newBench(b, [][2]uint32{{0, 12}}, unlimited)
+	var id atomic.Int64
+	run := map[string]func() error{
+		"direct": func() error {
+			req := &enginev1.GenerateRequest{
+				Workspace: "w", RequestId: fmt.Sprint("d", id.Add(1)), Attempt: 1, Model: "m", Version: "v1", MaxTokens: benchTokens,
+				Prompt: testJob("", 1).Prompt, Route: []*enginev1.Stage{{Target: "e0", EndLayer: 12}},
+			}
+			s, err := w.dispatcher.Engine(w.fleet.Targets[0].Address).Generate(b.Context(), req)
+			if err != nil {
+				return err
+			}
+			for range benchTokens {
+				if _, err := s.Receive(); err != nil {
+					return err
+				}
+			}
+			return s.Close()
+		},
+		"dispatcher": func() error {
+			return w.dispatcher.Run(b.Context(), testJob(fmt.Sprint("r", id.Add(1)), benchTokens), func(Part) error { return nil })
+		},
+	}
+	for _, name := range []string{"direct", "dispatcher"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := run[name](); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N*benchTokens)/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
+
+// BenchmarkRecovery measures the time from the token before a fault to the token after it, on loopback engines.
+func BenchmarkRecovery(b *testing.B) {
+	for _, kind := range []enginefaker.FaultKind{enginefaker.FaultBreak, enginefaker.FaultDie, enginefaker.FaultStall, enginefaker.FaultWrongVersion} {
+		for stage := range 3 {
+			b.Run(fmt.Sprintf("%s/stage=%d", kind, stage), func(b *testing.B) {
+				var total, worst time.Duration
+				for b.Loop() {
+					gap := recoverOnce(b, kind, stage)
+					total += gap
+					worst = max(worst, gap)
+				}
+				b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms-gap")
+				b.ReportMetric(float64(worst.Milliseconds()), "ms-gap-worst")
+			})
+		}
+	}
+}
+
+func recoverOnce(b *testing.B, kind enginefaker.FaultKind, stage int) time.Duration {
+	w := newBench(b, threeStagesTwice, nil)
+	w.dispatcher.MinStall = DefaultMinStall
+	job := testJob("r", 30)
+	var longest time.Duration
+	last := time.Now()
+	col := &collector{t: b, job: job}
+	fault := at(5, stage, func(target string) {
+		require.NoError(b, w.engines[target].SetFaults(enginefaker.Fault{Kind: kind}))
+	})
+	col.each = func(p Part) error {
+		if p.Position > 0 {
+			longest = max(longest, time.Since(last))
+		}
+		err := fault(p)
+		last = time.Now()
+		return errors.Wrap(err, "fault")
+	}
+	require.NoError(b, w.dispatcher.Run(b.Context(), job, col.emit))
+	return longest
+}
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -13,6 +13,7 @@
 	resumed   metrics.Counter
 	imported  metrics.Counter
 	refilled  metrics.Counter
+	slow      metrics.Counter
 	moved     metrics.Counter
 	broken    metrics.Counter
 	stalled   metrics.Counter
@@ -34,6 +35,7 @@
 		resumed:   count("dispatcher.recovered.resume"),
 		imported:  count("dispatcher.recovered.kv-import"),
 		refilled:  count("dispatcher.recovered.prefill"),
+		slow:      count("dispatcher.slow"),
 		moved:     count("dispatcher.moved"),
 		broken:    count("dispatcher.failed.broken"),
 		stalled:   count("dispatcher.failed.stalled"),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,7 +20,7 @@
 
 // Defaults of a Dispatcher.
 const (
-	DefaultFirstTokenStall = 2 * time.Second
+	DefaultFirstTokenStall = 1800 * time.Millisecond
 	DefaultResumeWait      = 30 * time.Millisecond
 	DefaultExportWait      = 15 * time.Millisecond
 	DefaultImportWait      = time.Second
@@ -48,7 +48,7 @@
 	Leaving func(target string) bool
 	// Failed reports a target that lost a stream.
 	Failed func(target string)
-	// Stalled reports the targets of a chain that went silent while each of them still answers.
+	// Stalled reports the targets of a chain of which one, not known which, is silent, slow or wrong.
 	Stalled func(targets []string)
 
 	// MaxStall and MinStall bound the silence between tokens that is waited for.
@@ -67,6 +67,7 @@
 
 	random  sync.Mutex
 	budgets *budgets
+	tails   *gapTails
 	counts  *counters
 	cancels chan struct{}
 	wait    sync.WaitGroup
@@ -80,6 +81,7 @@
 		ResumeWait: DefaultResumeWait, ExportWait: DefaultExportWait, ImportWait: DefaultImportWait,
 		ProbeWait: DefaultProbeWait, CancelWait: DefaultCancelWait, RecoverWait: DefaultRecoverWait,
 		budgets: newBudgets(),
+		tails:   newGapTails(),
 		counts:  newCounters(registry),
 		cancels: make(chan struct{}, maxCancels),
 	}
@@ -112,7 +114,7 @@
 		attempt:   job.FirstAttempt,
 		delivered: job.Delivered,
 		prefixes:  engineer.Prefixes(job.Model, job.Version, job.Adapter, job.Prompt),
-		begun:     d.Clock.Now(),
+		tail:      d.tails.of(job.Model, job.Version),
 	}
 	return r.run(ctx)
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -77,7 +77,10 @@
 	b.update()
 	pool := engineer.NewPool(client)
 	b.dispatcher = New(timer.System{}, rand.New(rand.NewPCG(3, 4)), zerolog.Nop(), b.registry, b.selector, pool)
+	// Real time is only for what is not about waiting; the bounds are tested in virtual time.
 	b.dispatcher.MinStall = time.Second
+	b.dispatcher.ResumeWait = time.Second
+	b.dispatcher.ExportWait = time.Second
 	t.Cleanup(func() {
 		b.dispatcher.Wait()
 		pool.Close()
--- a/internal/dispatcher/failure.go
+++ b/internal/dispatcher/failure.go
@@ -112,8 +112,12 @@
 	if f.kind == failedFenced {
 		return
 	}
+	if f.target == "" {
+		r.blameAll(p)
+		return
+	}
 	r.shun(f.target)
-	if f.kind != failedRefused && f.target != "" && r.d.Failed != nil {
+	if f.kind != failedRefused && r.d.Failed != nil {
 		r.d.Failed(f.target)
 	}
 }
@@ -130,9 +134,13 @@
 	if len(silent) == 1 {
 		f.target = silent[0]
 	}
-	if len(silent) > 0 {
-		return
+	if len(silent) == 0 {
+		r.blameAll(p)
 	}
+}
+
+// blameAll keeps the job off the whole chain and spreads the blame over it.
+func (r *run) blameAll(p plan) {
 	var all []string
 	for _, s := range p.route.Stages {
 		r.shun(s.Target)
--- a/internal/dispatcher/fault_test.go
+++ b/internal/dispatcher/fault_test.go
@@ -39,10 +39,12 @@
 		{enginefaker.FaultSkipLayer, 1, "verifier.layer-missing"},
 		{enginefaker.FaultDuplicateLayer, 1, "verifier.layer-repeated"},
 		{enginefaker.FaultWrongVersion, 1, "verifier.wrong-version"},
+		{enginefaker.FaultWrongVersion, 0, "verifier.wrong-version"},
+		{enginefaker.FaultSkipLayer, 0, "verifier.layer-missing"},
 	}
 	for _, c := range cases {
 		for stage := range 3 {
-			t.Run(fmt.Sprintf("%s/stage %d", c.kind, stage), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/times %d/stage %d", c.kind, c.times, stage), func(t *testing.T) {
 				b := newBench(t, threeStagesTwice, nil)
 				job := testJob("r", 30)
 				col := &collector{t: t, job: job}
@@ -309,3 +311,21 @@
 	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
 	col.requireWhole()
 }
+
+func TestSlowStageIsReplacedWithItsCache(t *testing.T) {
+	b := newBench(t, threeStagesTwice, slow)
+	warm := &collector{t: t, job: testJob("warm", 60)}
+	require.NoError(t, b.dispatcher.Run(t.Context(), warm.job, warm.emit))
+	job := testJob("r", 60)
+	col := &collector{t: t, job: job}
+	slowed := ""
+	col.each = at(5, 1, func(target string) {
+		slowed = target
+		delay := enginefaker.Duration(200 * time.Millisecond)
+		require.NoError(t, b.engines[target].SetFaults(enginefaker.Fault{Kind: enginefaker.FaultDelay, Delay: delay}))
+	})
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	col.requireWhole()
+	require.Equal(t, int64(1), b.count("dispatcher.moved"))
+	require.NotEqual(t, slowed, col.parts[59].Receipt.Stages[1].Target)
+}
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -11,6 +11,7 @@
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/verifier"
+	commonv1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -23,7 +24,7 @@
 	attempt   uint32
 	delivered [][]byte
 	prefixes  []uint64
-	begun     time.Time
+	tail      *gapTail
 	// avoid names the targets that failed this job.
 	avoid []string
 	// failures counts attempts that were replaced because they failed.
@@ -31,8 +32,11 @@
 	// mayHaveRun is set once an engine may have run a layer.
 	mayHaveRun bool
 	gaps       gapEstimator
-	// leaveChecked is when the stages were last asked whether they leave.
-	leaveChecked time.Time
+	// receipt is that of the last token.
+	receipt *commonv1.Receipt
+	// moveChecked is when the stream last looked whether it should move.
+	moveChecked time.Time
+	slowMoves   int
 }
 
 // plan is how the next attempt begins.
--- a/internal/dispatcher/stall.go
+++ b/internal/dispatcher/stall.go
@@ -7,8 +7,8 @@
 
 // Gap estimator constants.
 const (
-	// DefaultMaxStall bounds how long a silent stream is waited for after its first token.
-	DefaultMaxStall = 2 * time.Second
+	// DefaultMaxStall bounds how long a silent stream is waited for after its first token; with the probe after it, that is under 2 s.
+	DefaultMaxStall = 1800 * time.Millisecond
 	// DefaultMinStall keeps short pauses of fast streams from counting as stalls.
 	DefaultMinStall = 400 * time.Millisecond
 	meanGain        = 1.0 / 8
