--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -15,6 +15,8 @@
 	minMoveTokens = 8
 	// slowFactor is the multiple of the mean gap over all streams at which a stream is slow.
 	slowFactor = 4
+	// slowLeast is the mean gap in seconds that is never slow, the stated target for 95 in 100 gaps.
+	slowLeast = 0.031
 	// slowGaps is how many gaps a stream must have seen before it is called slow.
 	slowGaps = 8
 	// maxSlowMoves bounds the moves of one job off slow targets.
@@ -62,7 +64,7 @@
 // slow returns the slowest target of a stream that is much slower than others, as far as the retry budget allows, or "".
 func (r *run) slow() string {
 	mean, known := r.tail.mean()
-	if !known || r.slowMoves >= maxSlowMoves || r.gaps.gaps < slowGaps || r.gaps.mean < slowFactor*mean {
+	if !known || r.slowMoves >= maxSlowMoves || r.gaps.gaps < slowGaps || r.gaps.mean < max(slowFactor*mean, slowLeast) {
 		return ""
 	}
 	if !r.d.budgets.spend(budgetKey{r.job.Workspace, r.job.Service}, r.job.RetryBudget) {
--- a/internal/enginefaker/stage.go
+++ b/internal/enginefaker/stage.go
@@ -66,10 +66,10 @@
 	if s.e.fenced(s.key, s.req.Attempt) {
 		return nil, s.e.refuse(connect.CodeAborted, "fenced", "attempt %d is fenced", s.req.Attempt)
 	}
+	begin := s.e.cfg.Clock.Now()
 	if err := s.strikeBefore(ctx); err != nil {
 		return nil, err
 	}
-	begin := s.e.cfg.Clock.Now()
 	if err := s.work(ctx); err != nil {
 		return nil, err
 	}
