Pass the network into a daemon and add one in memory

Cause: faults of a whole fleet that last minutes cannot be tested in real time, and nothing could cut or hold a daemon's connections.

Change: router.Config carries Listen and Dial; internal/netfaker is a network in memory with latency, kills, blocks and partitions that runs in synctest bubbles, HTTP/2 included.

--- a/internal/command/dev/fleet.go
+++ b/internal/command/dev/fleet.go
@@ -185,11 +185,16 @@
 		if err := s.Check(); err != nil {
 			return err
 		}
-		r, err := router.New(s, f.log, timer.System{})
+		r, err := router.New(router.Config{
+			Settings: s,
+			Log:      f.log,
+			Clock:    timer.System{},
+			Network:  router.TCP(),
+			Ready:    func(address string) { f.opts.IO.Printf("%s ready on %s\n", s.Name, address) },
+		})
 		if err != nil {
 			return err
 		}
-		r.Ready = func(address string) { f.opts.IO.Printf("%s ready on %s\n", s.Name, address) }
 		f.routers = append(f.routers, r)
 	}
 	return nil
--- a/internal/command/router/start/start.go
+++ b/internal/command/router/start/start.go
@@ -73,11 +73,16 @@
 	for _, name := range opts.Unknown {
 		log.Warn().Str("variable", name).Msg("environment variable is not read by any flag")
 	}
-	r, err := router.New(opts.Settings, log, timer.System{})
+	r, err := router.New(router.Config{
+		Settings: opts.Settings,
+		Log:      log,
+		Clock:    timer.System{},
+		Network:  router.TCP(),
+		Ready:    func(address string) { opts.IO.Printf("router ready on %s\n", address) },
+	})
 	if err != nil {
 		return exiter.WrapFlag(err)
 	}
-	r.Ready = func(address string) { opts.IO.Printf("router ready on %s\n", address) }
 	ended := make(chan struct{})
 	defer close(ended)
 	go watchSignals(ctx, opts, log, r, ended)
--- a/internal/engineer/pool.go
+++ b/internal/engineer/pool.go
@@ -1,6 +1,7 @@
 package engineer
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -16,11 +17,16 @@
 
 // HTTPClient returns a client that speaks HTTP/2 without TLS.
 func HTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return HTTPClientOver(dialer.DialContext)
+}
+
+// HTTPClientOver returns a client that speaks HTTP/2 without TLS over the connections of dial.
+func HTTPClientOver(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:     dialer.DialContext,
+		DialContext:     dial,
 		Protocols:       protocols,
 		IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -75,11 +75,15 @@
 
 // New returns a forwarder with a transport of its own.
 func New(clock timer.Clock) *Forwarder {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewOver(clock, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// NewOver returns a forwarder with a transport of its own over the connections of dial.
+func NewOver(clock timer.Clock, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Forwarder {
 	return &Forwarder{
 		Clock: clock,
 		Transport: &http.Transport{
-			DialContext:         dialCounted(dialer.DialContext),
+			DialContext:         dialCounted(dial),
 			MaxIdleConnsPerHost: maxIdlePerTarget,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
--- /dev/null
+++ b/internal/netfaker/network.go
@@ -0,0 +1,228 @@
+package netfaker
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const firstFreePort = 40_000
+
+// Network joins hosts by connections in memory.
+type Network struct {
+	// Latency returns the one-way delay between two hosts; nil is none.
+	Latency func(from, to string) time.Duration
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+	dead      map[string]bool
+	blocked   map[pair]bool
+	healed    chan struct{}
+	nextPort  int
+}
+
+type pair struct{ from, to string }
+
+// New returns a network without hosts.
+func New() *Network {
+	return &Network{
+		listeners: map[string]*listener{},
+		conns:     map[*conn]struct{}{},
+		dead:      map[string]bool{},
+		blocked:   map[pair]bool{},
+		healed:    make(chan struct{}),
+		nextPort:  firstFreePort,
+	}
+}
+
+// Host is one machine, named by its IP number.
+type Host struct {
+	net *Network
+	ip  string
+}
+
+// Host returns the machine with an IP number.
+func (n *Network) Host(ip string) *Host { return &Host{net: n, ip: ip} }
+
+// Listen listens on an address of the host; port 0 takes a free one.
+func (h *Host) Listen(_, address string) (net.Listener, error) {
+	ip, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	n := h.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if port == "0" {
+		n.nextPort++
+		port = strconv.Itoa(n.nextPort)
+	}
+	address = net.JoinHostPort(ip, port)
+	if n.listeners[address] != nil {
+		return nil, opError("listen", syscall.EADDRINUSE)
+	}
+	l := newListener(n, address)
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects the host to an address; an unreachable host is waited for until ctx is done.
+func (h *Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	n := h.net
+	for {
+		n.mu.Lock()
+		if n.dead[h.ip] || n.dead[ip] {
+			n.mu.Unlock()
+			return nil, opError("dial", syscall.ECONNREFUSED)
+		}
+		if !n.blocked[pair{h.ip, ip}] && !n.blocked[pair{ip, h.ip}] {
+			conn, err := n.connect(h.ip, ip, address)
+			n.mu.Unlock()
+			return conn, err
+		}
+		healed := n.healed
+		n.mu.Unlock()
+		select {
+		case <-healed:
+		case <-ctx.Done():
+			return nil, opError("dial", ctx.Err())
+		}
+	}
+}
+
+// connect makes a connection; n.mu is held.
+func (n *Network) connect(from, to, address string) (net.Conn, error) {
+	l := n.listeners[address]
+	if l == nil {
+		return nil, opError("dial", syscall.ECONNREFUSED)
+	}
+	n.nextPort++
+	local := tcpAddr(net.JoinHostPort(from, strconv.Itoa(n.nextPort)))
+	client := &conn{net: n, local: local, remote: tcpAddr(address)}
+	server := &conn{net: n, local: tcpAddr(address), remote: local}
+	there := newHalf(n, from, to)
+	back := newHalf(n, to, from)
+	client.in, client.out = back, there
+	server.in, server.out = there, back
+	if !l.offer(server) {
+		return nil, opError("dial", syscall.ECONNREFUSED)
+	}
+	n.conns[client] = struct{}{}
+	n.conns[server] = struct{}{}
+	return client, nil
+}
+
+// Kill cuts every connection of a host and refuses new ones until Revive.
+func (n *Network) Kill(ip string) {
+	n.mu.Lock()
+	n.dead[ip] = true
+	var cut []*conn
+	for c := range n.conns {
+		if c.in.to == ip || c.in.from == ip {
+			cut = append(cut, c)
+		}
+	}
+	for address, l := range n.listeners {
+		if host, _, _ := net.SplitHostPort(address); host == ip {
+			delete(n.listeners, address)
+			l.shut()
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range cut {
+		c.reset()
+	}
+}
+
+// Revive lets a host that was killed listen and dial again.
+func (n *Network) Revive(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.dead, ip)
+}
+
+// Block holds back everything from one host to another until Unblock; nothing is lost, as TCP sends it again.
+func (n *Network) Block(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked[pair{from, to}] = true
+}
+
+// Unblock ends Block and delivers what was held back.
+func (n *Network) Unblock(from, to string) {
+	n.mu.Lock()
+	delete(n.blocked, pair{from, to})
+	close(n.healed)
+	n.healed = make(chan struct{})
+	var waiting []*half
+	for c := range n.conns {
+		waiting = append(waiting, c.in)
+	}
+	n.mu.Unlock()
+	for _, h := range waiting {
+		h.wake()
+	}
+}
+
+// Partition blocks both directions between two groups of hosts; the returned function heals it.
+func (n *Network) Partition(a, b []string) (heal func()) {
+	each := func(f func(from, to string)) {
+		for _, x := range a {
+			for _, y := range b {
+				f(x, y)
+				f(y, x)
+			}
+		}
+	}
+	each(n.Block)
+	return func() { each(n.Unblock) }
+}
+
+func (n *Network) isBlocked(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.blocked[pair{from, to}]
+}
+
+func (n *Network) delay(from, to string) time.Duration {
+	if n.Latency == nil {
+		return 0
+	}
+	return n.Latency(from, to)
+}
+
+func (n *Network) forget(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+func (n *Network) unlisten(l *listener) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[l.address] == l {
+		delete(n.listeners, l.address)
+	}
+}
+
+func opError(op string, err error) error {
+	return &net.OpError{Op: op, Net: "tcp", Err: err}
+}
+
+func tcpAddr(address string) net.Addr {
+	host, port, _ := net.SplitHostPort(address)
+	number, _ := strconv.Atoi(port)
+	return &net.TCPAddr{IP: net.ParseIP(host), Port: number}
+}
+
+var errReset = errors.New("connection reset by peer")
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -31,7 +31,7 @@
 }
 
 func (r *Router) buildSelection() (registrar.Service, error) {
-	r.engines = engineer.NewPool(engineer.HTTPClient())
+	r.engines = engineer.NewPool(engineer.HTTPClientOver(r.Network.Dial))
 	r.selector = selector.New(r.Clock, r.random())
 	r.dispatch = dispatcher.New(r.Clock, r.random(), r.Log, r.meter.Registry, r.selector, r.engines)
 	return registrar.Service{
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -13,10 +13,7 @@
 	"github.com/rattantray/rattantray/pkg/caller"
 )
 
-const (
-	platformDialTimeout = 2 * time.Second
-	budgetInterval      = 10 * time.Second
-)
+const budgetInterval = 10 * time.Second
 
 func (r *Router) buildStore() (registrar.Service, error) {
 	client, err := r.platformClient()
@@ -38,7 +35,7 @@
 }
 
 func (r *Router) platformClient() (*http.Client, error) {
-	return caller.HTTPClient(caller.TLSFiles{CA: r.Settings.PlatformCA}, platformDialTimeout)
+	return caller.HTTPClientOver(r.Network.Dial, caller.TLSFiles{CA: r.Settings.PlatformCA})
 }
 
 // runBudget shares the rates of the object API out over the members that live.
@@ -60,9 +57,12 @@
 		Incarnation: r.local.Incarnation,
 		DataCentre:  r.local.DataCentre,
 		Security:    security,
-		Clock:       r.Clock,
-		Random:      r.random(),
-		Log:         r.Log,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return r.Network.Dial(ctx, "tcp", address)
+		},
+		Clock:  r.Clock,
+		Random: r.random(),
+		Log:    r.Log,
 	})
 	if err != nil {
 		return registrar.Service{}, err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,15 +44,37 @@
 	ServiceOperations = "operations"
 )
 
-const randomKeyBytes = 32
+const (
+	randomKeyBytes  = 32
+	dialTimeout     = 2 * time.Second
+	keepAlivePeriod = 15 * time.Second
+)
 
-// Router is one daemon.
-type Router struct {
+// Network is how a daemon reaches others and is reached.
+type Network struct {
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP returns the network of the operating system.
+func TCP() Network {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return Network{Listen: net.Listen, Dial: dialer.DialContext}
+}
+
+// Config is what a daemon is made of.
+type Config struct {
 	Settings Settings
 	Log      zerolog.Logger
 	Clock    timer.Clock
+	Network  Network
 	// Ready is called with the address for callers once the daemon serves; nil where nobody waits.
 	Ready func(address string)
+}
+
+// Router is one daemon.
+type Router struct {
+	Config
 
 	registrar *registrar.Registrar
 	meter     *meter.Meter
@@ -76,16 +98,16 @@
 }
 
 // New returns a daemon with settings that were checked.
-func New(settings Settings, log zerolog.Logger, clock timer.Clock) (*Router, error) {
-	settings = settings.WithDefaults()
-	now := clock.Now()
+func New(config Config) (*Router, error) {
+	settings := config.Settings.WithDefaults()
+	config.Settings = settings
+	config.Log = config.Log.With().Str("member", settings.Name).Logger()
+	now := config.Clock.Now()
 	r := &Router{
-		Settings: settings,
-		Log:      log.With().Str("member", settings.Name).Logger(),
-		Clock:    clock,
-		meter:    meter.New(),
-		begun:    now,
-		plain:    forwarder.New(clock),
+		Config: config,
+		meter:  meter.New(),
+		begun:  now,
+		plain:  forwarder.NewOver(config.Clock, config.Network.Dial),
 		local: cataloger.Member{
 			Name: settings.Name,
 			// The wall clock orders the starts of one daemon; the fleet settles ties by refutation.
@@ -97,7 +119,7 @@
 			State:       cataloger.StateLive,
 		},
 	}
-	r.registrar = registrar.New(r.Log, clock)
+	r.registrar = registrar.New(r.Log, r.Clock)
 	r.shutdown = newShutdown(r)
 	for _, build := range r.builders() {
 		service, err := build()
@@ -165,7 +187,7 @@
 }
 
 func (r *Router) listen(name, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := r.Network.Listen("tcp", address)
 	return listener, errors.Wrapf(err, "--%s", name)
 }
 
--- a/pkg/caller/transport.go
+++ b/pkg/caller/transport.go
@@ -32,8 +32,13 @@
 // HTTPClient returns a client that speaks HTTP/2, without TLS where no CA is named.
 func HTTPClient(files TLSFiles, dialTimeout time.Duration) (*http.Client, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return HTTPClientOver(dialer.DialContext, files)
+}
+
+// HTTPClientOver is HTTPClient over the connections of dial.
+func HTTPClientOver(dial func(ctx context.Context, network, address string) (net.Conn, error), files TLSFiles) (*http.Client, error) {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
