--- /dev/null
+++ b/internal/journaler/compaction.go
@@ -0,0 +1,92 @@
+package journaler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+// compactionAt returns when the oldest segment is expired as a whole; the zero time is never.
+func (s *shard) compactionAt() time.Time {
+	if len(s.head.Segments) == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.head.Segments[0].ExpiresMs)
+}
+
+func (s *shard) compactionDue(now time.Time) bool {
+	at := s.compactionAt()
+	return !at.IsZero() && !now.Before(at)
+}
+
+// compact drops expired segments. Ids that carry their time are refused by the horizon from then on; of the others a
+// fingerprint is kept in the archive, so that an id once claimed is never taken for a new one.
+func (s *shard) compact(now time.Time) {
+	s.compactedAt = now
+	s.forgetting = s.table.expired(millis(now), s.limits.ForgetBatch)
+	var prints []byte
+	for _, key := range s.forgetting {
+		r := s.table.records[key]
+		if r.state != stateNotRun {
+			prints = append(prints, encodeRecord(key, &record{state: stateForgotten})...)
+		}
+	}
+	if len(prints) == 0 {
+		s.finishCompaction()
+		return
+	}
+	s.beginSegment(&s.archive, prints, 0, true)
+}
+
+// finishCompaction writes a head without the expired segments, once the fingerprints are stored.
+func (s *shard) finishCompaction() {
+	at := millis(s.compactedAt)
+	if len(s.forgetting) < s.limits.ForgetBatch {
+		s.head.HorizonMs = max(s.head.HorizonMs, at-s.limits.Window.Milliseconds())
+		s.dropExpired(at)
+	}
+	s.prepare(nil, nil)
+	s.commit.forget = s.forgetting
+	s.forgetting = nil
+}
+
+func (s *shard) dropExpired(at int64) {
+	for len(s.head.Segments) > 0 && s.head.Segments[0].ExpiresMs <= at {
+		dropped := s.head.Segments[0]
+		s.head.Segments = s.head.Segments[1:]
+		s.head.Garbage = append(s.head.Garbage, dropped.Number)
+		if dropped.Number == s.tail.number {
+			s.tail = tail{}
+		}
+	}
+}
+
+// nextGarbage deletes a segment that is out of use, when there is nothing else to do.
+func (s *shard) nextGarbage(wake time.Time) (storeCall, bool, time.Time) {
+	if len(s.head.Garbage) == 0 {
+		return storeCall{}, false, wake
+	}
+	key := s.segmentKey(s.head.Garbage[0])
+	if s.deleting == 0 {
+		return storeCall{typ: callGet, purpose: purposeGarbage, key: key}, true, wake
+	}
+	return storeCall{typ: callDelete, purpose: purposeGarbage, key: key, expected: s.deleting}, true, wake
+}
+
+func (s *shard) garbageDone(now time.Time, call storeCall, res storeResult) {
+	deleted := call.typ == callDelete && res.err == nil
+	switch {
+	case deleted || errors.Is(res.err, storer.ErrNotFound):
+		s.deleting = 0
+		s.head.Garbage = slices.Clone(s.head.Garbage[1:])
+		s.succeeded()
+	case call.typ == callGet && res.err == nil:
+		s.deleting = res.object.Version
+	default:
+		s.deleting = 0
+		s.failed(now)
+	}
+}
--- /dev/null
+++ b/internal/journaler/segment.go
@@ -0,0 +1,126 @@
+package journaler
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+// segmentWrite is the write of a segment that grows.
+type segmentWrite struct {
+	archive  bool
+	next     tail
+	value    []byte
+	expected uint64
+	readBack bool
+}
+
+// seal begins to move the head's records to the newest segment; the head holds them until its next write.
+func (s *shard) seal() {
+	s.beginSegment(&s.tail, s.open, s.openExpires, false)
+}
+
+func (s *shard) beginSegment(t *tail, records []byte, expires int64, archive bool) {
+	next := tail{number: t.number, expires: max(t.expires, expires)}
+	expected := t.version
+	if t.version == 0 || len(t.bytes)+len(records) > s.limits.SegmentBytes {
+		s.head.NextSegment++
+		next = tail{number: s.head.NextSegment, expires: expires}
+		expected = 0
+	} else {
+		next.bytes = append(next.bytes, t.bytes...)
+	}
+	next.bytes = append(next.bytes, records...)
+	header := mustMarshal(&peerv1.JournalSegment{
+		Epoch:       s.head.Epoch,
+		Owner:       s.head.Owner,
+		Incarnation: s.head.Incarnation,
+	})
+	s.segment = &segmentWrite{
+		archive:  archive,
+		next:     next,
+		value:    append(header, next.bytes...),
+		expected: expected,
+	}
+}
+
+func (s *shard) segmentCall() storeCall {
+	w := s.segment
+	key := s.segmentKey(w.next.number)
+	if w.readBack {
+		return storeCall{typ: callGet, purpose: purposeSegmentReadback, key: key}
+	}
+	return storeCall{typ: callPut, purpose: purposeSegment, key: key, value: w.value, expected: w.expected}
+}
+
+func (s *shard) segmentWritten(now time.Time, res storeResult) {
+	switch {
+	case res.err == nil:
+		s.segmentStored(res.version)
+	case errors.Is(res.err, storer.ErrConflict):
+		s.segment.readBack = true
+	default:
+		s.failed(now)
+	}
+}
+
+// segmentReadBack settles a conflict: the segment is this write's, of a fenced owner and may be replaced, or of a successor.
+func (s *shard) segmentReadBack(now time.Time, res storeResult) {
+	w := s.segment
+	if res.err != nil || res.object.Version <= w.expected {
+		w.readBack = false
+		s.failed(now)
+		return
+	}
+	seg := &peerv1.JournalSegment{}
+	if err := proto.Unmarshal(res.object.Value, seg); err != nil {
+		s.failed(now)
+		return
+	}
+	switch {
+	case seg.Epoch > s.head.Epoch:
+		s.fenced(now)
+	case seg.Epoch == s.head.Epoch && seg.Owner == s.head.Owner && seg.Incarnation == s.head.Incarnation:
+		s.segmentStored(res.object.Version)
+	default:
+		w.expected = res.object.Version
+		w.readBack = false
+	}
+}
+
+// segmentStored takes a segment's write that is known to have taken effect; the next head names it.
+func (s *shard) segmentStored(version uint64) {
+	w := s.segment
+	s.segment = nil
+	s.stats.Segments++
+	s.succeeded()
+	w.next.version = version
+	ref := &peerv1.JournalSegmentRef{
+		Number:    w.next.number,
+		Version:   version,
+		ExpiresMs: w.next.expires,
+		Bytes:     uint32(len(w.next.bytes)),
+	}
+	if w.archive {
+		s.archive = w.next
+		s.head.Archive = setRef(s.head.Archive, ref)
+		s.finishCompaction()
+		return
+	}
+	s.tail = w.next
+	s.head.Segments = setRef(s.head.Segments, ref)
+	s.open = nil
+	s.openExpires = 0
+}
+
+// setRef replaces the last reference where it is of the same segment, else adds one.
+func setRef(refs []*peerv1.JournalSegmentRef, ref *peerv1.JournalSegmentRef) []*peerv1.JournalSegmentRef {
+	if n := len(refs); n > 0 && refs[n-1].Number == ref.Number {
+		refs = refs[:n-1]
+	}
+	return append(refs, ref)
+}
--- /dev/null
+++ b/internal/journaler/ticket.go
@@ -0,0 +1,287 @@
+package journaler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// ticketKind says what a waiting call waits for.
+type ticketKind uint8
+
+const (
+	// waitOpen waits for the takeover.
+	waitOpen ticketKind = iota
+	// waitClaim waits until a claim is durable.
+	waitClaim
+	// waitOutcome waits for the outcome of another dispatcher's claim.
+	waitOutcome
+	// waitReport waits until a report is durable.
+	waitReport
+)
+
+// ticket is a call that waits.
+type ticket struct {
+	id       uint64
+	kind     ticketKind
+	key      Key
+	claim    *claim
+	report   *report
+	change   uint32
+	deadline time.Time
+}
+
+// reply ends a call.
+type reply struct {
+	ticket  uint64
+	verdict verdict
+}
+
+// takeReplies returns the verdicts given since the last call.
+func (s *shard) takeReplies() []reply {
+	r := s.replies
+	s.replies = nil
+	return r
+}
+
+func (s *shard) answer(id uint64, v verdict) {
+	s.replies = append(s.replies, reply{ticket: id, verdict: v})
+}
+
+func (s *shard) await(now time.Time, t *ticket) {
+	if len(s.tickets) >= s.limits.MaxWaiting {
+		s.answer(t.id, verdict{kind: verdictFull})
+		if t.kind == waitClaim {
+			s.voidIn(now, t)
+		}
+		return
+	}
+	s.tickets[t.id] = t
+	s.byKey[t.key] = append(s.byKey[t.key], t)
+	if s.earliest.IsZero() || t.deadline.Before(s.earliest) {
+		s.earliest = t.deadline
+	}
+}
+
+func (s *shard) finish(t *ticket, v verdict) {
+	s.remove(t)
+	s.answer(t.id, v)
+}
+
+func (s *shard) remove(t *ticket) {
+	delete(s.tickets, t.id)
+	rest := slices.DeleteFunc(s.byKey[t.key], func(o *ticket) bool { return o == t })
+	if len(rest) == 0 {
+		delete(s.byKey, t.key)
+		return
+	}
+	s.byKey[t.key] = rest
+}
+
+// sorted returns the waiting calls in the order they came.
+func (s *shard) sorted() []*ticket {
+	return slices.SortedFunc(maps.Values(s.tickets), func(a, b *ticket) int { return cmp.Compare(a.id, b.id) })
+}
+
+// forgetCall drops a call whose caller is gone.
+func (s *shard) forgetCall(now time.Time, id uint64) {
+	t, ok := s.tickets[id]
+	if !ok {
+		return
+	}
+	s.remove(t)
+	if t.kind == waitClaim {
+		s.voidIn(now, t)
+	}
+}
+
+// submitClaim takes a claim; its verdict comes with the ticket's number, at the deadline at the latest.
+func (s *shard) submitClaim(now time.Time, id uint64, c claim) {
+	switch {
+	case !s.wanted:
+		s.answer(id, verdict{kind: verdictNotOwner})
+		return
+	case s.phase != phaseOpen && s.outage(now):
+		s.answer(id, verdict{kind: verdictNotLoaded})
+		return
+	case s.phase != phaseOpen:
+		s.await(now, &ticket{id: id, kind: waitOpen, key: c.key, claim: &c, deadline: c.deadline})
+		return
+	}
+	if s.outage(now) && !c.readOnly {
+		r, ok := s.table.records[c.key]
+		if (!ok || r.state == stateNotRun) && s.table.ageVerdict(millis(now), c.issued) == verdictNone {
+			s.answer(id, verdict{kind: verdictStoreDown})
+			return
+		}
+	}
+	step, v, changed := s.table.claim(now, c)
+	r := s.table.records[c.key]
+	if changed {
+		s.stats.Claims++
+		s.markDirty(now, c.key, r, true)
+	}
+	switch step {
+	case stepAnswer:
+		s.answer(id, v)
+	case stepDuplicate:
+		s.await(now, &ticket{id: id, kind: waitOutcome, key: c.key, claim: &c, deadline: c.deadline})
+	case stepClaimed:
+		if r.stored >= r.changes {
+			r.granted = true
+			s.answer(id, verdict{kind: verdictPermit})
+			return
+		}
+		s.await(now, &ticket{id: id, kind: waitClaim, key: c.key, claim: &c, change: r.changes, deadline: c.deadline})
+	}
+}
+
+// submitReport takes an outcome; the verdict says that it is durable.
+func (s *shard) submitReport(now time.Time, id uint64, rep report) {
+	switch {
+	case !s.wanted:
+		s.answer(id, verdict{kind: verdictNotOwner})
+		return
+	case s.phase != phaseOpen:
+		s.await(now, &ticket{id: id, kind: waitOpen, key: rep.key, report: &rep, deadline: rep.deadline})
+		return
+	}
+	v, changed := s.table.report(rep)
+	if v != verdictNone {
+		s.answer(id, verdict{kind: v})
+		return
+	}
+	r := s.table.records[rep.key]
+	if changed {
+		s.stats.Outcomes++
+		s.markDirty(now, rep.key, r, r.state == stateNotRun)
+	}
+	if r.stored >= r.changes {
+		s.answer(id, verdict{kind: verdictRecorded})
+	} else {
+		s.await(now, &ticket{id: id, kind: waitReport, key: rep.key, report: &rep, change: r.changes, deadline: rep.deadline})
+	}
+	if changed {
+		s.wakeDuplicates(now, rep.key)
+	}
+}
+
+// wakeDuplicates claims again for the calls that wait for an outcome which is now known.
+func (s *shard) wakeDuplicates(now time.Time, key Key) {
+	for _, t := range slices.Clone(s.byKey[key]) {
+		if t.kind == waitOutcome {
+			s.remove(t)
+			s.submitClaim(now, t.id, *t.claim)
+		}
+	}
+}
+
+// stored settles the calls that waited for the changes of a batch.
+func (s *shard) stored(now time.Time, key Key) {
+	r := s.table.records[key]
+	for _, t := range slices.Clone(s.byKey[key]) {
+		if t.kind != waitClaim && t.kind != waitReport {
+			continue
+		}
+		switch {
+		case r == nil:
+			s.finish(t, verdict{kind: verdictNotOwner})
+		case r.stored < t.change:
+		case t.kind == waitReport:
+			s.finish(t, verdict{kind: verdictRecorded})
+		case r.state != stateClaimed || r.dispatcher != t.claim.dispatcher:
+			s.finish(t, verdict{kind: verdictVoided})
+		case !now.Before(t.deadline):
+			s.voidIn(now, t)
+			s.finish(t, verdict{kind: verdictVoided})
+		default:
+			r.granted = true
+			s.finish(t, verdict{kind: verdictPermit})
+		}
+	}
+}
+
+// voidIn ends the claim of a call that gets no permit, and lets a waiting duplicate claim.
+func (s *shard) voidIn(now time.Time, t *ticket) bool {
+	if !s.voidClaim(t) {
+		return false
+	}
+	s.markDirty(now, t.key, s.table.records[t.key], false)
+	s.wakeDuplicates(now, t.key)
+	return true
+}
+
+func (s *shard) voidClaim(t *ticket) bool {
+	r, ok := s.table.records[t.key]
+	if !ok || r.dispatcher != t.claim.dispatcher || !s.table.void(r) {
+		return false
+	}
+	s.stats.Voided++
+	return true
+}
+
+// expire ends the calls whose deadline is past.
+func (s *shard) expire(now time.Time) {
+	if s.earliest.IsZero() || now.Before(s.earliest) {
+		return
+	}
+	s.earliest = time.Time{}
+	for _, t := range s.sorted() {
+		if now.Before(t.deadline) {
+			if s.earliest.IsZero() || t.deadline.Before(s.earliest) {
+				s.earliest = t.deadline
+			}
+			continue
+		}
+		if s.tickets[t.id] == t {
+			s.expireOne(now, t)
+		}
+	}
+}
+
+func (s *shard) expireOne(now time.Time, t *ticket) {
+	switch t.kind {
+	case waitOpen:
+		s.finish(t, verdict{kind: verdictNotLoaded})
+	case waitOutcome:
+		s.finish(t, verdict{kind: verdictRunning})
+	case waitReport:
+		s.finish(t, verdict{kind: verdictNotLoaded})
+	case waitClaim:
+		s.finishUnclaimed(now, t)
+	}
+}
+
+// finishUnclaimed refuses a call whose claim is not known to be durable: it is voided, or its permit is out to the same dispatcher.
+func (s *shard) finishUnclaimed(now time.Time, t *ticket) {
+	s.remove(t)
+	kind := verdictRunning
+	if s.voidIn(now, t) || s.isVoid(t) {
+		kind = verdictStoreDown
+	}
+	s.answer(t.id, verdict{kind: kind})
+}
+
+func (s *shard) isVoid(t *ticket) bool {
+	r, ok := s.table.records[t.key]
+	return ok && r.state == stateNotRun && r.dispatcher == t.claim.dispatcher
+}
+
+// refuseInOutage ends the calls that wait for the store once it has failed for longer than the grace.
+func (s *shard) refuseInOutage(now time.Time) {
+	if !s.outage(now) {
+		return
+	}
+	for _, t := range s.sorted() {
+		if s.tickets[t.id] != t {
+			continue
+		}
+		switch {
+		case t.kind == waitClaim:
+			s.finishUnclaimed(now, t)
+		case t.kind == waitOpen && t.claim != nil:
+			s.finish(t, verdict{kind: verdictNotLoaded})
+		}
+	}
+}
