--- a/internal/journaler/call.go
+++ b/internal/journaler/call.go
@@ -101,10 +101,10 @@
 	return refuse(refuser.New(refuser.StoreUnavailable, "the claim was not recorded in time").WithRetryAfter(storeRetryAfter))
 }
 
-// giveUp ends a call that got no verdict before its deadline.
-func (c *call) giveUp() decision {
+// giveUp ends a call that got no verdict.
+func (c *call) giveUp(code refuser.Code) decision {
 	c.used = true
-	return c.unconsulted(refuser.DeadlineExceeded)
+	return c.unconsulted(code)
 }
 
 // unconsulted refuses a call whose id may have run before, as nobody who knows could be asked. The call itself runs nothing.
--- /dev/null
+++ b/internal/journaler/cluster_test.go
@@ -0,0 +1,270 @@
+package journaler
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// memoryStore is an object API in memory with a latency and an outage switch.
+type memoryStore struct {
+	mu       sync.Mutex
+	objects  map[string]version
+	revision uint64
+	latency  time.Duration
+	down     bool
+	// hang makes puts of heads take this long before they have their effect.
+	hang  time.Duration
+	puts  int
+	bytes int
+	gets  int
+}
+
+func newMemoryStore(latency time.Duration) *memoryStore {
+	return &memoryStore{objects: map[string]version{}, latency: latency}
+}
+
+func (m *memoryStore) set(change func(*memoryStore)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(m)
+}
+
+func (m *memoryStore) begin(ctx context.Context, key string, put bool) error {
+	m.mu.Lock()
+	wait, down := m.latency, m.down
+	if put && strings.HasPrefix(key, "journal/heads/") {
+		wait += m.hang
+	}
+	m.mu.Unlock()
+	if err := (timer.System{}).Sleep(ctx, wait); err != nil {
+		return storer.ErrUncertain
+	}
+	if down {
+		return storer.ErrUnavailable
+	}
+	return nil
+}
+
+func (m *memoryStore) store() storer.Store {
+	return storer.Store{
+		Get: func(ctx context.Context, key string) (storer.Object, error) {
+			if err := m.begin(ctx, key, false); err != nil {
+				return storer.Object{}, err
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.gets++
+			res := getResult(key, m.objects[key])
+			return res.object, res.err
+		},
+		Put: func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+			if err := m.begin(ctx, key, true); err != nil {
+				return 0, err
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.puts++
+			m.bytes += len(value)
+			if m.objects[key].version != expected {
+				return 0, storer.ErrConflict
+			}
+			m.revision++
+			m.objects[key] = version{value: value, version: m.revision}
+			return m.revision, nil
+		},
+		Delete: func(ctx context.Context, key string, expected uint64) (uint64, error) {
+			if err := m.begin(ctx, key, true); err != nil {
+				return 0, err
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.objects[key].version != expected {
+				return 0, storer.ErrConflict
+			}
+			m.revision++
+			delete(m.objects, key)
+			return m.revision, nil
+		},
+	}
+}
+
+// cluster joins journalers by direct calls.
+type cluster struct {
+	store *memoryStore
+	mu    sync.Mutex
+	nodes map[string]*node
+	// ranking caches the owner of each shard.
+	ranking [Shards]cataloger.Member
+}
+
+type node struct {
+	*Journaler
+	member   cataloger.Member
+	handlers map[string]linker.Handler
+	cancel   context.CancelFunc
+	done     chan struct{}
+	cut      bool
+}
+
+func newCluster(store *memoryStore, names ...string) *cluster {
+	c := &cluster{store: store, nodes: map[string]*node{}}
+	for _, name := range names {
+		c.add(name, 1)
+	}
+	return c
+}
+
+func (c *cluster) add(name string, incarnation uint64) *node {
+	n := &node{member: cataloger.Member{Name: name, Incarnation: incarnation, PeerAddress: name}, done: make(chan struct{})}
+	n.Journaler = &Journaler{
+		Clock:  timer.System{},
+		Store:  c.store.store(),
+		Link:   linker.Link{Call: c.caller(name)},
+		Rand:   rand.New(rand.NewPCG(xxhash.Sum64String(name), incarnation)),
+		Limits: DefaultLimits(),
+		Self:   func() cataloger.Member { return n.member },
+		Owner:  c.owner,
+		Alive:  c.alive,
+		Find:   c.find,
+	}
+	n.handlers = n.Handlers()
+	c.mu.Lock()
+	c.nodes[name] = n
+	c.rank()
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	for !n.running.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return n
+}
+
+// rank gives each shard to the live node of the highest hash.
+func (c *cluster) rank() {
+	for shard := range c.ranking {
+		var best uint64
+		c.ranking[shard] = cataloger.Member{}
+		for name, n := range c.nodes {
+			if h := xxhash.Sum64([]byte{byte(shard), name[0], name[len(name)-1]}); h >= best {
+				best = h
+				c.ranking[shard] = n.member
+			}
+		}
+	}
+}
+
+func (c *cluster) owner(shard uint32) (cataloger.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.ranking[shard]
+	return m, m.Name != ""
+}
+
+func (c *cluster) alive(name string, incarnation uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, ok := c.nodes[name]
+	return ok && n.member.Incarnation == incarnation
+}
+
+func (c *cluster) find(incarnation string) (cataloger.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		if Incarnation(n.member) == incarnation {
+			return n.member, true
+		}
+	}
+	return cataloger.Member{}, false
+}
+
+func (c *cluster) caller(from string) func(ctx context.Context, address, method string, req, resp proto.Message) error {
+	return func(ctx context.Context, address, method string, req, resp proto.Message) error {
+		c.mu.Lock()
+		n, ok := c.nodes[address]
+		cut := ok && n.cut
+		c.mu.Unlock()
+		if !ok || cut {
+			return refuser.New(refuser.PeerUnavailable, "%s", address)
+		}
+		body, err := proto.Marshal(req)
+		if err != nil {
+			return err
+		}
+		out, err := n.handlers[method](ctx, from, body)
+		if err != nil {
+			return err
+		}
+		b, err := proto.Marshal(out)
+		if err != nil {
+			return err
+		}
+		return proto.Unmarshal(b, resp)
+	}
+}
+
+// leave takes a node out of every view and stops it; a graceful one writes what is not written.
+func (c *cluster) leave(name string, graceful bool) {
+	c.mu.Lock()
+	n := c.nodes[name]
+	delete(c.nodes, name)
+	c.rank()
+	c.mu.Unlock()
+	if !graceful {
+		n.Store.Put = func(context.Context, string, []byte, uint64) (uint64, error) { return 0, storer.ErrUnavailable }
+	}
+	n.cancel()
+	<-n.done
+}
+
+func (c *cluster) stop() {
+	c.mu.Lock()
+	var all []*node
+	for _, n := range c.nodes {
+		all = append(all, n)
+	}
+	c.mu.Unlock()
+	for _, n := range all {
+		n.cancel()
+	}
+	for _, n := range all {
+		<-n.done
+	}
+}
+
+func within(d time.Duration, id string) Request {
+	return Request{
+		Workspace: "schalter", ID: id, PayloadDigest: [32]byte{1}, Deadline: time.Now().Add(d),
+		Retention: time.Hour, AnswerBytes: 1 << 10,
+	}
+}
+
+func answering(runs *int, body string) RunFunc {
+	return func(context.Context) (Answer, error) {
+		*runs++
+		return Answer{Status: 200, Body: []byte(body)}, nil
+	}
+}
+
+func settle(t testing.TB) {
+	t.Helper()
+	time.Sleep(2 * time.Second)
+}
--- a/internal/journaler/harness_test.go
+++ b/internal/journaler/harness_test.go
@@ -430,7 +430,7 @@
 			if c.state == callVoiding {
 				h.finishRefused(c, refuser.New(refuser.OutcomeUncertain, ""))
 			} else {
-				h.act(c, c.giveUp())
+				h.act(c, c.giveUp(refuser.DeadlineExceeded))
 			}
 		}
 	}
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -2,141 +2,111 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/queuer"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/timer"
-	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
-// Journaler is the journal of one daemon.
+// Journaler is the journal of one daemon: the entry's side of every request and the owner's side of its shards.
 type Journaler struct {
 	Clock timer.Clock
 	Store storer.Store
 	Link  linker.Link
+	Log   zerolog.Logger
+	// Registry takes the metrics.
+	Registry metrics.Registry
+	Rand     *rand.Rand
+	Limits   Limits
 	// Self returns this daemon.
 	Self func() cataloger.Member
 	// Owner returns the live member that a shard belongs to.
 	Owner func(shard uint32) (cataloger.Member, bool)
 	// Alive tells whether an incarnation of a member may still be running.
 	Alive func(name string, incarnation uint64) bool
-}
-
-// Run serves the shards of this daemon until ctx is done.
-func (j *Journaler) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
-
-// Handlers returns the calls that other daemons make, by method name.
-func (j *Journaler) Handlers() map[string]linker.Handler { return map[string]linker.Handler{} }
-
-type objectRecord struct {
-	PayloadDigest [32]byte
-	Fact          refuser.Fact
-	Answer        Answer
-	Kept          bool
-	Digest        [32]byte
-}
+	// Find returns the live member of an incarnation as Incarnation names it, for bound mode.
+	Find func(incarnation string) (cataloger.Member, bool)
 
-func (r objectRecord) outcome() Outcome {
-	return Outcome{
-		Fact:     r.Fact,
-		Running:  r.Fact == refuser.FactMayHaveRun,
-		Answer:   r.Answer,
-		Kept:     r.Kept,
-		Digest:   r.Digest,
-		Replayed: true,
-	}
+	once    sync.Once
+	randMu  sync.Mutex
+	nonce   atomic.Uint64
+	ticket  atomic.Uint64
+	events  *queuer.Ring[event]
+	reports *queuer.Ring[pendingReport]
+	// running is true while Run serves; without it every call is refused.
+	running atomic.Bool
+	stopped chan struct{}
+	wait    metrics.Histogram
 }
 
-func objectKey(workspace cataloger.Workspace, id string) string {
-	sum := sha256.Sum256([]byte(string(workspace) + "\x00" + id))
-	return "journal/requests/" + hex.EncodeToString(sum[:])
-}
+const (
+	eventRing  = 4096
+	reportRing = 4096
+	// reportsAtOnce bounds the reports that wait for their record.
+	reportsAtOnce = 1024
+	// ownershipInterval is how often the owner of each shard is looked up.
+	ownershipInterval = 200 * time.Millisecond
+	storeTimeout      = 3 * time.Second
+	flushTimeout      = 3 * time.Second
+	waitSampleSize    = 1028
+	waitSampleAlpha   = 0.015
+)
 
-// Execute runs a request unless it ran before, and returns its outcome or a refusal.
-func (j *Journaler) Execute(ctx context.Context, r Request, run RunFunc) (Outcome, error) {
-	key := objectKey(r.Workspace, r.ID)
-	claim := objectRecord{PayloadDigest: r.PayloadDigest, Fact: refuser.FactMayHaveRun}
-	version, err := j.put(ctx, key, claim, 0)
-	switch {
-	case errors.Is(err, storer.ErrConflict):
-		return j.earlier(ctx, key, r)
-	case errors.Is(err, storer.ErrUncertain):
-		return Outcome{}, refuser.New(refuser.OutcomeUncertain, "the claim's write gave no answer").WithCause(err)
-	case err != nil:
-		return Outcome{}, refuser.New(refuser.StoreUnavailable, "%s", err).WithCause(err)
-	}
-	answer, runErr := run(ctx)
-	done := claim
-	switch {
-	case runErr == nil:
-		done.Fact = refuser.FactRan
-		done.Digest = sha256.Sum256(answer.Body)
-		if len(answer.Body) <= r.AnswerBytes {
-			done.Kept = true
-			done.Answer = answer
+func (j *Journaler) init() {
+	j.once.Do(func() {
+		if j.Limits == (Limits{}) {
+			j.Limits = DefaultLimits()
+		}
+		if j.Registry == nil {
+			j.Registry = metrics.NewRegistry()
+		}
+		if j.Rand == nil {
+			j.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		}
-	case refuser.From(runErr).Fact == refuser.FactNotRun:
-		_, _ = j.Store.Delete(ctx, key, version)
-		return Outcome{}, runErr
-	}
-	_, _ = j.put(ctx, key, done, version)
-	if runErr != nil {
-		return Outcome{}, runErr
-	}
-	return Outcome{Fact: refuser.FactRan, Answer: answer, Kept: true, Digest: done.Digest}, nil
+		j.events = queuer.NewRing[event](eventRing)
+		j.reports = queuer.NewRing[pendingReport](reportRing)
+		j.stopped = make(chan struct{})
+		j.wait = metrics.GetOrRegisterHistogram("journal-claim-wait-us", j.Registry,
+			metrics.NewExpDecaySample(waitSampleSize, waitSampleAlpha))
+	})
 }
 
-func (j *Journaler) put(ctx context.Context, key string, r objectRecord, expected uint64) (uint64, error) {
-	b, err := json.Marshal(r)
-	if err != nil {
-		return 0, err
-	}
-	return j.Store.Put(ctx, key, b, expected)
-}
+// Run serves the shards of this daemon until ctx is done, and then writes what is not yet written; it is called once.
+func (j *Journaler) Run(ctx context.Context) error {
+	j.init()
+	j.running.Store(true)
+	defer close(j.stopped)
+	defer j.running.Store(false)
 
-func (j *Journaler) earlier(ctx context.Context, key string, r Request) (Outcome, error) {
-	rec, err := j.get(ctx, key)
-	if err != nil {
-		return Outcome{}, refuser.New(refuser.OutcomeUncertain, "%s", err).WithCause(err)
-	}
-	if rec.PayloadDigest != r.PayloadDigest {
-		return Outcome{}, refuser.New(refuser.RequestIDReused, "request id %q", r.ID)
-	}
-	switch {
-	case rec.Kept:
-		return rec.outcome(), nil
-	case rec.Fact == refuser.FactRan:
-		return Outcome{}, refuser.New(refuser.AlreadyRan, "request id %q", r.ID).WithDigest(rec.Digest[:])
-	}
-	return Outcome{}, refuser.New(refuser.OutcomeUncertain, "request id %q was claimed before", r.ID)
+	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	var loop, workers sync.WaitGroup
+	loop.Go(func() { newServer(j).run(loopCtx) })
+	workers.Go(func() { j.sendReports(ctx) })
+	<-ctx.Done()
+	workers.Wait()
+	stopLoop()
+	loop.Wait()
+	return nil
 }
 
-func (j *Journaler) get(ctx context.Context, key string) (objectRecord, error) {
-	o, err := j.Store.Get(ctx, key)
-	if err != nil {
-		return objectRecord{}, err
-	}
-	var rec objectRecord
-	return rec, json.Unmarshal(o.Value, &rec)
+// jitter returns a time between d/2 and d.
+func (j *Journaler) jitter(d time.Duration) time.Duration {
+	j.randMu.Lock()
+	defer j.randMu.Unlock()
+	return d/2 + time.Duration(j.Rand.Int64N(int64(d/2)+1))
 }
 
-// Get returns the outcome of an earlier request.
-func (j *Journaler) Get(ctx context.Context, workspace cataloger.Workspace, id string) (Outcome, error) {
-	rec, err := j.get(ctx, objectKey(workspace, id))
-	if errors.Is(err, storer.ErrNotFound) {
-		return Outcome{}, nil
-	}
-	if err != nil {
-		return Outcome{}, refuser.New(refuser.StoreUnavailable, "%s", err).WithFact(refuser.FactMayHaveRun).WithCause(err)
-	}
-	return rec.outcome(), nil
+func (j *Journaler) shardRand() *rand.Rand {
+	j.randMu.Lock()
+	defer j.randMu.Unlock()
+	return rand.New(rand.NewPCG(j.Rand.Uint64(), j.Rand.Uint64()))
 }
--- /dev/null
+++ b/internal/journaler/journaler_test.go
@@ -0,0 +1,246 @@
+package journaler
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+func TestRunsOnceThroughEveryEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(3*time.Millisecond), "a", "b", "c")
+		defer c.stop()
+		var mu sync.Mutex
+		runs := 0
+		slow := func(context.Context) (Answer, error) {
+			mu.Lock()
+			runs++
+			mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			return Answer{Status: 200, Body: []byte("booked")}, nil
+		}
+		var wait sync.WaitGroup
+		for _, name := range []string{"a", "b", "c", "a", "b", "c"} {
+			wait.Go(func() {
+				o, err := c.nodes[name].Execute(context.Background(), within(5*time.Second, "r-1"), slow)
+				require.NoError(t, err)
+				require.Equal(t, "booked", string(o.Answer.Body))
+			})
+		}
+		wait.Wait()
+		require.Equal(t, 1, runs)
+		settle(t)
+		got, err := c.nodes["b"].Get(context.Background(), "schalter", "r-1")
+		require.NoError(t, err)
+		require.Equal(t, refuser.FactRan, got.Fact)
+		require.Equal(t, "booked", string(got.Answer.Body))
+		foreign, err := c.nodes["b"].Get(context.Background(), "telefon", "r-1")
+		require.NoError(t, err)
+		require.Equal(t, Outcome{}, foreign)
+		other := within(time.Second, "r-1")
+		other.PayloadDigest[0]++
+		_, err = c.nodes["a"].Execute(context.Background(), other, slow)
+		require.Equal(t, refuser.RequestIDReused, refuser.From(err).Code)
+	})
+}
+
+func TestOutcomeSurvivesEveryOwner(t *testing.T) {
+	for name, graceful := range map[string]bool{"drained": true, "killed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(newMemoryStore(3*time.Millisecond), "a", "b")
+				defer c.stop()
+				runs := 0
+				first, _ := c.owner(ShardOf("schalter", "r-1"))
+				entry := "a"
+				if first.Name == "a" {
+					entry = "b"
+				}
+				_, err := c.nodes[entry].Execute(context.Background(), within(time.Second, "r-1"), answering(&runs, "x"))
+				require.NoError(t, err)
+				// The owner goes before the outcome is written; the entry reports it to the successor.
+				c.leave(first.Name, graceful)
+				settle(t)
+				o, err := c.nodes[entry].Execute(context.Background(), within(time.Second, "r-1"), answering(&runs, "x"))
+				require.NoError(t, err)
+				require.True(t, o.Replayed)
+				require.Equal(t, 1, runs)
+			})
+		})
+	}
+}
+
+func TestDrainedEntryLeavesItsOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(3*time.Millisecond), "a", "b")
+		defer c.stop()
+		runs := 0
+		_, err := c.nodes["a"].Execute(context.Background(), within(time.Second, "r-2"), answering(&runs, "x"))
+		require.NoError(t, err)
+		c.leave("a", true)
+		o, err := c.nodes["b"].Execute(context.Background(), within(time.Second, "r-2"), answering(&runs, "x"))
+		require.NoError(t, err)
+		require.True(t, o.Replayed)
+	})
+}
+
+func TestEntryLostWhileRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(3*time.Millisecond), "a", "b")
+		defer c.stop()
+		a := c.nodes["a"]
+		blocked := make(chan struct{})
+		go func() {
+			_, _ = a.Execute(context.Background(), within(time.Second, "r-1"), func(context.Context) (Answer, error) {
+				<-blocked
+				return Answer{}, nil
+			})
+		}()
+		settle(t)
+		c.leave("a", false)
+		runs := 0
+		began := time.Now()
+		_, err := c.nodes["b"].Execute(context.Background(), within(time.Minute, "r-1"), answering(&runs, "x"))
+		require.Equal(t, refuser.OutcomeUncertain, refuser.From(err).Code)
+		require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
+		require.Less(t, time.Since(began), 5*time.Second, "the final answer comes without waiting for the deadline")
+		require.Zero(t, runs)
+		close(blocked)
+		settle(t)
+	})
+}
+
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore(3 * time.Millisecond)
+		c := newCluster(store, "a", "b")
+		defer c.stop()
+		runs := 0
+		_, err := c.nodes["a"].Execute(context.Background(), within(time.Second, "r-1"), answering(&runs, "x"))
+		require.NoError(t, err)
+		settle(t)
+		store.set(func(m *memoryStore) { m.down = true })
+		for range 40 {
+			_, err = c.nodes["a"].Execute(context.Background(), within(10*time.Second, "r-2"), answering(&runs, "x"))
+			require.Equal(t, refuser.StoreUnavailable, refuser.From(err).Code)
+			require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+			require.NotZero(t, refuser.From(err).RetryAfter)
+			time.Sleep(15 * time.Second)
+		}
+		o, err := c.nodes["b"].Execute(context.Background(), within(time.Second, "r-1"), answering(&runs, "x"))
+		require.NoError(t, err, "what ran before is known in the outage")
+		require.True(t, o.Replayed)
+		store.set(func(m *memoryStore) { m.down = false })
+		settle(t)
+		_, err = c.nodes["a"].Execute(context.Background(), within(time.Second, "r-2"), answering(&runs, "x"))
+		require.NoError(t, err)
+		require.Equal(t, 2, runs)
+	})
+}
+
+func TestTakeoverInOutageDoesNotSayNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore(3 * time.Millisecond)
+		c := newCluster(store, "a", "b")
+		defer c.stop()
+		runs := 0
+		first, _ := c.owner(ShardOf("schalter", "r-1"))
+		_, err := c.nodes[first.Name].Execute(context.Background(), within(time.Second, "r-1"), answering(&runs, "x"))
+		require.NoError(t, err)
+		settle(t)
+		store.set(func(m *memoryStore) { m.down = true })
+		c.leave(first.Name, false)
+		for _, n := range c.nodes {
+			_, err = n.Execute(context.Background(), within(10*time.Second, "r-1"), answering(&runs, "x"))
+			require.Equal(t, refuser.StoreUnavailable, refuser.From(err).Code)
+			require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
+		}
+		require.Equal(t, 1, runs)
+	})
+}
+
+func TestDeadlineBeforeTheClaimIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore(3 * time.Millisecond)
+		c := newCluster(store, "a")
+		defer c.stop()
+		settle(t)
+		store.set(func(m *memoryStore) { m.hang = time.Second })
+		runs := 0
+		_, err := c.nodes["a"].Execute(context.Background(), within(500*time.Millisecond, "r-1"), answering(&runs, "x"))
+		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+		require.Zero(t, runs)
+		store.set(func(m *memoryStore) { m.hang = 0 })
+		time.Sleep(5 * time.Second)
+		_, err = c.nodes["a"].Execute(context.Background(), within(500*time.Millisecond, "r-1"), answering(&runs, "x"))
+		require.NoError(t, err, "not-run was recorded, so the same id may run")
+		require.Equal(t, 1, runs)
+	})
+}
+
+func TestRunThatDidNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(3*time.Millisecond), "a", "b")
+		defer c.stop()
+		refused := refuser.New(refuser.TargetRefused, "busy")
+		_, err := c.nodes["a"].Execute(context.Background(), within(time.Second, "r-1"),
+			func(context.Context) (Answer, error) { return Answer{}, refused })
+		require.Equal(t, refused.Code, refuser.From(err).Code)
+		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+		runs := 0
+		_, err = c.nodes["b"].Execute(context.Background(), within(time.Second, "r-1"), answering(&runs, "x"))
+		require.NoError(t, err)
+		_, err = c.nodes["a"].Execute(context.Background(), within(time.Second, "r-3"),
+			func(context.Context) (Answer, error) { return Answer{}, context.DeadlineExceeded })
+		require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
+		settle(t)
+		_, err = c.nodes["b"].Execute(context.Background(), within(time.Second, "r-3"), answering(&runs, "x"))
+		require.Equal(t, refuser.OutcomeUncertain, refuser.From(err).Code)
+		require.Equal(t, 1, runs)
+	})
+}
+
+func TestBoundMode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore(3 * time.Millisecond)
+		store.down = true
+		c := newCluster(store, "a", "b")
+		defer c.stop()
+		runs := 0
+		r := within(time.Second, "r-1")
+		r.Mode = documenter.ModeBound
+		_, err := c.nodes["a"].Execute(context.Background(), r, answering(&runs, "x"))
+		require.Equal(t, refuser.MalformedRequest, refuser.From(err).Code, "without an incarnation")
+		r.BoundTo = Incarnation(c.nodes["b"].member)
+		for _, name := range []string{"a", "b", "a"} {
+			o, err := c.nodes[name].Execute(context.Background(), r, answering(&runs, "x"))
+			require.NoError(t, err)
+			require.Equal(t, "x", string(o.Answer.Body))
+			settle(t)
+			r.Deadline = time.Now().Add(time.Second)
+		}
+		require.Equal(t, 1, runs)
+		c.leave("b", false)
+		c.add("b", 2)
+		_, err = c.nodes["a"].Execute(context.Background(), r, answering(&runs, "x"))
+		require.Equal(t, refuser.BoundElsewhere, refuser.From(err).Code)
+		require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
+		require.Equal(t, 1, runs)
+	})
+}
+
+func TestForeignDispatcherIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(0), "a")
+		defer c.stop()
+		_, err := c.nodes["a"].handlers[MethodClaim](context.Background(), "mallory", mustMarshal(Dispatcher{}.proto()))
+		require.Error(t, err)
+	})
+}
--- /dev/null
+++ b/internal/journaler/server.go
@@ -0,0 +1,255 @@
+package journaler
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+)
+
+// event is what the server's goroutine works on; exactly one of the fields after shard is set.
+type event struct {
+	shard  int
+	claim  *claim
+	report *report
+	stored *storedEvent
+	// cancel drops the call of the ticket.
+	cancel bool
+	ticket uint64
+	reply  chan<- verdict
+}
+
+type storedEvent struct {
+	call storeCall
+	res  storeResult
+}
+
+// boundShard is the place of the shard in memory that serves bound mode.
+const boundShard = Shards
+
+// server runs the shards of one daemon in one goroutine; store calls run beside it, at most one for each shard.
+type server struct {
+	j       *Journaler
+	shards  [Shards + 1]*shard
+	limiter *rate.Limiter
+	waiting map[uint64]chan<- verdict
+	// results has room for a store call of every shard, so that none waits for the server.
+	results chan event
+	owned   int
+}
+
+const writeBurst = 4
+
+func newServer(j *Journaler) *server {
+	s := &server{
+		j:       j,
+		limiter: rate.NewLimiter(0, writeBurst),
+		waiting: map[uint64]chan<- verdict{},
+		results: make(chan event, Shards),
+	}
+	self := j.Self()
+	for i := range s.shards {
+		sh := newShard(uint32(i), Dispatcher{Member: self.Name, Incarnation: self.Incarnation}, j.Limits, j.shardRand())
+		sh.reserve = s.reserve
+		sh.alive = func(d Dispatcher) bool { return j.Alive(d.Member, d.Incarnation) }
+		s.shards[i] = sh
+	}
+	s.shards[boundShard].bind()
+	return s
+}
+
+// reserve books one write from this daemon's share of the budget.
+func (s *server) reserve(now time.Time) time.Time {
+	r := s.limiter.ReserveN(now, 1)
+	if !r.OK() {
+		return now
+	}
+	return now.Add(r.DelayFrom(now))
+}
+
+func (s *server) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var nextOwners time.Time
+	var flushUntil time.Time
+	done := ctx.Done()
+	for {
+		now := s.j.Clock.Now()
+		if !now.Before(nextOwners) {
+			s.owners(now)
+			nextOwners = now.Add(ownershipInterval)
+		}
+		wake := soonest(s.advance(now, !flushUntil.IsZero()), nextOwners)
+		if !flushUntil.IsZero() && (s.flushed() || !now.Before(flushUntil)) {
+			s.stop(now)
+			return
+		}
+		timer.Reset(max(0, wake.Sub(now)))
+		select {
+		case e := <-s.j.events.Values():
+			s.handle(e)
+		case e := <-s.results:
+			s.handle(e)
+		case <-timer.C:
+		case <-done:
+			done = nil
+			flushUntil = now.Add(flushTimeout)
+		}
+	}
+}
+
+// owners takes and gives up shards as the members' view says, and sets this daemon's share of the writes.
+func (s *server) owners(now time.Time) {
+	self := s.j.Self()
+	s.owned = 0
+	for i := range uint32(Shards) {
+		m, ok := s.j.Owner(i)
+		mine := ok && m.Name == self.Name && m.Incarnation == self.Incarnation
+		if mine {
+			s.owned++
+		}
+		s.shards[i].want(now, mine)
+		s.deliver(s.shards[i])
+	}
+	limit := rate.Limit(s.j.Limits.WritesPerSecond * float64(s.owned) / Shards)
+	if limit != s.limiter.Limit() {
+		s.limiter.SetLimitAt(now, limit)
+	}
+	s.meter()
+}
+
+// advance starts the store calls that are due and returns when the next one may be.
+func (s *server) advance(now time.Time, flush bool) time.Time {
+	var wake time.Time
+	for i, sh := range s.shards {
+		if flush {
+			sh.hurry(now)
+		}
+		call, ok, at := sh.next(now)
+		s.deliver(sh)
+		wake = soonest(wake, at)
+		if ok {
+			go func() { s.results <- event{shard: i, stored: &storedEvent{call: call, res: s.j.execute(call)}} }()
+		}
+	}
+	return wake
+}
+
+func (s *server) handle(e event) {
+	now := s.j.Clock.Now()
+	sh := s.shards[e.shard]
+	switch {
+	case e.stored != nil:
+		sh.done(now, e.stored.call, e.stored.res)
+	case e.cancel:
+		delete(s.waiting, e.ticket)
+		sh.forgetCall(now, e.ticket)
+	case e.claim != nil:
+		s.waiting[e.ticket] = e.reply
+		sh.submitClaim(now, e.ticket, *e.claim)
+	case e.report != nil:
+		s.waiting[e.ticket] = e.reply
+		sh.submitReport(now, e.ticket, *e.report)
+	}
+	s.deliver(sh)
+}
+
+// deliver passes verdicts on; each reply channel has room for its one verdict.
+func (s *server) deliver(sh *shard) {
+	for _, r := range sh.takeReplies() {
+		if ch, ok := s.waiting[r.ticket]; ok {
+			delete(s.waiting, r.ticket)
+			ch <- r.verdict
+		}
+	}
+}
+
+// flushed tells whether nothing is left to write.
+func (s *server) flushed() bool {
+	for _, sh := range s.shards {
+		if sh.phase == phaseOpen && (len(sh.dirty) > 0 || sh.commit != nil) {
+			return false
+		}
+	}
+	return true
+}
+
+// stop gives every shard up, waits for the store calls under way and refuses what is left.
+func (s *server) stop(now time.Time) {
+	busy := 0
+	for _, sh := range s.shards {
+		sh.want(now, false)
+		s.deliver(sh)
+		if sh.busy {
+			busy++
+		}
+	}
+	for range busy {
+		<-s.results
+	}
+	for {
+		e, ok := s.j.events.Poll()
+		if !ok {
+			return
+		}
+		if e.reply != nil {
+			e.reply <- verdict{kind: verdictNotOwner}
+		}
+	}
+}
+
+func (s *server) meter() {
+	var total shardStats
+	records := 0
+	outages := 0
+	for _, sh := range s.shards {
+		total.add(sh.stats)
+		if sh.table != nil {
+			records += len(sh.table.records)
+		}
+		if !sh.downSince.IsZero() {
+			outages++
+		}
+	}
+	for name, v := range map[string]uint64{
+		"journal-commits":       total.Commits,
+		"journal-segments":      total.Segments,
+		"journal-claims":        total.Claims,
+		"journal-outcomes":      total.Outcomes,
+		"journal-voided":        total.Voided,
+		"journal-takeovers":     total.Takeovers,
+		"journal-fenced":        total.Fenced,
+		"journal-records":       uint64(records),
+		"journal-shards":        uint64(s.owned),
+		"journal-shards-failed": uint64(outages),
+	} {
+		metrics.GetOrRegisterGauge(name, s.j.Registry).Update(int64(v))
+	}
+}
+
+func (t *shardStats) add(o shardStats) {
+	t.Commits += o.Commits
+	t.Segments += o.Segments
+	t.Claims += o.Claims
+	t.Outcomes += o.Outcomes
+	t.Voided += o.Voided
+	t.Takeovers += o.Takeovers
+	t.Fenced += o.Fenced
+}
+
+// execute makes one store call.
+func (j *Journaler) execute(call storeCall) storeResult {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	var res storeResult
+	switch call.typ {
+	case callGet:
+		res.object, res.err = j.Store.Get(ctx, call.key)
+	case callPut:
+		res.version, res.err = j.Store.Put(ctx, call.key, call.value, call.expected)
+	case callDelete:
+		res.version, res.err = j.Store.Delete(ctx, call.key, call.expected)
+	}
+	return res
+}
--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -36,7 +36,9 @@
 
 	phase  phase
 	wanted bool
-	table  *table
+	// volatile is true for bound mode, where nothing is written.
+	volatile bool
+	table    *table
 	// version is the store version of the head, and head what will be written next, without records.
 	version uint64
 	head    *peerv1.JournalHead
@@ -184,6 +186,10 @@
 
 // markDirty queues the newest change of a record for the next batch.
 func (s *shard) markDirty(now time.Time, key Key, r *record, urgent bool) {
+	if s.volatile {
+		r.stored = r.changes
+		return
+	}
 	if !r.queued {
 		r.queued = true
 		s.dirty = append(s.dirty, key)
@@ -194,3 +200,10 @@
 		s.lazyAt = now.Add(s.limits.OutcomeDelay)
 	}
 }
+
+// hurry makes outcomes due that wait for a claim to share a write with.
+func (s *shard) hurry(now time.Time) {
+	if len(s.dirty) > 0 {
+		s.lazyAt = now
+	}
+}
--- a/internal/journaler/storecall.go
+++ b/internal/journaler/storecall.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/rattantray/rattantray/internal/storer"
 )
 
@@ -59,6 +57,10 @@
 // next returns the store call to make now, or when to ask again; the zero time is when something happens.
 func (s *shard) next(now time.Time) (storeCall, bool, time.Time) {
 	s.expire(now)
+	if s.volatile {
+		s.sweep(now)
+		return storeCall{}, false, s.earliest
+	}
 	if s.busy {
 		return storeCall{}, false, s.earliest
 	}
@@ -183,8 +185,3 @@
 	}
 	return s.phase == phaseOpen
 }
-
-// nothingWritten tells whether the error proves that the write had no effect and may simply be made again.
-func nothingWritten(err error) bool {
-	return errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrRateLimited)
-}
