Keep the others' p95 and the goodput under overload

Change: a share that was not used for two seconds stays available (lagged virtual time); the reserve goes to flows behind their share; waiting requests are held to the 0.98 quantile of the measured time; the adaptive limit allows for the noise of its windows, drops to the knee itself and grows by steps that start small.

--- a/internal/admitter/estimator.go
+++ b/internal/admitter/estimator.go
@@ -3,17 +3,19 @@
 import "time"
 
 const (
-	ratioGain     = 0.05
-	ratioMargin   = 1.0 // deviations added to the mean
-	leastRatio    = 0.5
-	mostRatio     = 3.0
-	ratioHalfLife = 5 * time.Second
+	ratioGain      = 0.05
+	ratioQuantile  = 0.98
+	quantileGain   = 0.01
+	leastDeviation = 0.05 // of the mean
+	leastRatio     = 0.5
+	mostRatio      = 4.0
+	ratioHalfLife  = 5 * time.Second
 )
 
-// estimator corrects expected times by how requests really went.
+// estimator corrects expected times by how requests really went, by their mean and by a high quantile.
 type estimator struct {
-	mean, deviation float64
-	last            time.Time
+	mean, deviation, high float64
+	last                  time.Time
 }
 
 func (e *estimator) observe(now time.Time, expected, elapsed time.Duration) {
@@ -22,24 +24,33 @@
 	}
 	ratio := min(mostRatio, elapsed.Seconds()/expected.Seconds())
 	if e.last.IsZero() {
-		e.mean = ratio
-		e.last = now
-		return
+		e.mean, e.high = ratio, ratio
 	}
+	e.last = now
 	diff := ratio - e.mean
 	e.mean += ratioGain * diff
 	e.deviation += ratioGain * (max(diff, -diff) - e.deviation)
-	e.last = now
+	// Stochastic approximation: in balance where one in fifty is above.
+	step := quantileGain * max(e.deviation, leastDeviation*e.mean)
+	if ratio > e.high {
+		e.high += step * ratioQuantile / (1 - ratioQuantile)
+	} else {
+		e.high -= step
+	}
+	e.high = max(e.high, e.mean)
 }
 
-// correct returns the time to expect; without news it returns to the uncorrected one, so that a bad estimate cannot last.
-func (e *estimator) correct(now time.Time, expected time.Duration) time.Duration {
+// correct returns the mean and the high time to expect; without news both return to the uncorrected one, so that a bad
+// estimate cannot last.
+func (e *estimator) correct(now time.Time, expected time.Duration) (mean, high time.Duration) {
 	if e.last.IsZero() {
-		return expected
+		return expected, expected
 	}
-	ratio := max(leastRatio, min(mostRatio, e.mean+ratioMargin*e.deviation))
 	age := float64(now.Sub(e.last)) / float64(ratioHalfLife)
 	trust := 1 / (1 + max(0, age))
-	ratio = 1 + (ratio-1)*trust
-	return time.Duration(float64(expected) * ratio)
+	scale := func(ratio float64) time.Duration {
+		ratio = max(leastRatio, min(mostRatio, ratio))
+		return time.Duration(float64(expected) * (1 + (ratio-1)*trust))
+	}
+	return scale(e.mean), scale(e.high)
 }
--- a/internal/admitter/refusals.go
+++ b/internal/admitter/refusals.go
@@ -12,22 +12,26 @@
 	maxWait       = time.Hour
 )
 
-// expect returns the time from grant to end; an idle service is not held to a correction from busier times.
-func (s *Scheduler) expect(now time.Time, t *Ticket) time.Duration {
+// expect returns the mean and the high time from grant to end; an idle service is not held to a correction from
+// busier times.
+func (s *Scheduler) expect(now time.Time, t *Ticket) (mean, high time.Duration) {
 	expected := t.Request.Expected
 	if expected <= 0 {
-		if rate := s.limit.CostRate(); rate > 0 {
-			return time.Duration(t.cost / rate * float64(time.Second))
+		rate := s.limit.CostRate()
+		if rate <= 0 {
+			return 0, 0
 		}
-		return 0
+		expected = time.Duration(t.cost / rate * float64(time.Second))
+		return expected, expected
 	}
-	corrected := s.estimator.correct(now, expected)
+	mean, high = s.estimator.correct(now, expected)
 	if s.inProgress == 0 {
-		return min(corrected, expected)
+		mean = min(mean, expected)
 	}
-	return corrected
+	return mean, high
 }
 
+// checkDeadline refuses what could not meet its deadline if it ran at once.
 func (s *Scheduler) checkDeadline(now time.Time, t *Ticket) *refuser.Refusal {
 	deadline := t.Request.Deadline
 	if deadline.IsZero() {
@@ -36,10 +40,12 @@
 	if !now.Before(deadline) {
 		return refuser.New(refuser.DeadlineExceeded, "the deadline passed before admission")
 	}
-	t.latest = deadline.Add(-t.expected)
-	if t.latest.Before(now) {
-		return refuser.New(refuser.DeadlineTooShort, "%s are left and %s are expected", deadline.Sub(now), t.expected)
+	mean, high := s.expect(now, t)
+	if deadline.Add(-mean).Before(now) {
+		return refuser.New(refuser.DeadlineTooShort, "%s are left and %s are expected", deadline.Sub(now), mean)
 	}
+	t.expected = high
+	t.latest = deadline.Add(-high)
 	return nil
 }
 
--- a/internal/admitter/scheduler.go
+++ b/internal/admitter/scheduler.go
@@ -13,8 +13,8 @@
 	defaultQueue      = 256
 	defaultTotalQueue = 8192
 	defaultAgeing     = 2 * time.Second
-	defaultReserve    = 0.05
-	reserveScan       = 8
+	defaultReserve    = 0.02
+	defaultBurst      = 2 * time.Second
 )
 
 // Settings govern the admission to one service.
@@ -23,8 +23,10 @@
 	Queue, TotalQueue int
 	// Ageing is the wait that makes up for one priority.
 	Ageing time.Duration
-	// Reserve is the part of the concurrency limit that only workspaces under their share may use.
+	// Reserve is the part of the concurrency limit that only workspaces behind their share may use.
 	Reserve float64
+	// Burst is how long a share that was not used stays available.
+	Burst time.Duration
 }
 
 func (s Settings) withDefaults() Settings {
@@ -37,6 +39,9 @@
 	if s.Ageing <= 0 {
 		s.Ageing = defaultAgeing
 	}
+	if s.Burst <= 0 {
+		s.Burst = defaultBurst
+	}
 	if s.Reserve < 0 || s.Reserve >= 1 {
 		s.Reserve = defaultReserve
 	}
@@ -59,14 +64,17 @@
 	backlog indexed[*flow]
 	expiry  indexed[*Ticket]
 
-	virtual    float64
+	virtual float64
+	// lagged is virtual time a while ago; lagNext will be next, noted is when it was taken.
+	lagged, lagNext float64
+	noted           time.Time
+
 	waiting    int
 	inProgress int
 	busyWeight float64
 	sequence   uint64
 	estimator  estimator
 	decided    []*Ticket
-	aside      []*flow
 	usageAt    time.Time
 }
 
@@ -129,7 +137,6 @@
 	t.rank = now.UnixNano() - int64(r.Priority)*int64(s.settings.Ageing)
 	s.sequence++
 	t.sequence = s.sequence
-	t.expected = s.expect(now, t)
 	if refusal := s.checkDeadline(now, t); refusal != nil {
 		return refused(t, refusal)
 	}
@@ -150,7 +157,7 @@
 	return f.queue.Len() == 0 && f.underConcurrency() && s.slotFor(f) && !s.pending()
 }
 
-// pending tells whether a waiting request could be granted; after each call there is none but those behind the reserve.
+// pending tells whether a waiting request may be granted; after each call there is none.
 func (s *Scheduler) pending() bool {
 	return s.active.Len() > 0 && s.slotFor(s.active.top())
 }
@@ -160,7 +167,7 @@
 		return refused(t, s.rateRefusal(wait))
 	}
 	wasBusy := t.flow.busy()
-	t.flow.start = max(s.virtual, t.flow.finish)
+	t.flow.start = s.nextStart(t.flow)
 	s.grant(now, t)
 	s.noteBusy(t.flow, wasBusy)
 	return t
@@ -289,7 +296,7 @@
 	f := t.flow
 	wasBusy := f.busy()
 	if f.queue.Len() == 0 {
-		f.start = max(s.virtual, f.finish)
+		f.start = s.nextStart(f)
 		f.drainStart, f.drained = now, 0
 	}
 	f.queue.set(t)
@@ -335,8 +342,8 @@
 		return
 	}
 	if !s.active.contains(f) {
-		// A flow gains no credit while its own limit holds it back.
-		f.start = max(f.start, s.virtual)
+		// A flow gains no more credit while its own limit holds it back.
+		f.start = max(f.start, s.lagged)
 	}
 	s.active.set(f)
 }
@@ -353,39 +360,44 @@
 	}
 }
 
-// slotFor tells whether f may take a slot: the last ones are kept for flows that are under their share of the limit.
+// slotFor tells whether f may take a slot: the last ones are kept for flows that are behind their share.
 func (s *Scheduler) slotFor(f *flow) bool {
 	limit := s.limit.Value()
 	free := limit - s.inProgress
 	if free <= 0 {
 		return false
 	}
-	if float64(free) > s.settings.Reserve*float64(limit) {
-		return true
+	return float64(free) > s.settings.Reserve*float64(limit) || s.nextStart(f) < s.virtual
+}
+
+// nextStart is the virtual start of the next request of f. A flow that used less than its share of the last burst time
+// starts as far behind as that, so that its bursts do not wait behind a flow that is always over its share.
+func (s *Scheduler) nextStart(f *flow) float64 {
+	if f.queue.Len() > 0 {
+		return f.start
 	}
-	weights := s.busyWeight
-	if !f.busy() {
-		weights += f.weight
+	return max(s.lagged, f.finish)
+}
+
+// lag notes virtual time, so that lagged is what it was between one and two burst times ago.
+func (s *Scheduler) lag(now time.Time) {
+	if now.Sub(s.noted) < s.settings.Burst {
+		return
+	}
+	if now.Sub(s.noted) < 2*s.settings.Burst {
+		s.lagged = s.lagNext
+	} else {
+		s.lagged = s.virtual
 	}
-	return float64(f.inProgress) < float64(limit)*f.weight/weights
+	s.lagNext = s.virtual
+	s.noted = now
 }
 
+// dispatch grants what may run; where the flow furthest behind may not take a slot, no other may.
 func (s *Scheduler) dispatch(now time.Time) {
-	s.aside = s.aside[:0]
-	for s.active.Len() > 0 && len(s.aside) < reserveScan {
-		f := s.active.top()
-		if s.inProgress >= s.limit.Value() {
-			break
-		}
-		if !s.slotFor(f) {
-			s.active.remove(f)
-			s.aside = append(s.aside, f)
-			continue
-		}
-		s.grantTop(now, f)
-	}
-	for _, f := range s.aside {
-		s.active.set(f)
+	s.lag(now)
+	for s.pending() {
+		s.grantTop(now, s.active.top())
 	}
 }
 
--- a/internal/admitter/ticket.go
+++ b/internal/admitter/ticket.go
@@ -24,13 +24,14 @@
 	// Refusal is set where State is TicketRefused.
 	Refusal *refuser.Refusal
 
-	flow     *flow
-	cost     float64
+	flow *flow
+	cost float64
+	// expected is the high estimate of the time from grant to end.
 	expected time.Duration
 	// rank orders the queue: the arrival, moved ahead by the ageing time for each priority.
 	rank     int64
 	sequence uint64
-	// latest is when the request must be granted to meet its deadline; zero where it has none.
+	// latest is how long the request may wait to meet its deadline; zero where it has none.
 	latest  time.Time
 	granted time.Time
 
--- a/internal/breaker/limit.go
+++ b/internal/breaker/limit.go
@@ -8,7 +8,7 @@
 const (
 	defaultLimit       = 16
 	defaultMaxLimit    = 1 << 14
-	defaultTolerance   = 1.1
+	defaultTolerance   = 1.05
 	defaultProbeEvery  = 2 * time.Minute
 	minWindowSamples   = 20
 	minWindow          = 100 * time.Millisecond
@@ -16,14 +16,21 @@
 	overloadedShare    = 0.02
 	overloadedDecrease = 0.9
 	mostDecrease       = 0.5
+	belowKnee          = 0.98
 	utilisedShare      = 0.8
+	leastStep          = 1.0 / 64
+	mostStep           = 1.0 / 4
+	stepGrowth         = 1.5
+	deviations         = 2.0 // standard errors above the tolerance that count as queueing
+	baselineGain       = 0.5
 )
 
 // Limit is an adaptive concurrency limit for one target or one service.
 //
-// It compares the time per unit of cost in each window of one round of requests with the least seen while the limit
-// was low, doubles until the time first grows, and from then on adds a little while the time stays within Tolerance
-// and shrinks in proportion where it does not. It does no I/O and is not safe for concurrent use.
+// It compares the time per unit of cost in each window of one round of requests with that of rounds at a low limit.
+// It doubles until the time first grows by more than Tolerance and the noise of the window; then it shrinks in
+// proportion where the time grows, and adds steps that grow from round to round where it does not. It does no I/O and
+// is not safe for concurrent use.
 type Limit struct {
 	Min, Max float64
 	// Tolerance is the growth of the time per unit of cost that is taken as no queueing.
@@ -34,6 +41,7 @@
 	value    float64
 	baseline float64
 	starting bool
+	step     float64
 	skip     int
 	probing  bool
 	probed   time.Time
@@ -41,9 +49,8 @@
 	opened     time.Time
 	samples    int
 	overloaded int
-	elapsed    time.Duration
-	cost       float64
 	peak       int
+	sums       sums
 
 	costRate float64
 }
@@ -60,6 +67,7 @@
 		ProbeEvery: defaultProbeEvery,
 		value:      float64(initial),
 		starting:   true,
+		step:       leastStep,
 	}
 }
 
@@ -85,14 +93,13 @@
 	if overloaded {
 		l.overloaded++
 	} else {
-		l.elapsed += elapsed
-		l.cost += max(1, cost)
+		l.sums.add(elapsed.Seconds(), max(1, cost))
 	}
 	if l.samples < max(minWindowSamples, l.Value()) || now.Sub(l.opened) < minWindow {
 		return
 	}
 	l.close(now)
-	l.samples, l.overloaded, l.elapsed, l.cost, l.peak = 0, 0, 0, 0, 0
+	l.samples, l.overloaded, l.peak, l.sums = 0, 0, 0, sums{}
 }
 
 func (l *Limit) close(now time.Time) {
@@ -107,31 +114,31 @@
 		l.decrease(overloadedDecrease)
 		return
 	}
-	if l.elapsed <= 0 {
+	perCost, noise := l.sums.ratio()
+	if perCost <= 0 {
 		return
 	}
-	perCost := l.elapsed.Seconds() / l.cost
 	l.learnRate(perCost)
 	if l.probing {
 		l.probing = false
 		l.probed = now
-		l.baseline = perCost
+		l.baseline += baselineGain * (perCost - l.baseline)
 		l.skip = 1
 		return
 	}
-	if l.baseline == 0 || perCost < l.baseline {
+	if l.baseline == 0 || perCost+deviations*noise < l.baseline {
 		l.baseline = perCost
 	}
-	l.adapt(perCost)
+	l.adapt(perCost, noise)
 	if now.Sub(l.probed) >= l.ProbeEvery && !l.starting {
 		l.probing = true
 		l.skip = 1
 	}
 }
 
-func (l *Limit) adapt(perCost float64) {
-	if perCost > l.Tolerance*l.baseline {
-		l.decrease(max(mostDecrease, l.Tolerance*l.baseline/perCost))
+func (l *Limit) adapt(perCost, noise float64) {
+	if perCost > l.Tolerance*l.baseline+deviations*noise {
+		l.decrease(max(mostDecrease, belowKnee*l.baseline/perCost))
 		return
 	}
 	if float64(l.peak) < utilisedShare*l.value {
@@ -141,13 +148,15 @@
 		l.value = min(l.Max, 2*l.value)
 		return
 	}
-	l.value = min(l.Max, l.value+max(1, math.Sqrt(l.value)/2))
+	l.value = min(l.Max, l.value+max(1, l.step*l.value))
+	l.step = min(mostStep, stepGrowth*l.step)
 }
 
 // decrease also skips a window, which still holds requests from before.
 func (l *Limit) decrease(by float64) {
 	l.value = max(l.Min, l.value*by)
 	l.starting = false
+	l.step = leastStep
 	l.skip = 1
 }
 
@@ -160,3 +169,27 @@
 	}
 	l.costRate += gain * (rate - l.costRate)
 }
+
+// sums holds what a ratio of sums and its standard error are made from.
+type sums struct {
+	elapsed, cost          float64
+	elapsed2, cost2, cross float64
+}
+
+func (s *sums) add(elapsed, cost float64) {
+	s.elapsed += elapsed
+	s.cost += cost
+	s.elapsed2 += elapsed * elapsed
+	s.cost2 += cost * cost
+	s.cross += elapsed * cost
+}
+
+// ratio returns the elapsed seconds per unit of cost and the standard error.
+func (s *sums) ratio() (perCost, noise float64) {
+	if s.cost <= 0 {
+		return 0, 0
+	}
+	r := s.elapsed / s.cost
+	residual := s.elapsed2 - 2*r*s.cross + r*r*s.cost2
+	return r, math.Sqrt(max(0, residual)) / s.cost
+}
