Test the admitter in virtual time and benchmark it

Cause: the waiting, cancelling and closing around the scheduler had no test; usage measured before the first report was divided by the time since the year 1, found by the new test. Change: tests of every refusal, of waiters answered at the moment they run out of time, of deleted services and workspaces, of shares; benchmarks at 10 to 10,000 workspaces.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -1,41 +1,265 @@
 package admitter
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
+	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
-func TestAdmitGrantsAndRefuses(t *testing.T) {
-	clock := timer.NewManual(time.Unix(1000, 0))
+func assistant(limit int, clock timer.Clock, workspaces ...documenter.Workspace) *Admitter {
 	a := New(clock)
-	a.Configure([]*documenter.Document{{Name: "assistant", Workspaces: []documenter.Workspace{{Name: "counter"}}}})
+	a.InitialLimit = limit
+	a.Rand = rand.New(rand.NewPCG(3, 4))
+	a.Configure([]*documenter.Document{{Name: "assistant", Workspaces: workspaces}})
+	a.SetCapacity("assistant", limit)
+	return a
+}
 
-	g, err := a.Admit(t.Context(), Request{Service: "assistant", Workspace: "counter", Cost: 10})
-	require.NoError(t, err)
-	g.Done(Result{OK: true})
-	g.Done(Result{OK: true})
+func counter() Request { return Request{Service: "assistant", Workspace: "counter", Cost: 10} }
 
+func TestRefusals(t *testing.T) {
+	clock := timer.NewManual(epoch)
+	a := assistant(1, clock, documenter.Workspace{Name: "counter"}, documenter.Workspace{Name: "kiosk", Rate: 1})
 	for _, c := range []struct {
-		name string
-		req  Request
-		code refuser.Code
+		name   string
+		change func(*Request)
+		code   refuser.Code
 	}{
-		{"unknown service", Request{Service: "none", Workspace: "counter"}, refuser.UnknownService},
-		{"foreign workspace", Request{Service: "assistant", Workspace: "other"}, refuser.UnknownWorkspace},
-		{"deadline too short", Request{
-			Service: "assistant", Workspace: "counter", Deadline: clock.Now().Add(time.Second), Expected: time.Minute,
+		{"unknown service", func(r *Request) { r.Service = "none" }, refuser.UnknownService},
+		{"foreign workspace", func(r *Request) { r.Workspace = "other" }, refuser.UnknownWorkspace},
+		{"deadline passed", func(r *Request) { r.Deadline = epoch }, refuser.DeadlineExceeded},
+		{"deadline too short", func(r *Request) {
+			r.Deadline = epoch.Add(time.Second)
+			r.Expected = time.Minute
 		}, refuser.DeadlineTooShort},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			_, err := a.Admit(t.Context(), c.req)
+			r := counter()
+			c.change(&r)
+			_, err := a.Admit(t.Context(), r)
 			require.Equal(t, c.code, refuser.From(err).Code)
 			require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
 		})
 	}
+	r := counter()
+	r.Workspace = "kiosk"
+	g, err := a.Admit(t.Context(), r)
+	require.NoError(t, err)
+	g.Done(Result{OK: true})
+	g.Done(Result{OK: true})
+	_, err = a.Admit(t.Context(), r)
+	require.Equal(t, refuser.RateLimited, refuser.From(err).Code)
+	require.GreaterOrEqual(t, refuser.From(err).RetryAfter, time.Second)
+	clock.Advance(refuser.From(err).RetryAfter)
+	_, err = a.Admit(t.Context(), r)
+	require.NoError(t, err, "a retry after the stated time")
+}
+
+func TestWaitersAreAnsweredInTime(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	synctest.Test(t, func(t *testing.T) {
+		a := assistant(1, timer.System{}, documenter.Workspace{Name: "counter", Concurrency: 1})
+		start := time.Now()
+		running, err := a.Admit(t.Context(), counter())
+		require.NoError(t, err)
+
+		var group sync.WaitGroup
+		wait := func(ctx context.Context, r Request, code refuser.Code, after time.Duration) {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				g, err := a.Admit(ctx, r)
+				require.Equal(t, after, time.Since(start))
+				if code == refuser.OK {
+					require.NoError(t, err)
+					g.Done(Result{OK: true})
+					return
+				}
+				require.Equal(t, code, refuser.From(err).Code)
+				require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+			}()
+			synctest.Wait()
+		}
+		short := counter()
+		short.Deadline, short.Expected = start.Add(3*time.Second), time.Second
+		wait(t.Context(), short, refuser.DeadlineTooShort, 2*time.Second)
+		gone, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		wait(gone, counter(), refuser.DeadlineExceeded, time.Second)
+		canceled, abort := context.WithCancel(t.Context())
+		wait(canceled, counter(), refuser.Canceled, 4*time.Second)
+		wait(t.Context(), counter(), refuser.OK, 5*time.Second)
+		time.Sleep(4 * time.Second)
+		abort()
+		time.Sleep(time.Second)
+		running.Done(Result{OK: true})
+		group.Wait()
+
+		ctx, stop := context.WithCancel(t.Context())
+		last, err := a.Admit(t.Context(), counter())
+		require.NoError(t, err)
+		start = time.Now()
+		wait(t.Context(), counter(), refuser.Draining, 0)
+		stop()
+		require.NoError(t, a.Run(ctx))
+		group.Wait()
+		_, err = a.Admit(t.Context(), counter())
+		require.Equal(t, refuser.Draining, refuser.From(err).Code)
+		last.Done(Result{OK: true})
+		status, _ := a.Status("assistant")
+		require.Zero(t, status.InProgress+status.Waiting)
+	})
+}
+
+func TestDeletedServiceAndWorkspaceAnswerTheirWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := assistant(1, timer.System{}, documenter.Workspace{Name: "counter"}, documenter.Workspace{Name: "kiosk"})
+		_, err := a.Admit(t.Context(), counter())
+		require.NoError(t, err)
+		answers := make(chan refuser.Code, 2)
+		for _, w := range []cataloger.Workspace{"counter", "kiosk"} {
+			r := counter()
+			r.Workspace = w
+			go func() {
+				_, err := a.Admit(t.Context(), r)
+				answers <- refuser.From(err).Code
+			}()
+		}
+		synctest.Wait()
+		a.Configure([]*documenter.Document{{Name: "assistant", Workspaces: []documenter.Workspace{{Name: "kiosk"}}}})
+		require.Equal(t, refuser.UnknownWorkspace, <-answers)
+		a.Configure(nil)
+		require.Equal(t, refuser.UnknownService, <-answers)
+	})
+}
+
+func TestSharesUnblockWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(timer.System{})
+		a.InitialShare = func(string, documenter.Workspace) limiter.Share { return limiter.Share{Rate: limiter.Unlimited} }
+		a.Configure([]*documenter.Document{{Name: "assistant", Workspaces: []documenter.Workspace{{Name: "counter", Concurrency: 4}}}})
+		granted := make(chan error, 1)
+		go func() {
+			_, err := a.Admit(t.Context(), counter())
+			granted <- err
+		}()
+		synctest.Wait()
+		require.Empty(t, granted)
+		key := limiter.Key{Service: "assistant", Workspace: "counter"}
+		time.Sleep(time.Second)
+		require.Equal(t, []limiter.Demand{{Key: key, Rate: 1, Wanted: 1}}, a.Usage())
+		a.SetShares(map[limiter.Key]limiter.Share{key: {Rate: limiter.Unlimited, Concurrency: 1}})
+		require.NoError(t, <-granted)
+	})
+}
+
+func TestConcurrentAdmissionKeepsTheLimit(t *testing.T) {
+	a := assistant(4, timer.System{}, documenter.Workspace{Name: "counter"})
+	var running, most atomic.Int64
+	var group sync.WaitGroup
+	for range 32 {
+		group.Go(func() {
+			for range 50 {
+				g, err := a.Admit(t.Context(), counter())
+				if err != nil {
+					continue
+				}
+				n := running.Add(1)
+				for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+					runtime.Gosched()
+				}
+				running.Add(-1)
+				g.Done(Result{OK: true})
+			}
+		})
+	}
+	group.Wait()
+	require.LessOrEqual(t, most.Load(), int64(4))
+	status, _ := a.Status("assistant")
+	require.Equal(t, 0, status.InProgress+status.Waiting)
+}
+
+func benchmarkWorkspaces(b *testing.B, run func(b *testing.B, a *Admitter, requests []Request)) {
+	for _, n := range []int{10, 100, 1300, 10000} {
+		b.Run(fmt.Sprint("workspaces=", n), func(b *testing.B) {
+			a := assistant(256, timer.System{}, workspaceNames(n)...)
+			requests := make([]Request, n)
+			for i := range requests {
+				requests[i] = Request{
+					Service: "assistant", Workspace: cataloger.Workspace(fmt.Sprint("w", i)), Cost: 100,
+					Deadline: time.Now().Add(time.Hour), Expected: time.Second,
+				}
+			}
+			run(b, a, requests)
+		})
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	benchmarkWorkspaces(b, func(b *testing.B, a *Admitter, requests []Request) {
+		b.ReportAllocs()
+		for i := range b.N {
+			g, err := a.Admit(b.Context(), requests[i%len(requests)])
+			if err != nil {
+				b.Fatal(err)
+			}
+			g.Done(Result{Tokens: 90, OK: true})
+		}
+	})
+}
+
+// BenchmarkBacklogged keeps every slot taken and a request of each workspace waiting, up to the bound of the queues.
+func BenchmarkBacklogged(b *testing.B) {
+	benchmarkWorkspaces(b, func(b *testing.B, a *Admitter, requests []Request) {
+		s := a.service("assistant").scheduler
+		now := time.Now()
+		var running []*Ticket
+		for i := range 256 + min(len(requests), defaultTotalQueue-256) {
+			if t := s.Offer(now, requests[i%len(requests)]); t.State == TicketGranted {
+				running = append(running, t)
+			}
+		}
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			t := running[0]
+			running = running[1:]
+			s.Finish(now, t, Result{Tokens: 90, OK: true})
+			running = append(running, s.Decided()...)
+			if t = s.Offer(now, t.Request); t.State == TicketGranted {
+				running = append(running, t)
+			}
+		}
+	})
+}
+
+func BenchmarkMemory(b *testing.B) {
+	benchmarkWorkspaces(b, func(b *testing.B, a *Admitter, requests []Request) {
+		for range b.N {
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			more := assistant(256, timer.System{}, workspaceNames(len(requests))...)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(requests)), "B/workspace")
+			runtime.KeepAlive(more)
+			runtime.KeepAlive(a)
+		}
+	})
 }
--- a/internal/admitter/configure.go
+++ b/internal/admitter/configure.go
@@ -16,6 +16,9 @@
 func (s *Scheduler) Configure(now time.Time, settings Settings, workspaces []documenter.Workspace,
 	share func(documenter.Workspace) limiter.Share) {
 	s.settings = settings.withDefaults()
+	if s.usageAt.IsZero() {
+		s.usageAt = now
+	}
 	kept := make(map[cataloger.Workspace]bool, len(workspaces))
 	for _, w := range workspaces {
 		name := cataloger.Workspace(w.Name)
