--- a/internal/cataloger/member.go
+++ b/internal/cataloger/member.go
@@ -5,8 +5,10 @@
 // Member is one daemon.
 type Member struct {
 	Name string
-	// Incarnation grows with each start of the daemon.
+	// Incarnation orders the news about the member; it grows with each start and where the member refutes news of its death.
 	Incarnation uint64
+	// Epoch identifies the process of the daemon and grows with each start.
+	Epoch uint64
 	// Address is the caller API's host:port.
 	Address string
 	// PeerAddress is the host:port for other daemons.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -208,5 +208,5 @@
 }
 
 func incarnation(m cataloger.Member) string {
-	return strconv.FormatUint(m.Incarnation, 10)
+	return strconv.FormatUint(m.Epoch, 10)
 }
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/operator"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -183,8 +184,8 @@
 		Expected:    func(string, int, int) time.Duration { return 0 },
 		Generate:    r.generate,
 		Forward:     r.forward,
-		Once:        r.once,
-		Outcome:     r.outcome,
+		Once:        r.journal.Execute,
+		Outcome:     r.journal.Get,
 		Enter:       r.enter,
 	}
 }
@@ -212,7 +213,7 @@
 // entries answers Resolve.
 func (r *Router) entries(dc cataloger.DataCentre, workspace cataloger.Workspace, service string) ([]*v1.Entry, time.Duration, error) {
 	rules := resolver.Resolver{DataCentre: r.local.DataCentre, TimeToLive: r.Settings.ResolveTTL}
-	found, ttl := rules.Resolve(r.tracker.Fleet(), resolver.Query{DataCentre: dc, Workspace: workspace, Service: service})
+	found, ttl := rules.Resolve(processes(r.tracker.Fleet()), resolver.Query{DataCentre: dc, Workspace: workspace, Service: service})
 	if len(found) == 0 {
 		return nil, 0, refuser.New(refuser.NotReady, "no entry is in service").WithRetryAfter(notReadyRetry)
 	}
@@ -221,7 +222,7 @@
 		list = append(list, &v1.Entry{
 			Address:     e.Address,
 			DataCentre:  string(e.DataCentre),
-			Incarnation: incarnationText(e.Name, e.Incarnation),
+			Incarnation: journaler.Incarnation(cataloger.Member{Name: e.Name, Incarnation: e.Incarnation}),
 		})
 	}
 	return list, ttl, nil
--- /dev/null
+++ b/internal/router/journal.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"strconv"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+const (
+	dutyJournal = "journal"
+	// journalWriteShare is the part of the store's writes that claims may take.
+	journalWriteShare = 0.6
+)
+
+func (r *Router) buildJournal() (registrar.Service, error) {
+	limits := journaler.DefaultLimits()
+	limits.WritesPerSecond = r.Settings.StoreWrites * journalWriteShare
+	r.journal = &journaler.Journaler{
+		Clock:    r.Clock,
+		Store:    r.limiter.Store(storer.ClassClaim),
+		Link:     r.peer.Link(),
+		Log:      r.Log,
+		Registry: r.meter.Registry,
+		Rand:     r.random(),
+		Limits:   limits,
+		Self:     func() cataloger.Member { return processOf(r.tracker.Self()) },
+		Owner:    r.journalOwner,
+		Alive:    r.processAlive,
+		Find:     r.findProcess,
+	}
+	for method, handler := range r.journal.Handlers() {
+		r.peer.Handle(method, handler)
+	}
+	return registrar.Service{
+		Name:  ServiceJournal,
+		Needs: []string{ServiceStore, ServiceLink, ServiceMembers},
+		Value: r.journal,
+		Run:   r.journal.Run,
+	}, nil
+}
+
+func (r *Router) journalOwner(shard uint32) (cataloger.Member, bool) {
+	m := r.tracker.Owner(dutyJournal, strconv.FormatUint(uint64(shard), 10))
+	return processOf(m), m.Name != ""
+}
+
+// processAlive tells whether a process may still be running; one that leaves still ends its requests.
+func (r *Router) processAlive(name string, process uint64) bool {
+	for _, m := range r.tracker.Fleet().Members {
+		if m.Name == name && m.Epoch == process {
+			return m.State != cataloger.StateDead
+		}
+	}
+	return false
+}
+
+func (r *Router) findProcess(incarnation string) (cataloger.Member, bool) {
+	for _, m := range r.tracker.Fleet().Members {
+		if m = processOf(m); m.State != cataloger.StateDead && journaler.Incarnation(m) == incarnation {
+			return m, true
+		}
+	}
+	return cataloger.Member{}, false
+}
+
+// processOf names a member by its process, which refuting news of its death does not change.
+func processOf(m cataloger.Member) cataloger.Member {
+	m.Incarnation = m.Epoch
+	return m
+}
+
+// processes names every member by its process.
+func processes(fleet cataloger.Fleet) cataloger.Fleet {
+	members := make([]cataloger.Member, len(fleet.Members))
+	for i, m := range fleet.Members {
+		members[i] = processOf(m)
+	}
+	fleet.Members = members
+	return fleet
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
@@ -18,6 +17,7 @@
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -90,6 +90,7 @@
 	selector *selector.Selector
 	dispatch *dispatcher.Dispatcher
 	admit    *admitter.Admitter
+	journal  *journaler.Journaler
 	tokens   *tokener.Tokener
 	plain    *forwarder.Forwarder
 
@@ -208,7 +209,3 @@
 	readHeaderTimeout = 10 * time.Second
 	maxStreamsPerConn = 4096
 )
-
-func incarnationText(name string, incarnation uint64) string {
-	return fmt.Sprintf("%s/%d", name, incarnation)
-}
--- a/internal/router/thin.go
+++ b/internal/router/thin.go
@@ -9,7 +9,6 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
-	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/operator"
 	"github.com/rattantray/rattantray/internal/receiver"
@@ -17,7 +16,6 @@
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tracker"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
-	"github.com/rattantray/rattantray/pkg/refuser"
 
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 )
@@ -145,10 +143,6 @@
 	}}, nil
 }
 
-func (r *Router) buildJournal() (registrar.Service, error) {
-	return registrar.Service{Name: ServiceJournal}, nil
-}
-
 func (r *Router) buildOrdering() (registrar.Service, error) {
 	return registrar.Service{Name: ServiceOrdering}, nil
 }
@@ -157,16 +151,8 @@
 	return registrar.Service{Name: ServicePlacement}, nil
 }
 
-func (r *Router) once(context.Context, journaler.Request, journaler.RunFunc) (journaler.Outcome, error) {
-	return journaler.Outcome{}, refuser.New(refuser.StoreUnavailable, "the journal is not there yet")
-}
-
 func (r *Router) release(context.Context) {}
 
-func (r *Router) outcome(context.Context, cataloger.Workspace, string) (journaler.Outcome, error) {
-	return journaler.Outcome{}, nil
-}
-
 func (r *Router) enter(context.Context, receiver.Place) (receiver.Turn, error) {
 	return receiver.Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}}, nil
 }
--- a/internal/tracker/fleet.go
+++ b/internal/tracker/fleet.go
@@ -38,6 +38,7 @@
 	return cataloger.Member{
 		Name:        e.name,
 		Incarnation: e.incarnation,
+		Epoch:       e.epoch,
 		Address:     e.address,
 		PeerAddress: e.peerAddress,
 		DataCentre:  e.dataCentre,
