Run whole fleets in virtual time

Cause: no test could run several daemons, engines and a platform together through faults that last minutes.

Change: a world of routers, fake engines, a booking application and a platform on the network in memory, inside a synctest bubble; daemons close their idle connections when they stop.

--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -39,10 +39,17 @@
 		Needs: []string{ServiceMembers, ServiceConfig},
 		Value: r.selector,
 		Run:   r.runSelection,
-		Stop:  func(context.Context) error { r.dispatch.Wait(); return nil },
+		Stop:  func(context.Context) error { return r.stopSelection() },
 	}, nil
 }
 
+func (r *Router) stopSelection() error {
+	r.dispatch.Wait()
+	r.engines.Close()
+	r.plain.Close()
+	return nil
+}
+
 // runSelection takes each change of the fleet and of the documents into the selector and the admitter.
 func (r *Router) runSelection(ctx context.Context) error {
 	fleetChanged, stop := r.tracker.Subscribe()
@@ -83,13 +90,7 @@
 		if d.Model == nil {
 			continue
 		}
-		m := selector.Model{
-			Name:            d.Model.Name,
-			Version:         d.Model.Version,
-			Adapter:         d.Model.Adapter,
-			Layers:          d.Model.Layers,
-			ActivationBytes: d.Model.ActivationBytes,
-		}
+		m := modelOf(d)
 		if !seen[m.Key()] {
 			seen[m.Key()] = true
 			models = append(models, m)
@@ -98,6 +99,16 @@
 	return models
 }
 
+func modelOf(d *documenter.Document) selector.Model {
+	return selector.Model{
+		Name:            d.Model.Name,
+		Version:         d.Model.Version,
+		Adapter:         d.Model.Adapter,
+		Layers:          d.Model.Layers,
+		ActivationBytes: d.Model.ActivationBytes,
+	}
+}
+
 // generate runs a model request through the dispatcher.
 func (r *Router) generate(ctx context.Context, g receiver.Generation, emit func(receiver.Token) error) error {
 	job := dispatcher.Job{
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -31,7 +31,12 @@
 	budget.Reads = r.Settings.StoreReads
 	budget.Writes = r.Settings.StoreWrites
 	r.limiter = storer.NewLimiter(storer.NewClient(client, scheme+r.Settings.Platform), budget)
-	return registrar.Service{Name: ServiceStore, Value: r.limiter, Run: r.runBudget}, nil
+	return registrar.Service{
+		Name:  ServiceStore,
+		Value: r.limiter,
+		Run:   r.runBudget,
+		Stop:  func(context.Context) error { client.CloseIdleConnections(); return nil },
+	}, nil
 }
 
 func (r *Router) platformClient() (*http.Client, error) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,6 +6,7 @@
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -209,3 +210,18 @@
 	readHeaderTimeout = 10 * time.Second
 	maxStreamsPerConn = 4096
 )
+
+// Serves tells whether the daemon can run requests of a service now.
+func (r *Router) Serves(service string) bool {
+	doc, _, ok := r.config.Lookup(service)
+	if !ok || !r.ready() {
+		return false
+	}
+	if doc.Model != nil {
+		return r.selector.Bound(modelOf(doc).Key()) > 0
+	}
+	return slices.ContainsFunc(r.tracker.Fleet().Targets, func(t cataloger.Target) bool { return servesPlain(t, doc.Name) })
+}
+
+// LiveMembers returns the members that this daemon takes for live.
+func (r *Router) LiveMembers() []cataloger.Member { return tracker.Live(r.tracker.Fleet().Members) }
--- /dev/null
+++ b/internal/router/world_test.go
@@ -0,0 +1,364 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/enginefaker"
+	"github.com/rattantray/rattantray/internal/netfaker"
+	"github.com/rattantray/rattantray/internal/platformfaker"
+	"github.com/rattantray/rattantray/internal/servicefaker"
+	"github.com/rattantray/rattantray/internal/timer"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/api/rattantray/v1/rattantrayv1connect"
+	"github.com/rattantray/rattantray/pkg/caller"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	platformIP = "10.0.9.1"
+	serviceIP  = "10.0.8.1"
+	callerIP   = "10.0.7.1"
+	testLayers = 8
+
+	assistantDocument = `
+format: rattantray/service/v1
+name: assistant
+owner: tests
+type: model
+workspaces: [{name: counter}, {name: kiosk}]
+model: {name: m, version: v1, layers: 8}
+limits: {deadline: 30s}
+`
+	bookingsDocument = `
+format: rattantray/service/v1
+name: bookings
+owner: tests
+type: plain
+workspaces: [{name: counter}]
+plain:
+  methods:
+    - {name: POST /bookings}
+    - {name: GET /status/1, idempotent: true}
+`
+)
+
+// engineSpec is one engine of a world.
+type engineSpec struct {
+	first, end uint32
+	rate       float64
+	dc         cataloger.DataCentre
+}
+
+// world is a whole fleet on a network in memory, in virtual time.
+type world struct {
+	t        *testing.T
+	net      *netfaker.Network
+	platform *platformfaker.Platform
+	engines  []*enginefaker.Engine
+	service  *servicefaker.Service
+	vms      []cataloger.VM
+	routers  []*daemon
+	client   *caller.Client
+	wg       sync.WaitGroup
+	closers  []func()
+}
+
+// daemon is one router of a world.
+type daemon struct {
+	ip       string
+	settings Settings
+	router   *Router
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// twoChains is two whole chains and one engine that overlaps both.
+func twoChains() []engineSpec {
+	return []engineSpec{
+		{0, 4, 8000, "dc-a"}, {4, 8, 8000, "dc-a"},
+		{0, 4, 4000, "dc-b"}, {4, 8, 4000, "dc-b"},
+		{2, 8, 4000, "dc-b"},
+	}
+}
+
+// inWorld runs a test in a world with routers in two data centres.
+func inWorld(t *testing.T, routers int, engines []engineSpec, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, net: netfaker.New()}
+		w.net.Latency = func(string, string) time.Duration { return 200 * time.Microsecond }
+		defer w.close()
+		w.startPlatform()
+		w.startEngines(engines)
+		w.startService()
+		for i := range routers {
+			w.startRouter(i, routers)
+		}
+		w.platform.SetVMs(w.vms)
+		w.client = w.newClient(callerIP)
+		w.apply(assistantDocument)
+		w.apply(bookingsDocument)
+		w.awaitServing()
+		test(w)
+	})
+}
+
+func routerIP(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+func engineIP(i int) string { return fmt.Sprintf("10.0.1.%d", i+1) }
+
+func (w *world) serve(ip, address string, handler http.Handler) {
+	l, err := w.net.Host(ip).Listen("tcp", address)
+	require.NoError(w.t, err)
+	server := enginefaker.NewServer(handler)
+	w.wg.Go(func() { _ = server.Serve(l) })
+	w.closers = append(w.closers, func() { _ = server.Close() })
+}
+
+func (w *world) startPlatform() {
+	w.platform = platformfaker.New(platformfaker.Config{Clock: timer.System{}})
+	w.serve(platformIP, platformIP+":7200", w.platform.Handler())
+}
+
+func (w *world) startEngines(specs []engineSpec) {
+	for i, s := range specs {
+		ip := engineIP(i)
+		client := engineer.HTTPClientOver(w.net.Host(ip).Dial)
+		name := fmt.Sprintf("engine-%d", i+1)
+		e := enginefaker.New(enginefaker.Config{
+			Name:        name,
+			Kind:        "a100",
+			PrefillRate: s.rate * 40,
+			DecodeRate:  s.rate,
+			Holdings:    []cataloger.Holding{{Model: "m", Version: "v1", FirstLayer: s.first, EndLayer: s.end, Ready: true}},
+			Clock:       timer.System{},
+			Client:      client,
+			KeepFor:     20 * time.Second,
+		})
+		w.engines = append(w.engines, e)
+		w.serve(ip, ip+":7400", e.Handler())
+		w.closers = append(w.closers, e.Close, client.CloseIdleConnections)
+		w.addVM(name, s.dc, cataloger.Target{Name: name, Address: ip + ":7400", Type: cataloger.TypeEngine})
+	}
+}
+
+func (w *world) startService() {
+	w.service = servicefaker.New(servicefaker.Config{Name: "bookings-1", Clock: timer.System{}, WorkTime: 5 * time.Millisecond})
+	w.serve(serviceIP, serviceIP+":7300", w.service.Handler())
+	w.addVM("bookings-1", "dc-a", cataloger.Target{Name: "bookings-1", Address: serviceIP + ":7300", Type: cataloger.TypeService, Service: "bookings"})
+}
+
+func (w *world) addVM(name string, dc cataloger.DataCentre, target cataloger.Target) {
+	target.VM = "vm-" + name
+	target.DataCentre = dc
+	w.vms = append(w.vms, cataloger.VM{Name: target.VM, DataCentre: dc, Role: cataloger.RoleTarget, Targets: []cataloger.Target{target}})
+}
+
+func (w *world) startRouter(i, total int) {
+	s := DefaultSettings()
+	s.Name = fmt.Sprintf("router-%d", i+1)
+	s.DataCentre = []string{"dc-a", "dc-b"}[i%2]
+	s.Listen = routerIP(i) + ":7070"
+	s.PeerListen = routerIP(i) + ":7071"
+	s.Platform = platformIP + ":7200"
+	s.PeerSecret = strings.Repeat("s", 32)
+	s.ResumeKeys = []string{strings.Repeat("ab", 32)}
+	for p := range total {
+		s.Peers = append(s.Peers, routerIP(p)+":7071")
+	}
+	d := &daemon{ip: routerIP(i), settings: s}
+	w.routers = append(w.routers, d)
+	w.run(d)
+}
+
+// run starts the daemon, or starts it again after a kill.
+func (w *world) run(d *daemon) {
+	host := w.net.Host(d.ip)
+	r, err := New(Config{
+		Settings: d.settings,
+		Log:      zerolog.Nop(),
+		Clock:    timer.System{},
+		Network:  Network{Listen: host.Listen, Dial: host.Dial},
+	})
+	require.NoError(w.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	d.router, d.stop, d.done = r, stop, make(chan error, 1)
+	done := d.done
+	w.wg.Go(func() { done <- r.Run(ctx) })
+}
+
+// kill ends a daemon as the loss of its VM does.
+func (w *world) kill(d *daemon) {
+	w.net.Kill(d.ip)
+	d.router.Force()
+	<-d.done
+}
+
+// revive starts a killed daemon again on its VM.
+func (w *world) revive(d *daemon) {
+	w.net.Revive(d.ip)
+	w.run(d)
+}
+
+func (w *world) newClient(ip string) *caller.Client {
+	httpClient, err := caller.HTTPClientOver(w.net.Host(ip).Dial, caller.TLSFiles{})
+	require.NoError(w.t, err)
+	w.closers = append(w.closers, httpClient.CloseIdleConnections)
+	var addresses []string
+	for _, d := range w.routers {
+		addresses = append(addresses, d.ip+":7070")
+	}
+	return caller.New(httpClient, addresses)
+}
+
+func (w *world) operator(d *daemon) rattantrayv1connect.OperatorServiceClient {
+	httpClient := engineer.HTTPClientOver(w.net.Host(callerIP).Dial)
+	w.closers = append(w.closers, httpClient.CloseIdleConnections)
+	return rattantrayv1connect.NewOperatorServiceClient(httpClient, "http://"+d.ip+":7070")
+}
+
+// apply stores a document through the first daemon.
+func (w *world) apply(document string) uint64 {
+	op := w.operator(w.routers[0])
+	for range 300 {
+		resp, err := op.Apply(w.t.Context(), connect.NewRequest(&v1.ApplyRequest{Document: []byte(document), Author: "test"}))
+		if err == nil {
+			require.Equal(w.t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, resp.Msg.Result, resp.Msg.Message)
+			return resp.Msg.Version
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(w.t, "the document was not stored within 30 s")
+	return 0
+}
+
+// awaitServing waits until every daemon can run both services and knows all others.
+func (w *world) awaitServing() {
+	for range 600 {
+		if w.serving() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(w.t, "the fleet did not serve within 60 s")
+}
+
+func (w *world) serving() bool {
+	for _, d := range w.routers {
+		if !d.router.Serves("assistant") || !d.router.Serves("bookings") {
+			return false
+		}
+		if len(d.router.LiveMembers()) != len(w.routers) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) close() {
+	for _, d := range w.routers {
+		d.router.Force()
+	}
+	for _, c := range w.closers {
+		c()
+	}
+	w.wg.Wait()
+	for _, c := range w.closers {
+		c()
+	}
+}
+
+// tally is what became of the requests of a test.
+type tally struct {
+	mu       sync.Mutex
+	answered int
+	refused  map[string]int
+	outcomes []outcome
+}
+
+type outcome struct {
+	id      string
+	once    bool
+	refusal *refuser.Refusal
+	begun   time.Time
+	ended   time.Time
+}
+
+func newTally() *tally { return &tally{refused: map[string]int{}} }
+
+func (a *tally) add(o outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.outcomes = append(a.outcomes, o)
+	if o.refusal == nil {
+		a.answered++
+		return
+	}
+	a.refused[fmt.Sprintf("%s/%s", o.refusal.Code, o.refusal.Fact)]++
+}
+
+// generate sends one model request and checks the whole answer.
+func (w *world) generate(client *caller.Client, id string, tokens uint32, timeout time.Duration) *refuser.Refusal {
+	prompt := []byte("prompt of " + id)
+	var got [][]byte
+	err := client.Send(w.t.Context(), &v1.Request{
+		Workspace: "counter", Service: "assistant", RequestId: id, Payload: prompt,
+		MaxTokens: tokens, Timeout: durationpb.New(timeout),
+	}, func(p *v1.SendResponse) error {
+		got = append(got, p.Data)
+		return nil
+	})
+	if err != nil {
+		return refuser.From(err)
+	}
+	require.Equal(w.t, enginefaker.Answer("m", "v1", "", prompt, 0, uint64(tokens)), got, id)
+	return nil
+}
+
+// book sends one booking.
+func (w *world) book(client *caller.Client, id string, timeout time.Duration) *refuser.Refusal {
+	_, err := client.Call(w.t.Context(), &v1.Request{
+		Workspace: "counter", Service: "bookings", Method: "POST /bookings", RequestId: id,
+		Payload: []byte(`{"card":1}`), Timeout: durationpb.New(timeout),
+	})
+	if err != nil {
+		return refuser.From(err)
+	}
+	return nil
+}
+
+// load sends requests at a steady rate for a time and waits for all of them.
+func (w *world) load(rate float64, d time.Duration, send func(id string) outcome) *tally {
+	result := newTally()
+	var wg sync.WaitGroup
+	gap := time.Duration(float64(time.Second) / rate)
+	n := int(d / gap)
+	for i := range n {
+		id := fmt.Sprintf("r-%d", i)
+		wg.Go(func() {
+			begun := time.Now()
+			o := send(id)
+			o.id, o.begun, o.ended = id, begun, time.Now()
+			result.add(o)
+		})
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	return result
+}
+
+var _ net.Conn
