--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,239 @@
+package configurer
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/queuer"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// Sizes of the rings and number of workers.
+const (
+	stepRing = 1024
+	jobRing  = 1024
+	workers  = 8
+)
+
+const (
+	tickInterval    = 100 * time.Millisecond
+	membersInterval = 500 * time.Millisecond
+	listTimeout     = 5 * time.Second
+	peerTimeout     = 500 * time.Millisecond
+	pullTimeout     = 2 * time.Second
+)
+
+// Configurer keeps service documents in force on one daemon; set its exported fields before Run.
+type Configurer struct {
+	Self cataloger.Member
+	// Store is the object API as seen by storer.ClassConfig.
+	Store storer.Store
+	Link  linker.Link
+	// Members returns the daemons of the fleet; dead ones are left out by the configurer.
+	Members func() []cataloger.Member
+	// Watchers picks the daemons of a data centre that watch the store.
+	Watchers func([]cataloger.Member, cataloger.DataCentre) []cataloger.Member
+	Clock    timer.Clock
+	Random   *rand.Rand
+	Log      zerolog.Logger
+	Metrics  metrics.Registry
+	// MaxAge makes the daemon not ready where its configuration is not known to be complete for as long; 0 is no limit.
+	MaxAge time.Duration
+
+	steps *queuer.Ring[step]
+	jobs  *queuer.Ring[job]
+	view  atomic.Pointer[view]
+	// The fields below belong to the goroutine of Run.
+	machine     *machine
+	watchNumber int
+	stopWatch   context.CancelFunc
+	waits       sync.WaitGroup
+	// random guards Random.
+	random sync.Mutex
+}
+
+// step is one event for the machine.
+type step func(m *machine, now time.Time) []effect
+
+// job is one call to the store or to a peer.
+type job func(ctx context.Context)
+
+// view is what other goroutines see of the machine; it is immutable.
+type view struct {
+	entries    map[string]entry
+	digest     uint64
+	ready      bool
+	completeAt time.Time
+}
+
+// New returns a configurer without documents.
+func New(self cataloger.Member) *Configurer {
+	c := &Configurer{
+		Self:     self,
+		Members:  func() []cataloger.Member { return nil },
+		Watchers: Watchers,
+		Clock:    timer.System{},
+		Log:      zerolog.Nop(),
+		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Metrics:  metrics.NewRegistry(),
+		steps:    queuer.NewRing[step](stepRing),
+		jobs:     queuer.NewRing[job](jobRing),
+	}
+	c.view.Store(&view{entries: map[string]entry{}})
+	return c
+}
+
+// Lookup returns the document in force with its defaults filled in, and its version; ok is false where there is none.
+func (c *Configurer) Lookup(name string) (doc *documenter.Document, version uint64, ok bool) {
+	e := c.view.Load().entries[name]
+	return e.document, e.inForce, e.document != nil
+}
+
+// Services returns the names of the services in force in order.
+func (c *Configurer) Services() []string {
+	var names []string
+	for name, e := range c.view.Load().entries {
+		if e.document != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Version returns the newest version in force over all services.
+func (c *Configurer) Version() uint64 {
+	newest := uint64(0)
+	for _, e := range c.view.Load().entries {
+		newest = max(newest, e.inForce)
+	}
+	return newest
+}
+
+// Ready tells whether the daemon has had the state from the store or from peers, and it is not older than MaxAge.
+func (c *Configurer) Ready() bool {
+	if !c.view.Load().ready {
+		return false
+	}
+	age, ok := c.Age()
+	return c.MaxAge == 0 || ok && age <= c.MaxAge
+}
+
+// Age returns the time since this daemon's documents were known to be all there are, and whether they ever were.
+func (c *Configurer) Age() (time.Duration, bool) {
+	v := c.view.Load()
+	if v.completeAt.IsZero() {
+		return 0, false
+	}
+	return max(c.Clock.Now().Sub(v.completeAt), 0), true
+}
+
+// Run spreads documents until ctx is done.
+func (c *Configurer) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer c.waits.Wait()
+	defer cancel()
+	c.machine = newMachine(c.Self, c.newRandom())
+	c.machine.watchers = c.Watchers
+	for range workers {
+		c.waits.Go(func() { c.work(ctx) })
+	}
+	ticks := queuer.NewRing[struct{}](1)
+	c.waits.Go(func() {
+		for c.Clock.Sleep(ctx, tickInterval) == nil {
+			_ = ticks.Offer(struct{}{})
+		}
+	})
+	c.do(ctx, c.machine.start(c.Clock.Now(), c.members()))
+	membersAt := c.Clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-c.steps.Values():
+			c.do(ctx, s(c.machine, c.Clock.Now()))
+		case <-ticks.Values():
+			now := c.Clock.Now()
+			if now.Sub(membersAt) >= membersInterval {
+				membersAt = now
+				c.refreshMembers(ctx, now)
+			}
+			c.do(ctx, c.machine.tick(now))
+		}
+		c.publish()
+	}
+}
+
+func (c *Configurer) work(ctx context.Context) {
+	for {
+		j, err := c.jobs.Take(ctx)
+		if err != nil {
+			return
+		}
+		j(ctx)
+	}
+}
+
+// members returns the fleet, in which this daemon always has a place.
+func (c *Configurer) members() []cataloger.Member {
+	members := slices.Clone(c.Members())
+	if !slices.ContainsFunc(members, func(m cataloger.Member) bool { return m.Name == c.Self.Name }) {
+		self := c.Self
+		self.State = cmp.Or(self.State, cataloger.StateLive)
+		members = append(members, self)
+	}
+	return members
+}
+
+func (c *Configurer) refreshMembers(ctx context.Context, now time.Time) {
+	members := c.members()
+	same := func(a, b cataloger.Member) bool {
+		return a.Name == b.Name && a.State == b.State && a.PeerAddress == b.PeerAddress && a.DataCentre == b.DataCentre
+	}
+	if !slices.EqualFunc(members, c.machine.members, same) {
+		c.do(ctx, c.machine.setMembers(now, members))
+	}
+}
+
+func (c *Configurer) publish() {
+	m, old := c.machine, c.view.Load()
+	if old.digest == m.set.digest && old.ready == m.boot.ready && old.completeAt.Equal(m.completeAt) {
+		return
+	}
+	v := &view{entries: old.entries, digest: m.set.digest, ready: m.boot.ready, completeAt: m.completeAt}
+	if old.digest != v.digest {
+		v.entries = maps.Clone(m.set.entries)
+		c.gauge("config-version", int64(newest(v.entries)))
+		c.gauge("config-services", int64(len(v.entries)))
+	}
+	c.view.Store(v)
+}
+
+func newest(entries map[string]entry) uint64 {
+	version := uint64(0)
+	for _, e := range entries {
+		version = max(version, e.inForce)
+	}
+	return version
+}
+
+func (c *Configurer) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, c.Metrics).Update(value)
+}
+
+func (c *Configurer) count(name string, n int) {
+	metrics.GetOrRegisterCounter(name, c.Metrics).Inc(int64(n))
+}
--- /dev/null
+++ b/internal/configurer/fleet_test.go
@@ -0,0 +1,335 @@
+package configurer
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/platformfaker"
+	"github.com/rattantray/rattantray/internal/storer"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		println(err.Error())
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// fleet runs daemons in one process; it belongs in a synctest bubble.
+type fleet struct {
+	t        *testing.T
+	platform *platformfaker.Platform
+	ctx      context.Context
+	random   *rand.Rand
+
+	mu      sync.Mutex
+	daemons []*daemon
+	// cut holds pairs of daemons that cannot talk.
+	cut map[[2]string]bool
+	// lose, duplicate and delay are counts of messages that a fault still meets.
+	lose      int
+	duplicate int
+	delay     int
+}
+
+type daemon struct {
+	fleet  *fleet
+	member cataloger.Member
+	*Configurer
+	stop    context.CancelFunc
+	done    chan struct{}
+	running bool
+	// isolated keeps the daemon from the store.
+	isolated bool
+}
+
+func newFleet(t *testing.T, seed uint64, size, dataCentres int) *fleet {
+	f := &fleet{
+		t:        t,
+		platform: platformfaker.New(platformfaker.Config{}),
+		ctx:      t.Context(),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		cut:      map[[2]string]bool{},
+	}
+	for i := range size {
+		name := fmt.Sprintf("entry-%03d", i)
+		f.daemons = append(f.daemons, &daemon{fleet: f, member: cataloger.Member{
+			Name:        name,
+			PeerAddress: name,
+			DataCentre:  cataloger.DataCentre(fmt.Sprintf("dc-%d", i%dataCentres)),
+			State:       cataloger.StateLive,
+		}})
+	}
+	for _, d := range f.daemons {
+		d.prepare()
+	}
+	for _, d := range f.daemons {
+		d.run()
+	}
+	return f
+}
+
+func (d *daemon) start() {
+	d.prepare()
+	d.run()
+}
+
+func (d *daemon) prepare() {
+	f := d.fleet
+	d.member.Incarnation++
+	c := New(d.member)
+	c.Store = d.guard(f.platform.Store())
+	c.Link = linker.Link{Call: d.call}
+	c.Members = f.members
+	f.mu.Lock()
+	c.Random = rand.New(rand.NewPCG(f.random.Uint64(), 1))
+	d.Configurer, d.running = c, true
+	f.mu.Unlock()
+}
+
+func (d *daemon) run() {
+	ctx, cancel := context.WithCancel(d.fleet.ctx)
+	c, done := d.Configurer, make(chan struct{})
+	d.stop, d.done = cancel, done
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+}
+
+func (d *daemon) kill() {
+	d.fleet.mu.Lock()
+	d.running = false
+	d.fleet.mu.Unlock()
+	d.stop()
+	<-d.done
+}
+
+func (f *fleet) stopAll() {
+	for _, d := range f.daemons {
+		if d.running {
+			d.kill()
+		}
+	}
+}
+
+// members is a perfect view of the fleet; what it would take to get one is another package's matter.
+func (f *fleet) members() []cataloger.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]cataloger.Member, 0, len(f.daemons))
+	for _, d := range f.daemons {
+		if d.running {
+			out = append(out, d.member)
+		}
+	}
+	return out
+}
+
+// guard keeps an isolated daemon from the store.
+func (d *daemon) guard(s storer.Store) storer.Store {
+	alone := func() bool {
+		d.fleet.mu.Lock()
+		defer d.fleet.mu.Unlock()
+		return d.isolated
+	}
+	inner := s
+	s.List = func(ctx context.Context, prefix string) ([]storer.Object, uint64, error) {
+		if alone() {
+			return nil, 0, storer.ErrUnavailable
+		}
+		return inner.List(ctx, prefix)
+	}
+	s.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+		if alone() {
+			return storer.ErrUnavailable
+		}
+		return inner.Watch(ctx, prefix, after, func(e storer.Event) error {
+			if alone() {
+				return storer.ErrUnavailable
+			}
+			return emit(e)
+		})
+	}
+	return s
+}
+
+func take(n *int) bool {
+	if *n > 0 {
+		*n--
+		return true
+	}
+	return false
+}
+
+// call is the link of a daemon, with latency and the fleet's faults.
+func (d *daemon) call(ctx context.Context, address, method string, req, resp proto.Message) error {
+	f := d.fleet
+	f.mu.Lock()
+	to := f.find(address)
+	lost := f.cut[[2]string{d.member.Name, address}] || take(&f.lose)
+	twice, late := take(&f.duplicate), take(&f.delay)
+	latency := 500 * time.Microsecond
+	if to.member.DataCentre != d.member.DataCentre {
+		latency = 20 * time.Millisecond
+	}
+	running, handler := to.running && d.running, to.Handlers()[method]
+	f.mu.Unlock()
+	switch {
+	case !running:
+		return errors.New("connection refused")
+	case lost:
+		<-ctx.Done()
+		return ctx.Err()
+	case late:
+		latency += 300 * time.Millisecond
+	}
+	body, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	time.Sleep(latency)
+	answer, err := handler(ctx, d.member.Name, body)
+	if twice {
+		answer, err = handler(ctx, d.member.Name, body)
+	}
+	if err != nil {
+		return err
+	}
+	time.Sleep(latency)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+func (f *fleet) find(name string) *daemon {
+	for _, d := range f.daemons {
+		if d.member.Name == name {
+			return d
+		}
+	}
+	return nil
+}
+
+// partition cuts the first n daemons from the rest both ways.
+func (f *fleet) partition(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.daemons[:n] {
+		for _, b := range f.daemons[n:] {
+			f.cut[[2]string{a.member.Name, b.member.Name}] = true
+			f.cut[[2]string{b.member.Name, a.member.Name}] = true
+		}
+	}
+}
+
+func (f *fleet) loseNext(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = n
+}
+
+// isolate keeps daemons from the store.
+func (f *fleet) isolate(daemons ...*daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range daemons {
+		d.isolated = true
+	}
+}
+
+func (f *fleet) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cut)
+	f.lose, f.duplicate, f.delay = 0, 0, 0
+	for _, d := range f.daemons {
+		d.isolated = false
+	}
+}
+
+// settle waits until every running daemon is ready and has the version, and returns how long it took.
+func (f *fleet) settle(name string, version uint64, within time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for time.Since(start) <= within {
+		if f.lagging(name, version) == 0 {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Zero(f.t, f.lagging(name, version), "daemons without version %d of %q after %s", version, name, within)
+	return 0
+}
+
+func (f *fleet) lagging(name string, version uint64) int {
+	n := 0
+	for _, d := range f.daemons {
+		if d.running && (!d.Ready() || d.view.Load().entries[name].inForce < version) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) ready() { f.settle("", 0, 10*time.Second) }
+
+// watchers returns the running daemons that watch the store for a data centre.
+func (f *fleet) watchers(dc cataloger.DataCentre) []*daemon {
+	var out []*daemon
+	for _, m := range Watchers(f.members(), dc) {
+		out = append(out, f.find(m.Name))
+	}
+	return out
+}
+
+func source(name, owner string) []byte {
+	return fmt.Appendf(nil, "format: rattantray/service/v1\nname: %s\nowner: %s\ntype: plain\nworkspaces:\n  - name: counter\nplain:\n  methods:\n    - name: GET /\n", name, owner)
+}
+
+func (d *daemon) apply(name, owner string, seen uint64) *v1.ApplyResponse {
+	resp, err := d.Apply(d.fleet.ctx, &v1.ApplyRequest{Document: source(name, owner), ExpectedVersion: &seen, Author: owner})
+	require.NoError(d.fleet.t, err)
+	return resp
+}
+
+func (f *fleet) accept(d *daemon, name, owner string, seen uint64) uint64 {
+	f.t.Helper()
+	resp := d.apply(name, owner, seen)
+	require.Equal(f.t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, resp.Result, resp.Message)
+	return resp.Version
+}
+
+func inBubble(t *testing.T, size, dataCentres int, run func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, size, dataCentres)
+		defer f.stopAll()
+		f.ready()
+		run(t, f)
+	})
+}
--- /dev/null
+++ b/internal/configurer/spread_test.go
@@ -0,0 +1,181 @@
+package configurer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/platformfaker"
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+)
+
+const (
+	ordinaryTarget = 2 * time.Second
+	faultTarget    = 7 * time.Second
+)
+
+func TestInForceOn40(t *testing.T) {
+	inBubble(t, 40, 4, func(t *testing.T, f *fleet) {
+		version, worst := uint64(0), time.Duration(0)
+		for i := range 20 {
+			version = f.accept(f.daemons[i], "cards", "desk", version)
+			worst = max(worst, f.settle("cards", version, ordinaryTarget))
+			version = f.accept(f.daemons[39-i], "cards", "counter", version)
+			worst = max(worst, f.settle("cards", version, ordinaryTarget))
+		}
+		t.Logf("in force on 40 of 40 within %s", worst)
+	})
+}
+
+// A watcher dies, the other watcher of its data centre misses the event and a push is lost, all at one change.
+func TestInForceOn40UnderFaults(t *testing.T) {
+	inBubble(t, 40, 4, func(t *testing.T, f *fleet) {
+		version, worst := f.accept(f.daemons[0], "cards", "desk", 0), time.Duration(0)
+		f.settle("cards", version, ordinaryTarget)
+		for i := range 12 {
+			dc := cataloger.DataCentre("dc-1")
+			watchers := f.watchers(dc)
+			watchers[0].kill()
+			f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultWatchGap, Count: 1 + i%8})
+			f.loseNext(1 + i%3)
+			applier := f.daemons[4*i%40]
+			for !applier.running {
+				applier = f.daemons[0]
+			}
+			version = f.accept(applier, "cards", []string{"a", "b"}[i%2], version)
+			worst = max(worst, f.settle("cards", version, faultTarget))
+			f.platform.ClearFaults()
+			watchers[0].start()
+			f.settle("cards", version, faultTarget)
+		}
+		t.Logf("in force on 39 of 39 within %s", worst)
+	})
+}
+
+// Every watch misses the event and the daemon that accepted it dies at once: only lists of the store show it.
+func TestEveryWatchMissesTheEvent(t *testing.T) {
+	inBubble(t, 8, 2, func(t *testing.T, f *fleet) {
+		f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultWatchGap})
+		f.partition(1)
+		version := f.accept(f.daemons[0], "cards", "desk", 0)
+		f.daemons[0].kill()
+		f.settle("cards", version, 4*fleetListInterval+faultTarget)
+	})
+}
+
+func TestStoreOutageSpreadsByPeers(t *testing.T) {
+	inBubble(t, 8, 2, func(t *testing.T, f *fleet) {
+		f.partition(4)
+		version := f.accept(f.daemons[7], "cards", "desk", 0)
+		f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultOutage})
+		time.Sleep(10 * time.Second)
+		f.heal()
+		f.settle("cards", version, faultTarget)
+	})
+}
+
+func TestRestart(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(f *fleet)
+		ready  bool
+		newest bool
+	}{
+		{"ordinary", func(*fleet) {}, true, true},
+		{"stale list", func(f *fleet) {
+			f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultStaleRead, Revisions: 2})
+		}, true, true},
+		{"store down", func(f *fleet) { f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultOutage}) }, true, true},
+		{"store down, cut off from all peers", func(f *fleet) {
+			f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultOutage})
+			f.partition(1)
+		}, false, false},
+		{"cut off from all peers", func(f *fleet) { f.partition(1) }, true, true},
+		{"messages lost", func(f *fleet) { f.loseNext(3) }, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, 6, 2, func(t *testing.T, f *fleet) {
+				version := f.accept(f.daemons[1], "cards", "desk", 0)
+				version = f.accept(f.daemons[1], "cards", "counter", version)
+				f.settle("cards", version, ordinaryTarget)
+				d := f.daemons[0]
+				d.kill()
+				c.before(f)
+				d.start()
+				require.False(t, d.Ready(), "not ready before it has the state")
+				for range 1000 {
+					time.Sleep(10 * time.Millisecond)
+					if d.Ready() {
+						_, got, ok := d.Lookup("cards")
+						require.True(t, ok)
+						require.Equal(t, version, got, "ready with the newest version only")
+					}
+				}
+				require.Equal(t, c.ready, d.Ready())
+			})
+		})
+	}
+}
+
+func TestIsolatedDaemonServesTheNewestItKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 4, 2)
+		defer f.stopAll()
+		f.ready()
+		version := f.accept(f.daemons[1], "cards", "desk", 0)
+		f.settle("cards", version, ordinaryTarget)
+		limited := f.daemons[1]
+		limited.MaxAge = time.Minute
+		f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultOutage})
+		f.partition(1)
+		time.Sleep(10 * time.Minute)
+		d := f.daemons[0]
+		_, got, ok := d.Lookup("cards")
+		require.True(t, ok)
+		require.Equal(t, version, got)
+		require.True(t, d.Ready(), "no limit on the age by default")
+		age, known := d.Age()
+		require.True(t, known)
+		require.InDelta(t, 10*time.Minute, age, float64(10*time.Second))
+		require.False(t, limited.Ready(), "peers that are as old do not make it younger")
+		f.platform.ClearFaults()
+		f.heal()
+		time.Sleep(20 * time.Second)
+		require.True(t, limited.Ready())
+	})
+}
+
+func TestStatusIsTruthful(t *testing.T) {
+	inBubble(t, 8, 2, func(t *testing.T, f *fleet) {
+		version := f.accept(f.daemons[0], "cards", "desk", 0)
+		f.settle("cards", version, ordinaryTarget)
+		f.partition(2)
+		f.isolate(f.daemons[0], f.daemons[1])
+		newer := f.accept(f.daemons[5], "cards", "counter", version)
+		time.Sleep(faultTarget)
+		status := func(d *daemon) *v1.StatusResponse {
+			resp, err := d.Status(t.Context(), &v1.StatusRequest{Name: "cards"})
+			require.NoError(t, err)
+			return resp
+		}
+		s := status(f.daemons[5])
+		require.Equal(t, newer, s.Version)
+		require.Equal(t, uint32(6), s.InForce)
+		require.Equal(t, uint32(8), s.Members)
+		require.Len(t, s.Lagging, 2)
+		require.False(t, s.Lagging[0].Answered)
+		f.mu.Lock()
+		clear(f.cut)
+		f.mu.Unlock()
+		require.Equal(t, uint32(6), status(f.daemons[5]).InForce, "daemons that answer with an older version lag")
+		f.heal()
+		f.settle("cards", newer, faultTarget)
+		s = status(f.daemons[0])
+		require.Equal(t, uint32(8), s.InForce)
+		require.Empty(t, s.Lagging)
+	})
+}
