--- a/internal/tracker/fleet.go
+++ b/internal/tracker/fleet.go
@@ -35,6 +35,10 @@
 	if e == m.self {
 		heard = m.now
 	}
+	lastHeard := time.Time{}
+	if heard != neverHeard {
+		lastHeard = heardAt(heard)
+	}
 	return cataloger.Member{
 		Name:        e.name,
 		Incarnation: e.incarnation,
@@ -43,7 +47,7 @@
 		DataCentre:  e.dataCentre,
 		Region:      e.region,
 		State:       state,
-		LastHeard:   heardAt(heard),
+		LastHeard:   lastHeard,
 	}
 }
 
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -23,8 +23,10 @@
 type Machine struct {
 	options Options
 	random  *rand.Rand
-	started time.Duration
-	now     time.Duration
+	// now is the machine's own time, which leaves out pauses and jumps of the clock.
+	now time.Duration
+	// offset is what is added to the clock's time.
+	offset time.Duration
 
 	self    *memberEntry
 	members map[string]*memberEntry
@@ -39,9 +41,11 @@
 	changes uint64
 	digest  uint64
 
-	watchers      []*memberEntry
-	watched       map[string]*doubt
-	stale         bool
+	watchers []*memberEntry
+	watched  map[string]*doubt
+	stale    bool
+	// scarce is set while leaving members have to watch as well.
+	scarce        bool
 	lastHeartbeat time.Duration
 	lastContact   time.Duration
 	subscribers   map[string]time.Duration
@@ -57,15 +61,16 @@
 
 	superseded bool
 	synced     bool
-	out        []Message
+	// contests counts the incarnations of other processes of this name that this one had to raise its own over.
+	contests int
+	out      []Message
 }
 
-// NewMachine returns a machine that knows itself and some addresses to try.
+// NewMachine returns a machine that knows itself and some addresses to try; the epoch is unique to the process and grows with its start time.
 func NewMachine(o Options, self cataloger.Member, epoch uint64, seeds []string, random *rand.Rand, now time.Duration) *Machine {
 	m := &Machine{
 		options:      o.withDefaults(),
 		random:       random,
-		started:      now,
 		now:          now,
 		members:      map[string]*memberEntry{},
 		targets:      map[string]*targetEntry{},
@@ -101,9 +106,7 @@
 
 // Tick acts on the passing of time; it is to be called every Options.Tick.
 func (m *Machine) Tick(now time.Duration) []Message {
-	gap := now - m.now
-	m.now = max(now, m.now)
-	if gap > m.options.Pause {
+	if m.advance(now) {
 		m.resumeAfterPause()
 	}
 	m.refreshWatches()
@@ -119,9 +122,9 @@
 
 // Receive takes a message of a peer.
 func (m *Machine) Receive(now time.Duration, from string, g *peerv1.Gossip) []Message {
-	if now-m.now <= m.options.Pause {
+	if now+m.offset-m.now <= m.options.Pause {
 		// A longer gap is for Tick to find.
-		m.now = max(now, m.now)
+		m.advance(now)
 	}
 	if from == m.self.name {
 		return nil
@@ -150,7 +153,7 @@
 
 // Leave announces that this daemon leaves.
 func (m *Machine) Leave(now time.Duration) []Message {
-	m.now = max(now, m.now)
+	m.advance(now)
 	if m.self.status < peerv1.MemberStatus_MEMBER_STATUS_LEAVING {
 		m.setStatus(m.self, peerv1.MemberStatus_MEMBER_STATUS_LEAVING)
 		m.publish(m.self)
@@ -179,13 +182,27 @@
 // Incarnation returns the current incarnation of this daemon.
 func (m *Machine) Incarnation() uint64 { return m.self.incarnation }
 
+// advance moves the machine's time on and tells whether the clock has made a jump, as after a pause.
+func (m *Machine) advance(now time.Duration) bool {
+	gap := now + m.offset - m.now
+	jumped := gap > m.options.Pause
+	if jumped || gap < 0 {
+		next := m.now
+		if jumped {
+			next += m.options.Tick
+		}
+		m.offset = next - now
+		m.now = next
+		return jumped
+	}
+	m.now += gap
+	return false
+}
+
 // resumeAfterPause keeps the daemon's own pause from being taken for the silence of others.
 func (m *Machine) resumeAfterPause() {
-	for _, e := range m.members {
-		e.heard = m.now
-	}
 	for _, d := range m.watched {
-		*d = doubt{}
+		*d = doubt{graceFrom: m.now}
 	}
 	clear(m.votes)
 }
@@ -197,10 +214,7 @@
 		return
 	}
 	e.heard = m.now
-	if e.unreachable {
-		e.unreachable = false
-		m.changes++
-	}
+	m.setUnreachable(e, false)
 	if d := m.watched[from]; d != nil {
 		*d = doubt{}
 	}
--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
@@ -41,3 +42,53 @@
 		}
 	}
 }
+
+// foreign returns what another process of the name says of itself.
+func foreign(name string, incarnation, epoch uint64) *peerv1.Gossip {
+	return &peerv1.Gossip{
+		Kind:    peerv1.GossipKind_GOSSIP_KIND_NEWS,
+		Members: []*peerv1.MemberEntry{{Name: name, Incarnation: incarnation, Epoch: epoch, Address: "b:80", PeerAddress: "b:1"}},
+	}
+}
+
+func TestOnlyTheLaterOfTwoProcessesKeepsTheName(t *testing.T) {
+	for _, later := range []bool{true, false} {
+		n := newNetwork(1)
+		m := n.add("a", "dc", "", 5).m
+		other := m.self.epoch + 1
+		if later {
+			other = m.self.epoch - 1
+		}
+		for range maxContests + 1 {
+			require.False(t, m.Superseded())
+			m.Receive(n.now, "x", foreign("a", m.Incarnation()+1, other))
+		}
+		require.Equal(t, !later, m.Superseded())
+		require.Equal(t, !later, m.Leaving())
+		if !later {
+			require.Empty(t, m.Leave(n.now), "a superseded process says nothing in the name")
+		}
+	}
+}
+
+func TestListMarksLeaversByAddressAndNeverBringsThemBack(t *testing.T) {
+	n := newNetwork(1)
+	n.grow(3, 1)
+	n.run(5 * time.Second)
+	list := func(address string, leaving bool) {
+		vms := []cataloger.VM{{Name: "r002", Role: cataloger.RoleEntry, Address: address, Leaving: leaving}}
+		n.post(n.order[0], n.order[0].m.SetVMs(n.now, vms, func(cataloger.VM) string { return "" }))
+		n.run(time.Second)
+	}
+	list("replaced:80", true)
+	require.Equal(t, 2, n.states("r002")[cataloger.StateLive], "the mark is of another VM")
+	list("r002:80", true)
+	require.Equal(t, 2, n.states("r002")[cataloger.StateLeaving])
+	require.True(t, n.order[2].m.Leaving())
+	list("r002:80", false)
+	n.run(10 * time.Second)
+	require.Equal(t, 2, n.states("r002")[cataloger.StateLeaving])
+	n.add("r002", "dc00", "", 9, "r000:1")
+	n.run(5 * time.Second)
+	require.Equal(t, 2, n.states("r002")[cataloger.StateLive])
+}
--- a/internal/tracker/news.go
+++ b/internal/tracker/news.go
@@ -11,6 +11,9 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+// maxContests is how often a daemon raises its incarnation over that of another process of its name.
+const maxContests = 3
+
 // mismatchWait is how long digests may differ before tables are compared; news in flight settles most differences.
 const mismatchWait = 300 * time.Millisecond
 
@@ -40,7 +43,7 @@
 			continue
 		}
 		known := m.members[p.Name]
-		if known == nil || known == m.self || p.Incarnation == known.incarnation && p.Status == known.status {
+		if known == nil || known == m.self || p.Incarnation == known.incarnation && p.Epoch == known.epoch && p.Status == known.status {
 			continue
 		}
 		m.send(p.PeerAddress, &peerv1.Gossip{
@@ -70,24 +73,23 @@
 	}
 	m.digest ^= known.digest()
 	fresh := memberFromProto(p, m.now)
-	if p.Incarnation == known.incarnation {
-		fresh.heard = known.heard
-	}
+	fresh.heard = known.heard
 	*known = fresh
 	m.digest ^= known.digest()
 	m.noteChange(known)
 	if d := m.watched[p.Name]; d != nil {
-		*d = doubt{}
+		*d = doubt{graceFrom: m.now}
 	}
 	return true
 }
 
 // learnSelf answers what others say of this daemon: bad news is refuted, a leaving mark is accepted.
 func (m *Machine) learnSelf(p *peerv1.MemberEntry) {
-	if !supersedes(p, m.self) || m.superseded {
+	another := p.Epoch != m.self.epoch && p.Incarnation == m.self.incarnation
+	if !supersedes(p, m.self) && !another || m.superseded {
 		return
 	}
-	if p.Epoch != m.self.epoch && m.now-m.started >= m.options.Settling {
+	if m.losesName(p) {
 		m.superseded = true
 		m.changes++
 		return
@@ -104,6 +106,15 @@
 	m.publish(m.self)
 }
 
+// losesName tells whether a later process has the name: it raises its incarnation again and again, while what an ended process left does not.
+func (m *Machine) losesName(p *peerv1.MemberEntry) bool {
+	if p.Epoch == m.self.epoch || p.Status == peerv1.MemberStatus_MEMBER_STATUS_DEAD {
+		return false
+	}
+	m.contests++
+	return m.contests > maxContests && p.Epoch > m.self.epoch
+}
+
 // publish tells everybody about an entry with the next tick.
 func (m *Machine) publish(e *memberEntry) { m.news[e.name] = struct{}{} }
 
@@ -161,7 +172,7 @@
 
 func (m *Machine) tellDelegates(messages []*peerv1.Gossip) {
 	for _, group := range m.farGroups() {
-		for _, e := range topScores(group, delegateKey, m.options.Delegates) {
+		for _, e := range m.delegates(group) {
 			m.sendAll(e, messages, true)
 		}
 	}
@@ -181,11 +192,25 @@
 	}
 }
 
-// farGroups returns the live members of each other data centre.
+// delegates returns the members of a data centre that pass news on there: live ones where there are enough.
+func (m *Machine) delegates(group []*memberEntry) []*memberEntry {
+	var live, others []*memberEntry
+	for _, e := range group {
+		if e.status == peerv1.MemberStatus_MEMBER_STATUS_LIVE && !e.unreachable {
+			live = append(live, e)
+			continue
+		}
+		others = append(others, e)
+	}
+	out := topScores(live, delegateKey, m.options.Delegates)
+	return append(out, topScores(others, delegateKey, m.options.Delegates-len(out))...)
+}
+
+// farGroups returns the members of each other data centre.
 func (m *Machine) farGroups() [][]*memberEntry {
 	groups := map[cataloger.DataCentre][]*memberEntry{}
 	for _, e := range m.order {
-		if e.dataCentre != m.self.dataCentre && e.status == peerv1.MemberStatus_MEMBER_STATUS_LIVE && !e.unreachable {
+		if e.dataCentre != m.self.dataCentre && e.present() {
 			groups[e.dataCentre] = append(groups[e.dataCentre], e)
 		}
 	}
--- a/internal/tracker/options.go
+++ b/internal/tracker/options.go
@@ -28,8 +28,6 @@
 	Tombstone time.Duration
 	// TargetAbsence is how long a target has to be missing from the list of VMs before it is removed.
 	TargetAbsence time.Duration
-	// Settling is the time after its start in which a daemon takes its name over from an earlier process.
-	Settling time.Duration
 	// NearWatchers and FarWatchers are how many daemons inside and outside the data centre watch a member.
 	NearWatchers int
 	FarWatchers  int
@@ -56,11 +54,10 @@
 		Contact:       time.Second,
 		Tombstone:     24 * time.Hour,
 		TargetAbsence: 30 * time.Second,
-		Settling:      10 * time.Second,
 		NearWatchers:  2,
 		FarWatchers:   2,
-		Helpers:       2,
-		Delegates:     2,
+		Helpers:       3,
+		Delegates:     3,
 		DeltaEntries:  64,
 	}
 }
@@ -79,7 +76,6 @@
 	setDefault(&o.Contact, d.Contact)
 	setDefault(&o.Tombstone, d.Tombstone)
 	setDefault(&o.TargetAbsence, d.TargetAbsence)
-	setDefault(&o.Settling, d.Settling)
 	setDefault(&o.NearWatchers, d.NearWatchers)
 	setDefault(&o.FarWatchers, d.FarWatchers)
 	setDefault(&o.Helpers, d.Helpers)
--- a/internal/tracker/table.go
+++ b/internal/tracker/table.go
@@ -9,6 +9,9 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+// neverHeard is the time of the last message of a member that has sent none.
+const neverHeard = -24 * time.Hour
+
 // memberEntry is what the machine knows of one daemon.
 type memberEntry struct {
 	name        string
@@ -42,7 +45,7 @@
 		dataCentre:  cataloger.DataCentre(p.DataCentre),
 		region:      p.Region,
 		since:       now - time.Duration(p.DeadSeconds)*time.Second,
-		heard:       now,
+		heard:       neverHeard,
 	}
 }
 
@@ -72,16 +75,19 @@
 }
 
 // supersedes tells whether the received form of an entry is newer than the known one.
+// Two processes that use one incarnation are not ordered: the later one has to raise its own.
 func supersedes(received *peerv1.MemberEntry, known *memberEntry) bool {
 	if received.Incarnation != known.incarnation {
 		return received.Incarnation > known.incarnation
 	}
-	if received.Epoch != known.epoch {
-		return received.Epoch > known.epoch
-	}
 	return received.Status > known.status
 }
 
+// eligible tells whether a daemon may watch others; leaving ones do where few others are left.
+func (m *Machine) eligible(e *memberEntry) bool {
+	return e.working() || m.scarce && e.present()
+}
+
 // digest is the entry's part of the digest of the table; dead members have none, so that forgetting them is silent.
 func (e *memberEntry) digest() uint64 {
 	if !e.present() {
--- a/internal/tracker/targets.go
+++ b/internal/tracker/targets.go
@@ -30,7 +30,7 @@
 
 // ReportTarget takes the result of a probe.
 func (m *Machine) ReportTarget(now time.Duration, name string, r TargetReport) []Message {
-	m.now = max(now, m.now)
+	m.advance(now)
 	e := m.targets[name]
 	if e == nil || e.Removed {
 		return nil
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -93,11 +93,17 @@
 		t.started = t.Clock.Now()
 		t.inbox = queuer.NewRing[func(time.Duration) []Message](inboxSize)
 		t.subscribers = map[chan struct{}]struct{}{}
-		t.machine = NewMachine(t.Options, t.Local, t.Random.Uint64(), t.Seeds, t.Random, 0)
+		t.machine = NewMachine(t.Options, t.Local, t.epoch(), t.Seeds, t.Random, 0)
 		t.rebuild()
 	})
 }
 
+// epoch returns a number for this process that grows with its start time.
+func (t *Tracker) epoch() uint64 {
+	const randomBits = 16
+	return uint64(t.started.UnixMilli())<<randomBits | t.Random.Uint64()&(1<<randomBits-1)
+}
+
 func (t *Tracker) peerAddressByPort(vm cataloger.VM) string {
 	host, _, err := net.SplitHostPort(vm.Address)
 	if err != nil {
--- a/internal/tracker/vms.go
+++ b/internal/tracker/vms.go
@@ -14,7 +14,7 @@
 
 // SetVMs joins in the platform's list, which lags: it names addresses to try and marks what leaves, and never brings anything back.
 func (m *Machine) SetVMs(now time.Duration, vms []cataloger.VM, peerAddress func(cataloger.VM) string) []Message {
-	m.now = max(now, m.now)
+	m.advance(now)
 	clear(m.listed)
 	seen := map[string]struct{}{}
 	for _, vm := range vms {
--- a/internal/tracker/watch.go
+++ b/internal/tracker/watch.go
@@ -24,6 +24,8 @@
 
 // doubt is a watcher's question whether a member still lives.
 type doubt struct {
+	// graceFrom stands in for the last message of a member that has only just come to be watched.
+	graceFrom time.Duration
 	active    bool
 	since     time.Duration
 	notBefore time.Duration
@@ -45,26 +47,40 @@
 		return
 	}
 	m.stale = false
-	counts := m.countWorking()
+	m.scarce = m.scarceWorkers()
+	counts := m.countEligible()
 	m.watchers = m.watchersOf(m.self)
 	for name := range m.watched {
 		if e := m.members[name]; e == nil || !e.present() || !m.isWatcher(e, counts) {
 			delete(m.watched, name)
+			if e != nil {
+				m.setUnreachable(e, false)
+			}
 		}
 	}
 	for _, e := range m.order {
 		if e == m.self || !e.present() || m.watched[e.name] != nil || !m.isWatcher(e, counts) {
 			continue
 		}
-		m.watched[e.name] = &doubt{}
-		e.heard = m.now
+		m.watched[e.name] = &doubt{graceFrom: m.now}
 	}
 }
 
-func (m *Machine) countWorking() map[cataloger.DataCentre]int {
-	counts := map[cataloger.DataCentre]int{}
+// scarceWorkers tells whether there are too few working members to watch everybody.
+func (m *Machine) scarceWorkers() bool {
+	working := 0
 	for _, e := range m.order {
 		if e.working() {
+			working++
+		}
+	}
+	return working <= m.options.NearWatchers+m.options.FarWatchers
+}
+
+func (m *Machine) countEligible() map[cataloger.DataCentre]int {
+	counts := map[cataloger.DataCentre]int{}
+	for _, e := range m.order {
+		if m.eligible(e) {
 			counts[e.dataCentre]++
 		}
 	}
@@ -82,11 +98,11 @@
 
 // isWatcher tells whether this daemon is among the watchers of e.
 func (m *Machine) isWatcher(e *memberEntry, counts map[cataloger.DataCentre]int) bool {
-	if !m.self.working() {
+	if !m.eligible(m.self) {
 		return false
 	}
 	nearMembers := counts[e.dataCentre]
-	if e.working() {
+	if m.eligible(e) {
 		nearMembers--
 	}
 	all := 0
@@ -105,7 +121,7 @@
 		if better >= quota {
 			return false
 		}
-		if other == e || other == m.self || !other.working() || (other.dataCentre == e.dataCentre) != isNear {
+		if other == e || other == m.self || !m.eligible(other) || (other.dataCentre == e.dataCentre) != isNear {
 			continue
 		}
 		if pairScore(other.hash, e.hash) > own {
@@ -120,7 +136,7 @@
 	var nearby, distant []*memberEntry
 	for _, other := range m.order {
 		switch {
-		case other == e || !other.working():
+		case other == e || !m.eligible(other):
 		case other.dataCentre == e.dataCentre:
 			nearby = append(nearby, other)
 		default:
@@ -176,7 +192,7 @@
 		if d == nil || !e.present() || e.status == peerv1.MemberStatus_MEMBER_STATUS_SUSPECT {
 			continue
 		}
-		if m.now-e.heard < m.options.Silence || m.now < d.notBefore {
+		if m.now-max(e.heard, d.graceFrom) < m.options.Silence || m.now < d.notBefore {
 			continue
 		}
 		if !d.active {
@@ -192,7 +208,7 @@
 }
 
 func (m *Machine) startDoubt(e *memberEntry, d *doubt) {
-	*d = doubt{active: true, since: m.now, voters: m.voters(e), silent: map[string]struct{}{}}
+	*d = doubt{graceFrom: d.graceFrom, active: true, since: m.now, voters: m.voters(e), silent: map[string]struct{}{}}
 	m.pursueDoubt(e, d)
 }
 
@@ -219,8 +235,8 @@
 func (m *Machine) settleDoubt(e *memberEntry, d *doubt) {
 	switch {
 	case d.heard:
-		e.heard = m.now - m.options.Silence/2
-		*d = doubt{}
+		m.setUnreachable(e, false)
+		*d = doubt{graceFrom: m.now - m.options.Silence/2}
 	case len(d.silent) > 0 || len(d.voters) == 0:
 		*d = doubt{}
 		e.unreachable = false
@@ -231,35 +247,44 @@
 		m.setStatus(e, next)
 		m.publish(e)
 	default:
-		if !e.unreachable {
-			e.unreachable = true
-			m.changes++
-		}
-		*d = doubt{notBefore: m.now + retryDoubt}
+		m.setUnreachable(e, true)
+		*d = doubt{graceFrom: d.graceFrom, notBefore: m.now + retryDoubt}
+	}
+}
+
+// setUnreachable notes whether this daemon alone avoids a member.
+func (m *Machine) setUnreachable(e *memberEntry, unreachable bool) {
+	if e.unreachable != unreachable {
+		e.unreachable = unreachable
+		m.changes++
 	}
 }
 
-// voters returns the other watchers of a member and a few helpers.
+// voters returns the other watchers of a member and a few helpers; those heard of late and those nearby come first.
 func (m *Machine) voters(e *memberEntry) []*memberEntry {
-	var out, rest, near []*memberEntry
+	var out, fresh, near, rest []*memberEntry
 	for _, w := range m.watchersOf(e) {
 		if w != m.self {
 			out = append(out, w)
 		}
 	}
 	for _, o := range m.order {
-		if o == m.self || o == e || !o.working() || o.unreachable || slices.Contains(out, o) {
+		if o == m.self || o == e || !m.eligible(o) || o.unreachable || slices.Contains(out, o) {
 			continue
 		}
-		if o.dataCentre == m.self.dataCentre {
+		switch {
+		case m.now-o.heard < m.options.Silence:
+			fresh = append(fresh, o)
+		case o.dataCentre == m.self.dataCentre:
 			near = append(near, o)
-			continue
+		default:
+			rest = append(rest, o)
 		}
-		rest = append(rest, o)
 	}
+	m.shuffle(fresh)
 	m.shuffle(near)
 	m.shuffle(rest)
-	helpers := append(near, rest...)
+	helpers := slices.Concat(fresh, near, rest)
 	return append(out, helpers[:min(m.options.Helpers, len(helpers))]...)
 }
 
@@ -300,7 +325,7 @@
 	if asker == nil || subject == nil {
 		return
 	}
-	if subject == m.self || m.now-subject.heard < m.options.Silence/2 && subject.present() && !subject.unreachable && m.watched[subject.name] != nil {
+	if subject == m.self || m.now-subject.heard < m.options.Silence/2 && subject.present() && !subject.unreachable {
 		m.sendVote(asker.peerAddress, subject, true)
 		return
 	}
