Share limits between the entries by demand

Cause: rates and concurrency of a workspace bind over all entries, and callers choose entries. Change: the owner of each limit, by rendezvous, divides it by demand (max-min fair) above an even floor of a tenth; shares last 10 s; an entry that cannot reach the owner falls back to an even part, which the owner keeps free for suspect members; a new owner gives no more than was held until earlier grants have run out. Result: go test ./internal/limiter -rapid.checks=5000 -run Fuzz: the sum never passes the limit outside 10 s after a member becomes suspect or returns.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -29,6 +29,9 @@
 	Reserve float64
 	// InitialShare gives this entry's share of limits that are new; nil gives it all.
 	InitialShare func(service string, w documenter.Workspace) limiter.Share
+	// Starved is called where a request was held back by this entry's share while the whole limit is larger; it must
+	// not block, and nil stands for nobody to ask.
+	Starved func()
 	// Observe is called with each decision; nil where nobody listens.
 	Observe func(Decision)
 
@@ -156,6 +159,9 @@
 		return nil, refuser.New(refuser.UnknownService, "no service %q", r.Service)
 	}
 	t := s.offer(r)
+	if t.starved && a.Starved != nil {
+		a.Starved()
+	}
 	if t.ready != nil {
 		select {
 		case <-t.ready:
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -153,6 +153,8 @@
 		a := New(timer.System{})
 		a.InitialShare = func(string, documenter.Workspace) limiter.Share { return limiter.Share{Rate: limiter.Unlimited} }
 		a.Configure([]*documenter.Document{{Name: "assistant", Workspaces: []documenter.Workspace{{Name: "counter", Concurrency: 4}}}})
+		starved := 0
+		a.Starved = func() { starved++ }
 		granted := make(chan error, 1)
 		go func() {
 			_, err := a.Admit(t.Context(), counter())
@@ -160,6 +162,7 @@
 		}()
 		synctest.Wait()
 		require.Empty(t, granted)
+		require.Equal(t, 1, starved)
 		key := limiter.Key{Service: "assistant", Workspace: "counter"}
 		time.Sleep(time.Second)
 		require.Equal(t, []limiter.Demand{{Key: key, Rate: 1, Wanted: 1}}, a.Usage())
--- a/internal/admitter/flow.go
+++ b/internal/admitter/flow.go
@@ -64,6 +64,14 @@
 
 func (f *flow) eligible() bool { return f.queue.Len() > 0 && f.underConcurrency() }
 
+// starvedOfRate tells whether the whole rate is larger than the entry's share.
+func (f *flow) starvedOfRate() bool { return f.share.Rate < f.limits.rate }
+
+// starvedOfConcurrency tells whether the share is used up and the whole limit is larger.
+func (f *flow) starvedOfConcurrency() bool {
+	return !f.underConcurrency() && f.share.Concurrency < float64(f.limits.concurrency)
+}
+
 func (f *flow) setShare(now time.Time, s limiter.Share) {
 	f.refill(now)
 	f.share = s
--- a/internal/admitter/scheduler.go
+++ b/internal/admitter/scheduler.go
@@ -164,6 +164,7 @@
 
 func (s *Scheduler) offerAtOnce(now time.Time, t *Ticket) *Ticket {
 	if wait, ok := t.flow.takeRate(now); !ok {
+		t.starved = t.flow.starvedOfRate()
 		return refused(t, s.rateRefusal(wait))
 	}
 	wasBusy := t.flow.busy()
@@ -182,8 +183,10 @@
 		return refused(t, refusal)
 	}
 	if wait, ok := f.takeRate(now); !ok {
+		t.starved = f.starvedOfRate()
 		return refused(t, s.rateRefusal(wait))
 	}
+	t.starved = f.starvedOfConcurrency()
 	s.makeRoom(t)
 	s.enqueue(now, t)
 	s.dispatch(now)
--- a/internal/admitter/ticket.go
+++ b/internal/admitter/ticket.go
@@ -37,6 +37,8 @@
 
 	queuePlace, expiryPlace int
 	ready                   chan struct{}
+	// starved is true where the entry's share of a larger limit held the request back.
+	starved bool
 }
 
 // Granted returns when the request was granted.
--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,242 @@
+package limiter
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/queuer"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Method is the name under which Handle is registered with the link.
+const Method = "share-limits"
+
+const (
+	defaultInterval = time.Second
+	leastInterval   = 20 * time.Millisecond
+	callTimeout     = 500 * time.Millisecond
+	mostCalls       = 8
+	kickRing        = 1
+)
+
+// Limiter keeps the shares of this entry and divides the limits that this daemon owns.
+type Limiter struct {
+	Clock timer.Clock
+	// Self is the member name of this daemon.
+	Self string
+	// Members returns every entry that may use shares, unreachable ones included.
+	Members func() []Member
+	// Owner returns the daemon that divides the limit of a key, by rendezvous over the live members.
+	Owner func(key string) cataloger.Member
+	Link  linker.Link
+	// Usage returns what workspaces with limits asked for since the last call.
+	Usage func() []Demand
+	// Apply puts shares into use.
+	Apply func(map[Key]Share)
+	// Interval is the time between reports.
+	Interval time.Duration
+
+	kicks *queuer.Ring[struct{}]
+
+	mu        sync.Mutex
+	limits    map[Key]Limit
+	holder    *Holder
+	allocator *Allocator
+}
+
+// New returns a limiter without limits.
+func New(clock timer.Clock, self string) *Limiter {
+	return &Limiter{
+		Clock:     clock,
+		Self:      self,
+		Interval:  defaultInterval,
+		kicks:     queuer.NewRing[struct{}](kickRing),
+		limits:    map[Key]Limit{},
+		holder:    NewHolder(self),
+		allocator: NewAllocator(),
+	}
+}
+
+// Configure takes the limits of the documents in force.
+func (l *Limiter) Configure(documents []*documenter.Document) {
+	limits := map[Key]Limit{}
+	for _, d := range documents {
+		for _, w := range d.Workspaces {
+			if w.Rate > 0 || w.Concurrency > 0 {
+				limits[Key{d.Name, cataloger.Workspace(w.Name)}] = Limit{w.Rate, w.Concurrency}
+			}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, old := range l.limits {
+		if limits[key] != old {
+			l.holder.Forget(key)
+		}
+	}
+	l.limits = limits
+	l.allocator.Keep(func(key Key) bool { return limits[key] != Limit{} })
+}
+
+// Initial returns the share of a limit before the first answer of its owner.
+func (l *Limiter) Initial(_ string, w documenter.Workspace) Share {
+	return Floor(Limit{Rate: w.Rate, Concurrency: w.Concurrency}, len(l.Members()))
+}
+
+// Kick asks for shares at once, as a request waits for its workspace's share.
+func (l *Limiter) Kick() {
+	// A full ring already holds a kick.
+	_ = l.kicks.Offer(struct{}{})
+}
+
+// Run exchanges demand and shares until ctx is done.
+func (l *Limiter) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l.exchange(ctx)
+		l.wait(ctx)
+	}
+	return nil
+}
+
+// wait ends after the interval or at a kick, but never at once.
+func (l *Limiter) wait(ctx context.Context) {
+	if l.Clock.Sleep(ctx, leastInterval) != nil {
+		return
+	}
+	over := make(chan struct{})
+	stop := l.Clock.AfterFunc(l.Interval-leastInterval, func() { close(over) })
+	defer stop()
+	select {
+	case <-over:
+	case <-l.kicks.Values():
+	case <-ctx.Done():
+	}
+}
+
+func (l *Limiter) exchange(ctx context.Context) {
+	now := l.Clock.Now()
+	demands := l.Usage()
+	l.mu.Lock()
+	changed := l.holder.Expire(now, l.limit, namesOf(l.Members()))
+	due := l.holder.Due(now, slices.DeleteFunc(demands, func(d Demand) bool { _, ok := l.limit(d.Key); return !ok }))
+	l.mu.Unlock()
+	if len(changed) > 0 {
+		l.Apply(changed)
+	}
+	byOwner := map[cataloger.Member][]Report{}
+	for _, r := range due {
+		owner := l.Owner("limit/" + r.Demand.Key.Service + "/" + string(r.Demand.Key.Workspace))
+		byOwner[owner] = append(byOwner[owner], r)
+	}
+	l.call(ctx, now, byOwner)
+}
+
+// call asks a bounded number of owners at a time.
+func (l *Limiter) call(ctx context.Context, now time.Time, byOwner map[cataloger.Member][]Report) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, mostCalls)
+	for owner, reports := range byOwner {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			l.ask(ctx, now, owner, reports)
+		})
+	}
+	group.Wait()
+}
+
+func (l *Limiter) limit(key Key) (Limit, bool) {
+	limit, ok := l.limits[key]
+	return limit, ok
+}
+
+func (l *Limiter) ask(ctx context.Context, sent time.Time, owner cataloger.Member, reports []Report) {
+	var resp *peerv1.LimitResponse
+	req := request(l.Self, reports)
+	if owner.Name == l.Self {
+		resp = l.divide(req)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		resp = &peerv1.LimitResponse{}
+		if err := l.Link.Call(callCtx, owner.PeerAddress, Method, req, resp); err != nil || len(resp.Shares) != len(reports) {
+			l.failed(reports)
+			return
+		}
+	}
+	l.answered(sent, reports, resp)
+}
+
+func (l *Limiter) failed(reports []Report) {
+	l.mu.Lock()
+	changed := map[Key]Share{}
+	for _, r := range reports {
+		limit, ok := l.limit(r.Demand.Key)
+		if !ok {
+			continue
+		}
+		if share, ok := l.holder.Failed(l.Clock.Now(), r.Demand.Key, limit, namesOf(l.Members())); ok {
+			changed[r.Demand.Key] = share
+		}
+	}
+	l.mu.Unlock()
+	l.Apply(changed)
+}
+
+func (l *Limiter) answered(sent time.Time, reports []Report, resp *peerv1.LimitResponse) {
+	l.mu.Lock()
+	changed := map[Key]Share{}
+	ttl := time.Duration(resp.TtlMs) * time.Millisecond
+	for i, r := range reports {
+		limit, ok := l.limit(r.Demand.Key)
+		s := resp.Shares[i]
+		if !ok || !s.Known {
+			continue
+		}
+		changed[r.Demand.Key] = l.holder.Answer(r.Demand.Key, sent, received(limit, s), min(ttl, TTL))
+	}
+	l.mu.Unlock()
+	l.Apply(changed)
+}
+
+// Handle is the linker.Handler that divides the limits owned by this daemon.
+func (l *Limiter) Handle(_ context.Context, _ string, body []byte) (proto.Message, error) {
+	var req peerv1.LimitRequest
+	if err := proto.Unmarshal(body, &req); err != nil {
+		return nil, refuser.New(refuser.MalformedRequest, "limit request: %s", err.Error())
+	}
+	return l.divide(&req), nil
+}
+
+func (l *Limiter) divide(req *peerv1.LimitRequest) *peerv1.LimitResponse {
+	members := l.Members()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	resp := &peerv1.LimitResponse{TtlMs: uint32(TTL / time.Millisecond)}
+	for _, d := range req.Demands {
+		key := Key{d.Service, cataloger.Workspace(d.Workspace)}
+		limit, ok := l.limit(key)
+		if !ok {
+			resp.Shares = append(resp.Shares, &peerv1.LimitShare{})
+			continue
+		}
+		share := l.allocator.Report(l.Clock.Now(), limit, members, Report{
+			Member: req.Member,
+			Demand: Demand{Key: key, Rate: finite(d.Rate), Wanted: finite(d.Wanted)},
+			Held:   Share{Rate: finite(d.HeldRate), Concurrency: finite(d.HeldConcurrency)},
+		})
+		resp.Shares = append(resp.Shares, &peerv1.LimitShare{
+			Rate: finite(share.Rate), Concurrency: finite(share.Concurrency), Known: true,
+		})
+	}
+	return resp
+}
--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,271 @@
+package limiter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "4301"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var (
+	key   = Key{"assistant", "counter"}
+	epoch = time.Unix(1_000_000, 0)
+)
+
+func members(n int) []Member {
+	ms := make([]Member, n)
+	for i := range ms {
+		ms[i].Name = fmt.Sprint("entry-", i)
+	}
+	return ms
+}
+
+func TestFallbackSumsToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := namesOf(members(rapid.IntRange(1, 50).Draw(t, "members")))
+		limit := Limit{Rate: 7, Concurrency: rapid.IntRange(1, 120).Draw(t, "limit")}
+		sum := Share{}
+		for _, m := range ms {
+			s := Fallback(key, limit, ms, m)
+			sum.Rate += s.Rate
+			sum.Concurrency += s.Concurrency
+		}
+		require.InDelta(t, limit.Rate, sum.Rate, 1e-9)
+		require.Equal(t, float64(limit.Concurrency), sum.Concurrency)
+	})
+}
+
+// The oracle adds up what every entry may use by what it was told last.
+func TestAllocatorFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "members")
+		ms := members(n)
+		limit := Limit{
+			Rate:        float64(rapid.IntRange(1, 100).Draw(t, "rate")),
+			Concurrency: rapid.IntRange(1, 40).Draw(t, "concurrency"),
+		}
+		now := epoch
+		a := NewAllocator()
+		type use struct {
+			share   Share
+			expires time.Time
+		}
+		uses := map[string]use{}
+		usable := func(m Member) Share {
+			if u, ok := uses[m.Name]; ok && now.Before(u.expires) {
+				return u.share
+			}
+			if m.Suspect {
+				return Fallback(key, limit, namesOf(ms), m.Name)
+			}
+			return Floor(limit, n)
+		}
+		settled := epoch
+		t.Repeat(map[string]func(*rapid.T){
+			"report": func(t *rapid.T) {
+				i := rapid.IntRange(0, n-1).Draw(t, "member")
+				if ms[i].Suspect {
+					return
+				}
+				d := Demand{Key: key, Rate: float64(rapid.IntRange(0, 200).Draw(t, "demand")), Wanted: float64(rapid.IntRange(0, 60).Draw(t, "wanted"))}
+				s := a.Report(now, limit, ms, Report{Member: ms[i].Name, Demand: d, Held: uses[ms[i].Name].share})
+				require.GreaterOrEqual(t, s.Rate, Floor(limit, n).Rate)
+				require.Equal(t, float64(int(s.Concurrency)), s.Concurrency)
+				uses[ms[i].Name] = use{s, now.Add(TTL)}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"suspect": func(t *rapid.T) {
+				i := rapid.IntRange(0, n-1).Draw(t, "member")
+				ms[i].Suspect = !ms[i].Suspect
+				// Until the grants from before have run out the sum may be over.
+				settled = now.Add(TTL)
+			},
+			"": func(t *rapid.T) {
+				if now.Before(settled) {
+					return
+				}
+				sum := Share{}
+				for _, m := range ms {
+					s := usable(m)
+					sum.Rate += s.Rate
+					sum.Concurrency += s.Concurrency
+				}
+				require.LessOrEqual(t, sum.Rate, limit.Rate+1e-6)
+				require.LessOrEqual(t, sum.Concurrency, float64(limit.Concurrency))
+			},
+		})
+	})
+}
+
+func TestSharesFollowDemand(t *testing.T) {
+	a := NewAllocator()
+	ms := members(4)
+	limit := Limit{Rate: 100, Concurrency: 40}
+	report := func(now time.Time, i int, rate, wanted float64) Share {
+		return a.Report(now, limit, ms, Report{Member: ms[i].Name, Demand: Demand{Key: key, Rate: rate, Wanted: wanted}})
+	}
+	now := epoch
+	require.InDelta(t, 25, report(now, 0, 90, 30).Rate, 1e-9, "an even part while an earlier owner's grants may be in use")
+	now = now.Add(TTL)
+	require.GreaterOrEqual(t, report(now, 0, 90, 30).Rate, 90.0, "one entry gets almost all")
+	require.Less(t, report(now, 1, 50, 20).Rate, 10.0, "until the first gives back")
+	now = now.Add(time.Second)
+	report(now, 0, 90, 30)
+	s := report(now, 1, 50, 20)
+	require.InDelta(t, 47.5, s.Rate, 3)
+	require.InDelta(t, 20, s.Concurrency, 2)
+}
+
+// fleet is n limiters in one bubble, joined by calls that fail where cut says so.
+type fleet struct {
+	limiters []*Limiter
+
+	mu     sync.Mutex
+	demand []float64
+	shares []Share
+	cut    map[string]bool
+}
+
+func newFleet(n int, limit documenter.Workspace) *fleet {
+	f := &fleet{demand: make([]float64, n), shares: make([]Share, n), cut: map[string]bool{}}
+	for i, m := range members(n) {
+		l := New(timer.System{}, m.Name)
+		l.Members = func() []Member {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			ms := members(n)
+			for j := range ms {
+				ms[j].Suspect = f.cut[ms[j].Name]
+			}
+			return ms
+		}
+		l.Owner = func(string) cataloger.Member { return cataloger.Member{Name: "entry-0", PeerAddress: "entry-0"} }
+		l.Usage = func() []Demand {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.demand[i] == 0 {
+				return nil
+			}
+			return []Demand{{Key: key, Rate: f.demand[i], Wanted: f.demand[i]}}
+		}
+		l.Apply = func(shares map[Key]Share) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if s, ok := shares[key]; ok {
+				f.shares[i] = s
+			}
+		}
+		l.Link = linker.Link{Call: func(ctx context.Context, _, method string, req, resp proto.Message) error {
+			f.mu.Lock()
+			cut := f.cut[m.Name]
+			f.mu.Unlock()
+			if cut || method != Method {
+				return refuser.New(refuser.PeerUnavailable, "cut")
+			}
+			body, err := proto.Marshal(req)
+			if err != nil {
+				return err
+			}
+			answer, err := f.limiters[0].Handle(ctx, m.Name, body)
+			if err != nil {
+				return err
+			}
+			proto.Merge(resp, answer)
+			return nil
+		}}
+		l.Configure([]*documenter.Document{{Name: key.Service, Workspaces: []documenter.Workspace{limit}}})
+		f.shares[i] = l.Initial(key.Service, limit)
+		f.limiters = append(f.limiters, l)
+	}
+	return f
+}
+
+// after changes the fleet and returns the shares a time later, and the sum of their rates.
+func (f *fleet) after(d time.Duration, change func()) ([]Share, float64) {
+	f.mu.Lock()
+	change()
+	f.mu.Unlock()
+	time.Sleep(d)
+	synctest.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0.0
+	for _, s := range f.shares {
+		sum += s.Rate
+	}
+	return slices.Clone(f.shares), sum
+}
+
+func TestFleetSharesALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(4, documenter.Workspace{Name: "counter", Rate: 100, Concurrency: 40})
+		for _, l := range f.limiters {
+			go func() { _ = l.Run(ctx) }()
+		}
+		shares, sum := f.after(TTL+2*time.Second, func() { f.demand = []float64{0, 200, 0, 0} })
+		require.Greater(t, shares[1].Rate, 85.0)
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+
+		shares, sum = f.after(3*time.Second, func() { f.demand = []float64{0, 20, 200, 0} })
+		require.Greater(t, shares[2].Rate, 60.0, "the share follows demand")
+		require.GreaterOrEqual(t, shares[1].Rate, 20.0)
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+
+		shares, sum = f.after(2*TTL+2*time.Second, func() { f.cut["entry-2"] = true })
+		require.InDelta(t, 25, shares[2].Rate, 1e-6, "an even part while the owner cannot be reached")
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+
+		shares, sum = f.after(2*TTL+2*time.Second, func() {
+			delete(f.cut, "entry-2")
+			f.demand = []float64{0, 0, 0, 80}
+		})
+		require.Greater(t, shares[3].Rate, 80.0, "what idle entries held has come back")
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+		f.limiters[3].Kick()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// BenchmarkReport is the cost at the owner of one key's report, and the bytes of the call for it.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{4, 40, 100, 400} {
+		b.Run(fmt.Sprint("members=", n), func(b *testing.B) {
+			a := NewAllocator()
+			ms := members(n)
+			limit := Limit{Rate: 1000, Concurrency: 1000}
+			r := Report{Demand: Demand{Key: key, Rate: 3, Wanted: 3}}
+			for i := range b.N {
+				r.Member = ms[i%n].Name
+				a.Report(epoch, limit, ms, r)
+			}
+			b.ReportMetric(float64(proto.Size(request("entry-100", []Report{r}))), "B/request")
+		})
+	}
+}
