--- /dev/null
+++ b/internal/journaler/journaler.go
@@ -0,0 +1,112 @@
+package journaler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/queuer"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// Journaler is the journal of one daemon: the entry's side of every request and the owner's side of its shards.
+type Journaler struct {
+	Clock timer.Clock
+	Store storer.Store
+	Link  linker.Link
+	Log   zerolog.Logger
+	// Registry takes the metrics.
+	Registry metrics.Registry
+	Rand     *rand.Rand
+	Limits   Limits
+	// Self returns this daemon.
+	Self func() cataloger.Member
+	// Owner returns the live member that a shard belongs to.
+	Owner func(shard uint32) (cataloger.Member, bool)
+	// Alive tells whether an incarnation of a member may still be running.
+	Alive func(name string, incarnation uint64) bool
+	// Find returns the live member of an incarnation as Incarnation names it, for bound mode.
+	Find func(incarnation string) (cataloger.Member, bool)
+
+	once    sync.Once
+	randMu  sync.Mutex
+	nonce   atomic.Uint64
+	ticket  atomic.Uint64
+	events  *queuer.Ring[event]
+	reports *queuer.Ring[pendingReport]
+	// running is true while Run serves; without it every call is refused.
+	running atomic.Bool
+	stopped chan struct{}
+	wait    metrics.Histogram
+}
+
+const (
+	eventRing  = 4096
+	reportRing = 4096
+	// reportsAtOnce bounds the reports that wait for their record.
+	reportsAtOnce = 1024
+	// ownershipInterval is how often the owner of each shard is looked up.
+	ownershipInterval = 200 * time.Millisecond
+	storeTimeout      = 3 * time.Second
+	flushTimeout      = 3 * time.Second
+	waitSampleSize    = 1028
+	waitSampleAlpha   = 0.015
+)
+
+func (j *Journaler) init() {
+	j.once.Do(func() {
+		if j.Limits == (Limits{}) {
+			j.Limits = DefaultLimits()
+		}
+		if j.Registry == nil {
+			j.Registry = metrics.NewRegistry()
+		}
+		if j.Rand == nil {
+			j.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		}
+		j.events = queuer.NewRing[event](eventRing)
+		j.reports = queuer.NewRing[pendingReport](reportRing)
+		j.stopped = make(chan struct{})
+		j.wait = metrics.GetOrRegisterHistogram("journal-claim-wait-us", j.Registry,
+			metrics.NewExpDecaySample(waitSampleSize, waitSampleAlpha))
+	})
+}
+
+// Run serves the shards of this daemon until ctx is done, and then writes what is not yet written; it is called once.
+func (j *Journaler) Run(ctx context.Context) error {
+	j.init()
+	j.running.Store(true)
+	defer close(j.stopped)
+	defer j.running.Store(false)
+
+	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	var loop, workers sync.WaitGroup
+	loop.Go(func() { newServer(j).run(loopCtx) })
+	workers.Go(func() { j.sendReports(ctx) })
+	<-ctx.Done()
+	workers.Wait()
+	stopLoop()
+	loop.Wait()
+	return nil
+}
+
+// jitter returns a time between d/2 and d.
+func (j *Journaler) jitter(d time.Duration) time.Duration {
+	j.randMu.Lock()
+	defer j.randMu.Unlock()
+	return d/2 + time.Duration(j.Rand.Int64N(int64(d/2)+1))
+}
+
+func (j *Journaler) shardRand() *rand.Rand {
+	j.randMu.Lock()
+	defer j.randMu.Unlock()
+	return rand.New(rand.NewPCG(j.Rand.Uint64(), j.Rand.Uint64()))
+}
