Put configuration, shared limits and epochs into the daemon

Cause: documents were polled by a thin stand-in and limits were not shared between the entries.

Change: internal/configurer and internal/limiter run in each daemon; dev prints its hints once every router can serve.

--- a/internal/command/dev/fleet.go
+++ b/internal/command/dev/fleet.go
@@ -226,6 +226,9 @@
 		})
 	}
 	err := f.apply(ctx, assistantDocument, bookingsDocument)
+	if err == nil {
+		err = f.awaitServing(ctx)
+	}
 	if err == nil {
 		printHints(f.opts.IO, f.opts.Listen)
 	} else {
@@ -265,6 +268,20 @@
 	return nil
 }
 
+// awaitServing waits until every router can run both services.
+func (f *fleet) awaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	for _, r := range f.routers {
+		for !r.Serves("renewal-assistant") || !r.Serves("bookings") {
+			if err := (timer.System{}).Sleep(ctx, applyInterval); err != nil {
+				return errors.Wrapf(err, "wait for %s to serve", r.Address())
+			}
+		}
+	}
+	return nil
+}
+
 func (f *fleet) close() {
 	for _, s := range f.servers {
 		_ = s.Close()
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -52,6 +52,8 @@
 	Metrics  metrics.Registry
 	// MaxAge makes the daemon not ready where its configuration is not known to be complete for as long; 0 is no limit.
 	MaxAge time.Duration
+	// Changed is called after the documents in force changed; nil where nobody listens.
+	Changed func()
 
 	steps *queuer.Ring[step]
 	jobs  *queuer.Ring[job]
@@ -220,6 +222,9 @@
 		c.gauge("config-services", int64(len(v.entries)))
 	}
 	c.view.Store(v)
+	if old.digest != v.digest && c.Changed != nil {
+		c.Changed()
+	}
 }
 
 func newest(entries map[string]entry) uint64 {
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -5,23 +5,25 @@
 	"time"
 
 	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
 )
 
 const (
-	reweighInterval  = 5 * time.Second
-	settleInterval   = 100 * time.Millisecond
-	idleUpdateLimit  = time.Minute
-	capacityInterval = time.Second
+	reweighInterval = 5 * time.Second
+	settleInterval  = 100 * time.Millisecond
+	dutyLimits      = "limits"
 )
 
 func (r *Router) buildAdmission() (registrar.Service, error) {
 	r.admit = admitter.New(r.Clock)
+	r.admit.Rand = r.random()
 	return registrar.Service{
 		Name:  ServiceAdmission,
 		Needs: []string{ServiceConfig},
@@ -30,6 +32,24 @@
 	}, nil
 }
 
+// buildLimits shares the limits of workspaces out over the entries.
+func (r *Router) buildLimits() (registrar.Service, error) {
+	r.limits = limiter.New(r.Clock, r.local.Name)
+	r.limits.Link = r.peer.Link()
+	r.limits.Owner = func(key string) cataloger.Member { return r.tracker.Owner(dutyLimits, key) }
+	r.limits.Members = r.limitMembers
+	r.limits.Usage = r.admit.Usage
+	r.limits.Apply = r.admit.SetShares
+	r.admit.InitialShare = r.limits.Initial
+	r.peer.Handle(limiter.Method, r.limits.Handle)
+	return registrar.Service{
+		Name:  ServiceLimits,
+		Needs: []string{ServiceAdmission, ServiceMembers},
+		Value: r.limits,
+		Run:   r.limits.Run,
+	}, nil
+}
+
 func (r *Router) buildSelection() (registrar.Service, error) {
 	r.engines = engineer.NewPool(engineer.HTTPClientOver(r.Network.Dial))
 	r.selector = selector.New(r.Clock, r.random())
@@ -54,8 +74,6 @@
 func (r *Router) runSelection(ctx context.Context) error {
 	fleetChanged, stop := r.tracker.Subscribe()
 	defer stop()
-	configChanged, stopConfig := r.config.Subscribe()
-	defer stopConfig()
 	reweigh := time.NewTicker(reweighInterval)
 	defer reweigh.Stop()
 	r.updateSelection()
@@ -67,7 +85,7 @@
 			r.selector.Reweigh()
 			continue
 		case <-fleetChanged:
-		case <-configChanged:
+		case <-r.changed.Values():
 		}
 		r.updateSelection()
 		// Changes come in bursts; one update takes the whole burst in.
@@ -78,11 +96,22 @@
 }
 
 func (r *Router) updateSelection() {
-	documents := r.config.Documents()
+	documents := r.documentsInForce()
+	r.limits.Configure(documents)
 	r.admit.Configure(documents)
 	r.selector.Update(r.tracker.Fleet(), modelsOf(documents))
 }
 
+func (r *Router) documentsInForce() []*documenter.Document {
+	var documents []*documenter.Document
+	for _, name := range r.config.Services() {
+		if d, _, ok := r.config.Lookup(name); ok {
+			documents = append(documents, d)
+		}
+	}
+	return documents
+}
+
 func modelsOf(documents []*documenter.Document) []selector.Model {
 	seen := map[selector.Key]bool{}
 	var models []selector.Model
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,12 +15,15 @@
 
 	"github.com/rattantray/rattantray/internal/admitter"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/configurer"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/queuer"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/storer"
@@ -37,6 +40,7 @@
 	ServiceConfig     = "config"
 	ServiceProbes     = "probes"
 	ServiceAdmission  = "admission"
+	ServiceLimits     = "limits"
 	ServiceSelection  = "selection"
 	ServiceJournal    = "journal"
 	ServiceOrdering   = "ordering"
@@ -86,7 +90,9 @@
 	limiter  *storer.Limiter
 	peer     *linker.Peer
 	tracker  *tracker.Tracker
-	config   *thinConfig
+	config   *configurer.Configurer
+	limits   *limiter.Limiter
+	changed  *queuer.Ring[struct{}]
 	engines  *engineer.Pool
 	selector *selector.Selector
 	dispatch *dispatcher.Dispatcher
@@ -114,6 +120,7 @@
 			Name: settings.Name,
 			// The wall clock orders the starts of one daemon; the fleet settles ties by refutation.
 			Incarnation: uint64(now.UnixNano()),
+			Epoch:       uint64(now.UnixNano()),
 			Address:     settings.Advertise,
 			PeerAddress: settings.PeerAdvertise,
 			DataCentre:  cataloger.DataCentre(settings.DataCentre),
@@ -144,6 +151,7 @@
 		r.buildConfig,
 		r.buildProbes,
 		r.buildAdmission,
+		r.buildLimits,
 		r.buildSelection,
 		r.buildJournal,
 		r.buildOrdering,
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -100,6 +100,9 @@
 
 // epoch returns a number for this process that grows with its start time.
 func (t *Tracker) epoch() uint64 {
+	if t.Local.Epoch != 0 {
+		return t.Local.Epoch
+	}
 	const randomBits = 16
 	return uint64(t.started.UnixMilli())<<randomBits | t.Random.Uint64()&(1<<randomBits-1)
 }
