--- a/internal/router/world_basic_test.go
+++ b/internal/router/world_basic_test.go
@@ -9,9 +9,10 @@
 
 func TestWorldServesModelAndBookings(t *testing.T) {
 	inWorld(t, 4, twoChains(), func(w *world) {
-		require.Nil(t, w.generate(w.client, "g-1", 12, 10*time.Second))
-		require.Nil(t, w.book(w.client, "b-1", 10*time.Second))
-		require.Nil(t, w.book(w.client, "b-1", 10*time.Second))
+		l := w.newLoad(12, 10*time.Second)
+		require.Nil(t, l.generate(w.client, "g-1"))
+		require.Nil(t, l.book(w.client, "b-1"))
+		require.Nil(t, l.book(w.client, "b-1"))
 		require.Len(t, w.service.Ledger().Runs, 1)
 	})
 }
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,7 +13,6 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/engineer"
@@ -26,7 +24,6 @@
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/api/rattantray/v1/rattantrayv1connect"
 	"github.com/rattantray/rattantray/pkg/caller"
-	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 const (
@@ -281,84 +278,3 @@
 		c()
 	}
 }
-
-// tally is what became of the requests of a test.
-type tally struct {
-	mu       sync.Mutex
-	answered int
-	refused  map[string]int
-	outcomes []outcome
-}
-
-type outcome struct {
-	id      string
-	once    bool
-	refusal *refuser.Refusal
-	begun   time.Time
-	ended   time.Time
-}
-
-func newTally() *tally { return &tally{refused: map[string]int{}} }
-
-func (a *tally) add(o outcome) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.outcomes = append(a.outcomes, o)
-	if o.refusal == nil {
-		a.answered++
-		return
-	}
-	a.refused[fmt.Sprintf("%s/%s", o.refusal.Code, o.refusal.Fact)]++
-}
-
-// generate sends one model request and checks the whole answer.
-func (w *world) generate(client *caller.Client, id string, tokens uint32, timeout time.Duration) *refuser.Refusal {
-	prompt := []byte("prompt of " + id)
-	var got [][]byte
-	err := client.Send(w.t.Context(), &v1.Request{
-		Workspace: "counter", Service: "assistant", RequestId: id, Payload: prompt,
-		MaxTokens: tokens, Timeout: durationpb.New(timeout),
-	}, func(p *v1.SendResponse) error {
-		got = append(got, p.Data)
-		return nil
-	})
-	if err != nil {
-		return refuser.From(err)
-	}
-	require.Equal(w.t, enginefaker.Answer("m", "v1", "", prompt, 0, uint64(tokens)), got, id)
-	return nil
-}
-
-// book sends one booking.
-func (w *world) book(client *caller.Client, id string, timeout time.Duration) *refuser.Refusal {
-	_, err := client.Call(w.t.Context(), &v1.Request{
-		Workspace: "counter", Service: "bookings", Method: "POST /bookings", RequestId: id,
-		Payload: []byte(`{"card":1}`), Timeout: durationpb.New(timeout),
-	})
-	if err != nil {
-		return refuser.From(err)
-	}
-	return nil
-}
-
-// load sends requests at a steady rate for a time and waits for all of them.
-func (w *world) load(rate float64, d time.Duration, send func(id string) outcome) *tally {
-	result := newTally()
-	var wg sync.WaitGroup
-	gap := time.Duration(float64(time.Second) / rate)
-	n := int(d / gap)
-	for i := range n {
-		id := fmt.Sprintf("r-%d", i)
-		wg.Go(func() {
-			begun := time.Now()
-			o := send(id)
-			o.id, o.begun, o.ended = id, begun, time.Now()
-			result.add(o)
-		})
-		time.Sleep(gap)
-	}
-	wg.Wait()
-	return result
-}
-
-var _ net.Conn
