--- a/internal/linker/handshake.go
+++ b/internal/linker/handshake.go
@@ -65,13 +65,13 @@
 		DataCentre:  own.DataCentre,
 		Proof:       proof,
 	}
-	return errors.Wrap(writeFrame(s.Conn, hello, maxHelloBytes), "send hello")
+	return errors.Wrap(s.explain(writeFrame(s.Conn, hello, maxHelloBytes)), "send hello")
 }
 
 func receiveHello(s Secured, side Side) (Identity, error) {
 	var hello peerv1.Hello
 	if err := readFrame(s.Conn, &hello, maxHelloBytes); err != nil {
-		return Identity{}, errors.Wrap(err, "read hello")
+		return Identity{}, errors.Wrap(s.explain(err), "read hello")
 	}
 	if hello.Refusal != "" {
 		return Identity{}, errors.Newf("peer refused the connection: %s", hello.Refusal)
--- a/internal/linker/security.go
+++ b/internal/linker/security.go
@@ -28,6 +28,15 @@
 	Prove func(side Side, own Identity) ([]byte, error)
 	// Verify checks what the other side claims to be.
 	Verify func(side Side, other Identity, proof []byte) error
+	// Explain adds to an error of the handshake what an operator can do about it; may be nil.
+	Explain func(error) error
+}
+
+func (s Secured) explain(err error) error {
+	if s.Explain == nil {
+		return err
+	}
+	return s.Explain(err)
 }
 
 // Security protects connections between daemons.
