--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +18,7 @@
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -90,6 +91,7 @@
 	selector *selector.Selector
 	dispatch *dispatcher.Dispatcher
 	admit    *admitter.Admitter
+	journal  *journaler.Journaler
 	tokens   *tokener.Tokener
 	plain    *forwarder.Forwarder
 
@@ -209,6 +211,17 @@
 	maxStreamsPerConn = 4096
 )
 
-func incarnationText(name string, incarnation uint64) string {
-	return fmt.Sprintf("%s/%d", name, incarnation)
+// Serves tells whether the daemon can run requests of a service now.
+func (r *Router) Serves(service string) bool {
+	doc, _, ok := r.config.Lookup(service)
+	if !ok || !r.ready() {
+		return false
+	}
+	if doc.Model != nil {
+		return r.selector.Bound(modelOf(doc).Key()) > 0
+	}
+	return slices.ContainsFunc(r.tracker.Fleet().Targets, func(t cataloger.Target) bool { return servesPlain(t, doc.Name) })
 }
+
+// LiveMembers returns the members that this daemon takes for live.
+func (r *Router) LiveMembers() []cataloger.Member { return tracker.Live(r.tracker.Fleet().Members) }
