Keep the division of a limit for a quarter of a second where many entries share it

Cause: a report of one limit took 471 us at its owner with 400 entries, 3.8% of a core for one limit in use everywhere. Change: the owner works out the level of the division at most four times a second and answers from it; what has been given is kept as a sum. Fuzz with 24 members, 3,000 checks of 100 steps, passes.

--- a/internal/limiter/allocator.go
+++ b/internal/limiter/allocator.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -17,6 +16,9 @@
 	floorShare = 0.1
 	// headroom is the growth of demand that a share allows for.
 	headroom = 1.25
+	// refreshEvery is how long the division of a limit among more than fewGrants entries is kept.
+	refreshEvery = 250 * time.Millisecond
+	fewGrants    = 16
 )
 
 // Limit is what the document allows a workspace over all entries; 0 is no limit.
@@ -53,6 +55,10 @@
 	// first is when this owner took over; grants of an owner before it last until TTL after that.
 	first  time.Time
 	grants map[string]*grant
+
+	refreshed         time.Time
+	floor             Share
+	rate, concurrency divide
 }
 
 type grant struct {
@@ -61,6 +67,11 @@
 	expires time.Time
 }
 
+// mostWhileWarming bounds a grant while grants of an earlier owner may be in use: to what the member held, or an even part.
+func (g *grant) mostWhileWarming(even Share) Share {
+	return Share{Rate: max(g.extra.Rate, even.Rate), Concurrency: max(g.extra.Concurrency, even.Concurrency)}
+}
+
 // Fallback is the share of a member that cannot reach the owner: an even part, whole requests given out by rank.
 func Fallback(key Key, limit Limit, members []string, self string) Share {
 	n := max(1, len(members))
@@ -113,52 +124,29 @@
 		d = &division{first: now, grants: map[string]*grant{}}
 		a.keys[r.Demand.Key] = d
 	}
-	d.expire(now)
-	floor := Floor(limit, len(members))
 	g := d.grants[r.Member]
 	if g == nil {
-		g = &grant{extra: above(r.Held, floor)}
+		g = &grant{extra: above(r.Held, Floor(limit, len(members)))}
 		d.grants[r.Member] = g
+		d.rate.given += g.extra.Rate
+		d.concurrency.given += g.extra.Concurrency
 	}
 	g.expires = now.Add(TTL)
 	g.demand = Share{Rate: r.Demand.Rate*headroom + 1, Concurrency: math.Ceil(r.Demand.Wanted*headroom) + 1}
-	n := float64(len(members))
+	if len(d.grants) <= fewGrants || now.Sub(d.refreshed) >= refreshEvery {
+		d.refresh(now, r.Demand.Key, limit, members)
+	}
 	most := Share{Rate: Unlimited, Concurrency: Unlimited}
 	if now.Sub(d.first) < TTL {
 		even := Fallback(r.Demand.Key, limit, namesOf(members), r.Member)
-		most = g.mostWhileWarming(above(even, floor))
-	}
-	rates := divide{
-		pool:  max(0, limit.Rate-floor.Rate*n-reserveRate(limit, floor, members, d)),
-		floor: floor.Rate, part: rateOf, most: most.Rate,
-	}
-	concurrency := divide{
-		pool:  max(0, float64(limit.Concurrency)-floor.Concurrency*n-reserveConcurrency(r.Demand.Key, limit, floor, members, d)),
-		floor: floor.Concurrency, part: concurrencyOf, most: most.Concurrency, whole: true,
+		most = g.mostWhileWarming(above(even, d.floor))
 	}
-	extra := Share{Rate: d.share(r.Member, rates), Concurrency: d.share(r.Member, concurrency)}
-	g.extra = extra
-	return Share{Rate: floor.Rate + extra.Rate, Concurrency: floor.Concurrency + extra.Concurrency}
+	g.extra.Rate = d.rate.give(g.demand.Rate-d.floor.Rate, g.extra.Rate, most.Rate, false)
+	g.extra.Concurrency = d.concurrency.give(g.demand.Concurrency-d.floor.Concurrency,
+		g.extra.Concurrency, most.Concurrency, true)
+	return Share{Rate: d.floor.Rate + g.extra.Rate, Concurrency: d.floor.Concurrency + g.extra.Concurrency}
 }
 
-// mostWhileWarming bounds a grant while grants of an earlier owner may be in use: to what the member held, or an even part.
-func (g *grant) mostWhileWarming(even Share) Share {
-	return Share{Rate: max(g.extra.Rate, even.Rate), Concurrency: max(g.extra.Concurrency, even.Concurrency)}
-}
-
-// divide says how one of the two limits is divided.
-type divide struct {
-	// pool is what can be given above the floors, most what one member may get of it.
-	pool, floor, most float64
-	part              func(*Share) *float64
-	// whole is true where only whole numbers can be given.
-	whole bool
-}
-
-func rateOf(s *Share) *float64 { return &s.Rate }
-
-func concurrencyOf(s *Share) *float64 { return &s.Concurrency }
-
 func above(held, floor Share) Share {
 	part := func(held, floor float64) float64 {
 		if math.IsInf(floor, 1) || math.IsInf(held, 1) {
@@ -218,75 +206,67 @@
 	return names
 }
 
-func (d *division) expire(now time.Time) {
+// refresh drops grants that ran out and works out the level of each limit.
+func (d *division) refresh(now time.Time, key Key, limit Limit, members []Member) {
+	d.refreshed = now
 	for name, g := range d.grants {
 		if !now.Before(g.expires) {
 			delete(d.grants, name)
 		}
 	}
-}
-
-// share gives the member its part of the pool, and no more than the others have not been given.
-func (d *division) share(member string, by divide) float64 {
-	if math.IsInf(by.floor, 1) {
-		return 0
-	}
-	want := d.fill(member, by)
-	given := 0.0
-	for name, g := range d.grants {
-		if name != member {
-			given += *by.part(&g.extra)
-		}
-	}
-	free := max(0, by.pool-given)
-	if by.whole {
-		free = math.Floor(free)
+	d.floor = Floor(limit, len(members))
+	n := float64(len(members))
+	d.rate = divide{pool: max(0, limit.Rate-d.floor.Rate*n-reserveRate(limit, d.floor, members, d))}
+	reserved := reserveConcurrency(key, limit, d.floor, members, d)
+	d.concurrency = divide{pool: max(0, float64(limit.Concurrency)-d.floor.Concurrency*n-reserved)}
+	rates := make([]float64, 0, len(d.grants))
+	wanted := make([]float64, 0, len(d.grants))
+	for _, g := range d.grants {
+		d.rate.given += g.extra.Rate
+		d.concurrency.given += g.extra.Concurrency
+		rates = append(rates, max(0, g.demand.Rate-d.floor.Rate))
+		wanted = append(wanted, max(0, g.demand.Concurrency-d.floor.Concurrency))
 	}
-	return min(want, free, by.most)
+	d.rate.fill(rates)
+	d.concurrency.fill(wanted)
 }
 
-// claim is what a member wants above the floor.
-type claim struct {
-	name string
-	want float64
-}
-
-func (c claim) compare(d claim) int {
-	return cmp.Or(cmp.Compare(c.want, d.want), strings.Compare(c.name, d.name))
+// divide is how one of the two limits is divided above the floors.
+type divide struct {
+	pool float64
+	// level is the most that a member gets of what it asks for, spare what each gets beyond that.
+	level, spare float64
+	given        float64
 }
 
-// fill returns the member's part of the pool in a max-min fair division; what nobody asks for is spread evenly.
-func (d *division) fill(member string, by divide) float64 {
-	claims := make([]claim, 0, len(d.grants))
-	for name, g := range d.grants {
-		claims = append(claims, claim{name, max(0, *by.part(&g.demand)-by.floor)})
-	}
-	slices.SortFunc(claims, claim.compare)
-	left := by.pool
-	got := make([]float64, len(claims))
-	for i, c := range claims {
-		got[i] = min(c.want, left/float64(len(claims)-i))
-		if by.whole {
-			got[i] = math.Floor(got[i])
+// fill sets level and spare for a max-min fair division; what nobody asks for is spread evenly.
+func (d *divide) fill(wants []float64) {
+	slices.Sort(wants)
+	left := d.pool
+	for i, want := range wants {
+		d.level = left / float64(len(wants)-i)
+		if want > d.level {
+			return
 		}
-		left -= got[i]
+		left -= want
 	}
-	each := left / float64(len(claims))
-	if by.whole {
-		each = math.Floor(each)
-		left -= each * float64(len(claims))
+	d.level = Unlimited
+	d.spare = left / float64(len(wants))
+}
+
+// give returns what a member that holds held gets, no more than the others have not been given.
+func (d *divide) give(want, held, most float64, whole bool) float64 {
+	if math.IsInf(want, 0) || math.IsNaN(want) {
+		return 0
 	}
-	for i := len(claims) - 1; i >= 0; i-- {
-		more := each
-		if by.whole && left >= 1 {
-			more++
-			left--
-		}
-		if claims[i].name == member {
-			return got[i] + more
-		}
+	free := max(0, d.pool-(d.given-held))
+	share := max(0, min(want, d.level)) + d.spare
+	if whole {
+		share, free = math.Ceil(share), math.Floor(free)
 	}
-	return 0
+	share = min(share, free, most)
+	d.given += share - held
+	return share
 }
 
 // Keep drops the divisions of keys for which keep returns false.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -61,7 +61,7 @@
 // The oracle adds up what every entry may use by what it was told last.
 func TestAllocatorFuzz(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 6).Draw(t, "members")
+		n := rapid.SampledFrom([]int{1, 2, 3, 4, 6, 24}).Draw(t, "members")
 		ms := members(n)
 		limit := Limit{
 			Rate:        float64(rapid.IntRange(1, 100).Draw(t, "rate")),
@@ -263,8 +263,8 @@
 			r := Report{Demand: Demand{Key: key, Rate: 3, Wanted: 3}}
 			for i := range b.N {
 				r.Member = ms[i%n].Name
-				// All after the first ones come after an earlier owner's grants have run out.
-				a.Report(epoch.Add(time.Duration(min(i/n, 2))*(TTL-1)), limit, ms, r)
+				// Each member reports every 5 s, as a steady one does.
+				a.Report(epoch.Add(time.Duration(i)*5*time.Second/time.Duration(n)), limit, ms, r)
 			}
 			b.ReportMetric(float64(proto.Size(request("entry-100", []Report{r}))), "B/request")
 		})
