Probe targets and protect connections with the keys of the settings

Cause: the daemon probed with a loop of its own and spoke to others without protection.

Change: internal/prober watches the targets that fall to a daemon and shares load; internal/keyer gives peers mutual TLS or a shared secret and callers TLS; the settings name both.

--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -85,7 +85,7 @@
 	admin.Handle("GET /metrics", r.meter)
 	admin.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	admin.HandleFunc("GET /readyz", r.serveReady)
-	config, err := r.callerTLS()
+	config, err := r.keys.CallerConfig()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -8,7 +8,6 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/documenter"
-	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -51,7 +50,6 @@
 }
 
 func (r *Router) buildSelection() (registrar.Service, error) {
-	r.engines = engineer.NewPool(engineer.HTTPClientOver(r.Network.Dial))
 	r.selector = selector.New(r.Clock, r.random())
 	r.dispatch = dispatcher.New(r.Clock, r.random(), r.Log, r.meter.Registry, r.selector, r.engines)
 	return registrar.Service{
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -6,15 +6,27 @@
 	"net/http"
 	"time"
 
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/keyer"
 	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/prober"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tracker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 	"github.com/rattantray/rattantray/pkg/caller"
 )
 
 const budgetInterval = 10 * time.Second
 
+func (r *Router) buildKeys() (registrar.Service, error) {
+	r.keys = &keyer.Keyer{Settings: r.Settings.keys(), Poll: keyer.DefaultPoll, Clock: r.Clock, Log: r.Log}
+	if err := r.keys.Load(); err != nil {
+		return registrar.Service{}, err
+	}
+	return registrar.Service{Name: ServiceKeys, Value: r.keys, Run: r.keys.Run}, nil
+}
+
 func (r *Router) buildStore() (registrar.Service, error) {
 	client, err := r.platformClient()
 	if err != nil {
@@ -53,7 +65,7 @@
 }
 
 func (r *Router) buildLink() (registrar.Service, error) {
-	security, err := r.peerSecurity()
+	security, err := r.keys.PeerSecurity()
 	if err != nil {
 		return registrar.Service{}, err
 	}
@@ -105,3 +117,48 @@
 		Run:   r.tracker.Run,
 	}, nil
 }
+
+// buildProbes watches the targets that fall to this daemon.
+func (r *Router) buildProbes() (registrar.Service, error) {
+	r.engines = engineer.NewPool(engineer.HTTPClientOver(r.Network.Dial))
+	p := &prober.Prober{
+		Self:  r.local.Name,
+		Fleet: r.tracker.Fleet,
+		Describe: func(ctx context.Context, address string) (*enginev1.DescribeResponse, error) {
+			return r.engines.Get(address).Describe(ctx, &enginev1.DescribeRequest{})
+		},
+		Load: func(ctx context.Context, address string) (*enginev1.LoadResponse, error) {
+			return r.engines.Get(address).Load(ctx, &enginev1.LoadRequest{})
+		},
+		Check:       r.checkService,
+		Report:      r.tracker.ReportTarget,
+		ObserveLoad: r.observeLoad,
+		Link:        r.peer.Link(),
+		Options:     prober.DefaultOptions(),
+		Clock:       r.Clock,
+		Random:      r.random(),
+		Log:         r.Log,
+	}
+	for method, handler := range p.Handlers() {
+		r.peer.Handle(method, handler)
+	}
+	return registrar.Service{
+		Name:  ServiceProbes,
+		Needs: []string{ServiceMembers},
+		Value: p,
+		Run:   p.Run,
+	}, nil
+}
+
+// checkService tells whether a plain service accepts connections.
+func (r *Router) checkService(ctx context.Context, address string) error {
+	conn, err := r.Network.Dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func (r *Router) observeLoad(name string, load *enginev1.LoadResponse) {
+	r.selector.ObserveLoad(name, load)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/keyer"
 	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/meter"
@@ -34,6 +35,7 @@
 
 // Names of the services of a daemon.
 const (
+	ServiceKeys       = "keys"
 	ServiceStore      = "store"
 	ServiceLink       = "link"
 	ServiceMembers    = "members"
@@ -87,6 +89,7 @@
 	begun     time.Time
 	shutdown  *shutdown
 
+	keys     *keyer.Keyer
 	limiter  *storer.Limiter
 	peer     *linker.Peer
 	tracker  *tracker.Tracker
@@ -145,6 +148,7 @@
 
 func (r *Router) builders() []func() (registrar.Service, error) {
 	return []func() (registrar.Service, error){
+		r.buildKeys,
 		r.buildStore,
 		r.buildLink,
 		r.buildMembers,
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/pflag"
 
+	"github.com/rattantray/rattantray/internal/keyer"
 	"github.com/rattantray/rattantray/internal/setter"
 	"github.com/rattantray/rattantray/internal/tokener"
 )
@@ -29,16 +30,16 @@
 	StoreReads  float64
 	StoreWrites float64
 
-	TLSCert       string
-	TLSKey        string
-	TLSClientCA   string
-	PeerCert      string
-	PeerKey       string
-	PeerCA        string
-	PeerSecret    string
-	InsecurePeers bool
-	ResumeKeys    []string
-	OperatorToken string
+	TLSCert        string
+	TLSKey         string
+	CallerCA       string
+	PeerCA         string
+	PeerName       string
+	PeerSecret     string
+	PeerSecretFile string
+	InsecurePeers  bool
+	ResumeKeys     []string
+	OperatorToken  string
 
 	ResolveTTL   time.Duration
 	DrainTimeout time.Duration
@@ -77,13 +78,13 @@
 	flags.StringVar(&s.PlatformCA, "platform-ca", "", "Trust the CA certificates in this PEM `file` for the platform and speak TLS")
 	flags.Float64Var(&s.StoreReads, "store-reads", defaultStoreReads, "Reads a second that the whole fleet may ask of the object API")
 	flags.Float64Var(&s.StoreWrites, "store-writes", defaultStoreWrites, "Writes a second that the whole fleet may ask of the object API")
-	flags.StringVar(&s.TLSCert, "tls-cert", "", "Present the certificate in this PEM `file` to callers")
-	flags.StringVar(&s.TLSKey, "tls-key", "", "Use the key in this PEM `file` towards callers")
-	flags.StringVar(&s.TLSClientCA, "tls-client-ca", "", "Ask callers for a certificate signed by a CA in this PEM `file`")
-	flags.StringVar(&s.PeerCert, "peer-cert", "", "Present the certificate in this PEM `file` to other routers")
-	flags.StringVar(&s.PeerKey, "peer-key", "", "Use the key in this PEM `file` towards other routers")
-	flags.StringVar(&s.PeerCA, "peer-ca", "", "Trust the CA certificates in this PEM `file` for other routers")
+	flags.StringVar(&s.TLSCert, "tls-cert", "", "Present the certificate in this PEM `file` to callers, and to other routers with --peer-ca")
+	flags.StringVar(&s.TLSKey, "tls-key", "", "Use the key in this PEM `file`")
+	flags.StringVar(&s.CallerCA, "caller-ca", "", "Ask callers for a certificate signed by a CA in this PEM `file`")
+	flags.StringVar(&s.PeerCA, "peer-ca", "", "Accept other routers with a certificate signed by a CA in this PEM `file`")
+	flags.StringVar(&s.PeerName, "peer-name", "", "Ask for this `name` in the certificates of other routers; the router's own name where empty")
 	flags.StringVar(&s.PeerSecret, "peer-secret", "", "Authenticate other routers by this shared `secret` in place of certificates")
+	flags.StringVar(&s.PeerSecretFile, "peer-secret-file", "", "Read shared secrets from this `file`, one a line: the first is used, all are accepted")
 	flags.BoolVar(&s.InsecurePeers, "insecure-peers", false, "Accept other routers without authentication")
 	flags.StringSliceVar(&s.ResumeKeys, "resume-key", nil, "Sign resume tokens with these hexadecimal `keys`, the newest first")
 	flags.StringVar(&s.OperatorToken, "operator-token", "", "Ask operators for this bearer `token`")
@@ -118,7 +119,6 @@
 		setter.OneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
 		setter.OneOf("log-format", s.LogFormat, "json", "text"),
 		together("tls-cert", s.TLSCert, "tls-key", s.TLSKey),
-		together("peer-cert", s.PeerCert, "peer-key", s.PeerKey),
 		s.checkPeers(),
 		s.checkResumeKeys(),
 	)
@@ -139,13 +139,22 @@
 }
 
 func (s *Settings) checkPeers() error {
-	secure := s.PeerCert != "" || s.PeerSecret != ""
-	if secure || s.InsecurePeers {
-		return nil
+	if _, err := s.keys().Mode(); err != nil {
+		return &setter.BadSetting{Name: "peer-ca", Value: s.PeerCA, Accepted: err.Error()}
 	}
-	return &setter.BadSetting{
-		Name:     "peer-cert",
-		Accepted: "--peer-cert with --peer-key and --peer-ca, or --peer-secret, or --insecure-peers",
+	return nil
+}
+
+func (s *Settings) keys() keyer.Settings {
+	return keyer.Settings{
+		Certificate:   keyer.Source(s.TLSCert),
+		Key:           keyer.Source(s.TLSKey),
+		PeerCA:        keyer.Source(s.PeerCA),
+		PeerName:      s.PeerName,
+		CallerCA:      keyer.Source(s.CallerCA),
+		Secret:        s.PeerSecret,
+		SecretFile:    s.PeerSecretFile,
+		InsecurePeers: s.InsecurePeers,
 	}
 }
 
