--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -47,6 +47,8 @@
 
 	mu      sync.Mutex
 	daemons []*daemon
+	// wrap changes the store that daemons see.
+	wrap func(storer.Store) storer.Store
 	// cut holds pairs of daemons that cannot talk.
 	cut map[[2]string]bool
 	// lose, duplicate and delay are counts of messages that a fault still meets.
@@ -73,6 +75,7 @@
 		ctx:      t.Context(),
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		cut:      map[[2]string]bool{},
+		wrap:     func(s storer.Store) storer.Store { return s },
 	}
 	for i := range size {
 		name := fmt.Sprintf("entry-%03d", i)
@@ -83,13 +86,17 @@
 			State:       cataloger.StateLive,
 		}})
 	}
+	return f
+}
+
+// startAll lists every daemon as a member before the first one runs.
+func (f *fleet) startAll() {
 	for _, d := range f.daemons {
 		d.prepare()
 	}
 	for _, d := range f.daemons {
 		d.run()
 	}
-	return f
 }
 
 func (d *daemon) start() {
@@ -99,9 +106,11 @@
 
 func (d *daemon) prepare() {
 	f := d.fleet
+	f.mu.Lock()
 	d.member.Incarnation++
+	f.mu.Unlock()
 	c := New(d.member)
-	c.Store = d.guard(f.platform.Store())
+	c.Store = d.guard(f.wrap(f.platform.Store()))
 	c.Link = linker.Link{Call: d.call}
 	c.Members = f.members
 	f.mu.Lock()
@@ -248,6 +257,16 @@
 	}
 }
 
+// cutOff cuts one daemon from all others.
+func (f *fleet) cutOff(d *daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, other := range f.daemons {
+		f.cut[[2]string{d.member.Name, other.member.Name}] = true
+		f.cut[[2]string{other.member.Name, d.member.Name}] = true
+	}
+}
+
 func (f *fleet) loseNext(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -328,6 +347,7 @@
 func inBubble(t *testing.T, size, dataCentres int, run func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, size, dataCentres)
+		f.startAll()
 		defer f.stopAll()
 		f.ready()
 		run(t, f)
--- a/internal/configurer/spread_test.go
+++ b/internal/configurer/spread_test.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,9 +60,16 @@
 func TestEveryWatchMissesTheEvent(t *testing.T) {
 	inBubble(t, 8, 2, func(t *testing.T, f *fleet) {
 		f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultWatchGap})
-		f.partition(1)
-		version := f.accept(f.daemons[0], "cards", "desk", 0)
-		f.daemons[0].kill()
+		var d *daemon
+		for _, d = range f.daemons {
+			// A watcher's death would bring another watcher and its list.
+			if !slices.Contains(f.watchers(d.member.DataCentre), d) {
+				break
+			}
+		}
+		f.cutOff(d)
+		version := f.accept(d, "cards", "desk", 0)
+		d.kill()
 		f.settle("cards", version, 4*fleetListInterval+faultTarget)
 	})
 }
@@ -121,9 +129,27 @@
 	}
 }
 
+// A daemon without peers does not trust a stale list either: it waits for its watch to catch up.
+func TestRestartAloneWithStaleList(t *testing.T) {
+	inBubble(t, 1, 1, func(t *testing.T, f *fleet) {
+		d := f.daemons[0]
+		version := f.accept(d, "cards", "desk", 0)
+		version = f.accept(d, "cards", "counter", version)
+		d.kill()
+		f.platform.Inject(platformfaker.Fault{Kind: platformfaker.FaultStaleRead, Revisions: 1})
+		d.start()
+		for !d.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		_, got, _ := d.Lookup("cards")
+		require.Equal(t, version, got)
+	})
+}
+
 func TestIsolatedDaemonServesTheNewestItKnows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 4, 2)
+		f.startAll()
 		defer f.stopAll()
 		f.ready()
 		version := f.accept(f.daemons[1], "cards", "desk", 0)
