Hold the link to a contract and replace half-open connections

Fault cases in tables over loopback and in-memory pipes. Found: where a stream's deadline passed a moment before the context's, a half-open connection was not checked and the next call was lost on it too. The check now follows either.

Shown by go test -race -count=20 ./internal/linker.

--- /dev/null
+++ b/internal/linker/fault_test.go
@@ -0,0 +1,363 @@
+package linker
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"github.com/rattantray/rattantray/internal/queuer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// cutter cuts a connection after a number of bytes in one direction, counted from when it is armed.
+type cutter struct {
+	net.Conn
+	armed     *atomic.Bool
+	readLeft  int
+	writeLeft int
+	// silent swallows writes and answers nothing in place of closing.
+	silent *atomic.Bool
+}
+
+func (c *cutter) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	if c.armed.Load() && c.writeLeft >= 0 {
+		c.writeLeft -= len(b)
+		if c.writeLeft < 0 {
+			_ = c.Close()
+			return 0, io.ErrClosedPipe
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *cutter) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.armed.Load() && c.readLeft >= 0 {
+		c.readLeft -= n
+		if c.readLeft < 0 {
+			_ = c.Close()
+			return 0, io.ErrClosedPipe
+		}
+	}
+	return n, err
+}
+
+// transport makes connections to one server.
+type transport struct {
+	name string
+	// serve returns how the server listens and the client dials.
+	serve func(t *testing.T) (net.Listener, func(ctx context.Context, address string) (net.Conn, error))
+}
+
+// pipes is a listener whose connections are in-memory pipes.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	select {
+	case <-p.closed:
+	default:
+		close(p.closed)
+	}
+	return nil
+}
+func (p *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+func (p *pipes) dial(ctx context.Context, _ string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	select {
+	case p.conns <- theirs:
+		return ours, nil
+	case <-p.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+var transports = []transport{
+	{"loopback", func(t *testing.T) (net.Listener, func(context.Context, string) (net.Conn, error)) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return l, func(ctx context.Context, _ string) (net.Conn, error) { return dialTCP(ctx, l.Addr().String()) }
+	}},
+	{"pipes", func(*testing.T) (net.Listener, func(context.Context, string) (net.Conn, error)) {
+		p := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+		return p, p.dial
+	}},
+}
+
+// contract is one server and one client whose connection can be cut.
+type contract struct {
+	server *Peer
+	client *Peer
+	armed  atomic.Bool
+	silent atomic.Bool
+	calls  atomic.Int64
+	dials  atomic.Int64
+	block  chan struct{}
+}
+
+func newContract(t *testing.T, tr transport, readLeft, writeLeft int, c Config) *contract {
+	t.Helper()
+	k := &contract{block: make(chan struct{})}
+	listener, dial := tr.serve(t)
+	c.Name = "server"
+	k.server = newPeer(t, c)
+	k.server.Handle("echo", func(ctx context.Context, peer string, body []byte) (proto.Message, error) {
+		// Reads are cut from the second call on, once it runs.
+		k.armed.Store(k.calls.Add(1) > 1 || k.armed.Load())
+		return echo(ctx, peer, body)
+	})
+	k.server.Handle("block", func(ctx context.Context, _ string, _ []byte) (proto.Message, error) {
+		k.calls.Add(1)
+		select {
+		case <-k.block:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	k.server.Handle("refuse", func(context.Context, string, []byte) (proto.Message, error) {
+		return nil, refuser.New(refuser.ShardMoved, "shard 7").WithRetryAfter(time.Second).WithDigest([]byte{1})
+	})
+	k.server.Handle("fail", func(context.Context, string, []byte) (proto.Message, error) {
+		return nil, errors.New("broken")
+	})
+	k.server.Handle("panic", func(context.Context, string, []byte) (proto.Message, error) { panic("bug") })
+	k.server.Handle("big", func(context.Context, string, []byte) (proto.Message, error) {
+		return wrapperspb.Bytes(make([]byte, 2<<10)), nil
+	})
+	c.Name = "client"
+	c.RedialMin, c.RedialMax = time.Nanosecond, time.Nanosecond
+	c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if k.dials.Add(1) > 1 {
+			return conn, nil
+		}
+		return &cutter{Conn: conn, armed: &k.armed, silent: &k.silent, readLeft: readLeft, writeLeft: writeLeft}, nil
+	}
+	k.client = newPeer(t, c)
+	done := make(chan error, 1)
+	go func() { done <- k.server.Serve(context.Background(), listener) }()
+	t.Cleanup(func() {
+		require.NoError(t, k.client.Close())
+		require.NoError(t, k.server.Close())
+		require.NoError(t, <-done)
+	})
+	return k
+}
+
+func (k *contract) call(ctx context.Context, method string, size int) error {
+	_, err := callBytes(ctx, k.client.Link(), "server", method, make([]byte, size))
+	return err
+}
+
+func TestLinkContract(t *testing.T) {
+	const never = -1
+	tests := []struct {
+		name        string
+		read, write int
+		method      string
+		size        int
+		code        refuser.Code
+		fact        refuser.Fact
+		// ran is whether the handler may have been called.
+		ran bool
+	}{
+		{"cut before the call", never, 0, "echo", 10, refuser.OK, refuser.FactRan, true},
+		{"cut at the first byte of the call", never, 12, "echo", 10, refuser.PeerUnavailable, refuser.FactMayHaveRun, false},
+		{"cut in the middle of the call", never, 100, "echo", 900, refuser.PeerUnavailable, refuser.FactMayHaveRun, false},
+		{"cut before the reply", 0, never, "echo", 10, refuser.PeerUnavailable, refuser.FactMayHaveRun, true},
+		{"cut in the middle of the reply", 100, never, "echo", 900, refuser.PeerUnavailable, refuser.FactMayHaveRun, true},
+		{"request over the limit", never, never, "echo", 2 << 10, refuser.PayloadTooLarge, refuser.FactNotRun, false},
+		{"reply over the limit", never, never, "big", 1, refuser.PayloadTooLarge, refuser.FactRan, false},
+		{"unknown method", never, never, "missing", 1, refuser.UnknownMethod, refuser.FactNotRun, false},
+		{"refusal by the handler", never, never, "refuse", 1, refuser.ShardMoved, refuser.FactNotRun, false},
+		{"error of the handler", never, never, "fail", 1, refuser.Internal, refuser.FactMayHaveRun, false},
+		{"panic of the handler", never, never, "panic", 1, refuser.Internal, refuser.FactMayHaveRun, false},
+	}
+	for _, tr := range transports {
+		for _, tt := range tests {
+			t.Run(tr.name+"/"+tt.name, func(t *testing.T) {
+				k := newContract(t, tr, tt.read, tt.write, Config{MaxMessageBytes: 1 << 10})
+				require.NoError(t, k.call(t.Context(), "echo", 1))
+				k.armed.Store(tt.write != never)
+				err := k.call(t.Context(), tt.method, tt.size)
+				if tt.code == refuser.OK {
+					require.NoError(t, err, "a call that was not sent is sent on a new connection")
+					require.Equal(t, int64(2), k.dials.Load())
+					return
+				}
+				requireRefusal(t, err, tt.code, tt.fact)
+				if !tt.ran {
+					require.Equal(t, int64(1), k.calls.Load(), "the handler must not have been called")
+				}
+				require.NoError(t, k.call(t.Context(), "echo", 10), "the next call dials again where needed")
+			})
+		}
+	}
+}
+
+func TestRefusalKeepsItsParts(t *testing.T) {
+	k := newContract(t, transports[0], -1, -1, Config{})
+	r := refuser.From(k.call(t.Context(), "refuse", 1))
+	require.Equal(t, "shard 7", r.Message)
+	require.Equal(t, time.Second, r.RetryAfter)
+	require.Equal(t, []byte{1}, r.Digest)
+}
+
+// dropTimers empties the pool in which yamux keeps timers, since those of one bubble are of no use in another.
+func dropTimers() {
+	runtime.GC()
+	runtime.GC()
+}
+
+func TestCallsInVirtualTime(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(t *testing.T, k *contract)
+	}{
+		{"a slow peer is given up at the deadline", func(t *testing.T, k *contract) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			begin := time.Now()
+			requireRefusal(t, k.call(ctx, "block", 1), refuser.PeerUnavailable, refuser.FactMayHaveRun)
+			require.Equal(t, time.Second, time.Since(begin))
+			require.NoError(t, k.call(t.Context(), "echo", 1))
+			require.Equal(t, int64(1), k.dials.Load(), "a slow call does not cost the connection")
+		}},
+		{"a half-open connection is found and replaced", func(t *testing.T, k *contract) {
+			require.NoError(t, k.call(t.Context(), "echo", 1))
+			k.silent.Store(true)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			requireRefusal(t, k.call(ctx, "echo", 1), refuser.PeerUnavailable, refuser.FactMayHaveRun)
+			time.Sleep(2 * defaultWriteTimeout)
+			require.NoError(t, k.call(t.Context(), "echo", 1))
+			require.Equal(t, int64(2), k.dials.Load())
+		}},
+		{"calls over the bound wait and are not run", func(t *testing.T, k *contract) {
+			for range 2 {
+				go func() { _ = k.call(t.Context(), "block", 1) }()
+			}
+			synctest.Wait()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			requireRefusal(t, k.call(ctx, "echo", 1), refuser.PeerUnavailable, refuser.FactNotRun)
+			require.Equal(t, int64(2), k.calls.Load())
+			close(k.block)
+			synctest.Wait()
+			require.NoError(t, k.call(t.Context(), "echo", 1))
+		}},
+		{"a cancelled call ends its handler", func(t *testing.T, k *contract) {
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- k.call(ctx, "block", 1) }()
+			synctest.Wait()
+			cancel()
+			requireRefusal(t, <-done, refuser.PeerUnavailable, refuser.FactMayHaveRun)
+			require.NoError(t, k.server.Close(), "Close waits for handlers")
+		}},
+		{"messages over the bound are dropped and said so", func(t *testing.T, k *contract) {
+			var err error
+			for range 10 {
+				if err == nil {
+					err = k.client.Link().Notify("server", "block", wrapperspb.Bytes(make([]byte, 1000)))
+				}
+			}
+			require.ErrorIs(t, err, queuer.ErrFull)
+			close(k.block)
+		}},
+		{"an unused connection is forgotten", func(t *testing.T, k *contract) {
+			require.NoError(t, k.call(t.Context(), "echo", 1))
+			time.Sleep(defaultIdleTimeout + time.Second)
+			_, err := callBytes(t.Context(), k.client.Link(), "other", "echo", nil)
+			require.NoError(t, err)
+			require.Len(t, k.client.remotes, 1)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			dropTimers()
+			defer dropTimers()
+			synctest.Test(t, func(t *testing.T) {
+				k := newContract(t, transports[1], -1, -1, Config{MaxStreams: 2, NotifyBacklog: 4})
+				tt.run(t, k)
+			})
+		})
+	}
+}
+
+func TestNewPeerErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		config Config
+		want   string
+	}{
+		{"no name", Config{Security: Insecure()}, "name is empty"},
+		{"no security", Config{Name: "a"}, "security is not set"},
+		{"negative size", Config{Name: "a", Security: Insecure(), MaxStreams: -1}, "must not be negative"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := NewPeer(tt.config)
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func TestForeignConnectionsAreRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		send []byte
+	}{
+		{"HTTP", []byte("GET / HTTP/1.1\r\n\r\n")},
+		{"an endless hello", []byte{0xff, 0xff, 0xff, 0xff}},
+		{"an empty hello", []byte{0, 0, 0, 0}},
+		{"another protocol version", []byte{0, 0, 0, 5, 8, 9, 18, 1, 'x'}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, address := start(t, Config{Name: "server"})
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			_, err = conn.Write(tt.send)
+			require.NoError(t, err)
+			_, err = io.ReadAll(conn)
+			if err != nil {
+				// Closing with input left unread is a reset.
+				require.ErrorIs(t, err, syscall.ECONNRESET)
+			}
+			require.NoError(t, conn.Close())
+		})
+	}
+}
--- a/internal/linker/peer.go
+++ b/internal/linker/peer.go
@@ -144,7 +144,8 @@
 
 // lost returns the refusal for a call whose reply did not come, and checks whether the connection is still alive.
 func (p *Peer) lost(ctx context.Context, r *remote, session *yamux.Session, address, method string, err error) error {
-	if ctx.Err() != nil {
+	// The stream's deadline may pass a moment before that of the context.
+	if ctx.Err() != nil || errors.Is(err, yamux.ErrTimeout) {
 		err = errors.CombineErrors(ctx.Err(), err)
 		r.checkAlive(session)
 	}
