--- a/internal/drainer/machine.go
+++ b/internal/drainer/machine.go
@@ -106,3 +106,9 @@
 
 // Accepts tells whether new work is taken.
 func (s State) Accepts() bool { return s.Phase == Serving || s.Phase == Announced }
+
+// spread is how long it may take until every daemon has heard that this one leaves.
+const spread = 2 * time.Second
+
+// AnnounceFor returns Limits.Announce for a time to live of the answers to Resolve: the last answer that names this daemon may be given just before another daemon hears of the shutdown.
+func AnnounceFor(timeToLive time.Duration) time.Duration { return timeToLive + spread }
