Let resolve pass over loaded entries

Daemons tell their neighbours their load in steps of a tenth; an entry well over the mean of its data centre goes behind the others.

--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -14,6 +14,8 @@
 	DefaultEntries = 4
 	// DefaultLoadBound is the load, relative to the mean of its data centre, above which an entry is not the first choice.
 	DefaultLoadBound = 1.25
+	// loadFloor is the load up to which an entry stays the first choice whatever the others have.
+	loadFloor = 0.5
 )
 
 // Query says who asks for what.
@@ -141,7 +143,7 @@
 	bound := r.loadBound() * total / float64(max(len(members), 1))
 	var within, over []cataloger.Member
 	for _, i := range tracker.Rank(candidates, key, len(candidates)) {
-		if members[i].Load > bound {
+		if members[i].Load > max(bound, loadFloor) {
 			over = append(over, members[i])
 			continue
 		}
--- a/internal/tracker/fleet.go
+++ b/internal/tracker/fleet.go
@@ -48,6 +48,7 @@
 		DataCentre:  e.dataCentre,
 		Region:      e.region,
 		State:       state,
+		Load:        e.load,
 		LastHeard:   lastHeard,
 	}
 }
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -61,6 +61,7 @@
 
 	superseded bool
 	synced     bool
+	lastLoad   time.Duration
 	// contests counts the incarnations of other processes of this name that this one had to raise its own over.
 	contests int
 	out      []Message
@@ -147,6 +148,8 @@
 		m.receiveSync(from, g)
 	case peerv1.GossipKind_GOSSIP_KIND_DELTA:
 		m.receiveDelta(from, g)
+	case peerv1.GossipKind_GOSSIP_KIND_LOAD:
+		m.receiveLoad(from, g)
 	}
 	return m.take()
 }
--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -92,3 +92,22 @@
 	n.run(5 * time.Second)
 	require.Equal(t, 2, n.states("r002")[cataloger.StateLive])
 }
+
+func TestLoadIsToldWithinTheDataCentre(t *testing.T) {
+	n := newNetwork(1)
+	n.grow(4, 2)
+	n.run(5 * time.Second)
+	tell := func(load float64) int {
+		out := n.order[0].m.SetLoad(n.now, load)
+		n.post(n.order[0], out)
+		n.run(time.Second)
+		return len(out)
+	}
+	load := func(i int) float64 { return n.order[i].m.members["r000"].load }
+	require.Equal(t, 1, tell(0.4))
+	require.Equal(t, 0.4, load(2))
+	require.Zero(t, load(1), "the other data centre is not told")
+	require.Zero(t, tell(0.45), "a small change is not told")
+	n.run(10 * time.Second)
+	require.Equal(t, 1, tell(0.45), "it is refreshed")
+}
--- a/internal/tracker/news.go
+++ b/internal/tracker/news.go
@@ -74,6 +74,7 @@
 	m.digest ^= known.digest()
 	fresh := memberFromProto(p, m.now)
 	fresh.heard = known.heard
+	fresh.load = known.load
 	*known = fresh
 	m.digest ^= known.digest()
 	m.noteChange(known)
--- a/internal/tracker/table.go
+++ b/internal/tracker/table.go
@@ -31,6 +31,8 @@
 	heard time.Duration
 	// unreachable is set where only this daemon doubts the member.
 	unreachable bool
+	// load is what the member last said of its load.
+	load float64
 }
 
 func memberFromProto(p *peerv1.MemberEntry, now time.Duration) memberEntry {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -28,6 +28,7 @@
 	minListInterval = time.Second
 	listRate        = 4
 	listTimeout     = 5 * time.Second
+	loadInterval    = time.Second
 )
 
 // Tracker runs the membership of one daemon; set the exported fields before Run.
@@ -42,14 +43,17 @@
 	ListVMs func(ctx context.Context) ([]cataloger.VM, error)
 	// PeerAddress returns the peer address of an entry VM; where nil, the VM's host with the port of Local.PeerAddress.
 	PeerAddress func(cataloger.VM) string
-	Options     Options
-	Clock       timer.Clock
-	Random      *rand.Rand
-	Log         zerolog.Logger
+	// Load returns this daemon's work in progress as a share of what it takes; may be nil.
+	Load    func() float64
+	Options Options
+	Clock   timer.Clock
+	Random  *rand.Rand
+	Log     zerolog.Logger
 
 	once     sync.Once
 	started  time.Time
 	machine  *Machine
+	loadTold time.Duration
 	inbox    *queuer.Ring[func(now time.Duration) []Message]
 	fleet    atomic.Pointer[cataloger.Fleet]
 	status   atomic.Pointer[Status]
@@ -134,12 +138,23 @@
 			return ctx.Err()
 		case <-ticks:
 			t.apply(t.machine.Tick)
+			t.tellLoad()
 		case f := <-t.inbox.Values():
 			t.apply(f)
 		}
 	}
 }
 
+// tellLoad passes the load on at most once a loadInterval.
+func (t *Tracker) tellLoad() {
+	if t.Load == nil || t.now()-t.loadTold < loadInterval {
+		return
+	}
+	t.loadTold = t.now()
+	load := t.Load()
+	t.apply(func(now time.Duration) []Message { return t.machine.SetLoad(now, load) })
+}
+
 // apply runs one event, and those that wait behind it, on the machine.
 func (t *Tracker) apply(f func(now time.Duration) []Message) {
 	for ok := true; ok; f, ok = t.inbox.Poll() {
