--- /dev/null
+++ b/internal/journaler/bench_test.go
@@ -0,0 +1,214 @@
+package journaler
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+const (
+	benchSeconds = 10
+	storeLatency = 4 * time.Millisecond
+	// storeWrites is what the object API takes from everyone.
+	storeWrites = 400
+)
+
+// openLoop starts requests at a rate for benchSeconds and reports added latency, writes per request and refusals.
+func openLoop(b *testing.B, store *memoryStore, perSecond int, do func(i int) error) {
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	refused := 0
+	store.set(func(m *memoryStore) { m.puts, m.bytes = 0, 0 })
+	rng := rand.New(rand.NewPCG(1, 1))
+	began := time.Now()
+	total := perSecond * benchSeconds
+	due := began
+	for i := range total {
+		due = due.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+		time.Sleep(time.Until(due))
+		wait.Go(func() {
+			start := time.Now()
+			err := do(i)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				refused++
+				return
+			}
+			_ = hist.RecordValue(time.Since(start).Microseconds())
+		})
+	}
+	wait.Wait()
+	took := time.Since(began).Seconds()
+	time.Sleep(2 * time.Second)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	b.ReportMetric(float64(store.puts)/float64(total), "writes/claim")
+	b.ReportMetric(float64(store.puts)/took, "writes/s")
+	b.ReportMetric(float64(store.bytes)/took/1e3, "store-KB/s")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1e3, "p50-ms")
+	b.ReportMetric(float64(hist.ValueAtQuantile(95))/1e3, "p95-ms")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1e3, "p99-ms")
+	b.ReportMetric(100*float64(refused)/float64(total), "refused-%")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkJournal measures what a claim costs over daemons in one process; use -benchtime=1x.
+func BenchmarkJournal(b *testing.B) {
+	for _, daemons := range []int{4, 40, 400} {
+		for _, perSecond := range []int{10, 100, 400} {
+			b.Run(fmt.Sprintf("daemons=%d/claims=%d", daemons, perSecond), func(b *testing.B) {
+				store := newMemoryStore(storeLatency)
+				var names []string
+				for i := range daemons {
+					names = append(names, fmt.Sprintf("%03d", i))
+				}
+				c := newCluster(store, names...)
+				defer c.stop()
+				time.Sleep(2 * time.Second)
+				openLoop(b, store, perSecond, func(i int) error {
+					r := within(5*time.Second, fmt.Sprintf("r-%d", i))
+					_, err := c.nodes[names[i%len(names)]].Execute(context.Background(), r, func(context.Context) (Answer, error) {
+						return Answer{Status: 200, Body: []byte("booked")}, nil
+					})
+					return err
+				})
+			})
+		}
+	}
+}
+
+// BenchmarkObjectPerRequest is the way weighed against the journal: an object for each request, created and then updated.
+func BenchmarkObjectPerRequest(b *testing.B) {
+	for _, perSecond := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("claims=%d", perSecond), func(b *testing.B) {
+			store := newMemoryStore(storeLatency)
+			limiter := rate.NewLimiter(storeWrites, storeWrites/10)
+			api := store.store()
+			put := func(key string, value string, expected uint64) (uint64, error) {
+				if !limiter.Allow() {
+					return 0, storer.ErrRateLimited
+				}
+				return api.Put(context.Background(), key, []byte(value), expected)
+			}
+			openLoop(b, store, perSecond, func(i int) error {
+				key := fmt.Sprintf("requests/%d", i)
+				v, err := put(key, "claimed", 0)
+				if err != nil {
+					return errors.Wrap(err, "claim")
+				}
+				go func() { _, _ = put(key, "ran", v) }()
+				return nil
+			})
+		})
+	}
+}
+
+// openShard returns a shard that is open on an empty store, and a function that makes its store calls until it is idle.
+func openShard(limits Limits) (*shard, *fuzzStore, func(now time.Time)) {
+	st := &fuzzStore{objects: map[string][]version{}}
+	s := newShard(0, Dispatcher{Member: "d", Incarnation: 1}, limits, rand.New(rand.NewPCG(1, 1)))
+	drive := func(now time.Time) {
+		s.hurry(now)
+		for call, ok, _ := s.next(now); ok; call, ok, _ = s.next(now) {
+			s.done(now, call, st.apply(call))
+			if call.typ == callPut {
+				h := st.objects[call.key]
+				st.objects[call.key] = h[len(h)-1:]
+			}
+			s.takeReplies()
+		}
+	}
+	now := time.UnixMilli(1_700_000_000_000)
+	s.want(now, true)
+	drive(now)
+	return s, st, drive
+}
+
+// BenchmarkBatch measures the processor time of a claim and its outcome at batches of several sizes.
+func BenchmarkBatch(b *testing.B) {
+	for _, size := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("claims=%d", size), func(b *testing.B) {
+			s, _, drive := openShard(DefaultLimits())
+			now := time.UnixMilli(1_700_000_000_000)
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range size {
+					s.submitClaim(now, uint64(i), benchClaim(n+i, now))
+				}
+				drive(now)
+				for i := range size {
+					c := benchClaim(n+i, now)
+					s.submitReport(now, uint64(i), report{key: c.key, dispatcher: c.dispatcher, result: result{fact: 2}, deadline: c.deadline})
+				}
+				drive(now)
+				n += size
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n), "ns/claim")
+		})
+	}
+}
+
+func benchClaim(i int, now time.Time) claim {
+	return claim{
+		key: keyOf("w", fmt.Sprint(i)), dispatcher: Dispatcher{Member: "e", Incarnation: 1, Nonce: uint64(i)}, deadline: now.Add(time.Minute),
+	}
+}
+
+// BenchmarkTakeover measures a takeover by the records of the shard: store reads, processor time and memory.
+func BenchmarkTakeover(b *testing.B) {
+	for _, records := range []int{1_000, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprintf("records=%d", records), func(b *testing.B) {
+			s, st, drive := openShard(DefaultLimits())
+			now := time.UnixMilli(1_700_000_000_000)
+			for i := range records {
+				s.submitClaim(now, uint64(i), benchClaim(i, now))
+				c := benchClaim(i, now)
+				s.table.report(report{key: c.key, dispatcher: c.dispatcher, result: result{fact: 2}})
+				if i%1000 == 999 {
+					drive(now)
+				}
+			}
+			drive(now)
+			bytes := 0
+			for _, h := range st.objects {
+				bytes += len(h[len(h)-1].value)
+			}
+			s = nil
+			var before, after runtime.MemStats
+			var next *shard
+			reads := 0
+			for b.Loop() {
+				next = newShard(0, Dispatcher{Member: "d", Incarnation: 2}, DefaultLimits(), rand.New(rand.NewPCG(1, 1)))
+				next.want(now, true)
+				reads = 0
+				for next.phase != phaseOpen {
+					call, _, _ := next.next(now)
+					next.done(now, call, st.apply(call))
+					reads++
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(reads), "store-calls")
+			runtime.KeepAlive(next)
+			next = nil
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/float64(records), "heap-B/record")
+			b.ReportMetric(float64(bytes)/float64(records), "store-B/record")
+		})
+	}
+}
--- a/internal/journaler/commit.go
+++ b/internal/journaler/commit.go
@@ -123,7 +123,7 @@
 	s.commit = nil
 	s.version = version
 	s.stats.Commits++
-	s.succeeded()
+	s.succeeded(now)
 	if s.phase == phaseFencing {
 		s.fencedOff(now)
 		return
--- a/internal/journaler/compaction.go
+++ b/internal/journaler/compaction.go
@@ -64,16 +64,13 @@
 	}
 }
 
-// nextGarbage deletes a segment that is out of use, when there is nothing else to do.
-func (s *shard) nextGarbage(wake time.Time) (storeCall, bool, time.Time) {
-	if len(s.head.Garbage) == 0 {
-		return storeCall{}, false, wake
-	}
+// garbageCall deletes a segment that is out of use: it reads the segment's version first.
+func (s *shard) garbageCall() storeCall {
 	key := s.segmentKey(s.head.Garbage[0])
 	if s.deleting == 0 {
-		return storeCall{typ: callGet, purpose: purposeGarbage, key: key}, true, wake
+		return storeCall{typ: callGet, purpose: purposeGarbage, key: key}
 	}
-	return storeCall{typ: callDelete, purpose: purposeGarbage, key: key, expected: s.deleting}, true, wake
+	return storeCall{typ: callDelete, purpose: purposeGarbage, key: key, expected: s.deleting}
 }
 
 func (s *shard) garbageDone(now time.Time, call storeCall, res storeResult) {
@@ -82,7 +79,7 @@
 	case deleted || errors.Is(res.err, storer.ErrNotFound):
 		s.deleting = 0
 		s.head.Garbage = slices.Clone(s.head.Garbage[1:])
-		s.succeeded()
+		s.succeeded(now)
 	case call.typ == callGet && res.err == nil:
 		s.deleting = res.object.Version
 	default:
--- a/internal/journaler/fuzz_test.go
+++ b/internal/journaler/fuzz_test.go
@@ -115,7 +115,7 @@
 	}
 	seed, seen := firstFault(breakNothing, 500)
 	require.Zero(t, seed)
-	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided"} {
+	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments"} {
 		require.NotZero(t, seen[what], "the moves never reach %s", what)
 	}
 	t.Log(seen)
@@ -149,6 +149,11 @@
 			seen["replayed"]++
 		}
 	}
+	for _, past := range h.store.objects {
+		if past[len(past)-1].version == 0 {
+			seen["deleted segments"]++
+		}
+	}
 	for _, d := range h.daemons {
 		seen["takeovers"] += d.shard.stats.Takeovers
 		seen["fenced"] += d.shard.stats.Fenced
--- a/internal/journaler/limits.go
+++ b/internal/journaler/limits.go
@@ -28,6 +28,8 @@
 	OutcomeDelay time.Duration
 	// OutageGrace is how long the store may fail before claims are refused at once.
 	OutageGrace time.Duration
+	// CheckInterval is how often an owner with nothing to write reads whether it was fenced.
+	CheckInterval time.Duration
 	// ForgetBatch bounds the ids that become fingerprints in one write.
 	ForgetBatch int
 }
@@ -47,6 +49,7 @@
 		SegmentBytes:    768 << 10,
 		OutcomeDelay:    500 * time.Millisecond,
 		OutageGrace:     2 * time.Second,
+		CheckInterval:   2 * time.Second,
 		ForgetBatch:     16 << 10,
 	}
 }
--- a/internal/journaler/segment.go
+++ b/internal/journaler/segment.go
@@ -60,7 +60,7 @@
 func (s *shard) segmentWritten(now time.Time, res storeResult) {
 	switch {
 	case res.err == nil:
-		s.segmentStored(res.version)
+		s.segmentStored(now, res.version)
 	case errors.Is(res.err, storer.ErrConflict):
 		s.segment.readBack = true
 	default:
@@ -85,7 +85,7 @@
 	case seg.Epoch > s.head.Epoch:
 		s.fenced(now)
 	case seg.Epoch == s.head.Epoch && seg.Owner == s.head.Owner && seg.Incarnation == s.head.Incarnation:
-		s.segmentStored(res.object.Version)
+		s.segmentStored(now, res.object.Version)
 	default:
 		w.expected = res.object.Version
 		w.readBack = false
@@ -93,11 +93,11 @@
 }
 
 // segmentStored takes a segment's write that is known to have taken effect; the next head names it.
-func (s *shard) segmentStored(version uint64) {
+func (s *shard) segmentStored(now time.Time, version uint64) {
 	w := s.segment
 	s.segment = nil
 	s.stats.Segments++
-	s.succeeded()
+	s.succeeded(now)
 	w.next.version = version
 	ref := &peerv1.JournalSegmentRef{
 		Number:    w.next.number,
--- a/internal/journaler/server.go
+++ b/internal/journaler/server.go
@@ -52,6 +52,7 @@
 	for i := range s.shards {
 		sh := newShard(uint32(i), Dispatcher{Member: self.Name, Incarnation: self.Incarnation}, j.Limits, j.shardRand())
 		sh.reserve = s.reserve
+		sh.charge = func(now time.Time) { s.limiter.AllowN(now, 1) }
 		sh.alive = func(d Dispatcher) bool { return j.Alive(d.Member, d.Incarnation) }
 		s.shards[i] = sh
 	}
--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -31,8 +31,10 @@
 	limits Limits
 	// reserve books a write of the budget and returns when it may be made.
 	reserve func(now time.Time) time.Time
-	alive   func(Dispatcher) bool
-	rng     *rand.Rand
+	// charge counts a write that does not wait, of a takeover or a segment, as far as the budget has room.
+	charge func(now time.Time)
+	alive  func(Dispatcher) bool
+	rng    *rand.Rand
 
 	phase  phase
 	wanted bool
@@ -70,6 +72,10 @@
 	failures int
 	// downSince is when the present run of store failures began.
 	downSince time.Time
+	// confirmedAt is when the store last answered.
+	confirmedAt time.Time
+	fencedAt    time.Time
+	fencedInRow int
 
 	tickets  map[uint64]*ticket
 	byKey    map[Key][]*ticket
@@ -98,6 +104,7 @@
 		limits:  limits,
 		rng:     rng,
 		reserve: func(now time.Time) time.Time { return now },
+		charge:  func(time.Time) {},
 		alive:   func(Dispatcher) bool { return true },
 		tickets: map[uint64]*ticket{},
 		byKey:   map[Key][]*ticket{},
@@ -139,28 +146,29 @@
 	}
 }
 
-// fenced gives the shard up because another owner wrote the head.
+// fenced gives the shard up because another owner wrote the head; the delay grows where that happens again and again,
+// so that two daemons that both believe to be the owner do not take the shard from each other all the time.
 func (s *shard) fenced(now time.Time) {
 	s.stats.Fenced++
-	delay := s.backoff()
-	if s.phase == phaseOpen {
-		delay = refenceDelay + time.Duration(s.rng.Int64N(int64(refenceDelay)))
+	if now.Sub(s.fencedAt) > fencedMemory {
+		s.fencedInRow = 0
 	}
+	s.fencedAt = now
 	s.close()
-	s.failures++
-	s.retryAt = now.Add(delay)
+	s.retryAt = now.Add(s.backoff(s.fencedInRow))
+	s.fencedInRow++
 }
 
-// refenceDelay keeps two daemons that both believe to be the owner from taking the shard from each other all the time.
-const refenceDelay = 500 * time.Millisecond
+// fencedMemory is how long a fenced owner counts against the next one.
+const fencedMemory = 10 * time.Second
 
 const (
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = time.Second
 )
 
-func (s *shard) backoff() time.Duration {
-	d := minBackoff << min(s.failures, 10)
+func (s *shard) backoff(failures int) time.Duration {
+	d := minBackoff << min(failures, 10)
 	d = min(d, maxBackoff)
 	return d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
 }
@@ -170,11 +178,12 @@
 	if s.downSince.IsZero() {
 		s.downSince = now
 	}
-	s.retryAt = now.Add(s.backoff())
+	s.retryAt = now.Add(s.backoff(s.failures))
 	s.refuseInOutage(now)
 }
 
-func (s *shard) succeeded() {
+func (s *shard) succeeded(now time.Time) {
+	s.confirmedAt = now
 	s.failures = 0
 	s.downSince = time.Time{}
 }
--- a/internal/journaler/storecall.go
+++ b/internal/journaler/storecall.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattantray/rattantray/internal/storer"
 )
 
@@ -29,6 +31,7 @@
 	purposeSegment
 	purposeSegmentReadback
 	purposeGarbage
+	purposeCheck
 )
 
 // storeCall is one call of the store that a shard asks for.
@@ -108,12 +111,12 @@
 // nextOpen picks what an open shard with no write under way does next.
 func (s *shard) nextOpen(now time.Time) (storeCall, bool, time.Time) {
 	if len(s.open) >= s.limits.SealBytes {
-		s.reserve(now)
+		s.charge(now)
 		s.seal()
 		return s.segmentCall(), true, time.Time{}
 	}
 	if s.compactionDue(now) {
-		s.reserve(now)
+		s.charge(now)
 		s.compact(now)
 		if s.segment != nil {
 			return s.segmentCall(), true, time.Time{}
@@ -121,14 +124,29 @@
 		return s.commitCall(purposeCommit, purposeCommitReadback), true, time.Time{}
 	}
 	due := s.dueAt(now)
-	if due.IsZero() {
-		return s.nextGarbage(s.compactionAt())
+	checkAt := s.confirmedAt.Add(s.limits.CheckInterval)
+	switch {
+	case due.IsZero() && len(s.head.Garbage) > 0:
+		return s.garbageCall(), true, time.Time{}
+	case !due.IsZero() && !now.Before(due):
+		s.begin(now)
+		return s.commitCall(purposeCommit, purposeCommitReadback), true, time.Time{}
+	case !now.Before(checkAt):
+		return storeCall{typ: callGet, purpose: purposeCheck, key: s.headKey()}, true, time.Time{}
 	}
-	if now.Before(due) {
-		return storeCall{}, false, soonest(due, s.compactionAt())
+	return storeCall{}, false, soonest(due, soonest(checkAt, s.compactionAt()))
+}
+
+// checked takes the head as an idle owner reads it; an older version is a stale read and says nothing.
+func (s *shard) checked(now time.Time, res storeResult) {
+	switch {
+	case res.err != nil && !errors.Is(res.err, storer.ErrNotFound):
+		s.failed(now)
+	case res.object.Version > s.version:
+		s.fenced(now)
+	default:
+		s.succeeded(now)
 	}
-	s.begin(now)
-	return s.commitCall(purposeCommit, purposeCommitReadback), true, time.Time{}
 }
 
 // dueAt returns when the dirty records are to be written; the zero time is never.
@@ -166,6 +184,8 @@
 		s.segmentReadBack(now, res)
 	case purposeGarbage:
 		s.garbageDone(now, call, res)
+	case purposeCheck:
+		s.checked(now, res)
 	}
 }
 
--- a/internal/journaler/takeover.go
+++ b/internal/journaler/takeover.go
@@ -40,7 +40,7 @@
 	s.head.Owner = s.self.Member
 	s.head.Incarnation = s.self.Incarnation
 	s.phase = phaseFencing
-	s.reserve(now)
+	s.charge(now)
 	s.prepare(nil, nil)
 }
 
@@ -73,7 +73,7 @@
 		s.failed(now)
 		return
 	}
-	s.succeeded()
+	s.succeeded(now)
 	last := tail{number: ref.Number, version: res.object.Version, bytes: recordBytes(seg), expires: ref.ExpiresMs}
 	if s.loadArchive > 0 {
 		s.archive = last
