Balance plain services over instances and retry what is safe

Cause: one instance that fails or refuses must not cost a caller its request, and a retry must neither run a request twice nor grow into a storm. Change: least outstanding with a breaker and slow start, retries by proven fact and idempotence, a retry budget per workspace and service.

--- /dev/null
+++ b/internal/forwarder/balancer.go
@@ -0,0 +1,269 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Policy bounds the attempts at one request.
+type Policy struct {
+	// MaxAttempts counts the first one; 0 is the default.
+	MaxAttempts int
+	// Budget is the share of requests that may be retried; 0 is the default.
+	Budget float64
+}
+
+const (
+	defaultAttempts = 3
+	defaultBudget   = 0.2
+	minRetryPause   = 10 * time.Millisecond
+	maxRetryPause   = 500 * time.Millisecond
+	// refusalPause is how long an instance that refused without a time is left alone.
+	refusalPause = 100 * time.Millisecond
+)
+
+// Balancer spreads requests over the instances of plain services and retries what is safe.
+type Balancer struct {
+	Clock timer.Clock
+	Rand  *rand.Rand
+	// Attempt makes one attempt, as Forwarder.Forward does.
+	Attempt func(ctx context.Context, target cataloger.Target, r Request) (Answer, error)
+
+	mu       sync.Mutex
+	breakers map[string]*breaker
+	budgets  map[budgetKey]*retryBudget
+}
+
+type budgetKey struct {
+	workspace cataloger.Workspace
+	service   string
+}
+
+// NewBalancer returns a balancer that makes its attempts with f.
+func NewBalancer(f *Forwarder, rng *rand.Rand) *Balancer {
+	return &Balancer{
+		Clock:    f.Clock,
+		Rand:     rng,
+		Attempt:  f.Forward,
+		breakers: map[string]*breaker{},
+		budgets:  map[budgetKey]*retryBudget{},
+	}
+}
+
+// Do runs a request on one of the live targets; an error is a *refuser.Refusal whose fact covers all attempts.
+func (b *Balancer) Do(ctx context.Context, targets []cataloger.Target, r Request, policy Policy) (Answer, error) {
+	if policy.MaxAttempts <= 0 {
+		policy.MaxAttempts = defaultAttempts
+	}
+	if policy.Budget <= 0 {
+		policy.Budget = defaultBudget
+	}
+	budget := b.budget(r, policy)
+	run := attempts{request: r, policy: policy}
+	for {
+		target, ok := b.pick(targets, run.tried)
+		if !ok {
+			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(minOpen)
+		}
+		answer, err := b.attempt(ctx, target, run.next(b.Clock.Now()))
+		if err == nil {
+			return answer, nil
+		}
+		if final := run.failed(target.Name, refuser.From(err)); final != nil {
+			return Answer{}, final
+		}
+		if !b.spend(budget) {
+			return Answer{}, run.refusal(refuser.RetryBudgetSpent, "after: %s", err)
+		}
+		if b.Clock.Sleep(ctx, b.pause(run.count)) != nil {
+			return Answer{}, run.refusal(refuser.Canceled, "between attempts, after: %s", err)
+		}
+		if !r.Deadline.IsZero() && !b.Clock.Now().Before(r.Deadline) {
+			return Answer{}, run.refusal(refuser.DeadlineExceeded, "between attempts, after: %s", err)
+		}
+	}
+}
+
+// attempts is what is known of the attempts at one request.
+type attempts struct {
+	request Request
+	policy  Policy
+	count   int
+	tried   []string
+	// mayHaveRun is true once an attempt did not prove that it did not run.
+	mayHaveRun bool
+}
+
+// next returns the request of the next attempt; an attempt that may be repeated leaves half of the time to the others.
+func (a *attempts) next(now time.Time) Request {
+	a.count++
+	r := a.request
+	if r.Idempotent && !r.Deadline.IsZero() && a.count < a.policy.MaxAttempts {
+		r.Deadline = now.Add(r.Deadline.Sub(now) / 2)
+	}
+	return r
+}
+
+// failed takes the refusal of an attempt and returns the final one, or nil where another attempt is safe.
+func (a *attempts) failed(target string, err *refuser.Refusal) *refuser.Refusal {
+	if !slices.Contains(a.tried, target) {
+		a.tried = append(a.tried, target)
+	}
+	if err.Fact != refuser.FactNotRun {
+		a.mayHaveRun = true
+	}
+	switch {
+	case err.Code == refuser.Canceled || err.Code == refuser.UnknownMethod || err.Code == refuser.MalformedRequest:
+		return err.WithFact(a.fact())
+	case a.mayHaveRun && !a.request.Idempotent:
+		return err
+	case a.count < a.policy.MaxAttempts:
+		return nil
+	case a.count == 1:
+		return err
+	}
+	return a.refusal(refuser.AttemptsExhausted, "%d attempts, the last: %s", a.count, err).WithRetryAfter(err.RetryAfter)
+}
+
+func (a *attempts) fact() refuser.Fact {
+	if a.mayHaveRun {
+		return refuser.FactMayHaveRun
+	}
+	return refuser.FactNotRun
+}
+
+func (a *attempts) refusal(code refuser.Code, format string, args ...any) *refuser.Refusal {
+	return refuser.New(code, format, args...).WithFact(a.fact())
+}
+
+// pick returns the live target with the fewest requests in progress, one not tried before where there is one.
+func (b *Balancer) pick(targets []cataloger.Target, tried []string) (cataloger.Target, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	best := -1
+	bestLoad, bestTried, ties := 0, false, 0
+	for i, t := range targets {
+		br := b.breaker(t.Name)
+		if t.State != cataloger.StateLive || !br.allows(now) {
+			continue
+		}
+		was := slices.Contains(tried, t.Name)
+		switch {
+		case best < 0 || (bestTried && !was) || (was == bestTried && br.outstanding < bestLoad):
+			best, bestLoad, bestTried, ties = i, br.outstanding, was, 1
+		case was == bestTried && br.outstanding == bestLoad:
+			ties++
+			if b.Rand.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return cataloger.Target{}, false
+	}
+	b.breaker(targets[best].Name).start()
+	return targets[best], true
+}
+
+func (b *Balancer) attempt(ctx context.Context, target cataloger.Target, r Request) (Answer, error) {
+	answer, err := b.Attempt(ctx, target, r)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	br := b.breaker(target.Name)
+	if err == nil {
+		br.succeed()
+		return answer, nil
+	}
+	now := b.Clock.Now()
+	refusal := refuser.From(err)
+	switch refusal.Code {
+	case refuser.TargetRefused:
+		br.pause(now, max(refusal.RetryAfter, refusalPause))
+	case refuser.Canceled, refuser.UnknownMethod, refuser.MalformedRequest:
+		br.abandon()
+	default:
+		br.fail(now, b.Rand)
+	}
+	return Answer{}, refusal
+}
+
+// breaker returns the state of an instance; the caller holds mu.
+func (b *Balancer) breaker(name string) *breaker {
+	br, ok := b.breakers[name]
+	if !ok {
+		br = &breaker{}
+		b.breakers[name] = br
+	}
+	return br
+}
+
+// Retain forgets the instances that are not among the names, unless they have requests in progress.
+func (b *Balancer) Retain(names map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, br := range b.breakers {
+		if !names[name] && br.outstanding == 0 {
+			delete(b.breakers, name)
+		}
+	}
+}
+
+// Outstanding returns how many requests an instance has in progress from here.
+func (b *Balancer) Outstanding(name string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.breaker(name).outstanding
+}
+
+func (b *Balancer) budget(r Request, policy Policy) *retryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := budgetKey{workspace: r.Workspace, service: r.Service}
+	budget, ok := b.budgets[key]
+	if !ok {
+		if len(b.budgets) >= maxBudgets {
+			b.pruneBudgets()
+		}
+		budget = newRetryBudget()
+		b.budgets[key] = budget
+	}
+	budget.request(policy.Budget)
+	return budget
+}
+
+// pruneBudgets drops what a new budget would be like, or else any.
+func (b *Balancer) pruneBudgets() {
+	for key, budget := range b.budgets {
+		if budget.tokens >= budgetBurst {
+			delete(b.budgets, key)
+		}
+	}
+	for key := range b.budgets {
+		if len(b.budgets) < maxBudgets {
+			return
+		}
+		delete(b.budgets, key)
+	}
+}
+
+func (b *Balancer) spend(budget *retryBudget) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return budget.retry()
+}
+
+// pause returns the jittered wait before the next attempt.
+func (b *Balancer) pause(count int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := min(minRetryPause<<min(count-1, 10), maxRetryPause)
+	return time.Duration(b.Rand.Int64N(int64(d) + 1))
+}
