--- a/internal/cataloger/member.go
+++ b/internal/cataloger/member.go
@@ -5,8 +5,10 @@
 // Member is one daemon.
 type Member struct {
 	Name string
-	// Incarnation grows with each start of the daemon.
+	// Incarnation orders the news about the member; it grows with each start and where the member refutes news of its death.
 	Incarnation uint64
+	// Epoch identifies the process of the daemon and grows with each start.
+	Epoch uint64
 	// Address is the caller API's host:port.
 	Address string
 	// PeerAddress is the host:port for other daemons.
@@ -14,7 +16,9 @@
 	DataCentre  DataCentre
 	Region      string
 	State       State
-	LastHeard   time.Time
+	// Load is the work in progress as a share of what the daemon takes; it is known within a data centre only.
+	Load      float64
+	LastHeard time.Time
 }
 
 // Fleet is a view of members, targets and links at one moment; readers must not change it.
