--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -199,7 +199,7 @@
 		Documents:      r.documents(),
 		Self:           func() cataloger.Member { return r.local },
 		Fleet:          r.tracker.Fleet,
-		Outstanding:    func(string) int { return 0 },
+		Outstanding:    r.outstanding,
 		Services:       r.registrar.Statuses,
 		Phase:          func() string { return string(r.shutdown.phase()) },
 		Ready:          r.ready,
@@ -228,4 +228,9 @@
 	return list, ttl, nil
 }
 
+// outstanding returns how many requests this daemon has in progress on a target.
+func (r *Router) outstanding(target string) int {
+	return r.balancer.Outstanding(target) + r.selector.Outstanding(target)
+}
+
 func authorize(http.Header, *documenter.Document, documenter.Workspace) error { return nil }
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -97,7 +97,9 @@
 	documents := r.documentsInForce()
 	r.limits.Configure(documents)
 	r.admit.Configure(documents)
-	r.selector.Update(r.tracker.Fleet(), modelsOf(documents))
+	fleet := r.tracker.Fleet()
+	r.selector.Update(fleet, modelsOf(documents))
+	r.indexInstances(fleet)
 }
 
 func (r *Router) documentsInForce() []*documenter.Document {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -2,22 +2,41 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/forwarder"
-	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
+// forward runs a request on the instances of a plain service.
 func (r *Router) forward(ctx context.Context, doc *documenter.Document, req forwarder.Request) (forwarder.Answer, error) {
-	for _, t := range r.tracker.Fleet().Targets {
-		if servesPlain(t, doc.Name) {
-			return r.plain.Forward(ctx, t, req)
+	policy := forwarder.Policy{MaxAttempts: doc.Retry.MaxAttempts, Budget: doc.Retry.Budget}
+	return r.balancer.Do(ctx, r.instances(doc.Name), req, policy)
+}
+
+// instances returns the targets that serve a plain service.
+func (r *Router) instances(service string) []cataloger.Target {
+	if index := r.plainTargets.Load(); index != nil {
+		return (*index)[service]
+	}
+	return nil
+}
+
+// indexInstances takes a view of the fleet, so that a request does not search it.
+func (r *Router) indexInstances(fleet cataloger.Fleet) {
+	index := map[string][]cataloger.Target{}
+	names := map[string]bool{}
+	for _, t := range fleet.Targets {
+		if t.Type == cataloger.TypeService {
+			index[t.Service] = append(index[t.Service], t)
+			names[t.Name] = true
 		}
 	}
-	return forwarder.Answer{}, refuser.New(refuser.NoTarget, "no target serves %q", doc.Name)
+	r.plainTargets.Store(&index)
+	r.balancer.Retain(names)
 }
 
-func servesPlain(t cataloger.Target, service string) bool {
-	return t.Type == cataloger.TypeService && t.Service == service && t.State == cataloger.StateLive
+func (r *Router) servesPlain(service string) bool {
+	return slices.ContainsFunc(r.instances(service), func(t cataloger.Target) bool { return t.State == cataloger.StateLive })
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,8 +6,8 @@
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -103,6 +103,10 @@
 	journal  *journaler.Journaler
 	tokens   *tokener.Tokener
 	plain    *forwarder.Forwarder
+	balancer *forwarder.Balancer
+
+	// plainTargets holds the instances of plain services by service.
+	plainTargets atomic.Pointer[map[string][]cataloger.Target]
 
 	mu      sync.Mutex
 	address string
@@ -131,6 +135,7 @@
 			State:       cataloger.StateLive,
 		},
 	}
+	r.balancer = forwarder.NewBalancer(r.plain, r.random())
 	r.registrar = registrar.New(r.Log, r.Clock)
 	r.shutdown = newShutdown(r)
 	for _, build := range r.builders() {
@@ -232,7 +237,7 @@
 	if doc.Model != nil {
 		return r.selector.Bound(modelOf(doc).Key()) > 0
 	}
-	return slices.ContainsFunc(r.tracker.Fleet().Targets, func(t cataloger.Target) bool { return servesPlain(t, doc.Name) })
+	return r.servesPlain(doc.Name)
 }
 
 // LiveMembers returns the members that this daemon takes for live.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -250,3 +250,13 @@
 		}
 	}
 }
+
+// Outstanding returns how many streams of this router run on a target.
+func (s *Selector) Outstanding(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[name]; t != nil {
+		return int(t.streams)
+	}
+	return 0
+}
