Keep the order of answers under an ordering key across entries and owners

Cause: answers of parallel requests must arrive in the order requested, also when an entry or the owner of the key is lost. Change: pure queue per key with a rising floor, owner by shard, entries that tell a new owner their open places and what they delivered, a stated wait for a predecessor that never comes.

--- /dev/null
+++ b/internal/sequencer/handover.go
@@ -0,0 +1,123 @@
+package sequencer
+
+import (
+	"context"
+	"time"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// floor returns the highest sequence under a key that this entry saw delivered.
+func (s *Sequencer) floor(key queueKey) uint64 {
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	return s.entry.floors[key].floor
+}
+
+// noteFloor remembers, for the next owner of the key, a sequence up to which all are over.
+func (s *Sequencer) noteFloor(key queueKey, sequence uint64) {
+	if sequence == 0 {
+		return
+	}
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	note := s.entry.floors[key]
+	if len(s.entry.floors) >= maxFloors && note.floor == 0 {
+		return
+	}
+	s.entry.floors[key] = floorNote{floor: max(note.floor, sequence), at: s.Clock.Now()}
+}
+
+// refreshEntry tells new owners of shards what this entry knows: its open places and the floors of their keys.
+func (s *Sequencer) refreshEntry(ctx context.Context) {
+	moved := s.movedShards()
+	now := s.Clock.Now()
+	floors := map[uint32]*peerv1.SequenceFloors{}
+	var places []*openPlace
+	s.entry.mu.Lock()
+	for key, note := range s.entry.floors {
+		if now.Sub(note.at) > s.Limits.Idle {
+			delete(s.entry.floors, key)
+			continue
+		}
+		shard := key.shard()
+		if _, ok := moved[shard]; !ok {
+			continue
+		}
+		list := floors[shard]
+		if list == nil {
+			list = &peerv1.SequenceFloors{}
+			floors[shard] = list
+		}
+		list.Floors = append(list.Floors, &peerv1.SequenceFloor{Workspace: string(key.workspace), Key: key.key, Floor: note.floor})
+	}
+	for o := range s.entry.open {
+		if m, ok := moved[o.key.shard()]; ok && (source{member: m.Name, incarnation: m.Incarnation}) != o.owner {
+			places = append(places, o)
+		}
+	}
+	s.entry.mu.Unlock()
+	for shard, list := range floors {
+		s.tasks.Go(func() { s.tellFloors(ctx, shard, list) })
+	}
+	for _, o := range places {
+		s.tasks.Go(func() { s.enterAgain(ctx, o) })
+	}
+}
+
+// movedShards returns the owners of the shards whose owner changed since the last look.
+func (s *Sequencer) movedShards() map[uint32]cataloger.Member {
+	moved := map[uint32]cataloger.Member{}
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	for i := range uint32(Shards) {
+		m, ok := s.Owner(i)
+		now := source{member: m.Name, incarnation: m.Incarnation}
+		if ok && now != s.entry.owners[i] {
+			s.entry.owners[i] = now
+			moved[i] = m
+		}
+	}
+	return moved
+}
+
+// tellFloors sends floors until the owner takes them or has let answers out without them.
+func (s *Sequencer) tellFloors(ctx context.Context, shard uint32, list *peerv1.SequenceFloors) {
+	until := s.Clock.Now().Add(s.Limits.Settle)
+	for len(list.Floors) > 0 {
+		n := min(len(list.Floors), floorsAtOnce)
+		m, ok := s.Owner(shard)
+		if !ok {
+			return
+		}
+		err := s.callMember(ctx, m, MethodFloors, callTimeout, &peerv1.SequenceFloors{Floors: list.Floors[:n]}, &peerv1.SequenceAck{})
+		if err == nil {
+			list.Floors = list.Floors[n:]
+			continue
+		}
+		if !unreached(err) || s.Clock.Now().After(until) || s.Clock.Sleep(ctx, s.jitter(maxPause)) != nil {
+			return
+		}
+	}
+}
+
+// enterAgain takes the place of a request in progress at a new owner.
+func (s *Sequencer) enterAgain(ctx context.Context, o *openPlace) {
+	until := s.Clock.Now().Add(s.Limits.Settle)
+	for {
+		s.entry.mu.Lock()
+		over := o.over
+		s.entry.mu.Unlock()
+		if over {
+			return
+		}
+		_, err := s.enterOnce(ctx, o)
+		if err == nil || !unreached(err) || s.Clock.Now().After(until) {
+			return
+		}
+		if s.Clock.Sleep(ctx, s.jitter(minPause*time.Duration(2))) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/sequencer/sequencer.go
@@ -0,0 +1,152 @@
+package sequencer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// Shards is the number of parts that ordering keys are spread over; each part has one owner.
+const Shards = 64
+
+// ShardOf returns the shard of an ordering key.
+func ShardOf(workspace cataloger.Workspace, key string) uint32 {
+	return uint32(xxhash.Sum64String(string(workspace)+"\x00"+key) % Shards)
+}
+
+// Place is a request's place under an ordering key.
+type Place struct {
+	Workspace cataloger.Workspace
+	Key       string
+	// Sequence counts from 1.
+	Sequence  uint64
+	RequestID string
+	Deadline  time.Time
+	// Wait bounds how long an answer waits for a predecessor that has not come.
+	Wait time.Duration
+	// BufferBytes bounds the answers held back under the key.
+	BufferBytes int
+}
+
+// Turn lets a finished answer out in its order.
+type Turn struct {
+	// Wait returns when the answer may be delivered; size is what it takes in memory, in bytes.
+	Wait func(ctx context.Context, size int) error
+	// Done says that the answer was delivered, or that there is none; it must be called once.
+	Done func()
+}
+
+// Sequencer keeps the order of answers: the entry's side of every ordered request and the owner's side of its keys.
+type Sequencer struct {
+	Clock  timer.Clock
+	Link   linker.Link
+	Log    zerolog.Logger
+	Rand   *rand.Rand
+	Limits Limits
+	// Self returns this daemon.
+	Self func() cataloger.Member
+	// Owner returns the live member that a shard belongs to.
+	Owner func(shard uint32) (cataloger.Member, bool)
+	// Alive tells whether an incarnation of a member may still be running.
+	Alive func(name string, incarnation uint64) bool
+
+	once   sync.Once
+	nonce  atomic.Uint64
+	mu     sync.Mutex
+	queues map[queueKey]*ownedQueue
+	// ownedSince is when this daemon came to own each shard; zero where it does not.
+	ownedSince [Shards]time.Time
+	entry      entryState
+	tasks      sync.WaitGroup
+	ctx        context.Context
+}
+
+type queueKey struct {
+	workspace cataloger.Workspace
+	key       string
+}
+
+func (k queueKey) shard() uint32 { return ShardOf(k.workspace, k.key) }
+
+const (
+	// refreshInterval is how often the owners of the shards are looked up.
+	refreshInterval = 200 * time.Millisecond
+	// aliveInterval is how often a queue that waits looks whether the entries of its places are alive.
+	aliveInterval = 500 * time.Millisecond
+)
+
+func (s *Sequencer) init() {
+	s.once.Do(func() {
+		if s.Limits == (Limits{}) {
+			s.Limits = DefaultLimits()
+		}
+		s.queues = map[queueKey]*ownedQueue{}
+		s.entry = entryState{open: map[*openPlace]bool{}, floors: map[queueKey]floorNote{}}
+		s.ctx = context.Background()
+	})
+}
+
+// Run follows the ownership of the shards until ctx is done.
+func (s *Sequencer) Run(ctx context.Context) error {
+	s.init()
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	for {
+		s.refreshOwned()
+		s.refreshEntry(ctx)
+		if s.Clock.Sleep(ctx, refreshInterval) != nil {
+			break
+		}
+	}
+	s.tasks.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, q := range s.queues {
+		q.abandon()
+		delete(s.queues, key)
+	}
+	s.ownedSince = [Shards]time.Time{}
+	return nil
+}
+
+// refreshOwned takes note of the shards that this daemon owns, and forgets the queues of others and idle ones.
+func (s *Sequencer) refreshOwned() {
+	now := s.Clock.Now()
+	self := s.Self()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.ownedSince {
+		m, ok := s.Owner(uint32(i))
+		mine := ok && m.Name == self.Name && m.Incarnation == self.Incarnation
+		switch {
+		case !mine:
+			s.ownedSince[i] = time.Time{}
+		case s.ownedSince[i].IsZero():
+			s.ownedSince[i] = now
+		}
+	}
+	for key, q := range s.queues {
+		if s.ownedSince[key.shard()].IsZero() {
+			q.abandon()
+			delete(s.queues, key)
+			continue
+		}
+		if q.idle(now) {
+			delete(s.queues, key)
+			continue
+		}
+		if now.Sub(q.lookedAt) >= aliveInterval {
+			s.step(now, q)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sequencer/sequencer_test.go
@@ -0,0 +1,277 @@
+package sequencer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// fleet joins sequencers by direct calls with a delay.
+type fleet struct {
+	mu    sync.Mutex
+	nodes map[string]*member
+}
+
+type member struct {
+	*Sequencer
+	self     cataloger.Member
+	handlers map[string]linker.Handler
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+const hop = 2 * time.Millisecond
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{nodes: map[string]*member{}}
+	for _, name := range names {
+		f.add(name)
+	}
+	time.Sleep(DefaultLimits().Settle + time.Second)
+	return f
+}
+
+func (f *fleet) add(name string) {
+	m := &member{self: cataloger.Member{Name: name, Incarnation: 1, PeerAddress: name}, done: make(chan struct{})}
+	m.Sequencer = &Sequencer{
+		Clock: timer.System{},
+		Rand:  rand.New(rand.NewPCG(1, xxhash.Sum64String(name))),
+		Self:  func() cataloger.Member { return m.self },
+		Owner: f.owner,
+		Alive: func(name string, _ uint64) bool { return f.get(name) != nil },
+		Link: linker.Link{Call: func(ctx context.Context, address, method string, req, resp proto.Message) error {
+			return f.call(ctx, name, address, method, req, resp)
+		}},
+	}
+	m.handlers = m.Handlers()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	f.mu.Lock()
+	f.nodes[name] = m
+	f.mu.Unlock()
+	go func() {
+		defer close(m.done)
+		_ = m.Run(ctx)
+	}()
+}
+
+func (f *fleet) get(name string) *member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+func (f *fleet) owner(shard uint32) (cataloger.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best uint64
+	var owner cataloger.Member
+	for name, m := range f.nodes {
+		if h := xxhash.Sum64String(fmt.Sprint(name, shard)); h >= best {
+			best, owner = h, m.self
+		}
+	}
+	return owner, owner.Name != ""
+}
+
+func (f *fleet) call(ctx context.Context, from, address, method string, req, resp proto.Message) error {
+	if err := (timer.System{}).Sleep(ctx, hop); err != nil {
+		return refuser.New(refuser.Canceled, "%s", err)
+	}
+	m := f.get(address)
+	if m == nil {
+		return refuser.New(refuser.PeerUnavailable, "%s", address)
+	}
+	body, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	out, err := m.handlers[method](ctx, from, body)
+	if err != nil {
+		return err
+	}
+	proto.Merge(resp, out)
+	return nil
+}
+
+func (f *fleet) remove(name string) {
+	f.mu.Lock()
+	m := f.nodes[name]
+	delete(f.nodes, name)
+	f.mu.Unlock()
+	m.cancel()
+	<-m.done
+}
+
+func (f *fleet) stop() {
+	for name := range f.nodes {
+		f.remove(name)
+	}
+}
+
+func at(sequence uint64, d time.Duration) Place {
+	return Place{
+		Workspace: "agency", Key: "reports", Sequence: sequence, RequestID: fmt.Sprintf("r-%d", sequence),
+		Deadline: time.Now().Add(d), Wait: 10 * time.Second, BufferBytes: 1 << 20,
+	}
+}
+
+// request enters, runs and delivers one request, and notes the delivery.
+func (f *fleet) request(entry string, p Place, run time.Duration, delivered func(uint64)) error {
+	turn, err := f.get(entry).Enter(context.Background(), p)
+	if err != nil {
+		return err
+	}
+	defer turn.Done()
+	time.Sleep(run)
+	if err := turn.Wait(context.Background(), 10); err != nil {
+		return err
+	}
+	delivered(p.Sequence)
+	return nil
+}
+
+func TestOrderOverEntriesAndALostOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d")
+		defer f.stop()
+		owner, _ := f.owner(ShardOf("agency", "reports"))
+		var entries []string
+		for name := range f.nodes {
+			if name != owner.Name {
+				entries = append(entries, name)
+			}
+		}
+		rng := rand.New(rand.NewPCG(4, 4))
+		var mu sync.Mutex
+		var order []uint64
+		var wait sync.WaitGroup
+		const requests = 200
+		for seq := uint64(1); seq <= requests; seq++ {
+			entry, run := entries[rng.IntN(3)], time.Duration(rng.IntN(3000))*time.Millisecond
+			wait.Go(func() {
+				require.NoError(t, f.request(entry, at(seq, time.Minute), run, func(s uint64) {
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, s)
+				}))
+			})
+			time.Sleep(time.Duration(rng.IntN(50)) * time.Millisecond)
+			if seq == requests/2 {
+				f.remove(owner.Name)
+			}
+		}
+		wait.Wait()
+		require.Len(t, order, requests)
+		require.IsIncreasing(t, order)
+	})
+}
+
+func TestPredecessorThatNeverComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		defer f.stop()
+		none := func(uint64) {}
+		require.NoError(t, f.request("a", at(1, time.Minute), 0, none))
+		began := time.Now()
+		require.NoError(t, f.request("b", at(3, time.Minute), time.Second, none))
+		require.InDelta(t, 10, time.Since(began).Seconds(), 0.5, "the stated wait, from the entry of the successor")
+		err := f.request("a", at(2, time.Minute), 0, none)
+		require.Equal(t, refuser.PredecessorTimedOut, refuser.From(err).Code)
+		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+		other := at(3, time.Minute)
+		other.RequestID = "another"
+		err = f.request("a", other, 0, none)
+		require.Equal(t, refuser.SequenceInvalid, refuser.From(err).Code)
+		require.NoError(t, f.request("a", at(3, time.Minute), 0, none), "the same request may be sent again")
+	})
+}
+
+func TestPredecessorOnALostEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		defer f.stop()
+		owner, _ := f.owner(ShardOf("agency", "reports"))
+		var others []string
+		for name := range f.nodes {
+			if name != owner.Name {
+				others = append(others, name)
+			}
+		}
+		lost, kept := others[0], others[1]
+		_, err := f.get(lost).Enter(context.Background(), at(1, time.Hour))
+		require.NoError(t, err)
+		began := time.Now()
+		time.AfterFunc(time.Second, func() { f.remove(lost) })
+		require.NoError(t, f.request(kept, at(2, time.Minute), 0, func(uint64) {}))
+		require.Less(t, time.Since(began), 3*time.Second)
+	})
+}
+
+func TestDeadlineWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		defer f.stop()
+		first, err := f.get("a").Enter(context.Background(), at(1, time.Minute))
+		require.NoError(t, err)
+		err = f.request("b", at(2, 5*time.Second), 0, func(uint64) {})
+		require.Equal(t, refuser.DeadlineExceeded, refuser.From(err).Code)
+		require.Equal(t, refuser.FactRan, refuser.From(err).Fact, "the answer exists, so not-run would be false")
+		first.Done()
+		require.NoError(t, f.request("b", at(3, 5*time.Second), 0, func(uint64) {}))
+	})
+}
+
+func TestForeignPlaceIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		defer f.stop()
+		o := &openPlace{place: at(1, time.Minute)}
+		body, err := proto.Marshal(f.get("a").proto(o))
+		require.NoError(t, err)
+		_, err = f.get("b").handlers[MethodDone](context.Background(), "mallory", append([]byte{0x0a, byte(len(body))}, body...))
+		require.Equal(t, refuser.Unauthenticated, refuser.From(err).Code)
+	})
+}
+
+// BenchmarkQueue measures one answer through the queue by the places that are open under the key.
+func BenchmarkQueue(b *testing.B) {
+	for _, open := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("open=%d", open), func(b *testing.B) {
+			now := time.Now()
+			limits := DefaultLimits()
+			limits.MaxPlaces = 2000
+			q := newQueue(limits, func(source) bool { return true }, now, now)
+			enter := func(seq uint64) {
+				_, _ = q.enter(now, entrance{sequence: seq, id: "x", deadline: now.Add(time.Hour), wait: time.Second, buffer: 1 << 20})
+			}
+			for seq := range uint64(open) {
+				enter(seq + 1)
+			}
+			next := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				next++
+				_, _ = q.finish(now, next, source{}, 10, 1<<20)
+				if released, _ := q.advance(now); released != next {
+					b.Fatal("out of order")
+				}
+				q.done(now, next, source{})
+				enter(next + uint64(open))
+			}
+		})
+	}
+}
