Add leases with fencing numbers and one renewal per daemon

A lease is an object whose version is its fencing number; it names the holder's session, a second object that one write renews for every lease of the daemon. Another daemon sees the session unchanged for the duration plus 5 % by its own clock, closes it by a conditional write, and only then takes the lease by another one. The holder counts from before the renewal was sent and loses the session for good when its own clock says so; the longer of monotonic and wall time counts, for VMs that were suspended.

Found on the way: a stale read after a release that was never written left the lease held by nobody for as long as the session lived; a read older than the version taken no longer counts.

--- /dev/null
+++ b/internal/leaser/doc.go
@@ -0,0 +1,2 @@
+// Package leaser confirms that one daemon at a time acts on a duty, by leases with fencing numbers in the store.
+package leaser
--- /dev/null
+++ b/internal/leaser/leaser.go
@@ -0,0 +1,309 @@
+package leaser
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/queuer"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// DefaultDuration is how long a lease outlasts its last renewal.
+const DefaultDuration = 15 * time.Second
+
+const (
+	stepRing  = 256
+	callRing  = 256
+	workers   = 4
+	tickShare = 100
+)
+
+// Errors of Acquire.
+var (
+	// ErrHeld says that this daemon holds or wants the lease already.
+	ErrHeld = errors.New("lease is in use on this daemon")
+	// ErrStopped says that the leaser has ended.
+	ErrStopped = errors.New("leaser has stopped")
+)
+
+// Leaser holds the leases of one daemon; set its exported fields before Run.
+type Leaser struct {
+	Self cataloger.Member
+	// Store is the object API as seen by storer.ClassLease.
+	Store   storer.Store
+	Clock   timer.Clock
+	Random  *rand.Rand
+	Log     zerolog.Logger
+	Metrics metrics.Registry
+	// Duration is how long a lease outlasts its last renewal; every daemon of the fleet needs the same.
+	Duration time.Duration
+
+	steps *queuer.Ring[step]
+	calls *queuer.Ring[operation]
+	view  atomic.Pointer[view]
+	ended chan struct{}
+	waits sync.WaitGroup
+	// The fields below belong to the goroutine of Run.
+	machine *machine
+	handles map[string]*Lease
+	waiting map[string]chan *Lease
+}
+
+// step is one event for the machine.
+type step func(m *machine, now time.Time) []operation
+
+// view is what lease handles see; it is immutable.
+type view struct {
+	// extended is when the newest renewal was sent.
+	extended time.Time
+	duration time.Duration
+	fencing  map[string]uint64
+}
+
+// New returns a leaser without leases.
+func New(self cataloger.Member) *Leaser {
+	l := &Leaser{
+		Self:     self,
+		Clock:    timer.System{},
+		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:      zerolog.Nop(),
+		Metrics:  metrics.NewRegistry(),
+		Duration: DefaultDuration,
+		steps:    queuer.NewRing[step](stepRing),
+		calls:    queuer.NewRing[operation](callRing),
+		ended:    make(chan struct{}),
+		handles:  map[string]*Lease{},
+		waiting:  map[string]chan *Lease{},
+	}
+	l.view.Store(&view{})
+	return l
+}
+
+// Lease is a lease that was acquired; once it is over it never becomes valid again.
+type Lease struct {
+	leaser  *Leaser
+	name    string
+	fencing uint64
+	lost    chan struct{}
+}
+
+// Name returns the name of the duty.
+func (l *Lease) Name() string { return l.name }
+
+// Fencing returns the fencing number, which is higher than that of every earlier holder.
+func (l *Lease) Fencing() uint64 { return l.fencing }
+
+// Valid tells whether the lease holds at this moment.
+func (l *Lease) Valid() bool { return l.Remaining() > 0 }
+
+// Remaining returns how long the lease is sure to hold without another renewal, 0 where it is over.
+// An order to a target that does not check fencing numbers needs a shorter deadline than this.
+func (l *Lease) Remaining() time.Duration {
+	v := l.leaser.view.Load()
+	if v.fencing[l.name] != l.fencing {
+		return 0
+	}
+	return max(v.duration-elapsed(v.extended, l.leaser.Clock.Now()), 0)
+}
+
+// Lost is closed when the lease is over.
+func (l *Lease) Lost() <-chan struct{} { return l.lost }
+
+// Release ends the lease at once on this daemon and frees it in the store soon after.
+func (l *Lease) Release(ctx context.Context) error {
+	return l.leaser.steps.Put(ctx, func(m *machine, _ time.Time) []operation {
+		if l.leaser.handles[l.name] == l {
+			m.drop(l.name)
+		}
+		return nil
+	})
+}
+
+// Acquire waits until this daemon holds the lease or ctx is done.
+func (l *Leaser) Acquire(ctx context.Context, name string) (*Lease, error) {
+	got := make(chan *Lease, 1)
+	used := make(chan bool, 1)
+	err := l.steps.Put(ctx, func(m *machine, _ time.Time) []operation {
+		_, waits := l.waiting[name]
+		_, held := l.handles[name]
+		used <- waits || held
+		if !waits && !held {
+			l.waiting[name] = got
+			m.want(name)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	for {
+		select {
+		case inUse := <-used:
+			if inUse {
+				return nil, errors.Wrapf(ErrHeld, "lease %s", name)
+			}
+		case lease := <-got:
+			return lease, nil
+		case <-l.ended:
+			return nil, ErrStopped
+		case <-ctx.Done():
+			l.forget(name, got)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// forget ends a wait whose caller left.
+func (l *Leaser) forget(name string, got chan *Lease) {
+	_ = l.steps.Offer(func(m *machine, _ time.Time) []operation {
+		if l.waiting[name] == got {
+			delete(l.waiting, name)
+			m.drop(name)
+			return nil
+		}
+		// The lease was handed over in the meantime and nobody took it.
+		if handle, ok := l.handles[name]; ok && len(got) > 0 && <-got == handle {
+			m.drop(name)
+		}
+		return nil
+	})
+}
+
+// Run keeps leases until ctx is done, and then frees them.
+func (l *Leaser) Run(ctx context.Context) error {
+	defer close(l.ended)
+	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer l.waits.Wait()
+	defer cancel()
+	l.machine = newMachine(l.Self.Name, fmt.Sprintf("%d-%x", l.Self.Incarnation, l.Random.Uint64()), NewTiming(l.Duration))
+	for range workers {
+		l.waits.Go(func() { l.work(workCtx) })
+	}
+	l.waits.Go(func() { l.sweep(workCtx) })
+	ticks := queuer.NewRing[struct{}](1)
+	l.waits.Go(func() {
+		for l.Clock.Sleep(workCtx, l.Duration/tickShare) == nil {
+			_ = ticks.Offer(struct{}{})
+		}
+	})
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case s := <-l.steps.Values():
+			l.start(s(l.machine, l.Clock.Now()))
+		case <-ticks.Values():
+			l.start(l.machine.tick(l.Clock.Now()))
+		}
+		l.publish()
+	}
+	l.stop(workCtx)
+	return nil
+}
+
+// stopTimeout bounds the wait for the store at the end.
+const stopTimeout = 2 * time.Second
+
+// stop ends every lease here and closes the session, which frees them all in the store by one write.
+func (l *Leaser) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	key, version := l.machine.session.key, l.machine.session.version
+	for name := range l.machine.duties {
+		l.machine.drop(name)
+	}
+	l.publish()
+	for key != "" {
+		_, err := l.Store.Put(ctx, key, encode(&peerv1.LeaseSession{Holder: l.Self.Name, Closed: true}), version)
+		if err == nil || l.Clock.Sleep(ctx, stopTimeout/20) != nil {
+			return
+		}
+		// A renewal may have come between.
+		if o, err := l.Store.Get(ctx, key); err == nil {
+			version = o.Version
+		}
+	}
+}
+
+// start hands calls to the workers; one that finds no room counts as not taken by the store.
+func (l *Leaser) start(calls []operation) {
+	for len(calls) > 0 {
+		op := calls[0]
+		calls = calls[1:]
+		if err := l.calls.Offer(op); err != nil {
+			metrics.GetOrRegisterCounter("lease-calls-dropped", l.Metrics).Inc(1)
+			calls = append(calls, l.machine.done(l.Clock.Now(), op, result{err: storer.ErrUnavailable})...)
+		}
+	}
+}
+
+func (l *Leaser) work(ctx context.Context) {
+	for {
+		op, err := l.calls.Take(ctx)
+		if err != nil {
+			return
+		}
+		r := l.call(ctx, op)
+		_ = l.steps.Put(ctx, func(m *machine, now time.Time) []operation { return m.done(now, op, r) })
+	}
+}
+
+func (l *Leaser) call(ctx context.Context, op operation) (r result) {
+	// A call that takes longer than the time between renewals is of no use.
+	ctx, cancel := context.WithTimeout(ctx, l.Duration/3)
+	defer cancel()
+	switch op.kind {
+	case readLease, readSession:
+		r.object, r.err = l.Store.Get(ctx, op.key)
+	default:
+		r.version, r.err = l.Store.Put(ctx, op.key, op.value, op.expected)
+	}
+	return r
+}
+
+// publish shows the machine's state to the handles, hands out new leases and ends lost ones.
+func (l *Leaser) publish() {
+	now := l.Clock.Now()
+	m := l.machine
+	v := &view{extended: m.session.extended, duration: m.timing.Duration, fencing: map[string]uint64{}}
+	for name := range m.duties {
+		if fencing, ok := m.holds(now, name); ok {
+			v.fencing[name] = fencing
+		}
+	}
+	if old := l.view.Load(); !old.extended.Equal(v.extended) || !maps.Equal(old.fencing, v.fencing) {
+		l.view.Store(v)
+		metrics.GetOrRegisterGauge("leases-held", l.Metrics).Update(int64(len(v.fencing)))
+	}
+	for name, handle := range l.handles {
+		if v.fencing[name] == handle.fencing {
+			continue
+		}
+		l.Log.Info().Str("lease", name).Uint64("fencing", handle.fencing).Msg("lease is over")
+		close(handle.lost)
+		delete(l.handles, name)
+		m.drop(name)
+	}
+	for name, got := range l.waiting {
+		fencing, ok := v.fencing[name]
+		if !ok {
+			continue
+		}
+		l.Log.Info().Str("lease", name).Uint64("fencing", fencing).Msg("lease acquired")
+		lease := &Lease{leaser: l, name: name, fencing: fencing, lost: make(chan struct{})}
+		l.handles[name] = lease
+		delete(l.waiting, name)
+		got <- lease
+	}
+}
--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,186 @@
+package leaser
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/platformfaker"
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+type run struct {
+	*Leaser
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func start(t *testing.T, store storer.Store, name string) *run {
+	l := New(cataloger.Member{Name: name, Incarnation: 1})
+	l.Store = store
+	l.Random = rand.New(rand.NewPCG(1, uint64(len(name))))
+	ctx, cancel := context.WithCancel(t.Context())
+	r := &run{Leaser: l, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		_ = l.Run(ctx)
+	}()
+	return r
+}
+
+func (r *run) end() {
+	r.stop()
+	<-r.done
+}
+
+func acquire(t *testing.T, r *run, name string) *Lease {
+	t.Helper()
+	lease, err := r.Acquire(t.Context(), name)
+	require.NoError(t, err)
+	require.True(t, lease.Valid())
+	return lease
+}
+
+func TestAcquireAndRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformfaker.New(platformfaker.Config{}).Store()
+		a, b := start(t, store, "a"), start(t, store, "b")
+		defer a.end()
+		defer b.end()
+		first := acquire(t, a, "planner")
+		_, err := a.Acquire(t.Context(), "planner")
+		require.ErrorIs(t, err, ErrHeld)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		_, err = b.Acquire(ctx, "planner")
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		cancel()
+		require.True(t, first.Valid())
+		require.Greater(t, first.Remaining(), DefaultDuration/2)
+		require.NoError(t, first.Release(t.Context()))
+		<-first.Lost()
+		require.False(t, first.Valid())
+		second := acquire(t, b, "planner")
+		require.Greater(t, second.Fencing(), first.Fencing())
+		require.Equal(t, "planner", second.Name())
+	})
+}
+
+func TestStopFreesEveryLeaseByOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformfaker.New(platformfaker.Config{})
+		a, b := start(t, p.Store(), "a"), start(t, p.Store(), "b")
+		defer b.end()
+		for i := range 20 {
+			acquire(t, a, fmt.Sprint("duty-", i))
+		}
+		writes := p.Ledger().Calls[platformfaker.OperationPut]
+		a.end()
+		require.Equal(t, writes+1, p.Ledger().Calls[platformfaker.OperationPut])
+		begin := time.Now()
+		for i := range 20 {
+			acquire(t, b, fmt.Sprint("duty-", i))
+		}
+		require.Less(t, time.Since(begin), DefaultDuration/3, "nobody waits for the leases of a daemon that stopped")
+		_, err := a.Acquire(t.Context(), "duty-1")
+		require.ErrorIs(t, err, ErrStopped)
+	})
+}
+
+func TestFaultsOfTheStore(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault platformfaker.Fault
+		lost  bool
+	}{
+		{"answers lost for a while", platformfaker.Fault{Kind: platformfaker.FaultAnswerLost, Count: 3}, false},
+		{"requests lost for a while", platformfaker.Fault{Kind: platformfaker.FaultRequestLost, Count: 2}, false},
+		{"down for a third of the duration", platformfaker.Fault{Kind: platformfaker.FaultOutage, Duration: platformfaker.Duration(DefaultDuration / 3)}, false},
+		{"slow", platformfaker.Fault{Kind: platformfaker.FaultSlow, Delay: platformfaker.Duration(DefaultDuration / 5), Duration: platformfaker.Duration(time.Minute)}, false},
+		{"slower than any use", platformfaker.Fault{Kind: platformfaker.FaultSlow, Delay: platformfaker.Duration(time.Minute), Duration: platformfaker.Duration(time.Minute)}, true},
+		{"down for twice the duration", platformfaker.Fault{Kind: platformfaker.FaultOutage, Duration: platformfaker.Duration(2 * DefaultDuration)}, true},
+		{"every answer lost for long", platformfaker.Fault{Kind: platformfaker.FaultAnswerLost, Duration: platformfaker.Duration(time.Minute)}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := platformfaker.New(platformfaker.Config{})
+				a, b := start(t, p.Store(), "a"), start(t, p.Store(), "b")
+				defer a.end()
+				defer b.end()
+				lease := acquire(t, a, "planner")
+				next := make(chan *Lease, 1)
+				go func() {
+					if l, err := b.Acquire(t.Context(), "planner"); err == nil {
+						next <- l
+					}
+				}()
+				time.Sleep(time.Second)
+				p.Inject(c.fault)
+				for range 3000 {
+					time.Sleep(100 * time.Millisecond)
+					if len(next) > 0 {
+						break
+					}
+				}
+				select {
+				case got := <-next:
+					require.True(t, c.lost)
+					require.False(t, lease.Valid())
+					<-lease.Lost()
+					require.Greater(t, got.Fencing(), lease.Fencing())
+				default:
+					require.False(t, c.lost)
+					require.True(t, lease.Valid())
+				}
+				p.ClearFaults()
+			})
+		})
+	}
+}
+
+func TestSweepClearsOldSessions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformfaker.New(platformfaker.Config{}).Store()
+		keep := start(t, store, "keep")
+		defer keep.end()
+		lease := acquire(t, keep, "planner")
+		for i := range 30 {
+			r := start(t, store, fmt.Sprint("old-", i))
+			acquire(t, r, fmt.Sprint("duty-", i))
+			r.end()
+		}
+		sessions := func() int {
+			objects, _, err := store.List(t.Context(), sessionPrefix)
+			require.NoError(t, err)
+			return len(objects)
+		}
+		require.Equal(t, 31, sessions())
+		time.Sleep(3 * sweepInterval)
+		require.Equal(t, 1, sessions())
+		require.True(t, lease.Valid())
+		require.True(t, acquire(t, keep, "duty-3").Valid(), "a lease under a session that was cleared away is free")
+	})
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprintf("leases=%d", n), func(b *testing.B) {
+			w := newWorld([]float64{1}, testTiming)
+			for i := range n {
+				w.nodes[0].want(fmt.Sprint("duty-", i))
+			}
+			w.flow(3 * time.Second)
+			now := w.now(w.nodes[0])
+			b.ReportAllocs()
+			for b.Loop() {
+				w.nodes[0].tick(now)
+			}
+		})
+	}
+}
