--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -26,15 +26,15 @@
 	begun     time.Time
 	// avoid names the targets that failed this job.
 	avoid []string
-	// failures counts attempts that were replaced because they failed.
+	// failures counts attempts in a row that failed without a new token.
 	failures int
+	// reached is the position at which the last attempt failed.
+	reached uint64
 	// mayHaveRun is set once an engine may have run a layer.
 	mayHaveRun bool
 	gaps       gapEstimator
 	// leaveChecked is when the stages were last asked whether they leave.
 	leaveChecked time.Time
-	// stay is set where the stream could not move off a leaving target.
-	stay bool
 }
 
 // plan is how the next attempt begins.
@@ -131,13 +131,17 @@
 // recover decides how to go on after a failed attempt, or returns the final refusal.
 func (r *run) recover(ctx context.Context, p plan, f *failure) (plan, error) {
 	if f.kind == failedMove {
-		return r.move(ctx, p, f), nil
+		return f.moved, nil
 	}
 	r.count(f)
 	if f.resumable && !p.resume {
 		r.d.Log.Debug().Str("request-id", r.job.RequestID).Uint32("attempt", r.attempt).Msg("resume")
 		return plan{route: p.route, permit: p.permit, resume: true}, nil
 	}
+	if next := r.checker.Next(); next > r.reached {
+		r.reached = next
+		r.failures = 0
+	}
 	r.failures++
 	r.blame(ctx, p, f)
 	if err := r.permitted(f); err != nil {
@@ -155,15 +159,6 @@
 	return r.next(ctx, p, f)
 }
 
-// move takes the stream off a leaving target, or goes on with it where that cannot be done.
-func (r *run) move(ctx context.Context, p plan, f *failure) plan {
-	if moved, ok := r.replace(ctx, p, f); ok {
-		return moved
-	}
-	r.stay = true
-	return plan{route: p.route, permit: p.permit, resume: true}
-}
-
 // permitted returns the final refusal where the job may not be tried again.
 func (r *run) permitted(f *failure) error {
 	if r.failures >= r.job.MaxAttempts {
--- a/internal/tracker/fleet.go
+++ b/internal/tracker/fleet.go
@@ -35,15 +35,21 @@
 	if e == m.self {
 		heard = m.now
 	}
+	lastHeard := time.Time{}
+	if heard != neverHeard {
+		lastHeard = heardAt(heard)
+	}
 	return cataloger.Member{
 		Name:        e.name,
 		Incarnation: e.incarnation,
+		Epoch:       e.epoch,
 		Address:     e.address,
 		PeerAddress: e.peerAddress,
 		DataCentre:  e.dataCentre,
 		Region:      e.region,
 		State:       state,
-		LastHeard:   heardAt(heard),
+		Load:        e.load,
+		LastHeard:   lastHeard,
 	}
 }
 
