Spread callers over entries and use targets in doubt last

Cause: with a data centre cut off, every caller of a workspace was sent to one entry, since Resolve did not tell callers apart, and the selector gave targets in doubt their whole share, so that streams stalled on them until they were found dead.

Change: Resolve spreads by the caller's host; a target in doubt counts with 2% of its rate.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/resolver"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/tokener"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
@@ -37,8 +39,8 @@
 	Lookup func(service string) (*documenter.Document, uint64, bool)
 	// Authorize checks who calls for a workspace.
 	Authorize func(header http.Header, doc *documenter.Document, workspace documenter.Workspace) error
-	// Entries returns the entry addresses for a caller in a data centre and how long they are good.
-	Entries func(dc cataloger.DataCentre, workspace cataloger.Workspace, service string) ([]*v1.Entry, time.Duration, error)
+	// Entries returns the entry addresses for a caller and how long they are good.
+	Entries func(q resolver.Query) ([]*v1.Entry, time.Duration, error)
 	// Admit waits for the permission to run.
 	Admit func(ctx context.Context, r admitter.Request) (*admitter.Grant, error)
 	// Expected estimates how long a generation takes; zero where it is not known.
@@ -111,7 +113,12 @@
 	if err := r.Authorize(req.Header(), doc, workspace); err != nil {
 		return nil, refuser.From(err).Connect()
 	}
-	entries, ttl, err := r.Entries(cataloger.DataCentre(msg.DataCentre), cataloger.Workspace(msg.Workspace), msg.Service)
+	entries, ttl, err := r.Entries(resolver.Query{
+		DataCentre: cataloger.DataCentre(msg.DataCentre),
+		Workspace:  cataloger.Workspace(msg.Workspace),
+		Service:    msg.Service,
+		Caller:     hostOf(req.Peer().Addr),
+	})
 	if err != nil {
 		return nil, refuser.From(err).Connect()
 	}
@@ -153,6 +160,15 @@
 	return connect.NewResponse(toGetResponse(msg.RequestId, out)), nil
 }
 
+// hostOf returns the host of a remote address, which tells callers of one workspace apart.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
 func toGetResponse(id string, out journaler.Outcome) *v1.GetResponse {
 	resp := &v1.GetResponse{RequestId: id, Outcome: outcomeOf(out)}
 	if resp.Outcome != v1.Outcome_OUTCOME_RAN {
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -211,9 +211,9 @@
 }
 
 // entries answers Resolve.
-func (r *Router) entries(dc cataloger.DataCentre, workspace cataloger.Workspace, service string) ([]*v1.Entry, time.Duration, error) {
+func (r *Router) entries(q resolver.Query) ([]*v1.Entry, time.Duration, error) {
 	rules := resolver.Resolver{DataCentre: r.local.DataCentre, TimeToLive: r.Settings.ResolveTTL}
-	found, ttl := rules.Resolve(processes(r.tracker.Fleet()), resolver.Query{DataCentre: dc, Workspace: workspace, Service: service})
+	found, ttl := rules.Resolve(processes(r.tracker.Fleet()), q)
 	if len(found) == 0 {
 		return nil, 0, refuser.New(refuser.NotReady, "no entry is in service").WithRetryAfter(notReadyRetry)
 	}
--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -200,3 +201,12 @@
 	require.Empty(w.t, a.lost, "answers that no target gave")
 	require.Empty(w.t, a.wrongFacts, "refusals without a fact")
 }
+
+// series returns the rate of each second, for the log of a failed test.
+func (l *load) series(end time.Duration) string {
+	var b strings.Builder
+	for at := time.Duration(0); at+time.Second <= end; at += time.Second {
+		fmt.Fprintf(&b, "%.0f ", l.rate(at, at+time.Second))
+	}
+	return b.String()
+}
--- a/internal/router/recovery_test.go
+++ b/internal/router/recovery_test.go
@@ -201,7 +201,7 @@
 
 func (s scenario) run(w *world) {
 	l := w.newLoad(16, 20*time.Second)
-	l.start(28, 4)
+	l.start(40, 4)
 	time.Sleep(warmUp)
 	heal := s.strike(w)
 	if s.lasts > 0 {
@@ -215,6 +215,7 @@
 	before := l.rate(2*time.Second, warmUp)
 	after := l.rate(end-4*time.Second, end)
 	took, ok := l.recovered(warmUp, end, goodputShare*s.remaining)
+	w.t.Logf("series %s", l.series(end))
 	w.t.Logf("%-24s before %.0f of %d, after %.0f of %.0f, recovered in %s, answered %d, not-run %d, may-have-run %d, codes %v",
 		s.name, before, bound, after, s.remaining, took, a.answered, a.notRun, a.mayHaveRun, a.codes)
 	a.check(w)
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -74,6 +75,7 @@
 	client   *caller.Client
 	wg       sync.WaitGroup
 	closers  []func()
+	clients  int
 	begun    time.Time
 }
 
@@ -194,7 +196,7 @@
 		Settings: d.settings,
 		Log:      zerolog.Nop(),
 		Clock:    timer.System{},
-		Network:  Network{Listen: host.Listen, Dial: host.Dial},
+		Network:  Network{Listen: host.Listen, Dial: dialWithin(host)},
 	})
 	require.NoError(w.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -203,6 +205,15 @@
 	w.wg.Go(func() { done <- r.Run(ctx) })
 }
 
+// dialWithin bounds dialling as the operating system's network of a daemon does.
+func dialWithin(host *netfaker.Host) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return host.Dial(ctx, network, address)
+	}
+}
+
 // kill ends a daemon as the loss of its VM does.
 func (w *world) kill(d *daemon) {
 	w.net.Kill(d.ip)
@@ -221,9 +232,11 @@
 	require.NoError(w.t, err)
 	w.closers = append(w.closers, httpClient.CloseIdleConnections)
 	var addresses []string
-	for _, d := range w.routers {
-		addresses = append(addresses, d.ip+":7070")
+	for i := range w.routers {
+		// Callers are spread over the routers that they resolve at.
+		addresses = append(addresses, w.routers[(i+w.clients)%len(w.routers)].ip+":7070")
 	}
+	w.clients++
 	return caller.New(httpClient, addresses)
 }
 
--- a/internal/selector/graph.go
+++ b/internal/selector/graph.go
@@ -123,6 +123,10 @@
 	if t == nil || !t.usable() {
 		return
 	}
+	share := 1.0
+	if t.info.State == cataloger.StateSuspect {
+		share = suspectShare
+	}
 	for _, h := range t.info.Holdings {
 		if !h.Ready || h.Model != g.model.Name || h.Version != g.model.Version || h.EndLayer <= h.FirstLayer {
 			continue
@@ -133,11 +137,15 @@
 		g.byTarget[t.name] = append(g.byTarget[t.name], int32(len(g.holders)))
 		g.holders = append(g.holders, holder{
 			t: t, first: h.FirstLayer, end: min(h.EndLayer, g.model.Layers),
-			decode: rateOr(t.info.DecodeRate, t.info.PrefillRate), prefill: rateOr(t.info.PrefillRate, t.info.DecodeRate),
+			decode:  share * rateOr(t.info.DecodeRate, t.info.PrefillRate),
+			prefill: share * rateOr(t.info.PrefillRate, t.info.DecodeRate),
 		})
 	}
 }
 
+// suspectShare is the part of its rate that a target in doubt counts with, so that it is used where there is no other.
+const suspectShare = 0.02
+
 // defaultRate stands in where a target states no rate.
 const defaultRate = 1000
 
