Doubt the targets of a data centre that nobody reaches

Cause: with a data centre cut off 20 s, goodput over both halves was back at 90% of the bound only after 6.2 s, over the stated 5 s. Streams stalled again on targets that probes suspect after 3 s and that the selector tried anew every 0.5 s with several streams. Ruled out: the engines (both halves hold whole chains), the admission (12 to 15 of 16 streams in progress).

--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -98,7 +98,7 @@
 	r.limits.Configure(documents)
 	r.admit.Configure(documents)
 	fleet := r.tracker.Fleet()
-	r.selector.Update(fleet, modelsOf(documents))
+	r.selector.Update(doubtCutOff(fleet, r.local), modelsOf(documents))
 	r.indexInstances(fleet)
 }
 
--- a/internal/selector/state.go
+++ b/internal/selector/state.go
@@ -53,7 +53,11 @@
 
 // trusted tells whether the target is not suspected.
 func (t *target) trusted(now time.Time) bool {
-	return t.usable() && t.info.State != cataloger.StateSuspect && !now.Before(t.suspectUntil)
+	if !t.usable() || t.info.State == cataloger.StateSuspect || now.Before(t.suspectUntil) {
+		return false
+	}
+	// After a failure one stream at a time tries the target until a token comes back.
+	return t.failures == 0 || t.streams == 0
 }
 
 // ramp returns the share of its rate that the target gets, from minRamp to 1.
