Bound the ids that one daemon remembers

Cause: a record takes 230 to 320 bytes of heap (BenchmarkTakeover), and a million ids in each of eight shards would not fit in a daemon's 256 MB.

Conclusion: at most 512k ids, about 130 MB, in one daemon.

--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -236,6 +237,26 @@
 	})
 }
 
+func TestFullJournalRefusesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(time.Millisecond))
+		c.limits.MaxRecords = 2 * Shards
+		n := c.add("a", 1)
+		defer c.stop()
+		runs, full := 0, 0
+		for i := range 10 * Shards {
+			_, err := n.Execute(context.Background(), within(time.Second, fmt.Sprintf("r-%d", i)), answering(&runs, "x"))
+			if err != nil {
+				require.Equal(t, refuser.QueueFull, refuser.From(err).Code)
+				require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+				full++
+			}
+		}
+		require.Equal(t, 2*Shards, runs)
+		require.Equal(t, 8*Shards, full)
+	})
+}
+
 func TestForeignDispatcherIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(newMemoryStore(0), "a")
--- a/internal/journaler/limits.go
+++ b/internal/journaler/limits.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Limits bounds the journal; all of it is per shard but for WritesPerSecond.
+// Limits bounds the journal; all of it is per shard but for WritesPerSecond and MaxRecords.
 type Limits struct {
 	// WritesPerSecond is the share of the store's writes that the journal of all daemons together takes.
 	WritesPerSecond float64
@@ -10,7 +10,7 @@
 	Window time.Duration
 	// MaxSkew is how far in the future the time within an id may be.
 	MaxSkew time.Duration
-	// MaxRecords bounds the ids remembered.
+	// MaxRecords bounds the ids that one daemon remembers, in equal parts for its shards.
 	MaxRecords int
 	// MaxWaiting bounds the calls that wait for the store or for an outcome.
 	MaxWaiting int
@@ -40,7 +40,7 @@
 		WritesPerSecond: 200,
 		Window:          24 * time.Hour,
 		MaxSkew:         5 * time.Minute,
-		MaxRecords:      1 << 20,
+		MaxRecords:      1 << 19,
 		MaxWaiting:      4096,
 		MaxAnswerBytes:  64 << 10,
 		AnswerMemory:    4 << 20,
--- a/internal/journaler/server.go
+++ b/internal/journaler/server.go
@@ -113,6 +113,9 @@
 		s.shards[i].want(now, mine)
 		s.deliver(s.shards[i])
 	}
+	for _, sh := range s.shards {
+		sh.setRoom(s.j.Limits.MaxRecords / max(1, s.owned))
+	}
 	limit := rate.Limit(s.j.Limits.WritesPerSecond * float64(s.owned) / Shards)
 	if limit != s.limiter.Limit() {
 		s.limiter.SetLimitAt(now, limit)
--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -216,3 +216,11 @@
 		s.lazyAt = now
 	}
 }
+
+// setRoom sets how many ids the shard may remember; what it remembers already stays.
+func (s *shard) setRoom(records int) {
+	s.limits.MaxRecords = records
+	if s.table != nil {
+		s.table.limits.MaxRecords = records
+	}
+}
