--- a/internal/servicefaker/service.go
+++ b/internal/servicefaker/service.go
@@ -75,6 +75,7 @@
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status/{id}", s.serve(false))
+	mux.HandleFunc("GET /cards/status", s.serve(false))
 	mux.HandleFunc("POST /bookings", s.serve(true))
 	mux.HandleFunc("POST /cards", s.serve(true))
 	mux.HandleFunc("GET /ledger", s.serveLedger)
