--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -199,7 +199,7 @@
 		Documents:      r.documents(),
 		Self:           func() cataloger.Member { return r.local },
 		Fleet:          r.tracker.Fleet,
-		Outstanding:    func(string) int { return 0 },
+		Outstanding:    r.outstanding,
 		Services:       r.registrar.Statuses,
 		Phase:          func() string { return string(r.shutdown.phase()) },
 		Ready:          r.ready,
@@ -211,9 +211,9 @@
 }
 
 // entries answers Resolve.
-func (r *Router) entries(dc cataloger.DataCentre, workspace cataloger.Workspace, service string) ([]*v1.Entry, time.Duration, error) {
+func (r *Router) entries(q resolver.Query) ([]*v1.Entry, time.Duration, error) {
 	rules := resolver.Resolver{DataCentre: r.local.DataCentre, TimeToLive: r.Settings.ResolveTTL}
-	found, ttl := rules.Resolve(processes(r.tracker.Fleet()), resolver.Query{DataCentre: dc, Workspace: workspace, Service: service})
+	found, ttl := rules.Resolve(processes(r.tracker.Fleet()), q)
 	if len(found) == 0 {
 		return nil, 0, refuser.New(refuser.NotReady, "no entry is in service").WithRetryAfter(notReadyRetry)
 	}
@@ -228,4 +228,9 @@
 	return list, ttl, nil
 }
 
+// outstanding returns how many requests this daemon has in progress on a target.
+func (r *Router) outstanding(target string) int {
+	return r.balancer.Outstanding(target) + r.selector.Outstanding(target)
+}
+
 func authorize(http.Header, *documenter.Document, documenter.Workspace) error { return nil }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -133,6 +133,9 @@
 				t = &target{name: info.Name}
 			}
 			t.rampFrom = now
+			// The probes that found it live again know more than the streams that it lost.
+			t.suspectUntil = time.Time{}
+			t.failures = 0
 		}
 		t.info = info
 		targets[info.Name] = t
@@ -247,3 +250,13 @@
 		}
 	}
 }
+
+// Outstanding returns how many streams of this router run on a target.
+func (s *Selector) Outstanding(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[name]; t != nil {
+		return int(t.streams)
+	}
+	return 0
+}
