Look shard owners up only when the members change

Change: assigner keeps the owners of a duty's shards until a view number changes; the entry listens past the deadline unless the caller cancels, and reports not-run after any claim that was left without a verdict. Result: go test -race ./internal/{journaler,sequencer,assigner} passes; TestDeadlineBeforeTheClaimIsRecorded now with the context's own deadline. Conclusion: the View seam is optional; the router should set it.

--- /dev/null
+++ b/internal/assigner/doc.go
@@ -0,0 +1,2 @@
+// Package assigner remembers which member owns each shard of a duty until the view of the members changes.
+package assigner
--- a/internal/journaler/entry.go
+++ b/internal/journaler/entry.go
@@ -6,6 +6,8 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -70,16 +72,18 @@
 
 // obtain asks owners until there is a verdict; asked tells whether a claim may be on an owner without one.
 func (j *Journaler) obtain(ctx context.Context, c *call, r Request, cl claim) (d decision, asked bool) {
+	askCtx, cancel := untilCanceled(ctx)
+	defer cancel()
 	pause := minAskInterval
 	for {
-		v, sent, err := j.ask(ctx, r, cl)
+		v, sent, err := j.ask(askCtx, r, cl)
 		if err == nil {
 			d := c.verdict(j.Clock.Now(), v)
 			if d.action != actionAsk {
-				return d, asked && v.kind == verdictNotLoaded
+				return d, asked
 			}
 		}
-		asked = asked || sent
+		asked = asked || (sent && err != nil)
 		left := r.Deadline.Sub(j.Clock.Now())
 		if left <= 0 {
 			return c.giveUp(refuser.DeadlineExceeded), asked
@@ -91,6 +95,21 @@
 	}
 }
 
+// untilCanceled returns a context that outlives the deadline of ctx, as the owner's verdict at the deadline says whether
+// the claim was voided, and ends when ctx is cancelled before.
+func untilCanceled(ctx context.Context) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			cancel()
+		}
+	})
+	return out, func() {
+		stop()
+		cancel()
+	}
+}
+
 // dispatch uses the permit.
 func (j *Journaler) dispatch(ctx context.Context, r Request, cl claim, run RunFunc) (Outcome, error) {
 	answer, err := run(ctx)
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/rattantray/rattantray/internal/assigner"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/queuer"
@@ -31,12 +32,15 @@
 	Self func() cataloger.Member
 	// Owner returns the live member that a shard belongs to.
 	Owner func(shard uint32) (cataloger.Member, bool)
+	// View returns a number that changes with the live members, so that owners are looked up only then; nil always looks them up.
+	View func() uint64
 	// Alive tells whether an incarnation of a member may still be running.
 	Alive func(name string, incarnation uint64) bool
 	// Find returns the live member of an incarnation as Incarnation names it, for bound mode.
 	Find func(incarnation string) (cataloger.Member, bool)
 
 	once    sync.Once
+	owners  assigner.Table
 	randMu  sync.Mutex
 	nonce   atomic.Uint64
 	ticket  atomic.Uint64
@@ -72,6 +76,9 @@
 		if j.Rand == nil {
 			j.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		}
+		j.owners.Shards = Shards
+		j.owners.Lookup = j.Owner
+		j.owners.View = j.View
 		j.events = queuer.NewRing[event](eventRing)
 		j.reports = queuer.NewRing[pendingReport](reportRing)
 		j.stopped = make(chan struct{})
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -175,8 +175,10 @@
 		settle(t)
 		store.set(func(m *memoryStore) { m.hang = time.Second })
 		runs := 0
-		_, err := c.nodes["a"].Execute(context.Background(), within(500*time.Millisecond, "r-1"), answering(&runs, "x"))
-		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, err := c.nodes["a"].Execute(ctx, within(500*time.Millisecond, "r-1"), answering(&runs, "x"))
+		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact, "the context ends at the same moment")
 		require.Zero(t, runs)
 		store.set(func(m *memoryStore) { m.hang = 0 })
 		time.Sleep(5 * time.Second)
--- a/internal/journaler/server.go
+++ b/internal/journaler/server.go
@@ -104,9 +104,8 @@
 func (s *server) owners(now time.Time) {
 	self := s.j.Self()
 	s.owned = 0
-	for i := range uint32(Shards) {
-		m, ok := s.j.Owner(i)
-		mine := ok && m.Name == self.Name && m.Incarnation == self.Incarnation
+	for i, owner := range s.j.owners.All() {
+		mine := owner.Is(self)
 		if mine {
 			s.owned++
 		}
--- a/internal/journaler/transport.go
+++ b/internal/journaler/transport.go
@@ -30,7 +30,8 @@
 	if r.Mode == documenter.ModeBound {
 		return j.Find(r.BoundTo)
 	}
-	return j.Owner(ShardOf(r.Workspace, r.ID))
+	owner := j.owners.Get(ShardOf(r.Workspace, r.ID))
+	return owner.Member, owner.Known
 }
 
 func (j *Journaler) isSelf(m cataloger.Member) bool {
--- a/internal/sequencer/entry.go
+++ b/internal/sequencer/entry.go
@@ -198,10 +198,11 @@
 
 // call asks the owner of a key, which may be this daemon.
 func (s *Sequencer) call(ctx context.Context, key queueKey, method string, timeout time.Duration, req, resp proto.Message) (source, error) {
-	m, ok := s.Owner(key.shard())
-	if !ok {
+	owner := s.owners.Get(key.shard())
+	if !owner.Known {
 		return source{}, errNotOwner
 	}
+	m := owner.Member
 	return source{member: m.Name, incarnation: m.Incarnation}, s.callMember(ctx, m, method, timeout, req, resp)
 }
 
--- a/internal/sequencer/handover.go
+++ b/internal/sequencer/handover.go
@@ -69,14 +69,14 @@
 // movedShards returns the owners of the shards whose owner changed since the last look.
 func (s *Sequencer) movedShards() map[uint32]cataloger.Member {
 	moved := map[uint32]cataloger.Member{}
+	owners := s.owners.All()
 	s.entry.mu.Lock()
 	defer s.entry.mu.Unlock()
-	for i := range uint32(Shards) {
-		m, ok := s.Owner(i)
-		now := source{member: m.Name, incarnation: m.Incarnation}
-		if ok && now != s.entry.owners[i] {
+	for i, owner := range owners {
+		now := source{member: owner.Member.Name, incarnation: owner.Member.Incarnation}
+		if owner.Known && now != s.entry.owners[i] {
 			s.entry.owners[i] = now
-			moved[i] = m
+			moved[uint32(i)] = owner.Member
 		}
 	}
 	return moved
@@ -87,11 +87,11 @@
 	until := s.Clock.Now().Add(s.Limits.Settle)
 	for len(list.Floors) > 0 {
 		n := min(len(list.Floors), floorsAtOnce)
-		m, ok := s.Owner(shard)
-		if !ok {
+		owner := s.owners.Get(shard)
+		if !owner.Known {
 			return
 		}
-		err := s.callMember(ctx, m, MethodFloors, callTimeout, &peerv1.SequenceFloors{Floors: list.Floors[:n]}, &peerv1.SequenceAck{})
+		err := s.callMember(ctx, owner.Member, MethodFloors, callTimeout, &peerv1.SequenceFloors{Floors: list.Floors[:n]}, &peerv1.SequenceAck{})
 		if err == nil {
 			list.Floors = list.Floors[n:]
 			continue
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/rattantray/rattantray/internal/assigner"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/timer"
@@ -56,10 +57,13 @@
 	Self func() cataloger.Member
 	// Owner returns the live member that a shard belongs to.
 	Owner func(shard uint32) (cataloger.Member, bool)
+	// View returns a number that changes with the live members, so that owners are looked up only then; nil always looks them up.
+	View func() uint64
 	// Alive tells whether an incarnation of a member may still be running.
 	Alive func(name string, incarnation uint64) bool
 
 	once   sync.Once
+	owners assigner.Table
 	nonce  atomic.Uint64
 	mu     sync.Mutex
 	queues map[queueKey]*ownedQueue
@@ -89,6 +93,9 @@
 		if s.Limits == (Limits{}) {
 			s.Limits = DefaultLimits()
 		}
+		s.owners.Shards = Shards
+		s.owners.Lookup = s.Owner
+		s.owners.View = s.View
 		s.queues = map[queueKey]*ownedQueue{}
 		s.entry = entryState{open: map[*openPlace]bool{}, floors: map[queueKey]floorNote{}}
 		s.ctx = context.Background()
@@ -123,13 +130,12 @@
 func (s *Sequencer) refreshOwned() {
 	now := s.Clock.Now()
 	self := s.Self()
+	owners := s.owners.All()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.ownedSince {
-		m, ok := s.Owner(uint32(i))
-		mine := ok && m.Name == self.Name && m.Incarnation == self.Incarnation
+	for i, owner := range owners {
 		switch {
-		case !mine:
+		case !owner.Is(self):
 			s.ownedSince[i] = time.Time{}
 		case s.ownedSince[i].IsZero():
 			s.ownedSince[i] = now
