--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -174,8 +175,10 @@
 		settle(t)
 		store.set(func(m *memoryStore) { m.hang = time.Second })
 		runs := 0
-		_, err := c.nodes["a"].Execute(context.Background(), within(500*time.Millisecond, "r-1"), answering(&runs, "x"))
-		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, err := c.nodes["a"].Execute(ctx, within(500*time.Millisecond, "r-1"), answering(&runs, "x"))
+		require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact, "the context ends at the same moment")
 		require.Zero(t, runs)
 		store.set(func(m *memoryStore) { m.hang = 0 })
 		time.Sleep(5 * time.Second)
@@ -236,6 +239,26 @@
 	})
 }
 
+func TestFullJournalRefusesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(time.Millisecond))
+		c.limits.MaxRecords = 2 * Shards
+		n := c.add("a", 1)
+		defer c.stop()
+		runs, full := 0, 0
+		for i := range 10 * Shards {
+			_, err := n.Execute(context.Background(), within(time.Second, fmt.Sprintf("r-%d", i)), answering(&runs, "x"))
+			if err != nil {
+				require.Equal(t, refuser.QueueFull, refuser.From(err).Code)
+				require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+				full++
+			}
+		}
+		require.Equal(t, 2*Shards, runs)
+		require.Equal(t, 8*Shards, full)
+	})
+}
+
 func TestForeignDispatcherIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(newMemoryStore(0), "a")
