Plan placements by coverage, paced and above the offered load

Cause: the thin planner loaded whole models only and knew neither links, pace nor versions. Change: targets are grouped by data centre (large ones in parts); ranges are placed where the rate per layer is thinnest, held ones are kept while the bound is at 0.9 of its limit, moved one at a time where that raises it, and laid end to end where nothing less holds every layer. Steps that drop holdings are checked against the max-flow bound with links, a group at a time on a version change; loads keep to a number and to the bytes of the weight store. The fuzz found a drop that the estimate of the bound without links let through, and a loss that no single move heals; both mended.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -1,76 +1,205 @@
 package planner
 
 import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/solver"
 )
 
-// Model is what a planner needs to know of the model it plans for.
-type Model struct {
-	Name    string
-	Version string
-	Layers  uint32
-	// LayerBytes is the size of one layer's weights.
-	LayerBytes uint64
-	// ActivationBytes is what one token's activation takes on a link.
-	ActivationBytes uint64
-	Adapter         string
+// fanOut bounds the links of a target that the bound is worked out over.
+const fanOut = 8
+
+// Planner plans one model and keeps what it worked out for groups of targets that did not change.
+type Planner struct {
+	cache map[uint64]groupPlan
 }
 
-// State is everything that a plan is made from.
-type State struct {
-	Model   Model
-	Targets []cataloger.Target
-	Links   []cataloger.Link
-	// Offered is the load in tokens a second.
-	Offered float64
+// New returns a planner that has worked nothing out.
+func New() *Planner { return &Planner{} }
+
+// Plan decides the next changes; the same state gives the same placement.
+func Plan(s State) Placement { return New().Plan(s) }
+
+// groupPlan is what is worked out for one group.
+type groupPlan struct {
+	// spans are the ranges meant for the members, in their order; a place without one has an empty range.
+	spans []span
+	bound float64
+	upper float64
 }
 
-// ChangeKind says what a change asks of a target.
-type ChangeKind string
+// Plan decides the next changes; the same state gives the same placement.
+func (p *Planner) Plan(s State) Placement {
+	s.Pace = s.Pace.withDefaults()
+	s.Bandwidth = s.bandwidth()
+	if s.Model.Layers == 0 || s.Model.Version == "" {
+		return Placement{}
+	}
+	var usable []int
+	for i, t := range s.Targets {
+		if t.State == cataloger.StateLive && t.DecodeRate > 0 && s.Model.capacity(t) > 0 {
+			usable = append(usable, i)
+		}
+	}
+	next := map[uint64]groupPlan{}
+	var placement Placement
+	wanted := make([]span, len(s.Targets))
+	all := groups(s, usable)
+	for _, g := range all {
+		key := s.fingerprint(g)
+		plan, ok := p.cache[key]
+		if !ok {
+			plan = s.planGroup(g)
+		}
+		next[key] = plan
+		placement.Bound += plan.bound
+		placement.Upper += plan.upper
+		for i, member := range g.members {
+			wanted[member] = plan.spans[i]
+		}
+	}
+	p.cache = next
+	for _, i := range usable {
+		if w := wanted[i]; !w.empty() {
+			placement.Assignments = append(placement.Assignments, Assignment{s.Targets[i].Name, w.first, w.end})
+		}
+	}
+	tr := newTransition(s, all, wanted, placement.Bound)
+	placement.Changes, placement.Blocked = tr.changes()
+	return placement
+}
 
-// Kinds of changes.
-const (
-	ChangeLoad   ChangeKind = "load"
-	ChangeUnload ChangeKind = "unload"
-	ChangeRole   ChangeKind = "change-role"
-)
+// bandwidth returns the function of the state or one that looks links up by name.
+func (s State) bandwidth() func(from, to *cataloger.Target) float64 {
+	if s.Bandwidth != nil {
+		return s.Bandwidth
+	}
+	type pair struct{ from, to string }
+	rates := make(map[pair]float64, len(s.Links))
+	for _, l := range s.Links {
+		rates[pair{l.From, l.To}] = l.Bandwidth
+	}
+	return func(from, to *cataloger.Target) float64 {
+		if rate, ok := rates[pair{from.Name, to.Name}]; ok {
+			return rate
+		}
+		return math.MaxFloat64 / 4
+	}
+}
 
-// Change is one step from the holdings of now to the wanted ones.
-type Change struct {
-	Kind    ChangeKind
-	Target  string
-	Address string
-	Holding cataloger.Holding
-	// Role is prefill, decode or both, for ChangeRole.
-	Role string
-	// Bytes is what the target pulls from the weight store.
-	Bytes uint64
+func (s State) planGroup(g group) groupPlan {
+	a := s.arrange(g)
+	a.place()
+	a.improve(s.Pace.Moves)
+	a.repack()
+	plan := groupPlan{spans: make([]span, len(g.members)), upper: a.upper(), bound: s.solve(g)}
+	for i, slot := range a.slots {
+		plan.spans[i] = slot.span
+	}
+	return plan
 }
 
-// Placement is the outcome of a plan.
-type Placement struct {
-	// Changes may be ordered now; they are paced and never lower the bound below the offered load.
-	Changes []Change
-	// Bound is the max-flow bound of the holdings of now, in tokens a second.
-	Bound float64
+// arrange returns the group with the ranges it holds of the wanted version; a target of another version keeps its range.
+func (s State) arrange(g group) *arrangement {
+	slots := make([]slot, len(g.members))
+	smallest := s.Model.Layers
+	for i, member := range g.members {
+		t := s.Targets[member]
+		sl := slot{target: member, rate: t.DecodeRate, capacity: s.Model.capacity(t)}
+		smallest = min(smallest, sl.capacity)
+		all := holdings(s.Model, t)
+		if h, ok := mainOf(all, s.Model.Version); ok {
+			sl.span, sl.held = h.span, true
+		} else if h, ok := otherOf(all, s.Model.Version); ok && h.span.layers() <= sl.capacity {
+			sl.span = h.span
+		}
+		slots[i] = sl
+	}
+	grid := s.Model.grid(smallest)
+	if !roomy(slots, grid) {
+		grid = s.Model.grid(1)
+	}
+	return newArrangement(s.Model.Layers, grid, slots)
 }
 
-// Plan decides the next changes.
-func Plan(s State) Placement {
-	p := Placement{}
-	m := s.Model
-	for _, t := range s.Targets {
-		if t.State != cataloger.StateLive || len(t.Holdings) > 0 || m.LayerBytes == 0 {
-			continue
+// roomy tells whether the slots hold the layers well over when their capacities are cut down to whole cells.
+func roomy(slots []slot, grid []uint32) bool {
+	layers := grid[len(grid)-1]
+	cell := max(1, layers/uint32(len(grid)-1))
+	sum := 0.0
+	for _, sl := range slots {
+		sum += float64(sl.capacity - sl.capacity%cell)
+	}
+	return sum >= roominess*float64(layers)
+}
+
+const roominess = 1.5
+
+// solve returns the max-flow bound of what the group holds ready, versions apart.
+func (s State) solve(g group) float64 {
+	holders := map[string][]solver.Holder{}
+	places := map[string][]int{}
+	for _, member := range g.members {
+		t := s.Targets[member]
+		for _, h := range holdings(s.Model, t) {
+			if !h.ready {
+				continue
+			}
+			holders[h.version] = append(holders[h.version], solver.Holder{
+				Rate: t.DecodeRate, FirstLayer: h.span.first, EndLayer: h.span.end,
+			})
+			places[h.version] = append(places[h.version], member)
 		}
-		layers := min(uint64(m.Layers), t.MemoryBytes/m.LayerBytes)
-		if layers < uint64(m.Layers) {
-			continue
+	}
+	bound := 0.0
+	for version, hs := range holders {
+		at := places[version]
+		flow := solver.Chains{
+			Layers: s.Model.Layers, Holders: hs, ActivationBytes: float64(s.Model.ActivationBytes), FanOut: fanOut,
+			Bandwidth: func(from, to int) float64 { return s.Bandwidth(&s.Targets[at[from]], &s.Targets[at[to]]) },
+		}.Solve()
+		bound += flow.Bound
+	}
+	return bound
+}
+
+// fingerprint changes with anything that the plan of a group is made from.
+func (s State) fingerprint(g group) uint64 {
+	d := xxhash.New()
+	var word [8]byte
+	number := func(v uint64) {
+		binary.LittleEndian.PutUint64(word[:], v)
+		_, _ = d.Write(word[:])
+	}
+	text := func(v string) {
+		number(uint64(len(v)))
+		_, _ = d.WriteString(v)
+	}
+	text(s.Model.Name)
+	text(s.Model.Version)
+	number(uint64(s.Model.Layers))
+	number(s.Model.LayerBytes)
+	number(s.Model.ActivationBytes)
+	number(uint64(s.Pace.Moves))
+	number(s.LinksVersion)
+	for _, member := range g.members {
+		t := s.Targets[member]
+		text(t.Name)
+		number(math.Float64bits(t.DecodeRate))
+		number(t.MemoryBytes)
+		number(uint64(len(t.Holdings)))
+		for _, h := range t.Holdings {
+			text(h.Model)
+			text(h.Version)
+			number(uint64(h.FirstLayer)<<32 | uint64(h.EndLayer))
+			if h.Ready {
+				number(1)
+			}
 		}
-		p.Changes = append(p.Changes, Change{
-			Kind: ChangeLoad, Target: t.Name, Address: t.Address, Bytes: layers * m.LayerBytes,
-			Holding: cataloger.Holding{Model: m.Name, Version: m.Version, EndLayer: m.Layers},
-		})
 	}
-	return p
+	return d.Sum64()
 }
