--- a/internal/planner/arrange.go
+++ b/internal/planner/arrange.go
@@ -142,13 +142,19 @@
 }
 
 func (a *arrangement) score() score {
-	s := score{bound: a.coverage.bound()}
-	for i := range len(a.coverage.cuts) - 1 {
-		if a.density[i] > boundSlack {
-			s.held += a.coverage.cuts[i+1] - a.coverage.cuts[i]
+	return score{bound: a.coverage.bound(), held: a.heldWith(span{})}
+}
+
+// heldWith counts the layers that some target holds, with one more range.
+func (a *arrangement) heldWith(w span) uint32 {
+	n := uint32(0)
+	cuts := a.coverage.cuts
+	for i := range len(cuts) - 1 {
+		if a.density[i] > boundSlack || cuts[i] >= w.first && cuts[i+1] <= w.end {
+			n += cuts[i+1] - cuts[i]
 		}
 	}
-	return s
+	return n
 }
 
 // better tells whether s is enough better than old to be worth moving a slot of the rate.
@@ -235,13 +241,15 @@
 		}
 		tried[l] = true
 		a.include(s.span, -s.rate)
+		a.coverage.sumInside()
 		a.windows(s.capacity, func(w span) {
-			if w == s.span || !a.onCuts(w) {
+			if w == s.span || !a.onCuts(w) || !a.promises(w, s.rate, now, bestScore) {
 				return
 			}
 			a.include(w, s.rate)
 			sc := a.score()
 			a.include(w, -s.rate)
+			a.coverage.sumInside()
 			if !sc.better(now, s.rate, a.layers) {
 				return
 			}
@@ -268,6 +276,15 @@
 	return order
 }
 
+// promises tells, at little cost, whether a window can come out better than the best move so far.
+func (a *arrangement) promises(w span, rate float64, now, best score) bool {
+	if now.bound <= 0 && best.bound <= 0 {
+		return a.heldWith(w) > max(now.held, best.held)
+	}
+	least := max(now.bound+leastGain*rate/float64(a.layers), best.bound)
+	return a.coverage.reaches(least, w, rate)
+}
+
 func (a *arrangement) onCuts(w span) bool {
 	_, first := slices.BinarySearch(a.coverage.cuts, w.first)
 	_, end := slices.BinarySearch(a.coverage.cuts, w.end)
--- a/internal/planner/coverage.go
+++ b/internal/planner/coverage.go
@@ -106,3 +106,23 @@
 	}
 	return held, size
 }
+
+// reaches tells whether the bound with one more range is at least rate; sumInside must have been called since the last add.
+func (c *coverage) reaches(rate float64, more span, moreRate float64) bool {
+	n := len(c.cuts)
+	first, end := c.index(more.first), c.index(more.end)
+	c.best[0] = 0
+	for j := 1; j < n; j++ {
+		best := c.best[j-1]
+		for i := range j {
+			v := c.best[i] + c.inside[i*n+j] - rate*float64(c.cuts[j]-c.cuts[i])
+			if i <= first && j >= end {
+				v += moreRate
+			}
+			best = max(best, v)
+		}
+		c.best[j] = best
+	}
+	whole := c.total + moreRate - rate*float64(c.cuts[n-1])
+	return c.best[n-1] <= whole+boundSlack*(c.total+moreRate)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -120,8 +120,8 @@
 		slots[i] = sl
 	}
 	grid := s.Model.grid(smallest)
-	if !roomy(slots, grid) {
-		grid = s.Model.grid(1)
+	for !roomy(slots, grid) && uint32(len(grid)) <= s.Model.Layers {
+		grid = s.Model.grid(s.Model.Layers / min(s.Model.Layers, 2*uint32(len(grid))))
 	}
 	return newArrangement(s.Model.Layers, grid, slots)
 }
