Hold whole fleets to the stated times and promises

Cause: the promises on order, draining, resolve, configuration and outages were tested part by part only.

Change: the sequencer in the daemon; tests of whole fleets in virtual time: ordered answers over four entries, a rolling restart under load, a leaving target, Resolve after a loss, a freeze and a drain, a document in force with a killed daemon, a watch gap and lost answers, and a store outage of 10 minutes.

--- a/internal/netfaker/network.go
+++ b/internal/netfaker/network.go
@@ -160,8 +160,17 @@
 
 // Unblock ends Block and delivers what was held back.
 func (n *Network) Unblock(from, to string) {
+	n.release(func() { delete(n.blocked, pair{from, to}) })
+}
+
+// UnblockAll ends every Block.
+func (n *Network) UnblockAll() {
+	n.release(func() { clear(n.blocked) })
+}
+
+func (n *Network) release(unblock func()) {
 	n.mu.Lock()
-	delete(n.blocked, pair{from, to})
+	unblock()
 	close(n.healed)
 	n.healed = make(chan struct{})
 	var waiting []*half
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/resolver"
+	"github.com/rattantray/rattantray/internal/sequencer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/tokener"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
@@ -54,7 +55,7 @@
 	// Outcome returns the kept outcome of a request that ran at most once.
 	Outcome func(ctx context.Context, workspace cataloger.Workspace, id string) (journaler.Outcome, error)
 	// Enter takes a place under an ordering key.
-	Enter func(ctx context.Context, p Place) (Turn, error)
+	Enter func(ctx context.Context, p sequencer.Place) (sequencer.Turn, error)
 }
 
 // Generation is a model request that is ready to run.
@@ -85,24 +86,6 @@
 	Receipt  *v1.Receipt
 }
 
-// Place is a request's place under an ordering key.
-type Place struct {
-	Workspace cataloger.Workspace
-	Key       string
-	Sequence  uint64
-	RequestID string
-	Deadline  time.Time
-	Ordering  documenter.Ordering
-}
-
-// Turn lets a finished answer out in its order.
-type Turn struct {
-	// Wait returns when the answer may be delivered; size is what it takes in memory, in bytes.
-	Wait func(ctx context.Context, size int) error
-	// Done says that the answer was delivered, or that there is none.
-	Done func()
-}
-
 // Resolve implements rattantray.v1.RouterService.
 func (r *Receiver) Resolve(_ context.Context, req *connect.Request[v1.ResolveRequest]) (*connect.Response[v1.ResolveResponse], error) {
 	msg := req.Msg
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -20,6 +20,7 @@
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/sequencer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/tokener"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
@@ -31,9 +32,8 @@
 	*Receiver
 	ran     int
 	jobs    []Generation
-	places  []Place
+	places  []sequencer.Place
 	admits  []admitter.Request
-	done    []admitter.Result
 	emitted []*v1.SendResponse
 }
 
@@ -80,9 +80,9 @@
 			return forwarder.Answer{Status: http.StatusCreated, Body: []byte("booked")}, nil
 		},
 		Once: b.once,
-		Enter: func(_ context.Context, p Place) (Turn, error) {
+		Enter: func(_ context.Context, p sequencer.Place) (sequencer.Turn, error) {
 			b.places = append(b.places, p)
-			return Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}}, nil
+			return sequencer.Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}}, nil
 		},
 	}
 	return b
@@ -337,9 +337,9 @@
 	b := newBench(t)
 	var sizes []int
 	ended := false
-	b.Enter = func(_ context.Context, p Place) (Turn, error) {
+	b.Enter = func(_ context.Context, p sequencer.Place) (sequencer.Turn, error) {
 		b.places = append(b.places, p)
-		return Turn{
+		return sequencer.Turn{
 			Wait: func(_ context.Context, size int) error {
 				sizes = append(sizes, size)
 				require.Empty(t, b.emitted)
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -10,6 +10,7 @@
 	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/sequencer"
 	"github.com/rattantray/rattantray/internal/tokener"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -182,13 +183,14 @@
 
 // runOrdered runs the request at once and holds its answer back until its turn.
 func (x *exchange) runOrdered(ctx context.Context) error {
-	turn, err := x.receiver.Enter(ctx, Place{
-		Workspace: cataloger.Workspace(x.req.Workspace),
-		Key:       x.req.OrderingKey,
-		Sequence:  x.req.Sequence,
-		RequestID: x.req.RequestId,
-		Deadline:  x.deadline,
-		Ordering:  x.doc.Ordering,
+	turn, err := x.receiver.Enter(ctx, sequencer.Place{
+		Workspace:   cataloger.Workspace(x.req.Workspace),
+		Key:         x.req.OrderingKey,
+		Sequence:    x.req.Sequence,
+		RequestID:   x.req.RequestId,
+		Deadline:    x.deadline,
+		Wait:        time.Duration(x.doc.Ordering.Wait),
+		BufferBytes: x.doc.Ordering.BufferBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -186,7 +186,7 @@
 		Forward:     r.forward,
 		Once:        r.journal.Execute,
 		Outcome:     r.journal.Get,
-		Enter:       r.enter,
+		Enter:       r.order.Enter,
 	}
 }
 
--- a/internal/router/journal.go
+++ b/internal/router/journal.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"strconv"
-
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -27,7 +25,7 @@
 		Rand:     r.random(),
 		Limits:   limits,
 		Self:     func() cataloger.Member { return processOf(r.tracker.Self()) },
-		Owner:    r.journalOwner,
+		Owner:    func(shard uint32) (cataloger.Member, bool) { return r.shardOwner(dutyJournal, shard) },
 		Alive:    r.processAlive,
 		Find:     r.findProcess,
 	}
@@ -42,11 +40,6 @@
 	}, nil
 }
 
-func (r *Router) journalOwner(shard uint32) (cataloger.Member, bool) {
-	m := r.tracker.Owner(dutyJournal, strconv.FormatUint(uint64(shard), 10))
-	return processOf(m), m.Name != ""
-}
-
 // processAlive tells whether a process may still be running; one that leaves still ends its requests.
 func (r *Router) processAlive(name string, process uint64) bool {
 	for _, m := range r.tracker.Fleet().Members {
--- /dev/null
+++ b/internal/router/ordering.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"strconv"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/sequencer"
+)
+
+const dutyOrdering = "ordering"
+
+func (r *Router) buildOrdering() (registrar.Service, error) {
+	r.order = &sequencer.Sequencer{
+		Clock:  r.Clock,
+		Link:   r.peer.Link(),
+		Log:    r.Log,
+		Rand:   r.random(),
+		Limits: sequencer.DefaultLimits(),
+		Self:   func() cataloger.Member { return processOf(r.tracker.Self()) },
+		Owner:  func(shard uint32) (cataloger.Member, bool) { return r.shardOwner(dutyOrdering, shard) },
+		Alive:  r.processAlive,
+	}
+	for method, handler := range r.order.Handlers() {
+		r.peer.Handle(method, handler)
+	}
+	return registrar.Service{
+		Name:  ServiceOrdering,
+		Needs: []string{ServiceLink, ServiceMembers},
+		Value: r.order,
+		Run:   r.order.Run,
+	}, nil
+}
+
+// shardOwner returns the live member that has a shard of a duty.
+func (r *Router) shardOwner(duty string, shard uint32) (cataloger.Member, bool) {
+	m := r.tracker.Owner(duty, strconv.FormatUint(uint64(shard), 10))
+	return processOf(m), m.Name != ""
+}
--- /dev/null
+++ b/internal/router/promises_test.go
@@ -0,0 +1,214 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/api/rattantray/v1/rattantrayv1connect"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Stated targets.
+const (
+	lossNoticedWithin  = 2 * time.Second
+	leavingIdleWithin  = 3 * time.Second
+	inForceWithin      = 2 * time.Second
+	inForceFaultWithin = 7 * time.Second
+)
+
+func TestOrderedAnswersKeepTheirOrderAcrossEntries(t *testing.T) {
+	inWorld(t, 4, fourChains(), func(w *world) {
+		const reports = 24
+		var mu sync.Mutex
+		var order []uint64
+		var wg sync.WaitGroup
+		for n := range reports {
+			client := w.newClient(fmt.Sprintf("10.0.7.%d", n+2))
+			wg.Go(func() {
+				sequence := uint64(n + 1)
+				err := client.Send(context.Background(), &v1.Request{
+					Workspace: "counter", Service: "assistant", RequestId: fmt.Sprintf("report-%d", n),
+					Payload: []byte("chapter"), MaxTokens: uint32(1 + (reports-n)*2), Timeout: durationpb.New(25 * time.Second),
+					OrderingKey: "agent-7", Sequence: sequence,
+				}, func(p *v1.SendResponse) error {
+					if p.Last {
+						mu.Lock()
+						order = append(order, sequence)
+						mu.Unlock()
+					}
+					return nil
+				})
+				require.NoError(t, err, "report %d", n)
+			})
+			// Requests are made in order; their lengths make later ones finish first.
+			time.Sleep(2 * time.Millisecond)
+		}
+		wg.Wait()
+		require.Len(t, order, reports)
+		require.True(t, slices.IsSorted(order), "%v", order)
+	})
+}
+
+func TestRollingRestartLosesNothing(t *testing.T) {
+	inWorld(t, 4, fourChains(), func(w *world) {
+		l := w.newLoad(16, 20*time.Second)
+		l.start(24, 4)
+		time.Sleep(3 * time.Second)
+		for _, d := range w.routers {
+			begun := time.Now()
+			_, err := w.operator(d).Drain(w.t.Context(), connect.NewRequest(&v1.DrainRequest{}))
+			require.NoError(t, err)
+			require.NoError(t, <-d.done)
+			t.Logf("%s drained in %s", d.settings.Name, time.Since(begun))
+			w.net.Kill(d.ip)
+			w.revive(d)
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(3 * time.Second)
+		l.finish()
+		a := l.audit()
+		t.Logf("answered %d, refusals %v", a.answered, a.codes)
+		a.check(w)
+		require.Empty(t, a.codes, "a planned restart cost a caller a request")
+	})
+}
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	inWorld(t, 4, fourChains(), func(w *world) {
+		l := w.newLoad(16, 20*time.Second)
+		l.start(24, 2)
+		time.Sleep(3 * time.Second)
+		w.markLeaving(0)
+		marked := time.Now()
+		time.Sleep(leavingIdleWithin)
+		begun := map[string]bool{}
+		for _, r := range w.engines[0].Ledger().Runs {
+			begun[r.RequestID] = true
+		}
+		time.Sleep(5 * time.Second)
+		for _, r := range w.engines[0].Ledger().Runs {
+			require.True(t, begun[r.RequestID], "%s began %s after the mark or later", r.RequestID, leavingIdleWithin)
+		}
+		l.finish()
+		a := l.audit()
+		t.Logf("%s after the mark: answered %d, refusals %v", time.Since(marked), a.answered, a.codes)
+		a.check(w)
+		require.Empty(t, a.codes, "a leaving target cost a caller a request")
+	})
+}
+
+func TestResolveStopsNamingWhatIsGone(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(w *world, d *daemon)
+		within time.Duration
+	}{
+		{"VM lost", func(w *world, d *daemon) { w.kill(d) }, lossNoticedWithin},
+		{"frozen", func(w *world, d *daemon) { w.pause(d) }, lossNoticedWithin},
+		{"drained", func(w *world, d *daemon) { d.router.Drain(0) }, 500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, 4, fourChains(), func(w *world) {
+				time.Sleep(5 * time.Second)
+				gone := w.routers[2]
+				tt.strike(w, gone)
+				begun := time.Now()
+				for _, d := range []*daemon{w.routers[0], w.routers[1], w.routers[3]} {
+					for w.names(d, gone) {
+						require.Less(t, time.Since(begun), 30*time.Second, "%s still names %s", d.settings.Name, gone.settings.Name)
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+				t.Logf("no answer names it after %s", time.Since(begun))
+				require.LessOrEqual(t, time.Since(begun), tt.within)
+			})
+		})
+	}
+}
+
+// names tells whether a daemon's answer to Resolve names another one.
+func (w *world) names(d, other *daemon) bool {
+	client := rattantrayv1connect.NewRouterServiceClient(w.httpClient, "http://"+d.ip+":7070")
+	resp, err := client.Resolve(w.t.Context(), connect.NewRequest(&v1.ResolveRequest{Workspace: "counter", Service: "assistant"}))
+	require.NoError(w.t, err)
+	return slices.ContainsFunc(resp.Msg.Entries, func(e *v1.Entry) bool { return e.Address == other.ip+":7070" })
+}
+
+func TestAppliedDocumentIsInForceEverywhere(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(w *world)
+		within time.Duration
+	}{
+		{"ordinary", func(*world) {}, inForceWithin},
+		{"a daemon killed", func(w *world) { w.kill(w.routers[3]) }, inForceFaultWithin},
+		{"a watch gap", func(w *world) { w.store("watch-gap", "") }, inForceFaultWithin},
+		{"answers lost", func(w *world) { w.store("answer-lost", "") }, inForceFaultWithin},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, 4, fourChains(), func(w *world) {
+				tt.strike(w)
+				version := w.apply(assistantDocument + "priorities: {ageing: 9s}\n")
+				begun := time.Now()
+				for _, d := range w.routers {
+					for w.alive(d) && w.inForce(d) < version {
+						require.Less(t, time.Since(begun), 30*time.Second, "%s lags", d.settings.Name)
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+				t.Logf("in force after %s", time.Since(begun))
+				require.LessOrEqual(t, time.Since(begun), tt.within)
+			})
+		})
+	}
+}
+
+func (w *world) alive(d *daemon) bool { return d.router.shutdown.phase() != "done" }
+
+func (w *world) inForce(d *daemon) uint64 {
+	_, version, _ := d.router.config.Lookup("assistant")
+	return version
+}
+
+func TestStoreOutageRefusesBookingsTruthfully(t *testing.T) {
+	inWorld(t, 4, fourChains(), func(w *world) {
+		l := w.newLoad(8, 20*time.Second)
+		heal := outage(w)
+		time.Sleep(10 * time.Minute)
+		r := l.book(w.client, "b-out")
+		require.Equal(t, refuser.StoreUnavailable, r.Code)
+		require.Equal(t, refuser.FactNotRun, r.Fact)
+		require.Positive(t, r.RetryAfter)
+		require.Nil(t, l.generate(w.client, "g-out"), "idempotent work goes on")
+		heal()
+		healed := time.Now()
+		for l.book(w.client, fmt.Sprintf("b-%d", time.Since(healed))) != nil {
+			require.Less(t, time.Since(healed), 30*time.Second)
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("bookings run again %s after the store is back", time.Since(healed))
+		require.LessOrEqual(t, time.Since(healed), recoveryLimit)
+		require.Empty(t, runsOf(w, "b-out"))
+	})
+}
+
+func runsOf(w *world, id string) []string {
+	var found []string
+	for _, r := range w.service.Ledger().Runs {
+		if r.RequestID == id {
+			found = append(found, r.RequestID)
+		}
+	}
+	return found
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,7 @@
 	"github.com/rattantray/rattantray/internal/queuer"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/sequencer"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/tokener"
@@ -101,6 +102,7 @@
 	dispatch *dispatcher.Dispatcher
 	admit    *admitter.Admitter
 	journal  *journaler.Journaler
+	order    *sequencer.Sequencer
 	tokens   *tokener.Tokener
 	plain    *forwarder.Forwarder
 	balancer *forwarder.Balancer
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -76,7 +76,9 @@
 	wg       sync.WaitGroup
 	closers  []func()
 	clients  int
-	begun    time.Time
+	// httpClient is the operators' and the tests' own.
+	httpClient *http.Client
+	begun      time.Time
 }
 
 // daemon is one router of a world.
@@ -114,6 +116,8 @@
 			w.startRouter(i, routers)
 		}
 		w.platform.SetVMs(w.vms)
+		w.httpClient = engineer.HTTPClientOver(w.net.Host(callerIP).Dial)
+		w.closers = append(w.closers, w.httpClient.CloseIdleConnections)
 		w.client = w.newClient(callerIP)
 		w.apply(assistantDocument)
 		w.apply(bookingsDocument)
@@ -241,9 +245,7 @@
 }
 
 func (w *world) operator(d *daemon) rattantrayv1connect.OperatorServiceClient {
-	httpClient := engineer.HTTPClientOver(w.net.Host(callerIP).Dial)
-	w.closers = append(w.closers, httpClient.CloseIdleConnections)
-	return rattantrayv1connect.NewOperatorServiceClient(httpClient, "http://"+d.ip+":7070")
+	return rattantrayv1connect.NewOperatorServiceClient(w.httpClient, "http://"+d.ip+":7070")
 }
 
 // apply stores a document through the first daemon.
@@ -295,6 +297,7 @@
 }
 
 func (w *world) close() {
+	w.net.UnblockAll()
 	for _, d := range w.routers {
 		d.router.Force()
 	}
