--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -31,7 +31,7 @@
 	limits Limits
 	// reserve books a write of the budget and returns when it may be made.
 	reserve func(now time.Time) time.Time
-	// charge counts a write that does not wait, of a takeover or a segment, as far as the budget has room.
+	// charge counts the write of a takeover, as far as the budget has room: a daemon that takes many shards is not in debt.
 	charge func(now time.Time)
 	alive  func(Dispatcher) bool
 	rng    *rand.Rand
--- a/internal/journaler/storecall.go
+++ b/internal/journaler/storecall.go
@@ -110,13 +110,14 @@
 
 // nextOpen picks what an open shard with no write under way does next.
 func (s *shard) nextOpen(now time.Time) (storeCall, bool, time.Time) {
+	// A segment's write does not wait for the budget; the batches after it do.
 	if len(s.open) >= s.limits.SealBytes {
-		s.charge(now)
+		s.reserve(now)
 		s.seal()
 		return s.segmentCall(), true, time.Time{}
 	}
 	if s.compactionDue(now) {
-		s.charge(now)
+		s.reserve(now)
 		s.compact(now)
 		if s.segment != nil {
 			return s.segmentCall(), true, time.Time{}
