Measure the spread of documents and bound what the platform fake keeps

The fleet now lists once in 5 s over all watchers, not 2.5 s: 6.2 KB/s from the store at 4 daemons, 4.6 KB/s on a watcher at 40 to 400, 1.2 KB/s from peers at most, 0.13 % of a core (go test ./internal/configurer -run TestMeasureSpread -v -daemons N -minutes 2, 10 cores shared with other work).

The fake copied its whole history at each write over 10,000: 41 us a put, now 1.7 us, and its values are bounded at 64 MB (go test ./internal/storer -run XXX -bench Store/memory).

--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -48,7 +48,9 @@
 	mu      sync.Mutex
 	daemons []*daemon
 	// wrap changes the store that daemons see.
-	wrap func(storer.Store) storer.Store
+	wrap func(*daemon, storer.Store) storer.Store
+	// meter counts the traffic of each daemon.
+	meter map[string]meter
 	// cut holds pairs of daemons that cannot talk.
 	cut map[[2]string]bool
 	// lose, duplicate and delay are counts of messages that a fault still meets.
@@ -75,7 +77,8 @@
 		ctx:      t.Context(),
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		cut:      map[[2]string]bool{},
-		wrap:     func(s storer.Store) storer.Store { return s },
+		wrap:     func(_ *daemon, s storer.Store) storer.Store { return s },
+		meter:    map[string]meter{},
 	}
 	for i := range size {
 		name := fmt.Sprintf("entry-%03d", i)
@@ -110,7 +113,7 @@
 	d.member.Incarnation++
 	f.mu.Unlock()
 	c := New(d.member)
-	c.Store = d.guard(f.wrap(f.platform.Store()))
+	c.Store = d.guard(f.wrap(d, f.platform.Store()))
 	c.Link = linker.Link{Call: d.call}
 	c.Members = f.members
 	f.mu.Lock()
@@ -232,6 +235,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	f.count(d.member.Name, address, proto.Size(req)+proto.Size(answer))
 	proto.Merge(resp, answer)
 	return nil
 }
--- a/internal/configurer/fuzz_test.go
+++ b/internal/configurer/fuzz_test.go
@@ -197,7 +197,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, seed, fuzzDaemons, 2)
 		if wrap != nil {
-			f.wrap = wrap
+			f.wrap = func(_ *daemon, s storer.Store) storer.Store { return wrap(s) }
 		}
 		f.startAll()
 		defer f.stopAll()
--- a/internal/configurer/machine.go
+++ b/internal/configurer/machine.go
@@ -15,7 +15,7 @@
 	// exchangeInterval is the time between a daemon's comparisons of digests.
 	exchangeInterval = time.Second
 	// fleetListInterval is the time between two lists of the store over all watchers together.
-	fleetListInterval = 2500 * time.Millisecond
+	fleetListInterval = 5 * time.Second
 	minListInterval   = 5 * time.Second
 	maxListInterval   = time.Minute
 	// watchRetry is the wait before a watch that ended starts again; it doubles up to maxWatchRetry.
--- a/internal/platformfaker/platform.go
+++ b/internal/platformfaker/platform.go
@@ -18,7 +18,7 @@
 type Config struct {
 	// Clock is the system clock where nil.
 	Clock timer.Clock
-	// History is the number of changes that watches can resume from; 0 is DefaultHistory.
+	// History is the number of changes that watches can resume from, fewer where values are large; 0 is DefaultHistory.
 	History int
 	// VMLag is the age of the VM list that callers get.
 	VMLag time.Duration
@@ -32,6 +32,9 @@
 	DefaultBookmarkInterval = 5 * time.Second
 )
 
+// maxChangeBytes bounds the values of past changes, whatever their number.
+const maxChangeBytes = 64 << 20
+
 // Ledger counts calls and faults.
 type Ledger struct {
 	Calls    map[Operation]uint64 `json:"calls"`
@@ -66,10 +69,12 @@
 	objects  map[string]storer.Object
 	// changes holds the last changes with revisions without gaps, the oldest first.
 	changes []change
-	changed chan struct{}
-	vms     []vmList
-	faults  []*activeFault
-	ledger  Ledger
+	// changeBytes is the size of the values that changes hold.
+	changeBytes int
+	changed     chan struct{}
+	vms         []vmList
+	faults      []*activeFault
+	ledger      Ledger
 }
 
 // New returns an empty platform.
@@ -115,6 +120,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.changes = nil
+	p.changeBytes = 0
 	p.broadcast()
 }
 
@@ -253,13 +259,25 @@
 		p.ledger.BytesWritten += uint64(len(value))
 	}
 	p.changes = append(p.changes, c)
-	if over := len(p.changes) - p.cfg.History; over > 0 {
-		p.changes = slices.Delete(p.changes, 0, over)
-	}
+	p.changeBytes += len(value)
+	p.trim()
 	p.broadcast()
 	return nil
 }
 
+// trim forgets old changes; it halves what it keeps so that it copies seldom.
+func (p *Platform) trim() {
+	if len(p.changes) < 2*p.cfg.History && p.changeBytes < maxChangeBytes {
+		return
+	}
+	drop := 0
+	for len(p.changes)-drop > p.cfg.History || p.changeBytes > maxChangeBytes/2 {
+		p.changeBytes -= len(p.changes[drop].after.Value)
+		drop++
+	}
+	p.changes = slices.Clone(p.changes[drop:])
+}
+
 func (p *Platform) staleRevision(f Fault) uint64 {
 	back := min(max(f.Revisions, 1), uint64(len(p.changes)))
 	return p.revision - back
--- a/internal/storer/budget_test.go
+++ b/internal/storer/budget_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -148,3 +149,28 @@
 		require.Equal(t, int64(1), errors.Count())
 	})
 }
+
+func BenchmarkStore(b *testing.B) {
+	for _, impl := range implementations {
+		for _, size := range []int{100, 1_000, 20_000, 500_000} {
+			b.Run(fmt.Sprintf("%s/value=%d", impl.name, size), func(b *testing.B) {
+				p := platformfaker.New(platformfaker.Config{})
+				s := impl.make(b, p)
+				if impl.name == "limited" {
+					unlimited := budget(1e9, 1e9, 1_000_000)
+					s = storer.NewLimiter(p.Store(), unlimited).Store(storer.ClassClaim)
+				}
+				value := make([]byte, size)
+				version, err := s.Put(b.Context(), "a", value, 0)
+				require.NoError(b, err)
+				b.ReportAllocs()
+				for b.Loop() {
+					version, err = s.Put(b.Context(), "a", value, version)
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/storer/contract_test.go
+++ b/internal/storer/contract_test.go
@@ -22,16 +22,16 @@
 
 var implementations = []struct {
 	name string
-	make func(t *testing.T, p *platformfaker.Platform) storer.Store
+	make func(t testing.TB, p *platformfaker.Platform) storer.Store
 }{
-	{"memory", func(_ *testing.T, p *platformfaker.Platform) storer.Store { return p.Store() }},
+	{"memory", func(_ testing.TB, p *platformfaker.Platform) storer.Store { return p.Store() }},
 	{"connect", connectStore},
-	{"limited", func(t *testing.T, p *platformfaker.Platform) storer.Store {
+	{"limited", func(t testing.TB, p *platformfaker.Platform) storer.Store {
 		return storer.NewLimiter(connectStore(t, p), storer.DefaultBudget()).Store(storer.ClassClaim)
 	}},
 }
 
-func connectStore(t *testing.T, p *platformfaker.Platform) storer.Store {
+func connectStore(t testing.TB, p *platformfaker.Platform) storer.Store {
 	server := httptest.NewServer(p.Handler())
 	transport := &http.Transport{}
 	t.Cleanup(func() {
