Restart watches that fall silent; measure faults with a failure detector's delay

The connection of a watch can die without a sign, so a watch without event or bookmark for 30 s starts anew; lists bridge the time. A watch whose caller left no longer holds the breaker's probe.

--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
@@ -49,6 +48,8 @@
 	daemons []*daemon
 	// wrap changes the store that daemons see.
 	wrap func(*daemon, storer.Store) storer.Store
+	// detection is how long a daemon that ended stays a live member.
+	detection time.Duration
 	// meter counts the traffic of each daemon.
 	meter map[string]meter
 	// cut holds pairs of daemons that cannot talk.
@@ -66,6 +67,8 @@
 	stop    context.CancelFunc
 	done    chan struct{}
 	running bool
+	// killedAt is when the daemon last ended; its address swallows messages from then on.
+	killedAt time.Time
 	// isolated keeps the daemon from the store.
 	isolated bool
 }
@@ -135,6 +138,7 @@
 func (d *daemon) kill() {
 	d.fleet.mu.Lock()
 	d.running = false
+	d.killedAt = time.Now()
 	d.fleet.mu.Unlock()
 	d.stop()
 	<-d.done
@@ -148,13 +152,13 @@
 	}
 }
 
-// members is a perfect view of the fleet; what it would take to get one is another package's matter.
+// members is the fleet as a failure detector with a fixed delay sees it.
 func (f *fleet) members() []cataloger.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]cataloger.Member, 0, len(f.daemons))
 	for _, d := range f.daemons {
-		if d.running {
+		if d.running || time.Since(d.killedAt) < f.detection {
 			out = append(out, d.member)
 		}
 	}
@@ -211,9 +215,7 @@
 	running, handler := to.running && d.running, to.Handlers()[method]
 	f.mu.Unlock()
 	switch {
-	case !running:
-		return errors.New("connection refused")
-	case lost:
+	case lost, !running:
 		<-ctx.Done()
 		return ctx.Err()
 	case late:
@@ -304,7 +306,7 @@
 		if f.lagging(name, version) == 0 {
 			return time.Since(start)
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(max(time.Millisecond, time.Since(start)/20))
 	}
 	require.Zero(f.t, f.lagging(name, version), "daemons without version %d of %q after %s", version, name, within)
 	return 0
--- a/internal/configurer/machine.go
+++ b/internal/configurer/machine.go
@@ -21,6 +21,9 @@
 	// watchRetry is the wait before a watch that ended starts again; it doubles up to maxWatchRetry.
 	watchRetry    = 250 * time.Millisecond
 	maxWatchRetry = 5 * time.Second
+	// watchSilence is how long a watch may show neither event nor bookmark before it starts anew;
+	// the connection of a watch can die without a sign.
+	watchSilence = 30 * time.Second
 	// bootWait bounds how long a starting daemon waits for the first bookmark of its watch after its list.
 	bootWait = 2 * time.Second
 	// bootPeers is how many daemons a starting daemon asks.
@@ -87,6 +90,7 @@
 
 	isWatcher    bool
 	watching     bool
+	heardAt      time.Time
 	watchAt      time.Time
 	watchRetry   time.Duration
 	cursor       uint64
@@ -183,9 +187,14 @@
 		m.listing = true
 		out = append(out, effectList{})
 	}
+	if m.watching && now.Sub(m.heardAt) >= watchSilence {
+		m.watching = false
+		out = append(out, effectUnwatch{})
+	}
 	wanted := m.isWatcher || !m.boot.ready
 	if wanted && !m.watching && m.boot.listed && !now.Before(m.watchAt) {
 		m.watching = true
+		m.heardAt = now
 		out = append(out, effectWatch{after: m.cursor})
 	}
 	if !now.Before(m.exchangeAt) {
@@ -252,6 +261,7 @@
 
 // watched takes in an event of the watch; item is nil on a bookmark.
 func (m *machine) watched(now time.Time, item *Item, revision uint64) []effect {
+	m.heardAt = now
 	m.cursor = max(m.cursor, revision)
 	m.watchRetry = watchRetry
 	if item != nil {
--- a/internal/configurer/spread_test.go
+++ b/internal/configurer/spread_test.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/platformfaker"
+	"github.com/rattantray/rattantray/internal/storer"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 )
 
@@ -31,12 +33,14 @@
 	})
 }
 
+// The death of a watcher shows to the others after 3 s, and its address swallows messages.
 // A watcher dies, the other watcher of its data centre misses the event and a push is lost, all at one change.
 func TestInForceOn40UnderFaults(t *testing.T) {
 	inBubble(t, 40, 4, func(t *testing.T, f *fleet) {
 		version, worst := f.accept(f.daemons[0], "cards", "desk", 0), time.Duration(0)
 		f.settle("cards", version, ordinaryTarget)
-		for i := range 12 {
+		f.detection = 3 * time.Second
+		for i := range 60 {
 			dc := cataloger.DataCentre("dc-1")
 			watchers := f.watchers(dc)
 			watchers[0].kill()
@@ -74,6 +78,39 @@
 	})
 }
 
+// The connections of all watches die without a sign: new watches start after a while, and lists bridge the time.
+func TestWatchesThatFallSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 4, 2)
+		silent := make(chan struct{})
+		f.wrap = func(_ *daemon, s storer.Store) storer.Store {
+			watch := s.Watch
+			s.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+				return watch(ctx, prefix, after, func(e storer.Event) error {
+					select {
+					case <-silent:
+						<-ctx.Done()
+						return ctx.Err()
+					default:
+						return emit(e)
+					}
+				})
+			}
+			return s
+		}
+		f.startAll()
+		defer f.stopAll()
+		f.ready()
+		close(silent)
+		time.Sleep(watchSilence + 2*time.Second)
+		calls := f.platform.Ledger().Calls[platformfaker.OperationWatch]
+		require.GreaterOrEqual(t, calls, uint64(8), "each watcher has started a second watch")
+		f.cutOff(f.daemons[0])
+		version := f.accept(f.daemons[0], "cards", "desk", 0)
+		f.settle("cards", version, 4*fleetListInterval+faultTarget)
+	})
+}
+
 func TestStoreOutageSpreadsByPeers(t *testing.T) {
 	inBubble(t, 8, 2, func(t *testing.T, f *fleet) {
 		f.partition(4)
--- a/internal/storer/budget.go
+++ b/internal/storer/budget.go
@@ -179,6 +179,8 @@
 	})
 	if ctx.Err() == nil {
 		v.breaker.Record(v.budget.Clock.Now(), err)
+	} else if !answered {
+		v.breaker.Abandon()
 	}
 	return v.count("watch", err)
 }
