--- a/internal/configurer/operator.go
+++ b/internal/configurer/operator.go
@@ -23,6 +23,9 @@
 // applyTimeout bounds how long an operator waits for the outcome of a change.
 const applyTimeout = 15 * time.Second
 
+// stalePatience bounds the wait for a version that the store does not show; it may not exist.
+const stalePatience = 3 * time.Second
+
 // readRetry is the wait between reads of the store that are older than what is known.
 const readRetry = 50 * time.Millisecond
 
@@ -195,6 +198,7 @@
 // read returns what the store holds under a name, at least as new as a version and as what is in force here.
 func (c *Configurer) read(ctx context.Context, name string, atLeast uint64) (stored, error) {
 	atLeast = max(atLeast, c.view.Load().entries[name].newest.Version)
+	giveUp := c.Clock.Now().Add(stalePatience)
 	for {
 		o, err := c.Store.Get(ctx, key(name))
 		switch {
@@ -206,7 +210,7 @@
 		case err != nil && !errors.Is(err, storer.ErrNotFound):
 			return stored{}, err
 		}
-		if sleepErr := c.Clock.Sleep(ctx, readRetry); sleepErr != nil {
+		if sleepErr := c.Clock.Sleep(ctx, readRetry); sleepErr != nil || c.Clock.Now().After(giveUp) {
 			return stored{}, errors.Newf("the store shows version %d of service %s and not version %d", o.Version, name, atLeast)
 		}
 	}
