--- /dev/null
+++ b/internal/tracker/daemons_bench_test.go
@@ -0,0 +1,177 @@
+package tracker_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/keyer"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/tracker"
+)
+
+// wire counts what passes over dialled connections.
+type wire struct {
+	bytes  atomic.Int64
+	writes atomic.Int64
+}
+
+type wireConn struct {
+	net.Conn
+	wire *wire
+}
+
+func (c wireConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.wire.bytes.Add(int64(n))
+	c.wire.writes.Add(1)
+	return n, err
+}
+
+func (c wireConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wire.bytes.Add(int64(n))
+	c.wire.writes.Add(1)
+	return n, err
+}
+
+// startDaemons runs trackers over TLS on loopback in this process.
+func startDaemons(b *testing.B, size, targets int, w *wire) []*tracker.Tracker {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var out []*tracker.Tracker
+	var peers []*linker.Peer
+	var seeds []string
+	dataCentres := min(13, max(3, size/31))
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		address := listener.Addr().String()
+		name := fmt.Sprintf("r%03d", i)
+		security, err := (&keyer.Keyer{Settings: keyer.Settings{Secret: "a secret for the benchmark"}}).PeerSecurity()
+		require.NoError(b, err)
+		peer, err := linker.NewPeer(linker.Config{
+			Name:     name,
+			Security: security,
+			Log:      zerolog.Nop(),
+			Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				var d net.Dialer
+				conn, err := d.DialContext(ctx, "tcp", address)
+				return wireConn{Conn: conn, wire: w}, err
+			},
+		})
+		require.NoError(b, err)
+		t := &tracker.Tracker{
+			Local: cataloger.Member{
+				Name:        name,
+				Incarnation: 1,
+				Address:     name,
+				PeerAddress: address,
+				DataCentre:  cataloger.DataCentre(fmt.Sprintf("dc%02d", i%dataCentres)),
+			},
+			Seeds:  seeds,
+			Link:   peer.Link(),
+			Random: rand.New(rand.NewPCG(uint64(i), 1)),
+			Log:    zerolog.Nop(),
+		}
+		if i == 0 {
+			seeds = []string{address}
+			t.ListVMs = func(context.Context) ([]cataloger.VM, error) { return targetVMs(targets), nil }
+		}
+		peer.Handle(tracker.Method, t.Handle)
+		wg.Go(func() { _ = peer.Serve(ctx, listener) })
+		wg.Go(func() { _ = t.Run(ctx) })
+		out = append(out, t)
+		peers = append(peers, peer)
+	}
+	b.Cleanup(func() {
+		cancel()
+		for _, p := range peers {
+			_ = p.Close()
+		}
+		wg.Wait()
+	})
+	return out
+}
+
+func targetVMs(n int) []cataloger.VM {
+	var out []cataloger.VM
+	for i := range n {
+		vm := cataloger.VM{Name: fmt.Sprintf("engine-%04d", i), Role: cataloger.RoleTarget, DataCentre: cataloger.DataCentre(fmt.Sprintf("dc%02d", i%13))}
+		vm.Targets = []cataloger.Target{{Name: fmt.Sprintf("target-%04d", i), Address: fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256), Type: cataloger.TypeEngine, Kind: "kind-a"}}
+		out = append(out, vm)
+	}
+	return out
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkDaemons measures whole daemons' membership over TLS on loopback, quiet and with one change a second.
+func BenchmarkDaemons(b *testing.B) {
+	const (
+		settle  = 15 * time.Second
+		observe = 20 * time.Second
+		// headerBytes is an IP and a TCP header with time stamps.
+		headerBytes = 52
+	)
+	for _, size := range []int{4, 40, 200} {
+		for _, changing := range []bool{false, true} {
+			b.Run(fmt.Sprintf("members=%d/changing=%t", size, changing), func(b *testing.B) {
+				for b.Loop() {
+					var w wire
+					daemons := startDaemons(b, size, size*8, &w)
+					time.Sleep(settle)
+					for _, d := range daemons {
+						require.Len(b, tracker.Live(d.Fleet().Members), size)
+						require.Len(b, d.Fleet().Targets, size*8)
+					}
+					bytes, writes, cpu, sent := w.bytes.Load(), w.writes.Load(), processorTime(), sentBy(daemons)
+					for second := range int(observe / time.Second) {
+						if changing {
+							state := []cataloger.State{cataloger.StateLive, cataloger.StateSuspect}[second%2]
+							daemons[second%size].ReportTarget(context.Background(), "target-0001", tracker.TargetReport{State: state})
+						}
+						time.Sleep(time.Second)
+					}
+					perDaemon := float64(size) * observe.Seconds()
+					// Each byte and segment is sent by one daemon and received by another, and each segment is acknowledged.
+					onWire := float64(w.bytes.Load()-bytes) * 2 / perDaemon
+					headers := float64(w.writes.Load()-writes) * 2 * 2 * headerBytes / perDaemon
+					b.ReportMetric(onWire, "B/s")
+					b.ReportMetric(headers, "header-B/s")
+					b.ReportMetric(float64(sentBy(daemons)-sent)/perDaemon, "messages/s")
+					b.ReportMetric(100*(processorTime()-cpu).Seconds()/perDaemon, "%core")
+					runtime.GC()
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					b.ReportMetric(float64(m.HeapAlloc+m.StackInuse)/float64(size)/1e6, "MB")
+					b.ReportMetric(0, "ns/op")
+				}
+			})
+		}
+	}
+}
+
+func sentBy(daemons []*tracker.Tracker) uint64 {
+	var n uint64
+	for _, d := range daemons {
+		n += d.Status().Sent
+	}
+	return n
+}
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -55,6 +55,9 @@
 
 	news       map[string]struct{}
 	targetNews map[string]struct{}
+	// repeats counts how often news is still to be told again.
+	repeats    map[string]int
+	lastRepeat time.Duration
 	// relays and targetRelays are passed on inside the data centre only.
 	relays       map[string]struct{}
 	targetRelays map[string]struct{}
@@ -84,6 +87,7 @@
 		held:         map[string]heldEntry{},
 		news:         map[string]struct{}{},
 		targetNews:   map[string]struct{}{},
+		repeats:      map[string]int{},
 		relays:       map[string]struct{}{},
 		targetRelays: map[string]struct{}{},
 	}
@@ -117,6 +121,7 @@
 	m.finishVotes()
 	m.sendHeartbeats()
 	m.contactAbsent()
+	m.repeatNews()
 	m.flushNews()
 	return m.take()
 }
--- a/internal/tracker/news.go
+++ b/internal/tracker/news.go
@@ -17,6 +17,12 @@
 // mismatchWait is how long digests may differ before tables are compared; news in flight settles most differences.
 const mismatchWait = 300 * time.Millisecond
 
+const (
+	// newsRepeats is how often an entry is told again after it was published.
+	newsRepeats    = 2
+	repeatInterval = 200 * time.Millisecond
+)
+
 // delegateKey is what the delegates of a data centre are ranked by.
 var delegateKey = xxhash.Sum64String("delegate")
 
@@ -116,8 +122,27 @@
 	return m.contests > maxContests && p.Epoch > m.self.epoch
 }
 
-// publish tells everybody about an entry with the next tick.
-func (m *Machine) publish(e *memberEntry) { m.news[e.name] = struct{}{} }
+// publish tells everybody about an entry with the next tick, and again later, since a message may be lost.
+func (m *Machine) publish(e *memberEntry) {
+	m.news[e.name] = struct{}{}
+	m.repeats[e.name] = newsRepeats
+	m.lastRepeat = m.now
+}
+
+// repeatNews tells published entries again.
+func (m *Machine) repeatNews() {
+	if len(m.repeats) == 0 || m.now-m.lastRepeat < repeatInterval {
+		return
+	}
+	m.lastRepeat = m.now
+	for _, name := range sortedKeys(m.repeats) {
+		m.news[name] = struct{}{}
+		m.repeats[name]--
+		if m.repeats[name] == 0 {
+			delete(m.repeats, name)
+		}
+	}
+}
 
 // flushNews sends what is to be told: own news to everybody near and to delegates elsewhere, relayed news near only.
 func (m *Machine) flushNews() {
