Give fenced orders from recorded intent

Cause: two daemons may both believe that they hold a model's lease, and some targets do not check who orders. Change: a pure machine that permits each order right before it is sent (life shorter than the lease has left, one order under way per target, a new holder waits out lease, drift and order time for targets that do not check), a record in the store that is written under the holder's fencing before each round of orders and settles lost answers by reading back, and the round: describe, plan, record, send.

--- /dev/null
+++ b/internal/commander/machine_test.go
@@ -0,0 +1,269 @@
+package commander
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "4501"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// variant breaks one rule, to show that the oracle sees it.
+type variant string
+
+const (
+	correct      variant = "correct"
+	noWait       variant = "a new holder does not wait"
+	noDeadline   variant = "a paused holder sends late"
+	longLife     variant = "orders outlive the lease"
+	noBusy       variant = "a second order does not wait for the first"
+	wrongFencing variant = "checking targets take any number"
+)
+
+const leaseTime = 10 * time.Second
+
+// holder is one daemon with a clock of its own.
+type holder struct {
+	machine *Machine
+	rate    float64 // speed of its clock
+	fencing uint64
+	expires time.Duration // by its own clock
+	pending *Permit       // a permit that was not used yet
+	target  int
+}
+
+// order is one on its way.
+type order struct {
+	fencing, sequence uint64
+	target            int
+	until             time.Duration // real time
+}
+
+// field is two targets, one of which checks fencing, and an oracle over what takes effect there.
+type field struct {
+	pick      func(n int) int
+	variant   variant
+	now       time.Duration
+	fencing   uint64
+	sequence  uint64
+	holders   []*holder
+	orders    []order
+	effective [2]order
+	fenced    uint64 // highest number that the checking target saw
+	effects   int
+}
+
+const checking = 1
+
+func newField(v variant, pick func(n int) int) *field {
+	f := &field{pick: pick, variant: v}
+	for i := range 3 {
+		rate := []float64{1, 0.995, 1.005}[i]
+		f.holders = append(f.holders, &holder{machine: NewMachine(Timing{}, leaseTime), rate: rate})
+	}
+	return f
+}
+
+func (f *field) local(h *holder) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(f.now) * h.rate))
+}
+
+func (f *field) step() error {
+	h := f.holders[f.pick(len(f.holders))]
+	switch f.pick(6) {
+	case 0:
+		f.now += time.Duration(f.pick(4000)) * time.Millisecond
+	case 1:
+		f.acquire(h)
+	case 2:
+		f.permit(h)
+	case 3:
+		f.send(h)
+	default:
+		return f.deliver()
+	}
+	return nil
+}
+
+// acquire lets a holder take the lease at any time, also while another still thinks that it holds it.
+func (f *field) acquire(h *holder) {
+	if f.pick(4) > 0 {
+		if h.fencing == f.fencing && h.fencing > 0 { // renew
+			h.expires = f.local(h).Sub(time.Unix(0, 0)) + leaseTime
+		}
+		return
+	}
+	f.fencing++
+	h.fencing = f.fencing
+	h.expires = f.local(h).Sub(time.Unix(0, 0)) + leaseTime
+	h.pending = nil
+	h.machine.Acquired(f.local(h), h.fencing, f.fencing > 1 && f.variant != noWait)
+}
+
+func (f *field) permit(h *holder) {
+	if h.pending != nil {
+		return
+	}
+	h.target = f.pick(2)
+	remaining := h.expires - f.local(h).Sub(time.Unix(0, 0))
+	if f.variant == longLife {
+		remaining = max(remaining, time.Second) + leaseTime
+	}
+	if f.variant == noBusy {
+		clear(h.machine.busy)
+	}
+	p := h.machine.Permit(f.local(h), fmt.Sprint(h.target), h.target == checking, remaining)
+	if p.Verdict != VerdictSend {
+		return
+	}
+	h.pending = &p
+	h.machine.Sent(fmt.Sprint(h.target), p)
+}
+
+// send uses a permit, perhaps long after it was given.
+func (f *field) send(h *holder) {
+	if h.pending == nil {
+		return
+	}
+	p := *h.pending
+	h.pending = nil
+	left := p.Until.Sub(f.local(h))
+	if f.variant == noDeadline {
+		left = p.Timeout
+	}
+	if left <= 0 {
+		return
+	}
+	f.sequence++
+	f.orders = append(f.orders, order{
+		fencing: h.machine.Fencing(), sequence: f.sequence, target: h.target,
+		until: f.now + time.Duration(float64(left)/h.rate),
+	})
+}
+
+// deliver lets one order take effect, in any sequence; the answer may be lost.
+func (f *field) deliver() error {
+	if len(f.orders) == 0 {
+		return nil
+	}
+	i := f.pick(len(f.orders))
+	o := f.orders[i]
+	f.orders = append(f.orders[:i], f.orders[i+1:]...)
+	if f.now > o.until {
+		return nil
+	}
+	if o.target == checking && f.variant != wrongFencing {
+		if o.fencing < f.fenced {
+			return nil
+		}
+		f.fenced = o.fencing
+	}
+	last := f.effective[o.target]
+	if o.fencing < last.fencing {
+		return errors.Newf("target %d: order of holder %d takes effect after one of holder %d", o.target, o.fencing, last.fencing)
+	}
+	if o.fencing == last.fencing && o.sequence < last.sequence {
+		return errors.Newf("target %d: an old order undoes a newer one", o.target)
+	}
+	f.effective[o.target] = o
+	f.effects++
+	if f.pick(3) > 0 {
+		for _, h := range f.holders {
+			if h.fencing == o.fencing {
+				h.machine.Answered(fmt.Sprint(o.target))
+			}
+		}
+	}
+	return nil
+}
+
+func TestOrdersOfOneHolderTakeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newField(correct, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		for range 200 {
+			require.NoError(t, f.step())
+		}
+	})
+}
+
+// schedules runs a variant over random schedules until the oracle objects, and counts the orders that took effect.
+func schedules(v variant, n int) (failed, effects int) {
+	for seed := range n {
+		random := rand.New(rand.NewPCG(uint64(seed), 5))
+		f := newField(v, random.IntN)
+		for range 400 {
+			if f.step() != nil {
+				failed++
+				break
+			}
+		}
+		effects += f.effects
+	}
+	return failed, effects
+}
+
+func TestOracleSeesEachBrokenRule(t *testing.T) {
+	const n = 2000
+	failed, effects := schedules(correct, n)
+	require.Zero(t, failed)
+	require.Greater(t, effects, n, "orders must get through")
+	for _, v := range []variant{noWait, noDeadline, longLife, noBusy, wrongFencing} {
+		failed, _ := schedules(v, n)
+		t.Logf("%s: %d of %d schedules fail", v, failed, n)
+		require.Positive(t, failed, string(v))
+	}
+}
+
+func TestPermits(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := NewMachine(Timing{}, leaseTime)
+	require.Equal(t, VerdictNoLease, m.Permit(now, "a", true, leaseTime).Verdict)
+	m.Acquired(now, 7, true)
+	require.Equal(t, VerdictSend, m.Permit(now, "a", true, leaseTime).Verdict)
+	p := m.Permit(now, "a", false, leaseTime)
+	require.Equal(t, VerdictSettling, p.Verdict)
+	require.Greater(t, p.Retry.Sub(now), leaseTime+defaultOrderTimeout)
+	require.Equal(t, VerdictSend, m.Permit(p.Retry, "a", false, leaseTime).Verdict)
+	require.Equal(t, VerdictTooLate, m.Permit(p.Retry, "a", false, 500*time.Millisecond).Verdict)
+	require.Less(t, m.Permit(p.Retry, "a", false, 3*time.Second).Timeout, 3*time.Second)
+	m.Sent("a", m.Permit(p.Retry, "a", true, leaseTime))
+	require.Equal(t, VerdictBusy, m.Permit(p.Retry, "a", true, leaseTime).Verdict)
+	m.Answered("a")
+	require.Equal(t, VerdictSend, m.Permit(p.Retry, "a", true, leaseTime).Verdict)
+	require.False(t, m.Fenced(7))
+	require.True(t, m.Fenced(8))
+	require.Equal(t, VerdictNoLease, m.Permit(p.Retry, "a", true, leaseTime).Verdict)
+}
+
+func BenchmarkPermit(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 6600} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint("target-", i)
+			}
+			m := NewMachine(Timing{}, leaseTime)
+			now := time.Unix(0, 0)
+			m.Acquired(now, 1, false)
+			for i := range b.N {
+				name := names[i%n]
+				p := m.Permit(now, name, true, leaseTime)
+				m.Sent(name, p)
+				m.Answered(name)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/commander/record.go
@@ -0,0 +1,136 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/planner"
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+const (
+	recordFormat = "rattantray/orders/v1"
+	recordPrefix = "orders/"
+)
+
+// errSuperseded says that a later holder of the lease has written the record.
+var errSuperseded = errors.New("orders record written by a later holder")
+
+// Intent is an order that was given or is about to be.
+type Intent struct {
+	OrderID    string `json:"order-id"`
+	Target     string `json:"target"`
+	Kind       string `json:"kind"`
+	Version    string `json:"version,omitempty"`
+	FirstLayer uint32 `json:"first-layer,omitempty"`
+	EndLayer   uint32 `json:"end-layer,omitempty"`
+	Role       string `json:"role,omitempty"`
+}
+
+// Record is the stored intent of the holder of a model's lease; it holds the orders of the last round only, as what
+// targets hold is read from them.
+type Record struct {
+	Format  string `json:"format"`
+	Model   string `json:"model"`
+	Fencing uint64 `json:"fencing"`
+	// Round grows with each write of a holder, and tells its own writes from others'.
+	Round   uint64   `json:"round"`
+	Intents []Intent `json:"intents,omitempty"`
+}
+
+func intentOf(id string, c planner.Change) Intent {
+	return Intent{
+		OrderID: id, Target: c.Target, Kind: string(c.Kind), Version: c.Holding.Version,
+		FirstLayer: c.Holding.FirstLayer, EndLayer: c.Holding.EndLayer, Role: c.Role,
+	}
+}
+
+// recorder writes one model's record.
+type recorder struct {
+	store   *storer.Store
+	model   string
+	version uint64
+	record  Record
+}
+
+func (r *recorder) key() string { return recordPrefix + r.model }
+
+// takeOver reads the record and writes it anew under fencing, so that an earlier holder cannot write any more; it tells
+// whether there was an earlier holder.
+func (r *recorder) takeOver(ctx context.Context, fencing uint64) (before bool, err error) {
+	old, err := r.read(ctx)
+	if err != nil {
+		return false, err
+	}
+	if old.Fencing > fencing {
+		return false, errSuperseded
+	}
+	before = r.version > 0 && old.Fencing != fencing
+	return before, r.write(ctx, Record{Fencing: fencing, Round: old.Round + 1, Intents: old.Intents})
+}
+
+func (r *recorder) read(ctx context.Context) (Record, error) {
+	object, err := r.store.Get(ctx, r.key())
+	if errors.Is(err, storer.ErrNotFound) {
+		r.version = 0
+		return Record{}, nil
+	}
+	if err != nil {
+		return Record{}, errors.Wrap(err, "read orders record")
+	}
+	var record Record
+	if err := json.Unmarshal(object.Value, &record); err != nil {
+		return Record{}, errors.Wrapf(err, "orders record of %s", r.model)
+	}
+	r.version = object.Version
+	return record, nil
+}
+
+// write puts the record; after an answer that was lost it reads back whether the write took effect.
+func (r *recorder) write(ctx context.Context, record Record) error {
+	record.Format, record.Model = recordFormat, r.model
+	value, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "encode orders record")
+	}
+	version, err := r.store.Put(ctx, r.key(), value, r.version)
+	switch {
+	case err == nil:
+		r.version = version
+	case errors.Is(err, storer.ErrUncertain):
+		if err := r.settle(ctx, record); err != nil {
+			return err
+		}
+	case errors.Is(err, storer.ErrConflict):
+		return errSuperseded
+	default:
+		return errors.Wrap(err, "write orders record")
+	}
+	r.record = record
+	return nil
+}
+
+func (r *recorder) settle(ctx context.Context, wrote Record) error {
+	expected := r.version
+	stored, err := r.read(ctx)
+	if err != nil {
+		return err
+	}
+	if stored.Fencing == wrote.Fencing && stored.Round == wrote.Round {
+		return nil
+	}
+	if r.version != expected {
+		return errSuperseded
+	}
+	return errors.Wrap(storer.ErrUnavailable, "orders record not written")
+}
+
+// intend records the orders of a round before any of them is sent.
+func (r *recorder) intend(ctx context.Context, intents []Intent) error {
+	next := r.record
+	next.Round++
+	next.Intents = intents
+	return r.write(ctx, next)
+}
