--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,12 +15,16 @@
 
 	"github.com/rattantray/rattantray/internal/admitter"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/configurer"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/keyer"
+	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/queuer"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/storer"
@@ -30,12 +35,14 @@
 
 // Names of the services of a daemon.
 const (
+	ServiceKeys       = "keys"
 	ServiceStore      = "store"
 	ServiceLink       = "link"
 	ServiceMembers    = "members"
 	ServiceConfig     = "config"
 	ServiceProbes     = "probes"
 	ServiceAdmission  = "admission"
+	ServiceLimits     = "limits"
 	ServiceSelection  = "selection"
 	ServiceJournal    = "journal"
 	ServiceOrdering   = "ordering"
@@ -82,10 +89,13 @@
 	begun     time.Time
 	shutdown  *shutdown
 
+	keys     *keyer.Keyer
 	limiter  *storer.Limiter
 	peer     *linker.Peer
 	tracker  *tracker.Tracker
-	config   *thinConfig
+	config   *configurer.Configurer
+	limits   *limiter.Limiter
+	changed  *queuer.Ring[struct{}]
 	engines  *engineer.Pool
 	selector *selector.Selector
 	dispatch *dispatcher.Dispatcher
@@ -93,6 +103,10 @@
 	journal  *journaler.Journaler
 	tokens   *tokener.Tokener
 	plain    *forwarder.Forwarder
+	balancer *forwarder.Balancer
+
+	// plainTargets holds the instances of plain services by service.
+	plainTargets atomic.Pointer[map[string][]cataloger.Target]
 
 	mu      sync.Mutex
 	address string
@@ -113,6 +127,7 @@
 			Name: settings.Name,
 			// The wall clock orders the starts of one daemon; the fleet settles ties by refutation.
 			Incarnation: uint64(now.UnixNano()),
+			Epoch:       uint64(now.UnixNano()),
 			Address:     settings.Advertise,
 			PeerAddress: settings.PeerAdvertise,
 			DataCentre:  cataloger.DataCentre(settings.DataCentre),
@@ -120,6 +135,7 @@
 			State:       cataloger.StateLive,
 		},
 	}
+	r.balancer = forwarder.NewBalancer(r.plain, r.random())
 	r.registrar = registrar.New(r.Log, r.Clock)
 	r.shutdown = newShutdown(r)
 	for _, build := range r.builders() {
@@ -137,12 +153,14 @@
 
 func (r *Router) builders() []func() (registrar.Service, error) {
 	return []func() (registrar.Service, error){
+		r.buildKeys,
 		r.buildStore,
 		r.buildLink,
 		r.buildMembers,
 		r.buildConfig,
 		r.buildProbes,
 		r.buildAdmission,
+		r.buildLimits,
 		r.buildSelection,
 		r.buildJournal,
 		r.buildOrdering,
@@ -209,3 +227,18 @@
 	readHeaderTimeout = 10 * time.Second
 	maxStreamsPerConn = 4096
 )
+
+// Serves tells whether the daemon can run requests of a service now.
+func (r *Router) Serves(service string) bool {
+	doc, _, ok := r.config.Lookup(service)
+	if !ok || !r.ready() {
+		return false
+	}
+	if doc.Model != nil {
+		return r.selector.Bound(modelOf(doc).Key()) > 0
+	}
+	return r.servesPlain(doc.Name)
+}
+
+// LiveMembers returns the members that this daemon takes for live.
+func (r *Router) LiveMembers() []cataloger.Member { return tracker.Live(r.tracker.Fleet().Members) }
