--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -41,7 +41,7 @@
 	}
 	var usable []int
 	for i, t := range s.Targets {
-		if t.State == cataloger.StateLive && t.DecodeRate > 0 && s.Model.capacity(t) > 0 {
+		if t.State == cataloger.StateLive && s.rate(t) > 0 && s.Model.capacity(t) > 0 {
 			usable = append(usable, i)
 		}
 	}
@@ -109,7 +109,7 @@
 	smallest := s.Model.Layers
 	for i, member := range g.members {
 		t := s.Targets[member]
-		sl := slot{target: member, rate: t.DecodeRate, capacity: s.Model.capacity(t)}
+		sl := slot{target: member, rate: s.rate(t), capacity: s.Model.capacity(t)}
 		smallest = min(smallest, sl.capacity)
 		all := holdings(s.Model, t)
 		if h, ok := mainOf(all, s.Model.Version); ok {
@@ -150,7 +150,7 @@
 				continue
 			}
 			holders[h.version] = append(holders[h.version], solver.Holder{
-				Rate: t.DecodeRate, FirstLayer: h.span.first, EndLayer: h.span.end,
+				Rate: s.rate(t), FirstLayer: h.span.first, EndLayer: h.span.end,
 			})
 			places[h.version] = append(places[h.version], member)
 		}
@@ -189,7 +189,7 @@
 	for _, member := range g.members {
 		t := s.Targets[member]
 		text(t.Name)
-		number(math.Float64bits(t.DecodeRate))
+		number(math.Float64bits(s.rate(t)))
 		number(t.MemoryBytes)
 		number(uint64(len(t.Holdings)))
 		for _, h := range t.Holdings {
--- a/internal/planner/plan_test.go
+++ b/internal/planner/plan_test.go
@@ -368,6 +368,15 @@
 	require.Greater(t, after.Bound, before.Bound+0.5*200_000/80)
 }
 
+func TestPromptsTakeTheirPartOfTheRate(t *testing.T) {
+	target := cataloger.Target{DecodeRate: 100, PrefillRate: 400}
+	require.InDelta(t, 100, State{}.rate(target), 1e-9)
+	// A second of 66.7 generated layer-tokens also holds 133.3 of prefill.
+	require.InDelta(t, 200.0/3, State{PromptRatio: 2}.rate(target), 1e-9)
+	require.InDelta(t, 100, State{PromptRatio: 2}.rate(cataloger.Target{DecodeRate: 100}), 1e-9)
+	require.Zero(t, State{PromptRatio: 2}.rate(cataloger.Target{PrefillRate: 100}))
+}
+
 // Losses are healed to at least 0.75 of what is left where all layers can be held, and few targets change.
 func TestLossIsHealedByFewChanges(t *testing.T) {
 	losses, needed, most, total, least := 0, 0, 0, 0, 1.0
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -34,7 +34,9 @@
 	Bandwidth func(from, to *cataloger.Target) float64
 	// LinksVersion must change where Bandwidth or Links do, for a Planner that keeps earlier work.
 	LinksVersion uint64
-	// Offered is the load in tokens a second, below which no change may take the bound.
+	// PromptRatio is the number of prompt tokens to each generated one; 0 leaves prefill out of the bound.
+	PromptRatio float64
+	// Offered is the load in generated tokens a second, below which no change may take the bound.
 	Offered float64
 	Pace    Pace
 }
@@ -136,6 +138,14 @@
 	return uint32(min(math.Floor(fits), float64(m.Layers)))
 }
 
+// rate is the layer-tokens a second that a target generates while it also runs the prompts that come with them.
+func (s State) rate(t cataloger.Target) float64 {
+	if s.PromptRatio <= 0 || t.PrefillRate <= 0 || t.DecodeRate <= 0 {
+		return max(0, t.DecodeRate)
+	}
+	return 1 / (1/t.DecodeRate + s.PromptRatio/t.PrefillRate)
+}
+
 // grid returns the boundaries of the cells; a cell fits into the smallest capacity.
 func (m Model) grid(smallest uint32) []uint32 {
 	n := min(cells, m.Layers)
--- a/internal/planner/transition.go
+++ b/internal/planner/transition.go
@@ -76,7 +76,7 @@
 	pulling := false
 	for _, h := range holdings(t.s.Model, target) {
 		if h.ready {
-			t.readyAt(readyKey{h.version, g}).add(h.span.first, h.span.end, target.DecodeRate)
+			t.readyAt(readyKey{h.version, g}).add(h.span.first, h.span.end, t.s.rate(target))
 		} else {
 			pulling = true
 			t.bytes += float64(h.span.layers()) * float64(t.s.Model.LayerBytes)
@@ -251,7 +251,7 @@
 // lossOf is by how much the bound falls at once, were links free.
 func (t *transition) lossOf(st step) float64 {
 	loss := 0.0
-	g, rate := t.of[st.target], t.s.Targets[st.target].DecodeRate
+	g, rate := t.of[st.target], t.s.rate(t.s.Targets[st.target])
 	for _, h := range st.drop {
 		if !h.ready {
 			continue
@@ -273,7 +273,7 @@
 		best, bestRate := -1, 0.0
 		for i, st := range rest {
 			missing := t.missing(st)
-			if rate := t.s.Targets[st.target].DecodeRate / float64(missing); missing > 0 && (best < 0 || rate < bestRate) {
+			if rate := t.s.rate(t.s.Targets[st.target]) / float64(missing); missing > 0 && (best < 0 || rate < bestRate) {
 				best, bestRate = i, rate
 			}
 		}
@@ -376,7 +376,7 @@
 			return 0, 0
 		}
 		layers := float64(st.load.layers())
-		return float64(t.missing(st)) / layers, t.s.Targets[st.target].DecodeRate / layers
+		return float64(t.missing(st)) / layers, t.s.rate(t.s.Targets[st.target]) / layers
 	}
 	slices.SortStableFunc(steps, func(a, b step) int {
 		missingA, rateA := weigh(a)
@@ -455,7 +455,7 @@
 // dropAllowed takes the holdings of a step out of what is ready, if the bound stays above the offered load.
 func (t *transition) dropAllowed(st step) bool {
 	before := t.sum()
-	g, rate := t.of[st.target], t.s.Targets[st.target].DecodeRate
+	g, rate := t.of[st.target], t.s.rate(t.s.Targets[st.target])
 	undo := map[readyKey]float64{}
 	for _, h := range st.drop {
 		if !h.ready {
