Read targets only where something is to change

Cause: a round read every target, 1,320 calls a second for one model at the design size. Change: a round plans with what was last heard, reads the targets to change and those changed lately, and plans again; a takeover reads all. Result: TestTargetsAreReadOnlyWhereSomethingIsToChange: 2 reads at the takeover, none in 10 quiet rounds, and no second order where the news lags.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -22,6 +22,8 @@
 	defaultInterval      = time.Second
 	defaultLeaseDuration = 15 * time.Second
 	mostSends            = 16
+	// readFor is longer than what is heard of a target lags.
+	readFor = 30 * time.Second
 )
 
 // Lease is the view of the lease that gives the right to order.
@@ -62,6 +64,10 @@
 	machine  *Machine
 	recorder recorder
 	orders   uint64
+	// reading is until when a target is read in each round that has changes, as what is heard of it lags.
+	reading map[string]time.Time
+	// unread is true after a takeover until all targets were read.
+	unread bool
 }
 
 // Outcome is what became of one order.
@@ -89,7 +95,8 @@
 	return nil
 }
 
-// Round reads the targets, plans, records what is intended and sends the orders that may be sent now.
+// Round plans with the targets as last heard of, reads those that are to change, plans again, records what is intended
+// and sends the orders that may be sent now.
 func (c *Commander) Round(ctx context.Context) error {
 	c.prepare()
 	if !c.Lease.Valid() {
@@ -99,12 +106,25 @@
 	if err := c.takeOver(ctx); err != nil {
 		return err
 	}
-	targets, silent := c.describe(ctx)
+	targets := slices.Clone(c.Targets())
+	if !c.unread {
+		placement, err := c.Plan(ctx, targets)
+		if err != nil {
+			return errors.Wrap(err, "plan")
+		}
+		if len(placement.Changes) == 0 {
+			return nil
+		}
+		c.readNext(placement.Changes)
+	}
+	read := c.describe(ctx, targets)
+	c.unread = false
 	placement, err := c.Plan(ctx, targets)
 	if err != nil {
 		return errors.Wrap(err, "plan")
 	}
-	byTarget := c.sendable(placement.Changes, targets, silent)
+	c.readNext(placement.Changes)
+	byTarget := c.sendable(placement.Changes, targets, read)
 	if len(byTarget) == 0 {
 		return nil
 	}
@@ -115,6 +135,19 @@
 	return nil
 }
 
+// readNext notes that the targets of the changes must be read before they get orders.
+func (c *Commander) readNext(changes []planner.Change) {
+	now := c.Clock.Now()
+	for name, until := range c.reading {
+		if now.After(until) {
+			delete(c.reading, name)
+		}
+	}
+	for _, change := range changes {
+		c.reading[change.Target] = now.Add(readFor)
+	}
+}
+
 func (c *Commander) prepare() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,6 +159,7 @@
 	}
 	c.machine = NewMachine(c.Timing, c.LeaseDuration)
 	c.recorder = recorder{store: c.Store, model: c.Model}
+	c.reading = map[string]time.Time{}
 }
 
 func (c *Commander) lost() {
@@ -148,20 +182,23 @@
 	if err != nil {
 		return err
 	}
+	c.unread = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machine.Acquired(now, fencing, before)
 	return nil
 }
 
-// describe reads what the targets hold. One that does not answer keeps what was last heard of it, as the tracker decides
-// whether it is lost, and is named among the silent ones.
-func (c *Commander) describe(ctx context.Context) (targets []cataloger.Target, silent map[string]bool) {
-	targets = slices.Clone(c.Targets())
+// describe reads into targets what those hold that are to change or were lately, or all after a takeover, and returns the
+// names of those that answered. The others keep what was last heard of them, as the tracker decides whether they are lost.
+func (c *Commander) describe(ctx context.Context, targets []cataloger.Target) map[string]bool {
 	answered := make([]bool, len(targets))
 	var group sync.WaitGroup
 	slots := make(chan struct{}, mostSends)
 	for i := range targets {
+		if _, ok := c.reading[targets[i].Name]; !ok && !c.unread {
+			continue
+		}
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
@@ -169,13 +206,13 @@
 		})
 	}
 	group.Wait()
-	silent = map[string]bool{}
+	read := map[string]bool{}
 	for i, ok := range answered {
-		if !ok {
-			silent[targets[i].Name] = true
+		if ok {
+			read[targets[i].Name] = true
 		}
 	}
-	return targets, silent
+	return read
 }
 
 func (c *Commander) describeOne(ctx context.Context, t *cataloger.Target) bool {
@@ -205,8 +242,8 @@
 	ids     []string
 }
 
-// sendable returns the changes whose targets may get orders now.
-func (c *Commander) sendable(changes []planner.Change, targets []cataloger.Target, silent map[string]bool) []*batch {
+// sendable returns the changes whose targets were read and may get orders now.
+func (c *Commander) sendable(changes []planner.Change, targets []cataloger.Target, read map[string]bool) []*batch {
 	byName := make(map[string]cataloger.Target, len(targets))
 	for _, t := range targets {
 		byName[t.Name] = t
@@ -215,7 +252,7 @@
 	var out []*batch
 	for _, change := range changes {
 		t, ok := byName[change.Target]
-		if !ok || silent[t.Name] {
+		if !ok || !read[t.Name] {
 			continue
 		}
 		b := batches[t.Name]
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -74,6 +74,7 @@
 	fencing uint64
 	ledger  []*enginev1.OrderRequest
 	lose    bool
+	reads   int
 }
 
 func (e *engines) order(_ context.Context, address string, r *enginev1.OrderRequest) (*enginev1.OrderResponse, error) {
@@ -139,6 +140,7 @@
 		Describe: func(_ context.Context, address string) (*enginev1.DescribeResponse, error) {
 			b.engines.mu.Lock()
 			defer b.engines.mu.Unlock()
+			b.engines.reads++
 			return &enginev1.DescribeResponse{Holdings: slices.Clone(b.engines.holds[address])}, nil
 		},
 		Order: func(ctx context.Context, address string, r *enginev1.OrderRequest) (*enginev1.OrderResponse, error) {
@@ -166,6 +168,31 @@
 	})
 }
 
+func TestTargetsAreReadOnlyWhereSomethingIsToChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed()
+		c := b.commander(t, 1, "v1", time.Now().Add(time.Hour))
+		require.NoError(t, c.Round(t.Context()))
+		require.Equal(t, 2, b.engines.reads, "all after a takeover")
+		lagging := c.Targets
+		c.Targets = func() []cataloger.Target {
+			ts := lagging()
+			for i := range ts {
+				ts[i].Holdings = []cataloger.Holding{{Model: "m", Version: "v1", EndLayer: 4, Ready: true}}
+			}
+			return ts
+		}
+		for range 10 {
+			require.NoError(t, c.Round(t.Context()))
+		}
+		require.Equal(t, 2, b.engines.reads)
+		c.Targets = lagging // the targets look empty again
+		require.NoError(t, c.Round(t.Context()))
+		require.Equal(t, 4, b.engines.reads)
+		require.Equal(t, 2, b.engines.orders(), "what is heard late is checked at the target")
+	})
+}
+
 func TestOrderWithLostAnswerIsSettledByTheTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed()
