Plan, order and roll out versions in the daemon

Cause: placement, leases and orders had no daemon; a document that named a new version would have left requests without a pipeline until engines held it.

Change: the daemon that has a model's duty takes its lease, plans and gives fenced orders; requests run on the versions that engines hold, drawn by the share of the bound that each can carry, and a resumed answer keeps its version; service apply reads the version that it replaces.

--- a/internal/command/service/apply/apply.go
+++ b/internal/command/service/apply/apply.go
@@ -12,8 +12,10 @@
 	"github.com/rattantray/rattantray/internal/command/exiter"
 	"github.com/rattantray/rattantray/internal/command/maker"
 	"github.com/rattantray/rattantray/internal/command/streamer"
+	"github.com/rattantray/rattantray/internal/documenter"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/api/rattantray/v1/rattantrayv1connect"
+	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 // Options holds what the command depends on and its flags.
@@ -79,9 +81,13 @@
 		return err
 	}
 	req := &v1.ApplyRequest{Document: document, Author: opts.Author, DryRun: opts.DryRun}
-	if opts.HasVersion {
-		req.ExpectedVersion = &opts.Version
+	seen := opts.Version
+	if !opts.HasVersion {
+		if seen, err = newest(ctx, client, document); err != nil {
+			return err
+		}
 	}
+	req.ExpectedVersion = &seen
 	resp, err := client.Apply(ctx, connect.NewRequest(req))
 	if err != nil {
 		return err
@@ -89,6 +95,23 @@
 	return report(opts, resp.Msg)
 }
 
+// newest returns the stored version of the service that a document describes, 0 where there is none.
+func newest(ctx context.Context, client rattantrayv1connect.OperatorServiceClient, document []byte) (uint64, error) {
+	parsed, problems := documenter.Parse(document)
+	if len(problems) > 0 {
+		// The router lists the problems.
+		return 0, nil
+	}
+	resp, err := client.GetService(ctx, connect.NewRequest(&v1.GetServiceRequest{Name: parsed.Name}))
+	if err != nil {
+		if refuser.From(err).Code == refuser.ServiceNotFound {
+			return 0, nil
+		}
+		return 0, err
+	}
+	return resp.Msg.Service.Version, nil
+}
+
 func read(opts *Options) ([]byte, error) {
 	if opts.File == "-" {
 		return io.ReadAll(opts.IO.In)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -98,6 +98,11 @@
 	_ = m.Registry.Register(name, metrics.NewFunctionalGaugeFloat64(read))
 }
 
+// Set sets the gauge of that name.
+func (m *Meter) Set(name string, value float64) {
+	metrics.GetOrRegisterGaugeFloat64(name, m.Registry).Update(value)
+}
+
 // Counter returns the counter of that name.
 func (m *Meter) Counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, m.Registry)
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -38,6 +38,7 @@
 	emitPart func(*v1.SendResponse) error
 
 	execution    string
+	version      string
 	firstAttempt uint32
 	position     uint64
 	attempt      uint32
@@ -113,6 +114,7 @@
 		return err
 	}
 	x.execution = claims.Execution
+	x.version = claims.Version
 	x.firstAttempt = (claims.Attempt/attemptStride + 1) * attemptStride
 	x.position = uint64(len(x.req.Delivered))
 	return nil
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -70,6 +70,8 @@
 	Priority     uint32
 	Deadline     time.Time
 	FirstAttempt uint32
+	// Version is the one that began the answer; empty for a new one.
+	Version string
 	// Delivered are the tokens that the caller has.
 	Delivered [][]byte
 	Retry     documenter.Retry
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -98,8 +98,9 @@
 	r.limits.Configure(documents)
 	r.admit.Configure(documents)
 	fleet := r.tracker.Fleet()
-	r.selector.Update(doubtCutOff(fleet, r.local), modelsOf(documents))
+	r.selector.Update(doubtCutOff(fleet, r.local), modelVersions(documents, fleet))
 	r.indexInstances(fleet)
+	r.indexVersions(documents, fleet)
 }
 
 func (r *Router) documentsInForce() []*documenter.Document {
@@ -112,22 +113,6 @@
 	return documents
 }
 
-func modelsOf(documents []*documenter.Document) []selector.Model {
-	seen := map[selector.Key]bool{}
-	var models []selector.Model
-	for _, d := range documents {
-		if d.Model == nil {
-			continue
-		}
-		m := modelOf(d)
-		if !seen[m.Key()] {
-			seen[m.Key()] = true
-			models = append(models, m)
-		}
-	}
-	return models
-}
-
 func modelOf(d *documenter.Document) selector.Model {
 	return selector.Model{
 		Name:            d.Model.Name,
@@ -145,7 +130,7 @@
 		Service:       g.Service,
 		RequestID:     g.Execution,
 		Model:         g.Model.Name,
-		Version:       g.Model.Version,
+		Version:       r.version(g),
 		Adapter:       g.Model.Adapter,
 		Layers:        g.Model.Layers,
 		Prompt:        g.Prompt,
@@ -158,7 +143,37 @@
 		MaxAttempts:   g.Retry.MaxAttempts,
 		RetryBudget:   g.Retry.Budget,
 	}
+	tokens := 0
+	defer func() { r.placement.delivered(g.Model.Name, tokens) }()
 	return r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
+		tokens++
 		return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
 	})
 }
+
+// version returns the version of the model that a request runs on.
+func (r *Router) version(g receiver.Generation) string {
+	wanted := selector.Model{Name: g.Model.Name, Version: g.Model.Version, Adapter: g.Model.Adapter}
+	r.mu.Lock()
+	draw := r.draws.Float64()
+	r.mu.Unlock()
+	return pickVersion(wanted, g.Version, r.versions(wanted.Name), r.selector.Bound, draw)
+}
+
+// versions returns the versions of a model that engines hold.
+func (r *Router) versions(model string) []string {
+	if held := r.held.Load(); held != nil {
+		return (*held)[model]
+	}
+	return nil
+}
+
+func (r *Router) indexVersions(documents []*documenter.Document, fleet cataloger.Fleet) {
+	held := map[string][]string{}
+	for _, d := range documents {
+		if d.Model != nil {
+			held[d.Model.Name] = heldVersions(fleet, d.Model.Name)
+		}
+	}
+	r.held.Store(&held)
+}
--- /dev/null
+++ b/internal/router/placement.go
@@ -0,0 +1,270 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/commander"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/leaser"
+	"github.com/rattantray/rattantray/internal/planner"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/tracker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
+)
+
+const (
+	dutyPlacement     = "placement"
+	placementInterval = time.Second
+	// offeredMargin is added to the measured load, below which no change may take the bound.
+	offeredMargin = 1.25
+)
+
+// placement plans the models that fall to this daemon.
+type placement struct {
+	router *Router
+
+	mu      sync.Mutex
+	running map[string]*plan
+	demand  map[string]*demand
+}
+
+// plan is the planning of one model on this daemon.
+type plan struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func (r *Router) buildLeases() (registrar.Service, error) {
+	r.leases = leaser.New(r.local)
+	r.leases.Store = r.limiter.Store(storer.ClassLease)
+	r.leases.Clock = r.Clock
+	r.leases.Random = r.random()
+	r.leases.Log = r.Log
+	r.leases.Metrics = r.meter.Registry
+	return registrar.Service{
+		Name:  ServiceLeases,
+		Needs: []string{ServiceStore},
+		Value: r.leases,
+		Run:   r.leases.Run,
+	}, nil
+}
+
+func (r *Router) buildPlacement() (registrar.Service, error) {
+	r.placement = &placement{router: r, running: map[string]*plan{}, demand: map[string]*demand{}}
+	return registrar.Service{
+		Name:  ServicePlacement,
+		Needs: []string{ServiceLeases, ServiceMembers, ServiceConfig, ServiceSelection},
+		Value: r.placement,
+		Run:   r.placement.run,
+	}, nil
+}
+
+func (p *placement) run(ctx context.Context) error {
+	defer p.stopAll()
+	for {
+		p.assign(ctx)
+		if err := p.router.Clock.Sleep(ctx, placementInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// assign starts the models that fall to this daemon now and stops those that do not.
+func (p *placement) assign(ctx context.Context) {
+	models := p.models()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, running := range p.running {
+		if _, wanted := models[name]; !wanted || p.ended(running) {
+			running.stop()
+			delete(p.running, name)
+		}
+	}
+	if p.router.shutdown.phase() != "serving" {
+		return
+	}
+	for name, model := range models {
+		if p.running[name] == nil {
+			p.running[name] = p.start(ctx, model)
+		}
+	}
+}
+
+func (p *placement) ended(running *plan) bool {
+	select {
+	case <-running.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// models returns the models that this daemon has to plan; one whose layers have no stated size cannot be placed.
+func (p *placement) models() map[string]documenter.Model {
+	mine := map[string]documenter.Model{}
+	for _, d := range p.router.documentsInForce() {
+		if d.Model == nil || d.Model.LayerBytes == 0 {
+			continue
+		}
+		if p.router.tracker.Owner(dutyPlacement, d.Model.Name).Name == p.router.local.Name {
+			mine[d.Model.Name] = *d.Model
+		}
+	}
+	return mine
+}
+
+func (p *placement) start(ctx context.Context, model documenter.Model) *plan {
+	ctx, stop := context.WithCancel(ctx)
+	running := &plan{stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(running.done)
+		defer stop()
+		p.hold(ctx, model.Name)
+	}()
+	return running
+}
+
+// hold plans a model while its lease is held.
+func (p *placement) hold(ctx context.Context, name string) {
+	r := p.router
+	lease, err := r.leases.Acquire(ctx, dutyPlacement+"/"+name)
+	if err != nil {
+		return
+	}
+	defer func() {
+		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+		defer cancel()
+		_ = lease.Release(release)
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-lease.Lost():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	r.Log.Info().Str("model", name).Uint64("fencing", lease.Fencing()).Msg("placement begun")
+	_ = p.commander(name, lease).Run(ctx)
+}
+
+func (p *placement) commander(name string, lease *leaser.Lease) *commander.Commander {
+	r := p.router
+	store := r.limiter.Store(storer.ClassOther)
+	plans := planner.New()
+	return &commander.Commander{
+		Clock:         r.Clock,
+		Log:           r.Log,
+		Store:         &store,
+		Lease:         commander.Lease{Fencing: lease.Fencing, Remaining: lease.Remaining, Valid: lease.Valid},
+		LeaseDuration: leaser.DefaultDuration,
+		Model:         name,
+		Targets:       func() []cataloger.Target { return p.targets(name) },
+		Plan: func(_ context.Context, targets []cataloger.Target) (planner.Placement, error) {
+			return p.plan(plans, name, targets), nil
+		},
+		Order: func(ctx context.Context, address string, o *enginev1.OrderRequest) (*enginev1.OrderResponse, error) {
+			return r.engines.Get(address).Order(ctx, o)
+		},
+		Describe: func(ctx context.Context, address string) (*enginev1.DescribeResponse, error) {
+			return r.engines.Get(address).Describe(ctx, &enginev1.DescribeRequest{})
+		},
+		Observe: func(o commander.Outcome) { p.observe(name, o) },
+	}
+}
+
+func (p *placement) observe(model string, o commander.Outcome) {
+	event := p.router.Log.Info()
+	if o.Err != nil {
+		event = p.router.Log.Warn().Err(o.Err)
+	}
+	event.Str("model", model).Str("target", o.Change.Target).Str("change", string(o.Change.Kind)).
+		Str("version", o.Change.Holding.Version).
+		Uint32("first-layer", o.Change.Holding.FirstLayer).Uint32("end-layer", o.Change.Holding.EndLayer).
+		Str("verdict", string(o.Verdict)).Bool("accepted", o.Accepted).Str("reason", o.Reason).Msg("order")
+}
+
+// targets returns the engines assigned to a model: those that hold some of it, and those without holdings that fall to it.
+func (p *placement) targets(name string) []cataloger.Target {
+	var names []string
+	for _, d := range p.router.documentsInForce() {
+		if d.Model != nil && d.Model.LayerBytes > 0 {
+			names = append(names, d.Model.Name)
+		}
+	}
+	var found []cataloger.Target
+	for _, t := range p.router.tracker.Fleet().Targets {
+		if t.Type == cataloger.TypeEngine && assignedModel(t, names) == name {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// assignedModel returns the model that a target works for.
+func assignedModel(t cataloger.Target, models []string) string {
+	if len(t.Holdings) > 0 {
+		return t.Holdings[0].Model
+	}
+	if len(models) == 0 {
+		return ""
+	}
+	candidates := make([]tracker.Candidate, len(models))
+	for i, m := range models {
+		candidates[i] = tracker.Candidate{Name: m}
+	}
+	return models[tracker.Rank(candidates, t.Name, 1)[0]]
+}
+
+func (p *placement) plan(plans *planner.Planner, name string, targets []cataloger.Target) planner.Placement {
+	model, ok := p.models()[name]
+	if !ok {
+		return planner.Placement{}
+	}
+	fleet := p.router.tracker.Fleet()
+	placed := plans.Plan(planner.State{
+		Model: planner.Model{
+			Name:            model.Name,
+			Version:         model.Version,
+			Layers:          model.Layers,
+			LayerBytes:      model.LayerBytes,
+			ActivationBytes: model.ActivationBytes,
+			Adapter:         model.Adapter,
+		},
+		Targets:   targets,
+		Links:     fleet.Links,
+		Bandwidth: p.bandwidth,
+		Offered:   p.offered(name),
+	})
+	p.router.meter.Set("placement-bound-"+name, placed.Bound)
+	return placed
+}
+
+// bandwidth returns what the selector takes for a link that nobody lists.
+func (p *placement) bandwidth(from, to *cataloger.Target) float64 {
+	if from.DataCentre == to.DataCentre {
+		return p.router.selector.SameDataCentre.Bandwidth
+	}
+	return p.router.selector.BetweenDataCentres.Bandwidth
+}
+
+func (p *placement) stopAll() {
+	p.mu.Lock()
+	running := p.running
+	p.running = map[string]*plan{}
+	p.mu.Unlock()
+	for _, x := range running {
+		x.stop()
+	}
+	for _, x := range running {
+		<-x.done
+	}
+}
+
+// release gives up what other daemons wait for.
+func (r *Router) release(context.Context) { r.placement.stopAll() }
--- a/internal/router/promises_test.go
+++ b/internal/router/promises_test.go
@@ -162,7 +162,7 @@
 				version := w.apply(assistantDocument + "priorities: {ageing: 9s}\n")
 				begun := time.Now()
 				for _, d := range w.routers {
-					for w.alive(d) && w.inForce(d) < version {
+					for !d.dead && w.inForce(d) < version {
 						require.Less(t, time.Since(begun), 30*time.Second, "%s lags", d.settings.Name)
 						time.Sleep(10 * time.Millisecond)
 					}
@@ -174,8 +174,6 @@
 	}
 }
 
-func (w *world) alive(d *daemon) bool { return d.router.shutdown.phase() != "done" }
-
 func (w *world) inForce(d *daemon) uint64 {
 	_, version, _ := d.router.config.Lookup("assistant")
 	return version
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,6 +6,7 @@
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/keyer"
+	"github.com/rattantray/rattantray/internal/leaser"
 	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/linker"
 	"github.com/rattantray/rattantray/internal/meter"
@@ -47,6 +49,7 @@
 	ServiceSelection  = "selection"
 	ServiceJournal    = "journal"
 	ServiceOrdering   = "ordering"
+	ServiceLeases     = "leases"
 	ServicePlacement  = "placement"
 	ServiceReceiver   = "receiver"
 	ServiceOperations = "operations"
@@ -90,28 +93,35 @@
 	begun     time.Time
 	shutdown  *shutdown
 
-	keys     *keyer.Keyer
-	limiter  *storer.Limiter
-	peer     *linker.Peer
-	tracker  *tracker.Tracker
-	config   *configurer.Configurer
-	limits   *limiter.Limiter
-	changed  *queuer.Ring[struct{}]
-	engines  *engineer.Pool
-	selector *selector.Selector
-	dispatch *dispatcher.Dispatcher
-	admit    *admitter.Admitter
-	journal  *journaler.Journaler
-	order    *sequencer.Sequencer
-	tokens   *tokener.Tokener
-	plain    *forwarder.Forwarder
-	balancer *forwarder.Balancer
+	keys      *keyer.Keyer
+	limiter   *storer.Limiter
+	peer      *linker.Peer
+	tracker   *tracker.Tracker
+	config    *configurer.Configurer
+	limits    *limiter.Limiter
+	changed   *queuer.Ring[struct{}]
+	engines   *engineer.Pool
+	selector  *selector.Selector
+	dispatch  *dispatcher.Dispatcher
+	admit     *admitter.Admitter
+	journal   *journaler.Journaler
+	order     *sequencer.Sequencer
+	leases    *leaser.Leaser
+	placement *placement
+	tokens    *tokener.Tokener
+	plain     *forwarder.Forwarder
+	balancer  *forwarder.Balancer
 
 	// plainTargets holds the instances of plain services by service.
 	plainTargets atomic.Pointer[map[string][]cataloger.Target]
 
+	// held holds the versions that engines hold, by model.
+	held atomic.Pointer[map[string][]string]
+
 	mu      sync.Mutex
 	address string
+	// draws is guarded by mu.
+	draws *randv2.Rand
 }
 
 // New returns a daemon with settings that were checked.
@@ -138,6 +148,7 @@
 		},
 	}
 	r.balancer = forwarder.NewBalancer(r.plain, r.random())
+	r.draws = r.random()
 	r.registrar = registrar.New(r.Log, r.Clock)
 	r.shutdown = newShutdown(r)
 	for _, build := range r.builders() {
@@ -166,6 +177,7 @@
 		r.buildSelection,
 		r.buildJournal,
 		r.buildOrdering,
+		r.buildLeases,
 		r.buildPlacement,
 		r.buildReceiver,
 	}
@@ -237,7 +249,11 @@
 		return false
 	}
 	if doc.Model != nil {
-		return r.selector.Bound(modelOf(doc).Key()) > 0
+		model := modelOf(doc)
+		return slices.ContainsFunc(r.versions(model.Name), func(version string) bool {
+			model.Version = version
+			return r.selector.Bound(model.Key()) > 0
+		})
 	}
 	return r.servesPlain(doc.Name)
 }
--- /dev/null
+++ b/internal/router/version.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/selector"
+)
+
+// heldVersions returns the versions of a model that engines hold, sorted.
+func heldVersions(fleet cataloger.Fleet, model string) []string {
+	var versions []string
+	for _, t := range fleet.Targets {
+		for _, h := range t.Holdings {
+			if h.Model == model && !slices.Contains(versions, h.Version) {
+				versions = append(versions, h.Version)
+			}
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// modelVersions returns the wanted version of each model in force and the others that engines still hold,
+// so that requests go on while a new version is rolled out.
+func modelVersions(documents []*documenter.Document, fleet cataloger.Fleet) []selector.Model {
+	seen := map[selector.Key]bool{}
+	var models []selector.Model
+	add := func(m selector.Model) {
+		if !seen[m.Key()] {
+			seen[m.Key()] = true
+			models = append(models, m)
+		}
+	}
+	for _, d := range documents {
+		if d.Model == nil {
+			continue
+		}
+		wanted := modelOf(d)
+		add(wanted)
+		for _, version := range heldVersions(fleet, wanted.Name) {
+			wanted.Version = version
+			add(wanted)
+		}
+	}
+	return models
+}
+
+// pickVersion draws a version by the share of the bound that it can carry; before is kept where it can run at all.
+func pickVersion(wanted selector.Model, before string, versions []string, bound func(selector.Key) float64, draw float64) string {
+	at := func(version string) float64 {
+		m := wanted
+		m.Version = version
+		return bound(m.Key())
+	}
+	if before != "" && at(before) > 0 {
+		return before
+	}
+	total := 0.0
+	for _, v := range versions {
+		total += at(v)
+	}
+	draw *= total
+	for _, v := range versions {
+		draw -= at(v)
+		if draw < 0 {
+			return v
+		}
+	}
+	return wanted.Version
+}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/enginefaker"
 	"github.com/rattantray/rattantray/internal/netfaker"
 	"github.com/rattantray/rattantray/internal/platformfaker"
@@ -88,6 +89,7 @@
 	router   *Router
 	stop     context.CancelFunc
 	done     chan error
+	dead     bool
 }
 
 // twoChains is two whole chains and one engine that overlaps both.
@@ -223,11 +225,13 @@
 	w.net.Kill(d.ip)
 	d.router.Force()
 	<-d.done
+	d.dead = true
 }
 
 // revive starts a killed daemon again on its VM.
 func (w *world) revive(d *daemon) {
 	w.net.Revive(d.ip)
+	d.dead = false
 	w.run(d)
 }
 
@@ -252,7 +256,8 @@
 func (w *world) apply(document string) uint64 {
 	op := w.operator(w.routers[0])
 	for range 300 {
-		resp, err := op.Apply(w.t.Context(), connect.NewRequest(&v1.ApplyRequest{Document: []byte(document), Author: "test"}))
+		seen := w.stored(op, document)
+		resp, err := op.Apply(w.t.Context(), connect.NewRequest(&v1.ApplyRequest{Document: []byte(document), Author: "test", ExpectedVersion: &seen}))
 		if err == nil {
 			require.Equal(w.t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, resp.Msg.Result, resp.Msg.Message)
 			return resp.Msg.Version
@@ -263,6 +268,17 @@
 	return 0
 }
 
+// stored returns the stored version of a document's service, 0 where there is none.
+func (w *world) stored(op rattantrayv1connect.OperatorServiceClient, document string) uint64 {
+	parsed, problems := documenter.Parse([]byte(document))
+	require.Empty(w.t, problems)
+	resp, err := op.GetService(w.t.Context(), connect.NewRequest(&v1.GetServiceRequest{Name: parsed.Name}))
+	if err != nil {
+		return 0
+	}
+	return resp.Msg.Service.Version
+}
+
 // awaitServing waits until every daemon can run both services and knows all others.
 func (w *world) awaitServing() {
 	for range 600 {
--- a/internal/tokener/claims.go
+++ b/internal/tokener/claims.go
@@ -14,7 +14,9 @@
 	RequestID string
 	// Execution names the run towards the engines, so that an engine that still holds its stream can go on with it.
 	Execution string
-	Attempt   uint32
+	// Version of the model that began the answer.
+	Version string
+	Attempt uint32
 	// Position is the next position that the caller needs.
 	Position uint64
 	// PayloadDigest is the SHA-256 of the request's payload.
@@ -45,7 +47,7 @@
 
 // append writes the claims in the token's one canonical form: each string behind its length, each number as a varint.
 func (c Claims) append(b []byte) []byte {
-	for _, s := range []string{c.Workspace, c.Service, c.RequestID, c.Execution, c.Member} {
+	for _, s := range []string{c.Workspace, c.Service, c.RequestID, c.Execution, c.Version, c.Member} {
 		b = binary.AppendUvarint(b, uint64(len(s)))
 		b = append(b, s...)
 	}
@@ -63,6 +65,7 @@
 	c.Service = r.text()
 	c.RequestID = r.text()
 	c.Execution = r.text()
+	c.Version = r.text()
 	c.Member = r.text()
 	attempt := r.number()
 	c.Attempt = uint32(attempt)
