--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -47,7 +47,7 @@
 	Random  *rand.Rand
 	Log     zerolog.Logger
 	Metrics metrics.Registry
-	// Duration is how long a lease outlasts its last renewal; every daemon of the fleet needs the same.
+	// Duration is how long a lease outlasts its last renewal.
 	Duration time.Duration
 
 	steps *queuer.Ring[step]
@@ -291,6 +291,7 @@
 			continue
 		}
 		l.Log.Info().Str("lease", name).Uint64("fencing", handle.fencing).Msg("lease is over")
+		metrics.GetOrRegisterCounter("leases-ended", l.Metrics).Inc(1)
 		close(handle.lost)
 		delete(l.handles, name)
 		m.drop(name)
@@ -301,6 +302,7 @@
 			continue
 		}
 		l.Log.Info().Str("lease", name).Uint64("fencing", fencing).Msg("lease acquired")
+		metrics.GetOrRegisterCounter("leases-acquired", l.Metrics).Inc(1)
 		lease := &Lease{leaser: l, name: name, fencing: fencing, lost: make(chan struct{})}
 		l.handles[name] = lease
 		delete(l.waiting, name)
--- a/internal/leaser/machine.go
+++ b/internal/leaser/machine.go
@@ -253,7 +253,11 @@
 	}
 	s.renewal++
 	s.sent[s.renewal] = now
-	value := encode(&peerv1.LeaseSession{Holder: m.holder, Renewal: s.renewal})
+	value := encode(&peerv1.LeaseSession{
+		Holder:     m.holder,
+		Renewal:    s.renewal,
+		DurationMs: uint64(m.timing.Duration.Milliseconds()),
+	})
 	return m.operate(now, "", operation{kind: renewSession, key: s.key, value: value, expected: s.version, renewal: s.renewal}), true
 }
 
@@ -414,11 +418,13 @@
 	if d.watched.key != key || d.watched.version != version {
 		d.watched = observation{key: key, version: version, since: now}
 	}
+	// The holder may run with another duration than this daemon.
+	wait := max(m.timing.Wait, NewTiming(time.Duration(stored.DurationMs)*time.Millisecond).Wait)
 	waited := now.Sub(d.watched.since)
-	if m.given[key] || waited >= m.timing.Wait {
+	if m.given[key] || waited >= wait {
 		return []operation{m.close(now, name, key, version)}
 	}
-	d.next = now.Add(min(m.timing.Poll, m.timing.Wait-waited))
+	d.next = now.Add(min(m.timing.Poll, wait-waited))
 	return nil
 }
 
--- a/internal/leaser/machine_test.go
+++ b/internal/leaser/machine_test.go
@@ -239,6 +239,21 @@
 	require.Empty(t, w.broken)
 }
 
+// While the duration is changed over the fleet, daemons run with different ones.
+func TestOtherDurationOfTheHolder(t *testing.T) {
+	w := newWorld([]float64{1, 1}, testTiming)
+	a, b := w.nodes[0], w.nodes[1]
+	a.timing = NewTiming(3 * testTiming.Duration)
+	a.want("planner")
+	w.flow(time.Second)
+	b.want("planner")
+	w.flow(time.Second)
+	a.paused = true
+	w.flow(4 * testTiming.Wait)
+	require.Empty(t, w.broken)
+	require.Equal(t, 1, w.holder("planner"))
+}
+
 // Reads that go on showing an old session do not let another daemon in: closing the session takes a write.
 func TestStaleSessionReads(t *testing.T) {
 	w := newWorld([]float64{1, 1}, testTiming)
--- a/internal/storer/budget_test.go
+++ b/internal/storer/budget_test.go
@@ -54,6 +54,23 @@
 	})
 }
 
+func TestRatesChangeWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformfaker.New(platformfaker.Config{})
+		l := storer.NewLimiter(p.Store(), budget(100, 100, 10))
+		s := l.Store(storer.ClassClaim)
+		one := budget(0, 0, 0).WithFleet(50, 200, 100)
+		require.Equal(t, []float64{4, 2}, []float64{one.Reads, one.Writes})
+		l.SetRates(one.Reads, one.Writes)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		for ctx.Err() == nil {
+			_, _ = s.Get(ctx, "a")
+		}
+		require.InDelta(t, 10+20*4, p.Ledger().Calls[platformfaker.OperationGet], 2)
+	})
+}
+
 func TestWaitingWatchTakesReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platformfaker.New(platformfaker.Config{})
