--- a/internal/configurer/item_test.go
+++ b/internal/configurer/item_test.go
@@ -119,11 +119,11 @@
 			m := newMachine(cataloger.Member{}, nil)
 			m.set = s
 			versions := s.versions()
-			b.ReportMetric(float64(proto.Size(&peerv1.ConfigExchangeResponse{Versions: versions})), "bytes/answer")
 			b.ReportAllocs()
 			for b.Loop() {
 				m.reconcile(peer{}, versions)
 			}
+			b.ReportMetric(float64(proto.Size(&peerv1.ConfigExchangeResponse{Versions: versions})), "bytes/answer")
 		})
 	}
 }
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,6 +93,81 @@
 	})
 }
 
+// A duty rests for a time that is known: two polls after a stop, the wait and two polls after a crash.
+func TestTakeOver(t *testing.T) {
+	timing := NewTiming(DefaultDuration)
+	cases := []struct {
+		name  string
+		leave func(a *run, cut *atomic.Bool)
+		bound time.Duration
+	}{
+		{"stop", func(a *run, _ *atomic.Bool) { a.end() }, 2 * timing.Poll},
+		{"crash", func(_ *run, cut *atomic.Bool) { cut.Store(true) }, timing.Wait + 2*timing.Poll},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := platformfaker.New(platformfaker.Config{})
+				cut := &atomic.Bool{}
+				store := p.Store()
+				put := store.Put
+				store.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+					if cut.Load() {
+						return 0, storer.ErrUnavailable
+					}
+					return put(ctx, key, value, expected)
+				}
+				b := start(t, p.Store(), "b")
+				defer b.end()
+				worst := time.Duration(0)
+				for i := range 20 {
+					name := fmt.Sprint("duty-", i)
+					cut.Store(false)
+					a := start(t, store, fmt.Sprint("a-", i))
+					lease := acquire(t, a, name)
+					got := make(chan *Lease)
+					go func() {
+						l, err := b.Acquire(t.Context(), name)
+						require.NoError(t, err)
+						got <- l
+					}()
+					time.Sleep(time.Duration(i+2) * 773 * time.Millisecond)
+					require.True(t, lease.Valid())
+					begin := time.Now()
+					c.leave(a, cut)
+					<-got
+					worst = max(worst, time.Since(begin))
+					require.False(t, lease.Valid())
+					a.end()
+				}
+				t.Logf("taken over within %s", worst)
+				require.LessOrEqual(t, worst, c.bound)
+			})
+		})
+	}
+}
+
+func TestCallsPerLease(t *testing.T) {
+	for _, n := range []int{1, 16, 64, 256} {
+		synctest.Test(t, func(t *testing.T) {
+			p := platformfaker.New(platformfaker.Config{})
+			a := start(t, p.Store(), "a")
+			defer a.end()
+			for i := range n {
+				acquire(t, a, fmt.Sprint("duty-", i))
+			}
+			before := p.Ledger().Calls
+			time.Sleep(10 * time.Minute)
+			after := p.Ledger().Calls
+			writes := float64(after[platformfaker.OperationPut]-before[platformfaker.OperationPut]) / 600
+			reads := float64(after[platformfaker.OperationGet]-before[platformfaker.OperationGet]) / 600
+			t.Logf("%d leases held: %.3f writes/s, %.3f reads/s", n, writes, reads)
+			require.Less(t, writes, 3.2/DefaultDuration.Seconds(), "one renewal for all")
+			require.Zero(t, reads)
+		})
+	}
+}
+
 func TestFaultsOfTheStore(t *testing.T) {
 	cases := []struct {
 		name  string
