Try a change again where the store is weak for a moment; bound the problems reported

An apply met by a spent budget or a short outage at its first read was refused at once; it now tries for 3 s. A source that is no service document at all reports 1,000 problems and how many more there are.

go test -race ./internal/configurer ./internal/documenter: pass.

--- a/internal/configurer/operator.go
+++ b/internal/configurer/operator.go
@@ -23,8 +23,8 @@
 // applyTimeout bounds how long an operator waits for the outcome of a change.
 const applyTimeout = 15 * time.Second
 
-// stalePatience bounds the wait for a version that the store does not show; it may not exist.
-const stalePatience = 3 * time.Second
+// readPatience bounds the wait for a version that the store does not show, which may not exist, and for a weak store.
+const readPatience = 3 * time.Second
 
 // readRetry is the wait between reads of the store that are older than what is known.
 const readRetry = 50 * time.Millisecond
@@ -74,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	seen := req.GetExpectedVersion()
-	current, err := c.read(ctx, doc.Name, seen)
+	current, err := c.readForChange(ctx, doc.Name, seen)
 	if err != nil {
 		return refusedApply(err), nil
 	}
@@ -198,7 +198,7 @@
 // read returns what the store holds under a name, at least as new as a version and as what is in force here.
 func (c *Configurer) read(ctx context.Context, name string, atLeast uint64) (stored, error) {
 	atLeast = max(atLeast, c.view.Load().entries[name].newest.Version)
-	giveUp := c.Clock.Now().Add(stalePatience)
+	giveUp := c.Clock.Now().Add(readPatience)
 	for {
 		o, err := c.Store.Get(ctx, key(name))
 		switch {
@@ -216,6 +216,18 @@
 	}
 }
 
+// readForChange is read for a change, which is worth a few attempts where the store is weak or the budget spent.
+func (c *Configurer) readForChange(ctx context.Context, name string, atLeast uint64) (stored, error) {
+	giveUp := c.Clock.Now().Add(readPatience)
+	for {
+		s, err := c.read(ctx, name, atLeast)
+		weak := errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrRateLimited)
+		if !weak || c.Clock.Now().After(giveUp) || c.Clock.Sleep(ctx, readRetry) != nil {
+			return s, err
+		}
+	}
+}
+
 func storedFrom(o storer.Object) stored {
 	s, err := decodeStored(o)
 	if err != nil {
@@ -228,7 +240,7 @@
 func (c *Configurer) Delete(ctx context.Context, req *v1.DeleteServiceRequest) (*v1.DeleteServiceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	current, err := c.read(ctx, req.Name, req.ExpectedVersion)
+	current, err := c.readForChange(ctx, req.Name, req.ExpectedVersion)
 	switch {
 	case err != nil:
 		r := refusedApply(err)
--- a/internal/configurer/operator_test.go
+++ b/internal/configurer/operator_test.go
@@ -46,6 +46,8 @@
 		{name: "answer lost", owner: "b", faults: []platformfaker.Fault{{Kind: platformfaker.FaultAnswerLost, Count: 1}}, want: accepted, written: true},
 		{name: "request lost", owner: "b", faults: []platformfaker.Fault{{Kind: platformfaker.FaultRequestLost, Count: 1}}, want: accepted, written: true},
 		{name: "stale reads", owner: "b", faults: []platformfaker.Fault{{Kind: platformfaker.FaultStaleRead, Count: 4}}, want: accepted, written: true},
+		{name: "a few calls refused", owner: "b", faults: []platformfaker.Fault{
+			{Kind: platformfaker.FaultRateLimit, Count: 5}, {Kind: platformfaker.FaultOutage, Count: 3}}, want: accepted, written: true},
 		{name: "slow", owner: "b", faults: []platformfaker.Fault{{Kind: platformfaker.FaultSlow, Delay: platformfaker.Duration(3 * time.Second), Count: 2}}, want: accepted, written: true},
 		{name: "store down", owner: "b", faults: []platformfaker.Fault{{Kind: platformfaker.FaultOutage, Duration: forever}}, want: refused, message: "nothing was stored"},
 		{name: "store down for writes", owner: "b", faults: []platformfaker.Fault{
--- a/internal/documenter/documenter_test.go
+++ b/internal/documenter/documenter_test.go
@@ -154,6 +154,16 @@
 	require.Len(t, problems, 1)
 }
 
+func TestManyProblems(t *testing.T) {
+	source := []byte(plainDocument)
+	for i := range 3 * maxProblems {
+		source = fmt.Appendf(source, "x%d: 1\n", i)
+	}
+	_, problems := Parse(source)
+	require.Len(t, problems, maxProblems+1)
+	require.Equal(t, "2000 more problems from here on", problems[maxProblems].Message)
+}
+
 func TestSchemaCoversEveryField(t *testing.T) {
 	require.NoError(t, validateBySchema(t, []byte(plainDocument)))
 	require.NoError(t, validateBySchema(t, example(t, "railcard-renewals.yaml")))
--- a/internal/documenter/parse.go
+++ b/internal/documenter/parse.go
@@ -50,11 +50,22 @@
 	v.check(doc)
 	if len(v.problems) > 0 {
 		slices.SortStableFunc(v.problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
-		return nil, v.problems
+		return nil, shorten(v.problems)
 	}
 	return doc, nil
 }
 
+// maxProblems bounds the report on a source that is no service document at all.
+const maxProblems = 1000
+
+func shorten(problems []Problem) []Problem {
+	if len(problems) <= maxProblems {
+		return problems
+	}
+	left := Problem{Line: problems[maxProblems].Line, Message: fmt.Sprintf("%d more problems from here on", len(problems)-maxProblems)}
+	return append(problems[:maxProblems:maxProblems], left)
+}
+
 func parseNode(source []byte) (*yaml.Node, *Problem) {
 	if len(source) > MaxDocumentBytes {
 		return nil, &Problem{Message: fmt.Sprintf("has %d bytes, at most %d are accepted", len(source), MaxDocumentBytes)}
