--- a/internal/tracker/targets.go
+++ b/internal/tracker/targets.go
@@ -147,10 +147,14 @@
 	}
 }
 
-// missTargets removes the targets that the list has not named for long enough.
+// missTargets removes the targets that the list has not named for long enough, and forgets those removed long ago.
 func (m *Machine) missTargets(seen map[string]struct{}) {
 	for _, name := range sortedKeys(m.targets) {
 		e := m.targets[name]
+		if e.Removed && m.now-e.settled >= m.options.Tombstone {
+			delete(m.targets, name)
+			continue
+		}
 		if _, ok := seen[name]; ok || e.Removed {
 			continue
 		}
