Close idle peer connections without waiting for a new one

News reaches every daemon of a data centre, which left a connection to each open until an address unknown so far was dialled. Serving peers now look for idle ones. Shown by go test -race -count=10 ./internal/linker.

--- a/internal/linker/serve.go
+++ b/internal/linker/serve.go
@@ -27,6 +27,7 @@
 	defer context.AfterFunc(ctx, stopListening)()
 	defer context.AfterFunc(p.ctx, stopListening)()
 	defer stopListening()
+	p.spawn(func() { p.closeIdle(ctx) })
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil || p.ctx.Err() != nil {
@@ -47,6 +48,18 @@
 	}
 }
 
+// closeIdle closes the connections that have not been used for the idle time.
+func (p *Peer) closeIdle(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)()
+	for p.config.Clock.Sleep(ctx, p.config.IdleTimeout/2) == nil {
+		p.mu.Lock()
+		p.dropIdle()
+		p.mu.Unlock()
+	}
+}
+
 // admit serves a connection in a goroutine of its own, unless there are too many.
 func (p *Peer) admit(ctx context.Context, conn net.Conn) {
 	p.mu.Lock()
