--- a/internal/prober/health.go
+++ b/internal/prober/health.go
@@ -34,7 +34,7 @@
 	return Options{
 		Interval:        time.Second,
 		MaxInterval:     2500 * time.Millisecond,
-		Rate:            8,
+		Rate:            4,
 		SuspectInterval: 250 * time.Millisecond,
 		DownInterval:    time.Second,
 		MinTimeout:      200 * time.Millisecond,
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -92,8 +92,12 @@
 			if d := h.Timeout(o); d < o.MinTimeout || d > o.MaxTimeout {
 				rt.Fatalf("timeout %s", d)
 			}
-			if d := h.Interval(50, o); d <= 0 || d > o.DownInterval {
-				rt.Fatalf("interval %s", d)
+			most := o.MaxInterval
+			if h.State == cataloger.StateDead {
+				most = o.DownInterval
+			}
+			if d := h.Interval(50, o); d <= 0 || d > most {
+				rt.Fatalf("interval %s while %s", d, h.State)
 			}
 			before = h.State
 		}
