--- a/internal/journaler/server.go
+++ b/internal/journaler/server.go
@@ -104,15 +104,17 @@
 func (s *server) owners(now time.Time) {
 	self := s.j.Self()
 	s.owned = 0
-	for i := range uint32(Shards) {
-		m, ok := s.j.Owner(i)
-		mine := ok && m.Name == self.Name && m.Incarnation == self.Incarnation
+	for i, owner := range s.j.owners.All() {
+		mine := owner.Is(self)
 		if mine {
 			s.owned++
 		}
 		s.shards[i].want(now, mine)
 		s.deliver(s.shards[i])
 	}
+	for _, sh := range s.shards {
+		sh.setRoom(s.j.Limits.MaxRecords / max(1, s.owned))
+	}
 	limit := rate.Limit(s.j.Limits.WritesPerSecond * float64(s.owned) / Shards)
 	if limit != s.limiter.Limit() {
 		s.limiter.SetLimitAt(now, limit)
