Settle a store write by a read where its answers stay lost

Cause: with every answer of the store's writes lost and its reads well, an operator heard unknown: the settler repeated the write and waited for an answer that said conflict. The users allow unknown only while the store is down. Ruled out: the read-back itself, which was never reached.

Change: after a write without an answer the object is read once before the write is repeated.

Conclusion: unknown is left for stores that neither write nor read.

--- a/internal/storer/settle.go
+++ b/internal/storer/settle.go
@@ -99,6 +99,9 @@
 			}
 		default:
 			sent = true
+			if r, ok := s.look(ctx, w); ok {
+				return r, nil
+			}
 		}
 		if sleepErr := s.sleep(ctx, &backoff); sleepErr != nil {
 			if sent {
@@ -109,6 +112,21 @@
 	}
 }
 
+// look reads once whether a write whose answer was lost took effect; false where the object does not tell.
+func (s Settler) look(ctx context.Context, w Write) (Result, bool) {
+	o, err := s.Store.Get(ctx, w.Key)
+	if err != nil || o.Version <= w.Expected {
+		return Result{}, false
+	}
+	switch verdict, version := w.Find(o); verdict {
+	case VerdictOurs:
+		return Result{Outcome: OutcomeAccepted, Version: version}, true
+	case VerdictOther:
+		return Result{Outcome: OutcomeConflict, Stored: o}, true
+	}
+	return Result{}, false
+}
+
 // readBack settles a write that met a conflict; sent says whether an earlier attempt may have taken effect.
 func (s Settler) readBack(ctx context.Context, w Write, sent bool) (Result, error) {
 	backoff := firstSettleBackoff
