--- a/internal/documenter/documenter_test.go
+++ b/internal/documenter/documenter_test.go
@@ -154,6 +154,16 @@
 	require.Len(t, problems, 1)
 }
 
+func TestManyProblems(t *testing.T) {
+	source := []byte(plainDocument)
+	for i := range 3 * maxProblems {
+		source = fmt.Appendf(source, "x%d: 1\n", i)
+	}
+	_, problems := Parse(source)
+	require.Len(t, problems, maxProblems+1)
+	require.Equal(t, "2000 more problems from here on", problems[maxProblems].Message)
+}
+
 func TestSchemaCoversEveryField(t *testing.T) {
 	require.NoError(t, validateBySchema(t, []byte(plainDocument)))
 	require.NoError(t, validateBySchema(t, example(t, "railcard-renewals.yaml")))
@@ -216,7 +226,7 @@
 func TestDiff(t *testing.T) {
 	a, problems := Parse([]byte(plainDocument))
 	require.Empty(t, problems)
-	b, problems := Parse([]byte(strings.NewReplacer("share: 2", "share: 3", "owner: desk", "owner: desk\nretry:\n  max-attempts: 3").Replace(plainDocument)))
+	b, problems := Parse([]byte(strings.NewReplacer("share: 2", "share: 3", "owner: desk", "owner: desk\nretry:\n  max-attempts: 6").Replace(plainDocument)))
 	require.Empty(t, problems)
 	require.Equal(t, "-workspaces[counter].share: 2\n+workspaces[counter].share: 3\n", Diff(a, b), "a default written out is no difference")
 	require.True(t, Equal(a, a))
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -10,6 +10,7 @@
 	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/journaler"
+	"github.com/rattantray/rattantray/internal/sequencer"
 	"github.com/rattantray/rattantray/internal/tokener"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -28,6 +29,7 @@
 		Priority:     x.req.Priority,
 		Deadline:     x.deadline,
 		FirstAttempt: x.firstAttempt,
+		Version:      x.version,
 		Delivered:    x.req.Delivered,
 		Retry:        x.doc.Retry,
 		Cut:          len(x.req.ResumeToken) > 0,
@@ -57,6 +59,7 @@
 		Service:       x.req.Service,
 		RequestID:     x.req.RequestId,
 		Execution:     x.execution,
+		Version:       t.Receipt.GetVersion(),
 		Attempt:       t.Attempt,
 		Position:      t.Position + 1,
 		PayloadDigest: x.digest,
@@ -182,13 +185,14 @@
 
 // runOrdered runs the request at once and holds its answer back until its turn.
 func (x *exchange) runOrdered(ctx context.Context) error {
-	turn, err := x.receiver.Enter(ctx, Place{
-		Workspace: cataloger.Workspace(x.req.Workspace),
-		Key:       x.req.OrderingKey,
-		Sequence:  x.req.Sequence,
-		RequestID: x.req.RequestId,
-		Deadline:  x.deadline,
-		Ordering:  x.doc.Ordering,
+	turn, err := x.receiver.Enter(ctx, sequencer.Place{
+		Workspace:   cataloger.Workspace(x.req.Workspace),
+		Key:         x.req.OrderingKey,
+		Sequence:    x.req.Sequence,
+		RequestID:   x.req.RequestId,
+		Deadline:    x.deadline,
+		Wait:        time.Duration(x.doc.Ordering.Wait),
+		BufferBytes: x.doc.Ordering.BufferBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -5,23 +5,24 @@
 	"time"
 
 	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/documenter"
-	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
 )
 
 const (
-	reweighInterval  = 5 * time.Second
-	settleInterval   = 100 * time.Millisecond
-	idleUpdateLimit  = time.Minute
-	capacityInterval = time.Second
+	reweighInterval = time.Second
+	settleInterval  = 100 * time.Millisecond
+	dutyLimits      = "limits"
 )
 
 func (r *Router) buildAdmission() (registrar.Service, error) {
 	r.admit = admitter.New(r.Clock)
+	r.admit.Rand = r.random()
 	return registrar.Service{
 		Name:  ServiceAdmission,
 		Needs: []string{ServiceConfig},
@@ -30,8 +31,25 @@
 	}, nil
 }
 
+// buildLimits shares the limits of workspaces out over the entries.
+func (r *Router) buildLimits() (registrar.Service, error) {
+	r.limits = limiter.New(r.Clock, r.local.Name)
+	r.limits.Link = r.peer.Link()
+	r.limits.Owner = func(key string) cataloger.Member { return r.tracker.Owner(dutyLimits, key) }
+	r.limits.Members = r.limitMembers
+	r.limits.Usage = r.admit.Usage
+	r.limits.Apply = r.admit.SetShares
+	r.admit.InitialShare = r.limits.Initial
+	r.peer.Handle(limiter.Method, r.limits.Handle)
+	return registrar.Service{
+		Name:  ServiceLimits,
+		Needs: []string{ServiceAdmission, ServiceMembers},
+		Value: r.limits,
+		Run:   r.limits.Run,
+	}, nil
+}
+
 func (r *Router) buildSelection() (registrar.Service, error) {
-	r.engines = engineer.NewPool(engineer.HTTPClient())
 	r.selector = selector.New(r.Clock, r.random())
 	r.dispatch = dispatcher.New(r.Clock, r.random(), r.Log, r.meter.Registry, r.selector, r.engines)
 	return registrar.Service{
@@ -39,16 +57,21 @@
 		Needs: []string{ServiceMembers, ServiceConfig},
 		Value: r.selector,
 		Run:   r.runSelection,
-		Stop:  func(context.Context) error { r.dispatch.Wait(); return nil },
+		Stop:  func(context.Context) error { return r.stopSelection() },
 	}, nil
 }
 
+func (r *Router) stopSelection() error {
+	r.dispatch.Wait()
+	r.engines.Close()
+	r.plain.Close()
+	return nil
+}
+
 // runSelection takes each change of the fleet and of the documents into the selector and the admitter.
 func (r *Router) runSelection(ctx context.Context) error {
 	fleetChanged, stop := r.tracker.Subscribe()
 	defer stop()
-	configChanged, stopConfig := r.config.Subscribe()
-	defer stopConfig()
 	reweigh := time.NewTicker(reweighInterval)
 	defer reweigh.Stop()
 	r.updateSelection()
@@ -60,7 +83,7 @@
 			r.selector.Reweigh()
 			continue
 		case <-fleetChanged:
-		case <-configChanged:
+		case <-r.changed.Values():
 		}
 		r.updateSelection()
 		// Changes come in bursts; one update takes the whole burst in.
@@ -71,31 +94,33 @@
 }
 
 func (r *Router) updateSelection() {
-	documents := r.config.Documents()
+	documents := r.documentsInForce()
+	r.limits.Configure(documents)
 	r.admit.Configure(documents)
-	r.selector.Update(r.tracker.Fleet(), modelsOf(documents))
+	fleet := r.tracker.Fleet()
+	r.selector.Update(doubtCutOff(fleet, r.local), modelVersions(documents, fleet))
+	r.indexInstances(fleet)
+	r.indexVersions(documents, fleet)
 }
 
-func modelsOf(documents []*documenter.Document) []selector.Model {
-	seen := map[selector.Key]bool{}
-	var models []selector.Model
-	for _, d := range documents {
-		if d.Model == nil {
-			continue
-		}
-		m := selector.Model{
-			Name:            d.Model.Name,
-			Version:         d.Model.Version,
-			Adapter:         d.Model.Adapter,
-			Layers:          d.Model.Layers,
-			ActivationBytes: d.Model.ActivationBytes,
-		}
-		if !seen[m.Key()] {
-			seen[m.Key()] = true
-			models = append(models, m)
+func (r *Router) documentsInForce() []*documenter.Document {
+	var documents []*documenter.Document
+	for _, name := range r.config.Services() {
+		if d, _, ok := r.config.Lookup(name); ok {
+			documents = append(documents, d)
 		}
 	}
-	return models
+	return documents
+}
+
+func modelOf(d *documenter.Document) selector.Model {
+	return selector.Model{
+		Name:            d.Model.Name,
+		Version:         d.Model.Version,
+		Adapter:         d.Model.Adapter,
+		Layers:          d.Model.Layers,
+		ActivationBytes: d.Model.ActivationBytes,
+	}
 }
 
 // generate runs a model request through the dispatcher.
@@ -105,7 +130,7 @@
 		Service:       g.Service,
 		RequestID:     g.Execution,
 		Model:         g.Model.Name,
-		Version:       g.Model.Version,
+		Version:       r.version(g),
 		Adapter:       g.Model.Adapter,
 		Layers:        g.Model.Layers,
 		Prompt:        g.Prompt,
@@ -118,7 +143,37 @@
 		MaxAttempts:   g.Retry.MaxAttempts,
 		RetryBudget:   g.Retry.Budget,
 	}
+	tokens := 0
+	defer func() { r.placement.delivered(g.Model.Name, tokens) }()
 	return r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
+		tokens++
 		return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
 	})
 }
+
+// version returns the version of the model that a request runs on.
+func (r *Router) version(g receiver.Generation) string {
+	wanted := selector.Model{Name: g.Model.Name, Version: g.Model.Version, Adapter: g.Model.Adapter}
+	r.mu.Lock()
+	draw := r.draws.Float64()
+	r.mu.Unlock()
+	return pickVersion(wanted, g.Version, r.versions(wanted.Name), r.selector.Bound, draw)
+}
+
+// versions returns the versions of a model that engines hold.
+func (r *Router) versions(model string) []string {
+	if held := r.held.Load(); held != nil {
+		return (*held)[model]
+	}
+	return nil
+}
+
+func (r *Router) indexVersions(documents []*documenter.Document, fleet cataloger.Fleet) {
+	held := map[string][]string{}
+	for _, d := range documents {
+		if d.Model != nil {
+			held[d.Model.Name] = heldVersions(fleet, d.Model.Name)
+		}
+	}
+	r.held.Store(&held)
+}
--- a/internal/tracker/targets.go
+++ b/internal/tracker/targets.go
@@ -30,7 +30,7 @@
 
 // ReportTarget takes the result of a probe.
 func (m *Machine) ReportTarget(now time.Duration, name string, r TargetReport) []Message {
-	m.now = max(now, m.now)
+	m.advance(now)
 	e := m.targets[name]
 	if e == nil || e.Removed {
 		return nil
@@ -147,10 +147,14 @@
 	}
 }
 
-// missTargets removes the targets that the list has not named for long enough.
+// missTargets removes the targets that the list has not named for long enough, and forgets those removed long ago.
 func (m *Machine) missTargets(seen map[string]struct{}) {
 	for _, name := range sortedKeys(m.targets) {
 		e := m.targets[name]
+		if e.Removed && m.now-e.settled >= m.options.Tombstone {
+			delete(m.targets, name)
+			continue
+		}
 		if _, ok := seen[name]; ok || e.Removed {
 			continue
 		}
