Keep the place of an answer whose delivery was cut

Cause: when a caller's connection broke while its answer was delivered, the successors went out before the caller could come back for the rest. Change: Turn.Cut keeps the place for two seconds, as the loss of an entry does; a request sent again after its delivery is answered at once. Conclusion: the receiver should call Cut where the delivery fails.

--- a/internal/sequencer/entry.go
+++ b/internal/sequencer/entry.go
@@ -63,14 +63,16 @@
 		return Turn{}, err
 	}
 	if replay {
-		return Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}}, nil
+		return Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}, Cut: func() {}}, nil
 	}
 	s.entry.mu.Lock()
 	s.entry.open[o] = true
 	s.entry.mu.Unlock()
+	var once sync.Once
 	return Turn{
 		Wait: func(ctx context.Context, size int) error { return s.wait(ctx, o, size) },
-		Done: sync.OnceFunc(func() { s.done(o) }),
+		Done: func() { once.Do(func() { s.done(o, false) }) },
+		Cut:  func() { once.Do(func() { s.done(o, true) }) },
 	}, nil
 }
 
@@ -160,14 +162,14 @@
 	}
 }
 
-// done tells the owner in the background that the place is over.
-func (s *Sequencer) done(o *openPlace) {
+// done tells the owner in the background that the place is over, or that its delivery was cut.
+func (s *Sequencer) done(o *openPlace, cut bool) {
 	s.entry.mu.Lock()
 	delete(s.entry.open, o)
 	o.over = true
 	released := o.released
 	s.entry.mu.Unlock()
-	if released {
+	if released && !cut {
 		s.noteFloor(o.key, o.place.Sequence)
 	}
 	s.mu.Lock()
@@ -175,7 +177,7 @@
 	s.mu.Unlock()
 	s.tasks.Go(func() {
 		for range doneAttempts {
-			_, err := s.call(context.WithoutCancel(ctx), o.key, MethodDone, callTimeout, &peerv1.SequenceDone{Place: s.proto(o)}, &peerv1.SequenceAck{})
+			_, err := s.call(context.WithoutCancel(ctx), o.key, MethodDone, callTimeout, &peerv1.SequenceDone{Place: s.proto(o), Cut: cut}, &peerv1.SequenceAck{})
 			if err == nil || !unreached(err) || s.Clock.Sleep(ctx, s.jitter(maxPause)) != nil {
 				return
 			}
--- a/internal/sequencer/limits.go
+++ b/internal/sequencer/limits.go
@@ -14,6 +14,8 @@
 	Settle time.Duration
 	// DeadlineGrace is how long a place outlives the deadline of its request.
 	DeadlineGrace time.Duration
+	// ReattachGrace is how long a place whose delivery was cut, or whose entry is lost, waits to be taken again.
+	ReattachGrace time.Duration
 	// Idle is how long a key without open places is remembered.
 	Idle time.Duration
 }
@@ -26,6 +28,7 @@
 		FreshWait:     500 * time.Millisecond,
 		Settle:        3 * time.Second,
 		DeadlineGrace: 2 * time.Second,
+		ReattachGrace: 2 * time.Second,
 		Idle:          10 * time.Minute,
 	}
 }
--- a/internal/sequencer/owner.go
+++ b/internal/sequencer/owner.go
@@ -208,7 +208,11 @@
 	if err != nil || q == nil {
 		return &peerv1.SequenceAck{}, err
 	}
-	q.done(now, m.Place.GetSequence(), sourceOf(m.Place))
+	if m.Cut {
+		q.cut(now, m.Place.GetSequence(), sourceOf(m.Place))
+	} else {
+		q.done(now, m.Place.GetSequence(), sourceOf(m.Place))
+	}
 	s.step(now, q)
 	return &peerv1.SequenceAck{}, nil
 }
--- a/internal/sequencer/queue.go
+++ b/internal/sequencer/queue.go
@@ -50,6 +50,10 @@
 	deadline time.Time
 	wait     time.Duration
 	size     int
+	// delivered is true once the answer is known to be delivered.
+	delivered bool
+	// lostAt is when the delivery was cut or the entry was found lost; the zero time is not.
+	lostAt time.Time
 }
 
 // queue is the order under one key: a pure state machine of events and time.
@@ -121,7 +125,10 @@
 	switch {
 	case ok && p.id != e.id:
 		return false, refuser.New(refuser.SequenceInvalid, "sequence %d is of request %q", e.sequence, p.id)
+	case ok && p.delivered:
+		return true, nil
 	case ok && p.source == e.source:
+		p.lostAt = time.Time{}
 		return false, nil
 	case ok && e.again:
 		return false, refuser.New(refuser.AlreadyRunning, "request %q was sent again through another entry", e.id)
@@ -181,10 +188,22 @@
 	if p, ok := q.places[sequence]; ok && p.source == src {
 		q.held -= p.size
 		p.size = 0
+		p.delivered = p.state == placeReleased
 		p.state = placeOver
 	}
 }
 
+// cut says that the delivery of a place broke off; its caller may send the request again for the rest.
+func (q *queue) cut(now time.Time, sequence uint64, src source) {
+	q.touched = now
+	if p, ok := q.places[sequence]; ok && p.source == src {
+		q.held -= p.size
+		p.size = 0
+		p.state = placeRunning
+		p.lostAt = now
+	}
+}
+
 // advance raises the floor as far as it can and returns the sequence that is let out, 0 for none, and when to ask again.
 func (q *queue) advance(now time.Time) (released uint64, wake time.Time) {
 	if now.Before(q.closedUntil) {
@@ -243,11 +262,20 @@
 }
 
 // end returns when a place is over at the latest.
-func (q *queue) end(p *place) time.Time { return p.deadline.Add(q.limits.DeadlineGrace) }
+func (q *queue) end(p *place) time.Time {
+	end := p.deadline.Add(q.limits.DeadlineGrace)
+	if lost := p.lostAt.Add(q.limits.ReattachGrace); !p.lostAt.IsZero() && lost.Before(end) {
+		return lost
+	}
+	return end
+}
 
-// gone tells whether the place will never be done: its deadline is past or its entry is lost.
+// gone tells whether the place will never be done: its deadline is past, or it was cut or its entry lost for the grace.
 func (q *queue) gone(now time.Time, p *place) bool {
-	return !now.Before(q.end(p)) || !q.alive(p.source)
+	if p.lostAt.IsZero() && !q.alive(p.source) {
+		p.lostAt = now
+	}
+	return !now.Before(q.end(p))
 }
 
 // idle tells whether the queue may be forgotten.
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -42,8 +42,10 @@
 type Turn struct {
 	// Wait returns when the answer may be delivered; size is what it takes in memory, in bytes.
 	Wait func(ctx context.Context, size int) error
-	// Done says that the answer was delivered, or that there is none; it must be called once.
+	// Done says that the answer was delivered, or that there is none; after Cut it does nothing.
 	Done func()
+	// Cut says that the delivery broke off: the place is kept for a while, so that the rest can be delivered in order.
+	Cut func()
 }
 
 // Sequencer keeps the order of answers: the entry's side of every ordered request and the owner's side of its keys.
