--- a/internal/sequencer/owner.go
+++ b/internal/sequencer/owner.go
@@ -31,11 +31,11 @@
 type ownedQueue struct {
 	*queue
 	// changed is closed and replaced whenever a place was let out or the queue was given up.
-	changed  chan struct{}
-	lookedAt time.Time
-	buffer   int
-	given    bool
-	armed    time.Time
+	changed chan struct{}
+	buffer  int
+	// given is true once the queue was given up or forgotten.
+	given bool
+	armed time.Time
 }
 
 func (q *ownedQueue) wake() {
@@ -113,7 +113,6 @@
 
 // step lets out what is due and sets the timer for the rest; the caller holds mu.
 func (s *Sequencer) step(now time.Time, q *ownedQueue) {
-	q.lookedAt = now
 	released, wake := q.advance(now)
 	if released > 0 {
 		q.wake()
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/assigner"
@@ -55,6 +56,8 @@
 	Log    zerolog.Logger
 	Rand   *rand.Rand
 	Limits Limits
+	// Registry takes the metrics.
+	Registry metrics.Registry
 	// Self returns this daemon.
 	Self func() cataloger.Member
 	// Owner returns the live member that a shard belongs to.
@@ -64,11 +67,12 @@
 	// Alive tells whether an incarnation of a member may still be running.
 	Alive func(name string, incarnation uint64) bool
 
-	once   sync.Once
-	owners assigner.Table
-	nonce  atomic.Uint64
-	mu     sync.Mutex
-	queues map[queueKey]*ownedQueue
+	once    sync.Once
+	owners  assigner.Table
+	nonce   atomic.Uint64
+	mu      sync.Mutex
+	queues  map[queueKey]*ownedQueue
+	sweptAt time.Time
 	// ownedSince is when this daemon came to own each shard; zero where it does not.
 	ownedSince [Shards]time.Time
 	entry      entryState
@@ -86,8 +90,8 @@
 const (
 	// refreshInterval is how often the owners of the shards are looked up.
 	refreshInterval = 200 * time.Millisecond
-	// aliveInterval is how often a queue that waits looks whether the entries of its places are alive.
-	aliveInterval = 500 * time.Millisecond
+	// sweepInterval is how often the queues look whether the entries of their places are alive.
+	sweepInterval = 500 * time.Millisecond
 )
 
 func (s *Sequencer) init() {
@@ -95,6 +99,9 @@
 		if s.Limits == (Limits{}) {
 			s.Limits = DefaultLimits()
 		}
+		if s.Registry == nil {
+			s.Registry = metrics.NewRegistry()
+		}
 		s.owners.Shards = Shards
 		s.owners.Lookup = s.Owner
 		s.owners.View = s.View
@@ -137,24 +144,51 @@
 	defer s.mu.Unlock()
 	for i, owner := range owners {
 		switch {
-		case !owner.Is(self):
+		case !owner.Is(self) && !s.ownedSince[i].IsZero():
 			s.ownedSince[i] = time.Time{}
+			s.giveUp(uint32(i))
+		case !owner.Is(self):
 		case s.ownedSince[i].IsZero():
 			s.ownedSince[i] = now
 		}
 	}
+	if now.Sub(s.sweptAt) >= sweepInterval {
+		s.sweptAt = now
+		s.sweep(now)
+	}
+}
+
+// giveUp forgets the queues of a shard that has another owner, so that nothing of them is left should it come back; the
+// caller holds mu.
+func (s *Sequencer) giveUp(shard uint32) {
 	for key, q := range s.queues {
-		if s.ownedSince[key.shard()].IsZero() {
+		if key.shard() == shard {
 			q.abandon()
 			delete(s.queues, key)
-			continue
+		}
+	}
+}
+
+// sweep forgets idle queues and looks whether the entries of open places are alive; the caller holds mu.
+func (s *Sequencer) sweep(now time.Time) {
+	places, held := 0, 0
+	for key, q := range s.queues {
+		if len(q.places) > 0 {
+			s.step(now, q)
 		}
 		if q.idle(now) {
+			q.given = true
 			delete(s.queues, key)
 			continue
 		}
-		if now.Sub(q.lookedAt) >= aliveInterval {
-			s.step(now, q)
-		}
+		places += len(q.places)
+		held += q.held
 	}
+	s.gauge("ordering-keys", len(s.queues))
+	s.gauge("ordering-places", places)
+	s.gauge("ordering-held-bytes", held)
+}
+
+func (s *Sequencer) gauge(name string, value int) {
+	metrics.GetOrRegisterGauge(name, s.Registry).Update(int64(value))
 }
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -217,7 +217,7 @@
 		began := time.Now()
 		time.AfterFunc(time.Second, func() { f.remove(lost) })
 		require.NoError(t, f.request(kept, at(2, time.Minute), 0, func(uint64) {}))
-		require.Less(t, time.Since(began), time.Second+DefaultLimits().ReattachGrace+aliveInterval+refreshInterval+100*time.Millisecond)
+		require.Less(t, time.Since(began), time.Second+DefaultLimits().ReattachGrace+sweepInterval+refreshInterval+100*time.Millisecond)
 	})
 }
 
