Test that costs stated too low are charged at the end

Cause: with the correction of costs taken out, the tests of shares still passed, as all workspaces erred alike. Change: in the shares test every other workspace states a quarter of its cost; a test of the charge where nothing waits and of grants given back.

--- a/internal/admitter/scheduler_test.go
+++ b/internal/admitter/scheduler_test.go
@@ -228,8 +228,12 @@
 		var running []*Ticket
 		offer := func(w string) {
 			cost := float64(1 + random.IntN(largest))
-			// The estimate is wrong by up to a factor of two either way; Finish corrects it.
-			k := s.Offer(epoch, Request{Workspace: cataloger.Workspace(w), Cost: cost * (0.5 + 1.5*random.Float64())})
+			// Some workspaces state a quarter of the cost, others up to twice as much; Finish corrects it.
+			stated := cost * (1 + random.Float64())
+			if w[len(w)-1]%2 == 0 {
+				stated = cost / 4
+			}
+			k := s.Offer(epoch, Request{Workspace: cataloger.Workspace(w), Cost: stated})
 			costs[k] = cost
 			if k.State == TicketGranted {
 				running = append(running, k)
@@ -260,6 +264,16 @@
 	})
 }
 
+func TestCostIsCorrectedAtTheEnd(t *testing.T) {
+	s := newScheduler(2, Settings{}, workspaceNames(2)...)
+	low := s.Offer(epoch, Request{Workspace: "w0", Cost: 1})
+	s.Finish(epoch, low, Result{OK: true, Tokens: 100})
+	require.InDelta(t, 100, s.flows["w0"].finish, 1e-9, "charged also where nothing waits")
+	unused := s.Offer(epoch, Request{Workspace: "w1", Cost: 50})
+	s.Return(epoch, unused)
+	require.InDelta(t, 0, s.flows["w1"].finish, 1e-9, "a grant that is given back costs nothing")
+}
+
 func TestAgeingLetsTheLeastUrgentThrough(t *testing.T) {
 	s := newScheduler(1, Settings{Queue: 1000, Ageing: time.Second}, workspaceNames(1)...)
 	now := epoch
