--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -34,6 +34,8 @@
 	tokens  uint32
 	timeout time.Duration
 	begun   time.Time
+	// versions are those whose answers are right; an answer is of one version throughout.
+	versions []string
 
 	mu       sync.Mutex
 	buckets  map[int]int
@@ -43,7 +45,7 @@
 }
 
 func (w *world) newLoad(tokens uint32, timeout time.Duration) *load {
-	return &load{w: w, tokens: tokens, timeout: timeout, begun: time.Now(), buckets: map[int]int{}}
+	return &load{w: w, tokens: tokens, timeout: timeout, begun: time.Now(), versions: []string{"v1"}, buckets: map[int]int{}}
 }
 
 // start runs workers that each send one request after another.
@@ -89,12 +91,17 @@
 // generate sends one model request and checks the whole answer.
 func (l *load) generate(client *caller.Client, id string) *refuser.Refusal {
 	prompt := []byte("prompt of " + id)
-	want := enginefaker.Answer("m", "v1", "", prompt, 0, uint64(l.tokens))
+	want := [][]byte(nil)
 	next := 0
 	err := client.Send(context.Background(), &v1.Request{
 		Workspace: "counter", Service: "assistant", RequestId: id, Payload: prompt,
 		MaxTokens: l.tokens, Timeout: durationpb.New(l.timeout),
 	}, func(p *v1.SendResponse) error {
+		if want == nil {
+			version := p.GetReceipt().GetVersion()
+			require.Contains(l.w.t, l.versions, version)
+			want = enginefaker.Answer("m", version, "", prompt, 0, uint64(l.tokens))
+		}
 		require.Equal(l.w.t, string(want[next]), string(p.Data), "%s at %d", id, next)
 		next++
 		l.mu.Lock()
--- a/internal/router/recovery_test.go
+++ b/internal/router/recovery_test.go
@@ -29,7 +29,7 @@
 	var specs []engineSpec
 	for i := range chains {
 		dc := []cataloger.DataCentre{"dc-a", "dc-b"}[i%2]
-		specs = append(specs, engineSpec{0, 4, engineRate, dc}, engineSpec{4, 8, engineRate, dc})
+		specs = append(specs, engineSpec{first: 0, end: 4, rate: engineRate, dc: dc}, engineSpec{first: 4, end: 8, rate: engineRate, dc: dc})
 	}
 	return specs
 }
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -17,8 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
-	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/enginefaker"
 	"github.com/rattantray/rattantray/internal/netfaker"
 	"github.com/rattantray/rattantray/internal/platformfaker"
@@ -62,6 +62,16 @@
 	first, end uint32
 	rate       float64
 	dc         cataloger.DataCentre
+	// memory and pullRate are in bytes and bytes a second; 0 is unlimited.
+	memory   uint64
+	pullRate float64
+}
+
+func (s engineSpec) holdings() []cataloger.Holding {
+	if s.end == 0 {
+		return nil
+	}
+	return []cataloger.Holding{{Model: "m", Version: "v1", FirstLayer: s.first, EndLayer: s.end, Ready: true}}
 }
 
 // world is a whole fleet on a network in memory, in virtual time.
@@ -95,9 +105,9 @@
 // twoChains is two whole chains and one engine that overlaps both.
 func twoChains() []engineSpec {
 	return []engineSpec{
-		{0, 4, 8000, "dc-a"}, {4, 8, 8000, "dc-a"},
-		{0, 4, 4000, "dc-b"}, {4, 8, 4000, "dc-b"},
-		{2, 8, 4000, "dc-b"},
+		{first: 0, end: 4, rate: 8000, dc: "dc-a"}, {first: 4, end: 8, rate: 8000, dc: "dc-a"},
+		{first: 0, end: 4, rate: 4000, dc: "dc-b"}, {first: 4, end: 8, rate: 4000, dc: "dc-b"},
+		{first: 2, end: 8, rate: 4000, dc: "dc-b"},
 	}
 }
 
@@ -154,7 +164,10 @@
 			Kind:        "a100",
 			PrefillRate: s.rate * 40,
 			DecodeRate:  s.rate,
-			Holdings:    []cataloger.Holding{{Model: "m", Version: "v1", FirstLayer: s.first, EndLayer: s.end, Ready: true}},
+			MemoryBytes: s.memory,
+			LayerBytes:  testLayerBytes,
+			PullRate:    s.pullRate,
+			Holdings:    s.holdings(),
 			Clock:       timer.System{},
 			Client:      client,
 			KeepFor:     20 * time.Second,
