Report demand to the planner and go on with another version

Change: every daemon tells the planner of a model what it delivers, every 2 s; a request whose version has no chain left goes on with one that has, and does not wait for a version that is being replaced.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -31,6 +31,8 @@
 	FirstAttempt uint32
 	// MaxAttempts bounds the attempts in a row that gain no token; 0 stands for DefaultMaxAttempts.
 	MaxAttempts int
+	// RecoverWait is how long an answer in progress waits for a chain; 0 stands for the dispatcher's, less does not wait.
+	RecoverWait time.Duration
 	// RetryBudget is the share of requests that may be retried; 0 stands for DefaultRetryBudget, less is none.
 	RetryBudget float64
 }
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -105,7 +106,7 @@
 
 // pick asks for a route; an answer in progress waits a while for one.
 func (r *run) pick(ctx context.Context) (plan, error) {
-	giveUp := r.d.Clock.Now().Add(r.d.RecoverWait)
+	giveUp := r.d.Clock.Now().Add(cmp.Or(r.job.RecoverWait, r.d.RecoverWait))
 	for try := 0; ; try++ {
 		route, permit, err := r.d.Pick(r.request())
 		if err == nil {
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -12,6 +12,7 @@
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 const (
@@ -124,13 +125,43 @@
 }
 
 // generate runs a model request through the dispatcher.
+//
+// Where the last chain of the version that it began on is taken down, it goes on with a version that can still run.
 func (r *Router) generate(ctx context.Context, g receiver.Generation, emit func(receiver.Token) error) error {
+	tokens := 0
+	defer func() { r.placement.demands.delivered(g.Model.Name, tokens) }()
+	version := r.version(g)
+	for {
+		job := jobOf(g, version)
+		err := r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
+			tokens++
+			g.Delivered = append(g.Delivered, p.Data)
+			g.FirstAttempt = p.Attempt
+			return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
+		})
+		if err == nil || refuser.From(err).Code != refuser.NoPipeline {
+			return err
+		}
+		g.Version = ""
+		other := r.version(g)
+		if other == version || r.selector.Bound(versionKey(g, other)) == 0 {
+			return err
+		}
+		version = other
+		g.FirstAttempt += versionStride
+	}
+}
+
+// versionStride keeps the attempts on another version above those that were made.
+const versionStride = 64
+
+func jobOf(g receiver.Generation, version string) dispatcher.Job {
 	job := dispatcher.Job{
 		Workspace:     string(g.Workspace),
 		Service:       g.Service,
 		RequestID:     g.Execution,
 		Model:         g.Model.Name,
-		Version:       r.version(g),
+		Version:       version,
 		Adapter:       g.Model.Adapter,
 		Layers:        g.Model.Layers,
 		Prompt:        g.Prompt,
@@ -143,12 +174,15 @@
 		MaxAttempts:   g.Retry.MaxAttempts,
 		RetryBudget:   g.Retry.Budget,
 	}
-	tokens := 0
-	defer func() { r.placement.delivered(g.Model.Name, tokens) }()
-	return r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
-		tokens++
-		return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
-	})
+	if version != g.Model.Version {
+		// The chains of a version that is rolled out of the fleet do not come back.
+		job.RecoverWait = -1
+	}
+	return job
+}
+
+func versionKey(g receiver.Generation, version string) selector.Key {
+	return selector.Key{Name: g.Model.Name, Version: version, Adapter: g.Model.Adapter}
 }
 
 // version returns the version of the model that a request runs on.
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -1,50 +1,132 @@
 package router
 
 import (
+	"context"
 	"math"
+	"sync"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+const (
+	methodDemand   = "placement-demand"
+	demandWindow   = 5 * time.Second
+	demandInterval = 2 * time.Second
+	// demandLifetime is how long the report of a daemon counts.
+	demandLifetime = 10 * time.Second
 )
 
-const demandWindow = 10 * time.Second
+// demands holds what this daemon delivers of each model, and what other daemons reported.
+type demands struct {
+	clock timer.Clock
+
+	mu       sync.Mutex
+	own      map[string]*movingRate
+	reported map[string]map[string]report
+}
+
+type report struct {
+	rate float64
+	at   time.Time
+}
+
+func newDemands(clock timer.Clock) *demands {
+	return &demands{clock: clock, own: map[string]*movingRate{}, reported: map[string]map[string]report{}}
+}
+
+// delivered counts tokens of a model.
+func (d *demands) delivered(model string, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.own[model]
+	if r == nil {
+		r = &movingRate{}
+		d.own[model] = r
+	}
+	r.add(d.clock.Now(), float64(tokens))
+}
+
+// rates returns what this daemon delivers, in tokens a second by model.
+func (d *demands) rates() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rates := make(map[string]float64, len(d.own))
+	for model, r := range d.own {
+		rates[model] = r.at(d.clock.Now())
+	}
+	return rates
+}
+
+// take keeps the report of a daemon.
+func (d *demands) take(member, model string, rate float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reported[model] == nil {
+		d.reported[model] = map[string]report{}
+	}
+	d.reported[model][member] = report{rate: rate, at: d.clock.Now()}
+}
+
+// total returns what the whole fleet delivers of a model, by the reports that still count.
+func (d *demands) total(model string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := 0.0
+	for member, r := range d.reported[model] {
+		if d.clock.Now().Sub(r.at) > demandLifetime {
+			delete(d.reported[model], member)
+			continue
+		}
+		sum += r.rate
+	}
+	return sum
+}
 
-// demand is the rate of tokens that this daemon delivers for one model, as a moving mean.
-type demand struct {
+// movingRate is a rate whose past fades over demandWindow.
+type movingRate struct {
 	rate float64
 	last time.Time
 }
 
-func (d *demand) add(now time.Time, tokens float64) {
-	d.rate = d.at(now) + tokens/demandWindow.Seconds()
-	d.last = now
+func (r *movingRate) add(now time.Time, count float64) {
+	r.rate = r.at(now) + count/demandWindow.Seconds()
+	r.last = now
 }
 
-// at returns the rate in tokens a second.
-func (d *demand) at(now time.Time) float64 {
-	if d.last.IsZero() {
+func (r *movingRate) at(now time.Time) float64 {
+	if r.last.IsZero() {
 		return 0
 	}
-	return d.rate * math.Exp(-now.Sub(d.last).Seconds()/demandWindow.Seconds())
+	return r.rate * math.Exp(-now.Sub(r.last).Seconds()/demandWindow.Seconds())
 }
 
-// delivered counts the tokens of a model.
-func (p *placement) delivered(model string, tokens int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.demand[model]
-	if d == nil {
-		d = &demand{}
-		p.demand[model] = d
+// handleDemand takes the report of a daemon; it is a linker.Handler.
+func (p *placement) handleDemand(_ context.Context, peer string, body []byte) (proto.Message, error) {
+	var msg peerv1.Demand
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if msg.Rate >= 0 && !math.IsInf(msg.Rate, 0) {
+		p.demands.take(peer, msg.Model, msg.Rate)
 	}
-	d.add(p.router.Clock.Now(), float64(tokens))
+	return &peerv1.Demand{}, nil
 }
 
-// offered estimates the load of the whole fleet: callers are spread evenly over the entries.
-func (p *placement) offered(model string) float64 {
-	p.mu.Lock()
-	rate := 0.0
-	if d := p.demand[model]; d != nil {
-		rate = d.at(p.router.Clock.Now())
+// reportDemand tells the planner of each model what this daemon delivers.
+func (p *placement) reportDemand(ctx context.Context) {
+	for p.router.Clock.Sleep(ctx, demandInterval) == nil {
+		for model, rate := range p.demands.rates() {
+			owner := p.router.tracker.Owner(dutyPlacement, model)
+			if owner.Name == p.router.local.Name {
+				p.demands.take(owner.Name, model, rate)
+				continue
+			}
+			// A report that is lost is made up for by the next one.
+			_ = p.router.peer.Link().Notify(owner.PeerAddress, methodDemand, &peerv1.Demand{Model: model, Rate: rate})
+		}
 	}
-	p.mu.Unlock()
-	return rate * float64(max(1, len(p.router.LiveMembers()))) * offeredMargin
 }
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -25,11 +25,11 @@
 
 // placement plans the models that fall to this daemon.
 type placement struct {
-	router *Router
+	router  *Router
+	demands *demands
 
 	mu      sync.Mutex
 	running map[string]*plan
-	demand  map[string]*demand
 }
 
 // plan is the planning of one model on this daemon.
@@ -54,7 +54,8 @@
 }
 
 func (r *Router) buildPlacement() (registrar.Service, error) {
-	r.placement = &placement{router: r, running: map[string]*plan{}, demand: map[string]*demand{}}
+	r.placement = &placement{router: r, demands: newDemands(r.Clock), running: map[string]*plan{}}
+	r.peer.Handle(methodDemand, r.placement.handleDemand)
 	return registrar.Service{
 		Name:  ServicePlacement,
 		Needs: []string{ServiceLeases, ServiceMembers, ServiceConfig, ServiceSelection},
@@ -65,6 +66,9 @@
 
 func (p *placement) run(ctx context.Context) error {
 	defer p.stopAll()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { p.reportDemand(ctx) })
 	for {
 		p.assign(ctx)
 		if err := p.router.Clock.Sleep(ctx, placementInterval); err != nil {
@@ -239,7 +243,7 @@
 		Targets:   targets,
 		Links:     fleet.Links,
 		Bandwidth: p.bandwidth,
-		Offered:   p.offered(name),
+		Offered:   p.demands.total(name) * offeredMargin,
 	})
 	p.router.meter.Set("placement-bound-"+name, placed.Bound)
 	return placed
