Keep a busy process from suspecting members

With 200 daemons started at once in one process on a machine under load, about 14 members a second were suspected and refuted it, at 2.5 to 3.5 cores, and it did not settle in 60 s. The view was rebuilt with all targets on every message, each message cost four timers in yamux, and a daemon whose ticks came late judged others by them.

The view of targets is now shared until one changes and views follow at most every 50 ms; one-way streams are read through a buffer and without a deadline; a daemon whose ticks come late by 100 ms waits twice as long for others for 5 s.

All 200 at one moment was not tried again.

--- a/internal/linker/serve.go
+++ b/internal/linker/serve.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -19,6 +20,8 @@
 	acceptRetryDelay = 50 * time.Millisecond
 	// noticeStreams is how many streams a connection has beside those of calls.
 	noticeStreams = 1
+	// readBufferBytes holds a usual one-way message with its prefix.
+	readBufferBytes = 512
 )
 
 // Serve answers the connections of a listener until ctx is done or Close is called.
@@ -124,9 +127,11 @@
 func (p *Peer) serveStream(ctx context.Context, caller string, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(p.config.CallTimeout))
+	// Each read of a stream costs a timer, so that small messages are read in one go.
+	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	for {
 		var envelope peerv1.Envelope
-		if err := readFrame(stream, &envelope, p.frameLimit()); err != nil {
+		if err := readFrame(reader, &envelope, p.frameLimit()); err != nil {
 			p.refuseUnread(stream, err)
 			return
 		}
@@ -138,7 +143,8 @@
 		if err != nil {
 			p.config.Log.Debug().Err(err).Str("method", envelope.Method).Str("peer", caller).Msg("message not handled")
 		}
-		_ = stream.SetReadDeadline(time.Now().Add(2 * p.config.IdleTimeout))
+		// The session's keep-alive ends the stream of a lost peer.
+		_ = stream.SetReadDeadline(time.Time{})
 	}
 }
 
--- a/internal/tracker/fleet.go
+++ b/internal/tracker/fleet.go
@@ -15,12 +15,23 @@
 			f.Members = append(f.Members, m.member(e, heardAt))
 		}
 	}
+	f.Targets = m.targetList()
+	return f
+}
+
+// targetList returns the targets by name; the slice is shared until a target changes.
+func (m *Machine) targetList() []cataloger.Target {
+	if m.listedAt == m.targetChanges {
+		return m.targetViews
+	}
+	m.listedAt = m.targetChanges
+	m.targetViews = make([]cataloger.Target, 0, len(m.targets))
 	for _, name := range sortedKeys(m.targets) {
 		if e := m.targets[name]; !e.Removed {
-			f.Targets = append(f.Targets, e.target())
+			m.targetViews = append(m.targetViews, e.target())
 		}
 	}
-	return f
+	return m.targetViews
 }
 
 func (m *Machine) member(e *memberEntry, heardAt func(time.Duration) time.Time) cataloger.Member {
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -12,6 +12,14 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+const (
+	// strainedTicks is the gap, in ticks, from which on a daemon counts as short of processor time.
+	strainedTicks = 2
+	// strainedTime is for how long after such a gap, and strainedFactor how much more patient it is.
+	strainedTime   = 5 * time.Second
+	strainedFactor = 2
+)
+
 // Message is a Gossip on its way to a peer address.
 type Message struct {
 	To     string
@@ -33,7 +41,12 @@
 	// order holds the members by name, so that a run repeats under one seed.
 	order   []*memberEntry
 	targets map[string]*targetEntry
-	seeds   []string
+	// targetChanges is the change number of the last change of a target, and targetViews the list as of listedAt.
+	targetChanges uint64
+	listedAt      uint64
+	targetViews   []cataloger.Target
+
+	seeds []string
 	// listed holds the peer addresses of the entry VMs on the platform's list.
 	listed map[string]string
 
@@ -65,6 +78,8 @@
 	superseded bool
 	synced     bool
 	lastLoad   time.Duration
+	// strainedUntil is when the daemon trusts its own sense of time again.
+	strainedUntil time.Duration
 	// contests counts the incarnations of other processes of this name that this one had to raise its own over.
 	contests int
 	out      []Message
@@ -204,9 +219,20 @@
 		return jumped
 	}
 	m.now += gap
+	if gap > strainedTicks*m.options.Tick {
+		m.strainedUntil = m.now + strainedTime
+	}
 	return false
 }
 
+// silence returns how long a member may be silent: longer while this daemon gets too little processor time to judge.
+func (m *Machine) silence() time.Duration {
+	if m.now < m.strainedUntil {
+		return strainedFactor * m.options.Silence
+	}
+	return m.options.Silence
+}
+
 // resumeAfterPause keeps the daemon's own pause from being taken for the silence of others.
 func (m *Machine) resumeAfterPause() {
 	for _, d := range m.watched {
@@ -269,6 +295,7 @@
 
 func (m *Machine) noteTargetChange(e *targetEntry) {
 	m.changes++
+	m.targetChanges = m.changes
 	e.changed = m.changes
 }
 
--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -111,3 +111,27 @@
 	n.run(10 * time.Second)
 	require.Equal(t, 1, tell(0.45), "it is refreshed")
 }
+
+func TestADaemonShortOfProcessorTimeIsPatient(t *testing.T) {
+	for _, gap := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond} {
+		n := newNetwork(1)
+		n.grow(4, 1)
+		n.run(5 * time.Second)
+		m := n.order[0].m
+		m.Tick(n.now)
+		asked := time.Duration(0)
+		for d := gap; d < 1500*time.Millisecond && asked == 0; d += gap {
+			for _, msg := range m.Tick(n.now + d) {
+				if msg.Gossip.Kind == peerv1.GossipKind_GOSSIP_KIND_QUERY {
+					asked = d
+				}
+			}
+		}
+		if gap > strainedTicks*m.options.Tick {
+			require.Zero(t, asked, "a daemon whose ticks come late does not doubt others yet")
+			continue
+		}
+		require.NotZero(t, asked)
+		require.LessOrEqual(t, asked, m.options.Silence+2*gap)
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -29,6 +29,7 @@
 	listRate        = 4
 	listTimeout     = 5 * time.Second
 	loadInterval    = time.Second
+	rebuildInterval = 50 * time.Millisecond
 )
 
 // Tracker runs the membership of one daemon; set the exported fields before Run.
@@ -64,6 +65,7 @@
 	mu          sync.Mutex
 	subscribers map[chan struct{}]struct{}
 	built       uint64
+	builtAt     time.Duration
 }
 
 // Status is the state of this daemon's membership.
@@ -142,6 +144,7 @@
 		case <-ticks:
 			t.apply(t.machine.Tick)
 			t.tellLoad()
+			t.rebuild()
 		case f := <-t.inbox.Values():
 			t.apply(f)
 		}
@@ -165,7 +168,10 @@
 			t.send(msg)
 		}
 	}
-	t.rebuild()
+	// Under many changes the view follows with the ticks.
+	if t.now()-t.builtAt >= rebuildInterval {
+		t.rebuild()
+	}
 }
 
 func (t *Tracker) send(msg Message) {
@@ -259,6 +265,7 @@
 		return
 	}
 	t.built = m.Changes()
+	t.builtAt = t.now()
 	f := m.Fleet(t.started.Add)
 	t.fleet.Store(&f)
 	t.mu.Lock()
--- a/internal/tracker/watch.go
+++ b/internal/tracker/watch.go
@@ -192,7 +192,7 @@
 		if d == nil || !e.present() || e.status == peerv1.MemberStatus_MEMBER_STATUS_SUSPECT {
 			continue
 		}
-		if m.now-max(e.heard, d.graceFrom) < m.options.Silence || m.now < d.notBefore {
+		if m.now-max(e.heard, d.graceFrom) < m.silence() || m.now < d.notBefore {
 			continue
 		}
 		if !d.active {
