--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -61,8 +61,11 @@
 	groups := r.group(fleet.Members, q)
 	key := string(q.Workspace) + "\x00" + q.Service + "\x00" + q.Caller
 	limit := r.entries()
-	var ordered []cataloger.Member
+	var ordered []*cataloger.Member
 	for _, g := range groups {
+		if len(ordered) >= limit && spans(ordered) {
+			break
+		}
 		ordered = append(ordered, r.order(g, key)...)
 	}
 	chosen := spanDataCentres(ordered, limit)
@@ -95,15 +98,16 @@
 }
 
 // group sorts the usable members by their closeness to the caller.
-func (r Resolver) group(members []cataloger.Member, q Query) [tiers][]cataloger.Member {
+func (r Resolver) group(members []cataloger.Member, q Query) [tiers][]*cataloger.Member {
 	dc := q.DataCentre
 	region, known := regionOf(members, dc)
 	if !known {
 		dc = r.DataCentre
 		region, _ = regionOf(members, dc)
 	}
-	var groups [tiers][]cataloger.Member
-	for _, m := range members {
+	var groups [tiers][]*cataloger.Member
+	for i := range members {
+		m := &members[i]
 		if m.State != cataloger.StateLive || m.Address == "" {
 			continue
 		}
@@ -133,7 +137,7 @@
 }
 
 // order ranks members by rendezvous hashing; those over the load bound go behind the others.
-func (r Resolver) order(members []cataloger.Member, key string) []cataloger.Member {
+func (r Resolver) order(members []*cataloger.Member, key string) []*cataloger.Member {
 	candidates := make([]tracker.Candidate, len(members))
 	total := 0.0
 	for i, m := range members {
@@ -141,7 +145,7 @@
 		total += m.Load
 	}
 	bound := r.loadBound() * total / float64(max(len(members), 1))
-	var within, over []cataloger.Member
+	var within, over []*cataloger.Member
 	for _, i := range tracker.Rank(candidates, key, len(candidates)) {
 		if members[i].Load > max(bound, loadFloor) {
 			over = append(over, members[i])
@@ -153,15 +157,13 @@
 }
 
 // spanDataCentres takes the first members, and gives the last place to another data centre if they are all in one.
-func spanDataCentres(ordered []cataloger.Member, limit int) []cataloger.Member {
+func spanDataCentres(ordered []*cataloger.Member, limit int) []*cataloger.Member {
 	if len(ordered) <= limit {
 		return ordered
 	}
 	chosen := ordered[:limit:limit]
-	for _, m := range chosen {
-		if m.DataCentre != chosen[0].DataCentre {
-			return chosen
-		}
+	if spans(chosen) {
+		return chosen
 	}
 	for _, m := range ordered[limit:] {
 		if m.DataCentre != chosen[0].DataCentre {
@@ -171,3 +173,13 @@
 	}
 	return chosen
 }
+
+// spans tells whether members are in more than one data centre.
+func spans(members []*cataloger.Member) bool {
+	for _, m := range members {
+		if m.DataCentre != members[0].DataCentre {
+			return true
+		}
+	}
+	return false
+}
