--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/enginefaker"
 	"github.com/rattantray/rattantray/internal/netfaker"
@@ -61,6 +62,16 @@
 	first, end uint32
 	rate       float64
 	dc         cataloger.DataCentre
+	// memory and pullRate are in bytes and bytes a second; 0 is unlimited.
+	memory   uint64
+	pullRate float64
+}
+
+func (s engineSpec) holdings() []cataloger.Holding {
+	if s.end == 0 {
+		return nil
+	}
+	return []cataloger.Holding{{Model: "m", Version: "v1", FirstLayer: s.first, EndLayer: s.end, Ready: true}}
 }
 
 // world is a whole fleet on a network in memory, in virtual time.
@@ -88,14 +99,15 @@
 	router   *Router
 	stop     context.CancelFunc
 	done     chan error
+	dead     bool
 }
 
 // twoChains is two whole chains and one engine that overlaps both.
 func twoChains() []engineSpec {
 	return []engineSpec{
-		{0, 4, 8000, "dc-a"}, {4, 8, 8000, "dc-a"},
-		{0, 4, 4000, "dc-b"}, {4, 8, 4000, "dc-b"},
-		{2, 8, 4000, "dc-b"},
+		{first: 0, end: 4, rate: 8000, dc: "dc-a"}, {first: 4, end: 8, rate: 8000, dc: "dc-a"},
+		{first: 0, end: 4, rate: 4000, dc: "dc-b"}, {first: 4, end: 8, rate: 4000, dc: "dc-b"},
+		{first: 2, end: 8, rate: 4000, dc: "dc-b"},
 	}
 }
 
@@ -152,7 +164,10 @@
 			Kind:        "a100",
 			PrefillRate: s.rate * 40,
 			DecodeRate:  s.rate,
-			Holdings:    []cataloger.Holding{{Model: "m", Version: "v1", FirstLayer: s.first, EndLayer: s.end, Ready: true}},
+			MemoryBytes: s.memory,
+			LayerBytes:  testLayerBytes,
+			PullRate:    s.pullRate,
+			Holdings:    s.holdings(),
 			Clock:       timer.System{},
 			Client:      client,
 			KeepFor:     20 * time.Second,
@@ -223,11 +238,13 @@
 	w.net.Kill(d.ip)
 	d.router.Force()
 	<-d.done
+	d.dead = true
 }
 
 // revive starts a killed daemon again on its VM.
 func (w *world) revive(d *daemon) {
 	w.net.Revive(d.ip)
+	d.dead = false
 	w.run(d)
 }
 
@@ -252,7 +269,8 @@
 func (w *world) apply(document string) uint64 {
 	op := w.operator(w.routers[0])
 	for range 300 {
-		resp, err := op.Apply(w.t.Context(), connect.NewRequest(&v1.ApplyRequest{Document: []byte(document), Author: "test"}))
+		seen := w.stored(op, document)
+		resp, err := op.Apply(w.t.Context(), connect.NewRequest(&v1.ApplyRequest{Document: []byte(document), Author: "test", ExpectedVersion: &seen}))
 		if err == nil {
 			require.Equal(w.t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, resp.Msg.Result, resp.Msg.Message)
 			return resp.Msg.Version
@@ -263,6 +281,17 @@
 	return 0
 }
 
+// stored returns the stored version of a document's service, 0 where there is none.
+func (w *world) stored(op rattantrayv1connect.OperatorServiceClient, document string) uint64 {
+	parsed, problems := documenter.Parse([]byte(document))
+	require.Empty(w.t, problems)
+	resp, err := op.GetService(w.t.Context(), connect.NewRequest(&v1.GetServiceRequest{Name: parsed.Name}))
+	if err != nil {
+		return 0
+	}
+	return resp.Msg.Service.Version
+}
+
 // awaitServing waits until every daemon can run both services and knows all others.
 func (w *world) awaitServing() {
 	for range 600 {
