--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -43,6 +43,42 @@
 	}
 }
 
+func TestLostMessagesDelayDetectionLittle(t *testing.T) {
+	for _, size := range []int{4, 40} {
+		for _, loss := range []float64{0.01, 0.05} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%d/%g/%d", size, loss, seed), func(t *testing.T) {
+					n := newNetwork(seed + 1)
+					n.grow(size, 3)
+					n.run(10 * time.Second)
+					n.loss = loss
+					n.run(10 * time.Second)
+					for _, nd := range n.order {
+						require.Equal(t, size-1, n.states(nd.name)[cataloger.StateLive], "nobody is suspected")
+					}
+					lost := n.order[size-1]
+					lost.alive = false
+					n.run(2 * time.Second)
+					require.Zero(t, n.states(lost.name)[cataloger.StateLive])
+				})
+			}
+		}
+	}
+}
+
+func TestViewsShareTheListOfTargets(t *testing.T) {
+	n := newNetwork(1)
+	m := n.add("a", "dc", "", 1).m
+	at := func(time.Duration) time.Time { return time.Time{} }
+	m.SetVMs(n.now, engineVM("a", false), func(cataloger.VM) string { return "" })
+	before := m.Fleet(at).Targets
+	m.SetLoad(n.now, 0.5)
+	require.Same(t, &before[0], &m.Fleet(at).Targets[0])
+	m.ReportTarget(n.now, "t", TargetReport{State: cataloger.StateLive})
+	require.Equal(t, cataloger.StateLive, m.Fleet(at).Targets[0].State)
+	require.Equal(t, cataloger.StateJoining, before[0].State, "earlier views do not change")
+}
+
 // foreign returns what another process of the name says of itself.
 func foreign(name string, incarnation, epoch uint64) *peerv1.Gossip {
 	return &peerv1.Gossip{
