Try another step where links rule one out, and take missing links as free

Cause: a step that max-flow ruled out kept all others of the round back; a pair of targets without a link made the bound 0, as the stand-in for no limit was so large that the solver took every other capacity for none.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -68,11 +68,30 @@
 			placement.Assignments = append(placement.Assignments, Assignment{s.Targets[i].Name, w.first, w.end})
 		}
 	}
-	tr := newTransition(s, all, wanted, placement.Bound)
-	placement.Changes, placement.Blocked = tr.changes()
+	placement.Changes, placement.Blocked = s.changes(all, wanted, placement.Bound)
 	return placement
 }
 
+// changes returns the steps that may be taken now; where links rule a step out, others are tried in its place.
+func (s State) changes(all []group, wanted []span, bound float64) (out []Change, blocked string) {
+	banned := map[int]bool{}
+	for range mostTrials {
+		tr := newTransition(s, all, wanted, bound)
+		tr.banned = banned
+		out, blocked = tr.changes()
+		if len(tr.rejected) == 0 {
+			break
+		}
+		for _, target := range tr.rejected {
+			banned[target] = true
+		}
+	}
+	return out, blocked
+}
+
+// mostTrials bounds how often steps are chosen anew.
+const mostTrials = 4
+
 // bandwidth returns the function of the state or one that looks links up by name.
 func (s State) bandwidth() func(from, to *cataloger.Target) float64 {
 	if s.Bandwidth != nil {
@@ -87,7 +106,7 @@
 		if rate, ok := rates[pair{from.Name, to.Name}]; ok {
 			return rate
 		}
-		return math.MaxFloat64 / 4
+		return math.Inf(1)
 	}
 }
 
--- a/internal/planner/transition.go
+++ b/internal/planner/transition.go
@@ -28,6 +28,9 @@
 	bytes   float64
 	moves   int
 	blocked string
+	// rejected are the targets whose steps max-flow ruled out; those of banned were ruled out before and are not tried.
+	rejected []int
+	banned   map[int]bool
 }
 
 type readyKey struct {
@@ -128,7 +131,7 @@
 	taken := t.takeAll(free)
 	taken = append(taken, t.takeAll(t.inFinishedGroups(dropping))...)
 	taken = append(taken, t.takeToOpen(dropping)...)
-	taken = t.verify(taken)
+	taken, t.rejected = t.verify(taken)
 	var out []Change
 	for _, st := range taken {
 		out = append(out, t.changesOf(st)...)
@@ -140,7 +143,7 @@
 }
 
 // verify works the bound out over the links as well, and leaves out the last steps that would take it too low.
-func (t *transition) verify(taken []step) []step {
+func (t *transition) verify(taken []step) (left []step, rejected []int) {
 	for {
 		last := -1
 		touched := map[int]bool{}
@@ -151,7 +154,7 @@
 			}
 		}
 		if last < 0 || t.before <= 0 {
-			return taken
+			return taken, rejected
 		}
 		after := t.before
 		rest := t.without(taken)
@@ -159,9 +162,10 @@
 			after += rest.solve(t.groups[g]) - t.s.solve(t.groups[g])
 		}
 		if t.enough(after, t.before) {
-			return taken
+			return taken, rejected
 		}
 		t.block(taken[last], t.before, after)
+		rejected = append(rejected, taken[last].target)
 		taken = slices.Delete(taken, last, last+1)
 	}
 }
@@ -198,7 +202,7 @@
 // steps returns what targets need, those that drop nothing and those that do.
 func (t *transition) steps() (free, dropping []step) {
 	for i, want := range t.wanted {
-		if t.of[i] < 0 || want.empty() {
+		if t.of[i] < 0 || want.empty() || t.banned[i] {
 			continue
 		}
 		st, ok := t.stepOf(i, want)
