--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
@@ -48,7 +47,11 @@
 	mu      sync.Mutex
 	daemons []*daemon
 	// wrap changes the store that daemons see.
-	wrap func(storer.Store) storer.Store
+	wrap func(*daemon, storer.Store) storer.Store
+	// detection is how long a daemon that ended stays a live member.
+	detection time.Duration
+	// meter counts the traffic of each daemon.
+	meter map[string]meter
 	// cut holds pairs of daemons that cannot talk.
 	cut map[[2]string]bool
 	// lose, duplicate and delay are counts of messages that a fault still meets.
@@ -64,6 +67,8 @@
 	stop    context.CancelFunc
 	done    chan struct{}
 	running bool
+	// killedAt is when the daemon last ended; its address swallows messages from then on.
+	killedAt time.Time
 	// isolated keeps the daemon from the store.
 	isolated bool
 }
@@ -75,7 +80,8 @@
 		ctx:      t.Context(),
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		cut:      map[[2]string]bool{},
-		wrap:     func(s storer.Store) storer.Store { return s },
+		wrap:     func(_ *daemon, s storer.Store) storer.Store { return s },
+		meter:    map[string]meter{},
 	}
 	for i := range size {
 		name := fmt.Sprintf("entry-%03d", i)
@@ -110,7 +116,7 @@
 	d.member.Incarnation++
 	f.mu.Unlock()
 	c := New(d.member)
-	c.Store = d.guard(f.wrap(f.platform.Store()))
+	c.Store = d.guard(f.wrap(d, f.platform.Store()))
 	c.Link = linker.Link{Call: d.call}
 	c.Members = f.members
 	f.mu.Lock()
@@ -132,6 +138,7 @@
 func (d *daemon) kill() {
 	d.fleet.mu.Lock()
 	d.running = false
+	d.killedAt = time.Now()
 	d.fleet.mu.Unlock()
 	d.stop()
 	<-d.done
@@ -145,13 +152,13 @@
 	}
 }
 
-// members is a perfect view of the fleet; what it would take to get one is another package's matter.
+// members is the fleet as a failure detector with a fixed delay sees it.
 func (f *fleet) members() []cataloger.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]cataloger.Member, 0, len(f.daemons))
 	for _, d := range f.daemons {
-		if d.running {
+		if d.running || time.Since(d.killedAt) < f.detection {
 			out = append(out, d.member)
 		}
 	}
@@ -208,9 +215,7 @@
 	running, handler := to.running && d.running, to.Handlers()[method]
 	f.mu.Unlock()
 	switch {
-	case !running:
-		return errors.New("connection refused")
-	case lost:
+	case lost, !running:
 		<-ctx.Done()
 		return ctx.Err()
 	case late:
@@ -232,6 +237,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	f.count(d.member.Name, address, proto.Size(req)+proto.Size(answer))
 	proto.Merge(resp, answer)
 	return nil
 }
@@ -300,7 +306,7 @@
 		if f.lagging(name, version) == 0 {
 			return time.Since(start)
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(max(time.Millisecond, time.Since(start)/20))
 	}
 	require.Zero(f.t, f.lagging(name, version), "daemons without version %d of %q after %s", version, name, within)
 	return 0
--- a/internal/storer/budget_test.go
+++ b/internal/storer/budget_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -53,6 +54,23 @@
 	})
 }
 
+func TestRatesChangeWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformfaker.New(platformfaker.Config{})
+		l := storer.NewLimiter(p.Store(), budget(100, 100, 10))
+		s := l.Store(storer.ClassClaim)
+		one := budget(0, 0, 0).WithFleet(50, 200, 100)
+		require.Equal(t, []float64{4, 2}, []float64{one.Reads, one.Writes})
+		l.SetRates(one.Reads, one.Writes)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		for ctx.Err() == nil {
+			_, _ = s.Get(ctx, "a")
+		}
+		require.InDelta(t, 10+20*4, p.Ledger().Calls[platformfaker.OperationGet], 2)
+	})
+}
+
 func TestWaitingWatchTakesReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platformfaker.New(platformfaker.Config{})
@@ -148,3 +166,28 @@
 		require.Equal(t, int64(1), errors.Count())
 	})
 }
+
+func BenchmarkStore(b *testing.B) {
+	for _, impl := range implementations {
+		for _, size := range []int{100, 1_000, 20_000, 500_000} {
+			b.Run(fmt.Sprintf("%s/value=%d", impl.name, size), func(b *testing.B) {
+				p := platformfaker.New(platformfaker.Config{})
+				s := impl.make(b, p)
+				if impl.name == "limited" {
+					unlimited := budget(1e9, 1e9, 1_000_000)
+					s = storer.NewLimiter(p.Store(), unlimited).Store(storer.ClassClaim)
+				}
+				value := make([]byte, size)
+				version, err := s.Put(b.Context(), "a", value, 0)
+				require.NoError(b, err)
+				b.ReportAllocs()
+				for b.Loop() {
+					version, err = s.Put(b.Context(), "a", value, version)
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
