Authenticate callers of a workspace, keep a cut delivery's place

Cause: a foreign caller who knew a workspace's name could use it; a broken delivery of an ordered answer gave its place up; owners of shards were looked up about 800 times a second in each daemon.

Conclusion: tokens are opt-in by document, as workspaces are.

--- a/internal/documenter/defaults.go
+++ b/internal/documenter/defaults.go
@@ -11,7 +11,7 @@
 	DefaultShare        = 1.0
 	DefaultRetention    = 24 * time.Hour
 	DefaultAnswerBytes  = 16 << 10
-	DefaultOrderingWait = 30 * time.Second
+	DefaultOrderingWait = 10 * time.Second
 	DefaultBufferBytes  = 4 << 20
 	DefaultPayloadBytes = 1 << 20
 	DefaultMaxTokens    = 4096
--- a/internal/documenter/document.go
+++ b/internal/documenter/document.go
@@ -90,6 +90,16 @@
 	Rate float64 `yaml:"rate,omitempty" json:"rate,omitzero" jsonschema:"minimum=0,maximum=1000000"`
 	// Concurrency bounds the requests in progress over all entries; 0 is unlimited.
 	Concurrency int `yaml:"concurrency,omitempty" json:"concurrency,omitzero" jsonschema:"minimum=0,maximum=1000000"`
+	// TokenSHA256 lists the SHA-256 of the bearer tokens that callers may present; where it is empty, callers need none.
+	TokenSHA256 []TokenDigest `yaml:"token-sha256,omitempty" json:"token-sha256,omitzero" jsonschema:"maxItems=16"`
+}
+
+// TokenDigest is the SHA-256 of a bearer token in lower-case hexadecimal digits.
+type TokenDigest string
+
+// JSONSchema returns the schema of a digest.
+func (TokenDigest) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{Type: "string", Pattern: "^[0-9a-f]{64}$"}
 }
 
 // Model names what a model service runs.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -40,6 +40,8 @@
 	Lookup func(service string) (*documenter.Document, uint64, bool)
 	// Authorize checks who calls for a workspace.
 	Authorize func(header http.Header, doc *documenter.Document, workspace documenter.Workspace) error
+	// AuthorizeOutcome checks who asks for outcomes of a workspace.
+	AuthorizeOutcome func(header http.Header, workspace string) error
 	// Entries returns the entry addresses for a caller and how long they are good.
 	Entries func(q resolver.Query) ([]*v1.Entry, time.Duration, error)
 	// Admit waits for the permission to run.
@@ -138,6 +140,9 @@
 	if msg.Workspace == "" || msg.RequestId == "" {
 		return nil, refuser.New(refuser.MalformedRequest, "workspace and request-id are needed").Connect()
 	}
+	if err := r.AuthorizeOutcome(req.Header(), msg.Workspace); err != nil {
+		return nil, refuser.From(err).Connect()
+	}
 	out, err := r.Outcome(ctx, cataloger.Workspace(msg.Workspace), msg.RequestId)
 	if err != nil {
 		return nil, refuser.From(err).Connect()
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -82,7 +82,7 @@
 		Once: b.once,
 		Enter: func(_ context.Context, p sequencer.Place) (sequencer.Turn, error) {
 			b.places = append(b.places, p)
-			return sequencer.Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}}, nil
+			return sequencer.Turn{Wait: func(context.Context, int) error { return nil }, Done: func() {}, Cut: func() {}}, nil
 		},
 	}
 	return b
@@ -359,6 +359,24 @@
 	require.Equal(t, cataloger.Workspace("counter"), b.places[0].Workspace)
 }
 
+func TestCutOrderedDeliveryKeepsItsPlace(t *testing.T) {
+	b := newBench(t)
+	cut := 0
+	b.Enter = func(context.Context, sequencer.Place) (sequencer.Turn, error) {
+		return sequencer.Turn{
+			Wait: func(context.Context, int) error { return nil },
+			Done: func() {},
+			Cut:  func() { cut++ },
+		}, nil
+	}
+	req := modelRequest()
+	req.OrderingKey = "reports"
+	req.Sequence = 1
+	err := b.serve(t.Context(), req, http.Header{}, func(*v1.SendResponse) error { return errors.New("connection reset") })
+	require.Error(t, err)
+	require.Equal(t, 1, cut)
+}
+
 func TestRefusalWhileDrainingTakesNothingIn(t *testing.T) {
 	b := newBench(t)
 	b.Begin = func() (func(), error) { return nil, refuser.New(refuser.Draining, "shutting down") }
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -214,6 +214,8 @@
 	}
 	for _, p := range held {
 		if err := deliver(p); err != nil {
+			// The place is kept for a moment, so that the caller can fetch the rest in order.
+			turn.Cut()
 			return err
 		}
 	}
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
-	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/operator"
 	"github.com/rattantray/rattantray/internal/receiver"
@@ -170,23 +169,24 @@
 
 func (r *Router) receiver() *receiver.Receiver {
 	return &receiver.Receiver{
-		Log:         r.Log,
-		Clock:       r.Clock,
-		Self:        r.local.Name,
-		Incarnation: r.local.Incarnation,
-		Tokens:      r.tokens,
-		Meter:       r.meter,
-		Begin:       r.shutdown.begin,
-		Lookup:      r.config.Lookup,
-		Authorize:   authorize,
-		Entries:     r.entries,
-		Admit:       r.admit.Admit,
-		Expected:    func(string, int, int) time.Duration { return 0 },
-		Generate:    r.generate,
-		Forward:     r.forward,
-		Once:        r.journal.Execute,
-		Outcome:     r.journal.Get,
-		Enter:       r.order.Enter,
+		Log:              r.Log,
+		Clock:            r.Clock,
+		Self:             r.local.Name,
+		Incarnation:      r.local.Incarnation,
+		Tokens:           r.tokens,
+		Meter:            r.meter,
+		Begin:            r.shutdown.begin,
+		Lookup:           r.config.Lookup,
+		Authorize:        authorize,
+		AuthorizeOutcome: r.authorizeOutcome,
+		Entries:          r.entries,
+		Admit:            r.admit.Admit,
+		Expected:         func(string, int, int) time.Duration { return 0 },
+		Generate:         r.generate,
+		Forward:          r.forward,
+		Once:             r.journal.Execute,
+		Outcome:          r.journal.Get,
+		Enter:            r.order.Enter,
 	}
 }
 
@@ -232,5 +232,3 @@
 func (r *Router) outstanding(target string) int {
 	return r.balancer.Outstanding(target) + r.selector.Outstanding(target)
 }
-
-func authorize(http.Header, *documenter.Document, documenter.Workspace) error { return nil }
--- a/internal/router/journal.go
+++ b/internal/router/journal.go
@@ -27,6 +27,7 @@
 		Self:     func() cataloger.Member { return processOf(r.tracker.Self()) },
 		Owner:    func(shard uint32) (cataloger.Member, bool) { return r.shardOwner(dutyJournal, shard) },
 		Alive:    r.processAlive,
+		View:     r.tracker.View,
 		Find:     r.findProcess,
 	}
 	for method, handler := range r.journal.Handlers() {
--- a/internal/router/ordering.go
+++ b/internal/router/ordering.go
@@ -20,6 +20,7 @@
 		Self:   func() cataloger.Member { return processOf(r.tracker.Self()) },
 		Owner:  func(shard uint32) (cataloger.Member, bool) { return r.shardOwner(dutyOrdering, shard) },
 		Alive:  r.processAlive,
+		View:   r.tracker.View,
 	}
 	for method, handler := range r.order.Handlers() {
 		r.peer.Handle(method, handler)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -57,6 +59,7 @@
 	loadTold time.Duration
 	inbox    *queuer.Ring[func(now time.Duration) []Message]
 	fleet    atomic.Pointer[cataloger.Fleet]
+	view     atomic.Uint64
 	status   atomic.Pointer[Status]
 	dropped  atomic.Uint64
 	sent     atomic.Uint64
@@ -268,6 +271,7 @@
 	t.builtAt = t.now()
 	f := m.Fleet(t.started.Add)
 	t.fleet.Store(&f)
+	t.noteLive(f)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for ch := range t.subscribers {
@@ -278,6 +282,22 @@
 	}
 }
 
+// noteLive renews the number that View returns where other members are live than before.
+func (t *Tracker) noteLive(f cataloger.Fleet) {
+	h := xxhash.New()
+	for _, m := range Live(f.Members) {
+		_, _ = h.WriteString(m.Name)
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, m.Epoch))
+	}
+	t.view.Store(h.Sum64())
+}
+
+// View returns a number that changes with the live members.
+func (t *Tracker) View() uint64 {
+	t.init()
+	return t.view.Load()
+}
+
 // Fleet returns the newest view; it must not be changed.
 func (t *Tracker) Fleet() cataloger.Fleet {
 	t.init()
