--- a/internal/command/exiter/exiter.go
+++ b/internal/command/exiter/exiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -82,6 +83,10 @@
 	r := refuser.From(err)
 	if r.Code == refuser.Internal {
 		_, _ = fmt.Fprintf(w, "error: %s\n", err)
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			_, _ = fmt.Fprintln(w, "Name a router that runs with --router or RATTANTRAY_ROUTER; nothing was sent.")
+		}
 		return Error
 	}
 	_, _ = fmt.Fprintf(w, "error: %s\n", r.Error())
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -82,6 +82,7 @@
 			return ctx.Err()
 		case <-reweigh.C:
 			r.selector.Reweigh()
+			r.meterBounds(modelVersions(r.documentsInForce(), *r.held.Load()))
 			continue
 		case <-fleetChanged:
 		case <-r.changed.Values():
@@ -99,9 +100,12 @@
 	r.limits.Configure(documents)
 	r.admit.Configure(documents)
 	fleet := r.tracker.Fleet()
-	r.selector.Update(doubtCutOff(fleet, r.local), modelVersions(documents, fleet))
+	held := heldVersions(fleet)
+	models := modelVersions(documents, held)
+	r.selector.Update(doubtCutOff(fleet, r.local), models)
+	r.meterBounds(models)
 	r.indexInstances(fleet)
-	r.indexVersions(documents, fleet)
+	r.held.Store(&held)
 }
 
 func (r *Router) documentsInForce() []*documenter.Document {
@@ -201,13 +205,3 @@
 	}
 	return nil
 }
-
-func (r *Router) indexVersions(documents []*documenter.Document, fleet cataloger.Fleet) {
-	held := map[string][]string{}
-	for _, d := range documents {
-		if d.Model != nil {
-			held[d.Model.Name] = heldVersions(fleet, d.Model.Name)
-		}
-	}
-	r.held.Store(&held)
-}
--- /dev/null
+++ b/internal/router/race_on_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package router
+
+// raceEnabled tells that the race detector makes the tests several times slower.
+const raceEnabled = true
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -8,23 +8,25 @@
 	"github.com/rattantray/rattantray/internal/selector"
 )
 
-// heldVersions returns the versions of a model that engines hold, sorted.
-func heldVersions(fleet cataloger.Fleet, model string) []string {
-	var versions []string
+// heldVersions returns the versions of each model that engines hold, sorted.
+func heldVersions(fleet cataloger.Fleet) map[string][]string {
+	held := map[string][]string{}
 	for _, t := range fleet.Targets {
 		for _, h := range t.Holdings {
-			if h.Model == model && !slices.Contains(versions, h.Version) {
-				versions = append(versions, h.Version)
+			if !slices.Contains(held[h.Model], h.Version) {
+				held[h.Model] = append(held[h.Model], h.Version)
 			}
 		}
 	}
-	slices.Sort(versions)
-	return versions
+	for _, versions := range held {
+		slices.Sort(versions)
+	}
+	return held
 }
 
 // modelVersions returns the wanted version of each model in force and the others that engines still hold,
 // so that requests go on while a new version is rolled out.
-func modelVersions(documents []*documenter.Document, fleet cataloger.Fleet) []selector.Model {
+func modelVersions(documents []*documenter.Document, held map[string][]string) []selector.Model {
 	seen := map[selector.Key]bool{}
 	var models []selector.Model
 	add := func(m selector.Model) {
@@ -39,7 +41,7 @@
 		}
 		wanted := modelOf(d)
 		add(wanted)
-		for _, version := range heldVersions(fleet, wanted.Name) {
+		for _, version := range held[wanted.Name] {
 			wanted.Version = version
 			add(wanted)
 		}
