Give far pushes room beside the near ones

With 13 data centres the pushes to 24 watchers far away, 40 ms each, filled the 8 workers and held up pushes within the data centre: in force within 122 ms at 200 daemons. 32 workers: 2 ms (go test ./internal/configurer -run TestMeasureSpread -v -daemons 200 -minutes 2).

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -25,7 +25,7 @@
 const (
 	stepRing = 1024
 	jobRing  = 1024
-	workers  = 8
+	workers  = 32
 )
 
 const (
