--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -43,6 +43,42 @@
 	}
 }
 
+func TestLostMessagesDelayDetectionLittle(t *testing.T) {
+	for _, size := range []int{4, 40} {
+		for _, loss := range []float64{0.01, 0.05} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%d/%g/%d", size, loss, seed), func(t *testing.T) {
+					n := newNetwork(seed + 1)
+					n.grow(size, 3)
+					n.run(10 * time.Second)
+					n.loss = loss
+					n.run(10 * time.Second)
+					for _, nd := range n.order {
+						require.Equal(t, size-1, n.states(nd.name)[cataloger.StateLive], "nobody is suspected")
+					}
+					lost := n.order[size-1]
+					lost.alive = false
+					n.run(2 * time.Second)
+					require.Zero(t, n.states(lost.name)[cataloger.StateLive])
+				})
+			}
+		}
+	}
+}
+
+func TestViewsShareTheListOfTargets(t *testing.T) {
+	n := newNetwork(1)
+	m := n.add("a", "dc", "", 1).m
+	at := func(time.Duration) time.Time { return time.Time{} }
+	m.SetVMs(n.now, engineVM("a", false), func(cataloger.VM) string { return "" })
+	before := m.Fleet(at).Targets
+	m.SetLoad(n.now, 0.5)
+	require.Same(t, &before[0], &m.Fleet(at).Targets[0])
+	m.ReportTarget(n.now, "t", TargetReport{State: cataloger.StateLive})
+	require.Equal(t, cataloger.StateLive, m.Fleet(at).Targets[0].State)
+	require.Equal(t, cataloger.StateJoining, before[0].State, "earlier views do not change")
+}
+
 // foreign returns what another process of the name says of itself.
 func foreign(name string, incarnation, epoch uint64) *peerv1.Gossip {
 	return &peerv1.Gossip{
@@ -111,3 +147,27 @@
 	n.run(10 * time.Second)
 	require.Equal(t, 1, tell(0.45), "it is refreshed")
 }
+
+func TestADaemonShortOfProcessorTimeIsPatient(t *testing.T) {
+	for _, gap := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond} {
+		n := newNetwork(1)
+		n.grow(4, 1)
+		n.run(5 * time.Second)
+		m := n.order[0].m
+		m.Tick(n.now)
+		asked := time.Duration(0)
+		for d := gap; d < 1500*time.Millisecond && asked == 0; d += gap {
+			for _, msg := range m.Tick(n.now + d) {
+				if msg.Gossip.Kind == peerv1.GossipKind_GOSSIP_KIND_QUERY {
+					asked = d
+				}
+			}
+		}
+		if gap > strainedTicks*m.options.Tick {
+			require.Zero(t, asked, "a daemon whose ticks come late does not doubt others yet")
+			continue
+		}
+		require.NotZero(t, asked)
+		require.LessOrEqual(t, asked, m.options.Silence+2*gap)
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -29,6 +31,7 @@
 	listRate        = 4
 	listTimeout     = 5 * time.Second
 	loadInterval    = time.Second
+	rebuildInterval = 50 * time.Millisecond
 )
 
 // Tracker runs the membership of one daemon; set the exported fields before Run.
@@ -56,6 +59,7 @@
 	loadTold time.Duration
 	inbox    *queuer.Ring[func(now time.Duration) []Message]
 	fleet    atomic.Pointer[cataloger.Fleet]
+	view     atomic.Uint64
 	status   atomic.Pointer[Status]
 	dropped  atomic.Uint64
 	sent     atomic.Uint64
@@ -64,6 +68,7 @@
 	mu          sync.Mutex
 	subscribers map[chan struct{}]struct{}
 	built       uint64
+	builtAt     time.Duration
 }
 
 // Status is the state of this daemon's membership.
@@ -142,6 +147,7 @@
 		case <-ticks:
 			t.apply(t.machine.Tick)
 			t.tellLoad()
+			t.rebuild()
 		case f := <-t.inbox.Values():
 			t.apply(f)
 		}
@@ -165,7 +171,10 @@
 			t.send(msg)
 		}
 	}
-	t.rebuild()
+	// Under many changes the view follows with the ticks.
+	if t.now()-t.builtAt >= rebuildInterval {
+		t.rebuild()
+	}
 }
 
 func (t *Tracker) send(msg Message) {
@@ -259,8 +268,10 @@
 		return
 	}
 	t.built = m.Changes()
+	t.builtAt = t.now()
 	f := m.Fleet(t.started.Add)
 	t.fleet.Store(&f)
+	t.noteLive(f)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for ch := range t.subscribers {
@@ -271,6 +282,22 @@
 	}
 }
 
+// noteLive renews the number that View returns where other members are live than before.
+func (t *Tracker) noteLive(f cataloger.Fleet) {
+	h := xxhash.New()
+	for _, m := range Live(f.Members) {
+		_, _ = h.WriteString(m.Name)
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, m.Epoch))
+	}
+	t.view.Store(h.Sum64())
+}
+
+// View returns a number that changes with the live members.
+func (t *Tracker) View() uint64 {
+	t.init()
+	return t.view.Load()
+}
+
 // Fleet returns the newest view; it must not be changed.
 func (t *Tracker) Fleet() cataloger.Fleet {
 	t.init()
