Bound the age of the configuration by a setting

Cause: a daemon that cannot tell a store outage from its own isolation had no setting for how long it goes on; configurer.MaxAge had no flag.

--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -22,6 +22,7 @@
 	r.config.Random = r.random()
 	r.config.Log = r.Log
 	r.config.Metrics = r.meter.Registry
+	r.config.MaxAge = r.Settings.ConfigMaxAge
 	r.config.Changed = func() {
 		// A full ring already holds the news that something changed.
 		_ = r.changed.Offer(struct{}{})
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -44,7 +44,7 @@
 	ResolveTTL   time.Duration
 	DrainTimeout time.Duration
 	ResumeWindow time.Duration
-	StartTimeout time.Duration
+	ConfigMaxAge time.Duration
 	LogLevel     string
 	LogFormat    string
 	Release      string
@@ -57,7 +57,6 @@
 	defaultResolveTTL   = 5 * time.Second
 	defaultDrainTimeout = 2 * time.Minute
 	defaultResumeWindow = 10 * time.Minute
-	defaultStartTimeout = 30 * time.Second
 	defaultStoreReads   = 2000
 	defaultStoreWrites  = 300
 	maxResolveTTL       = time.Minute
@@ -91,7 +90,7 @@
 	flags.DurationVar(&s.ResolveTTL, "resolve-ttl", defaultResolveTTL, "Let callers keep the answers of Resolve for this `duration`")
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", defaultDrainTimeout, "Let requests in progress end for at most this `duration`")
 	flags.DurationVar(&s.ResumeWindow, "resume-window", defaultResumeWindow, "Accept resume tokens up to this `age`")
-	flags.DurationVar(&s.StartTimeout, "start-timeout", defaultStartTimeout, "Wait for the configuration at most this `duration` before reporting it late")
+	flags.DurationVar(&s.ConfigMaxAge, "config-max-age", 0, "Take no requests where the configuration is not known to be whole for this `duration`; 0 is no limit")
 	flags.StringVar(&s.LogLevel, "log-level", "info", "Log from this `level`: debug, info, warn, error")
 	flags.StringVar(&s.LogFormat, "log-format", "json", "Log as json or text")
 }
@@ -115,7 +114,7 @@
 		atMost("resolve-ttl", s.ResolveTTL, maxResolveTTL),
 		setter.Positive("drain-timeout", s.DrainTimeout),
 		setter.Positive("resume-window", s.ResumeWindow),
-		setter.Positive("start-timeout", s.StartTimeout),
+		notNegative("config-max-age", s.ConfigMaxAge),
 		setter.OneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
 		setter.OneOf("log-format", s.LogFormat, "json", "text"),
 		together("tls-cert", s.TLSCert, "tls-key", s.TLSKey),
@@ -212,6 +211,13 @@
 	return &setter.BadSetting{Name: name, Value: value.String(), Accepted: "at most " + limit.String()}
 }
 
+func notNegative(name string, value time.Duration) error {
+	if value >= 0 {
+		return nil
+	}
+	return &setter.BadSetting{Name: name, Value: value.String(), Accepted: "0 or more"}
+}
+
 func together(name, value, otherName, other string) error {
 	if (value == "") == (other == "") {
 		return nil
