Drain by the drainer and keep long fleet tests out of the race run

Cause: the daemon had a drain loop of its own beside internal/drainer, and announced for the time to live only, not for the 2 s that the news needs to spread. Under the race detector the fleet tests took over 6 minutes.

--- a/internal/command/router/start/start.go
+++ b/internal/command/router/start/start.go
@@ -21,7 +21,7 @@
 type Options struct {
 	IO       *streamer.IOStreams
 	Settings router.Settings
-	// Signals carries further requests to stop; the first one comes as the end of the command's context.
+	// Signals carries the signals to stop.
 	Signals <-chan os.Signal
 	// Unknown names environment variables with the program's prefix that no flag reads.
 	Unknown []string
@@ -89,28 +89,19 @@
 	return r.Run(ctx)
 }
 
-// watchSignals acts on the signals after the first one.
+// watchSignals passes signals on and logs what they do; the first one also ends the command's context.
 func watchSignals(ctx context.Context, opts *Options, log zerolog.Logger, r *router.Router, ended <-chan struct{}) {
 	select {
 	case <-ctx.Done():
 	case <-ended:
 		return
 	}
-	warned := false
-	for first := true; ; first = false {
+	for {
 		select {
 		case <-ended:
 			return
 		case <-opts.Signals:
-		}
-		switch {
-		case first:
-			log.Info().Msg("graceful shutdown begun")
-		case !warned:
-			warned = true
-			log.Warn().Int("in-progress", r.InProgress()).Msg("one more signal cuts the requests in progress")
-		default:
-			r.Force()
+			log.Warn().Msg(r.Signal())
 		}
 	}
 }
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -17,7 +17,11 @@
 	"github.com/rattantray/rattantray/pkg/caller"
 )
 
-const budgetInterval = 10 * time.Second
+const (
+	budgetInterval = 10 * time.Second
+	// fullLoad is the number of requests in progress that counts as a daemon's whole load.
+	fullLoad = 1000
+)
 
 func (r *Router) buildKeys() (registrar.Service, error) {
 	r.keys = &keyer.Keyer{Settings: r.Settings.keys(), Poll: keyer.DefaultPoll, Clock: r.Clock, Log: r.Log}
@@ -108,6 +112,7 @@
 		Clock:   r.Clock,
 		Random:  r.random(),
 		Log:     r.Log,
+		Load:    func() float64 { return float64(r.InProgress()) / fullLoad },
 	}
 	r.peer.Handle(tracker.Method, r.tracker.Handle)
 	return registrar.Service{
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -271,4 +271,7 @@
 }
 
 // release gives up what other daemons wait for.
-func (r *Router) release(context.Context) { r.placement.stopAll() }
+func (r *Router) release(context.Context) error {
+	r.placement.stopAll()
+	return nil
+}
--- a/internal/router/promises_test.go
+++ b/internal/router/promises_test.go
@@ -59,6 +59,7 @@
 }
 
 func TestRollingRestartLosesNothing(t *testing.T) {
+	withoutRace(t)
 	inWorld(t, 4, fourChains(), func(w *world) {
 		l := w.newLoad(16, 20*time.Second)
 		l.start(24, 4)
@@ -107,6 +108,7 @@
 }
 
 func TestResolveStopsNamingWhatIsGone(t *testing.T) {
+	withoutRace(t)
 	tests := []struct {
 		name   string
 		strike func(w *world, d *daemon)
@@ -145,6 +147,7 @@
 }
 
 func TestAppliedDocumentIsInForceEverywhere(t *testing.T) {
+	withoutRace(t)
 	tests := []struct {
 		name   string
 		strike func(w *world)
@@ -180,6 +183,7 @@
 }
 
 func TestStoreOutageRefusesBookingsTruthfully(t *testing.T) {
+	withoutRace(t)
 	inWorld(t, 4, fourChains(), func(w *world) {
 		l := w.newLoad(8, 20*time.Second)
 		heal := outage(w)
--- a/internal/router/rollout_test.go
+++ b/internal/router/rollout_test.go
@@ -39,6 +39,7 @@
 }
 
 func TestNewVersionIsRolledOutWithoutACut(t *testing.T) {
+	withoutRace(t)
 	inWorld(t, 4, withMemory(fourChains(), 5), func(w *world) {
 		w.apply(placedDocument)
 		l := w.newLoad(16, 20*time.Second)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -198,7 +198,10 @@
 }
 
 // Drain starts a graceful shutdown within a time limit; 0 takes the setting.
-func (r *Router) Drain(timeout time.Duration) { r.shutdown.drain(timeout) }
+func (r *Router) Drain(timeout time.Duration) { r.shutdown.drainer.Drain(timeout) }
+
+// Signal takes a signal to end and says what it does: the first drains, the second tells what a third would cut.
+func (r *Router) Signal() string { return r.shutdown.drainer.Signal() }
 
 // Force ends a graceful shutdown at once.
 func (r *Router) Force() { r.shutdown.force() }
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -10,27 +10,44 @@
 )
 
 const (
-	drainStep       = 20 * time.Millisecond
 	handOverTimeout = 5 * time.Second
 	notReadyRetry   = 500 * time.Millisecond
 	leaveTimeout    = 2 * time.Second
+	// forceSignals is how many signals cut the requests in progress.
+	forceSignals = 3
 )
 
-// shutdown drives the drain state of a daemon and counts what is in progress.
+// shutdown counts what is in progress and drains the daemon.
 type shutdown struct {
-	router *Router
+	router  *Router
+	drainer *drainer.Drainer
 
 	mu       sync.Mutex
-	state    drainer.State
-	asked    bool
-	forced   bool
-	handed   bool
-	finish   time.Duration
 	progress int
 }
 
 func newShutdown(r *Router) *shutdown {
-	return &shutdown{router: r, state: drainer.NewState(r.Clock.Now()), finish: r.Settings.DrainTimeout}
+	s := &shutdown{router: r}
+	s.drainer = &drainer.Drainer{
+		Limits: drainer.Limits{
+			Announce: drainer.AnnounceFor(r.Settings.ResolveTTL),
+			HandOver: handOverTimeout,
+			Finish:   r.Settings.DrainTimeout,
+		},
+		Announce:   s.announce,
+		HandOvers:  []drainer.HandOver{{Name: ServicePlacement, Run: r.release}},
+		InProgress: func() []drainer.Count { return []drainer.Count{{Kind: "requests", Requests: s.inProgress()}} },
+		Clock:      r.Clock,
+		Log:        r.Log,
+	}
+	return s
+}
+
+func (s *shutdown) announce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	s.router.tracker.Leave(ctx)
+	return nil
 }
 
 // begin takes a request in, or refuses it as not run.
@@ -38,19 +55,19 @@
 	if !s.router.config.Ready() {
 		return nil, refuser.New(refuser.NotReady, "the configuration has not been read yet").WithRetryAfter(notReadyRetry)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.state.Accepts() {
+	// The request is counted before the phase is looked at, so that no shutdown ends between the two.
+	s.add(1)
+	if !s.drainer.Accepts() {
+		s.add(-1)
 		return nil, refuser.New(refuser.Draining, "this entry is shutting down")
 	}
-	s.progress++
-	return sync.OnceFunc(s.end), nil
+	return sync.OnceFunc(func() { s.add(-1) }), nil
 }
 
-func (s *shutdown) end() {
+func (s *shutdown) add(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.progress--
+	s.progress += n
 }
 
 func (s *shutdown) inProgress() int {
@@ -59,75 +76,21 @@
 	return s.progress
 }
 
-func (s *shutdown) phase() drainer.Phase {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Phase
-}
-
-func (s *shutdown) drain(timeout time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.asked = true
-	if timeout > 0 {
-		s.finish = timeout
-	}
-}
+func (s *shutdown) phase() drainer.Phase { return s.drainer.Phase() }
 
+// force cuts what is in progress.
 func (s *shutdown) force() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.asked = true
-	s.forced = true
-}
-
-// run moves the state on until the shutdown is done or serving has ended.
-func (s *shutdown) run(ctx, serving context.Context) {
-	for {
-		if ctx.Err() != nil {
-			s.drain(0)
-		}
-		before, after := s.step()
-		if before != after {
-			s.entered(serving, after)
-		}
-		if after == drainer.Done {
-			return
-		}
-		if s.router.Clock.Sleep(serving, drainStep) != nil {
-			return
-		}
+	for range forceSignals {
+		s.drainer.Signal()
 	}
 }
 
-func (s *shutdown) step() (before, after drainer.Phase) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before = s.state.Phase
-	event := drainer.Event{Drain: s.asked, HandedOver: s.handed, InProgress: s.progress, Force: s.forced}
-	limits := drainer.Limits{Announce: s.router.Settings.ResolveTTL, HandOver: handOverTimeout, Finish: s.finish}
-	s.state = s.state.Next(s.router.Clock.Now(), event, limits)
-	return before, s.state.Phase
-}
-
-func (s *shutdown) entered(ctx context.Context, phase drainer.Phase) {
-	s.router.Log.Info().Str("phase", string(phase)).Int("in-progress", s.inProgress()).Msg("shutdown")
-	switch phase {
-	case drainer.Announced:
-		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-		defer cancel()
-		s.router.tracker.Leave(ctx)
-	case drainer.Refusing:
-		go s.handOver(ctx)
+// run drains once ctx is done or a drain is asked for, and returns when that has ended or serving is done.
+func (s *shutdown) run(ctx, serving context.Context) {
+	stop := context.AfterFunc(ctx, func() { s.drainer.Drain(0) })
+	defer stop()
+	state, err := s.drainer.Run(serving)
+	if err == nil && state.Cut > 0 {
+		s.router.Log.Warn().Int("requests", state.Cut).Msg("requests in progress were cut")
 	}
 }
-
-// handOver gives up what other daemons wait for.
-func (s *shutdown) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	s.router.release(ctx)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.handed = true
-}
