--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -41,6 +41,7 @@
 	r.limits.Usage = r.admit.Usage
 	r.limits.Apply = r.admit.SetShares
 	r.admit.InitialShare = r.limits.Initial
+	r.admit.Starved = r.limits.Kick
 	r.peer.Handle(limiter.Method, r.limits.Handle)
 	return registrar.Service{
 		Name:  ServiceLimits,
--- a/internal/storer/breaker.go
+++ b/internal/storer/breaker.go
@@ -24,7 +24,7 @@
 	return BreakerConfig{
 		Failures:     3,
 		FirstBackoff: 250 * time.Millisecond,
-		MaxBackoff:   5 * time.Second,
+		MaxBackoff:   3 * time.Second,
 		ProbeTimeout: 5 * time.Second,
 	}
 }
