Keep the admission limit above what keeps the targets busy

Cause: one daemon fell from 178,000 to 43,000 tokens/s after a few seconds of full load. The adaptive limit had gone from 64 to 1 request in progress: it reads a growing time per token as queueing, and engines that share their rate among streams answer each more slowly long before anything queues. Ruled out: locks (profiled), the fakes (direct stays at 367,000), garbage collection.

Change: the limit of a service does not fall under 8 requests for each live target, shared by the live entries.

A test shows the limit under 32 without the floor and at 32 with it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -202,6 +202,20 @@
 	s.settle()
 }
 
+// SetFloor keeps the adaptive limit of a service from falling under the requests that keep its targets busy:
+// where targets share their rate among requests, the time of each grows long before anything queues.
+func (a *Admitter) SetFloor(name string, requests int) {
+	s := a.service(name)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.limit.SetFloor(float64(max(1, requests)))
+	s.scheduler.Advance(a.Clock.Now())
+	s.settle()
+}
+
 // Usage returns what workspaces with limits asked for since the last call.
 func (a *Admitter) Usage() []limiter.Demand {
 	a.mu.RLock()
--- /dev/null
+++ b/internal/breaker/floor_test.go
@@ -0,0 +1,29 @@
+package breaker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLimitStaysAtItsFloorWhereTargetsShareTheirRate(t *testing.T) {
+	for _, floor := range []float64{0, 32} {
+		l := NewLimit(64)
+		if floor > 0 {
+			l.SetFloor(floor)
+		}
+		now := time.Unix(0, 0)
+		// A target that shares its rate: the time of a request is in proportion to what is in progress.
+		for range 20000 {
+			running := max(1, l.Value())
+			now = now.Add(time.Millisecond)
+			l.Observe(now, time.Duration(running)*5*time.Millisecond, 256, running, false)
+		}
+		if floor > 0 {
+			require.GreaterOrEqual(t, l.Value(), int(floor))
+			continue
+		}
+		require.Less(t, l.Value(), 32, "the floor is what keeps it up")
+	}
+}
--- a/internal/breaker/limit.go
+++ b/internal/breaker/limit.go
@@ -80,6 +80,12 @@
 	return int(min(l.Max, max(l.Min, v)))
 }
 
+// SetFloor sets Min and raises the limit to it.
+func (l *Limit) SetFloor(floor float64) {
+	l.Min = min(floor, l.Max)
+	l.value = max(l.value, l.Min)
+}
+
 // CostRate is the cost finished a second by each request in progress, over the last rounds; 0 while it is not known.
 func (l *Limit) CostRate() float64 { return l.costRate }
 
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -12,6 +12,7 @@
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/tracker"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -106,9 +107,38 @@
 	r.selector.Update(doubtCutOff(fleet, r.local), models)
 	r.meterBounds(models)
 	r.indexInstances(fleet)
+	r.setFloors(documents, fleet)
 	r.held.Store(&held)
 }
 
+// busyPerTarget is how many requests in progress keep a target busy while their stages wait for each other.
+const busyPerTarget = 8
+
+// setFloors keeps the limits of admission above what keeps the targets busy, as this entry's share of it.
+func (r *Router) setFloors(documents []*documenter.Document, fleet cataloger.Fleet) {
+	targets := map[string]int{}
+	for _, t := range fleet.Targets {
+		if t.State != cataloger.StateLive {
+			continue
+		}
+		if t.Type == cataloger.TypeService {
+			targets[t.Service]++
+			continue
+		}
+		if len(t.Holdings) > 0 {
+			targets[t.Holdings[0].Model]++
+		}
+	}
+	entries := max(1, len(tracker.Live(fleet.Members)))
+	for _, d := range documents {
+		served := d.Name
+		if d.Model != nil {
+			served = d.Model.Name
+		}
+		r.admit.SetFloor(d.Name, (busyPerTarget*targets[served]+entries-1)/entries)
+	}
+}
+
 func (r *Router) documentsInForce() []*documenter.Document {
 	var documents []*documenter.Document
 	for _, name := range r.config.Services() {
