--- a/internal/router/overhead_bench_test.go
+++ b/internal/router/overhead_bench_test.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -177,7 +178,7 @@
 			defer func() { _ = stream.Close() }()
 			for n := 0; ; n++ {
 				if _, err := stream.Receive(); err != nil {
-					if err == io.EOF {
+					if errors.Is(err, io.EOF) {
 						return n, nil
 					}
 					return n, err
