Take states of targets on at once and pace the weights

Cause: computing weights takes 4.5 s for 6,600 accelerators of one model and 245 ms for 1,320, and the daemon did it on each change and every second: over a whole core at the design size, against 1.3%.

Change: selector.Refresh takes the states alone; weights are computed at most 1% of the time; targets heard of within 3 s of the first view are known ones; the slow start takes 5 s. The test of joining now lets those 3 s pass first; two tests are new.

--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -18,8 +18,12 @@
 
 const (
 	reweighInterval = time.Second
-	settleInterval  = 100 * time.Millisecond
-	dutyLimits      = "limits"
+	// slowStart is how long a target that joins or returns takes to get its whole share.
+	slowStart = 5 * time.Second
+	// reweighPause is the pause after computing weights, in multiples of the time that it took.
+	reweighPause   = 100
+	settleInterval = 100 * time.Millisecond
+	dutyLimits     = "limits"
 )
 
 func (r *Router) buildAdmission() (registrar.Service, error) {
@@ -54,6 +58,7 @@
 
 func (r *Router) buildSelection() (registrar.Service, error) {
 	r.selector = selector.New(r.Clock, r.random())
+	r.selector.SlowStart = slowStart
 	r.dispatch = dispatcher.New(r.Clock, r.random(), r.Log, r.meter.Registry, r.selector, r.engines)
 	return registrar.Service{
 		Name:  ServiceSelection,
@@ -72,35 +77,49 @@
 }
 
 // runSelection takes each change of the fleet and of the documents into the selector and the admitter.
+//
+// The states of targets are taken on at once. Weights take a second and more to compute on a large fleet, so that
+// they are renewed at a pace that bounds their share of a core.
 func (r *Router) runSelection(ctx context.Context) error {
 	fleetChanged, stop := r.tracker.Subscribe()
 	defer stop()
 	reweigh := time.NewTicker(reweighInterval)
 	defer reweigh.Stop()
-	r.updateSelection()
+	next := time.Time{}
 	for {
+		now := r.Clock.Now()
+		if !now.Before(next) {
+			r.updateSelection()
+			took := r.Clock.Now().Sub(now)
+			next = r.Clock.Now().Add(max(settleInterval, reweighPause*took))
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-reweigh.C:
-			r.selector.Reweigh()
-			r.meterBounds(modelVersions(r.documentsInForce(), *r.held.Load()))
-			continue
 		case <-fleetChanged:
+			r.selector.Refresh(doubtCutOff(r.tracker.Fleet(), r.local))
+			r.indexInstances(r.tracker.Fleet())
 		case <-r.changed.Values():
+			r.configureAdmission()
 		}
-		r.updateSelection()
-		// Changes come in bursts; one update takes the whole burst in.
+		// Changes come in bursts; one pass takes the whole burst in.
 		if err := r.Clock.Sleep(ctx, settleInterval); err != nil {
 			return err
 		}
 	}
 }
 
-func (r *Router) updateSelection() {
+// configureAdmission takes on the documents in force.
+func (r *Router) configureAdmission() {
 	documents := r.documentsInForce()
 	r.limits.Configure(documents)
 	r.admit.Configure(documents)
+}
+
+func (r *Router) updateSelection() {
+	r.configureAdmission()
+	documents := r.documentsInForce()
 	fleet := r.tracker.Fleet()
 	held := heldVersions(fleet)
 	models := modelVersions(documents, held)
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -63,6 +63,8 @@
 	fleet    cataloger.Fleet
 	models   []Model
 	updated  bool
+	// begun is when the first view of the fleet came.
+	begun time.Time
 	// prompts is the mean number of prompt tokens per generated one.
 	prompts map[Key]float64
 }
@@ -105,6 +107,17 @@
 	s.graphs = graphs
 }
 
+// Refresh takes on the states of targets at once and leaves the weights as they are: a target that is gone or in doubt
+// gets no new work, and one that joins waits for the next Update.
+func (s *Selector) Refresh(fleet cataloger.Fleet) {
+	s.mu.Lock()
+	models, ok := s.models, s.updated
+	s.mu.Unlock()
+	if ok {
+		s.takeFleet(fleet, models)
+	}
+}
+
 // Reweigh computes the weights anew from the link speeds seen so far; call it every few seconds.
 func (s *Selector) Reweigh() {
 	s.mu.Lock()
@@ -115,12 +128,18 @@
 	}
 }
 
+// settling is the time after the first view in which targets that appear are taken for known ones: a daemon that has
+// just started hears of them one after another.
+const settling = 3 * time.Second
+
 // takeFleet renews the states of targets and links and forgets those that are gone.
 func (s *Selector) takeFleet(fleet cataloger.Fleet, models []Model) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
-	first := !s.updated
+	if !s.updated {
+		s.begun = now
+	}
 	s.fleet, s.models, s.updated = fleet, models, true
 	targets := make(map[string]*target, len(fleet.Targets))
 	for _, info := range fleet.Targets {
@@ -129,7 +148,7 @@
 		}
 		t := s.targets[info.Name]
 		switch {
-		case t == nil && first:
+		case t == nil && now.Sub(s.begun) < settling:
 			t = &target{name: info.Name, rampFrom: now.Add(-s.SlowStart)}
 		case t == nil, !usableState(t.info.State) && usableState(info.State):
 			if t == nil {
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -148,9 +148,28 @@
 
 var wholeModel = []Model{{Name: "m", Version: "v1", Layers: 12}}
 
+func TestTargetHeardOfAtTheStartHasItsShareAtOnce(t *testing.T) {
+	s, clock := newTestSelector()
+	s.Update(wholeFleet(3), wholeModel)
+	clock.Advance(settling / 2)
+	s.Update(wholeFleet(4), wholeModel)
+	require.InDelta(t, 0.25, share(t, s, "t3"), 0.1)
+}
+
+func TestRefreshTakesStatesOnAtOnce(t *testing.T) {
+	s, _ := newTestSelector()
+	fleet := wholeFleet(3)
+	s.Update(fleet, wholeModel)
+	fleet.Targets[0] = fleet.Targets[0].WithState(cataloger.StateDead)
+	s.Refresh(fleet)
+	require.Zero(t, share(t, s, "t0"))
+	require.Positive(t, share(t, s, "t1"))
+}
+
 func TestTargetThatJoinsStartsSlowly(t *testing.T) {
 	s, clock := newTestSelector()
 	s.Update(wholeFleet(3), wholeModel)
+	clock.Advance(settling)
 	s.Update(wholeFleet(4), wholeModel)
 	early := share(t, s, "t3")
 	require.Less(t, early, 0.2)
