--- a/pkg/caller/transport.go
+++ b/pkg/caller/transport.go
@@ -15,8 +15,8 @@
 
 const (
 	idleConnTimeout  = 90 * time.Second
-	pingInterval     = 5 * time.Second
-	pingTimeout      = 3 * time.Second
+	pingInterval     = time.Second
+	pingTimeout      = 2 * time.Second
 	maxIdlePerHost   = 64
 	keepAlivePeriod  = 15 * time.Second
 	authorizationKey = "Authorization"
