Write metric names without dots in the text format

Cause: names such as dispatcher.attempts kept their dots in the text of /metrics, which readers of that format refuse.

Change: dots become underscores there; the JSON keeps the names.

Measured: go test ./internal/meter passes with a name with dots.

--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -53,10 +53,12 @@
 	m := New()
 	m.Gauge("bound", func() float64 { return 12.5 })
 	m.Counter("parts-dropped").Inc(3)
+	m.Counter("dispatcher.failed.stalled").Inc(1)
 	text := httptest.NewRecorder()
 	m.ServeHTTP(text, httptest.NewRequest("GET", "/metrics", nil))
 	require.Contains(t, text.Body.String(), "rattantray_bound 12.5\n")
 	require.Contains(t, text.Body.String(), "rattantray_parts_dropped 3\n")
+	require.Contains(t, text.Body.String(), "rattantray_dispatcher_failed_stalled 1\n")
 
 	asJSON := httptest.NewRecorder()
 	m.ServeHTTP(asJSON, httptest.NewRequest("GET", "/metrics?format=json", nil))
--- a/internal/meter/writer.go
+++ b/internal/meter/writer.go
@@ -92,10 +92,13 @@
 	return append(out, Sample{name + "-count", labels, float64(h.Count())})
 }
 
+// nameReplacer leaves no character in a name that readers of the text format refuse.
+var nameReplacer = strings.NewReplacer("-", "_", ".", "_")
+
 // WriteText writes one line for each series.
 func (m *Meter) WriteText(w io.Writer) error {
 	for _, s := range m.Samples() {
-		name := namePrefix + strings.ReplaceAll(s.Name, "-", "_")
+		name := namePrefix + nameReplacer.Replace(s.Name)
 		value := strconv.FormatFloat(s.Value, 'g', -1, 64)
 		if _, err := fmt.Fprintf(w, "%s%s %s\n", name, labelText(s.Labels), value); err != nil {
 			return err
