Configure admission on a change only; drop what nobody calls

Cause: a read of the whole change. The daemon configured admission and limits and indexed the instances anew at every computing of weights, once a second, though documents and fleet had not changed, and twice where they had. IOStreams kept a width and a bold style that no command uses.

Conclusion: behaviour is as before, with less work at rest.

--- /dev/null
+++ b/cmd/rattantray/doc.go
@@ -0,0 +1,2 @@
+// Command rattantray is a router for model pipelines over mixed accelerators.
+package main
--- a/cmd/rattantray/main.go
+++ b/cmd/rattantray/main.go
@@ -1,4 +1,3 @@
-// Command rattantray is a router for model pipelines over mixed accelerators.
 package main
 
 import (
--- a/internal/command/streamer/iostreams.go
+++ b/internal/command/streamer/iostreams.go
@@ -9,8 +9,6 @@
 	"golang.org/x/term"
 )
 
-const fallbackWidth = 80
-
 // IOStreams is all of a command's input and output.
 type IOStreams struct {
 	In  io.Reader
@@ -21,7 +19,6 @@
 	outTTY bool
 	errTTY bool
 	colour bool
-	width  int
 }
 
 // System returns the streams of the process; NO_COLOR turns colour off.
@@ -33,10 +30,6 @@
 		inTTY:  term.IsTerminal(int(os.Stdin.Fd())),
 		outTTY: term.IsTerminal(int(os.Stdout.Fd())),
 		errTTY: term.IsTerminal(int(os.Stderr.Fd())),
-		width:  fallbackWidth,
-	}
-	if w, _, err := term.GetSize(int(os.Stdout.Fd())); err == nil && w > 0 {
-		s.width = w
 	}
 	s.colour = s.outTTY && os.Getenv("NO_COLOR") == "" && os.Getenv("TERM") != "dumb"
 	return s
@@ -45,7 +38,7 @@
 // Test returns streams over buffers that are not terminals.
 func Test() (s *IOStreams, in, out, errOut *bytes.Buffer) {
 	in, out, errOut = &bytes.Buffer{}, &bytes.Buffer{}, &bytes.Buffer{}
-	return &IOStreams{In: in, Out: out, Err: errOut, width: fallbackWidth}, in, out, errOut
+	return &IOStreams{In: in, Out: out, Err: errOut}, in, out, errOut
 }
 
 // WithTTY returns a copy that takes all three streams for terminals, or for none.
@@ -66,12 +59,6 @@
 // IsErrTTY tells whether standard error is a terminal.
 func (s *IOStreams) IsErrTTY() bool { return s.errTTY }
 
-// Width returns the columns of the terminal.
-func (s *IOStreams) Width() int { return s.width }
-
-// Bold returns text in bold where the terminal shows colour.
-func (s *IOStreams) Bold(text string) string { return s.escape("1", text) }
-
 // Green returns text in green where the terminal shows colour.
 func (s *IOStreams) Green(text string) string { return s.escape("32", text) }
 
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -85,6 +85,8 @@
 	defer stop()
 	reweigh := time.NewTicker(reweighInterval)
 	defer reweigh.Stop()
+	r.configureAdmission()
+	r.indexInstances(r.tracker.Fleet())
 	next := time.Time{}
 	for {
 		now := r.Clock.Now()
@@ -98,8 +100,9 @@
 			return ctx.Err()
 		case <-reweigh.C:
 		case <-fleetChanged:
-			r.selector.Refresh(doubtCutOff(r.tracker.Fleet(), r.local))
-			r.indexInstances(r.tracker.Fleet())
+			fleet := r.tracker.Fleet()
+			r.selector.Refresh(doubtCutOff(fleet, r.local))
+			r.indexInstances(fleet)
 		case <-r.changed.Values():
 			r.configureAdmission()
 		}
@@ -117,15 +120,14 @@
 	r.admit.Configure(documents)
 }
 
+// updateSelection computes the weights, and what else follows from documents and fleet together.
 func (r *Router) updateSelection() {
-	r.configureAdmission()
 	documents := r.documentsInForce()
 	fleet := r.tracker.Fleet()
 	held := heldVersions(fleet)
 	models := modelVersions(documents, held)
 	r.selector.Update(doubtCutOff(fleet, r.local), models)
 	r.meterBounds(models)
-	r.indexInstances(fleet)
 	r.setFloors(documents, fleet)
 	r.held.Store(&held)
 }
