Expect the time of answers from those before

Cause: the time expected of a generation was always 0, so that admission divided the cost, prompt and answer alike, by the tokens a second of a slot. A request for 200 tokens within 1 s on a chain that gives 25 a second was run until its deadline and ended as may-have-run. Conclusion: a deadline that cannot be held is refused before anything runs.

--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -48,7 +48,9 @@
 	queueWait time.Duration
 	first     time.Duration
 	last      time.Time
-	parts     int64
+	// granted is when the generation began to run.
+	granted time.Time
+	parts   int64
 }
 
 func (x *exchange) run(ctx context.Context, header http.Header) error {
@@ -167,11 +169,13 @@
 		return 1, 0
 	}
 	prompt := engineer.PromptTokens(len(x.req.Payload))
-	most := int(x.maxTokens()) - len(x.req.Delivered)
-	most = max(most, 1)
+	most := x.asked()
 	return float64(prompt + most), x.receiver.Expected(x.doc.Name, prompt, most)
 }
 
+// asked returns how many tokens the caller still wants at most.
+func (x *exchange) asked() int { return max(1, int(x.maxTokens())-len(x.req.Delivered)) }
+
 func (x *exchange) maxTokens() uint32 {
 	if x.req.MaxTokens > 0 {
 		return x.req.MaxTokens
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -48,6 +48,8 @@
 	Admit func(ctx context.Context, r admitter.Request) (*admitter.Grant, error)
 	// Expected estimates how long a generation takes; zero where it is not known.
 	Expected func(service string, promptTokens, maxTokens int) time.Duration
+	// Observe takes in how a generation went, from its grant; nil where nobody expects anything.
+	Observe func(service string, g Generated)
 	// Generate runs a model request and emits its tokens.
 	Generate func(ctx context.Context, g Generation, emit func(Token) error) error
 	// Forward runs a request on a plain service.
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -19,7 +19,8 @@
 // generate runs a model request.
 func (x *exchange) generate(ctx context.Context, emit func(Token) error) error {
 	x.started = true
-	return x.receiver.Generate(ctx, Generation{
+	x.granted = x.receiver.Clock.Now()
+	err := x.receiver.Generate(ctx, Generation{
 		Workspace:    cataloger.Workspace(x.req.Workspace),
 		Service:      x.doc.Name,
 		Execution:    x.execution,
@@ -34,6 +35,23 @@
 		Retry:        x.doc.Retry,
 		Cut:          len(x.req.ResumeToken) > 0,
 	}, emit)
+	x.observe(err)
+	return err
+}
+
+// observe tells how the generation went to whoever expects the time of others.
+func (x *exchange) observe(err error) {
+	if x.receiver.Observe == nil || x.parts == 0 {
+		return
+	}
+	first := x.begin.Add(x.first)
+	x.receiver.Observe(x.doc.Name, Generated{
+		First:  first.Sub(x.granted),
+		Rest:   x.last.Sub(first),
+		Tokens: int(x.parts),
+		Asked:  x.asked(),
+		Whole:  err == nil,
+	})
 }
 
 // emitToken passes a token on; the first one of each attempt carries a resume token.
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -175,6 +175,7 @@
 }
 
 func (r *Router) receiver() *receiver.Receiver {
+	estimator := receiver.NewEstimator(r.Clock)
 	return &receiver.Receiver{
 		Log:              r.Log,
 		Clock:            r.Clock,
@@ -188,7 +189,8 @@
 		AuthorizeOutcome: r.authorizeOutcome,
 		Entries:          r.entries,
 		Admit:            r.admit.Admit,
-		Expected:         func(string, int, int) time.Duration { return 0 },
+		Expected:         estimator.Expected,
+		Observe:          estimator.Observe,
 		Generate:         r.generate,
 		Forward:          r.forward,
 		Once:             r.journal.Execute,
