Follow the prefix-cache events of engines

Cause: nothing subscribed to the events of engines, so that an entry knew of prefixes only what it had sent itself, and of no eviction. Change: subscriber follows up to 64 live engines of the daemon's data centre, those with traffic from here first, the rest by rendezvous hashing; broken streams are opened again with jittered backoff; a gap or a break makes what was confirmed count as assumed (selector.DoubtCache). The fake engine finds the events after a number by binary search, as it is asked often now.

--- a/internal/enginefaker/cache.go
+++ b/internal/enginefaker/cache.go
@@ -1,7 +1,9 @@
 package enginefaker
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,10 +85,12 @@
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
 	var out []cacheEvent
-	for _, ev := range c.events {
-		if ev.sequence >= from && !ev.visible.After(now) {
-			out = append(out, ev)
+	first, _ := slices.BinarySearchFunc(c.events, from, func(ev cacheEvent, from uint64) int { return cmp.Compare(ev.sequence, from) })
+	for _, ev := range c.events[first:] {
+		if ev.visible.After(now) {
+			break
 		}
+		out = append(out, ev)
 	}
 	return out
 }
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -8,11 +8,14 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/subscriber"
 	"github.com/rattantray/rattantray/internal/tracker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -69,6 +72,42 @@
 	}, nil
 }
 
+// buildCacheEvents follows the prefix caches of engines in this data centre.
+func (r *Router) buildCacheEvents() (registrar.Service, error) {
+	s := &subscriber.Subscriber{
+		Self:    r.local.Name,
+		Streams: subscriber.DefaultStreams,
+		Engines: r.nearEngines,
+		Busy:    func(target string) bool { return r.selector.Outstanding(target) > 0 },
+		Open: func(ctx context.Context, address string) (*engineer.Events, error) {
+			return r.engines.Get(address).CacheEvents(ctx, &enginev1.CacheEventsRequest{})
+		},
+		Observe: r.selector.ObserveCache,
+		Doubt:   r.selector.DoubtCache,
+		Clock:   r.Clock,
+		Random:  r.random(),
+		Log:     r.Log,
+		Metrics: r.meter.Registry,
+	}
+	return registrar.Service{
+		Name:  ServiceCacheEvents,
+		Needs: []string{ServiceMembers, ServiceSelection},
+		Value: s,
+		Run:   s.Run,
+	}, nil
+}
+
+// nearEngines returns the live engines of this data centre that hold layers.
+func (r *Router) nearEngines() []cataloger.Target {
+	var near []cataloger.Target
+	for _, t := range r.tracker.Fleet().Targets {
+		if t.Type == cataloger.TypeEngine && t.State == cataloger.StateLive && t.DataCentre == r.local.DataCentre && len(t.Holdings) > 0 {
+			near = append(near, t)
+		}
+	}
+	return near
+}
+
 func (r *Router) stopSelection() error {
 	r.dispatch.Wait()
 	r.engines.Close()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,21 +38,22 @@
 
 // Names of the services of a daemon.
 const (
-	ServiceKeys       = "keys"
-	ServiceStore      = "store"
-	ServiceLink       = "link"
-	ServiceMembers    = "members"
-	ServiceConfig     = "config"
-	ServiceProbes     = "probes"
-	ServiceAdmission  = "admission"
-	ServiceLimits     = "limits"
-	ServiceSelection  = "selection"
-	ServiceJournal    = "journal"
-	ServiceOrdering   = "ordering"
-	ServiceLeases     = "leases"
-	ServicePlacement  = "placement"
-	ServiceReceiver   = "receiver"
-	ServiceOperations = "operations"
+	ServiceKeys        = "keys"
+	ServiceStore       = "store"
+	ServiceLink        = "link"
+	ServiceMembers     = "members"
+	ServiceConfig      = "config"
+	ServiceProbes      = "probes"
+	ServiceAdmission   = "admission"
+	ServiceLimits      = "limits"
+	ServiceSelection   = "selection"
+	ServiceCacheEvents = "cache-events"
+	ServiceJournal     = "journal"
+	ServiceOrdering    = "ordering"
+	ServiceLeases      = "leases"
+	ServicePlacement   = "placement"
+	ServiceReceiver    = "receiver"
+	ServiceOperations  = "operations"
 )
 
 const (
@@ -175,6 +176,7 @@
 		r.buildAdmission,
 		r.buildLimits,
 		r.buildSelection,
+		r.buildCacheEvents,
 		r.buildJournal,
 		r.buildOrdering,
 		r.buildLeases,
--- a/internal/selector/prefix.go
+++ b/internal/selector/prefix.go
@@ -11,6 +11,8 @@
 	assumedHit   = 0.7
 	// hitFade is the age at which a belief counts for 1/e.
 	hitFade = 60 * time.Second
+	// doubtLife is the age at which what is older than a doubt has faded anyhow.
+	doubtLife = 10 * hitFade
 	// maxPrefixes bounds the index, maxPrefixHolders the targets of one prefix.
 	maxPrefixes      = 1 << 16
 	maxPrefixHolders = 8
@@ -25,15 +27,37 @@
 // prefixIndex believes which targets have which prompt prefixes cached; beliefs fade, as events come late and with gaps.
 type prefixIndex struct {
 	holders map[uint64][]prefixHolder
+	// doubted is when events of a target may last have been missed.
+	doubted map[string]time.Time
 }
 
-func newPrefixIndex() *prefixIndex { return &prefixIndex{holders: make(map[uint64][]prefixHolder)} }
+func newPrefixIndex() *prefixIndex {
+	return &prefixIndex{holders: make(map[uint64][]prefixHolder), doubted: make(map[string]time.Time)}
+}
+
+// doubt makes what was confirmed of a target up to now count as assumed.
+func (x *prefixIndex) doubt(target string, now time.Time) {
+	for name, at := range x.doubted {
+		if now.Sub(at) > doubtLife {
+			delete(x.doubted, name)
+		}
+	}
+	x.doubted[target] = now
+}
+
+// chance returns the probability that a holder still has its prefix.
+func (x *prefixIndex) chance(h prefixHolder, now time.Time) float64 {
+	if at, ok := x.doubted[h.target]; ok && h.at.Before(at) {
+		h.chance = math.Min(h.chance, assumedHit)
+	}
+	return h.now(now)
+}
 
 func (x *prefixIndex) add(prefix uint64, target string, now time.Time, chance float64) {
 	list := x.holders[prefix]
 	for i := range list {
 		if list[i].target == target {
-			list[i].chance = math.Max(chance, list[i].now(now))
+			list[i].chance = math.Max(chance, x.chance(list[i], now))
 			list[i].at = now
 			return
 		}
@@ -95,7 +119,7 @@
 				return found
 			}
 			if !contains(found, h.target) {
-				found = append(found, hit{h.target, float64(i+1) * h.now(now)})
+				found = append(found, hit{h.target, float64(i+1) * x.chance(h, now)})
 			}
 		}
 	}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -259,6 +259,13 @@
 	s.prefixes.add(prefix, name, s.Clock.Now(), confirmedHit)
 }
 
+// DoubtCache takes in that cache events of a target may have been missed.
+func (s *Selector) DoubtCache(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefixes.doubt(name, s.Clock.Now())
+}
+
 // Fail marks a target as failed, so that it gets no work for a time that doubles with each failure in a row.
 func (s *Selector) Fail(name string) {
 	s.mu.Lock()
