Say not-run only after a write that proves it

Change: a verdict that says not-run waits for a write of the head that begins after the owner was asked (waitProof); waiting calls share the write. Without one the answer is may-have-run. The fuzz reads as well (Get), counts runs by payload for request-id-reused, and holds not-run against what had run at the last moment at which the owner could know; an owner that was fenced before it was asked may not say it at all. A sixth broken safeguard must be noticed.

Tests changed: TestStoreOutage and TestStoreOutageRefusesBookingsTruthfully expected not-run in an outage, which nothing that lasts could prove; they expect may-have-run now. TestDaemonsUnderFaults loses its exemption of not-ready.

--- a/internal/journaler/call.go
+++ b/internal/journaler/call.go
@@ -65,8 +65,8 @@
 		return refuse(refuser.New(refuser.MalformedRequest, "the time within request id %q is in the future", c.id))
 	case verdictFull:
 		return refuse(refuser.New(refuser.QueueFull, "the journal shard of request id %q is full", c.id).WithRetryAfter(storeRetryAfter))
-	case verdictStoreDown:
-		return refuse(refuser.New(refuser.StoreUnavailable, "the claim cannot be recorded").WithRetryAfter(storeRetryAfter))
+	case verdictBusy:
+		return c.unconsulted(refuser.QueueFull)
 	case verdictBoundElsewhere:
 		return refuse(refuser.New(refuser.BoundElsewhere, "request id %q", c.id))
 	}
--- a/internal/journaler/commit.go
+++ b/internal/journaler/commit.go
@@ -137,6 +137,7 @@
 	}
 	s.table.forget(millis(s.compactedAt), c.forget)
 	s.table.advance(c.horizon)
+	s.proved(c.head.Commit)
 	for _, ch := range c.batch {
 		s.stored(now, ch.key)
 	}
--- a/internal/journaler/entry.go
+++ b/internal/journaler/entry.go
@@ -63,9 +63,9 @@
 	case r.Mode == documenter.ModeBound && r.BoundTo == "":
 		return refuser.New(refuser.MalformedRequest, "the service is in bound mode: bound_to must name the incarnation that Resolve gave")
 	case !j.running.Load():
-		return refuser.New(refuser.NotReady, "the journal is not running")
+		return refuser.New(refuser.NotReady, "the journal is not running").WithFact(refuser.FactMayHaveRun)
 	case !j.Clock.Now().Before(r.Deadline):
-		return refuser.New(refuser.DeadlineExceeded, "before the request was claimed")
+		return refuser.New(refuser.DeadlineExceeded, "before the request was claimed").WithFact(refuser.FactMayHaveRun)
 	}
 	return nil
 }
--- a/internal/journaler/faults_test.go
+++ b/internal/journaler/faults_test.go
@@ -92,7 +92,7 @@
 			}
 			r := refuser.From(err)
 			ended[r.Code.String()+" "+r.Fact.String()]++
-			if r.Fact == refuser.FactNotRun && r.Code != refuser.NotReady {
+			if r.Fact == refuser.FactNotRun {
 				// Another sending may run the id between the verdict and here; the fuzz of the shard looks at the verdict itself.
 				require.Zero(t, before, "%s: %s", id, r)
 				require.False(t, ran, "%s: %s", id, r)
--- a/internal/journaler/fuzz_test.go
+++ b/internal/journaler/fuzz_test.go
@@ -68,7 +68,7 @@
 			if d.pending != nil {
 				call := *d.pending
 				d.pending = nil
-				d.shard.done(h.now, call, h.store.apply(call))
+				d.shard.done(h.now, call, h.apply(call))
 			} else if call, ok, _ := d.shard.next(h.now); ok {
 				d.pending = &call
 			}
@@ -109,14 +109,14 @@
 
 // TestOracleNoticesBrokenSafeguards runs the same moves with one safeguard off at a time.
 func TestOracleNoticesBrokenSafeguards(t *testing.T) {
-	for _, broken := range []breakage{breakConditions, breakEarlyPermit, breakPermitTwice, breakEagerNotRun, breakForgetClaims} {
+	for _, broken := range []breakage{breakConditions, breakEarlyPermit, breakPermitTwice, breakEagerNotRun, breakForgetClaims, breakNoProof} {
 		seed, _ := firstFault(broken, 4000)
 		require.NotZero(t, seed, broken)
 		t.Logf("%s: noticed at seed %d", broken, seed)
 	}
 	seed, seen := firstFault(breakNothing, 500)
 	require.Zero(t, seed)
-	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments"} {
+	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments", "store-unavailable", "not run on looking"} {
 		require.NotZero(t, seen[what], "the moves never reach %s", what)
 	}
 	t.Log(seen)
@@ -144,6 +144,8 @@
 		switch {
 		case c.ran:
 			seen["ran"]++
+		case c.looked:
+			seen["not run on looking"]++
 		case c.refusal != nil:
 			seen[c.refusal.Code.String()]++
 		case c.state == callFinished:
--- a/internal/journaler/harness_test.go
+++ b/internal/journaler/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -21,6 +22,7 @@
 	breakPermitTwice  breakage = "a permit is used as often as it comes"
 	breakEagerNotRun  breakage = "a target's lost answer is taken for not-run"
 	breakForgetClaims breakage = "a takeover drops claims without outcome"
+	breakNoProof      breakage = "not-run is said before a write shows that the owner is not fenced"
 )
 
 const harnessWindow = time.Minute
@@ -38,9 +40,18 @@
 	mail    []func()
 	late    []storeCall
 	nextID  uint64
-	// runs is what the oracle's target did, by request id.
-	runs   map[string]int
-	faults []string
+	// runs is what the oracle's target did, by request id, and payloads by request id and payload.
+	runs     map[string]int
+	payloads map[request]int
+	// arrivals counts the messages that daemons received.
+	arrivals int
+	faults   []string
+}
+
+// request is what a caller must not be told not-run of once it ran.
+type request struct {
+	id      string
+	payload byte
 }
 
 type daemon struct {
@@ -48,6 +59,19 @@
 	life    uint64
 	pending *storeCall
 	waiting map[uint64]func(verdict)
+	// fence is the last moment at which the daemon owned the shard.
+	fence moment
+}
+
+// moment is what had happened at one time.
+type moment struct {
+	runs     map[string]int
+	payloads map[request]int
+	arrivals int
+}
+
+func (h *harness) moment() moment {
+	return moment{runs: maps.Clone(h.runs), payloads: maps.Clone(h.payloads), arrivals: h.arrivals}
 }
 
 type entryProcess struct {
@@ -75,19 +99,24 @@
 	state      callState
 	ran        bool
 	refusal    *refuser.Refusal
-	// seen is how often the id had run when the owner gave its verdict; stale is true where that owner was fenced unknowingly.
-	seen  int
-	stale bool
+	readOnly   bool
+	// looked is true where a reading call was told that the request did not run.
+	looked bool
+	// known is the last moment that the owner could know of when it gave its verdict; late is true where the owner was
+	// asked after that.
+	known moment
+	late  bool
 }
 
 func newHarness(p pick, broken breakage) *harness {
 	h := &harness{
-		pick:   p,
-		broken: broken,
-		now:    time.UnixMilli(1_700_000_000_000),
-		rng:    rand.New(rand.NewPCG(1, 2)),
-		store:  &fuzzStore{objects: map[string][]version{}, ignore: broken == breakConditions},
-		runs:   map[string]int{},
+		pick:     p,
+		broken:   broken,
+		now:      time.UnixMilli(1_700_000_000_000),
+		rng:      rand.New(rand.NewPCG(1, 2)),
+		store:    &fuzzStore{objects: map[string][]version{}, ignore: broken == breakConditions},
+		runs:     map[string]int{},
+		payloads: map[request]int{},
 	}
 	for i := range 3 {
 		h.daemons = append(h.daemons, &daemon{})
@@ -144,6 +173,7 @@
 	if h.pick(12, "payload") == 0 {
 		c.payload = 1
 	}
+	c.readOnly = h.pick(8, "read") == 0
 	h.calls = append(h.calls, c)
 	h.send(c)
 }
@@ -159,13 +189,15 @@
 	if d.life != life {
 		return
 	}
-	cl := claim{key: keyOf("w", c.id), issued: issuedMillis(c.id), dispatcher: c.dispatcher, deadline: c.deadline}
+	cl := claim{key: keyOf("w", c.id), issued: issuedMillis(c.id), dispatcher: c.dispatcher, deadline: c.deadline, readOnly: c.readOnly}
 	cl.payload[0] = c.payload
 	h.nextID++
+	h.arrivals++
+	arrival := h.arrivals
 	d.waiting[h.nextID] = func(v verdict) {
-		seen, stale := h.runs[c.id], h.stale(d)
+		known := h.known(d)
 		h.mail = append(h.mail, func() {
-			c.seen, c.stale = seen, stale
+			c.known, c.late = known, arrival > known.arrivals
 			h.receiveVerdict(c, v)
 		})
 	}
@@ -178,6 +210,9 @@
 	} else {
 		d.shard.submitClaim(h.now, id, cl)
 	}
+	if t, waits := d.shard.tickets[id]; waits && t.kind == waitProof && h.broken == breakNoProof {
+		d.shard.finish(t, t.verdict)
+	}
 	h.collect(d)
 }
 
@@ -197,6 +232,10 @@
 	if c.state != callAsking || c.entry.life != c.dispatcher.Incarnation {
 		return
 	}
+	if c.readOnly && v.kind != verdictNotOwner {
+		h.finishLooked(c, v)
+		return
+	}
 	h.act(c, c.verdict(h.now, v))
 }
 
@@ -226,10 +265,12 @@
 			return
 		}
 		h.nextID++
+		h.arrivals++
+		arrival := h.arrivals
 		d.waiting[h.nextID] = func(v verdict) {
-			seen, stale := h.runs[c.id], h.stale(d)
+			known := h.known(d)
 			h.mail = append(h.mail, func() {
-				c.seen, c.stale = seen, stale
+				c.known, c.late = known, arrival > known.arrivals
 				h.receiveReceipt(c, v)
 			})
 		}
@@ -251,10 +292,32 @@
 	}
 }
 
-// stale tells whether another daemon fenced this one without its knowledge.
-func (h *harness) stale(d *daemon) bool {
+// known returns the last moment that a daemon can know of: now while it owns the shard, else when it was fenced.
+func (h *harness) known(d *daemon) moment {
+	if h.owns(d) {
+		return h.moment()
+	}
+	return d.fence
+}
+
+func (h *harness) owns(d *daemon) bool {
 	head, _, err := decodeHead(h.store.newest(d.shard.headKey()).value)
-	return err != nil || head.Owner != d.shard.self.Member || head.Incarnation != d.shard.self.Incarnation
+	return err == nil && head.Owner == d.shard.self.Member && head.Incarnation == d.shard.self.Incarnation
+}
+
+// apply makes a store call take effect, and notes the moment for a daemon that it fences.
+func (h *harness) apply(call storeCall) storeResult {
+	var owner *daemon
+	for _, d := range h.daemons {
+		if h.owns(d) {
+			owner = d
+		}
+	}
+	res := h.store.apply(call)
+	if owner != nil && !h.owns(owner) {
+		owner.fence = h.moment()
+	}
+	return res
 }
 
 func (h *harness) fault(format string, args ...any) {
@@ -287,8 +350,30 @@
 	if c.ran {
 		h.fault("%s: told %s by a call that ran it", c.id, r)
 	}
-	// Another payload under the id may have run, and an owner that is cut off cannot know a successor's claims.
-	if r.Code != refuser.RequestIDReused && !c.stale && c.seen > 0 {
-		h.fault("%s: told %s, had run %d times", c.id, r, c.seen)
+	h.checkNotRun(c, r.Code.String())
+}
+
+// checkNotRun holds not-run against what had happened when the owner could still know; an owner that was fenced before
+// it was asked cannot know anything.
+func (h *harness) checkNotRun(c *fuzzCall, told string) {
+	if c.late {
+		h.fault("%s: told %s by an owner that was fenced before it was asked", c.id, told)
+	}
+	runs := c.known.payloads[request{c.id, c.payload}]
+	if c.refusal == nil || c.refusal.Code != refuser.RequestIDReused {
+		runs = c.known.runs[c.id]
+	}
+	if runs > 0 {
+		h.fault("%s: told %s, had run %d times", c.id, told, runs)
+	}
+}
+
+// finishLooked ends a reading call; an id that is unknown is one that did not run.
+func (h *harness) finishLooked(c *fuzzCall, v verdict) {
+	c.state = callFinished
+	o, err := got(v, c.id)
+	if err == nil && !o.Running && (o.Fact == refuser.FactUnspecified || o.Fact == refuser.FactNotRun) {
+		c.looked = true
+		h.checkNotRun(c, "not-run on looking")
 	}
 }
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -131,7 +131,7 @@
 		for range 40 {
 			_, err = c.nodes["a"].Execute(context.Background(), within(10*time.Second, "r-2"), answering(&runs, "x"))
 			require.Equal(t, refuser.StoreUnavailable, refuser.From(err).Code)
-			require.Equal(t, refuser.FactNotRun, refuser.From(err).Fact)
+			require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact, "a successor that can reach the store may have run it")
 			require.NotZero(t, refuser.From(err).RetryAfter)
 			time.Sleep(15 * time.Second)
 		}
--- a/internal/journaler/moves_test.go
+++ b/internal/journaler/moves_test.go
@@ -42,6 +42,7 @@
 func (h *harness) run(c *fuzzCall) {
 	c.ran = true
 	h.runs[c.id]++
+	h.payloads[request{c.id, c.payload}]++
 	if h.runs[c.id] > 1 {
 		h.fault("%s: ran %d times", c.id, h.runs[c.id])
 	}
@@ -141,7 +142,7 @@
 	case 0:
 		return storeResult{err: storer.ErrUnavailable}
 	case 1:
-		h.store.apply(call)
+		h.apply(call)
 		return storeResult{err: storer.ErrUncertain}
 	case 2:
 		h.late = append(h.late, call)
@@ -151,13 +152,13 @@
 			return getResult(call.key, past[len(past)-1-h.pick(min(len(past), 4), "stale")])
 		}
 	}
-	return h.store.apply(call)
+	return h.apply(call)
 }
 
 func (h *harness) applyLate() {
 	if len(h.late) > 0 {
 		i := h.pick(len(h.late), "late")
-		h.store.apply(h.late[i])
+		h.apply(h.late[i])
 		h.late = append(h.late[:i:i], h.late[i+1:]...)
 	}
 }
--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -77,7 +77,9 @@
 	fencedAt    time.Time
 	fencedInRow int
 
-	tickets  map[uint64]*ticket
+	tickets map[uint64]*ticket
+	// proofs lists the waiting calls of the kind waitProof, and some that ended.
+	proofs   []*ticket
 	byKey    map[Key][]*ticket
 	earliest time.Time
 	replies  []reply
@@ -141,6 +143,7 @@
 	s.loading = nil
 	s.loadRecords = nil
 	s.deleting = 0
+	s.proofs = nil
 	for _, t := range s.sorted() {
 		s.finish(t, verdict{kind: verdictNotOwner})
 	}
--- a/internal/journaler/storecall.go
+++ b/internal/journaler/storecall.go
@@ -150,12 +150,12 @@
 	}
 }
 
-// dueAt returns when the dirty records are to be written; the zero time is never.
+// dueAt returns when the dirty records or a proof are to be written; the zero time is never.
 func (s *shard) dueAt(now time.Time) time.Time {
-	if len(s.dirty) == 0 {
+	if len(s.dirty) == 0 && len(s.proofs) == 0 {
 		return time.Time{}
 	}
-	if !s.urgent && now.Before(s.lazyAt) {
+	if !s.urgent && len(s.proofs) == 0 && now.Before(s.lazyAt) {
 		return s.lazyAt
 	}
 	if s.writeAt.IsZero() {
--- a/internal/journaler/ticket.go
+++ b/internal/journaler/ticket.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 // ticketKind says what a waiting call waits for.
@@ -19,6 +21,8 @@
 	waitOutcome
 	// waitReport waits until a report is durable.
 	waitReport
+	// waitProof waits until a write shows that no other owner had taken the shard when the verdict was asked for.
+	waitProof
 )
 
 // ticket is a call that waits.
@@ -30,6 +34,9 @@
 	report   *report
 	change   uint32
 	deadline time.Time
+	// verdict is what is said once the write with the number commit took effect.
+	verdict verdict
+	commit  uint64
 }
 
 // reply ends a call.
@@ -51,7 +58,7 @@
 
 func (s *shard) await(now time.Time, t *ticket) {
 	if len(s.tickets) >= s.limits.MaxWaiting {
-		s.answer(t.id, verdict{kind: verdictFull})
+		s.answer(t.id, verdict{kind: verdictBusy})
 		if t.kind == waitClaim {
 			s.voidIn(now, t)
 		}
@@ -124,7 +131,7 @@
 	}
 	switch step {
 	case stepAnswer:
-		s.answer(id, v)
+		s.answerProven(now, &ticket{id: id, key: c.key, claim: &c, deadline: c.deadline}, v)
 	case stepDuplicate:
 		s.await(now, &ticket{id: id, kind: waitOutcome, key: c.key, claim: &c, deadline: c.deadline})
 	case stepClaimed:
@@ -157,16 +164,69 @@
 		s.stats.Outcomes++
 		s.markDirty(now, rep.key, r, r.state == stateNotRun)
 	}
-	if r.stored >= r.changes {
-		s.answer(id, verdict{kind: verdictRecorded})
-	} else {
+	switch {
+	case r.stored < r.changes:
 		s.await(now, &ticket{id: id, kind: waitReport, key: rep.key, report: &rep, change: r.changes, deadline: rep.deadline})
+	case r.state == stateNotRun:
+		s.answerProven(now, &ticket{id: id, key: rep.key, report: &rep, deadline: rep.deadline}, verdict{kind: verdictRecorded})
+	default:
+		s.answer(id, verdict{kind: verdictRecorded})
 	}
 	if changed {
 		s.wakeDuplicates(now, rep.key)
 	}
 }
 
+// saysNotRun tells whether a verdict makes a caller believe that the request has not run.
+func (v verdict) saysNotRun() bool {
+	switch v.kind {
+	case verdictVoided, verdictReused, verdictFuture, verdictFull, verdictUnknown, verdictRecorded:
+		return true
+	case verdictKnown:
+		return v.result.fact == refuser.FactNotRun
+	}
+	return false
+}
+
+// answerProven gives a verdict, but one that says not-run only once a write that begins later took effect: until then
+// another owner may have taken the shard and run the request.
+func (s *shard) answerProven(now time.Time, t *ticket, v verdict) {
+	switch {
+	case s.volatile || !v.saysNotRun():
+		s.answer(t.id, v)
+	case s.outage(now):
+		s.answer(t.id, verdict{kind: verdictNotLoaded})
+	default:
+		s.awaitProof(now, t, v, s.head.Commit+1)
+	}
+}
+
+func (s *shard) awaitProof(now time.Time, t *ticket, v verdict, commit uint64) {
+	t.kind = waitProof
+	t.verdict = v
+	t.commit = commit
+	s.proofs = append(s.proofs, t)
+	s.await(now, t)
+}
+
+// proved gives the verdicts that waited for a write.
+func (s *shard) proved(commit uint64) {
+	if len(s.proofs) == 0 {
+		return
+	}
+	waiting := s.proofs
+	s.proofs = nil
+	for _, t := range waiting {
+		switch {
+		case s.tickets[t.id] != t:
+		case t.commit > commit:
+			s.proofs = append(s.proofs, t)
+		default:
+			s.finish(t, t.verdict)
+		}
+	}
+}
+
 // wakeDuplicates claims again for the calls that wait for an outcome which is now known.
 func (s *shard) wakeDuplicates(now time.Time, key Key) {
 	for _, t := range slices.Clone(s.byKey[key]) {
@@ -246,21 +306,35 @@
 		s.finish(t, verdict{kind: verdictNotLoaded})
 	case waitOutcome:
 		s.finish(t, verdict{kind: verdictRunning})
-	case waitReport:
+	case waitReport, waitProof:
 		s.finish(t, verdict{kind: verdictNotLoaded})
 	case waitClaim:
 		s.finishUnclaimed(now, t)
 	}
 }
 
-// finishUnclaimed refuses a call whose claim is not known to be durable: it is voided, or its permit is out to the same dispatcher.
+// finishUnclaimed refuses a call whose claim is not known to be durable. Unless its permit is out to the same dispatcher
+// it is voided, and the call may hear so once a write proves it.
 func (s *shard) finishUnclaimed(now time.Time, t *ticket) {
 	s.remove(t)
-	kind := verdictRunning
-	if s.voidIn(now, t) || s.isVoid(t) {
-		kind = verdictStoreDown
+	switch {
+	case !s.voidIn(now, t) && !s.isVoid(t):
+		s.answer(t.id, verdict{kind: verdictRunning})
+	case s.outage(now):
+		s.answer(t.id, verdict{kind: verdictStoreDown})
+	default:
+		t.deadline = now.Add(voidGrace)
+		s.awaitProof(now, t, verdict{kind: verdictVoided}, s.commitOf(t))
+	}
+}
+
+// commitOf returns the number of the write under way where it holds the call's claim, else of the next one.
+func (s *shard) commitOf(t *ticket) uint64 {
+	holds := func(c change) bool { return c.key == t.key && c.count >= t.change }
+	if s.commit != nil && slices.ContainsFunc(s.commit.batch, holds) {
+		return s.commit.head.Commit
 	}
-	s.answer(t.id, verdict{kind: kind})
+	return s.head.Commit + 1
 }
 
 func (s *shard) isVoid(t *ticket) bool {
@@ -280,7 +354,7 @@
 		switch {
 		case t.kind == waitClaim:
 			s.finishUnclaimed(now, t)
-		case t.kind == waitOpen && t.claim != nil:
+		case t.kind == waitProof, t.kind == waitOpen && t.claim != nil:
 			s.finish(t, verdict{kind: verdictNotLoaded})
 		}
 	}
--- a/internal/journaler/verdict.go
+++ b/internal/journaler/verdict.go
@@ -25,7 +25,7 @@
 	verdictFuture
 	// verdictFull says that the shard has no room for another id.
 	verdictFull
-	// verdictStoreDown says that the id is unknown to the owner and the store takes no claim.
+	// verdictStoreDown says that the id is unknown to the owner and the store takes no claim; a successor may know it.
 	verdictStoreDown
 	// verdictNotLoaded says that the store is down and the owner does not know the shard's records.
 	verdictNotLoaded
@@ -39,6 +39,8 @@
 	verdictUnknown
 	// verdictBoundElsewhere says that the daemon has another incarnation than the request is bound to.
 	verdictBoundElsewhere
+	// verdictBusy says that too many calls wait at the owner, which did not look the id up.
+	verdictBusy
 )
 
 type verdict struct {
--- a/internal/router/promises_test.go
+++ b/internal/router/promises_test.go
@@ -190,7 +190,7 @@
 		time.Sleep(10 * time.Minute)
 		r := l.book(w.client, "b-out")
 		require.Equal(t, refuser.StoreUnavailable, r.Code)
-		require.Equal(t, refuser.FactNotRun, r.Fact)
+		require.Equal(t, refuser.FactMayHaveRun, r.Fact, "nothing that lasts shows that no other entry ran it")
 		require.Positive(t, r.RetryAfter)
 		require.Nil(t, l.generate(w.client, "g-out"), "idempotent work goes on")
 		heal()
