Drop the oldest ids early and look bound requests up

Cause: 400 claims/s filled the ids of a daemon in 11.6 h (1.5 h with 4 daemons; bound mode, with one part of 9 of the room, sooner), and new ids were refused from then on.

Change: from nine tenths of the room on, the oldest segment is dropped by raising the stored horizon, never within an hour; bound mode does the same in memory.

--- a/internal/journaler/cluster_test.go
+++ b/internal/journaler/cluster_test.go
@@ -116,6 +116,8 @@
 	// ranking caches the owner of each shard.
 	ranking [Shards]cataloger.Member
 	limits  Limits
+	// bound is what Bound says of the workspace of the tests.
+	bound bool
 }
 
 type node struct {
@@ -148,15 +150,17 @@
 		return put(ctx, key, value, expected)
 	}
 	n.Journaler = &Journaler{
-		Clock:  timer.System{},
-		Store:  api,
-		Link:   linker.Link{Call: c.caller(name)},
-		Rand:   rand.New(rand.NewPCG(xxhash.Sum64String(name), incarnation)),
-		Limits: c.limits,
-		Self:   func() cataloger.Member { return n.member },
-		Owner:  c.owner,
-		Alive:  c.alive,
-		Find:   c.find,
+		Clock:   timer.System{},
+		Store:   api,
+		Link:    linker.Link{Call: c.caller(name)},
+		Rand:    rand.New(rand.NewPCG(xxhash.Sum64String(name), incarnation)),
+		Limits:  c.limits,
+		Self:    func() cataloger.Member { return n.member },
+		Owner:   c.owner,
+		Alive:   c.alive,
+		Find:    c.find,
+		Bound:   func(w cataloger.Workspace) bool { return w == "schalter" && c.bound },
+		Members: c.members,
 	}
 	n.handlers = n.Handlers()
 	c.mu.Lock()
@@ -203,6 +207,16 @@
 	return ok && n.member.Incarnation == incarnation
 }
 
+func (c *cluster) members() []cataloger.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []cataloger.Member
+	for _, n := range c.nodes {
+		all = append(all, n.member)
+	}
+	return all
+}
+
 func (c *cluster) find(incarnation string) (cataloger.Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/journaler/commit.go
+++ b/internal/journaler/commit.go
@@ -135,7 +135,7 @@
 			r.stored = ch.count
 		}
 	}
-	s.table.forget(millis(s.compactedAt), c.forget)
+	s.table.forget(millis(s.compactTo), c.forget)
 	s.table.advance(c.horizon)
 	s.proved(c.head.Commit)
 	for _, ch := range c.batch {
--- a/internal/journaler/compaction.go
+++ b/internal/journaler/compaction.go
@@ -17,16 +17,40 @@
 	return time.UnixMilli(s.head.Segments[0].ExpiresMs)
 }
 
+// crowdedShare is the part of the room for ids at which the oldest are dropped before the window is over.
+const crowdedShare = 0.9
+
+// crowded tells whether the oldest segment is to be dropped early, so that new ids are not refused. Its ids are refused
+// by the horizon from then on, as after the window.
+func (s *shard) crowded(now time.Time) bool {
+	if !s.crowdedTable() {
+		return false
+	}
+	at := s.compactionAt()
+	return !at.IsZero() && !at.Add(-s.limits.Window).After(now.Add(-s.limits.LeastWindow))
+}
+
+// crowdedTable tells whether there is little room left, and ids that can be dropped.
+func (s *shard) crowdedTable() bool {
+	room := float64(s.table.limits.MaxRecords)
+	known := len(s.table.records)
+	return float64(known) >= crowdedShare*room && float64(known-s.table.untimed) >= (1-crowdedShare)*room
+}
+
 func (s *shard) compactionDue(now time.Time) bool {
 	at := s.compactionAt()
-	return !at.IsZero() && !now.Before(at)
+	return !at.IsZero() && !now.Before(at) || s.crowded(now)
 }
 
-// compact drops expired segments. Ids that carry their time are refused by the horizon from then on; of the others a
-// fingerprint is kept in the archive, so that an id once claimed is never taken for a new one.
+// compact drops expired segments, or the oldest one where the shard is crowded. Ids that carry their time are refused by
+// the horizon from then on; of the others a fingerprint is kept in the archive, so that an id once claimed is never
+// taken for a new one.
 func (s *shard) compact(now time.Time) {
-	s.compactedAt = now
-	s.forgetting = s.table.expired(millis(now), s.limits.ForgetBatch)
+	s.compactTo = now
+	if at := s.compactionAt(); at.After(now) {
+		s.compactTo = at
+	}
+	s.forgetting = s.table.expired(millis(s.compactTo), s.limits.ForgetBatch)
 	var prints []byte
 	for _, key := range s.forgetting {
 		r := s.table.records[key]
@@ -43,7 +67,7 @@
 
 // finishCompaction writes a head without the expired segments, once the fingerprints are stored.
 func (s *shard) finishCompaction() {
-	at := millis(s.compactedAt)
+	at := millis(s.compactTo)
 	if len(s.forgetting) < s.limits.ForgetBatch {
 		s.head.HorizonMs = max(s.head.HorizonMs, at-s.limits.Window.Milliseconds())
 		s.dropExpired(at)
--- a/internal/journaler/entry.go
+++ b/internal/journaler/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/sha256"
+	"slices"
+	"sync"
 	"time"
 	"unicode/utf8"
 
@@ -148,7 +150,7 @@
 	return refuser.New(refuser.OutcomeUncertain, "not-run could not be recorded after: %s", refusal.Message).WithCause(refusal)
 }
 
-// Get returns the outcome of an earlier request in journal mode; the zero outcome is an unknown id.
+// Get returns the outcome of an earlier request; the zero outcome is an unknown id.
 func (j *Journaler) Get(ctx context.Context, workspace cataloger.Workspace, id string) (Outcome, error) {
 	j.init()
 	r := Request{Workspace: workspace, ID: id, Deadline: j.Clock.Now().Add(voidGrace)}
@@ -156,10 +158,25 @@
 		return Outcome{}, err
 	}
 	cl := claim{key: keyOf(workspace, id), issued: issuedMillis(id), deadline: r.Deadline, readOnly: true}
+	bound := j.Bound != nil && j.Bound(workspace)
+	if bound {
+		if out, ok := j.getBound(ctx, r, cl); ok {
+			return out, nil
+		}
+	}
+	out, err := j.getStored(ctx, r, cl)
+	if bound && err == nil && out.Fact == refuser.FactUnspecified {
+		// An incarnation that is gone, or was not asked, may have run it.
+		return Outcome{Fact: refuser.FactMayHaveRun}, nil
+	}
+	return out, err
+}
+
+func (j *Journaler) getStored(ctx context.Context, r Request, cl claim) (Outcome, error) {
 	for {
 		v, _, err := j.ask(ctx, r, cl)
 		if err == nil && v.kind != verdictNotOwner {
-			return got(v, id)
+			return got(v, r.ID)
 		}
 		if j.Clock.Sleep(ctx, j.jitter(minAskInterval)) != nil || !j.Clock.Now().Before(r.Deadline) {
 			return Outcome{}, refuser.New(refuser.StoreUnavailable, "the journal could not be asked").WithFact(refuser.FactMayHaveRun)
@@ -167,6 +184,46 @@
 	}
 }
 
+// maxBoundAsked bounds the daemons that one Get asks about requests in bound mode.
+const maxBoundAsked = 16
+
+// getBound asks this daemon and then others, at the same time, whether a request is bound to them.
+func (j *Journaler) getBound(ctx context.Context, r Request, cl claim) (Outcome, bool) {
+	r.Mode = documenter.ModeBound
+	self := j.Self()
+	if out, ok := j.getBoundTo(ctx, r, cl, self); ok {
+		return out, true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := slices.DeleteFunc(j.Members(), j.isSelf)
+	others = others[:min(len(others), maxBoundAsked)]
+	found := make(chan Outcome, len(others))
+	var wait sync.WaitGroup
+	for _, m := range others {
+		wait.Go(func() {
+			if out, ok := j.getBoundTo(ctx, r, cl, m); ok {
+				found <- out
+				cancel()
+			}
+		})
+	}
+	wait.Wait()
+	close(found)
+	out, ok := <-found
+	return out, ok
+}
+
+func (j *Journaler) getBoundTo(ctx context.Context, r Request, cl claim, m cataloger.Member) (Outcome, bool) {
+	r.BoundTo = Incarnation(m)
+	v, _, err := j.ask(ctx, r, cl)
+	if err != nil || (v.kind != verdictKnown && v.kind != verdictRunning) {
+		return Outcome{}, false
+	}
+	out, err := got(v, r.ID)
+	return out, err == nil
+}
+
 func got(v verdict, id string) (Outcome, error) {
 	switch v.kind {
 	case verdictKnown:
--- a/internal/journaler/fuzz_test.go
+++ b/internal/journaler/fuzz_test.go
@@ -116,7 +116,7 @@
 	}
 	seed, seen := firstFault(breakNothing, 500)
 	require.Zero(t, seed)
-	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments", "store-unavailable", "not run on looking"} {
+	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments", "store-unavailable", "not run on looking", "queue-full", "dropped early"} {
 		require.NotZero(t, seen[what], "the moves never reach %s", what)
 	}
 	t.Log(seen)
@@ -158,6 +158,9 @@
 		}
 	}
 	for _, d := range h.daemons {
+		if d.shard.compactTo.After(h.now) {
+			seen["dropped early"]++
+		}
 		seen["takeovers"] += d.shard.stats.Takeovers
 		seen["fenced"] += d.shard.stats.Fenced
 		seen["segments"] += d.shard.stats.Segments
--- a/internal/journaler/harness_test.go
+++ b/internal/journaler/harness_test.go
@@ -134,6 +134,8 @@
 	d.life++
 	limits := DefaultLimits()
 	limits.Window = harnessWindow
+	limits.LeastWindow = harnessWindow / 8
+	limits.MaxRecords = 8
 	limits.SealBytes = 400
 	limits.SegmentBytes = 900
 	limits.ForgetBatch = 3
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -38,6 +38,10 @@
 	Alive func(name string, incarnation uint64) bool
 	// Find returns the live member of an incarnation as Incarnation names it, for bound mode.
 	Find func(incarnation string) (cataloger.Member, bool)
+	// Bound tells whether a workspace is served in bound mode by any service; nil is none.
+	Bound func(workspace cataloger.Workspace) bool
+	// Members returns the live members, for Get in bound mode.
+	Members func() []cataloger.Member
 
 	once    sync.Once
 	owners  assigner.Table
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -259,6 +259,86 @@
 	})
 }
 
+func TestGetInBoundMode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(newMemoryStore(time.Millisecond), "a", "b", "c")
+		defer c.stop()
+		c.bound = true
+		runs := 0
+		r := within(time.Second, "r-1")
+		r.Mode = documenter.ModeBound
+		r.BoundTo = Incarnation(c.nodes["b"].member)
+		_, err := c.nodes["a"].Execute(context.Background(), r, answering(&runs, "x"))
+		require.NoError(t, err)
+		settle(t)
+		for _, name := range []string{"a", "b", "c"} {
+			out, err := c.nodes[name].Get(context.Background(), "schalter", "r-1")
+			require.NoError(t, err)
+			require.Equal(t, refuser.FactRan, out.Fact, name)
+			require.Equal(t, "x", string(out.Answer.Body))
+		}
+		c.leave("b", false)
+		c.add("b", 2)
+		for _, name := range []string{"a", "b", "c"} {
+			out, err := c.nodes[name].Get(context.Background(), "schalter", "r-1")
+			require.NoError(t, err)
+			require.Equal(t, refuser.FactMayHaveRun, out.Fact, "the incarnation that ran it is gone")
+		}
+	})
+}
+
+// TestIDSpaceLasts sends more ids than there is room for at once: the oldest are refused, never run again, and new
+// ones go on; ids are held for the least window.
+func TestIDSpaceLasts(t *testing.T) {
+	const requests, gap = 2500, 150 * time.Millisecond
+	for _, mode := range []documenter.AtMostOnceMode{documenter.ModeJournal, documenter.ModeBound} {
+		t.Run(string(mode), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(newMemoryStore(time.Millisecond))
+				c.limits.MaxRecords = 48 * Shards
+				c.limits.LeastWindow = time.Minute
+				c.limits.SealBytes = 400
+				c.limits.SegmentBytes = 900
+				n := c.add("a", 1)
+				defer c.stop()
+				var ids []string
+				runs := 0
+				send := func(id string) error {
+					r := within(time.Second, id)
+					r.Mode, r.BoundTo = mode, Incarnation(n.member)
+					_, err := n.Execute(context.Background(), r, answering(&runs, "x"))
+					return err
+				}
+				for i := range requests {
+					ids = append(ids, timedID(time.Now(), i))
+					require.NoError(t, send(ids[i]), i)
+					time.Sleep(gap)
+				}
+				require.Equal(t, requests, runs)
+				held := int(c.limits.LeastWindow / gap)
+				expired := 0
+				for i, id := range ids {
+					err := send(id)
+					if i >= requests-held/2 {
+						require.NoError(t, err, "held for the least window")
+					} else if err != nil {
+						require.Equal(t, refuser.RequestIDExpired, refuser.From(err).Code)
+						require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
+						expired++
+					}
+				}
+				require.Positive(t, expired)
+				require.Equal(t, requests, runs, "nothing ran again")
+			})
+		})
+	}
+}
+
+func timedID(at time.Time, n int) string {
+	hex := fmt.Sprintf("%012x", at.UnixMilli())
+	return fmt.Sprintf("%s-%s-7000-8000-%012x", hex[:8], hex[8:], n)
+}
+
 func TestForeignDispatcherIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(newMemoryStore(0), "a")
--- a/internal/journaler/limits.go
+++ b/internal/journaler/limits.go
@@ -8,6 +8,8 @@
 	WritesPerSecond float64
 	// Window is how long an id is remembered with its outcome; an older id is refused.
 	Window time.Duration
+	// LeastWindow is how long an id is remembered at least where the shard has no room for the whole window.
+	LeastWindow time.Duration
 	// MaxSkew is how far in the future the time within an id may be.
 	MaxSkew time.Duration
 	// MaxRecords bounds the ids that one daemon remembers, in equal parts for its shards.
@@ -39,6 +41,7 @@
 	return Limits{
 		WritesPerSecond: 200,
 		Window:          24 * time.Hour,
+		LeastWindow:     time.Hour,
 		MaxSkew:         5 * time.Minute,
 		MaxRecords:      1 << 19,
 		MaxWaiting:      4096,
--- a/internal/journaler/server.go
+++ b/internal/journaler/server.go
@@ -112,9 +112,7 @@
 		s.shards[i].want(now, mine)
 		s.deliver(s.shards[i])
 	}
-	for _, sh := range s.shards {
-		sh.setRoom(s.j.Limits.MaxRecords / max(1, s.owned))
-	}
+	s.shareRoom()
 	limit := rate.Limit(s.j.Limits.WritesPerSecond * float64(s.owned) / Shards)
 	if limit != s.limiter.Limit() {
 		s.limiter.SetLimitAt(now, limit)
@@ -122,6 +120,23 @@
 	s.meter()
 }
 
+// shareRoom divides the room for ids between the journal's shards and bound mode; each has half, and more where the
+// other leaves it.
+func (s *server) shareRoom() {
+	bound := len(s.shards[boundShard].table.records)
+	journal := 0
+	for _, sh := range s.shards[:boundShard] {
+		if sh.table != nil {
+			journal += len(sh.table.records)
+		}
+	}
+	all := s.j.Limits.MaxRecords
+	for _, sh := range s.shards[:boundShard] {
+		sh.setRoom(max(all-bound, all/2) / max(1, s.owned))
+	}
+	s.shards[boundShard].setRoom(max(all-journal, all/2))
+}
+
 // advance starts the store calls that are due and returns when the next one may be.
 func (s *server) advance(now time.Time, flush bool) time.Time {
 	var wake time.Time
--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -63,9 +63,12 @@
 	commit  *commit
 	segment *segmentWrite
 	// forgetting lists keys whose fingerprints are in the archive write under way or in the next commit.
-	forgetting  []Key
-	compactedAt time.Time
-	deleting    uint64
+	forgetting []Key
+	// compactTo is the time whose expired ids the compaction drops; it is ahead of the clock where the shard is crowded.
+	compactTo time.Time
+	// sweptAt is when bound mode last dropped old ids.
+	sweptAt  time.Time
+	deleting uint64
 
 	busy     bool
 	retryAt  time.Time
--- a/internal/journaler/table.go
+++ b/internal/journaler/table.go
@@ -28,6 +28,8 @@
 type table struct {
 	limits  Limits
 	records map[Key]*record
+	// untimed counts the records of ids that carry no time, of which something is kept for ever.
+	untimed int
 	// horizon is the time up to which issued ids are refused, in Unix milliseconds.
 	horizon int64
 	// answerBytes is the size of the answers kept in memory.
@@ -69,7 +71,7 @@
 			return stepAnswer, verdict{kind: verdictFull}, false
 		}
 		r = &record{}
-		t.records[c.key] = r
+		t.add(c.key, r, c.issued)
 		t.take(r, ms, c)
 		return stepClaimed, verdict{}, true
 	}
@@ -85,6 +87,13 @@
 	return t.again(ms, r, c)
 }
 
+func (t *table) add(key Key, r *record, issued int64) {
+	t.records[key] = r
+	if issued == 0 {
+		t.untimed++
+	}
+}
+
 // again decides about a claim of an id that has a record.
 func (t *table) again(ms int64, r *record, c claim) (step, verdict, bool) {
 	switch r.state {
@@ -218,7 +227,11 @@
 	r.granted = true
 	r.changes = 1
 	r.stored = 1
-	t.records[key] = r
+	if _, ok := t.records[key]; ok {
+		t.records[key] = r
+	} else {
+		t.add(key, r, r.issued)
+	}
 	if r.result != nil {
 		res := *r.result
 		t.keep(key, r, res)
@@ -249,6 +262,7 @@
 		t.release(key)
 		if r.state == stateNotRun {
 			delete(t.records, key)
+			t.untimed--
 			continue
 		}
 		*r = record{state: stateForgotten, granted: true, queued: r.queued, changes: r.changes, stored: r.changes}
--- a/internal/router/journal.go
+++ b/internal/router/journal.go
@@ -2,9 +2,11 @@
 
 import (
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/journaler"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/tracker"
 )
 
 const (
@@ -29,6 +31,8 @@
 		Alive:    r.processAlive,
 		View:     r.tracker.View,
 		Find:     r.findProcess,
+		Bound:    r.servesBound,
+		Members:  r.liveProcesses,
 	}
 	for method, handler := range r.journal.Handlers() {
 		r.peer.Handle(method, handler)
@@ -51,6 +55,25 @@
 	return false
 }
 
+// servesBound tells whether a service in bound mode serves a workspace.
+func (r *Router) servesBound(workspace cataloger.Workspace) bool {
+	for _, d := range r.documentsInForce() {
+		if d.AtMostOnce.Mode != documenter.ModeBound {
+			continue
+		}
+		for _, w := range d.Workspaces {
+			if cataloger.Workspace(w.Name) == workspace {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *Router) liveProcesses() []cataloger.Member {
+	return tracker.Live(processes(r.tracker.Fleet()).Members)
+}
+
 func (r *Router) findProcess(incarnation string) (cataloger.Member, bool) {
 	for _, m := range r.tracker.Fleet().Members {
 		if m = processOf(m); m.State != cataloger.StateDead && journaler.Incarnation(m) == incarnation {
