Take over the stream that engines hold when an answer is cut

Cause: an answer that a caller reattached through another entry was always prefilled again, although its engine keeps the stream for a while. Change: resume tokens (format 2) say the route of their attempt by names of targets and layers; the entry asks the first stage to resume that attempt from the caller's position, under the usual checks, and falls back to prefill with attempts above the first entry's, cancelling the old one. An error of such a stream is nobody's fault, as the first entry may have cancelled it; silence is. Generation.Cut, which nobody read, is replaced by Held; its test now asserts the attempt and the route in place of a flag. The dispatcher no longer appends to the slice of its job. Conclusion: no second prefill where the engine still has the stream.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -66,7 +66,7 @@
 
 // accept delivers a part; a part that fails the checks ends the attempt.
 func (r *run) accept(m *message, p *plan, head string) (*failure, error) {
-	verdict, reason, err := r.deliver(m)
+	verdict, reason, err := r.deliver(m, p.route)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +109,11 @@
 
 // firstBound returns how long the first token is waited for.
 func (r *run) firstBound(p *plan) time.Duration {
-	if p.resume {
+	switch {
+	case p.resume && r.takenOver():
+		// The stream may wait for its next token as any other.
+		return r.tail.least(r.d.Clock.Now(), r.d.MinStall)
+	case p.resume:
 		return r.d.ResumeWait
 	}
 	return r.d.FirstTokenStall + 2*p.permit.FirstToken()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,7 +115,7 @@
 		emit:      emit,
 		checker:   verifier.New(job.RequestID, job.Version, job.Layers, job.StartPosition, job.end()),
 		attempt:   job.FirstAttempt,
-		delivered: job.Delivered,
+		delivered: slices.Clip(job.Delivered),
 		prefixes:  engineer.Prefixes(job.Model, job.Version, job.Adapter, job.Prompt),
 		tail:      d.tails.of(job.Model, job.Version),
 	}
--- /dev/null
+++ b/internal/dispatcher/held_test.go
@@ -0,0 +1,164 @@
+package dispatcher
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/enginefaker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
+)
+
+const heldTokens = 5
+
+// hold begins a job as an entry does that is lost after a few tokens, and returns the job as the next entry gets it.
+func (b *bench) hold(t testing.TB, job Job, tokens int) Job {
+	route := cataloger.Route{Model: job.Model, Version: job.Version}
+	for _, i := range []int{0, 2, 4} {
+		target := b.fleet.Targets[i]
+		h := target.Holdings[0]
+		route.Stages = append(route.Stages, cataloger.Stage{
+			Target: target.Name, Address: target.Address, FirstLayer: h.FirstLayer, EndLayer: h.EndLayer,
+		})
+	}
+	stream, err := b.dispatcher.Engine(route.Stages[0].Address).Generate(t.Context(), &enginev1.GenerateRequest{
+		Workspace: job.Workspace, RequestId: job.RequestID, Attempt: 1, Route: stages(route),
+		Model: job.Model, Version: job.Version, Prompt: job.Prompt, MaxTokens: job.MaxTokens,
+	})
+	require.NoError(t, err)
+	for range tokens {
+		m, err := stream.Receive()
+		require.NoError(t, err)
+		job.Delivered = append(job.Delivered, m.Data)
+	}
+	require.NoError(t, stream.Close())
+	job.StartPosition = uint64(tokens)
+	job.Held = Held{Attempt: 1, Route: route}
+	job.FirstAttempt = 1024
+	return job
+}
+
+// attempts returns the attempts that engines ran.
+func (b *bench) attempts() map[uint32]bool {
+	seen := map[uint32]bool{}
+	for _, e := range b.engines {
+		for _, r := range e.Ledger().Runs {
+			seen[r.Attempt] = true
+		}
+	}
+	return seen
+}
+
+func TestHeldStreamIsTakenOver(t *testing.T) {
+	cancel := func(t *testing.T, b *bench, job Job) {
+		for _, s := range job.Held.Route.Stages {
+			_, err := b.dispatcher.Engine(s.Address).Cancel(t.Context(), &enginev1.CancelRequest{
+				Workspace: job.Workspace, RequestId: job.RequestID, Attempt: 1,
+			})
+			require.NoError(t, err)
+		}
+	}
+	none := func(*testing.T, *bench, Job) {}
+	cases := []struct {
+		name string
+		// before strikes before the next entry asks, mid at a token of its own.
+		before, mid func(t *testing.T, b *bench, job Job)
+		kept        bool
+		blamed      bool
+	}{
+		{name: "held", before: none, mid: none, kept: true},
+		{name: "cancelled before", before: cancel, mid: none},
+		{name: "cancelled meanwhile", before: none, mid: cancel},
+		{name: "head lost", mid: none, before: func(t *testing.T, b *bench, _ Job) {
+			require.NoError(t, b.engines["e0"].SetFaults(enginefaker.Fault{Kind: enginefaker.FaultDie}))
+		}, blamed: true},
+		{name: "head silent", mid: none, before: func(t *testing.T, b *bench, _ Job) {
+			require.NoError(t, b.engines["e0"].SetFaults(enginefaker.Fault{Kind: enginefaker.FaultStall}))
+		}, blamed: true},
+		{name: "wrong part", before: none, mid: func(t *testing.T, b *bench, _ Job) {
+			require.NoError(t, b.engines["e0"].SetFaults(enginefaker.Fault{Kind: enginefaker.FaultSkipPosition, Times: 1}))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, threeStagesTwice, slow)
+			var failed []string
+			inner := b.dispatcher.Failed
+			b.dispatcher.Failed = func(target string) {
+				failed = append(failed, target)
+				inner(target)
+			}
+			job := b.hold(t, testJob("r", 40), heldTokens)
+			c.before(t, b, job)
+			col := &collector{t: t, job: job}
+			col.each = func(p Part) error {
+				if p.Position == heldTokens+3 {
+					c.mid(t, b, job)
+				}
+				return nil
+			}
+			require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+			col.requireWhole()
+			last := col.parts[len(col.parts)-1].Attempt
+			if c.kept {
+				require.Equal(t, map[uint32]bool{1: true}, b.attempts())
+				require.Equal(t, int64(1), b.count("dispatcher.recovered.resume"))
+				require.Zero(t, b.count("dispatcher.recovered.prefill"))
+			} else {
+				require.GreaterOrEqual(t, last, job.FirstAttempt)
+				require.Equal(t, int64(1), b.count("dispatcher.recovered.prefill"))
+			}
+			if !c.blamed {
+				require.Empty(t, failed, "another entry may have cancelled the stream")
+			}
+		})
+	}
+}
+
+// TestHeldStreamFollowedTwice lets two entries follow one stream; each delivers every token once.
+func TestHeldStreamFollowedTwice(t *testing.T) {
+	b := newBench(t, threeStagesTwice, slow)
+	job := b.hold(t, testJob("r", 40), heldTokens)
+	for i := range 2 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			col := &collector{t: t, job: job}
+			require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+			col.requireWhole()
+		})
+	}
+}
+
+// BenchmarkReattach measures the time to the next token of an answer whose prompt of 2,000 tokens takes 200 ms to
+// prefill and of which tokens come each 8 ms, with the stream held and without.
+func BenchmarkReattach(b *testing.B) {
+	const delivered, answer = 20, 60
+	prompt := bytes.Repeat([]byte("word"), 2000)
+	engine := func(c *enginefaker.Config) { c.PrefillRate, c.DecodeRate = 120_000, 1500 }
+	for _, held := range []bool{true, false} {
+		b.Run(fmt.Sprintf("held=%t", held), func(b *testing.B) {
+			var sum time.Duration
+			for i := range b.N {
+				x := newBench(b, threeStagesTwice, engine)
+				job := testJob(fmt.Sprint("r", i), answer)
+				job.Prompt = prompt
+				job = x.hold(b, job, delivered)
+				if !held {
+					job.Held = Held{}
+				}
+				began := time.Now()
+				first := errors.New("first token")
+				require.ErrorIs(b, x.dispatcher.Run(b.Context(), job, func(Part) error {
+					sum += time.Since(began)
+					return first
+				}), first)
+			}
+			b.ReportMetric(float64(sum.Microseconds())/float64(b.N)/1000, "ms-to-token")
+		})
+	}
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattantray/rattantray/internal/cataloger"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
@@ -27,6 +28,8 @@
 	StartPosition uint64
 	// Delivered holds the tokens before StartPosition, where they are known.
 	Delivered [][]byte
+	// Held is an attempt before FirstAttempt whose stream engines may still hold; its route is empty where there is none.
+	Held Held
 	// FirstAttempt is greater than any attempt made before; 0 stands for 1.
 	FirstAttempt uint32
 	// MaxAttempts bounds the attempts in a row that gain no token; 0 stands for DefaultMaxAttempts.
@@ -37,6 +40,12 @@
 	RetryBudget float64
 }
 
+// Held is an attempt of another entry, which was lost or let go of its caller.
+type Held struct {
+	Attempt uint32
+	Route   cataloger.Route
+}
+
 // Defaults of a job.
 const (
 	DefaultMaxAttempts = 5
@@ -50,6 +59,8 @@
 	Data     []byte
 	Last     bool
 	Receipt  *v1.Receipt
+	// Route is the chain that runs the attempt; it must not be changed.
+	Route cataloger.Route
 }
 
 func (j Job) withDefaults() Job {
--- a/internal/dispatcher/replace.go
+++ b/internal/dispatcher/replace.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		_, err := r.d.Engine(s.Address).ImportKV(ctx, &enginev1.ImportKVRequest{
-			Workspace: r.job.Workspace, RequestId: r.job.RequestID, Attempt: r.attempt + 1,
+			Workspace: r.job.Workspace, RequestId: r.job.RequestID, Attempt: r.nextAttempt(),
 			SourceAddress: old.Stages[i].Address, Handle: export.Handle,
 			FirstLayer: s.FirstLayer, EndLayer: s.EndLayer, Position: export.Position,
 		})
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -60,7 +60,7 @@
 }
 
 func (r *run) run(ctx context.Context) error {
-	p, err := r.pick(ctx)
+	p, err := r.begin(ctx)
 	for err == nil {
 		var f *failure
 		f, err = r.try(ctx, &p)
@@ -72,6 +72,21 @@
 	return err
 }
 
+// begin plans the first attempt, which takes over the stream that engines may still hold.
+func (r *run) begin(ctx context.Context) (plan, error) {
+	held := r.job.Held
+	if len(held.Route.Stages) == 0 {
+		return r.pick(ctx)
+	}
+	r.attempt = held.Attempt
+	r.mayHaveRun = true
+	r.checker.Begin(held.Attempt, stages(held.Route))
+	return plan{route: held.Route, resume: true}, nil
+}
+
+// takenOver tells whether the present attempt was begun by another entry.
+func (r *run) takenOver() bool { return r.attempt < r.job.FirstAttempt }
+
 // try runs one attempt; a nil failure with a nil error is the end of the answer.
 func (r *run) try(ctx context.Context, p *plan) (*failure, error) {
 	r.d.counts.attempts.Inc(1)
@@ -143,6 +158,9 @@
 		r.d.Log.Debug().Str("request-id", r.job.RequestID).Uint32("attempt", r.attempt).Msg("resume")
 		return plan{route: p.route, permit: p.permit, resume: true}, nil
 	}
+	if r.takenOver() {
+		return r.letGo(ctx, p, f)
+	}
 	if next := r.checker.Next(); next > r.reached {
 		r.reached = next
 		r.failures = 0
@@ -164,6 +182,18 @@
 	return r.next(ctx, p, f)
 }
 
+// letGo goes on without the stream of another entry, which may have cancelled it: only silence is a target's fault.
+func (r *run) letGo(ctx context.Context, p plan, f *failure) (plan, error) {
+	if f.resumable || errors.Is(f.err, errStalled) {
+		r.blame(ctx, p, f)
+	}
+	p.permit.Done()
+	r.cancel(p.route, r.attempt)
+	r.attempt = r.nextAttempt()
+	r.d.counts.refilled.Inc(1)
+	return r.pick(ctx)
+}
+
 // permitted returns the final refusal where the job may not be tried again.
 func (r *run) permitted(f *failure) error {
 	if r.failures >= r.job.MaxAttempts {
@@ -205,12 +235,15 @@
 const fencedStep = 16
 
 func (r *run) advance(f *failure) {
-	r.attempt++
+	r.attempt = r.nextAttempt()
 	if f.kind == failedFenced {
 		r.attempt += fencedStep
 	}
 }
 
+// nextAttempt returns the number after the present one, above all that another entry may have used.
+func (r *run) nextAttempt() uint32 { return max(r.attempt+1, r.job.FirstAttempt) }
+
 func (r *run) shun(target string) {
 	if target != "" && !slices.Contains(r.avoid, target) {
 		r.avoid = append(r.avoid, target)
@@ -218,7 +251,7 @@
 }
 
 // deliver checks a part and emits it where it is the next token.
-func (r *run) deliver(m *message) (verifier.Verdict, verifier.Reason, error) {
+func (r *run) deliver(m *message, route cataloger.Route) (verifier.Verdict, verifier.Reason, error) {
 	verdict, reason := r.checker.Check(m)
 	if verdict != verifier.Deliver {
 		r.d.counts.reasons[reason].Inc(1)
@@ -227,7 +260,7 @@
 	r.delivered = append(r.delivered, m.Data)
 	r.d.counts.tokens.Inc(1)
 	err := r.emit(Part{
-		Attempt: m.Attempt, Position: m.Position, Data: m.Data, Last: r.checker.Done(), Receipt: m.Receipt,
+		Attempt: m.Attempt, Position: m.Position, Data: m.Data, Last: r.checker.Done(), Receipt: m.Receipt, Route: route,
 	})
 	return verdict, reason, errors.Wrap(err, "emit")
 }
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -40,6 +40,7 @@
 	execution    string
 	version      string
 	firstAttempt uint32
+	held         Held
 	position     uint64
 	attempt      uint32
 	// started is true once the request may have reached a target.
@@ -117,6 +118,7 @@
 	}
 	x.execution = claims.Execution
 	x.version = claims.Version
+	x.held = Held{Attempt: claims.Attempt, Route: claims.Route}
 	x.firstAttempt = (claims.Attempt/attemptStride + 1) * attemptStride
 	x.position = uint64(len(x.req.Delivered))
 	return nil
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -79,8 +79,14 @@
 	// Delivered are the tokens that the caller has.
 	Delivered [][]byte
 	Retry     documenter.Retry
-	// Cut is true where an earlier stream of this execution may still be kept by an engine.
-	Cut bool
+	// Held is the stream of this execution that engines may still hold; its route is empty for a new answer.
+	Held Held
+}
+
+// Held is the stream of an answer that was cut.
+type Held struct {
+	Attempt uint32
+	Route   []tokener.Stage
 }
 
 // Token is one checked token of an answer.
@@ -90,6 +96,8 @@
 	Data     []byte
 	Last     bool
 	Receipt  *v1.Receipt
+	// Route is the chain that runs the attempt; it comes with the first token of each.
+	Route []tokener.Stage
 }
 
 // Resolve implements rattantray.v1.RouterService.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -96,12 +96,14 @@
 	return g
 }
 
+var benchRoute = []tokener.Stage{{Target: "engine-1", EndLayer: 4}}
+
 func (b *bench) generate(_ context.Context, g Generation, emit func(Token) error) error {
 	b.ran++
 	b.jobs = append(b.jobs, g)
 	start := uint64(len(g.Delivered))
 	for p := start; p < 3; p++ {
-		if err := emit(Token{Attempt: g.FirstAttempt, Position: p, Data: []byte{byte('a' + p)}, Last: p == 2}); err != nil {
+		if err := emit(Token{Attempt: g.FirstAttempt, Position: p, Data: []byte{byte('a' + p)}, Last: p == 2, Route: benchRoute}); err != nil {
 			return err
 		}
 	}
@@ -203,7 +205,8 @@
 	require.NoError(t, b.send(t.Context(), req))
 	require.Equal(t, b.jobs[0].Execution, b.jobs[1].Execution)
 	require.Greater(t, b.jobs[1].FirstAttempt, b.jobs[0].FirstAttempt+attemptStride-2)
-	require.True(t, b.jobs[1].Cut)
+	require.Empty(t, b.jobs[0].Held)
+	require.Equal(t, Held{Attempt: b.jobs[0].FirstAttempt, Route: benchRoute}, b.jobs[1].Held)
 	require.Equal(t, uint64(1), b.emitted[0].Position)
 	require.Len(t, b.emitted, 2)
 }
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -33,7 +33,7 @@
 		Version:      x.version,
 		Delivered:    x.req.Delivered,
 		Retry:        x.doc.Retry,
-		Cut:          len(x.req.ResumeToken) > 0,
+		Held:         x.held,
 	}, emit)
 	x.observe(err)
 	return err
@@ -79,6 +79,7 @@
 		Execution:     x.execution,
 		Version:       t.Receipt.GetVersion(),
 		Attempt:       t.Attempt,
+		Route:         t.Route,
 		Position:      t.Position + 1,
 		PayloadDigest: x.digest,
 		Member:        x.receiver.Self,
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -14,6 +14,7 @@
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/subscriber"
+	"github.com/rattantray/rattantray/internal/tokener"
 	"github.com/rattantray/rattantray/internal/tracker"
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -223,21 +224,28 @@
 //
 // Where the last chain of the version that it began on is taken down, it goes on with a version that can still run.
 func (r *Router) generate(ctx context.Context, g receiver.Generation, emit func(receiver.Token) error) error {
-	tokens := 0
+	tokens, attempt := 0, uint32(0)
 	defer func() { r.placement.demands.delivered(g.Model.Name, tokens) }()
 	version := r.version(g)
 	for {
 		job := jobOf(g, version)
+		job.Held = r.heldStream(g, version)
 		err := r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
 			tokens++
 			g.Delivered = append(g.Delivered, p.Data)
 			g.FirstAttempt = p.Attempt
-			return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
+			token := receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt}
+			if p.Attempt != attempt {
+				attempt = p.Attempt
+				token.Route = claimed(p.Route)
+			}
+			return emit(token)
 		})
 		if err == nil {
 			return nil
 		}
 		g.Version = ""
+		g.Held = receiver.Held{}
 		other := r.otherVersion(g, version)
 		if !outOfChains(refuser.From(err)) || other == version {
 			return err
@@ -247,6 +255,35 @@
 	}
 }
 
+// heldStream returns the stream that engines may still hold of an answer, where every target of its route is known.
+func (r *Router) heldStream(g receiver.Generation, version string) dispatcher.Held {
+	if len(g.Held.Route) == 0 || version != g.Version {
+		return dispatcher.Held{}
+	}
+	addresses := map[string]string{}
+	for _, t := range r.tracker.Fleet().Targets {
+		addresses[t.Name] = t.Address
+	}
+	route := cataloger.Route{Model: g.Model.Name, Version: version}
+	for _, s := range g.Held.Route {
+		address, ok := addresses[s.Target]
+		if !ok {
+			return dispatcher.Held{}
+		}
+		route.Stages = append(route.Stages, cataloger.Stage{Target: s.Target, Address: address, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
+	}
+	return dispatcher.Held{Attempt: g.Held.Attempt, Route: route}
+}
+
+// claimed returns a route as resume tokens say it.
+func claimed(route cataloger.Route) []tokener.Stage {
+	list := make([]tokener.Stage, len(route.Stages))
+	for i, s := range route.Stages {
+		list[i] = tokener.Stage{Target: s.Target, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer}
+	}
+	return list
+}
+
 // outOfChains tells whether a version has no chain any more that takes the request.
 func outOfChains(refusal *refuser.Refusal) bool {
 	switch refusal.Code {
--- a/internal/tokener/claims.go
+++ b/internal/tokener/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,8 @@
 	// Version of the model that began the answer.
 	Version string
 	Attempt uint32
+	// Route is the chain that runs the attempt.
+	Route []Stage
 	// Position is the next position that the caller needs.
 	Position uint64
 	// PayloadDigest is the SHA-256 of the request's payload.
@@ -29,6 +32,13 @@
 	Incarnation uint64
 }
 
+// Stage is a target's part of a route; its address is not the caller's to know or to choose.
+type Stage struct {
+	Target     string
+	FirstLayer uint32
+	EndLayer   uint32
+}
+
 // WithPosition returns a copy that continues elsewhere.
 func (c Claims) WithPosition(position uint64) Claims {
 	c.Position = position
@@ -41,7 +51,11 @@
 	return c
 }
 
-const maxNameBytes = 1024
+const (
+	maxNameBytes = 1024
+	// maxStages bounds the stages of a route.
+	maxStages = 64
+)
 
 var errDamaged = errors.New("token is damaged")
 
@@ -55,6 +69,13 @@
 	b = binary.AppendUvarint(b, c.Position)
 	b = binary.AppendUvarint(b, uint64(c.Issued.UnixMilli()))
 	b = binary.AppendUvarint(b, c.Incarnation)
+	b = binary.AppendUvarint(b, uint64(len(c.Route)))
+	for _, s := range c.Route {
+		b = binary.AppendUvarint(b, uint64(len(s.Target)))
+		b = append(b, s.Target...)
+		b = binary.AppendUvarint(b, uint64(s.FirstLayer))
+		b = binary.AppendUvarint(b, uint64(s.EndLayer))
+	}
 	return append(b, c.PayloadDigest[:]...)
 }
 
@@ -67,13 +88,13 @@
 	c.Execution = r.text()
 	c.Version = r.text()
 	c.Member = r.text()
-	attempt := r.number()
-	c.Attempt = uint32(attempt)
+	c.Attempt = r.small()
 	c.Position = r.number()
 	issued := r.number()
 	c.Issued = time.UnixMilli(int64(issued))
 	c.Incarnation = r.number()
-	if r.failed || uint64(c.Attempt) != attempt || int64(issued) < 0 || len(r.rest) != len(c.PayloadDigest) {
+	c.Route = r.route()
+	if r.failed || int64(issued) < 0 || len(r.rest) != len(c.PayloadDigest) {
 		return Claims{}, errDamaged
 	}
 	copy(c.PayloadDigest[:], r.rest)
@@ -95,6 +116,28 @@
 	return v
 }
 
+// small returns a number of 32 bits.
+func (r *reader) small() uint32 {
+	v := r.number()
+	if v > math.MaxUint32 {
+		r.failed = true
+	}
+	return uint32(v)
+}
+
+func (r *reader) route() []Stage {
+	n := r.number()
+	if r.failed || n > maxStages {
+		r.failed = true
+		return nil
+	}
+	var route []Stage
+	for range n {
+		route = append(route, Stage{Target: r.text(), FirstLayer: r.small(), EndLayer: r.small()})
+	}
+	return route
+}
+
 func (r *reader) text() string {
 	n := r.number()
 	if r.failed || n > maxNameBytes || n > uint64(len(r.rest)) {
--- a/internal/tokener/tokener.go
+++ b/internal/tokener/tokener.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	formatVersion = 1
+	// formatVersion 2 says the route.
+	formatVersion = 2
 	keyIDBytes    = 4
 	macBytes      = sha256.Size
 	headerBytes   = 1 + keyIDBytes
--- a/internal/tokener/tokener_test.go
+++ b/internal/tokener/tokener_test.go
@@ -20,6 +20,7 @@
 func sample() Claims {
 	return Claims{
 		Workspace: "schalter", Service: "assistant", RequestID: "r-1", Attempt: 3, Position: 17,
+		Route:         []Stage{{Target: "a", EndLayer: 4}, {Target: "b", FirstLayer: 4, EndLayer: 8}},
 		PayloadDigest: [32]byte{1, 2}, Issued: start, Member: "entry-1", Incarnation: 9,
 	}
 }
