Tell admission what the targets can take

Cause: SetCapacity was never called. On a whole fleet a workspace at 20 times its share left 1 of 200 tokens/s in time, and three times the bound for 30 s left 14: the limit started from 64 an entry, above what could end in time, and took minutes to fall; requests cut at their deadlines were no news to the limit or the estimate, and without an expected time nothing corrected it.

Change: capacity of each service from the selector's bound and from completed requests, in Capacity; the limit starts from its floor and is bounded by 16 requests a live target; late ends count as overload and in the estimate; the time worked out from the rate is corrected as the caller's estimate is.

Test changed: assistant() in admitter_test.go for the new argument of SetCapacity.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -189,15 +189,26 @@
 	}
 }
 
-// SetCapacity bounds the adaptive limit of a service to the requests that its targets can hold.
-func (a *Admitter) SetCapacity(name string, requests int) {
+// Capacity is what the targets of a service can take.
+type Capacity struct {
+	// Requests bounds the requests in progress at this entry; 0 leaves the bound.
+	Requests int
+	// CostRate is this entry's part of the cost a second that the targets can finish; 0 where it is not known.
+	CostRate float64
+}
+
+// SetCapacity bounds the adaptive limit of a service, and the rate that expected waits are worked out from.
+func (a *Admitter) SetCapacity(name string, c Capacity) {
 	s := a.service(name)
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.limit.Max = float64(max(1, requests))
+	if c.Requests > 0 {
+		s.scheduler.limit.Max = float64(c.Requests)
+	}
+	s.scheduler.throughput.stated = c.CostRate
 	s.scheduler.Advance(a.Clock.Now())
 	s.settle()
 }
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -26,7 +26,7 @@
 	a.InitialLimit = limit
 	a.Rand = rand.New(rand.NewPCG(3, 4))
 	a.Configure([]*documenter.Document{{Name: "assistant", Workspaces: workspaces}})
-	a.SetCapacity("assistant", limit)
+	a.SetCapacity("assistant", Capacity{Requests: limit})
 	return a
 }
 
--- a/internal/admitter/estimator.go
+++ b/internal/admitter/estimator.go
@@ -8,7 +8,7 @@
 	quantileGain   = 0.01
 	leastDeviation = 0.05 // of the mean
 	leastRatio     = 0.5
-	mostRatio      = 4.0
+	mostRatio      = 32.0
 	ratioHalfLife  = 5 * time.Second
 )
 
@@ -54,3 +54,43 @@
 	}
 	return scale(e.mean), scale(e.high)
 }
+
+const (
+	throughputWindow = time.Second
+	// throughputFade is the part of the difference by which the highest rate comes down to a lower one in a window.
+	throughputFade = 0.05
+)
+
+// throughput is the cost a second that the targets can finish for this entry: what they are known to be able to, or more
+// where more was seen.
+type throughput struct {
+	// stated is worked out from the targets; 0 where it is not known.
+	stated float64
+
+	seen   float64
+	opened time.Time
+	cost   float64
+}
+
+// finished takes the cost of a request that ended.
+func (t *throughput) finished(now time.Time, cost float64) {
+	if t.opened.IsZero() {
+		t.opened = now
+	}
+	t.cost += cost
+	elapsed := now.Sub(t.opened)
+	if elapsed < throughputWindow {
+		return
+	}
+	rate := t.cost / elapsed.Seconds()
+	t.seen = max(rate, t.seen-throughputFade*(t.seen-rate))
+	t.opened, t.cost = now, 0
+}
+
+// most returns the cost a second to reckon with, 0 where nothing is known.
+func (t *throughput) most() float64 {
+	if t.stated <= 0 {
+		return 0
+	}
+	return max(t.stated, t.seen)
+}
--- a/internal/admitter/refusals.go
+++ b/internal/admitter/refusals.go
@@ -15,22 +15,29 @@
 // expect returns the mean and the high time from grant to end; an idle service is not held to a correction from
 // busier times.
 func (s *Scheduler) expect(now time.Time, t *Ticket) (mean, high time.Duration) {
-	expected := t.Request.Expected
-	if expected <= 0 {
-		rate := s.limit.CostRate()
-		if rate <= 0 {
-			return 0, 0
-		}
-		expected = time.Duration(t.cost / rate * float64(time.Second))
-		return expected, expected
+	t.uncorrected = t.Request.Expected
+	if t.uncorrected <= 0 {
+		t.uncorrected = s.fromRate(t.cost)
+	}
+	if t.uncorrected <= 0 {
+		return 0, 0
 	}
-	mean, high = s.estimator.correct(now, expected)
+	mean, high = s.estimator.correct(now, t.uncorrected)
 	if s.inProgress == 0 {
-		mean = min(mean, expected)
+		mean = min(mean, t.uncorrected)
 	}
 	return mean, high
 }
 
+// fromRate returns the time that a cost takes at the rate of the last rounds; 0 where none is known.
+func (s *Scheduler) fromRate(cost float64) time.Duration {
+	rate := s.limit.CostRate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(cost / rate * float64(time.Second))
+}
+
 // checkDeadline refuses what could not meet its deadline if it ran at once.
 func (s *Scheduler) checkDeadline(now time.Time, t *Ticket) *refuser.Refusal {
 	deadline := t.Request.Deadline
@@ -66,19 +73,34 @@
 // wait is the expected time until the cost ahead in the queue of f has been granted.
 func (s *Scheduler) wait(f *flow, ahead float64) time.Duration {
 	perSlot := s.limit.CostRate()
-	if perSlot <= 0 {
+	most := s.throughput.most()
+	if perSlot <= 0 && most <= 0 {
 		return 0
 	}
 	weights := s.busyWeight
 	if !f.busy() {
 		weights += f.weight
 	}
-	rate := perSlot * float64(s.limit.Value()) * f.weight / weights
+	rate := s.rate(perSlot, most) * f.weight / weights
 	rate = max(rate, f.drainRate)
-	rate = min(rate, perSlot*max(1, f.share.Concurrency))
+	if perSlot > 0 {
+		rate = min(rate, perSlot*max(1, f.share.Concurrency))
+	}
 	return time.Duration(min(ahead/rate, maxWait.Seconds()) * float64(time.Second))
 }
 
+// rate returns the cost a second of all flows: what the slots finish, and no more than the targets can.
+func (s *Scheduler) rate(perSlot, most float64) float64 {
+	slots := perSlot * float64(s.limit.Value())
+	switch {
+	case slots <= 0:
+		return most
+	case most <= 0:
+		return slots
+	}
+	return min(slots, most)
+}
+
 // checkQueue refuses a request whose workspace has a full queue, unless a less urgent one gives way to it.
 func (s *Scheduler) checkQueue(t *Ticket) *refuser.Refusal {
 	f := t.flow
--- a/internal/admitter/scheduler.go
+++ b/internal/admitter/scheduler.go
@@ -74,6 +74,7 @@
 	busyWeight float64
 	sequence   uint64
 	estimator  estimator
+	throughput throughput
 	decided    []*Ticket
 	usageAt    time.Time
 }
@@ -231,11 +232,16 @@
 	if r.Tokens > 0 {
 		cost = r.Tokens
 	}
-	if r.OK || r.Overloaded {
-		s.limit.Observe(now, elapsed, cost, s.inProgress, r.Overloaded)
+	late := !r.OK && !t.Request.Deadline.IsZero() && !now.Before(t.Request.Deadline)
+	if r.OK || r.Overloaded || late {
+		s.limit.Observe(now, elapsed, cost, s.inProgress, r.Overloaded || late)
 	}
 	if r.OK {
-		s.estimator.observe(now, t.Request.Expected, elapsed)
+		s.throughput.finished(now, cost)
+	}
+	if r.OK || late {
+		// Of a request that was cut at its deadline at least this much is known; without it only the fast ones would count.
+		s.estimator.observe(now, t.uncorrected, elapsed)
 	}
 	s.end(now, t, cost)
 }
--- a/internal/admitter/ticket.go
+++ b/internal/admitter/ticket.go
@@ -28,6 +28,8 @@
 	cost float64
 	// expected is the high estimate of the time from grant to end.
 	expected time.Duration
+	// uncorrected is the time from grant to end before the correction by how requests really went.
+	uncorrected time.Duration
 	// rank orders the queue: the arrival, moved ahead by the ageing time for each priority.
 	rank     int64
 	sequence uint64
--- a/internal/breaker/limit.go
+++ b/internal/breaker/limit.go
@@ -80,9 +80,13 @@
 	return int(min(l.Max, max(l.Min, v)))
 }
 
-// SetFloor sets Min and raises the limit to it.
+// SetFloor sets Min and raises the limit to it. A limit that has seen no round yet starts from there: from below it
+// sees the time without queueing, which it could not from above.
 func (l *Limit) SetFloor(floor float64) {
 	l.Min = min(floor, l.Max)
+	if l.costRate == 0 && l.starting {
+		l.value = l.Min
+	}
 	l.value = max(l.value, l.Min)
 }
 
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -128,36 +128,63 @@
 	models := modelVersions(documents, held)
 	r.selector.Update(doubtCutOff(fleet, r.local), models)
 	r.meterBounds(models)
-	r.setFloors(documents, fleet)
 	r.held.Store(&held)
+	r.setCapacities(documents, fleet)
 }
 
 // busyPerTarget is how many requests in progress keep a target busy while their stages wait for each other.
-const busyPerTarget = 8
+const busyPerTarget = 4
 
-// setFloors keeps the limits of admission above what keeps the targets busy, as this entry's share of it.
-func (r *Router) setFloors(documents []*documenter.Document, fleet cataloger.Fleet) {
+// mostPerTarget is how many requests in progress a target can still be of use to; more of them only wait in it.
+const mostPerTarget = 4 * busyPerTarget
+
+// setCapacities tells admission what the targets can take. The floor is this entry's part of what keeps them busy; the
+// most is that of the whole fleet, as all callers may have come to this entry.
+func (r *Router) setCapacities(documents []*documenter.Document, fleet cataloger.Fleet) {
+	targets := targetsServing(fleet)
+	entries := max(1, len(tracker.Live(fleet.Members)))
+	for _, d := range documents {
+		count := targets[servedBy(d)]
+		r.admit.SetCapacity(d.Name, admitter.Capacity{
+			Requests: mostPerTarget * count,
+			CostRate: r.boundOf(d) / float64(entries),
+		})
+		r.admit.SetFloor(d.Name, (busyPerTarget*count+entries-1)/entries)
+	}
+}
+
+// targetsServing counts the live targets by the model that they hold, or by their plain service.
+func targetsServing(fleet cataloger.Fleet) map[string]int {
 	targets := map[string]int{}
 	for _, t := range fleet.Targets {
-		if t.State != cataloger.StateLive {
-			continue
-		}
-		if t.Type == cataloger.TypeService {
+		switch {
+		case t.State != cataloger.StateLive:
+		case t.Type == cataloger.TypeService:
 			targets[t.Service]++
-			continue
-		}
-		if len(t.Holdings) > 0 {
+		case len(t.Holdings) > 0:
 			targets[t.Holdings[0].Model]++
 		}
 	}
-	entries := max(1, len(tracker.Live(fleet.Members)))
-	for _, d := range documents {
-		served := d.Name
-		if d.Model != nil {
-			served = d.Model.Name
-		}
-		r.admit.SetFloor(d.Name, (busyPerTarget*targets[served]+entries-1)/entries)
+	return targets
+}
+
+func servedBy(d *documenter.Document) string {
+	if d.Model != nil {
+		return d.Model.Name
+	}
+	return d.Name
+}
+
+// boundOf returns the tokens a second that all versions of a service's model can give; 0 for a plain service.
+func (r *Router) boundOf(d *documenter.Document) float64 {
+	if d.Model == nil {
+		return 0
+	}
+	bound := 0.0
+	for _, version := range r.versions(d.Model.Name) {
+		bound += r.selector.Bound(selector.Key{Name: d.Model.Name, Version: version, Adapter: d.Model.Adapter})
 	}
+	return bound
 }
 
 func (r *Router) documentsInForce() []*documenter.Document {
