Fuzz the balancer over plain services

Cause: retries, breaker and slow start before plain services had tests of single cases only.

Change: a stateful fuzz in virtual time: instances answer, refuse, fail, leave and callers give up in any order, against an oracle that knows what each instance may be sent.

--- /dev/null
+++ b/internal/forwarder/balancer_fuzz_test.go
@@ -0,0 +1,353 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/budgeter"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// fuzzTarget is what the oracle knows of one instance.
+type fuzzTarget struct {
+	cataloger.Target
+	inFlight int
+	failures int
+	// limit is that of the slow start after the breaker opened; 0 is none.
+	limit int
+	// closedUntil is the earliest time at which the instance may be sent anything.
+	closedUntil time.Time
+}
+
+// fuzzRequest is what the oracle knows of one request.
+type fuzzRequest struct {
+	Request
+	cancel   context.CancelFunc
+	attempts int
+	runs     int
+	// uncertain is true once an attempt ended that does not prove that it did not run.
+	uncertain bool
+	done      bool
+	err       error
+}
+
+// fuzzAttempt is an attempt in progress.
+type fuzzAttempt struct {
+	request *fuzzRequest
+	target  *fuzzTarget
+	end     chan error
+}
+
+// balancerModel runs a balancer against instances that the moves control.
+type balancerModel struct {
+	t        *rapid.T
+	balancer *Balancer
+	targets  []*fuzzTarget
+	requests map[string]*fuzzRequest
+
+	// mu guards what requests change beside the moves.
+	mu      sync.Mutex
+	running []*fuzzAttempt
+	retries int
+	faults  []string
+}
+
+const (
+	fuzzAttempts = 3
+	fuzzShare    = 0.02
+	fuzzBurst    = 1
+)
+
+func newBalancerModel(t *rapid.T) *balancerModel {
+	m := &balancerModel{t: t, requests: map[string]*fuzzRequest{}}
+	for i := range 3 {
+		m.targets = append(m.targets, &fuzzTarget{Target: cataloger.Target{Name: fmt.Sprint("t", i), State: cataloger.StateLive}})
+	}
+	m.balancer = &Balancer{
+		Clock:    timer.System{},
+		Rand:     rand.New(rand.NewPCG(1, 2)),
+		Attempt:  m.attempt,
+		breakers: map[string]*breaker{},
+		budgets:  budgeter.NewSet[budgetKey](fuzzBurst, maxBudgets),
+	}
+	return m
+}
+
+func (m *balancerModel) fault(format string, args ...any) {
+	m.faults = append(m.faults, fmt.Sprintf(format, args...))
+}
+
+// attempt checks what is sent, and waits for the move that ends it.
+func (m *balancerModel) attempt(_ context.Context, target cataloger.Target, r Request) (Answer, error) {
+	a := m.begin(target, r)
+	err := <-a.end
+	return Answer{Status: 200}, err
+}
+
+func (m *balancerModel) begin(target cataloger.Target, r Request) *fuzzAttempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	q := m.requests[r.RequestID]
+	var to *fuzzTarget
+	for _, candidate := range m.targets {
+		if candidate.Name == target.Name {
+			to = candidate
+		}
+	}
+	q.attempts++
+	if q.attempts > 1 {
+		m.retries++
+	}
+	m.check(q, to)
+	to.inFlight++
+	a := &fuzzAttempt{request: q, target: to, end: make(chan error, 1)}
+	m.running = append(m.running, a)
+	return a
+}
+
+func (m *balancerModel) check(q *fuzzRequest, to *fuzzTarget) {
+	if q.uncertain && !q.Idempotent {
+		m.fault("%s is not idempotent and was sent again after it may have run", q.RequestID)
+	}
+	if q.attempts > fuzzAttempts {
+		m.fault("%s was sent %d times", q.RequestID, q.attempts)
+	}
+	if to.State != cataloger.StateLive {
+		m.fault("%s was sent to %s, which is leaving", q.RequestID, to.Name)
+	}
+	if time.Now().Before(to.closedUntil) {
+		m.fault("%s was sent to %s, which is closed for %s", q.RequestID, to.Name, time.Until(to.closedUntil))
+	}
+	if to.limit > 0 && to.inFlight >= to.limit {
+		m.fault("%s was sent to %s beside %d in slow start", q.RequestID, to.Name, to.inFlight)
+	}
+}
+
+func (m *balancerModel) send() {
+	q := &fuzzRequest{Request: Request{
+		Workspace: "w", Service: "s", RequestID: fmt.Sprint("r", len(m.requests)),
+		Idempotent: rapid.Bool().Draw(m.t, "idempotent"),
+		Deadline:   time.Now().Add(time.Duration(rapid.IntRange(1, 5000).Draw(m.t, "deadline")) * time.Millisecond),
+	}}
+	var ctx context.Context
+	ctx, q.cancel = context.WithCancel(context.Background())
+	m.mu.Lock()
+	m.requests[q.RequestID] = q
+	m.mu.Unlock()
+	var targets []cataloger.Target
+	for _, to := range m.targets {
+		targets = append(targets, to.Target)
+	}
+	go func() {
+		_, err := m.balancer.Do(ctx, targets, q.Request, Policy{MaxAttempts: fuzzAttempts, Budget: fuzzShare})
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		q.err, q.done = err, true
+	}()
+	synctest.Wait()
+}
+
+// finish ends an attempt in one of the ways that a forwarder can.
+func (m *balancerModel) finish() {
+	m.finishOne()
+	synctest.Wait()
+}
+
+func (m *balancerModel) finishOne() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(m.t, "attempt")
+	a := m.running[i]
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	a.target.inFlight--
+	a.end <- m.end(a)
+}
+
+func (m *balancerModel) end(a *fuzzAttempt) error {
+	switch rapid.IntRange(0, 6).Draw(m.t, "how") {
+	case 0, 1:
+		a.request.runs++
+		a.target.succeeded()
+		return nil
+	case 2:
+		after := time.Duration(rapid.IntRange(0, 300).Draw(m.t, "after")) * time.Millisecond
+		a.target.closeFor(max(after, refusalPause))
+		return refuser.New(refuser.TargetRefused, "busy").WithRetryAfter(after)
+	case 3:
+		a.target.failed()
+		return refuser.New(refuser.TargetFailed, "not connected").WithFact(refuser.FactNotRun)
+	case 4:
+		// The instance is well; nobody is to try another.
+		return refuser.New(refuser.UnknownMethod, "no such method").WithFact(refuser.FactNotRun)
+	case 5:
+		a.request.runs++
+	}
+	a.request.uncertain = true
+	a.target.failed()
+	return refuser.New(refuser.TargetFailed, "cut").WithFact(refuser.FactMayHaveRun)
+}
+
+func (to *fuzzTarget) closeFor(d time.Duration) {
+	if until := time.Now().Add(d); until.After(to.closedUntil) {
+		to.closedUntil = until
+	}
+}
+
+func (to *fuzzTarget) succeeded() {
+	to.failures = 0
+	to.limit *= 2
+	if to.limit >= slowStartEnd {
+		to.limit = 0
+	}
+}
+
+// failed counts a failure; the breaker's pause has jitter, of which the oracle holds the least.
+func (to *fuzzTarget) failed() {
+	to.failures++
+	if time.Now().Before(to.closedUntil) || (to.failures < breakerFailures && to.limit == 0) {
+		return
+	}
+	to.limit = 1
+	to.closeFor(minOpen / 2)
+}
+
+func (m *balancerModel) wait() {
+	time.Sleep(time.Duration(rapid.IntRange(1, 800).Draw(m.t, "ms")) * time.Millisecond)
+	synctest.Wait()
+}
+
+func (m *balancerModel) leaveOrReturn() {
+	to := m.targets[rapid.IntRange(0, len(m.targets)-1).Draw(m.t, "target")]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// A request in progress keeps the targets it was given; the model lets none be in progress.
+	for _, q := range m.requests {
+		if !q.done {
+			return
+		}
+	}
+	if to.State == cataloger.StateLive {
+		to.State = cataloger.StateLeaving
+	} else {
+		to.State = cataloger.StateLive
+	}
+}
+
+func (m *balancerModel) abandon() {
+	m.cancelOne()
+	synctest.Wait()
+}
+
+func (m *balancerModel) cancelOne() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.requests) > 0 {
+		i := rapid.IntRange(0, len(m.requests)-1).Draw(m.t, "request")
+		m.requests[fmt.Sprint("r", i)].cancel()
+	}
+}
+
+func (m *balancerModel) invariants() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, to := range m.targets {
+		if seen := m.balancer.Outstanding(to.Name); seen != to.inFlight {
+			m.fault("%s has %d in progress and is counted with %d", to.Name, to.inFlight, seen)
+		}
+	}
+	if float64(m.retries) > fuzzBurst+fuzzShare*float64(len(m.requests)) {
+		m.fault("%d retries of %d requests", m.retries, len(m.requests))
+	}
+	for _, q := range m.requests {
+		m.checkEnd(q)
+	}
+	require.Empty(m.t, m.faults)
+}
+
+func (m *balancerModel) checkEnd(q *fuzzRequest) {
+	if !q.Idempotent && q.runs > 1 {
+		m.fault("%s ran %d times", q.RequestID, q.runs)
+	}
+	if !q.done {
+		return
+	}
+	switch r := refuser.From(q.err); {
+	case q.err == nil && q.runs == 0:
+		m.fault("%s was answered and did not run", q.RequestID)
+	case q.err != nil && r.Fact == refuser.FactNotRun && q.runs > 0:
+		m.fault("%s ran and was told %s", q.RequestID, r.Code)
+	case q.err != nil && r.Fact == refuser.FactUnspecified:
+		m.fault("%s was refused without a fact", q.RequestID)
+	}
+}
+
+// stop ends everything in progress, also after a fault.
+func (m *balancerModel) stop() {
+	for _, q := range m.requests {
+		q.cancel()
+	}
+	for m.cutOne() {
+		synctest.Wait()
+	}
+	time.Sleep(maxRetryPause)
+	synctest.Wait()
+}
+
+// cutOne loses an attempt in progress, if there is one.
+func (m *balancerModel) cutOne() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.running) == 0 {
+		return false
+	}
+	a := m.running[0]
+	m.running = m.running[1:]
+	a.target.inFlight--
+	a.target.failed()
+	a.request.uncertain = true
+	a.end <- refuser.New(refuser.TargetFailed, "cut").WithFact(refuser.FactMayHaveRun)
+	return true
+}
+
+func (m *balancerModel) checkStopped() {
+	for _, q := range m.requests {
+		require.True(m.t, q.done, q.RequestID)
+	}
+	m.invariants()
+}
+
+// TestBalancerFuzz lets instances answer, refuse, fail and leave in every order against the oracle.
+func TestBalancerFuzz(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// A bubble has no deadline for rapid to ask for.
+		rapid.Check(struct{ testing.TB }{t}, func(t *rapid.T) {
+			m := newBalancerModel(t)
+			t.Cleanup(m.stop)
+			t.Repeat(map[string]func(*rapid.T){
+				"send":   func(*rapid.T) { m.send() },
+				"send 2": func(*rapid.T) { m.send() },
+				"finish": func(*rapid.T) { m.finish() },
+				"end":    func(*rapid.T) { m.finish() },
+				"wait":   func(*rapid.T) { m.wait() },
+				"leave":  func(*rapid.T) { m.leaveOrReturn() },
+				"cancel": func(*rapid.T) { m.abandon() },
+				"":       func(*rapid.T) { m.invariants() },
+			})
+			m.stop()
+			m.checkStopped()
+		})
+	})
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,7 +18,17 @@
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := map[string]string{"rapid.seed": "20261203", "rapid.checks": "300", "rapid.steps": "100"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
 
 func instance(t *testing.T, config servicefaker.Config) (*servicefaker.Service, cataloger.Target) {
 	service := servicefaker.New(config)
