Ask again before a paused entry delivers in order

Cause: an entry that was stopped while the owner let its answer out delivered it on waking, after the owner had passed over the place and let the next answers out. An entry whose place was over also asked the owner without a pause until the deadline.

Conclusion: mended but for a pause between the look at the clock and the write, a clock that stands still, and an owner that wakes under an old view.

--- a/internal/sequencer/entry.go
+++ b/internal/sequencer/entry.go
@@ -129,6 +129,7 @@
 	pause := minPause
 	for {
 		turn := &peerv1.SequenceTurn{}
+		asked := s.Clock.Now()
 		_, err := s.call(ctx, o.key, MethodWait, pollTimeout+callTimeout, &peerv1.SequenceWait{
 			Place:     s.proto(o),
 			Bytes:     uint32(size),
@@ -136,13 +137,17 @@
 		}, turn)
 		s.noteFloor(o.key, turn.Floor)
 		switch {
-		case err == nil && turn.Kind == turnReleased:
+		case err == nil && turn.Kind == turnReleased && s.fresh(asked):
 			s.entry.mu.Lock()
 			o.released = true
 			s.entry.mu.Unlock()
 			return nil
 		case err == nil && turn.Kind == turnUnknown:
-			_, err = s.enterOnce(ctx, o)
+			var over bool
+			over, err = s.enterOnce(ctx, o)
+			if err == nil && over {
+				return refuser.New(refuser.PredecessorTimedOut, "successors were delivered while this entry was silent").WithFact(refuser.FactRan)
+			}
 		}
 		if err != nil && !unreached(err) {
 			// The request ran, whatever the code says of a place before the run.
@@ -162,6 +167,12 @@
 	}
 }
 
+// fresh tells whether the owner cannot have given up a place that it let out when asked: it keeps that of a lost entry
+// for the grace. An entry that was paused for longer asks again before it delivers.
+func (s *Sequencer) fresh(asked time.Time) bool {
+	return s.Clock.Now().Sub(asked) < s.Limits.ReattachGrace
+}
+
 // done tells the owner in the background that the place is over, or that its delivery was cut.
 func (s *Sequencer) done(o *openPlace, cut bool) {
 	s.entry.mu.Lock()
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -23,6 +23,8 @@
 type fleet struct {
 	mu    sync.Mutex
 	nodes map[string]*member
+	// paused is until when a daemon is stopped, as others that take it for dead do not know.
+	paused map[string]time.Time
 }
 
 type member struct {
@@ -36,7 +38,7 @@
 const hop = 2 * time.Millisecond
 
 func newFleet(names ...string) *fleet {
-	f := &fleet{nodes: map[string]*member{}}
+	f := &fleet{nodes: map[string]*member{}, paused: map[string]time.Time{}}
 	for _, name := range names {
 		f.add(name)
 	}
@@ -51,7 +53,7 @@
 		Rand:  rand.New(rand.NewPCG(1, xxhash.Sum64String(name))),
 		Self:  func() cataloger.Member { return m.self },
 		Owner: f.owner,
-		Alive: func(name string, _ uint64) bool { return f.get(name) != nil },
+		Alive: func(name string, _ uint64) bool { return f.get(name) != nil && time.Now().After(f.pausedUntil(name)) },
 		Link: linker.Link{Call: func(ctx context.Context, address, method string, req, resp proto.Message) error {
 			return f.call(ctx, name, address, method, req, resp)
 		}},
@@ -103,10 +105,24 @@
 	if err != nil {
 		return err
 	}
+	// What a stopped daemon asked for reaches it when it wakes.
+	time.Sleep(time.Until(f.pausedUntil(from)))
 	proto.Merge(resp, out)
 	return nil
 }
 
+func (f *fleet) pause(name string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused[name] = time.Now().Add(d)
+}
+
+func (f *fleet) pausedUntil(name string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paused[name]
+}
+
 func (f *fleet) remove(name string) {
 	f.mu.Lock()
 	m := f.nodes[name]
@@ -221,6 +237,38 @@
 	})
 }
 
+// TestPausedEntryDoesNotDeliverLate stops an entry while its answer is let out, for longer than its place is kept.
+func TestPausedEntryDoesNotDeliverLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		defer f.stop()
+		owner, _ := f.owner(ShardOf("agency", "reports"))
+		var entries []string
+		for _, name := range []string{"a", "b", "c"} {
+			if name != owner.Name {
+				entries = append(entries, name)
+			}
+		}
+		var mu sync.Mutex
+		var order []uint64
+		deliver := func(seq uint64) {
+			mu.Lock()
+			defer mu.Unlock()
+			order = append(order, seq)
+		}
+		var late error
+		var wait sync.WaitGroup
+		wait.Go(func() { late = f.request(entries[0], at(1, time.Minute), time.Second, deliver) })
+		wait.Go(func() { require.NoError(t, f.request(entries[1], at(2, time.Minute), 0, deliver)) })
+		time.Sleep(time.Second + hop + hop/2)
+		f.pause(entries[0], 10*time.Second)
+		wait.Wait()
+		require.Equal(t, []uint64{2}, order)
+		require.Equal(t, refuser.PredecessorTimedOut, refuser.From(late).Code)
+		require.Equal(t, refuser.FactRan, refuser.From(late).Fact)
+	})
+}
+
 func TestCutDeliveryKeepsItsPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
