--- a/internal/prober/health.go
+++ b/internal/prober/health.go
@@ -16,7 +16,7 @@
 	Rate float64
 	// SuspectInterval is the interval while a target is in doubt.
 	SuspectInterval time.Duration
-	// DownInterval is the longest interval while a target is down.
+	// DownInterval is the longest interval while a target is down and does not answer.
 	DownInterval time.Duration
 	// MinTimeout and MaxTimeout bound the adaptive timeout.
 	MinTimeout time.Duration
@@ -163,6 +163,13 @@
 	return h
 }
 
+// Agreed returns the health of a target that answered this daemon and that another one calls live.
+func (h Health) Agreed() Health {
+	h.State = cataloger.StateLive
+	h.downFor = 0
+	return h
+}
+
 // Timeout returns how long the next probe may take.
 func (h Health) Timeout(o Options) time.Duration {
 	o = o.withDefaults()
@@ -183,6 +190,9 @@
 		return min(o.SuspectInterval, usual)
 	case cataloger.StateDead:
 		d := o.SuspectInterval
+		if h.successes > 0 {
+			return min(d, usual)
+		}
 		for range h.downFor {
 			d = min(2*d, o.DownInterval)
 		}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -147,19 +147,13 @@
 			continue
 		}
 		t := s.targets[info.Name]
-		switch {
-		case t == nil && now.Sub(s.begun) < settling:
-			t = &target{name: info.Name, rampFrom: now.Add(-s.SlowStart)}
-		case t == nil, !usableState(t.info.State) && usableState(info.State):
-			if t == nil {
-				t = &target{name: info.Name}
+		if t == nil {
+			t = &target{name: info.Name, info: info, rampFrom: now}
+			if now.Sub(s.begun) < settling {
+				t.rampFrom = now.Add(-s.SlowStart)
 			}
-			t.rampFrom = now
-			// The probes that found it live again know more than the streams that it lost.
-			t.suspectUntil = time.Time{}
-			t.failures = 0
 		}
-		t.info = info
+		t.enter(info, now)
 		targets[info.Name] = t
 	}
 	s.targets = targets
@@ -259,6 +253,13 @@
 	s.prefixes.add(prefix, name, s.Clock.Now(), confirmedHit)
 }
 
+// DoubtCache takes in that cache events of a target may have been missed.
+func (s *Selector) DoubtCache(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefixes.doubt(name, s.Clock.Now())
+}
+
 // Fail marks a target as failed, so that it gets no work for a time that doubles with each failure in a row.
 func (s *Selector) Fail(name string) {
 	s.mu.Lock()
