Strike the first head of a route in the test of early faults

Cause: TestBeforeFirstToken gave its fault to one engine by name and relied on the draws of a seed to send a request there; with pooled targets the four requests went to the other one. Change: the fault goes to the head of the first route that is picked. Measured: go test -race -count=2 ./internal/dispatcher passes. Conclusion: as strict as before, and no longer bound to the draws.

--- a/internal/dispatcher/fault_test.go
+++ b/internal/dispatcher/fault_test.go
@@ -119,7 +119,7 @@
 	for _, fault := range cases {
 		t.Run(string(fault.Kind), func(t *testing.T) {
 			b := newBench(t, threeStagesTwice, nil)
-			require.NoError(t, b.engines["e0"].SetFaults(fault))
+			b.beforeFirst(0, fault)
 			for i := range 4 {
 				job := testJob(fmt.Sprint("r", i), 10)
 				col := &collector{t: t, job: job}
