Put the floor of admission back to 8 a target and look twice

And a request that had waited was granted by the estimate of the time at which it came, so that in an overload many were cut at their deadline.

Change: the floor is 8 again. A request that waited is looked at by the newest estimate before it is granted. The correction of an expected time goes up to 4 again in place of 32, as the receiver's expected time follows what is seen.

--- a/internal/admitter/estimator.go
+++ b/internal/admitter/estimator.go
@@ -8,7 +8,7 @@
 	quantileGain   = 0.01
 	leastDeviation = 0.05 // of the mean
 	leastRatio     = 0.5
-	mostRatio      = 32.0
+	mostRatio      = 4.0
 	ratioHalfLife  = 5 * time.Second
 )
 
--- a/internal/admitter/refusals.go
+++ b/internal/admitter/refusals.go
@@ -56,6 +56,16 @@
 	return nil
 }
 
+// tooLate tells whether a request that waited would end after its deadline by what is known now; the estimates may have
+// grown since it came.
+func (s *Scheduler) tooLate(now time.Time, t *Ticket) bool {
+	if t.latest.IsZero() {
+		return false
+	}
+	_, t.expected = s.expect(now, t)
+	return now.After(t.Request.Deadline.Add(-t.expected))
+}
+
 // checkWait refuses what the measured rate of the workspace cannot grant in time.
 func (s *Scheduler) checkWait(now time.Time, t *Ticket) *refuser.Refusal {
 	if t.latest.IsZero() {
--- a/internal/admitter/scheduler.go
+++ b/internal/admitter/scheduler.go
@@ -412,6 +412,10 @@
 
 func (s *Scheduler) grantTop(now time.Time, f *flow) {
 	t := f.queue.top()
+	if s.tooLate(now, t) {
+		s.refuse(t, s.expiredRefusal(now, t))
+		return
+	}
 	f.drain(now, t.cost)
 	s.grant(now, t)
 	s.dequeue(t)
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -172,7 +172,7 @@
 }
 
 // busyPerTarget is how many requests in progress keep a target busy while their stages wait for each other.
-const busyPerTarget = 4
+const busyPerTarget = 8
 
 // mostPerTarget is how many requests in progress a target can still be of use to; more of them only wait in it.
 const mostPerTarget = 4 * busyPerTarget
