Tell the neighbours of idle targets on change only

Cause: load summaries went out in full at each interval, also of targets without work, and take up to 1.1 KB/s in each direction of a daemon's 9 KB/s.

Change: a target that stays idle is told again every 30 s, or when the share of its memory in use changes by 5%. Reports of work are told each time, since the selector's belief in them fades within 8 s.

--- a/internal/prober/peers.go
+++ b/internal/prober/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -28,12 +29,34 @@
 	minShare       = time.Second
 	// sampleLife is how long a report is passed on.
 	sampleLife = 10 * time.Second
+	// idleRefresh is the interval at which a target that stays idle is told again, and memoryStep the change of its memory's share that is told before.
+	idleRefresh = 30 * time.Second
+	memoryStep  = 0.05
 )
 
-// sample is a load report and when it came.
+// sample is a load report and when it came, and the one that the neighbours were told last.
 type sample struct {
-	load *enginev1.LoadResponse
-	at   time.Time
+	load   *enginev1.LoadResponse
+	at     time.Time
+	told   *enginev1.LoadResponse
+	toldAt time.Time
+}
+
+// stale tells whether the neighbours have to be told: always of work, since their belief in it fades, and else of a change.
+func (s sample) stale(now time.Time) bool {
+	if s.told == nil || now.Sub(s.toldAt) >= idleRefresh || !idle(s.load) || !idle(s.told) {
+		return true
+	}
+	return math.Abs(memoryShare(s.load)-memoryShare(s.told)) >= memoryStep
+}
+
+func idle(l *enginev1.LoadResponse) bool { return l.Running == 0 && l.Waiting == 0 }
+
+func memoryShare(l *enginev1.LoadResponse) float64 {
+	if l.KvTotalBytes == 0 {
+		return 0
+	}
+	return float64(l.KvUsedBytes) / float64(l.KvTotalBytes)
 }
 
 // Handlers returns the peer handlers by method.
@@ -70,7 +93,9 @@
 
 func (p *Prober) observe(name string, load *enginev1.LoadResponse) {
 	p.mu.Lock()
-	p.loads[name] = sample{load: load, at: p.Clock.Now()}
+	s := p.loads[name]
+	s.load, s.at = load, p.Clock.Now()
+	p.loads[name] = s
 	p.mu.Unlock()
 	if p.ObserveLoad != nil {
 		p.ObserveLoad(name, load)
@@ -100,7 +125,7 @@
 	return out
 }
 
-// share sends the newest loads to the neighbours.
+// share sends the newest loads to the neighbours, but for targets that stay idle.
 func (p *Prober) share(now time.Time) {
 	if p.Link.Notify == nil {
 		return
@@ -116,6 +141,7 @@
 	}
 }
 
+// summary returns what the neighbours have to be told, and counts it as told.
 func (p *Prober) summary(now time.Time) *peerv1.LoadSummary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,6 +152,11 @@
 			delete(p.loads, name)
 			continue
 		}
+		if !s.stale(now) {
+			continue
+		}
+		s.told, s.toldAt = s.load, now
+		p.loads[name] = s
 		out.Loads = append(out.Loads, &peerv1.TargetLoad{
 			Target:       name,
 			AgeMs:        uint32((s.load.GetAge().AsDuration() + waited) / time.Millisecond),
