Plan with measured links and the adapters of every service

Cause: the planner took each unlisted link at its stated speed and the router never changed LinksVersion, so that a plan was kept with stale links; it read Links, but the router's Bandwidth hid them. Of two services with one model and two adapters only the last one's adapter was planned; the other service had no pipeline.

The planner digests listed links itself. A model has Adapters, each loaded on every target of the model: the first with the weights, the others when those are ready.

Adapters by demand would need demand reports by adapter, which the peer message does not have.

apply in plan_test.go adds an adapter to the range that is held, as engines do.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -36,6 +36,7 @@
 func (p *Planner) Plan(s State) Placement {
 	s.Pace = s.Pace.withDefaults()
 	s.Bandwidth = s.bandwidth()
+	s.LinksVersion += linksDigest(s.Links)
 	if s.Model.Layers == 0 || s.Model.Version == "" {
 		return Placement{}
 	}
@@ -186,6 +187,21 @@
 	return bound
 }
 
+// linksDigest changes with any link.
+func linksDigest(links []cataloger.Link) uint64 {
+	d := xxhash.New()
+	var word [8]byte
+	for _, l := range links {
+		_, _ = d.WriteString(l.From)
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(l.To)
+		_, _ = d.Write([]byte{0})
+		binary.LittleEndian.PutUint64(word[:], math.Float64bits(l.Bandwidth))
+		_, _ = d.Write(word[:])
+	}
+	return d.Sum64()
+}
+
 // fingerprint changes with anything that the plan of a group is made from.
 func (s State) fingerprint(g group) uint64 {
 	d := xxhash.New()
--- a/internal/planner/plan_test.go
+++ b/internal/planner/plan_test.go
@@ -84,6 +84,13 @@
 					return h.Version == c.Holding.Version && h.FirstLayer >= c.Holding.FirstLayer && h.EndLayer <= c.Holding.EndLayer
 				})
 			case ChangeLoad:
+				if at := slices.IndexFunc(hs, func(h cataloger.Holding) bool {
+					return h.Version == c.Holding.Version && h.FirstLayer == c.Holding.FirstLayer && h.EndLayer == c.Holding.EndLayer
+				}); at >= 0 {
+					require.True(t, hs[at].Ready, "adapters follow the weights")
+					hs[at].Adapters = append(slices.Clone(hs[at].Adapters), c.Holding.Adapters...)
+					continue
+				}
 				c.Holding.Ready = false
 				hs = append(hs, c.Holding)
 			}
@@ -474,3 +481,57 @@
 		}
 	}
 }
+
+func TestPlannerSeesLinksThatChange(t *testing.T) {
+	s := State{
+		Model: Model{Name: "m", Version: "v1", Layers: 8, ActivationBytes: 100},
+		Targets: []cataloger.Target{
+			{Name: "a", DecodeRate: 4000, State: cataloger.StateLive, Holdings: []cataloger.Holding{{Model: "m", Version: "v1", EndLayer: 4, Ready: true}}},
+			{Name: "b", DecodeRate: 4000, State: cataloger.StateLive, Holdings: []cataloger.Holding{{Model: "m", Version: "v1", FirstLayer: 4, EndLayer: 8, Ready: true}}},
+		},
+		Links: []cataloger.Link{{From: "a", To: "b", Bandwidth: 1e9}},
+	}
+	p := New()
+	require.InDelta(t, 1000, p.Plan(s).Bound, 1)
+	s.Links = []cataloger.Link{{From: "a", To: "b", Bandwidth: 1e4}}
+	require.InDelta(t, 100, p.Plan(s).Bound, 1)
+}
+
+func TestAdaptersReachEveryTargetOfTheModel(t *testing.T) {
+	for _, adapters := range [][]string{nil, {"a"}, {"a", "b", "c"}} {
+		t.Run(fmt.Sprint(len(adapters)), func(t *testing.T) {
+			s := fleet(40, 3, 1)
+			s.Model.Adapters, s.Model.AdapterBytes = adapters, gigabyte/8
+			s, placement := settle(t, s)
+			require.Positive(t, placement.Bound)
+			requireAdapters(t, s, adapters)
+		})
+	}
+}
+
+func requireAdapters(t *testing.T, s State, adapters []string) {
+	for _, target := range s.Targets {
+		for _, h := range target.Holdings {
+			require.ElementsMatch(t, adapters, h.Adapters)
+		}
+	}
+}
+
+func TestAdapterThatComesLaterMovesNoWeights(t *testing.T) {
+	s, before := settle(t, fleet(40, 3, 1))
+	s.Model.Adapters, s.Model.AdapterBytes = []string{"a", "b"}, gigabyte/8
+	s.Offered = before.Bound
+	for range 2 * len(s.Targets) {
+		placement := Plan(s)
+		require.InDelta(t, before.Bound, placement.Bound, 1e-6*before.Bound)
+		targets := map[string]bool{}
+		for _, c := range placement.Changes {
+			require.Equal(t, ChangeLoad, c.Kind)
+			require.Equal(t, s.Model.AdapterBytes, c.Bytes)
+			targets[c.Target] = true
+		}
+		require.LessOrEqual(t, len(targets), defaultLoads)
+		s = apply(t, s, placement.Changes, always)
+	}
+	requireAdapters(t, s, s.Model.Adapters)
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -17,9 +17,9 @@
 	LayerBytes uint64
 	// ActivationBytes is what one token's activation takes on a link.
 	ActivationBytes uint64
-	// Adapter is loaded beside the weights where it is not empty.
-	Adapter string
-	// AdapterBytes is the size of the adapter.
+	// Adapters are loaded beside the weights, each on every target of the model, as any of its chains may get a request.
+	Adapters []string
+	// AdapterBytes is the size of an adapter.
 	AdapterBytes uint64
 }
 
@@ -32,7 +32,7 @@
 	// Bandwidth returns the bytes a second from one target to another; nil takes Links, and a pair without a link is
 	// taken as free.
 	Bandwidth func(from, to *cataloger.Target) float64
-	// LinksVersion must change where Bandwidth or Links do, for a Planner that keeps earlier work.
+	// LinksVersion must change where Bandwidth does, for a Planner that keeps earlier work.
 	LinksVersion uint64
 	// PromptRatio is the number of prompt tokens to each generated one; 0 leaves prefill out of the bound.
 	PromptRatio float64
--- a/internal/planner/transition.go
+++ b/internal/planner/transition.go
@@ -44,9 +44,9 @@
 	// drop lists what must go, in which order, before or without a load.
 	drop []held
 	load span
-	// adapter is true where only the adapter is pulled.
-	adapter bool
-	moving  bool
+	// adapters are pulled without weights.
+	adapters []string
+	moving   bool
 }
 
 func newTransition(s State, all []group, wanted []span, bound float64) *transition {
@@ -346,8 +346,8 @@
 		return st, false
 	case holds && main.span == want:
 		st.drop = rest
-		st.adapter = m.Adapter != "" && !slices.Contains(main.adapters, m.Adapter)
-		return st, len(rest) > 0 || st.adapter
+		st.adapters = m.missing(main)
+		return st, len(rest) > 0 || len(st.adapters) > 0
 	case holds:
 		st.drop = all
 		st.load = want
@@ -365,6 +365,17 @@
 	return st, true
 }
 
+// missing returns the adapters that a holding lacks.
+func (m Model) missing(h held) []string {
+	var missing []string
+	for _, a := range m.Adapters {
+		if !slices.Contains(h.adapters, a) {
+			missing = append(missing, a)
+		}
+	}
+	return missing
+}
+
 func layersOf(all []held) uint32 {
 	n := uint32(0)
 	for _, h := range all {
@@ -389,15 +400,15 @@
 	})
 }
 
-// take counts a step where pace and bound allow it, and tells whether they do; an adapter is pulled also where nothing
+// take counts a step where pace and bound allow it, and tells whether they do; adapters are pulled also where nothing
 // may be dropped.
 func (t *transition) take(st step) (step, bool) {
-	pulls := !st.load.empty() || st.adapter
+	pulls := !st.load.empty() || len(st.adapters) > 0
 	if pulls && !t.paceAllows(st) {
 		return st, false
 	}
 	if len(st.drop) > 0 && !t.dropAllowed(st) {
-		if !st.adapter {
+		if len(st.adapters) == 0 {
 			return st, false
 		}
 		st.drop = nil
@@ -423,26 +434,36 @@
 			Holding: cataloger.Holding{Model: m.Name, Version: h.version, FirstLayer: h.span.first, EndLayer: h.span.end},
 		})
 	}
-	load := st.load
-	if st.adapter {
-		load = t.wanted[st.target]
+	for _, adapter := range st.adapters {
+		out = append(out, t.loadOf(st.target, t.wanted[st.target], adapter, m.AdapterBytes))
 	}
-	if load.empty() {
+	if st.load.empty() {
 		return out
 	}
+	// The adapters after the first follow when the weights are there.
+	first := ""
+	if len(m.Adapters) > 0 {
+		first = m.Adapters[0]
+	}
+	return append(out, t.loadOf(st.target, st.load, first, t.bytesOf(st)))
+}
+
+// loadOf returns the change that loads a range, with an adapter or none.
+func (t *transition) loadOf(i int, s span, adapter string, bytes uint64) Change {
+	m, target := t.s.Model, t.s.Targets[i]
 	c := Change{
-		Kind: ChangeLoad, Target: target.Name, Address: target.Address, Bytes: t.bytesOf(st),
-		Holding: cataloger.Holding{Model: m.Name, Version: m.Version, FirstLayer: load.first, EndLayer: load.end},
+		Kind: ChangeLoad, Target: target.Name, Address: target.Address, Bytes: bytes,
+		Holding: cataloger.Holding{Model: m.Name, Version: m.Version, FirstLayer: s.first, EndLayer: s.end},
 	}
-	if m.Adapter != "" {
-		c.Holding.Adapters = []string{m.Adapter}
+	if adapter != "" {
+		c.Holding.Adapters = []string{adapter}
 	}
-	return append(out, c)
+	return c
 }
 
 func (t *transition) bytesOf(st step) uint64 {
-	bytes := uint64(st.load.layers()) * t.s.Model.LayerBytes
-	if t.s.Model.Adapter != "" {
+	bytes := uint64(st.load.layers())*t.s.Model.LayerBytes + uint64(len(st.adapters))*t.s.Model.AdapterBytes
+	if !st.load.empty() && len(t.s.Model.Adapters) > 0 {
 		bytes += t.s.Model.AdapterBytes
 	}
 	return bytes
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,6 +122,18 @@
 	return mine
 }
 
+// adapters returns what the services of a model ask for beside its weights.
+func (p *placement) adapters(name string) []string {
+	var adapters []string
+	for _, d := range p.router.documentsInForce() {
+		if d.Model != nil && d.Model.Name == name && d.Model.Adapter != "" {
+			adapters = append(adapters, d.Model.Adapter)
+		}
+	}
+	slices.Sort(adapters)
+	return slices.Compact(adapters)
+}
+
 func (p *placement) start(ctx context.Context, model documenter.Model) *plan {
 	ctx, stop := context.WithCancel(ctx)
 	running := &plan{stop: stop, done: make(chan struct{})}
@@ -230,7 +243,7 @@
 	if !ok {
 		return planner.Placement{}
 	}
-	fleet := p.router.tracker.Fleet()
+	speeds := p.router.selector.Speeds()
 	placed := plans.Plan(planner.State{
 		Model: planner.Model{
 			Name:            model.Name,
@@ -238,25 +251,17 @@
 			Layers:          model.Layers,
 			LayerBytes:      model.LayerBytes,
 			ActivationBytes: model.ActivationBytes,
-			Adapter:         model.Adapter,
+			Adapters:        p.adapters(name),
 		},
-		Targets:   targets,
-		Links:     fleet.Links,
-		Bandwidth: p.bandwidth,
-		Offered:   p.demands.total(name) * offeredMargin,
+		Targets:      targets,
+		Bandwidth:    speeds.Bandwidth,
+		LinksVersion: speeds.Version,
+		Offered:      p.demands.total(name) * offeredMargin,
 	})
 	p.router.meter.Set("placement-bound-"+name, placed.Bound)
 	return placed
 }
 
-// bandwidth returns what the selector takes for a link that nobody lists.
-func (p *placement) bandwidth(from, to *cataloger.Target) float64 {
-	if from.DataCentre == to.DataCentre {
-		return p.router.selector.SameDataCentre.Bandwidth
-	}
-	return p.router.selector.BetweenDataCentres.Bandwidth
-}
-
 func (p *placement) stopAll() {
 	p.mu.Lock()
 	running := p.running
