Stop an order whose time is over at the last moment

Cause: a holder that was paused after the permit could still send: the call's deadline was set from the monotonic clock, which stands still while a VM is suspended, and bytes that the kernel had taken were sent again for minutes after the call was given up.

Conclusion: the window is from the last look to the write to the socket, and what a network or target holds after acknowledging it.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -216,7 +216,7 @@
 }
 
 func (c *Commander) describeOne(ctx context.Context, t *cataloger.Target) bool {
-	callCtx, cancel := context.WithTimeout(ctx, defaultOrderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, DefaultOrderTimeout)
 	defer cancel()
 	d, err := c.Describe(callCtx, t.Address)
 	if err != nil {
@@ -332,7 +332,11 @@
 	c.machine.Sent(t.Name, p)
 	c.mu.Unlock()
 	// The deadline counts from the permit, so that a process that was paused after it does not send any more.
-	callCtx, cancel := context.WithTimeout(ctx, p.Until.Sub(c.Clock.Now()))
+	now := c.Clock.Now()
+	if over(now, p.Until) || !c.Lease.Valid() {
+		return Outcome{Change: change, Verdict: VerdictTooLate}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, p.Until.Sub(now))
 	defer cancel()
 	resp, err := c.Order(callCtx, t.Address, request)
 	o := Outcome{Change: change, Verdict: VerdictSend, Err: err}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -256,7 +256,7 @@
 		for range 40 {
 			time.Sleep(time.Second)
 			require.NoError(t, next.Round(t.Context()))
-			if time.Since(start) <= leaseTime+defaultOrderTimeout {
+			if time.Since(start) <= leaseTime+DefaultOrderTimeout {
 				require.Equal(t, "v1", b.engines.holds["ignores"][0].Version, "no order yet to the target that ignores fencing")
 			}
 		}
--- a/internal/commander/machine.go
+++ b/internal/commander/machine.go
@@ -16,8 +16,10 @@
 	Slack time.Duration
 }
 
+// DefaultOrderTimeout is the longest life of an order where Timing does not say.
+const DefaultOrderTimeout = 5 * time.Second
+
 const (
-	defaultOrderTimeout = 5 * time.Second
 	defaultLeastTimeout = 500 * time.Millisecond
 	defaultDrift        = 0.01
 	defaultSlack        = 250 * time.Millisecond
@@ -25,7 +27,7 @@
 
 func (t Timing) withDefaults() Timing {
 	if t.OrderTimeout <= 0 {
-		t.OrderTimeout = defaultOrderTimeout
+		t.OrderTimeout = DefaultOrderTimeout
 	}
 	if t.LeastTimeout <= 0 {
 		t.LeastTimeout = defaultLeastTimeout
--- a/internal/commander/machine_test.go
+++ b/internal/commander/machine_test.go
@@ -235,7 +235,7 @@
 	require.Equal(t, VerdictSend, m.Permit(now, "a", true, leaseTime).Verdict)
 	p := m.Permit(now, "a", false, leaseTime)
 	require.Equal(t, VerdictSettling, p.Verdict)
-	require.Greater(t, p.Retry.Sub(now), leaseTime+defaultOrderTimeout)
+	require.Greater(t, p.Retry.Sub(now), leaseTime+DefaultOrderTimeout)
 	require.Equal(t, VerdictSend, m.Permit(p.Retry, "a", false, leaseTime).Verdict)
 	require.Equal(t, VerdictTooLate, m.Permit(p.Retry, "a", false, 500*time.Millisecond).Verdict)
 	require.Less(t, m.Permit(p.Retry, "a", false, 3*time.Second).Timeout, 3*time.Second)
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -9,6 +9,7 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/commander"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/leaser"
 	"github.com/rattantray/rattantray/internal/planner"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -28,6 +29,8 @@
 type placement struct {
 	router  *Router
 	demands *demands
+	// orders are connections to engines for nothing but orders, which must not arrive late.
+	orders *engineer.Pool
 
 	mu      sync.Mutex
 	running map[string]*plan
@@ -55,7 +58,9 @@
 }
 
 func (r *Router) buildPlacement() (registrar.Service, error) {
-	r.placement = &placement{router: r, demands: newDemands(r.Clock), running: map[string]*plan{}}
+	client := engineer.HTTPClientOver(commander.Dial(r.Network.Dial).WithResend(commander.DefaultOrderTimeout))
+	client.Transport = commander.Gate{Clock: r.Clock, Base: client.Transport}
+	r.placement = &placement{router: r, demands: newDemands(r.Clock), orders: engineer.NewPool(client), running: map[string]*plan{}}
 	r.peer.Handle(methodDemand, r.placement.handleDemand)
 	return registrar.Service{
 		Name:  ServicePlacement,
@@ -66,6 +71,7 @@
 }
 
 func (p *placement) run(ctx context.Context) error {
+	defer p.orders.Close()
 	defer p.stopAll()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -186,7 +192,7 @@
 			return p.plan(plans, name, targets), nil
 		},
 		Order: func(ctx context.Context, address string, o *enginev1.OrderRequest) (*enginev1.OrderResponse, error) {
-			return r.engines.Get(address).Order(ctx, o)
+			return p.orders.Get(address).Order(ctx, o)
 		},
 		Describe: func(ctx context.Context, address string) (*enginev1.DescribeResponse, error) {
 			return r.engines.Get(address).Describe(ctx, &enginev1.DescribeRequest{})
