--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -63,9 +63,12 @@
 	commit  *commit
 	segment *segmentWrite
 	// forgetting lists keys whose fingerprints are in the archive write under way or in the next commit.
-	forgetting  []Key
-	compactedAt time.Time
-	deleting    uint64
+	forgetting []Key
+	// compactTo is the time whose expired ids the compaction drops; it is ahead of the clock where the shard is crowded.
+	compactTo time.Time
+	// sweptAt is when bound mode last dropped old ids.
+	sweptAt  time.Time
+	deleting uint64
 
 	busy     bool
 	retryAt  time.Time
@@ -77,7 +80,9 @@
 	fencedAt    time.Time
 	fencedInRow int
 
-	tickets  map[uint64]*ticket
+	tickets map[uint64]*ticket
+	// proofs lists the waiting calls of the kind waitProof, and some that ended.
+	proofs   []*ticket
 	byKey    map[Key][]*ticket
 	earliest time.Time
 	replies  []reply
@@ -141,6 +146,7 @@
 	s.loading = nil
 	s.loadRecords = nil
 	s.deleting = 0
+	s.proofs = nil
 	for _, t := range s.sorted() {
 		s.finish(t, verdict{kind: verdictNotOwner})
 	}
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -40,6 +40,7 @@
 	execution    string
 	version      string
 	firstAttempt uint32
+	held         Held
 	position     uint64
 	attempt      uint32
 	// started is true once the request may have reached a target.
@@ -48,7 +49,9 @@
 	queueWait time.Duration
 	first     time.Duration
 	last      time.Time
-	parts     int64
+	// granted is when the generation began to run.
+	granted time.Time
+	parts   int64
 }
 
 func (x *exchange) run(ctx context.Context, header http.Header) error {
@@ -115,6 +118,7 @@
 	}
 	x.execution = claims.Execution
 	x.version = claims.Version
+	x.held = Held{Attempt: claims.Attempt, Route: claims.Route}
 	x.firstAttempt = (claims.Attempt/attemptStride + 1) * attemptStride
 	x.position = uint64(len(x.req.Delivered))
 	return nil
@@ -167,11 +171,13 @@
 		return 1, 0
 	}
 	prompt := engineer.PromptTokens(len(x.req.Payload))
-	most := int(x.maxTokens()) - len(x.req.Delivered)
-	most = max(most, 1)
+	most := x.asked()
 	return float64(prompt + most), x.receiver.Expected(x.doc.Name, prompt, most)
 }
 
+// asked returns how many tokens the caller still wants at most.
+func (x *exchange) asked() int { return max(1, int(x.maxTokens())-len(x.req.Delivered)) }
+
 func (x *exchange) maxTokens() uint32 {
 	if x.req.MaxTokens > 0 {
 		return x.req.MaxTokens
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -48,6 +48,8 @@
 	Admit func(ctx context.Context, r admitter.Request) (*admitter.Grant, error)
 	// Expected estimates how long a generation takes; zero where it is not known.
 	Expected func(service string, promptTokens, maxTokens int) time.Duration
+	// Observe takes in how a generation went, from its grant; nil where nobody expects anything.
+	Observe func(service string, g Generated)
 	// Generate runs a model request and emits its tokens.
 	Generate func(ctx context.Context, g Generation, emit func(Token) error) error
 	// Forward runs a request on a plain service.
@@ -77,8 +79,14 @@
 	// Delivered are the tokens that the caller has.
 	Delivered [][]byte
 	Retry     documenter.Retry
-	// Cut is true where an earlier stream of this execution may still be kept by an engine.
-	Cut bool
+	// Held is the stream of this execution that engines may still hold; its route is empty for a new answer.
+	Held Held
+}
+
+// Held is the stream of an answer that was cut.
+type Held struct {
+	Attempt uint32
+	Route   []tokener.Stage
 }
 
 // Token is one checked token of an answer.
@@ -88,6 +96,8 @@
 	Data     []byte
 	Last     bool
 	Receipt  *v1.Receipt
+	// Route is the chain that runs the attempt; it comes with the first token of each.
+	Route []tokener.Stage
 }
 
 // Resolve implements rattantray.v1.RouterService.
--- a/internal/router/data.go
+++ b/internal/router/data.go
@@ -8,18 +8,22 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/limiter"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/subscriber"
+	"github.com/rattantray/rattantray/internal/tokener"
 	"github.com/rattantray/rattantray/internal/tracker"
+	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 const (
 	reweighInterval = time.Second
 	// slowStart is how long a target that joins or returns takes to get its whole share.
-	slowStart = 5 * time.Second
+	slowStart = 2 * time.Second
 	// reweighPause is the pause after computing weights, in multiples of the time that it took.
 	reweighPause   = 100
 	settleInterval = 100 * time.Millisecond
@@ -69,6 +73,42 @@
 	}, nil
 }
 
+// buildCacheEvents follows the prefix caches of engines in this data centre.
+func (r *Router) buildCacheEvents() (registrar.Service, error) {
+	s := &subscriber.Subscriber{
+		Self:    r.local.Name,
+		Streams: subscriber.DefaultStreams,
+		Engines: r.nearEngines,
+		Busy:    func(target string) bool { return r.selector.Outstanding(target) > 0 },
+		Open: func(ctx context.Context, address string) (*engineer.Events, error) {
+			return r.engines.Get(address).CacheEvents(ctx, &enginev1.CacheEventsRequest{})
+		},
+		Observe: r.selector.ObserveCache,
+		Doubt:   r.selector.DoubtCache,
+		Clock:   r.Clock,
+		Random:  r.random(),
+		Log:     r.Log,
+		Metrics: r.meter.Registry,
+	}
+	return registrar.Service{
+		Name:  ServiceCacheEvents,
+		Needs: []string{ServiceMembers, ServiceSelection},
+		Value: s,
+		Run:   s.Run,
+	}, nil
+}
+
+// nearEngines returns the live engines of this data centre that hold layers.
+func (r *Router) nearEngines() []cataloger.Target {
+	var near []cataloger.Target
+	for _, t := range r.tracker.Fleet().Targets {
+		if t.Type == cataloger.TypeEngine && t.State == cataloger.StateLive && t.DataCentre == r.local.DataCentre && len(t.Holdings) > 0 {
+			near = append(near, t)
+		}
+	}
+	return near
+}
+
 func (r *Router) stopSelection() error {
 	r.dispatch.Wait()
 	r.engines.Close()
@@ -128,36 +168,63 @@
 	models := modelVersions(documents, held)
 	r.selector.Update(doubtCutOff(fleet, r.local), models)
 	r.meterBounds(models)
-	r.setFloors(documents, fleet)
 	r.held.Store(&held)
+	r.setCapacities(documents, fleet)
 }
 
 // busyPerTarget is how many requests in progress keep a target busy while their stages wait for each other.
-const busyPerTarget = 8
+const busyPerTarget = 4
 
-// setFloors keeps the limits of admission above what keeps the targets busy, as this entry's share of it.
-func (r *Router) setFloors(documents []*documenter.Document, fleet cataloger.Fleet) {
+// mostPerTarget is how many requests in progress a target can still be of use to; more of them only wait in it.
+const mostPerTarget = 4 * busyPerTarget
+
+// setCapacities tells admission what the targets can take. The floor is this entry's part of what keeps them busy; the
+// most is that of the whole fleet, as all callers may have come to this entry.
+func (r *Router) setCapacities(documents []*documenter.Document, fleet cataloger.Fleet) {
+	targets := targetsServing(fleet)
+	entries := max(1, len(tracker.Live(fleet.Members)))
+	for _, d := range documents {
+		count := targets[servedBy(d)]
+		r.admit.SetCapacity(d.Name, admitter.Capacity{
+			Requests: mostPerTarget * count,
+			CostRate: r.boundOf(d) / float64(entries),
+		})
+		r.admit.SetFloor(d.Name, (busyPerTarget*count+entries-1)/entries)
+	}
+}
+
+// targetsServing counts the live targets by the model that they hold, or by their plain service.
+func targetsServing(fleet cataloger.Fleet) map[string]int {
 	targets := map[string]int{}
 	for _, t := range fleet.Targets {
-		if t.State != cataloger.StateLive {
-			continue
-		}
-		if t.Type == cataloger.TypeService {
+		switch {
+		case t.State != cataloger.StateLive:
+		case t.Type == cataloger.TypeService:
 			targets[t.Service]++
-			continue
-		}
-		if len(t.Holdings) > 0 {
+		case len(t.Holdings) > 0:
 			targets[t.Holdings[0].Model]++
 		}
 	}
-	entries := max(1, len(tracker.Live(fleet.Members)))
-	for _, d := range documents {
-		served := d.Name
-		if d.Model != nil {
-			served = d.Model.Name
-		}
-		r.admit.SetFloor(d.Name, (busyPerTarget*targets[served]+entries-1)/entries)
+	return targets
+}
+
+func servedBy(d *documenter.Document) string {
+	if d.Model != nil {
+		return d.Model.Name
+	}
+	return d.Name
+}
+
+// boundOf returns the tokens a second that all versions of a service's model can give; 0 for a plain service.
+func (r *Router) boundOf(d *documenter.Document) float64 {
+	if d.Model == nil {
+		return 0
+	}
+	bound := 0.0
+	for _, version := range r.versions(d.Model.Name) {
+		bound += r.selector.Bound(selector.Key{Name: d.Model.Name, Version: version, Adapter: d.Model.Adapter})
 	}
+	return bound
 }
 
 func (r *Router) documentsInForce() []*documenter.Document {
@@ -184,21 +251,28 @@
 //
 // Where the last chain of the version that it began on is taken down, it goes on with a version that can still run.
 func (r *Router) generate(ctx context.Context, g receiver.Generation, emit func(receiver.Token) error) error {
-	tokens := 0
+	tokens, attempt := 0, uint32(0)
 	defer func() { r.placement.demands.delivered(g.Model.Name, tokens) }()
 	version := r.version(g)
 	for {
 		job := jobOf(g, version)
+		job.Held = r.heldStream(g, version)
 		err := r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
 			tokens++
 			g.Delivered = append(g.Delivered, p.Data)
 			g.FirstAttempt = p.Attempt
-			return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
+			token := receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt}
+			if p.Attempt != attempt {
+				attempt = p.Attempt
+				token.Route = claimed(p.Route)
+			}
+			return emit(token)
 		})
 		if err == nil {
 			return nil
 		}
 		g.Version = ""
+		g.Held = receiver.Held{}
 		other := r.otherVersion(g, version)
 		if !outOfChains(refuser.From(err)) || other == version {
 			return err
@@ -208,6 +282,35 @@
 	}
 }
 
+// heldStream returns the stream that engines may still hold of an answer, where every target of its route is known.
+func (r *Router) heldStream(g receiver.Generation, version string) dispatcher.Held {
+	if len(g.Held.Route) == 0 || version != g.Version {
+		return dispatcher.Held{}
+	}
+	addresses := map[string]string{}
+	for _, t := range r.tracker.Fleet().Targets {
+		addresses[t.Name] = t.Address
+	}
+	route := cataloger.Route{Model: g.Model.Name, Version: version}
+	for _, s := range g.Held.Route {
+		address, ok := addresses[s.Target]
+		if !ok {
+			return dispatcher.Held{}
+		}
+		route.Stages = append(route.Stages, cataloger.Stage{Target: s.Target, Address: address, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
+	}
+	return dispatcher.Held{Attempt: g.Held.Attempt, Route: route}
+}
+
+// claimed returns a route as resume tokens say it.
+func claimed(route cataloger.Route) []tokener.Stage {
+	list := make([]tokener.Stage, len(route.Stages))
+	for i, s := range route.Stages {
+		list[i] = tokener.Stage{Target: s.Target, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer}
+	}
+	return list
+}
+
 // outOfChains tells whether a version has no chain any more that takes the request.
 func outOfChains(refusal *refuser.Refusal) bool {
 	switch refusal.Code {
