--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/commander"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/leaser"
 	"github.com/rattantray/rattantray/internal/planner"
 	"github.com/rattantray/rattantray/internal/registrar"
@@ -27,6 +29,8 @@
 type placement struct {
 	router  *Router
 	demands *demands
+	// orders are connections to engines for nothing but orders, which must not arrive late.
+	orders *engineer.Pool
 
 	mu      sync.Mutex
 	running map[string]*plan
@@ -54,7 +58,9 @@
 }
 
 func (r *Router) buildPlacement() (registrar.Service, error) {
-	r.placement = &placement{router: r, demands: newDemands(r.Clock), running: map[string]*plan{}}
+	client := engineer.HTTPClientOver(commander.Dial(r.Network.Dial).WithResend(commander.DefaultOrderTimeout))
+	client.Transport = commander.Gate{Clock: r.Clock, Base: client.Transport}
+	r.placement = &placement{router: r, demands: newDemands(r.Clock), orders: engineer.NewPool(client), running: map[string]*plan{}}
 	r.peer.Handle(methodDemand, r.placement.handleDemand)
 	return registrar.Service{
 		Name:  ServicePlacement,
@@ -65,6 +71,7 @@
 }
 
 func (p *placement) run(ctx context.Context) error {
+	defer p.orders.Close()
 	defer p.stopAll()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -121,6 +128,18 @@
 	return mine
 }
 
+// adapters returns what the services of a model ask for beside its weights.
+func (p *placement) adapters(name string) []string {
+	var adapters []string
+	for _, d := range p.router.documentsInForce() {
+		if d.Model != nil && d.Model.Name == name && d.Model.Adapter != "" {
+			adapters = append(adapters, d.Model.Adapter)
+		}
+	}
+	slices.Sort(adapters)
+	return slices.Compact(adapters)
+}
+
 func (p *placement) start(ctx context.Context, model documenter.Model) *plan {
 	ctx, stop := context.WithCancel(ctx)
 	running := &plan{stop: stop, done: make(chan struct{})}
@@ -173,7 +192,7 @@
 			return p.plan(plans, name, targets), nil
 		},
 		Order: func(ctx context.Context, address string, o *enginev1.OrderRequest) (*enginev1.OrderResponse, error) {
-			return r.engines.Get(address).Order(ctx, o)
+			return p.orders.Get(address).Order(ctx, o)
 		},
 		Describe: func(ctx context.Context, address string) (*enginev1.DescribeResponse, error) {
 			return r.engines.Get(address).Describe(ctx, &enginev1.DescribeRequest{})
@@ -230,7 +249,7 @@
 	if !ok {
 		return planner.Placement{}
 	}
-	fleet := p.router.tracker.Fleet()
+	speeds := p.router.selector.Speeds()
 	placed := plans.Plan(planner.State{
 		Model: planner.Model{
 			Name:            model.Name,
@@ -238,25 +257,17 @@
 			Layers:          model.Layers,
 			LayerBytes:      model.LayerBytes,
 			ActivationBytes: model.ActivationBytes,
-			Adapter:         model.Adapter,
+			Adapters:        p.adapters(name),
 		},
-		Targets:   targets,
-		Links:     fleet.Links,
-		Bandwidth: p.bandwidth,
-		Offered:   p.demands.total(name) * offeredMargin,
+		Targets:      targets,
+		Bandwidth:    speeds.Bandwidth,
+		LinksVersion: speeds.Version,
+		Offered:      p.demands.total(name) * offeredMargin,
 	})
 	p.router.meter.Set("placement-bound-"+name, placed.Bound)
 	return placed
 }
 
-// bandwidth returns what the selector takes for a link that nobody lists.
-func (p *placement) bandwidth(from, to *cataloger.Target) float64 {
-	if from.DataCentre == to.DataCentre {
-		return p.router.selector.SameDataCentre.Bandwidth
-	}
-	return p.router.selector.BetweenDataCentres.Bandwidth
-}
-
 func (p *placement) stopAll() {
 	p.mu.Lock()
 	running := p.running
