--- a/internal/prober/peers.go
+++ b/internal/prober/peers.go
@@ -182,8 +182,10 @@
 	if p.ObserveLoad == nil {
 		return nil, nil
 	}
+	leaving := p.leavingTargets()
 	for _, l := range s.Loads {
 		p.ObserveLoad(l.Target, &enginev1.LoadResponse{
+			Leaving:      leaving[l.Target],
 			Age:          durationpb.New(time.Duration(l.AgeMs) * time.Millisecond),
 			Running:      l.Running,
 			Waiting:      l.Waiting,
@@ -195,6 +197,17 @@
 	return nil, nil
 }
 
+// leavingTargets returns the targets that leave; summaries do not say it, as the fleet's view does.
+func (p *Prober) leavingTargets() map[string]bool {
+	leaving := map[string]bool{}
+	for _, t := range p.Fleet().Targets {
+		if t.State == cataloger.StateLeaving {
+			leaving[t.Name] = true
+		}
+	}
+	return leaving
+}
+
 // dialCheck tells whether a TCP connection can be made.
 func dialCheck(ctx context.Context, address string) error {
 	var d net.Dialer
--- a/internal/prober/peers_test.go
+++ b/internal/prober/peers_test.go
@@ -5,7 +5,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 )
 
@@ -42,3 +45,18 @@
 		require.Equal(t, step.told, told, step.name)
 	}
 }
+
+func TestSummariesKeepTheLeavingMark(t *testing.T) {
+	seen := map[string]bool{}
+	p := &Prober{
+		Fleet: func() cataloger.Fleet {
+			return cataloger.Fleet{Targets: []cataloger.Target{{Name: "stays", State: cataloger.StateLive}, {Name: "leaves", State: cataloger.StateLeaving}}}
+		},
+		ObserveLoad: func(name string, load *enginev1.LoadResponse) { seen[name] = load.Leaving },
+	}
+	body, err := proto.Marshal(&peerv1.LoadSummary{Loads: []*peerv1.TargetLoad{{Target: "stays"}, {Target: "leaves"}}})
+	require.NoError(t, err)
+	_, err = p.handleLoads(t.Context(), "", body)
+	require.NoError(t, err)
+	require.Equal(t, map[string]bool{"stays": false, "leaves": true}, seen)
+}
