Hand answers over from an entry that is cut off

Change: where an attempt fails while no other daemon is heard, though some are known, and no engine has sent a token for 1 s, the answer ends as stream-lost; the Go client continues it at another entry and keeps off this one for a time.

Ruled out: one of the two signs alone, as the last entry of a fleet hears engines, and an entry whose engines die hears daemons (table in TestIsolatedDaemonHandsAnswersOver).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	Substitute func(req selector.Request, route cataloger.Route, lost string) (cataloger.Route, *selector.Permit, bool)
 	// Engine returns the engine at an address.
 	Engine func(address string) *engineer.Engine
+	// Isolated tells whether this daemon hears of no other one, though it knows some; nil is never.
+	Isolated func() bool
 	// Leaving tells whether a target's streams should move elsewhere.
 	Leaving func(target string) bool
 	// Failed reports a target that lost a stream.
@@ -70,6 +73,8 @@
 	tails     *gapTails
 	counts    *counters
 	canceller *canceller
+	// lastToken is when an engine last sent a token, in nanoseconds of the epoch.
+	lastToken atomic.Int64
 }
 
 // New returns a dispatcher over a selector and a pool of engines, with the defaults.
@@ -131,6 +136,15 @@
 	return d.Random.Float64()
 }
 
+// silence is the time without a token of any engine from which an isolated daemon counts as cut off.
+const silence = time.Second
+
+// cutOff tells whether neither daemons nor engines reach this daemon, so that another entry has to go on.
+func (d *Dispatcher) cutOff() bool {
+	quiet := d.Clock.Now().Sub(time.Unix(0, d.lastToken.Load())) >= silence
+	return quiet && d.Isolated != nil && d.Isolated()
+}
+
 // interrupted returns the refusal for a context that is done.
 func interrupted(ctx context.Context, fact refuser.Fact) *refuser.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- /dev/null
+++ b/internal/dispatcher/isolated_test.go
@@ -0,0 +1,57 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/enginefaker"
+	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+func TestIsolatedDaemonHandsAnswersOver(t *testing.T) {
+	cases := []struct {
+		name     string
+		isolated bool
+		// heard is set where an engine has sent another stream a token a moment ago.
+		heard bool
+		code  refuser.Code
+	}{
+		{"hears neither daemons nor engines", true, false, refuser.StreamLost},
+		{"hears engines", true, true, refuser.NoPipeline},
+		{"hears daemons", false, false, refuser.NoPipeline},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, threeStagesTwice, nil)
+			b.dispatcher.Isolated = func() bool { return c.isolated }
+			b.dispatcher.Pick = noSecond(b.dispatcher.Pick)
+			b.dispatcher.RecoverWait = time.Millisecond
+			if c.heard {
+				b.dispatcher.lastToken.Store(time.Now().Add(time.Hour).UnixNano())
+			}
+			for _, e := range b.engines {
+				require.NoError(t, e.SetFaults(enginefaker.Fault{Kind: enginefaker.FaultDie}))
+			}
+			err := b.dispatcher.Run(t.Context(), testJob("r", 10), func(Part) error { return nil })
+			require.Equal(t, c.code, refuser.From(err).Code)
+		})
+	}
+}
+
+// noSecond finds one route and none after it.
+func noSecond(pick pickFunc) pickFunc {
+	picks := 0
+	return func(req selector.Request) (cataloger.Route, *selector.Permit, error) {
+		picks++
+		if picks > 1 {
+			return cataloger.Route{}, nil, refuser.New(refuser.NoPipeline, "no second route")
+		}
+		return pick(req)
+	}
+}
+
+type pickFunc = func(selector.Request) (cataloger.Route, *selector.Permit, error)
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -166,6 +166,11 @@
 		r.failures = 0
 	}
 	r.failures++
+	if (f.kind == failedStalled || f.kind == failedBroken) && r.d.cutOff() {
+		p.permit.Done()
+		r.cancel(p.route, r.attempt)
+		return plan{}, r.final(refuser.StreamLost, f)
+	}
 	r.blame(ctx, p, f)
 	if err := r.permitted(f); err != nil {
 		p.permit.Done()
@@ -259,6 +264,7 @@
 	}
 	r.delivered = append(r.delivered, m.Data)
 	r.d.counts.tokens.Inc(1)
+	r.d.lastToken.Store(r.d.Clock.Now().UnixNano())
 	err := r.emit(Part{
 		Attempt: m.Attempt, Position: m.Position, Data: m.Data, Last: r.checker.Done(), Receipt: m.Receipt, Route: route,
 	})
--- a/internal/router/doubt.go
+++ b/internal/router/doubt.go
@@ -37,3 +37,18 @@
 	fleet.Targets = targets
 	return fleet
 }
+
+// isolated tells whether a daemon hears of no other one, though it knows some.
+func isolated(fleet cataloger.Fleet, self cataloger.Member) bool {
+	others := 0
+	for _, m := range fleet.Members {
+		if m.Name == self.Name {
+			continue
+		}
+		if m.State == cataloger.StateLive || m.State == cataloger.StateLeaving {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
--- a/internal/router/doubt_test.go
+++ b/internal/router/doubt_test.go
@@ -43,3 +43,23 @@
 		})
 	}
 }
+
+func TestIsolated(t *testing.T) {
+	self := cataloger.Member{Name: "self", State: cataloger.StateLive}
+	member := func(state cataloger.State) cataloger.Member { return cataloger.Member{Name: "other", State: state} }
+	cases := []struct {
+		name    string
+		members []cataloger.Member
+		want    bool
+	}{
+		{"alone in the fleet", []cataloger.Member{self}, false},
+		{"another one is live", []cataloger.Member{self, member(cataloger.StateLive)}, false},
+		{"another one leaves", []cataloger.Member{self, member(cataloger.StateLeaving)}, false},
+		{"all others are in doubt", []cataloger.Member{self, member(cataloger.StateSuspect)}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, isolated(cataloger.Fleet{Members: c.members}, self))
+		})
+	}
+}
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -29,6 +29,7 @@
 	r.selector = selector.New(r.Clock, r.random())
 	r.selector.SlowStart = slowStart
 	r.dispatch = dispatcher.New(r.Clock, r.random(), r.Log, r.meter.Registry, r.selector, r.engines)
+	r.dispatch.Isolated = func() bool { return isolated(r.tracker.Fleet(), r.local) }
 	return registrar.Service{
 		Name:  ServiceSelection,
 		Needs: []string{ServiceMembers, ServiceConfig},
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -136,7 +136,10 @@
 	case refuser.AlreadyRunning:
 		return s.await(ctx, r)
 	case refuser.StreamLost:
+		// The entry is cut off from what it needs; another one goes on.
 		s.sent = true
+		c.entries.fail(address, now.Add(failedEntryPause))
+		c.entries.expire(s.key())
 		return false, r
 	}
 	return final(r), s.truthful(r)
