--- a/internal/dispatcher/replace.go
+++ b/internal/dispatcher/replace.go
@@ -31,8 +31,7 @@
 		permit.Done()
 		return plan{}, false
 	}
-	old.permit.Done()
-	r.cancel(old.route, r.attempt)
+	r.abandon(old)
 	r.advance(f)
 	if f.kind == failedMove {
 		r.d.counts.moved.Inc(1)
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -96,13 +96,11 @@
 		return nil, nil
 	}
 	if err != nil {
-		p.permit.Done()
-		r.cancel(p.route, r.attempt)
+		r.abandon(*p)
 		return nil, err
 	}
 	if ctx.Err() != nil {
-		p.permit.Done()
-		r.cancel(p.route, r.attempt)
+		r.abandon(*p)
 		return nil, interrupted(ctx, r.fact())
 	}
 	return f, nil
@@ -167,20 +165,17 @@
 	}
 	r.failures++
 	if (f.kind == failedStalled || f.kind == failedBroken) && r.d.cutOff() {
-		p.permit.Done()
-		r.cancel(p.route, r.attempt)
+		r.abandon(p)
 		return plan{}, r.final(refuser.StreamLost, f)
 	}
 	r.blame(ctx, p, f)
 	if err := r.permitted(f); err != nil {
-		p.permit.Done()
-		r.cancel(p.route, r.attempt)
+		r.abandon(p)
 		return plan{}, err
 	}
 	if r.failures > 1 {
 		if r.d.Clock.Sleep(ctx, r.backoff(r.failures-2)) != nil {
-			p.permit.Done()
-			r.cancel(p.route, r.attempt)
+			r.abandon(p)
 			return plan{}, interrupted(ctx, r.fact())
 		}
 	}
@@ -192,8 +187,7 @@
 	if f.resumable || errors.Is(f.err, errStalled) {
 		r.blame(ctx, p, f)
 	}
-	p.permit.Done()
-	r.cancel(p.route, r.attempt)
+	r.abandon(p)
 	r.attempt = r.nextAttempt()
 	r.d.counts.refilled.Inc(1)
 	return r.pick(ctx)
@@ -226,8 +220,7 @@
 	if p, ok := r.replace(ctx, old, f); ok {
 		return p, nil
 	}
-	old.permit.Done()
-	r.cancel(old.route, r.attempt)
+	r.abandon(old)
 	r.advance(f)
 	p, err := r.pick(ctx)
 	if err == nil {
@@ -236,6 +229,12 @@
 	return p, err
 }
 
+// abandon releases what an attempt holds and ends it on every stage.
+func (r *run) abandon(p plan) {
+	p.permit.Done()
+	r.cancel(p.route, r.attempt)
+}
+
 // fencedStep is added to the attempt number when engines have seen a greater one.
 const fencedStep = 16
 
--- a/internal/selector/state.go
+++ b/internal/selector/state.go
@@ -43,7 +43,7 @@
 	reportedLeaving bool
 	// rampFrom is when the target joined or returned.
 	rampFrom time.Time
-	// downSince is when the target stopped being usable; zero while it is.
+	// downSince is when the target last stopped being usable.
 	downSince    time.Time
 	suspectUntil time.Time
 	failures     int
--- a/internal/tracker/targets.go
+++ b/internal/tracker/targets.go
@@ -100,12 +100,17 @@
 	if p.Removed != known.Removed {
 		known.settled = m.now
 	}
-	next := proto.Clone(p).(*peerv1.TargetEntry)
-	if m.refutes(known, p) {
-		next = proto.Clone(known.TargetEntry).(*peerv1.TargetEntry)
+	before, refuted := known.TargetEntry, m.refutes(known, p)
+	m.replaceTarget(known, p)
+	if !refuted && !lostMark {
+		return true
 	}
+	better := p
+	if refuted {
+		better = before
+	}
+	next := proto.Clone(better).(*peerv1.TargetEntry)
 	next.Leaving = p.Leaving || lostMark
-	m.replaceTarget(known, p)
 	m.changeTarget(known, next)
 	return true
 }
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -112,11 +112,8 @@
 
 // judge decides whether another stream may be opened after err.
 func (s *sending) judge(ctx context.Context, address string, err error) (done bool, out error) {
-	c := s.client
-	now := c.Clock.Now()
 	if neverSent(err) {
-		c.entries.fail(address, now.Add(failedEntryPause))
-		c.entries.expire(s.key())
+		s.leave(address)
 		return false, err
 	}
 	r := refuser.From(err)
@@ -124,27 +121,31 @@
 		// No refusal of the router came: the stream was cut and the same id is safe to send again,
 		// since the journal or the resume token keeps it from running twice.
 		s.sent = true
-		c.entries.fail(address, now.Add(failedEntryPause))
-		c.entries.expire(s.key())
+		s.leave(address)
 		return false, errCut
 	}
 	switch r.Code {
 	case refuser.Draining, refuser.NotReady:
-		c.entries.fail(address, now.Add(failedEntryPause))
-		c.entries.expire(s.key())
+		s.leave(address)
 		return false, r
 	case refuser.AlreadyRunning:
 		return s.await(ctx, r)
 	case refuser.StreamLost:
 		// The entry is cut off from what it needs; another one goes on.
 		s.sent = true
-		c.entries.fail(address, now.Add(failedEntryPause))
-		c.entries.expire(s.key())
+		s.leave(address)
 		return false, r
 	}
 	return final(r), s.truthful(r)
 }
 
+// leave keeps the next tries off an entry for a time and resolves anew.
+func (s *sending) leave(address string) {
+	c := s.client
+	c.entries.fail(address, c.Clock.Now().Add(failedEntryPause))
+	c.entries.expire(s.key())
+}
+
 // await asks for the outcome of a request that an earlier stream of this call left running.
 func (s *sending) await(ctx context.Context, r *refuser.Refusal) (bool, error) {
 	for s.client.Clock.Sleep(ctx, outcomePoll) == nil {
