End the waits of a connection's streams with the connection

Cause: a yamux session that ends closes its shutdown channel first and its streams some steps later (close of the connection, end of the receive loop). A reader of a stream spins in between, as its wait returns at once and finds no end. Where processors are scarce the spinning readers keep the goroutines that would end them from their turn, handshakes pass their time, and more sessions end.

Change: the connection ends the waits of its streams as soon as it closes or a read of it fails, which is before the session says that it ends or right after it.

--- a/internal/linker/coalesce.go
+++ b/internal/linker/coalesce.go
@@ -18,12 +18,22 @@
 	// pending is a header that waits for its body; only the send loop of the session writes.
 	pending []byte
 	traffic *traffic
+	streams streamSet
+}
+
+// Close implements net.Conn; the session calls it as soon as it ends.
+func (c *coalescer) Close() error {
+	c.streams.end()
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
 func (c *coalescer) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.received.Add(uint64(max(n, 0)))
+	if err != nil {
+		c.streams.end()
+	}
 	return n, err
 }
 
--- a/internal/linker/peer.go
+++ b/internal/linker/peer.go
@@ -118,7 +118,7 @@
 		return neverSent(address, err)
 	}
 	defer func() { _ = stream.Close() }()
-	reply, err := p.exchange(ctx, stream, method, body)
+	reply, err := p.exchange(ctx, session.streams, stream, method, body)
 	if err != nil {
 		return p.lost(ctx, r, session, address, method, err)
 	}
@@ -126,10 +126,12 @@
 }
 
 // exchange sends the envelope and reads the reply; from its first write on the call may run.
-func (p *Peer) exchange(ctx context.Context, stream *yamux.Stream, method string, body []byte) (*peerv1.Reply, error) {
+func (p *Peer) exchange(ctx context.Context, streams *streamSet, stream *yamux.Stream, method string, body []byte) (*peerv1.Reply, error) {
 	deadline, _ := ctx.Deadline()
 	_ = stream.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	streams.add(stream)
+	defer streams.remove(stream)
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(longAgo) })
 	defer stop()
 	envelope := &peerv1.Envelope{
 		Method:    method,
@@ -147,7 +149,7 @@
 }
 
 // lost returns the refusal for a call whose reply did not come, and checks whether the connection is still alive.
-func (p *Peer) lost(ctx context.Context, r *remote, session *yamux.Session, address, method string, err error) error {
+func (p *Peer) lost(ctx context.Context, r *remote, session *session, address, method string, err error) error {
 	// The stream's deadline may pass a moment before that of the context.
 	if ctx.Err() != nil || errors.Is(err, yamux.ErrTimeout) {
 		err = errors.CombineErrors(ctx.Err(), err)
--- a/internal/linker/remote.go
+++ b/internal/linker/remote.go
@@ -20,6 +20,12 @@
 	errBusy   = errors.New("too many calls in progress to the peer")
 )
 
+// session is a connection to a peer.
+type session struct {
+	*yamux.Session
+	streams *streamSet
+}
+
 // remote is the calling side of the link to one address.
 type remote struct {
 	peer    *Peer
@@ -31,7 +37,7 @@
 	mu       sync.Mutex
 	users    int
 	lastUse  time.Time
-	session  *yamux.Session
+	session  *session
 	dialing  chan struct{}
 	failures int
 	// notBefore is the earliest time for the next dial.
@@ -119,11 +125,11 @@
 func (r *remote) release() { <-r.slots }
 
 // open returns a new stream; a session that turns out to be dead is replaced once.
-func (r *remote) open(ctx context.Context) (*yamux.Session, *yamux.Stream, error) {
+func (r *remote) open(ctx context.Context) (*session, *yamux.Stream, error) {
 	const attempts = 2
 	var err error
 	for range attempts {
-		var session *yamux.Session
+		var session *session
 		session, err = r.connect(ctx)
 		if err != nil {
 			return nil, nil, err
@@ -139,7 +145,7 @@
 }
 
 // connect returns the live session, dialling where there is none; concurrent callers share one dial.
-func (r *remote) connect(ctx context.Context) (*yamux.Session, error) {
+func (r *remote) connect(ctx context.Context) (*session, error) {
 	for {
 		r.mu.Lock()
 		switch {
@@ -220,7 +226,7 @@
 	return p.jitter(min(d, p.config.RedialMax))
 }
 
-func (p *Peer) dialSession(address string) (*yamux.Session, error) {
+func (p *Peer) dialSession(address string) (*session, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, p.config.DialTimeout+turnAndHandshake*p.config.HandshakeTimeout)
 	defer cancel()
 	dialCtx, cancelDial := context.WithTimeout(ctx, p.config.DialTimeout)
@@ -237,7 +243,7 @@
 }
 
 // openSession waits for its turn and runs the handshake.
-func (p *Peer) openSession(ctx context.Context, raw net.Conn) (*yamux.Session, error) {
+func (p *Peer) openSession(ctx context.Context, raw net.Conn) (*session, error) {
 	turnCtx, cancelTurn := context.WithTimeout(ctx, p.config.HandshakeTimeout/2)
 	defer cancelTurn()
 	if err := p.gate.enter(turnCtx); err != nil {
@@ -249,7 +255,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return yamux.Client(&coalescer{Conn: conn, traffic: &p.traffic}, p.yamuxConfig())
+	joined := &coalescer{Conn: conn, traffic: &p.traffic}
+	opened, err := yamux.Client(joined, p.yamuxConfig())
+	if err != nil {
+		return nil, err
+	}
+	return &session{Session: opened, streams: &joined.streams}, nil
 }
 
 func (p *Peer) shakeHands(ctx context.Context, raw net.Conn) (net.Conn, error) {
@@ -263,7 +274,7 @@
 }
 
 // drop closes a session that failed.
-func (r *remote) drop(session *yamux.Session) {
+func (r *remote) drop(session *session) {
 	_ = session.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -273,7 +284,7 @@
 }
 
 // checkAlive closes the session if the peer does not answer a ping, so that half-open connections do not stay.
-func (r *remote) checkAlive(session *yamux.Session) {
+func (r *remote) checkAlive(session *session) {
 	r.peer.spawn(func() {
 		if _, err := session.Ping(); err != nil {
 			r.drop(session)
--- a/internal/linker/serve.go
+++ b/internal/linker/serve.go
@@ -95,7 +95,8 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	session, err := yamux.Server(&coalescer{Conn: conn, traffic: &p.traffic}, p.yamuxConfig())
+	joined := &coalescer{Conn: conn, traffic: &p.traffic}
+	session, err := yamux.Server(joined, p.yamuxConfig())
 	if err != nil {
 		return
 	}
@@ -110,7 +111,7 @@
 		case slots <- struct{}{}:
 			p.wg.Go(func() {
 				defer func() { <-slots }()
-				p.serveStream(ctx, caller.Name, stream)
+				p.serveStream(ctx, caller.Name, &joined.streams, stream)
 			})
 		default:
 			p.refuseStream(stream)
@@ -125,9 +126,11 @@
 	p.writeReply(stream, refusalReply(refusal))
 }
 
-func (p *Peer) serveStream(ctx context.Context, caller string, stream *yamux.Stream) {
+func (p *Peer) serveStream(ctx context.Context, caller string, streams *streamSet, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
-	_ = stream.SetReadDeadline(time.Now().Add(p.config.CallTimeout))
+	streams.add(stream)
+	defer streams.remove(stream)
+	streams.readUntil(stream, time.Now().Add(p.config.CallTimeout))
 	// Each read of a stream costs a timer, so that small messages are read in one go.
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	for {
@@ -137,7 +140,7 @@
 			return
 		}
 		if !envelope.OneWay {
-			p.answer(ctx, caller, stream, &envelope)
+			p.answer(ctx, caller, streams, stream, &envelope)
 			return
 		}
 		_, err := p.handle(ctx, caller, &envelope)
@@ -145,7 +148,7 @@
 			p.config.Log.Debug().Err(err).Str("method", envelope.Method).Str("peer", caller).Msg("message not handled")
 		}
 		// The session's keep-alive ends the stream of a lost peer.
-		_ = stream.SetReadDeadline(time.Time{})
+		streams.readUntil(stream, time.Time{})
 	}
 }
 
@@ -161,14 +164,14 @@
 }
 
 // answer runs one call; its context ends with the caller's wait or when the caller goes away.
-func (p *Peer) answer(ctx context.Context, caller string, stream *yamux.Stream, envelope *peerv1.Envelope) {
+func (p *Peer) answer(ctx context.Context, caller string, streams *streamSet, stream *yamux.Stream, envelope *peerv1.Envelope) {
 	timeout := time.Duration(envelope.TimeoutMs) * time.Millisecond
 	if timeout == 0 {
 		timeout = p.config.CallTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_ = stream.SetReadDeadline(time.Time{})
+	streams.readUntil(stream, time.Time{})
 	p.wg.Go(func() {
 		// The caller sends nothing more, so a read ends when it closes the stream.
 		var b [1]byte
@@ -178,7 +181,7 @@
 	msg, err := p.handle(ctx, caller, envelope)
 	reply := p.encodeReply(envelope.Method, msg, err)
 	p.writeReply(stream, reply)
-	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	streams.readUntil(stream, longAgo)
 }
 
 func (p *Peer) handle(ctx context.Context, caller string, envelope *peerv1.Envelope) (msg proto.Message, err error) {
