Do not tell the fleet of the daemon that a joining one asks

Change: what a daemon learns by an ack before it has taken over a table is not published. A daemon in the fleet that finds another one still does.

--- a/internal/tracker/learn.go
+++ b/internal/tracker/learn.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// forgetNews leaves entries out of what is to be told.
+func (m *Machine) forgetNews(g *peerv1.Gossip) {
+	for _, p := range g.Members {
+		delete(m.news, p.Name)
+	}
+}
+
 // learn takes a received entry into the table if it is newer than the known one.
 func (m *Machine) learn(p *peerv1.MemberEntry) bool {
 	if p.Name == m.self.name {
--- a/internal/tracker/news_test.go
+++ b/internal/tracker/news_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
 func TestDelegatePassesNewsOnHoweverItLearnedIt(t *testing.T) {
@@ -36,6 +37,29 @@
 	}
 }
 
+// The fleet has to hear of a daemon that joins, but not of the one that it asked.
+func TestJoiningDaemonTellsNoNews(t *testing.T) {
+	n := newNetwork(1)
+	n.grow(12, 3)
+	n.run(5 * time.Second)
+	joining := n.add("r012", "dc00", "", 1, "r000:1")
+	m := joining.m
+	told := tellings(m.Tick(n.now))
+	ack := &peerv1.Gossip{
+		Kind:        peerv1.GossipKind_GOSSIP_KIND_ACK,
+		Incarnation: 1,
+		Members:     []*peerv1.MemberEntry{n.order[0].m.self.proto(n.now)},
+	}
+	told = append(told, tellings(m.Receive(n.now, "r000", ack))...)
+	for d := 100 * time.Millisecond; d <= time.Second; d += 100 * time.Millisecond {
+		told = append(told, tellings(m.Tick(n.now+d))...)
+	}
+	require.Empty(t, told)
+	require.Contains(t, m.members, "r000")
+	n.run(3 * time.Second)
+	require.Equal(t, map[cataloger.State]int{cataloger.StateLive: 12}, n.states("r012"))
+}
+
 // tellings returns whom messages tell news.
 func tellings(out []Message) []string {
 	var to []string
--- a/internal/tracker/vote.go
+++ b/internal/tracker/vote.go
@@ -35,7 +35,12 @@
 }
 
 func (m *Machine) receiveAck(from string, g *peerv1.Gossip) {
+	joins := !m.synced
 	m.learnDirect(g)
+	if joins {
+		// The fleet knows the daemon that a joining one has asked, and hears of the joining one from it.
+		m.forgetNews(g)
+	}
 	m.compare(from, g)
 }
 
