Work out who probes a target only where the fleet has changed

Cause: twice a second each daemon ranked all live daemons twice for every target of the fleet, with a hash of each name, a logarithm for each score and a sort; and it made the list of its neighbours anew in each tick of 50 ms. No figure of docs/CAPACITY.md counted this: the benchmark of whole daemons runs no probers.

Change: a look at a view whose live daemons and targets are those of the last look ends there. Else the names are hashed once, the best two are found without a sort, and targets of a data centre that has other daemons are left out. The neighbours are worked out with it. The tracker keeps its list of live members for those who ask for owners.

--- a/internal/prober/peers.go
+++ b/internal/prober/peers.go
@@ -13,7 +13,6 @@
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/linker"
-	"github.com/rattantray/rattantray/internal/tracker"
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 )
 
@@ -104,31 +103,12 @@
 
 // shareInterval grows with the data centre, so that what a daemon sends and gets stays flat.
 func (p *Prober) shareInterval() time.Duration {
-	return max(minShare, time.Duration(len(p.neighbours()))*sharePerMember)
+	return max(minShare, time.Duration(len(p.assignedFor.neighbours))*sharePerMember)
 }
 
 // wholeFleet is up to how many live daemons each one tells its loads to all; beyond, only to those of its data centre.
 const wholeFleet = 16
 
-// neighbours returns the other live daemons that share loads: those of this data centre, or all of a small fleet.
-func (p *Prober) neighbours() []cataloger.Member {
-	live := tracker.Live(p.Fleet().Members)
-	small := len(live) <= wholeFleet
-	var dc cataloger.DataCentre
-	for _, m := range live {
-		if m.Name == p.Self {
-			dc = m.DataCentre
-		}
-	}
-	var out []cataloger.Member
-	for _, m := range live {
-		if (small || m.DataCentre == dc) && m.Name != p.Self {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // share sends the newest loads to the neighbours, but for targets that stay idle.
 func (p *Prober) share(now time.Time) {
 	if p.Link.Notify == nil {
@@ -138,7 +118,7 @@
 	if len(summary.Loads) == 0 {
 		return
 	}
-	for _, m := range p.neighbours() {
+	for _, m := range p.assignedFor.neighbours {
 		if err := p.Link.Notify(m.PeerAddress, MethodLoads, summary); err != nil {
 			p.Log.Debug().Err(err).Str("peer", m.Name).Msg("load summary dropped")
 		}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -49,8 +49,10 @@
 
 	once    sync.Once
 	watches map[string]*watch
-	results *queuer.Ring[result]
-	wg      sync.WaitGroup
+	// assignedFor is the view of the fleet that the watches stand for.
+	assignedFor view
+	results     *queuer.Ring[result]
+	wg          sync.WaitGroup
 
 	mu    sync.Mutex
 	loads map[string]sample
@@ -115,53 +117,6 @@
 	p.loads = map[string]sample{}
 }
 
-// Owners returns the daemons that watch a target, the one that probes first; those of its data centre go before others.
-func Owners(members []cataloger.Member, target cataloger.Target) []cataloger.Member {
-	live := tracker.Live(members)
-	var near []cataloger.Member
-	for _, m := range live {
-		if m.DataCentre == target.DataCentre {
-			near = append(near, m)
-		}
-	}
-	key := "probe/" + target.Name
-	out := tracker.RankMembers(near, key, assigned)
-	for _, m := range tracker.RankMembers(live, key, assigned+len(out)) {
-		if len(out) < assigned && m.DataCentre != target.DataCentre {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// assign takes up the targets that are this daemon's and drops the others.
-func (p *Prober) assign(now time.Time) {
-	fleet := p.Fleet()
-	kept := map[string]struct{}{}
-	for _, t := range fleet.Targets {
-		owners := Owners(fleet.Members, t)
-		if len(owners) == 0 || owners[0].Name != p.Self {
-			continue
-		}
-		kept[t.Name] = struct{}{}
-		w := p.watches[t.Name]
-		if w == nil || w.target.Address != t.Address {
-			w = &watch{health: NewHealth(t.State), next: now.Add(p.jitter(p.Options.SuspectInterval))}
-			p.watches[t.Name] = w
-		}
-		w.target = t
-		w.second = cataloger.Member{}
-		if len(owners) > 1 {
-			w.second = owners[1]
-		}
-	}
-	for name := range p.watches {
-		if _, ok := kept[name]; !ok {
-			delete(p.watches, name)
-		}
-	}
-}
-
 // jitter returns a random duration below d.
 func (p *Prober) jitter(d time.Duration) time.Duration {
 	return time.Duration(p.Random.Int64N(int64(d) + 1))
--- a/internal/tracker/rendezvous.go
+++ b/internal/tracker/rendezvous.go
@@ -70,25 +70,65 @@
 	return x ^ x>>31
 }
 
+// scoreShift leaves as much of a score as a float holds.
+const scoreShift = 11
+
 // weightedScore turns a score into one whose maximum falls on a candidate in proportion to its weight.
 func weightedScore(score uint64, weight float64) float64 {
 	if weight <= 0 {
 		weight = 1
 	}
 	const mantissa = 1 << 53
-	u := (float64(score>>11) + 0.5) / mantissa
+	u := (float64(score>>scoreShift) + 0.5) / mantissa
 	return -weight / math.Log(u)
 }
 
 // RankMembers returns up to n members in the order of their claim to a key.
 func RankMembers(members []cataloger.Member, key string, n int) []cataloger.Member {
-	candidates := make([]Candidate, len(members))
-	for i, m := range members {
-		candidates[i] = Candidate{Name: m.Name}
+	return NewRanking(members).Top(key, n)
+}
+
+// Ranking ranks the same members for many keys, as RankMembers does for one.
+type Ranking struct {
+	members []cataloger.Member
+	hashes  []uint64
+}
+
+// NewRanking returns a ranking of members, which must not be changed.
+func NewRanking(members []cataloger.Member) Ranking {
+	r := Ranking{members: members, hashes: make([]uint64, len(members))}
+	for i := range members {
+		r.hashes[i] = xxhash.Sum64String(members[i].Name)
 	}
-	var out []cataloger.Member
-	for _, i := range Rank(candidates, key, n) {
-		out = append(out, members[i])
+	return r
+}
+
+// Top returns up to n members in the order of their claim to a key.
+func (r Ranking) Top(key string, n int) []cataloger.Member {
+	type claim struct {
+		index int
+		score uint64
+	}
+	hash := xxhash.Sum64String(key)
+	n = min(n, len(r.members))
+	best := make([]claim, 0, n+1)
+	for i, own := range r.hashes {
+		c := claim{index: i, score: pairScore(own, hash) >> scoreShift}
+		if len(best) == n && (n == 0 || c.score < best[n-1].score) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, c, func(a, b claim) int {
+			if order := cmp.Compare(b.score, a.score); order != 0 {
+				return order
+			}
+			return cmp.Compare(r.members[a.index].Name, r.members[b.index].Name)
+		})
+		best = slices.Insert(best, at, c)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]cataloger.Member, len(best))
+	for i, c := range best {
+		out[i] = r.members[c.index]
 	}
 	return out
 }
--- a/internal/tracker/rendezvous_test.go
+++ b/internal/tracker/rendezvous_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
@@ -59,3 +60,26 @@
 	require.InEpsilon(t, keys*3/5, counts[1], 0.1)
 	require.InEpsilon(t, keys/5, counts[2], 0.1)
 }
+
+func TestRankingAgreesWithRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,6}"), 0, 30, rapid.ID[string]).Draw(t, "names")
+		key := rapid.String().Draw(t, "key")
+		n := rapid.IntRange(0, 32).Draw(t, "n")
+		var members []cataloger.Member
+		var candidates []Candidate
+		for _, name := range names {
+			members = append(members, cataloger.Member{Name: name})
+			candidates = append(candidates, Candidate{Name: name})
+		}
+		want := []string{}
+		for _, i := range Rank(candidates, key, n) {
+			want = append(want, names[i])
+		}
+		got := []string{}
+		for _, m := range NewRanking(members).Top(key, n) {
+			got = append(got, m.Name)
+		}
+		require.Equal(t, want, got)
+	})
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -56,6 +56,7 @@
 	inbox    *queuer.Ring[func(now time.Duration) []Message]
 	fleet    atomic.Pointer[cataloger.Fleet]
 	view     atomic.Uint64
+	live     atomic.Pointer[[]cataloger.Member]
 	status   atomic.Pointer[Status]
 	dropped  atomic.Uint64
 	sent     atomic.Uint64
@@ -255,10 +256,12 @@
 	}
 }
 
-// noteLive renews the number that View returns where other members are live than before.
+// noteLive renews the list of live members, and the number that View returns where they are others than before.
 func (t *Tracker) noteLive(f cataloger.Fleet) {
+	live := Live(f.Members)
+	t.live.Store(&live)
 	h := xxhash.New()
-	for _, m := range Live(f.Members) {
+	for _, m := range live {
 		_, _ = h.WriteString(m.Name)
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, m.Epoch))
 	}
@@ -313,7 +316,8 @@
 
 // Owner returns the live member that has the duty of a kind for a key.
 func (t *Tracker) Owner(kind, key string) cataloger.Member {
-	m, ok := Rendezvous(Live(t.Fleet().Members), kind+"/"+key)
+	t.init()
+	m, ok := Rendezvous(*t.live.Load(), kind+"/"+key)
 	if !ok {
 		return t.Local
 	}
@@ -322,7 +326,8 @@
 
 // Owners returns up to n live members for a duty, the first in charge first.
 func (t *Tracker) Owners(kind, key string, n int) []cataloger.Member {
-	return RankMembers(Live(t.Fleet().Members), kind+"/"+key, n)
+	t.init()
+	return RankMembers(*t.live.Load(), kind+"/"+key, n)
 }
 
 // watchersPerDataCentre is how many daemons of a data centre watch the store.
@@ -330,8 +335,9 @@
 
 // Watchers returns the daemons that watch the store for a data centre.
 func (t *Tracker) Watchers(dc cataloger.DataCentre) []cataloger.Member {
+	t.init()
 	var near []cataloger.Member
-	for _, m := range Live(t.Fleet().Members) {
+	for _, m := range *t.live.Load() {
 		if m.DataCentre == dc {
 			near = append(near, m)
 		}
