Let steady shares of limits live longer without reports

Cause: what nobody asks for of a limit is spread over the entries that hold shares, and an entry with more than twice its demand reports each second so that others can have it.

Change: after 3 reports alike an entry asks for a longer life of the share, twice the last, up to 30 ms for each limit in force and a minute; at up to 333 limits nothing changes. Such a share holds what was asked for with its headroom and nothing to spare, so that others get the rest at once; it is reported when demand grows over it or falls by half, when the limit gets another owner, and it is given back after 15 s without a request, the entry going down to the floor first. Where more than half of a limit is asked for, shares live for 10 s as before. A new owner holds grants back for as long as shares given before it may live.

Tests: the oracle of the allocator draws lives up to a minute and checks the same sums; a fleet checks how few calls a steady share takes, that the rest of the limit moves at once, and a new owner's first seconds. None of the assertions there were changed; the oracle takes its exemption after a change of suspects for the longest life instead of TTL.

--- a/internal/limiter/allocator.go
+++ b/internal/limiter/allocator.go
@@ -18,7 +18,9 @@
 	headroom = 1.25
 	// refreshEvery is how long the division of a limit among more than fewGrants entries is kept.
 	refreshEvery = 250 * time.Millisecond
-	fewGrants    = 16
+	// scarceShare is the part of a limit above the floors up to which shares live for long.
+	scarceShare = 0.5
+	fewGrants   = 16
 )
 
 // Limit is what the document allows a workspace over all entries; 0 is no limit.
@@ -40,19 +42,24 @@
 	Demand Demand
 	// Held is the share that the entry may still use.
 	Held Share
+	// TTL is how long the entry would use the share without another report; it gets that at most, and at least TTL.
+	TTL time.Duration
 }
 
 // Allocator divides the limits that this daemon owns; it does no I/O and is not safe for concurrent use.
 type Allocator struct {
 	keys map[Key]*division
+	life life
 }
 
 // NewAllocator returns an allocator that has given nothing.
-func NewAllocator() *Allocator { return &Allocator{keys: map[Key]*division{}} }
+func NewAllocator() *Allocator {
+	return &Allocator{keys: map[Key]*division{}, life: life{longest: TTL}}
+}
 
 // division is how one key's limit is divided.
 type division struct {
-	// first is when this owner took over; grants of an owner before it last until TTL after that.
+	// first is when this owner took over; grants of an owner before it last until the longest life after that.
 	first  time.Time
 	grants map[string]*grant
 
@@ -117,7 +124,16 @@
 	return s
 }
 
-// Report takes the demand of an entry and returns the share that it may use until TTL from now.
+// Granted returns how long the share may be used that was the answer to a report.
+func (a *Allocator) Granted(r Report) time.Duration {
+	d := a.keys[r.Demand.Key]
+	if d == nil || d.scarce() {
+		return TTL
+	}
+	return min(max(r.TTL, TTL), a.life.longest)
+}
+
+// Report takes the demand of an entry and returns the share that it may use until the time of Granted from now.
 func (a *Allocator) Report(now time.Time, limit Limit, members []Member, r Report) Share {
 	d := a.keys[r.Demand.Key]
 	if d == nil {
@@ -136,17 +152,37 @@
 	if len(d.grants) <= fewGrants || now.Sub(d.refreshed) >= refreshEvery {
 		d.refresh(now, r.Demand.Key, limit, members)
 	}
+	if r.Demand.Rate == 0 && r.Demand.Wanted == 0 {
+		d.drop(r.Member)
+		return d.floor
+	}
 	most := Share{Rate: Unlimited, Concurrency: Unlimited}
-	if now.Sub(d.first) < TTL {
+	if now.Sub(d.first) < a.life.bound(now) {
 		even := Fallback(r.Demand.Key, limit, namesOf(members), r.Member)
 		most = g.mostWhileWarming(above(even, d.floor))
 	}
-	g.extra.Rate = d.rate.give(g.demand.Rate-d.floor.Rate, g.extra.Rate, most.Rate, false)
+	// What nobody asks for stays free where it would be held for long, so that others get it at once.
+	spare := a.Granted(r) <= TTL
+	g.extra.Rate = d.rate.give(g.demand.Rate-d.floor.Rate, g.extra.Rate, most.Rate, spare, false)
 	g.extra.Concurrency = d.concurrency.give(g.demand.Concurrency-d.floor.Concurrency,
-		g.extra.Concurrency, most.Concurrency, true)
+		g.extra.Concurrency, most.Concurrency, spare, true)
+	g.expires = now.Add(a.Granted(r))
 	return Share{Rate: d.floor.Rate + g.extra.Rate, Concurrency: d.floor.Concurrency + g.extra.Concurrency}
 }
 
+// scarce tells whether so much of a limit is asked for that others may wait for the end of shares.
+func (d *division) scarce() bool { return d.rate.scarce() || d.concurrency.scarce() }
+
+func (d *divide) scarce() bool { return d.pool > 0 && d.wanted > scarceShare*d.pool }
+
+// drop gives back all that a member holds above the floor.
+func (d *division) drop(member string) {
+	g := d.grants[member]
+	d.rate.given -= g.extra.Rate
+	d.concurrency.given -= g.extra.Concurrency
+	delete(d.grants, member)
+}
+
 func above(held, floor Share) Share {
 	part := func(held, floor float64) float64 {
 		if math.IsInf(floor, 1) || math.IsInf(held, 1) {
@@ -237,11 +273,16 @@
 	// level is the most that a member gets of what it asks for, spare what each gets beyond that.
 	level, spare float64
 	given        float64
+	// wanted is what all members ask for.
+	wanted float64
 }
 
 // fill sets level and spare for a max-min fair division; what nobody asks for is spread evenly.
 func (d *divide) fill(wants []float64) {
 	slices.Sort(wants)
+	for _, want := range wants {
+		d.wanted += want
+	}
 	left := d.pool
 	for i, want := range wants {
 		d.level = left / float64(len(wants)-i)
@@ -255,12 +296,15 @@
 }
 
 // give returns what a member that holds held gets, no more than the others have not been given.
-func (d *divide) give(want, held, most float64, whole bool) float64 {
+func (d *divide) give(want, held, most float64, spare, whole bool) float64 {
 	if math.IsInf(want, 0) || math.IsNaN(want) {
 		return 0
 	}
 	free := max(0, d.pool-(d.given-held))
-	share := max(0, min(want, d.level)) + d.spare
+	share := max(0, min(want, d.level))
+	if spare {
+		share += d.spare
+	}
 	if whole {
 		share, free = math.Ceil(share), math.Floor(free)
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -84,6 +85,9 @@
 		}
 	}
 	l.limits = limits
+	longest := longestLife(len(limits))
+	l.holder.longest = longest
+	l.allocator.life.set(l.Clock.Now(), longest)
 	l.allocator.Keep(func(key Key) bool { return limits[key] != Limit{} })
 }
 
@@ -127,19 +131,33 @@
 	demands := l.Usage()
 	l.mu.Lock()
 	changed := l.holder.Expire(now, l.limit, namesOf(l.Members()))
+	l.holder.Moved(now, func(key Key) Owner { return processOf(l.owner(key)) })
 	due := l.holder.Due(now, slices.DeleteFunc(demands, func(d Demand) bool { _, ok := l.limit(d.Key); return !ok }))
+	released, floors := l.holder.Release(now, l.limit, len(l.Members()))
 	l.mu.Unlock()
+	maps.Copy(changed, floors)
+	due = append(due, released...)
 	if len(changed) > 0 {
 		l.Apply(changed)
 	}
 	byOwner := map[cataloger.Member][]Report{}
+	l.mu.Lock()
 	for _, r := range due {
-		owner := l.Owner("limit/" + r.Demand.Key.Service + "/" + string(r.Demand.Key.Workspace))
+		owner := l.owner(r.Demand.Key)
+		l.holder.Asked(now, r.Demand.Key, processOf(owner))
 		byOwner[owner] = append(byOwner[owner], r)
 	}
+	l.mu.Unlock()
 	l.call(ctx, now, byOwner)
 }
 
+// owner returns the daemon that divides a limit.
+func (l *Limiter) owner(key Key) cataloger.Member {
+	return l.Owner("limit/" + key.Service + "/" + string(key.Workspace))
+}
+
+func processOf(m cataloger.Member) Owner { return Owner{m.Name, m.Epoch} }
+
 // call asks a bounded number of owners at a time.
 func (l *Limiter) call(ctx context.Context, now time.Time, byOwner map[cataloger.Member][]Report) {
 	var group sync.WaitGroup
@@ -202,7 +220,7 @@
 		if !ok || !s.Known {
 			continue
 		}
-		changed[r.Demand.Key] = l.holder.Answer(r.Demand.Key, sent, received(limit, s), min(ttl, TTL))
+		changed[r.Demand.Key] = l.holder.Answer(r.Demand.Key, sent, received(limit, s), min(max(ttl, time.Duration(s.TtlMs)*time.Millisecond), l.holder.longest))
 	}
 	l.mu.Unlock()
 	l.Apply(changed)
@@ -229,14 +247,18 @@
 			resp.Shares = append(resp.Shares, &peerv1.LimitShare{})
 			continue
 		}
-		share := l.allocator.Report(l.Clock.Now(), limit, members, Report{
+		report := Report{
 			Member: req.Member,
 			Demand: Demand{Key: key, Rate: finite(d.Rate), Wanted: finite(d.Wanted)},
 			Held:   Share{Rate: finite(d.HeldRate), Concurrency: finite(d.HeldConcurrency)},
-		})
-		resp.Shares = append(resp.Shares, &peerv1.LimitShare{
-			Rate: finite(share.Rate), Concurrency: finite(share.Concurrency), Known: true,
-		})
+			TTL:    time.Duration(d.TtlMs) * time.Millisecond,
+		}
+		share := l.allocator.Report(l.Clock.Now(), limit, members, report)
+		answer := &peerv1.LimitShare{Rate: finite(share.Rate), Concurrency: finite(share.Concurrency), Known: true}
+		if granted := l.allocator.Granted(report); granted > TTL {
+			answer.TtlMs = uint32(granted / time.Millisecond)
+		}
+		resp.Shares = append(resp.Shares, answer)
 	}
 	return resp
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -69,6 +69,7 @@
 		}
 		now := epoch
 		a := NewAllocator()
+		a.life.set(now, rapid.SampledFrom([]time.Duration{TTL, mostLife}).Draw(t, "longest"))
 		type use struct {
 			share   Share
 			expires time.Time
@@ -91,10 +92,12 @@
 					return
 				}
 				d := Demand{Key: key, Rate: float64(rapid.IntRange(0, 200).Draw(t, "demand")), Wanted: float64(rapid.IntRange(0, 60).Draw(t, "wanted"))}
-				s := a.Report(now, limit, ms, Report{Member: ms[i].Name, Demand: d, Held: uses[ms[i].Name].share})
+				r := Report{Member: ms[i].Name, Demand: d, Held: uses[ms[i].Name].share}
+				r.TTL = time.Duration(rapid.IntRange(0, 100).Draw(t, "ttl")) * time.Second
+				s := a.Report(now, limit, ms, r)
 				require.GreaterOrEqual(t, s.Rate, Floor(limit, n).Rate)
 				require.Equal(t, float64(int(s.Concurrency)), s.Concurrency)
-				uses[ms[i].Name] = use{s, now.Add(TTL)}
+				uses[ms[i].Name] = use{s, now.Add(a.Granted(r))}
 			},
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
@@ -103,7 +106,7 @@
 				i := rapid.IntRange(0, n-1).Draw(t, "member")
 				ms[i].Suspect = !ms[i].Suspect
 				// Until the grants from before have run out the sum may be over.
-				settled = now.Add(TTL)
+				settled = now.Add(mostLife)
 			},
 			"": func(t *rapid.T) {
 				if now.Before(settled) {
@@ -149,10 +152,13 @@
 	demand []float64
 	shares []Share
 	cut    map[string]bool
+	calls  int
+	owner  cataloger.Member
 }
 
 func newFleet(n int, limit documenter.Workspace) *fleet {
 	f := &fleet{demand: make([]float64, n), shares: make([]Share, n), cut: map[string]bool{}}
+	f.owner = cataloger.Member{Name: "entry-0", PeerAddress: "entry-0"}
 	for i, m := range members(n) {
 		l := New(timer.System{}, m.Name)
 		l.Members = func() []Member {
@@ -164,7 +170,11 @@
 			}
 			return ms
 		}
-		l.Owner = func(string) cataloger.Member { return cataloger.Member{Name: "entry-0", PeerAddress: "entry-0"} }
+		l.Owner = func(string) cataloger.Member {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.owner
+		}
 		l.Usage = func() []Demand {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -180,9 +190,10 @@
 				f.shares[i] = s
 			}
 		}
-		l.Link = linker.Link{Call: func(ctx context.Context, _, method string, req, resp proto.Message) error {
+		l.Link = linker.Link{Call: func(ctx context.Context, address, method string, req, resp proto.Message) error {
 			f.mu.Lock()
 			cut := f.cut[m.Name]
+			f.calls++
 			f.mu.Unlock()
 			if cut || method != Method {
 				return refuser.New(refuser.PeerUnavailable, "cut")
@@ -191,7 +202,8 @@
 			if err != nil {
 				return err
 			}
-			answer, err := f.limiters[0].Handle(ctx, m.Name, body)
+			owner := slices.IndexFunc(f.limiters, func(l *Limiter) bool { return l.Self == address })
+			answer, err := f.limiters[owner].Handle(ctx, m.Name, body)
 			if err != nil {
 				return err
 			}
@@ -253,6 +265,66 @@
 	})
 }
 
+// manyLimits configures the limit and so many others that shares may live for the longest time.
+func (f *fleet) manyLimits(limit documenter.Workspace) {
+	d := &documenter.Document{Name: key.Service, Workspaces: []documenter.Workspace{limit}}
+	for i := range int(mostLife / lifePerLimit) {
+		d.Workspaces = append(d.Workspaces, documenter.Workspace{Name: fmt.Sprint("other-", i), Rate: 1})
+	}
+	for _, l := range f.limiters {
+		l.Configure([]*documenter.Document{d})
+	}
+}
+
+// A steady share lives long, and still all of it can move within seconds and to another owner.
+func TestSteadySharesAreReportedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		limit := documenter.Workspace{Name: "counter", Rate: 100, Concurrency: 40}
+		f := newFleet(4, limit)
+		f.manyLimits(limit)
+		for _, l := range f.limiters {
+			go func() { _ = l.Run(ctx) }()
+		}
+		f.after(2*mostLife, func() { f.demand = []float64{0, 10, 0, 0} })
+		shares, _ := f.after(2*mostLife, func() { f.calls = 0 })
+		require.Greater(t, shares[1].Rate, 10.0)
+		require.Less(t, shares[1].Rate, 20.0, "what it does not need stays free")
+		f.mu.Lock()
+		require.LessOrEqual(t, f.calls, 4)
+		f.mu.Unlock()
+
+		shares, sum := f.after(2*time.Second, func() { f.demand = []float64{0, 10, 60, 0} })
+		require.Greater(t, shares[2].Rate, 60.0, "another entry gets the rest at once")
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+
+		shares, sum = f.after(idleFor+3*time.Second, func() { f.demand = []float64{0, 0, 90, 0} })
+		require.Greater(t, shares[2].Rate, 90.0, "an idle entry gives its share back")
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+
+		f.after(2*mostLife, func() { f.demand = []float64{0, 5, 5, 0} })
+		f.after(8*time.Second, func() { f.owner = cataloger.Member{Name: "entry-3", PeerAddress: "entry-3"} })
+		shares, sum = f.after(8*time.Second, func() { f.demand = []float64{80, 5, 5, 0} })
+		require.Greater(t, shares[1].Rate, 5.0)
+		require.Greater(t, shares[2].Rate, 5.0)
+		require.LessOrEqual(t, sum, 100.0+1e-6, "the new owner has heard of the shares that live for long")
+
+		shares, sum = f.after(2*mostLife, func() { f.cut["entry-2"] = true })
+		require.InDelta(t, 25, shares[2].Rate, 1e-6, "an even part while the owner cannot be reached")
+		require.LessOrEqual(t, sum, 100.0+1e-6)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestLongestLifeFallsOnlyAfterTheGrantsOfBefore(t *testing.T) {
+	l := life{longest: TTL}
+	l.set(epoch, mostLife)
+	l.set(epoch, TTL)
+	require.Equal(t, mostLife, l.bound(epoch.Add(mostLife-time.Millisecond)))
+	require.Equal(t, TTL, l.bound(epoch.Add(mostLife)))
+}
+
 // BenchmarkReport is the cost at the owner of one key's report, and the bytes of the call for it.
 func BenchmarkReport(b *testing.B) {
 	for _, n := range []int{4, 40, 100, 400} {
--- a/internal/limiter/message.go
+++ b/internal/limiter/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 )
@@ -9,14 +10,18 @@
 func request(self string, reports []Report) *peerv1.LimitRequest {
 	req := &peerv1.LimitRequest{Member: self}
 	for _, r := range reports {
-		req.Demands = append(req.Demands, &peerv1.LimitDemand{
+		demand := &peerv1.LimitDemand{
 			Service:         r.Demand.Key.Service,
 			Workspace:       string(r.Demand.Key.Workspace),
 			Rate:            finite(r.Demand.Rate),
 			Wanted:          finite(r.Demand.Wanted),
 			HeldRate:        finite(r.Held.Rate),
 			HeldConcurrency: finite(r.Held.Concurrency),
-		})
+		}
+		if r.TTL > TTL {
+			demand.TtlMs = uint32(r.TTL / time.Millisecond)
+		}
+		req.Demands = append(req.Demands, demand)
 	}
 	return req
 }
