--- a/internal/bencher/audit_test.go
+++ b/internal/bencher/audit_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/timer"
@@ -63,7 +64,7 @@
 func TestBenchCountsFromWhenARequestWasDue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &Bench{
-			Rate: 100, Duration: 10 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{},
+			Rate: 100, Duration: 10 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{}, NewID: uuid.NewString,
 			Kinds: []Kind{{Name: "slow", Workspace: "w", Service: "s", Weight: 1}, {Name: "busy", Workspace: "w", Service: "s", Weight: 1}},
 			Send: func(_ context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error {
 				if req.Workspace != "w" {
--- a/internal/bencher/bench.go
+++ b/internal/bencher/bench.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/rattantray/rattantray/internal/timer"
@@ -34,6 +33,8 @@
 type Bench struct {
 	// Send runs one request and calls emit for each part.
 	Send func(ctx context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error
+	// NewID returns an id that was never sent.
+	NewID func() string
 	// Rate is in requests a second.
 	Rate     float64
 	Duration time.Duration
@@ -118,7 +119,7 @@
 		Workspace: k.Workspace,
 		Service:   k.Service,
 		Method:    k.Method,
-		RequestId: uuid.Must(uuid.NewV7()).String(),
+		RequestId: b.NewID(),
 		Payload:   k.Payload,
 		MaxTokens: k.MaxTokens,
 		Timeout:   durationpb.New(b.Timeout),
--- a/internal/command/request/bench/bench.go
+++ b/internal/command/request/bench/bench.go
@@ -99,6 +99,7 @@
 	}
 	load := &bencher.Bench{
 		Send:     client.Send,
+		NewID:    client.NewRequestID,
 		Rate:     opts.Rate,
 		Duration: opts.Duration,
 		Timeout:  opts.Timeout,
--- a/internal/command/request/send/send.go
+++ b/internal/command/request/send/send.go
@@ -7,7 +7,6 @@
 	"os"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -110,6 +109,9 @@
 		return err
 	}
 	req := opts.request(payload)
+	if req.RequestId == "" {
+		req.RequestId = client.NewRequestID()
+	}
 	err = client.Send(ctx, req, opts.emit())
 	if err != nil {
 		opts.IO.Errorf("request-id %s\n", req.RequestId)
@@ -148,9 +150,6 @@
 		OrderingKey: o.OrderingKey,
 		Sequence:    o.Sequence,
 	}
-	if req.RequestId == "" {
-		req.RequestId = uuid.Must(uuid.NewV7()).String()
-	}
 	if o.Once {
 		strict := false
 		req.Idempotent = &strict
--- a/internal/journaler/call.go
+++ b/internal/journaler/call.go
@@ -35,6 +35,8 @@
 type call struct {
 	id       string
 	deadline time.Time
+	// notRunBefore is true where no earlier call with the id has run or may still run.
+	notRunBefore bool
 	// used is true once the permit is used or given up; no run begins afterwards.
 	used bool
 }
@@ -107,8 +109,17 @@
 	return c.unconsulted(code)
 }
 
-// unconsulted refuses a call whose id may have run before, as nobody who knows could be asked. The call itself runs nothing.
+// unconsulted refuses a call whose id may have run before, unless that is known, as nobody who knows could be asked. The
+// call itself runs nothing.
 func (c *call) unconsulted(code refuser.Code) decision {
 	r := refuser.New(code, "the journal could not be asked about request id %q; the same id may be sent again", c.id)
-	return refuse(r.WithFact(refuser.FactMayHaveRun).WithRetryAfter(storeRetryAfter))
+	return refuse(r.WithFact(c.fact()).WithRetryAfter(storeRetryAfter))
+}
+
+// fact is what is known of the id where this call runs nothing and the journal says nothing.
+func (c *call) fact() refuser.Fact {
+	if c.notRunBefore {
+		return refuser.FactNotRun
+	}
+	return refuser.FactMayHaveRun
 }
--- a/internal/journaler/entry.go
+++ b/internal/journaler/entry.go
@@ -26,8 +26,9 @@
 // Execute runs a request unless it ran before, and returns its outcome or a refusal whose fact is proven.
 func (j *Journaler) Execute(ctx context.Context, r Request, run RunFunc) (Outcome, error) {
 	j.init()
-	if err := j.check(r); err != nil {
-		return Outcome{}, err
+	c := &call{id: r.ID, deadline: r.Deadline, notRunBefore: r.NotRunBefore}
+	if refusal := j.check(r); refusal != nil {
+		return Outcome{}, refusal.WithFact(c.fact())
 	}
 	began := j.Clock.Now()
 	self := j.Self()
@@ -38,7 +39,6 @@
 		deadline:   r.Deadline,
 	}
 	copy(cl.payload[:], r.PayloadDigest[:])
-	c := &call{id: r.ID, deadline: r.Deadline}
 	d, asked := j.obtain(ctx, c, r, cl)
 	j.wait.Update(j.Clock.Now().Sub(began).Microseconds())
 	switch d.action {
@@ -56,7 +56,8 @@
 	return j.dispatch(ctx, r, cl, run)
 }
 
-func (j *Journaler) check(r Request) error {
+// check refuses a call before the journal is asked, so that its refusal proves nothing of the id.
+func (j *Journaler) check(r Request) *refuser.Refusal {
 	switch {
 	case r.ID == "" || len(r.ID) > maxIDBytes || !utf8.ValidString(r.ID):
 		return refuser.New(refuser.MalformedRequest, "a request id has 1 to %d bytes of UTF-8", maxIDBytes)
@@ -65,9 +66,9 @@
 	case r.Mode == documenter.ModeBound && r.BoundTo == "":
 		return refuser.New(refuser.MalformedRequest, "the service is in bound mode: bound_to must name the incarnation that Resolve gave")
 	case !j.running.Load():
-		return refuser.New(refuser.NotReady, "the journal is not running").WithFact(refuser.FactMayHaveRun)
+		return refuser.New(refuser.NotReady, "the journal is not running")
 	case !j.Clock.Now().Before(r.Deadline):
-		return refuser.New(refuser.DeadlineExceeded, "before the request was claimed").WithFact(refuser.FactMayHaveRun)
+		return refuser.New(refuser.DeadlineExceeded, "before the request was claimed")
 	}
 	return nil
 }
@@ -147,6 +148,9 @@
 		return refusal
 	}
 	j.reportLater(p)
+	if r.NotRunBefore {
+		return refusal
+	}
 	return refuser.New(refuser.OutcomeUncertain, "not-run could not be recorded after: %s", refusal.Message).WithCause(refusal)
 }
 
@@ -154,8 +158,8 @@
 func (j *Journaler) Get(ctx context.Context, workspace cataloger.Workspace, id string) (Outcome, error) {
 	j.init()
 	r := Request{Workspace: workspace, ID: id, Deadline: j.Clock.Now().Add(voidGrace)}
-	if err := j.check(r); err != nil {
-		return Outcome{}, err
+	if refusal := j.check(r); refusal != nil {
+		return Outcome{}, refusal.WithFact(refuser.FactMayHaveRun)
 	}
 	cl := claim{key: keyOf(workspace, id), issued: issuedMillis(id), deadline: r.Deadline, readOnly: true}
 	bound := j.Bound != nil && j.Bound(workspace)
--- a/internal/journaler/id.go
+++ b/internal/journaler/id.go
@@ -52,6 +52,12 @@
 	return int64(binary.BigEndian.Uint64(u[:8]) >> 16)
 }
 
+// IssuedAt returns the time within a request id that is a UUID of version 7, and whether there is one.
+func IssuedAt(id string) (time.Time, bool) {
+	ms := issuedMillis(id)
+	return time.UnixMilli(ms), ms > 0
+}
+
 // Dispatcher names the one call at one daemon incarnation that may use a permit.
 type Dispatcher struct {
 	Member      string
--- a/internal/journaler/request.go
+++ b/internal/journaler/request.go
@@ -24,6 +24,8 @@
 	AnswerBytes int
 	// BoundTo is the incarnation, as Resolve names it, that a request in bound mode runs on; empty is this daemon.
 	BoundTo string
+	// NotRunBefore is true where no earlier call with this id has run or may still run.
+	NotRunBefore bool
 }
 
 // Answer is what running a request gave.
--- a/internal/receiver/checker.go
+++ b/internal/receiver/checker.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	maxNameBytes      = 200
-	maxRequestIDBytes = 200
-	maxPriority       = 9
+	maxNameBytes = 200
+	maxPriority  = 9
 	// maxDelivered bounds the parts that a caller may send back with a resume token.
 	maxDelivered = 1 << 20
 )
@@ -22,11 +21,11 @@
 	switch {
 	case req == nil:
 		return malformed("request is missing")
-	case !goodName(req.Workspace, maxNameBytes):
+	case !goodName(req.Workspace):
 		return malformed("workspace is empty, too long or not printable")
-	case !goodName(req.Service, maxNameBytes):
+	case !goodName(req.Service):
 		return malformed("service is empty, too long or not printable")
-	case !goodName(req.RequestId, maxRequestIDBytes):
+	case !goodName(req.RequestId):
 		return malformed("request-id is empty, too long or not printable")
 	case len(req.OrderingKey) > maxNameBytes:
 		return malformed("ordering-key is over %d bytes", maxNameBytes)
@@ -83,8 +82,8 @@
 
 const defaultTimeout = time.Minute
 
-func goodName(s string, limit int) bool {
-	if s == "" || len(s) > limit || !utf8.ValidString(s) {
+func goodName(s string) bool {
+	if s == "" || len(s) > maxNameBytes || !utf8.ValidString(s) {
 		return false
 	}
 	for _, c := range s {
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -44,7 +44,9 @@
 	position     uint64
 	attempt      uint32
 	// started is true once the request may have reached a target.
-	started   bool
+	started bool
+	// proven is true once the journal decided, whose not-run is proven.
+	proven    bool
 	replayed  bool
 	queueWait time.Duration
 	first     time.Duration
@@ -204,36 +206,6 @@
 	return res
 }
 
-// final turns the end of the context into a refusal that says whether the request may have run.
-func (x *exchange) final(ctx context.Context, err error) error {
-	if err == nil {
-		return nil
-	}
-	if x.begun() && refuser.From(err).Fact == refuser.FactNotRun {
-		err = refuser.From(err).WithFact(refuser.FactMayHaveRun)
-	}
-	if ctx.Err() == nil || isRefusal(err) {
-		return err
-	}
-	code := refuser.Canceled
-	if errors.Is(context.Cause(ctx), errDeadline) {
-		code = refuser.DeadlineExceeded
-	}
-	refusal := refuser.New(code, "after %s", x.receiver.Clock.Now().Sub(x.begin).Round(time.Millisecond))
-	if !x.started {
-		return refusal.WithFact(refuser.FactNotRun).WithCause(err)
-	}
-	return refusal.WithFact(refuser.FactMayHaveRun).WithCause(err)
-}
-
-// begun tells whether the caller has a part of the answer.
-func (x *exchange) begun() bool { return x.parts > 0 || len(x.req.Delivered) > 0 }
-
-func isRefusal(err error) bool {
-	var r *refuser.Refusal
-	return errors.As(err, &r)
-}
-
 // record adds the request to the metrics and the log.
 func (x *exchange) record(err error) {
 	r := x.receiver
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -205,7 +205,7 @@
 // exchange runs one request and returns a connect error where it is refused.
 func (r *Receiver) exchange(ctx context.Context, req *v1.Request, header http.Header, emit func(*v1.SendResponse) error) (*exchange, error) {
 	x := &exchange{receiver: r, req: req, begin: r.Clock.Now(), emitPart: emit, queueWait: unset, first: unset}
-	err := x.run(ctx, header)
+	err := x.truthful(x.run(ctx, header))
 	x.record(err)
 	if err != nil {
 		return nil, refuser.From(err).Connect()
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -169,11 +169,24 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newBench(t)
-			r := refuser.From(b.send(t.Context(), tt.req))
-			require.Equal(t, tt.code, r.Code, r.Error())
-			require.Equal(t, refuser.FactNotRun, r.Fact)
-			require.Zero(t, b.ran)
-			require.Empty(t, b.admits)
+			refused := func(fact refuser.Fact) {
+				r := refuser.From(b.send(t.Context(), tt.req))
+				require.Equal(t, tt.code, r.Code, r.Error())
+				require.Equal(t, fact, r.Fact)
+				require.Zero(t, b.ran)
+				require.Empty(t, b.admits)
+			}
+			if tt.req.GetRequestId() != "r-1" {
+				refused(refuser.FactNotRun)
+				return
+			}
+			refused(refuser.FactMayHaveRun)
+			tt.req.RequestId, tt.req.NotRunBefore = newID(), true
+			if len(tt.req.ResumeToken) > 0 || len(tt.req.Delivered) > 0 {
+				refused(refuser.FactMayHaveRun)
+				return
+			}
+			refused(refuser.FactNotRun)
 		})
 	}
 }
@@ -314,7 +327,7 @@
 				b := newBench(t)
 				tt.set(b)
 				begin := time.Now()
-				r := refuser.From(b.send(t.Context(), modelRequest()))
+				r := refuser.From(b.send(t.Context(), promised(modelRequest())))
 				require.Equal(t, refuser.DeadlineExceeded, r.Code)
 				require.Equal(t, tt.fact, r.Fact)
 				require.Equal(t, time.Second, time.Since(begin))
@@ -383,7 +396,7 @@
 func TestRefusalWhileDrainingTakesNothingIn(t *testing.T) {
 	b := newBench(t)
 	b.Begin = func() (func(), error) { return nil, refuser.New(refuser.Draining, "shutting down") }
-	r := refuser.From(b.send(t.Context(), modelRequest()))
+	r := refuser.From(b.send(t.Context(), promised(modelRequest())))
 	require.Equal(t, refuser.Draining, r.Code)
 	require.Equal(t, refuser.FactNotRun, r.Fact)
 	require.Zero(t, b.ran)
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -149,6 +149,7 @@
 		Retention:     time.Duration(x.doc.AtMostOnce.Retention),
 		AnswerBytes:   x.doc.AtMostOnce.AnswerBytes,
 		BoundTo:       x.req.BoundTo,
+		NotRunBefore:  x.notRunBefore(),
 	}, func(ctx context.Context) (journaler.Answer, error) {
 		if x.doc.Type == documenter.TypeModel {
 			streamed = true
@@ -156,6 +157,7 @@
 		}
 		return x.forwardOnce(ctx)
 	})
+	x.proven = true
 	if err != nil {
 		return err
 	}
--- a/internal/router/expected_test.go
+++ b/internal/router/expected_test.go
@@ -20,10 +20,11 @@
 func TestDeadlinesAreHeldAgainstTheTimeOfAnswers(t *testing.T) {
 	inWorld(t, 1, fourChains(), func(w *world) {
 		client := rattantrayv1connect.NewRouterServiceClient(w.httpClient, "http://"+w.routers[0].ip+":7070")
+		promised := false
 		call := func(id string, prompt []byte, tokens uint32, timeout time.Duration) error {
 			_, err := client.Call(context.Background(), connect.NewRequest(&v1.CallRequest{Request: &v1.Request{
 				Workspace: "counter", Service: "assistant", RequestId: id, Payload: prompt,
-				MaxTokens: tokens, Timeout: durationpb.New(timeout),
+				MaxTokens: tokens, Timeout: durationpb.New(timeout), NotRunBefore: promised,
 			}}))
 			return err
 		}
@@ -32,7 +33,9 @@
 		}
 		// A prompt of 4,000 tokens is prefilled 40 times as fast as tokens come.
 		require.NoError(w.t, call("prompt", bytes.Repeat([]byte("word"), 4000), 16, 10*time.Second))
-		err := call("long", []byte("prompt"), 200, time.Second)
+		// The promise of a new id lets the entry say not-run.
+		promised = true
+		err := call(w.client.NewRequestID(), []byte("prompt"), 200, time.Second)
 		require.Error(w.t, err)
 		refusal := refuser.From(err)
 		require.Equal(w.t, refuser.DeadlineTooShort, refusal.Code)
--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -54,11 +54,11 @@
 	l.stop = stop
 	for i := range generators {
 		client := l.w.newClient(fmt.Sprintf("10.0.7.%d", i+2))
-		l.wg.Go(func() { l.work(ctx, client, fmt.Sprintf("g%d", i), false) })
+		l.wg.Go(func() { l.work(ctx, client, false) })
 	}
 	for i := range bookers {
 		client := l.w.newClient(fmt.Sprintf("10.0.6.%d", i+2))
-		l.wg.Go(func() { l.work(ctx, client, fmt.Sprintf("b%d", i), true) })
+		l.wg.Go(func() { l.work(ctx, client, true) })
 	}
 }
 
@@ -67,9 +67,9 @@
 	l.wg.Wait()
 }
 
-func (l *load) work(ctx context.Context, client *caller.Client, name string, once bool) {
-	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("%s-%d", name, n)
+func (l *load) work(ctx context.Context, client *caller.Client, once bool) {
+	for ctx.Err() == nil {
+		id := client.NewRequestID()
 		var refusal *refuser.Refusal
 		if once {
 			refusal = l.book(client, id)
--- a/internal/router/promises_test.go
+++ b/internal/router/promises_test.go
@@ -192,6 +192,11 @@
 		require.Equal(t, refuser.StoreUnavailable, r.Code)
 		require.Equal(t, refuser.FactMayHaveRun, r.Fact, "nothing that lasts shows that no other entry ran it")
 		require.Positive(t, r.RetryAfter)
+		fresh := w.client.NewRequestID()
+		r = l.book(w.client, fresh)
+		require.Equal(t, refuser.StoreUnavailable, r.Code)
+		require.Equal(t, refuser.FactNotRun, r.Fact, "no earlier sending can have run")
+		require.Positive(t, r.RetryAfter)
 		require.Nil(t, l.generate(w.client, "g-out"), "idempotent work goes on")
 		heal()
 		healed := time.Now()
@@ -202,6 +207,7 @@
 		t.Logf("bookings run again %s after the store is back", time.Since(healed))
 		require.LessOrEqual(t, time.Since(healed), recoveryLimit)
 		require.Empty(t, runsOf(w, "b-out"))
+		require.Empty(t, runsOf(w, fresh))
 	})
 }
 
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -30,8 +30,10 @@
 	firstBackoff       = 20 * time.Millisecond
 	maxBackoff         = 2 * time.Second
 	outcomePoll        = 100 * time.Millisecond
-	budgetRatio        = 0.2
-	budgetBurst        = 20
+	// refusalGrace is how long after the deadline an entry's refusal is waited for: it may need a second to record not-run.
+	refusalGrace = 1500 * time.Millisecond
+	budgetRatio  = 0.2
+	budgetBurst  = 20
 )
 
 // Counters tells what a client dropped and repeated.
@@ -65,6 +67,7 @@
 
 	http    *http.Client
 	entries *entries
+	unsent  unsentIDs
 	mu      sync.Mutex
 	stubs   map[string]rattantrayv1connect.RouterServiceClient
 }
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -17,18 +17,25 @@
 
 // Send runs a request and calls emit for each part of the answer, once each and in order; it returns after the last part.
 //
-// Its error is the error of emit, of ctx, or a *refuser.Refusal.
+// Its error is the error of emit, of ctx, or a *refuser.Refusal. The refusal of an entry is waited for a moment longer than
+// the timeout. The request's promise not_run_before is set by the client alone, from the ids that it made.
 func (c *Client) Send(ctx context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error {
 	if req.GetRequestId() == "" {
 		return refuser.New(refuser.MalformedRequest, "request-id is empty")
 	}
+	unsent := c.unsent.take(req.RequestId)
 	s := &sending{
 		client:   c,
 		req:      proto.CloneOf(req),
 		emit:     emit,
 		deadline: c.Clock.Now().Add(timeoutOf(req)),
+		unsent:   unsent,
+		notRun:   unsent,
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(req))
+	if d, ok := ctx.Deadline(); ok && d.Before(s.deadline) {
+		s.deadline = d
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(req)+refusalGrace)
 	defer cancel()
 	c.Budget.Earn()
 	return s.run(ctx)
@@ -61,40 +68,63 @@
 	attempt   uint32
 	delivered [][]byte
 	token     []byte
-	// sent is true once any entry may have taken the request.
+	// sent is true once an entry may have taken the request and was not heard to the end.
 	sent bool
+	// unsent is true where no earlier call sent the id, and notRun while the id is known not to have run.
+	unsent bool
+	notRun bool
 }
 
 func (s *sending) run(ctx context.Context) error {
-	var last error
-	for try := 0; try < s.client.MaxAttempts; try++ {
-		if try > 0 {
-			if !s.client.Budget.Spend() {
-				return s.giveUp(last, refuser.New(refuser.RetryBudgetSpent, "the client's retry budget is spent"))
-			}
-			s.client.Counters.Retried.Add(1)
-		}
+	for try := 0; ; try++ {
 		done, err := s.once(ctx, try)
 		if done {
 			return err
 		}
-		last = err
-		if ctx.Err() != nil {
-			return s.expired(ctx)
-		}
-		if err := s.client.Clock.Sleep(ctx, s.backoff(try, err)); err != nil {
-			return s.expired(ctx)
+		if end := s.pause(ctx, try, err); end != nil {
+			return end
 		}
+		s.client.Counters.Retried.Add(1)
 	}
-	return s.giveUp(last, nil)
+}
+
+// pause waits until another stream may be opened; where none will be it returns the final answer at once.
+func (s *sending) pause(ctx context.Context, try int, last error) error {
+	c := s.client
+	wait, left := s.backoff(try, last), s.left()
+	switch {
+	case ctx.Err() != nil && !refused(last), left <= 0 && !refused(last), errors.Is(ctx.Err(), context.Canceled):
+		return s.expired(ctx)
+	case try+1 >= c.MaxAttempts, wait >= left:
+		return s.giveUp(last, nil)
+	case !c.Budget.Spend():
+		return s.giveUp(last, refuser.New(refuser.RetryBudgetSpent, "the client's retry budget is spent"))
+	case c.Clock.Sleep(ctx, wait) != nil && errors.Is(ctx.Err(), context.Canceled):
+		return s.expired(ctx)
+	case ctx.Err() != nil:
+		return s.giveUp(last, nil)
+	}
+	return nil
+}
+
+func (s *sending) left() time.Duration { return s.deadline.Sub(s.client.Clock.Now()) }
+
+// refused tells whether err is the word of an entry.
+func refused(err error) bool {
+	return !neverSent(err) && !errors.Is(err, errCut) && refuser.From(err).Code != refuser.Internal
 }
 
 // once opens one stream; done is false where another may be opened.
 func (s *sending) once(ctx context.Context, try int) (done bool, err error) {
 	address, err := s.pick(ctx, try)
-	if err != nil {
+	switch {
+	case ctx.Err() != nil:
+		return true, s.expired(ctx)
+	case err != nil:
 		r := refuser.From(err)
-		return final(r) || ctx.Err() != nil, s.truthful(r)
+		return final(r), s.truthful(r)
+	case s.left() <= 0:
+		return true, s.expired(ctx)
 	}
 	err = s.stream(ctx, address)
 	var local *emitError
@@ -104,7 +134,8 @@
 		return true, nil
 	case errors.As(err, &local):
 		return true, local.err
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && (!refused(err) || errors.Is(ctx.Err(), context.Canceled)):
+		s.sent = s.sent || !neverSent(err)
 		return true, s.expired(ctx)
 	}
 	return s.judge(ctx, address, err)
@@ -124,6 +155,7 @@
 		s.leave(address)
 		return false, errCut
 	}
+	s.notRun = r.Fact == refuser.FactNotRun && !s.sent
 	switch r.Code {
 	case refuser.Draining, refuser.NotReady:
 		s.leave(address)
@@ -148,7 +180,7 @@
 
 // await asks for the outcome of a request that an earlier stream of this call left running.
 func (s *sending) await(ctx context.Context, r *refuser.Refusal) (bool, error) {
-	for s.client.Clock.Sleep(ctx, outcomePoll) == nil {
+	for s.left() > 0 && s.client.Clock.Sleep(ctx, outcomePoll) == nil {
 		got, err := s.client.Get(ctx, s.req.Workspace, s.req.RequestId)
 		if err != nil || got.Outcome == v1.Outcome_OUTCOME_RUNNING {
 			continue
@@ -187,7 +219,9 @@
 }
 
 func (s *sending) stream(ctx context.Context, address string) error {
-	req := withTimeout(proto.CloneOf(s.req), s.deadline.Sub(s.client.Clock.Now()))
+	req := withTimeout(proto.CloneOf(s.req), s.left())
+	// A sending that was refused as not-run cannot run later, so that the promise holds after it too.
+	req.NotRunBefore = s.unsent && s.notRun && !s.sent
 	if s.next > 0 {
 		req.ResumeToken = s.token
 		req.Delivered = s.delivered
@@ -245,26 +279,34 @@
 	return wait
 }
 
-// truthful keeps a refusal from saying not-run where an earlier stream may have run the request.
+// truthful keeps a refusal from saying not-run where that is not known of every sending of the id.
 func (s *sending) truthful(r *refuser.Refusal) *refuser.Refusal {
-	if s.sent && r.Fact == refuser.FactNotRun {
-		return r.WithFact(refuser.FactMayHaveRun)
+	if r.Fact == refuser.FactNotRun {
+		return r.WithFact(s.fact())
 	}
 	return r
 }
 
+// fact is what is known of the id without another word of an entry.
+func (s *sending) fact() refuser.Fact {
+	if s.notRun && !s.sent {
+		return refuser.FactNotRun
+	}
+	return refuser.FactMayHaveRun
+}
+
 func (s *sending) expired(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
 	}
 	r := refuser.New(refuser.DeadlineExceeded, "no whole answer within %s", timeoutOf(s.req))
-	return r.WithFact(refuser.FactMayHaveRun)
+	return r.WithFact(s.fact())
 }
 
 func (s *sending) giveUp(last error, why *refuser.Refusal) error {
 	switch {
-	case why != nil && last != nil:
-		return s.truthful(why.WithCause(last))
+	case why != nil:
+		return s.truthful(why.WithCause(last).WithRetryAfter(refuser.From(last).RetryAfter))
 	case neverSent(last):
 		return s.truthful(refuser.New(refuser.PeerUnavailable, "no entry could be reached: %s", last))
 	case errors.Is(last, errCut):
--- a/pkg/caller/send_test.go
+++ b/pkg/caller/send_test.go
@@ -143,7 +143,7 @@
 
 func TestNothingReachableIsNotRun(t *testing.T) {
 	c := newClient(t, deadAddress(t))
-	_, err := c.Call(t.Context(), request())
+	_, err := c.Call(t.Context(), newRequest(c))
 	r := refuser.From(err)
 	require.Equal(t, refuser.PeerUnavailable, r.Code)
 	require.Equal(t, refuser.FactNotRun, r.Fact)
