--- a/internal/journaler/fuzz_test.go
+++ b/internal/journaler/fuzz_test.go
@@ -109,14 +109,14 @@
 
 // TestOracleNoticesBrokenSafeguards runs the same moves with one safeguard off at a time.
 func TestOracleNoticesBrokenSafeguards(t *testing.T) {
-	for _, broken := range []breakage{breakConditions, breakEarlyPermit, breakPermitTwice, breakEagerNotRun, breakForgetClaims, breakNoProof} {
+	for _, broken := range []breakage{breakConditions, breakEarlyPermit, breakPermitTwice, breakEagerNotRun, breakForgetClaims, breakNoProof, breakPromise} {
 		seed, _ := firstFault(broken, 4000)
 		require.NotZero(t, seed, broken)
 		t.Logf("%s: noticed at seed %d", broken, seed)
 	}
 	seed, seen := firstFault(breakNothing, 500)
 	require.Zero(t, seed)
-	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments", "store-unavailable", "not run on looking", "queue-full", "dropped early"} {
+	for _, what := range []string{"ran", "takeovers", "fenced", "segments", "already-running", "request-id-expired", "replayed", "voided", "deleted segments", "store-unavailable", "not run on looking", "queue-full", "dropped early", "promised"} {
 		require.NotZero(t, seen[what], "the moves never reach %s", what)
 	}
 	t.Log(seen)
@@ -141,6 +141,9 @@
 
 func (h *harness) count(seen map[string]uint64) {
 	for _, c := range h.calls {
+		if c.promised {
+			seen["promised"]++
+		}
 		switch {
 		case c.ran:
 			seen["ran"]++
--- a/internal/journaler/harness_test.go
+++ b/internal/journaler/harness_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -23,6 +25,7 @@
 	breakEagerNotRun  breakage = "a target's lost answer is taken for not-run"
 	breakForgetClaims breakage = "a takeover drops claims without outcome"
 	breakNoProof      breakage = "not-run is said before a write shows that the owner is not fenced"
+	breakPromise      breakage = "a caller promises that an id has not run though it sent it before"
 )
 
 const harnessWindow = time.Minute
@@ -102,6 +105,8 @@
 	readOnly   bool
 	// looked is true where a reading call was told that the request did not run.
 	looked bool
+	// promised is true where the call was refused as not-run on its caller's promise alone.
+	promised bool
 	// known is the last moment that the owner could know of when it gave its verdict; late is true where the owner was
 	// asked after that.
 	known moment
@@ -176,10 +181,27 @@
 		c.payload = 1
 	}
 	c.readOnly = h.pick(8, "read") == 0
+	c.notRunBefore = !c.readOnly && h.promises(c.id)
 	h.calls = append(h.calls, c)
+	if !c.readOnly && h.pick(8, "refuse") == 0 {
+		// The entry drains or has no room, and asks nobody.
+		h.act(c, c.unconsulted(refuser.Draining))
+		return
+	}
 	h.send(c)
 }
 
+// promises tells whether a caller promises that an id has not run: it sent it never, or was refused as not-run each time.
+func (h *harness) promises(id string) bool {
+	for _, c := range h.calls {
+		refused := c.state == callFinished && c.refusal != nil && c.refusal.Fact == refuser.FactNotRun
+		if c.id == id && !c.readOnly && !refused && h.broken != breakPromise {
+			return false
+		}
+	}
+	return true
+}
+
 func (h *harness) send(c *fuzzCall) {
 	to := c.entry.view
 	life := h.daemons[to].life
@@ -352,6 +374,11 @@
 	if c.ran {
 		h.fault("%s: told %s by a call that ran it", c.id, r)
 	}
+	if strings.Contains(r.Message, "could not be asked") {
+		c.promised = true
+		h.checkPromised(c)
+		return
+	}
 	h.checkNotRun(c, r.Code.String())
 }
 
@@ -370,6 +397,15 @@
 	}
 }
 
+// checkPromised holds not-run on a promise against every call up to the one that was told: none of them ran or may run.
+func (h *harness) checkPromised(told *fuzzCall) {
+	for _, c := range h.calls[:slices.Index(h.calls, told)+1] {
+		if c.id == told.id && c.ran {
+			h.fault("%s: told %s, and an earlier call ran it", told.id, told.refusal)
+		}
+	}
+}
+
 // finishLooked ends a reading call; an id that is unknown is one that did not run.
 func (h *harness) finishLooked(c *fuzzCall, v verdict) {
 	c.state = callFinished
--- a/internal/journaler/moves_test.go
+++ b/internal/journaler/moves_test.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,11 @@
 
 func (h *harness) run(c *fuzzCall) {
 	c.ran = true
+	for _, told := range h.calls[slices.Index(h.calls, c):] {
+		if told.id == c.id && told.promised {
+			h.fault("%s: ran after %s was told of a call after it", c.id, told.refusal)
+		}
+	}
 	h.runs[c.id]++
 	h.payloads[request{c.id, c.payload}]++
 	if h.runs[c.id] > 1 {
