Do not spin where an ordered answer waits and its caller is gone

Cause: wait asked the owner again at once after every 'not yet'. The owner answers so at once for a caller that is gone, and for a wait of 0 ms, which is what less than 1 ms before the deadline was rounded down to. The entry then used a whole core until the deadline of the request. Found as a whole-fleet test whose time stood still.

Change: wait pauses, and ends, once its caller is gone; waits are rounded up. TestWaitEndsWithItsCaller: both cases hang with the old entry.go (go test -timeout 5s), and pass now.

--- a/internal/sequencer/entry.go
+++ b/internal/sequencer/entry.go
@@ -133,7 +133,7 @@
 		_, err := s.call(ctx, o.key, MethodWait, pollTimeout+callTimeout, &peerv1.SequenceWait{
 			Place:     s.proto(o),
 			Bytes:     uint32(size),
-			TimeoutMs: uint32(min(pollTimeout, max(0, o.place.Deadline.Sub(s.Clock.Now()))).Milliseconds()),
+			TimeoutMs: s.pollMillis(o.place.Deadline),
 		}, turn)
 		s.noteFloor(o.key, turn.Floor)
 		switch {
@@ -156,10 +156,11 @@
 		if !s.Clock.Now().Before(o.place.Deadline) {
 			return refuser.New(refuser.DeadlineExceeded, "waiting for a predecessor under the ordering key").WithFact(refuser.FactRan)
 		}
-		if err == nil {
+		if err == nil && ctx.Err() == nil {
 			pause = minPause
 			continue
 		}
+		// The owner answers at once for a caller that is gone.
 		if s.Clock.Sleep(ctx, s.jitter(pause)) != nil {
 			return refuser.New(refuser.Canceled, "waiting for a predecessor under the ordering key").WithFact(refuser.FactRan)
 		}
@@ -167,6 +168,12 @@
 	}
 }
 
+// pollMillis returns how long the owner may wait; it is rounded up, as waits of 0 just before the deadline would spin.
+func (s *Sequencer) pollMillis(deadline time.Time) uint32 {
+	left := max(0, deadline.Sub(s.Clock.Now()))
+	return uint32(min(pollTimeout, left+time.Millisecond).Milliseconds())
+}
+
 // fresh tells whether the owner cannot have given up a place that it let out when asked: it keeps that of a lost entry
 // for the grace. An entry that was paused for longer asks again before it delivers.
 func (s *Sequencer) fresh(asked time.Time) bool {
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -341,6 +341,33 @@
 	})
 }
 
+// TestWaitEndsWithItsCaller waits for a predecessor that is open; a wait that spins would stop the bubble's time.
+func TestWaitEndsWithItsCaller(t *testing.T) {
+	for name, end := range map[string]func(ctx context.Context) (context.Context, context.CancelFunc){
+		"gone": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 100*time.Millisecond)
+		},
+		"deadline between two ms": context.WithCancel,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("a")
+				defer f.stop()
+				time.Sleep(5 * time.Second)
+				first, err := f.get("a").Enter(t.Context(), at(1, time.Minute))
+				require.NoError(t, err)
+				defer first.Done()
+				turn, err := f.get("a").Enter(t.Context(), at(2, 300*time.Millisecond+300*time.Microsecond))
+				require.NoError(t, err)
+				defer turn.Done()
+				ctx, cancel := end(t.Context())
+				defer cancel()
+				require.Equal(t, refuser.FactRan, refuser.From(turn.Wait(ctx, 1)).Fact)
+			})
+		})
+	}
+}
+
 func TestForeignPlaceIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
