--- a/internal/journaler/harness_test.go
+++ b/internal/journaler/harness_test.go
@@ -141,6 +141,7 @@
 	limits.Window = harnessWindow
 	limits.LeastWindow = harnessWindow / 8
 	limits.MaxRecords = 8
+	limits.UntimedShare = 0.25
 	limits.SealBytes = 400
 	limits.SegmentBytes = 900
 	limits.ForgetBatch = 3
--- a/internal/journaler/limits.go
+++ b/internal/journaler/limits.go
@@ -14,6 +14,8 @@
 	MaxSkew time.Duration
 	// MaxRecords bounds the ids that one daemon remembers, in equal parts for its shards.
 	MaxRecords int
+	// UntimedShare is the part of that room which ids without a time may take, as they are remembered for ever.
+	UntimedShare float64
 	// MaxWaiting bounds the calls that wait for the store or for an outcome.
 	MaxWaiting int
 	// MaxAnswerBytes is the largest answer that is kept.
@@ -44,6 +46,7 @@
 		LeastWindow:     time.Hour,
 		MaxSkew:         5 * time.Minute,
 		MaxRecords:      1 << 19,
+		UntimedShare:    0.125,
 		MaxWaiting:      4096,
 		MaxAnswerBytes:  64 << 10,
 		AnswerMemory:    4 << 20,
--- a/internal/journaler/table.go
+++ b/internal/journaler/table.go
@@ -67,7 +67,7 @@
 		if c.readOnly {
 			return stepAnswer, verdict{kind: verdictUnknown}, false
 		}
-		if len(t.records) >= t.limits.MaxRecords {
+		if t.full(c.issued) {
 			return stepAnswer, verdict{kind: verdictFull}, false
 		}
 		r = &record{}
@@ -87,6 +87,14 @@
 	return t.again(ms, r, c)
 }
 
+// full tells whether there is no room for a new id; ids without a time leave most of it to others.
+func (t *table) full(issued int64) bool {
+	if issued == 0 && t.untimed >= max(1, int(t.limits.UntimedShare*float64(t.limits.MaxRecords))) {
+		return true
+	}
+	return len(t.records) >= t.limits.MaxRecords
+}
+
 func (t *table) add(key Key, r *record, issued int64) {
 	t.records[key] = r
 	if issued == 0 {
