--- a/pkg/refuser/docs_test.go
+++ b/pkg/refuser/docs_test.go
@@ -19,7 +19,8 @@
 Every refusal carries one of these numbers, in the error detail
 ` + "`rattantray.v1.Refusal`" + ` and in the logs. The fact says whether the
 request ran; a refusal may state a stricter fact than the table where more is
-known. *Retry* says whether the same request may be sent again as it is; the
+known, and may-have-run in place of not-run where an earlier sending of the id
+may have run (docs/design/at-most-once.md). *Retry* says whether the same request may be sent again as it is; the
 Go client in pkg/caller does so by itself, within its budget and not before the
 refusal's retry-after.
 
