Start no Cancel worker once the dispatcher waits for the last

The stack of a repeat: Dispatcher.Wait, called as the daemon stops, waits on the canceller's sync.WaitGroup while a request that the daemon no longer waits for ends and adds a worker to it (WaitGroup.Go beside Wait at a count of zero). The sequencer's Done messages have the same shape. Ruled out: the engine fake and the test's own variables.

Change: spawner.Group starts goroutines until it is closed; canceller and sequencer use it. A Cancel after the close is dropped and counted; an engine drops what nobody follows by itself.

Conclusion: a real fault of the stop, mended.

--- a/internal/dispatcher/canceller.go
+++ b/internal/dispatcher/canceller.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/spawner"
 	"github.com/rattantray/rattantray/internal/timer"
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 )
@@ -36,7 +37,7 @@
 
 	mu     sync.Mutex
 	queues map[string][]pendingCancel
-	wait   sync.WaitGroup
+	work   spawner.Group
 }
 
 type pendingCancel struct {
@@ -49,7 +50,7 @@
 	return &canceller{clock: clock, life: life, end: end, queues: make(map[string][]pendingCancel)}
 }
 
-// cancel queues a Cancel for the engine at an address.
+// cancel queues a Cancel for the engine at an address; a closed canceller drops it.
 func (c *canceller) cancel(address string, req *enginev1.CancelRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,13 +60,15 @@
 		c.dropped()
 	}
 	c.queues[address] = append(queue, pendingCancel{req: req, until: c.clock.Now().Add(cancelLife)})
-	if !running {
-		c.wait.Go(func() { c.work(address) })
+	if running || c.work.Go(func() { c.sendAll(address) }) {
+		return
 	}
+	c.dropped()
+	delete(c.queues, address)
 }
 
-// work sends the Cancels of one engine until none is left.
-func (c *canceller) work(address string) {
+// sendAll sends the Cancels of one engine until none is left.
+func (c *canceller) sendAll(address string) {
 	pause := firstCancelPause
 	for {
 		next, ok := c.first(address)
@@ -125,7 +128,7 @@
 // close sends what waits to the engines that answer and returns when no worker is left.
 func (c *canceller) close() {
 	c.end()
-	c.wait.Wait()
+	c.work.Close()
 }
 
 // sendCancel returns nil where the engine has answered, whatever it said.
--- a/internal/dispatcher/canceller_test.go
+++ b/internal/dispatcher/canceller_test.go
@@ -110,3 +110,17 @@
 		})
 	}
 }
+
+// A caller that the daemon no longer waits for may end its request after the dispatcher has stopped.
+func TestCancelAfterCloseIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, r, dropped := newTestCanceller()
+		c.cancel("near", &enginev1.CancelRequest{Attempt: 1})
+		c.close()
+		c.cancel("near", &enginev1.CancelRequest{Attempt: 2})
+		synctest.Wait()
+		require.Equal(t, []uint32{1}, r.seen("near"))
+		require.EqualValues(t, 1, dropped.Load())
+		require.Empty(t, c.queues)
+	})
+}
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -14,6 +14,7 @@
 	"github.com/rattantray/rattantray/internal/assigner"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/spawner"
 	"github.com/rattantray/rattantray/internal/timer"
 )
 
@@ -76,7 +77,7 @@
 	// ownedSince is when this daemon came to own each shard; zero where it does not.
 	ownedSince [Shards]time.Time
 	entry      entryState
-	tasks      sync.WaitGroup
+	tasks      spawner.Group
 	ctx        context.Context
 }
 
@@ -124,7 +125,7 @@
 			break
 		}
 	}
-	s.tasks.Wait()
+	s.tasks.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, q := range s.queues {
--- /dev/null
+++ b/internal/spawner/doc.go
@@ -0,0 +1,2 @@
+// Package spawner starts goroutines that a service waits for when it stops.
+package spawner
