Hold the demand reports that a planner hears to a bounded rate

Cause: each daemon told the planner of each model what it delivers every 2 s, so that at 400 daemons a planner heard 200 reports a second, some 20 KB/s by the 100 bytes of a report, against 9 KB/s for all control. docs/CAPACITY.md counted what a daemon sends only. Daemons that deliver nothing of a model reported too.

Change: the interval is 2 s up to 80 daemons and grows by 25 ms a daemon beyond; a report counts for five intervals; a rate of zero is not reported.

Conclusion: the rate on the planner's side no longer grows with the fleet.

--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -10,16 +10,28 @@
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/internal/tracker"
 )
 
 const (
-	methodDemand   = "placement-demand"
-	demandWindow   = 5 * time.Second
-	demandInterval = 2 * time.Second
-	// demandLifetime is how long the report of a daemon counts.
-	demandLifetime = 10 * time.Second
+	methodDemand = "placement-demand"
+	demandWindow = 5 * time.Second
+	// leastDemandInterval is the time between reports of a daemon in a small fleet.
+	leastDemandInterval = 2 * time.Second
+	// demandSpacing is the mean time between reports that reach the planner of a model in a large fleet.
+	demandSpacing = 25 * time.Millisecond
+	// demandLife is the number of intervals for which a report counts.
+	demandLife = 5
+	// leastDemand is the rate, in tokens a second, below which a daemon has nothing to report.
+	leastDemand = 0.01
 )
 
+// demandInterval is the time between reports of a daemon. The planner of a model hears every daemon, so that it grows
+// with their number.
+func demandInterval(members int) time.Duration {
+	return max(leastDemandInterval, time.Duration(members)*demandSpacing)
+}
+
 // demands holds what this daemon delivers of each model, and what other daemons reported.
 type demands struct {
 	clock timer.Clock
@@ -71,13 +83,13 @@
 	d.reported[model][member] = report{rate: rate, at: d.clock.Now()}
 }
 
-// total returns what the whole fleet delivers of a model, by the reports that still count.
-func (d *demands) total(model string) float64 {
+// total returns what the whole fleet delivers of a model, by the reports that are no older than a lifetime.
+func (d *demands) total(model string, lifetime time.Duration) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sum := 0.0
 	for member, r := range d.reported[model] {
-		if d.clock.Now().Sub(r.at) > demandLifetime {
+		if d.clock.Now().Sub(r.at) > lifetime {
 			delete(d.reported[model], member)
 			continue
 		}
@@ -118,8 +130,11 @@
 
 // reportDemand tells the planner of each model what this daemon delivers.
 func (p *placement) reportDemand(ctx context.Context) {
-	for p.router.Clock.Sleep(ctx, demandInterval) == nil {
+	for p.router.Clock.Sleep(ctx, p.demandInterval()) == nil {
 		for model, rate := range p.demands.rates() {
+			if rate < leastDemand {
+				continue
+			}
 			owner := p.router.tracker.Owner(dutyPlacement, model)
 			if owner.Name == p.router.local.Name {
 				p.demands.take(owner.Name, model, rate)
@@ -130,3 +145,12 @@
 		}
 	}
 }
+
+func (p *placement) demandInterval() time.Duration {
+	return demandInterval(len(tracker.Live(p.router.tracker.Fleet().Members)))
+}
+
+// offered returns the tokens a second that the fleet delivers of a model that this daemon plans.
+func (p *placement) offered(model string) float64 {
+	return p.demands.total(model, demandLife*p.demandInterval())
+}
--- a/internal/router/gauge.go
+++ b/internal/router/gauge.go
@@ -75,7 +75,7 @@
 		bound := r.selector.Bound(m.Key())
 		r.meter.Set("bound-"+name, bound)
 		if bound > 0 && r.tracker.Owner(dutyPlacement, m.Name).Name == r.local.Name {
-			r.meter.Set("bound-share-"+name, r.placement.demands.total(m.Name)/bound)
+			r.meter.Set("bound-share-"+name, r.placement.offered(m.Name)/bound)
 		}
 	}
 }
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -258,7 +258,7 @@
 		return planner.Placement{}
 	}
 	speeds := p.router.selector.Speeds()
-	offered := p.demands.total(name) * offeredMargin
+	offered := p.offered(name) * offeredMargin
 	placed := plans.Plan(planner.State{
 		Model: planner.Model{
 			Name:            model.Name,
