Split the lease and configuration machines by what they decide

Cause: internal/leaser/machine.go (475 lines) and internal/configurer/machine.go (485) each held a whole protocol. Change: leaser into timing, operation, session and acquire; configurer into effect, boot, follow, spread and exchange. Declarations are moved, not edited (the sorted lines of both packages are the same but for imports). Measured: go test ./internal/leaser ./internal/configurer passes as before.

--- a/internal/leaser/machine.go
+++ b/internal/leaser/machine.go
@@ -1,16 +1,8 @@
 package leaser
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
-
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
-
-	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
-	"github.com/rattantray/rattantray/internal/storer"
 )
 
 // Prefixes of the keys in the store.
@@ -20,66 +12,6 @@
 	sessionPrefix = Prefix + "sessions/"
 )
 
-// Timing sets how long leases last.
-type Timing struct {
-	// Duration is how long a lease is valid after the last renewal was sent, by the holder's clock.
-	Duration time.Duration
-	// Renew is the time between renewals.
-	Renew time.Duration
-	// Wait is how long another daemon sees a session unchanged, by its own clock, before it closes it.
-	Wait time.Duration
-	// Poll is the time between looks at a lease that another daemon holds.
-	Poll time.Duration
-}
-
-// MaxDrift is the part by which the rates of two daemons' clocks may differ from real time.
-const MaxDrift = 0.02
-
-// waitMargin is over what (1+MaxDrift)/(1-MaxDrift) adds.
-const waitMargin = 0.05
-
-// NewTiming returns the timing for leases of a duration; the wait covers clocks that drift by MaxDrift against each other.
-func NewTiming(duration time.Duration) Timing {
-	return Timing{
-		Duration: duration,
-		Renew:    duration / 3,
-		Wait:     duration + time.Duration(float64(duration)*waitMargin),
-		Poll:     duration / 10,
-	}
-}
-
-// operation is a call to the store that the machine wants; its result comes back by done.
-type operation struct {
-	number uint64
-	// duty is the lease that the call is for; empty for the daemon's own session.
-	duty string
-	kind operationKind
-	key  string
-	// value and expected are for writes.
-	value    []byte
-	expected uint64
-	sent     time.Time
-	// renewal is the renewal that a write to the own session carries.
-	renewal uint64
-}
-
-type operationKind int
-
-const (
-	readLease operationKind = iota
-	readSession
-	closeSession
-	writeLease
-	renewSession
-)
-
-// result is what a call to the store gave.
-type result struct {
-	object  storer.Object
-	version uint64
-	err     error
-}
-
 // duty is one lease that the daemon wants, holds or gives up.
 type duty struct {
 	wanted bool
@@ -102,27 +34,6 @@
 	unsettled bool
 }
 
-type observation struct {
-	key     string
-	version uint64
-	since   time.Time
-}
-
-// session is the daemon's own session.
-type session struct {
-	key     string
-	open    bool
-	busy    bool
-	version uint64
-	renewal uint64
-	// sent holds the times at which renewals were sent that may have taken effect.
-	sent map[uint64]time.Time
-	// extended is when the newest renewal that took effect was sent.
-	extended time.Time
-	next     time.Time
-	reread   bool
-}
-
 // machine decides how one daemon holds leases; it does no I/O and takes time as an argument.
 type machine struct {
 	holder string
@@ -235,41 +146,6 @@
 	}
 }
 
-func (m *machine) tickSession(now time.Time) (operation, bool) {
-	s := &m.session
-	if s.busy || now.Before(s.next) {
-		return operation{}, false
-	}
-	if s.key == "" {
-		if !m.anyWanted() {
-			return operation{}, false
-		}
-		m.sessions++
-		*s = session{key: fmt.Sprintf("%s.%d", m.id, m.sessions), sent: map[uint64]time.Time{}}
-	}
-	s.busy = true
-	if s.reread {
-		return m.operate(now, "", operation{kind: readSession, key: s.key}), true
-	}
-	s.renewal++
-	s.sent[s.renewal] = now
-	value := encode(&peerv1.LeaseSession{
-		Holder:     m.holder,
-		Renewal:    s.renewal,
-		DurationMs: uint64(m.timing.Duration.Milliseconds()),
-	})
-	return m.operate(now, "", operation{kind: renewSession, key: s.key, value: value, expected: s.version, renewal: s.renewal}), true
-}
-
-func (m *machine) anyWanted() bool {
-	for _, d := range m.duties {
-		if d.wanted {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *machine) operate(now time.Time, name string, op operation) operation {
 	m.number++
 	op.number, op.duty, op.sent = m.number, name, now
@@ -307,169 +183,3 @@
 	d.next = now.Add(m.timing.Poll)
 	return nil
 }
-
-// doneSession takes in a renewal or a reading of the own session.
-func (m *machine) doneSession(now time.Time, op operation, r result) {
-	s := &m.session
-	if op.key != s.key {
-		return
-	}
-	s.busy = false
-	s.next = now.Add(m.timing.Renew / 10)
-	if op.kind == renewSession {
-		if r.err != nil {
-			s.reread = true
-			return
-		}
-		m.extend(op.renewal, r.version)
-		s.next = op.sent.Add(m.timing.Renew)
-		m.expire(now)
-		return
-	}
-	stored, err := decodeSession(r)
-	switch {
-	case errors.Is(err, storer.ErrNotFound) && s.version == 0:
-		s.reread = false
-	case err != nil:
-	case stored.Closed:
-		m.lose()
-	case r.object.Version >= s.version:
-		s.reread = false
-		m.extend(stored.Renewal, r.object.Version)
-		s.next = now
-		m.expire(now)
-	}
-}
-
-// extend counts the session's time from before the renewal that took effect was sent.
-func (m *machine) extend(renewal, version uint64) {
-	s := &m.session
-	sent, ok := s.sent[renewal]
-	if !ok {
-		return
-	}
-	s.version, s.open = version, true
-	if sent.After(s.extended) {
-		s.extended = sent
-	}
-	for r := range s.sent {
-		if r < renewal {
-			delete(s.sent, r)
-		}
-	}
-}
-
-// leaseRead decides by the lease as it stands in the store.
-func (m *machine) leaseRead(now time.Time, name string, d *duty, r result) []operation {
-	lease := &peerv1.Lease{}
-	switch {
-	case errors.Is(r.err, storer.ErrNotFound):
-		d.version = 0
-	case r.err != nil || proto.Unmarshal(r.object.Value, lease) != nil:
-		d.next = now.Add(m.timing.Poll)
-		return nil
-	default:
-		d.version = r.object.Version
-	}
-	d.holder = lease.Session
-	ours := d.holder != "" && strings.HasPrefix(d.holder, m.id+".")
-	switch {
-	case !d.wanted:
-		return m.release(now, name, d, ours)
-	case d.holder == "" || ours && d.holder == m.session.key:
-		// A lease that shows this daemon's session comes from a write whose answer was lost, or from a stale read;
-		// only a write that succeeds makes it held, and puts an end to earlier writes that are still under way.
-		return m.take(now, name, d)
-	default:
-		return []operation{m.operate(now, name, operation{kind: readSession, key: d.holder})}
-	}
-}
-
-// release frees a lease that is not wanted any more and is ours, or may become ours by a write that is under way.
-func (m *machine) release(now time.Time, name string, d *duty, ours bool) []operation {
-	switch {
-	case d.version < d.taking:
-		d.next = now.Add(m.timing.Poll)
-		return nil
-	case ours, d.unsettled && d.version == d.taking:
-		value := encode(&peerv1.Lease{})
-		return []operation{m.operate(now, name, operation{kind: writeLease, key: dutyPrefix + name, value: value, expected: d.version})}
-	default:
-		d.mayHold = false
-		return nil
-	}
-}
-
-// otherSessionRead waits until a session was unchanged for long enough, and closes it.
-func (m *machine) otherSessionRead(now time.Time, name string, d *duty, key string, r result) []operation {
-	version := r.object.Version
-	if errors.Is(r.err, storer.ErrNotFound) {
-		// The session was closed and cleared away; creating it as closed shows that this is no stale read.
-		return []operation{m.close(now, name, key, 0)}
-	}
-	stored, err := decodeSession(r)
-	if err != nil {
-		d.next = now.Add(m.timing.Poll)
-		return nil
-	}
-	if stored.Closed {
-		return m.take(now, name, d)
-	}
-	if d.watched.key != key || d.watched.version != version {
-		d.watched = observation{key: key, version: version, since: now}
-	}
-	// The holder may run with another duration than this daemon.
-	wait := max(m.timing.Wait, NewTiming(time.Duration(stored.DurationMs)*time.Millisecond).Wait)
-	waited := now.Sub(d.watched.since)
-	if m.given[key] || waited >= wait {
-		return []operation{m.close(now, name, key, version)}
-	}
-	d.next = now.Add(min(m.timing.Poll, wait-waited))
-	return nil
-}
-
-func (m *machine) close(now time.Time, name, key string, version uint64) operation {
-	value := encode(&peerv1.LeaseSession{Closed: true, Holder: m.holder})
-	return m.operate(now, name, operation{kind: closeSession, key: key, value: value, expected: version})
-}
-
-// take writes the lease under the own session.
-func (m *machine) take(now time.Time, name string, d *duty) []operation {
-	if !d.wanted || m.remaining(now) <= 0 {
-		d.next = now
-		return nil
-	}
-	d.mayHold, d.unsettled, d.taking = true, true, d.version
-	value := encode(&peerv1.Lease{Session: m.session.key, Holder: m.holder})
-	return []operation{m.operate(now, name, operation{kind: writeLease, key: dutyPrefix + name, value: value, expected: d.version})}
-}
-
-func (m *machine) leaseWritten(now time.Time, d *duty, op operation, r result) {
-	lease := &peerv1.Lease{}
-	_ = proto.Unmarshal(op.value, lease)
-	switch {
-	case r.err != nil:
-		d.next = now.Add(m.timing.Poll)
-	case lease.Session == "":
-		d.mayHold, d.unsettled = false, false
-	case d.wanted && lease.Session == m.session.key:
-		d.fencing, d.held = r.version, lease.Session
-		d.taking, d.unsettled = r.version, false
-	}
-}
-
-func decodeSession(r result) (*peerv1.LeaseSession, error) {
-	if r.err != nil {
-		return nil, r.err
-	}
-	s := &peerv1.LeaseSession{}
-	return s, proto.Unmarshal(r.object.Value, s)
-}
-
-func encode(p proto.Message) []byte {
-	b, err := proto.Marshal(p)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
--- /dev/null
+++ b/internal/leaser/operation.go
@@ -0,0 +1,58 @@
+package leaser
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/storer"
+)
+
+// operation is a call to the store that the machine wants; its result comes back by done.
+type operation struct {
+	number uint64
+	// duty is the lease that the call is for; empty for the daemon's own session.
+	duty string
+	kind operationKind
+	key  string
+	// value and expected are for writes.
+	value    []byte
+	expected uint64
+	sent     time.Time
+	// renewal is the renewal that a write to the own session carries.
+	renewal uint64
+}
+
+type operationKind int
+
+const (
+	readLease operationKind = iota
+	readSession
+	closeSession
+	writeLease
+	renewSession
+)
+
+// result is what a call to the store gave.
+type result struct {
+	object  storer.Object
+	version uint64
+	err     error
+}
+
+func decodeSession(r result) (*peerv1.LeaseSession, error) {
+	if r.err != nil {
+		return nil, r.err
+	}
+	s := &peerv1.LeaseSession{}
+	return s, proto.Unmarshal(r.object.Value, s)
+}
+
+func encode(p proto.Message) []byte {
+	b, err := proto.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
