--- a/internal/bencher/bench.go
+++ b/internal/bencher/bench.go
@@ -30,13 +30,18 @@
 	Once bool
 }
 
+// SendFunc runs a request and calls emit for each part of its answer.
+type SendFunc func(ctx context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error
+
 // Bench sends requests at a rate that does not depend on the answers.
 type Bench struct {
 	// Send runs one request and calls emit for each part.
-	Send func(ctx context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error
+	Send SendFunc
 	// Rate is in requests a second.
 	Rate     float64
 	Duration time.Duration
+	// WarmUp is how long the load runs before its requests count in the figures.
+	WarmUp time.Duration
 	// Timeout is the deadline of each request.
 	Timeout time.Duration
 	Kinds   []Kind
@@ -73,19 +78,19 @@
 	due := begin
 	for {
 		due = due.Add(b.gap(rng))
-		if due.Sub(begin) > b.Duration {
+		if due.Sub(begin) > b.WarmUp+b.Duration {
 			break
 		}
 		if b.Clock.Sleep(ctx, due.Sub(b.Clock.Now())) != nil {
 			break
 		}
 		kind := b.choose(rng)
-		intended := due
+		when := moments{due: due, sent: b.Clock.Now(), counted: due.Sub(begin) >= b.WarmUp}
 		b.sent.Add(1)
-		wg.Go(func() { b.one(ctx, kind, intended, report) })
+		wg.Go(func() { b.one(ctx, kind, when, report) })
 	}
 	wg.Wait()
-	report.finish(b.Clock.Now().Sub(begin), b.Duration)
+	report.finish(b.Clock.Now().Sub(begin)-b.WarmUp, b.Duration)
 	return report
 }
 
@@ -109,8 +114,15 @@
 	return len(b.Kinds) - 1
 }
 
+// moments are when a request was due and when it was sent.
+type moments struct {
+	due, sent time.Time
+	// counted is false while the load warms up.
+	counted bool
+}
+
 // one sends a request; its times count from when it was due, so that a slow router does not hide its own delay.
-func (b *Bench) one(ctx context.Context, kind int, due time.Time, report *Report) {
+func (b *Bench) one(ctx context.Context, kind int, when moments, report *Report) {
 	b.running.Add(1)
 	defer b.running.Add(-1)
 	k := b.Kinds[kind]
@@ -127,12 +139,12 @@
 		strict := false
 		req.Idempotent = &strict
 	}
-	result := Result{Kind: kind, RequestID: req.RequestId, Once: k.Once}
+	result := Result{Kind: kind, RequestID: req.RequestId, Once: k.Once, Late: when.sent.Sub(when.due), Uncounted: !when.counted}
 	previous := time.Time{}
 	err := b.Send(ctx, req, func(p *v1.SendResponse) error {
 		now := b.Clock.Now()
 		if result.Parts == 0 {
-			result.First = now.Sub(due)
+			result.First = now.Sub(when.due)
 		} else {
 			result.Gaps = append(result.Gaps, now.Sub(previous))
 		}
@@ -142,7 +154,7 @@
 		result.HTTPStatus = p.HttpStatus
 		return nil
 	})
-	result.Total = b.Clock.Now().Sub(due)
+	result.Total = b.Clock.Now().Sub(when.due)
 	if err != nil {
 		result.Refusal = refuser.From(err)
 		b.refused.Add(1)
--- a/internal/bencher/report.go
+++ b/internal/bencher/report.go
@@ -25,6 +25,10 @@
 	Complete  bool
 	First     time.Duration
 	Total     time.Duration
+	// Late is how long after it was due the request was sent.
+	Late time.Duration
+	// Uncounted is true where the load was warming up; the request counts in the audit only.
+	Uncounted bool
 	Gaps      []time.Duration
 	// Refusal is nil where the whole answer came.
 	Refusal    *refuser.Refusal
@@ -55,10 +59,15 @@
 	First      Quantiles        `json:"first-part"`
 	Gap        Quantiles        `json:"between-parts"`
 	Total      Quantiles        `json:"total"`
-
-	first *hdrhistogram.Histogram
-	gap   *hdrhistogram.Histogram
-	total *hdrhistogram.Histogram
+	// FromSent is the total from when the request was sent, and Late how long after it was due that was.
+	FromSent Quantiles `json:"total-from-sent"`
+	Late     Quantiles `json:"late"`
+
+	first    *hdrhistogram.Histogram
+	gap      *hdrhistogram.Histogram
+	total    *hdrhistogram.Histogram
+	fromSent *hdrhistogram.Histogram
+	late     *hdrhistogram.Histogram
 }
 
 // Report is what a load saw.
@@ -86,6 +95,8 @@
 			first:    newHistogram(),
 			gap:      newHistogram(),
 			total:    newHistogram(),
+			fromSent: newHistogram(),
+			late:     newHistogram(),
 		})
 	}
 	return r
@@ -101,8 +112,12 @@
 	gaps := res.Gaps
 	res.Gaps = nil
 	r.results = append(r.results, res)
+	if res.Uncounted {
+		return
+	}
 	k := r.Kinds[res.Kind]
 	k.Sent++
+	record(k.late, res.Late)
 	r.tokens += int64(res.Parts)
 	if res.Parts > 0 {
 		record(k.first, res.First)
@@ -120,6 +135,7 @@
 	}
 	k.Answered++
 	record(k.total, res.Total)
+	record(k.fromSent, res.Total-res.Late)
 }
 
 func (k *KindReport) refuse(refusal *refuser.Refusal) {
@@ -149,6 +165,8 @@
 		k.First = quantiles(k.first)
 		k.Gap = quantiles(k.gap)
 		k.Total = quantiles(k.total)
+		k.FromSent = quantiles(k.fromSent)
+		k.Late = quantiles(k.late)
 	}
 	r.OfferedRate = float64(sent) / sending.Seconds()
 	r.AnsweredRate = float64(answered) / elapsed.Seconds()
--- a/internal/command/request/bench/bench.go
+++ b/internal/command/request/bench/bench.go
@@ -27,9 +27,11 @@
 	Kinds    []string
 	Rate     float64
 	Duration time.Duration
+	WarmUp   time.Duration
 	Timeout  time.Duration
 	Seed     uint64
 	Ledgers  []string
+	Direct   []string
 	JSON     bool
 }
 
@@ -46,11 +48,17 @@
 service, method, data, max-tokens, weight, once. With --ledger the report
 compares what callers were told with what plain services ran, and the command
 exits with 1 where a request ran twice, was falsely refused as not run, or was
-lost.`,
+lost.
+
+With --direct the same load goes straight to targets, past the routers: kinds
+with a method to plain services, the others to engines that hold a whole model.
+The difference of two such reports is what the routers add.`,
 		Example: `  rattantray request bench --rate 50 --duration 30s \
     --kind name=letter,workspace=counter,service=renewal-assistant,data=draft,max-tokens=32,weight=9 \
     --kind name=booking,workspace=counter,service=bookings,method='POST /bookings',once=true,weight=1 \
-    --ledger http://127.0.0.1:7301/ledger`,
+    --ledger http://127.0.0.1:7301/ledger
+  rattantray request bench --rate 1000 --direct 127.0.0.1:7301 \
+    --kind workspace=counter,service=bookings,method='GET /status/1'`,
 		Args: exiter.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := opts.check(); err != nil {
@@ -66,9 +74,11 @@
 	flags.StringArrayVar(&opts.Kinds, "kind", nil, "Send this `kind` of request; may be repeated")
 	flags.Float64Var(&opts.Rate, "rate", 10, "Send this `number` of requests a second")
 	flags.DurationVar(&opts.Duration, "duration", 10*time.Second, "Send for this `duration`")
+	flags.DurationVar(&opts.WarmUp, "warm-up", 0, "Send for this `duration` before requests count in the figures")
 	flags.DurationVar(&opts.Timeout, "timeout", time.Minute, "Deadline of each request")
 	flags.Uint64Var(&opts.Seed, "seed", 1, "Seed of the arrivals")
 	flags.StringArrayVar(&opts.Ledgers, "ledger", nil, "Check the answers against the ledger at this `URL`; may be repeated")
+	flags.StringSliceVar(&opts.Direct, "direct", nil, "Send to the targets at these `addresses` in turn, past the routers")
 	flags.BoolVar(&opts.JSON, "json", false, "Print the report as JSON")
 	return cmd
 }
@@ -81,6 +91,8 @@
 		return exiter.Flagf("--rate must be above 0")
 	case o.Duration <= 0:
 		return exiter.Flagf("--duration must be above 0")
+	case o.WarmUp < 0:
+		return exiter.Flagf("--warm-up must not be below 0")
 	case o.Timeout <= 0:
 		return exiter.Flagf("--timeout must be above 0")
 	}
@@ -93,14 +105,15 @@
 	if err != nil {
 		return err
 	}
-	client, err := opts.Caller()
+	send, err := opts.sender()
 	if err != nil {
 		return err
 	}
 	load := &bencher.Bench{
-		Send:     client.Send,
+		Send:     send,
 		Rate:     opts.Rate,
 		Duration: opts.Duration,
+		WarmUp:   opts.WarmUp,
 		Timeout:  opts.Timeout,
 		Kinds:    kinds,
 		Seed:     opts.Seed,
@@ -119,6 +132,17 @@
 	return opts.print(report)
 }
 
+func (o *Options) sender() (bencher.SendFunc, error) {
+	if len(o.Direct) > 0 {
+		return bencher.NewDirect(o.Direct).Send, nil
+	}
+	client, err := o.Caller()
+	if err != nil {
+		return nil, err
+	}
+	return client.Send, nil
+}
+
 func (o *Options) progress(p bencher.Progress) {
 	o.IO.Errorf("\r%6s  sent %d  running %d  finished %d  refused %d   ",
 		p.Elapsed.Round(time.Second), p.Sent, p.Running, p.Finished, p.Refused)
--- /dev/null
+++ b/scripts/overhead/main.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// options are the flags of the command.
+type options struct {
+	requestRounds, tokenRounds int
+	requestRate, tokenRate     float64
+	engines, callers           int
+	duration, warmUp, limit    time.Duration
+	file, profile              string
+}
+
+const tokensPerRequest = 256
+
+func main() {
+	var o options
+	flag.IntVar(&o.requestRounds, "requests", 6, "rounds of calls of a plain service")
+	flag.IntVar(&o.tokenRounds, "tokens", 3, "rounds of streams of tokens")
+	flag.Float64Var(&o.requestRate, "request-rate", 1000, "calls a second")
+	flag.Float64Var(&o.tokenRate, "token-rate", 200_000, "tokens a second that are asked for")
+	flag.IntVar(&o.engines, "engines", 8, "engines, each a process")
+	flag.IntVar(&o.callers, "callers", 4, "callers of streams, each a process")
+	flag.DurationVar(&o.duration, "duration", 5*time.Second, "time of each leg of a round")
+	flag.DurationVar(&o.warmUp, "warm-up", time.Second, "time before it that does not count")
+	flag.DurationVar(&o.limit, "limit", 10*time.Minute, "end after this time in any case")
+	flag.StringVar(&o.file, "o", "", "write the report as JSON to this file")
+	flag.StringVar(&o.profile, "perf", "", "profile the router with perf into this file")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := measure(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measure(ctx context.Context, o options) error {
+	ctx, cancel := context.WithTimeout(ctx, o.limit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "overhead")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin := filepath.Join(dir, "rattantray")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "./cmd/rattantray").CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w: %s", err, out)
+	}
+	f, err := newFleet(ctx, dir, bin, o.engines, o.profile)
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	r := &report{Commit: commit(ctx), Cores: runtime.NumCPU()}
+	calls := load{callers: 1, rate: o.requestRate, duration: o.duration, warmUp: o.warmUp,
+		kind: "workspace=counter,service=bookings,method=GET /status/1"}
+	if r.Requests, err = f.rounds(ctx, o.requestRounds, calls, []string{f.serviceAddress}); err != nil {
+		return err
+	}
+	streams := load{callers: o.callers, rate: o.tokenRate / tokensPerRequest, duration: o.duration, warmUp: o.warmUp,
+		kind: fmt.Sprintf("workspace=counter,service=renewal-assistant,data=prompt,max-tokens=%d", tokensPerRequest)}
+	if r.Tokens, err = f.rounds(ctx, o.tokenRounds, streams, f.engineAddresses); err != nil {
+		return err
+	}
+	r.print(os.Stdout)
+	if o.file == "" {
+		return nil
+	}
+	return r.write(o.file)
+}
+
+// rounds runs the load on the two ways in turn.
+func (f *fleet) rounds(ctx context.Context, n int, l load, direct []string) ([]round, error) {
+	var list []round
+	for range n {
+		base, err := f.run(ctx, l, direct)
+		if err != nil {
+			return list, err
+		}
+		routed, err := f.run(ctx, l, nil)
+		if err != nil {
+			return list, err
+		}
+		list = append(list, newRound(base, routed))
+	}
+	return list, nil
+}
+
+func commit(ctx context.Context) string {
+	out, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
