Send tokens that are ready together in one write

Two reads of the engine's connection for each message are another 6%. Change: an answer of an engine is read ahead, and the dispatcher says when it is about to wait; flushes are held back until then. The answer of a plain service leaves in one write with the end of its stream (before: three flushes). Nothing is kept back over a wait, a failure or a move.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -26,7 +26,11 @@
 		return r.failed(r.resumeFailure(p, classify(actx, err, head), head), 0), nil
 	}
 	defer func() { _ = stream.Close() }()
+	defer r.flush()
 	for tokens := 0; ; {
+		if stream.Waiting == nil || !stream.Waiting() {
+			r.flush()
+		}
 		m, err := stream.Receive()
 		now := r.d.Clock.Now()
 		dog.end()
@@ -56,6 +60,13 @@
 	}
 }
 
+// flush sends off the parts that were emitted, before a wait.
+func (r *run) flush() {
+	if r.job.Flush != nil {
+		r.job.Flush()
+	}
+}
+
 // resumeFailure lays a resume that got no answer to the head, which needs no probe.
 func (r *run) resumeFailure(p *plan, f *failure, head string) *failure {
 	if p.resume && f.kind == failedStalled {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -36,6 +36,8 @@
 	MaxAttempts int
 	// RecoverWait is how long an answer in progress waits for a chain; 0 stands for the dispatcher's, less does not wait.
 	RecoverWait time.Duration
+	// Flush is called before the job waits for anything, after parts were emitted; nil for none.
+	Flush func()
 	// RetryBudget is the share of requests that may be retried; 0 stands for DefaultRetryBudget, less is none.
 	RetryBudget float64
 }
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -39,6 +39,7 @@
 	if f.target == "" {
 		return nil
 	}
+	r.flush()
 	moved, ok := r.replace(ctx, p, f)
 	if !ok {
 		return nil
--- a/internal/engineer/engine.go
+++ b/internal/engineer/engine.go
@@ -44,6 +44,8 @@
 	Receive func() (*v1.GenerateResponse, error)
 	// Close ends the stream without reading the rest.
 	Close func() error
+	// Waiting tells whether Receive has something to return without a wait; nil where that is not known.
+	Waiting func() bool
 }
 
 // Events is a stream of prefix-cache events.
@@ -70,10 +72,12 @@
 	return &Engine{
 		Address: address,
 		Generate: func(ctx context.Context, req *v1.GenerateRequest) (*Stream, error) {
-			return stream(c.Generate(ctx, connect.NewRequest(req)))
+			ctx, slot := withAhead(ctx)
+			return stream(slot)(c.Generate(ctx, connect.NewRequest(req)))
 		},
 		Resume: func(ctx context.Context, req *v1.ResumeRequest) (*Stream, error) {
-			return stream(c.Resume(ctx, connect.NewRequest(req)))
+			ctx, slot := withAhead(ctx)
+			return stream(slot)(c.Resume(ctx, connect.NewRequest(req)))
 		},
 		CacheEvents: func(ctx context.Context, req *v1.CacheEventsRequest) (*Events, error) {
 			s, err := c.CacheEvents(ctx, connect.NewRequest(req))
@@ -102,11 +106,24 @@
 	}
 }
 
-func stream(s *connect.ServerStreamForClient[v1.GenerateResponse], err error) (*Stream, error) {
-	if err != nil {
-		return nil, err
+func stream(slot *aheadSlot) func(*connect.ServerStreamForClient[v1.GenerateResponse], error) (*Stream, error) {
+	return func(s *connect.ServerStreamForClient[v1.GenerateResponse], err error) (*Stream, error) {
+		if err != nil {
+			return nil, err
+		}
+		receive := receiver(s)
+		// The slot is filled in by another goroutine before the first message is received.
+		received := false
+		return &Stream{
+			Receive: func() (*v1.GenerateResponse, error) {
+				m, err := receive()
+				received = true
+				return m, err
+			},
+			Close:   s.Close,
+			Waiting: func() bool { return received && slot.body.waiting() },
+		}, nil
 	}
-	return &Stream{Receive: receiver(s), Close: s.Close}, nil
 }
 
 func receiver[A any](s *connect.ServerStreamForClient[A]) func() (*A, error) {
--- a/internal/engineer/pool.go
+++ b/internal/engineer/pool.go
@@ -25,7 +25,7 @@
 func HTTPClientOver(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: aheadTransport{&http.Transport{
 		DialContext:     dial,
 		Protocols:       protocols,
 		IdleConnTimeout: idleTimeout,
@@ -33,7 +33,7 @@
 			SendPingTimeout: keepAlivePeriod,
 			PingTimeout:     pingTimeout,
 		},
-	}}
+	}}}
 }
 
 // Pool hands out one Engine per address, all over the connections of one client.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -79,6 +79,8 @@
 	// Delivered are the tokens that the caller has.
 	Delivered [][]byte
 	Retry     documenter.Retry
+	// Flush is to be called before a wait after tokens were emitted; until then they may stay with the receiver.
+	Flush func()
 	// Held is the stream of this execution that engines may still hold; its route is empty for a new answer.
 	Held Held
 }
@@ -124,6 +126,8 @@
 
 // Send implements rattantray.v1.RouterService.
 func (r *Receiver) Send(ctx context.Context, req *connect.Request[v1.SendRequest], stream *connect.ServerStream[v1.SendResponse]) error {
+	// What is left when the exchange is over leaves with the end of the stream.
+	defer batcherOf(ctx).hold()
 	return r.serve(ctx, req.Msg.GetRequest(), req.Header(), stream.Send)
 }
 
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -20,6 +20,9 @@
 func (x *exchange) generate(ctx context.Context, emit func(Token) error) error {
 	x.started = true
 	x.granted = x.receiver.Clock.Now()
+	b := batcherOf(ctx)
+	b.hold()
+	defer b.release()
 	err := x.receiver.Generate(ctx, Generation{
 		Workspace:    cataloger.Workspace(x.req.Workspace),
 		Service:      x.doc.Name,
@@ -34,6 +37,7 @@
 		Delivered:    x.req.Delivered,
 		Retry:        x.doc.Retry,
 		Held:         x.held,
+		Flush:        b.flushHeld,
 	}, emit)
 	x.observe(err)
 	return err
@@ -110,6 +114,10 @@
 	if err != nil {
 		return err
 	}
+	if x.req.OrderingKey == "" {
+		// Nothing is waited for any more.
+		batcherOf(ctx).hold()
+	}
 	return x.emitWhole(uint32(answer.Status), answer.Body)
 }
 
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -80,7 +80,8 @@
 
 func (r *Router) servers() ([]*endpoint, error) {
 	callers := http.NewServeMux()
-	callers.Handle(rattantrayv1connect.NewRouterServiceHandler(r.receiver(), handlerOptions()))
+	path, handler := rattantrayv1connect.NewRouterServiceHandler(r.receiver(), handlerOptions())
+	callers.Handle(path, receiver.Batched(handler))
 	admin := callers
 	list := []*endpoint{{flag: "listen", address: r.Settings.Listen, server: httpServer(callers), callers: true}}
 	if r.Settings.AdminListen != "" {
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -119,6 +119,7 @@
 		FirstAttempt:  g.FirstAttempt,
 		MaxAttempts:   g.Retry.MaxAttempts,
 		RetryBudget:   g.Retry.Budget,
+		Flush:         g.Flush,
 	}
 	if version != g.Model.Version {
 		// The chains of a version that is rolled out of the fleet do not come back.
--- a/scripts/overhead/fleet.go
+++ b/scripts/overhead/fleet.go
@@ -24,7 +24,9 @@
 	platform *exec.Cmd
 	service  *exec.Cmd
 	router   *exec.Cmd
-	engines  []*exec.Cmd
+	// perf ends by itself with the router.
+	perf    *exec.Cmd
+	engines []*exec.Cmd
 
 	serviceAddress  string
 	routerAddress   string
@@ -120,6 +122,7 @@
 func (f *fleet) record(ctx context.Context, file string) error {
 	perf := exec.CommandContext(ctx, "perf", "record", "-q", "-g", "-o", file, "-p", fmt.Sprint(f.router.Process.Pid))
 	perf.Stderr = os.Stderr
+	f.perf = perf
 	return perf.Start()
 }
 
@@ -184,6 +187,9 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	}
+	if f.perf != nil {
+		_ = f.perf.Wait()
+	}
 }
 
 // read takes a reading of the machine, the fleet and the callers that have ended.
--- a/scripts/overhead/legs.go
+++ b/scripts/overhead/legs.go
@@ -25,6 +25,8 @@
 type leg struct {
 	Answered int64 `json:"answered"`
 	Refused  int64 `json:"refused"`
+	// Refusals counts them by code and fact.
+	Refusals map[string]int64 `json:"refusals"`
 	// OthersCores is how many cores processes of others used.
 	OthersCores float64 `json:"others-cores"`
 	P50         float64 `json:"p50-ms"`
@@ -87,11 +89,14 @@
 
 // summarize adds up the reports of the callers; of quantiles it keeps the greatest.
 func summarize(reports []*bencher.Report, l load, before, after reading) leg {
-	var out leg
+	out := leg{Refusals: map[string]int64{}}
 	for _, r := range reports {
 		k := r.Kinds[0]
 		out.Answered += k.Answered
 		out.Refused += k.Sent - k.Answered
+		for name, n := range k.Refusals {
+			out.Refusals[name] += n
+		}
 		out.P50 = max(out.P50, k.FromSent.P50)
 		out.P99 = max(out.P99, k.FromSent.P99)
 		out.Late99 = max(out.Late99, k.Late.P99)
--- a/scripts/overhead/main.go
+++ b/scripts/overhead/main.go
@@ -19,7 +19,7 @@
 	requestRate, tokenRate     float64
 	engines, callers           int
 	duration, warmUp, limit    time.Duration
-	file, profile              string
+	file, profile, bin         string
 }
 
 const tokensPerRequest = 256
@@ -36,6 +36,7 @@
 	flag.DurationVar(&o.warmUp, "warm-up", time.Second, "time before it that does not count")
 	flag.DurationVar(&o.limit, "limit", 10*time.Minute, "end after this time in any case")
 	flag.StringVar(&o.file, "o", "", "write the report as JSON to this file")
+	flag.StringVar(&o.bin, "bin", "", "measure this program instead of building one")
 	flag.StringVar(&o.profile, "perf", "", "profile the router with perf into this file")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -54,9 +55,9 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	bin := filepath.Join(dir, "rattantray")
-	if out, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "./cmd/rattantray").CombinedOutput(); err != nil {
-		return fmt.Errorf("build: %w: %s", err, out)
+	bin, err := o.program(ctx, dir)
+	if err != nil {
+		return err
 	}
 	f, err := newFleet(ctx, dir, bin, o.engines, o.profile)
 	defer f.stop()
@@ -81,6 +82,19 @@
 	return r.write(o.file)
 }
 
+// program returns the program to measure, built where none is given.
+func (o options) program(ctx context.Context, dir string) (string, error) {
+	if o.bin != "" {
+		return o.bin, nil
+	}
+	bin := filepath.Join(dir, "rattantray")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "./cmd/rattantray").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return bin, nil
+}
+
 // rounds runs the load on the two ways in turn.
 func (f *fleet) rounds(ctx context.Context, n int, l load, direct []string) ([]round, error) {
 	var list []round
