Have one circuit breaker

Cause: breaker.Breaker was used by its own tests only; the forwarder had a breaker of its own. Change: the forwarder's breaker stands in internal/breaker as it was, exported; the other one goes. Tests: those of the other breaker are written anew for this one with the same names and as much asked: that it opens after failures in a row, lets one probe through and widens, frees the place of a lost probe, and the fuzz test against an oracle, which now also has pauses and many requests at once.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -5,192 +5,78 @@
 	"time"
 )
 
-// State is the state of a circuit breaker.
-type State uint8
-
-// States of a circuit breaker.
 const (
-	StateClosed State = iota
-	StateOpen
-	StateHalfOpen
+	// Failures in a row open the breaker.
+	Failures = 5
+	// MinOpen is the first time that a breaker stays open; it doubles up to MaxOpen, and half of it is jitter.
+	MinOpen = 500 * time.Millisecond
+	MaxOpen = 30 * time.Second
+	// SlowStartEnd is the number of requests in progress at which the slow start is over.
+	SlowStartEnd = 64
 )
 
-var stateNames = [...]string{"closed", "open", "half-open"}
-
-// String returns the kebab-case name of the state.
-func (s State) String() string { return stateNames[s] }
-
-// Settings govern circuit breakers; the zero value of a field takes its default.
-type Settings struct {
-	// Consecutive failures open the breaker.
-	Consecutive int
-	// Ratio of failures over a window of at least Samples outcomes opens the breaker.
-	Ratio   float64
-	Samples int
-	Window  time.Duration
-	// OpenFor is the first time that the breaker stays open; it doubles up to MaxOpenFor.
-	OpenFor    time.Duration
-	MaxOpenFor time.Duration
-	// Probes is the number of successes in a row that close a half-open breaker.
-	Probes int
-	// ProbeTimeout frees the place of a probe whose outcome is never recorded.
-	ProbeTimeout time.Duration
-	// SlowStart is the time in which a closed breaker's weight grows from MinWeight to 1.
-	SlowStart time.Duration
-	MinWeight float64
-}
-
-// DefaultSettings returns the defaults.
-func DefaultSettings() Settings {
-	return Settings{
-		Consecutive:  5,
-		Ratio:        0.5,
-		Samples:      20,
-		Window:       10 * time.Second,
-		OpenFor:      500 * time.Millisecond,
-		MaxOpenFor:   30 * time.Second,
-		Probes:       3,
-		ProbeTimeout: 5 * time.Second,
-		SlowStart:    10 * time.Second,
-		MinWeight:    0.05,
-	}
-}
-
-// Breaker is the circuit breaker of one target; it does no I/O and is not safe for concurrent use.
+// Breaker decides whether a target takes a request; its zero value is closed.
+//
+// It does no I/O and is not safe for concurrent use. Each Start is followed by one of Succeed, Fail, Pause and Abandon.
 type Breaker struct {
-	settings *Settings
-	rand     *rand.Rand
-
-	state       State
-	consecutive int
-	windowStart time.Time
-	good, bad   int
-	openUntil   time.Time
-	openFor     time.Duration
-	passed      int
-	probing     bool
-	probeUntil  time.Time
-	rampStart   time.Time
+	outstanding int
+	failures    int
+	// openUntil is when the next probe may go to a target that failed or asked for a pause.
+	openUntil time.Time
+	// trips counts how often the breaker opened without a success between.
+	trips int
+	// limit bounds the requests in progress during slow start; 0 is no limit.
+	limit int
 }
 
-// New returns a closed breaker; random spreads the times at which breakers try their targets again.
-func New(settings *Settings, random *rand.Rand) *Breaker {
-	return &Breaker{settings: settings, rand: random}
-}
-
-// NewJoining returns a closed breaker that starts slowly at now, for a target that has just joined.
-func NewJoining(settings *Settings, random *rand.Rand, now time.Time) *Breaker {
-	b := New(settings, random)
-	b.rampStart = now
-	return b
-}
-
-// State returns the state at now.
-func (b *Breaker) State(now time.Time) State {
-	if b.state == StateOpen && !now.Before(b.openUntil) {
-		return StateHalfOpen
-	}
-	return b.state
-}
-
-// Ready tells, without any effect, whether Allow would return true.
-func (b *Breaker) Ready(now time.Time) bool {
-	switch b.State(now) {
-	case StateClosed:
-		return true
-	case StateHalfOpen:
-		return !b.probing || !now.Before(b.probeUntil)
-	default:
+// Allows tells whether the target may take another request.
+func (b *Breaker) Allows(now time.Time) bool {
+	if now.Before(b.openUntil) {
 		return false
 	}
+	return b.limit == 0 || b.outstanding < b.limit
 }
 
-// Allow tells whether a request may go to the target; true takes the place of the one probe while half-open.
-func (b *Breaker) Allow(now time.Time) bool {
-	if !b.Ready(now) {
-		return false
-	}
-	if b.State(now) == StateHalfOpen {
-		b.state = StateHalfOpen
-		b.probing = true
-		b.probeUntil = now.Add(b.settings.ProbeTimeout)
-	}
-	return true
-}
-
-// Weight is the share of its ordinary work that the target should get: 0 while open, MinWeight to 1 in a slow start.
-func (b *Breaker) Weight(now time.Time) float64 {
-	switch b.State(now) {
-	case StateOpen:
-		return 0
-	case StateHalfOpen:
-		return b.settings.MinWeight
-	}
-	if b.rampStart.IsZero() || b.settings.SlowStart <= 0 {
-		return 1
-	}
-	passed := float64(now.Sub(b.rampStart)) / float64(b.settings.SlowStart)
-	return min(1, max(b.settings.MinWeight, passed))
-}
-
-// Record takes the outcome of a request that Allow let through.
-func (b *Breaker) Record(now time.Time, ok bool) {
-	switch b.state {
-	case StateClosed:
-		b.recordClosed(now, ok)
-	case StateHalfOpen:
-		b.recordProbe(now, ok)
-	case StateOpen:
-		// An outcome of a request from before the breaker opened says nothing new.
+// Outstanding is how many requests are in progress.
+func (b *Breaker) Outstanding() int { return b.outstanding }
+
+// Start takes a request that is sent.
+func (b *Breaker) Start() { b.outstanding++ }
+
+// Succeed takes an answer; a target that was off doubles its share with each.
+func (b *Breaker) Succeed() {
+	b.outstanding--
+	b.failures = 0
+	b.trips = 0
+	if b.limit > 0 {
+		b.limit *= 2
+		if b.limit >= SlowStartEnd {
+			b.limit = 0
+		}
 	}
 }
 
-func (b *Breaker) recordClosed(now time.Time, ok bool) {
-	if now.Sub(b.windowStart) >= b.settings.Window {
-		b.windowStart, b.good, b.bad = now, 0, 0
-	}
-	if ok {
-		b.consecutive = 0
-		b.good++
-		if b.openFor > 0 && b.Weight(now) >= 1 {
-			b.openFor = 0
-		}
+// Fail takes a failure of the target; rng spreads the times at which breakers try their targets again.
+func (b *Breaker) Fail(now time.Time, rng *rand.Rand) {
+	b.outstanding--
+	b.failures++
+	// A failure of a request that began before the breaker opened does not open it again.
+	if now.Before(b.openUntil) || (b.failures < Failures && b.limit == 0) {
 		return
 	}
-	b.consecutive++
-	b.bad++
-	total := b.good + b.bad
-	if b.consecutive >= b.settings.Consecutive ||
-		total >= b.settings.Samples && float64(b.bad) >= b.settings.Ratio*float64(total) {
-		b.open(now)
-	}
+	d := min(MinOpen<<min(b.trips, 10), MaxOpen)
+	b.openUntil = now.Add(d/2 + time.Duration(rng.Int64N(int64(d/2)+1)))
+	b.trips++
+	b.limit = 1
 }
 
-func (b *Breaker) recordProbe(now time.Time, ok bool) {
-	if !b.probing {
-		return
-	}
-	b.probing = false
-	if !ok {
-		b.open(now)
-		return
-	}
-	b.passed++
-	if b.passed < b.settings.Probes {
-		return
+// Pause takes a refusal: the target is well but wants no more for a while.
+func (b *Breaker) Pause(now time.Time, d time.Duration) {
+	b.outstanding--
+	if until := now.Add(min(d, MaxOpen)); until.After(b.openUntil) {
+		b.openUntil = until
 	}
-	b.state = StateClosed
-	b.consecutive = 0
-	b.windowStart, b.good, b.bad = now, 0, 0
-	b.rampStart = now
 }
 
-// open doubles the time open until a slow start has been passed through.
-func (b *Breaker) open(now time.Time) {
-	b.openFor = min(max(b.settings.OpenFor, 2*b.openFor), b.settings.MaxOpenFor)
-	spread := 0.75 + 0.5*b.rand.Float64()
-	b.openUntil = now.Add(time.Duration(float64(b.openFor) * spread))
-	b.state = StateOpen
-	b.probing = false
-	b.passed = 0
-}
+// Abandon takes a request whose caller went away.
+func (b *Breaker) Abandon() { b.outstanding-- }
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -22,86 +22,104 @@
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 func TestBreakerOpensProbesAndStartsSlowly(t *testing.T) {
-	s := DefaultSettings()
 	now := time.Unix(0, 0)
-	b := New(&s, newRand())
-	for range s.Consecutive {
-		require.True(t, b.Allow(now))
-		b.Record(now, false)
+	rng := newRand()
+	var b Breaker
+	for range Failures {
+		require.True(t, b.Allows(now))
+		b.Start()
+		b.Fail(now, rng)
 	}
-	require.Equal(t, StateOpen, b.State(now))
-	require.False(t, b.Allow(now))
-	require.Zero(t, b.Weight(now))
+	require.False(t, b.Allows(now))
+	require.False(t, b.Allows(now.Add(MinOpen/2-1)))
 
-	now = now.Add(s.OpenFor * 5 / 4)
-	for range s.Probes {
-		require.True(t, b.Allow(now))
-		require.False(t, b.Allow(now), "one probe at a time")
-		b.Record(now, true)
+	now = now.Add(MinOpen)
+	for limit := 1; limit < SlowStartEnd; limit *= 2 {
+		for range limit {
+			require.True(t, b.Allows(now))
+			b.Start()
+		}
+		require.False(t, b.Allows(now), "%d at a time", limit)
+		for range limit - 1 {
+			b.Abandon()
+		}
+		b.Succeed()
+	}
+	for range 2 * SlowStartEnd {
+		require.True(t, b.Allows(now))
+		b.Start()
 	}
-	require.Equal(t, StateClosed, b.State(now))
-	require.Equal(t, s.MinWeight, b.Weight(now))
-	require.InDelta(t, 0.5, b.Weight(now.Add(s.SlowStart/2)), 1e-9)
-	require.Equal(t, 1.0, b.Weight(now.Add(s.SlowStart)))
 }
 
 func TestBreakerFreesTheLostProbe(t *testing.T) {
-	s := DefaultSettings()
 	now := time.Unix(0, 0)
-	b := New(&s, newRand())
-	for range s.Consecutive {
-		b.Record(now, false)
+	var b Breaker
+	for range Failures {
+		b.Start()
+		b.Fail(now, newRand())
 	}
-	now = now.Add(time.Minute)
-	require.True(t, b.Allow(now))
-	require.False(t, b.Allow(now.Add(s.ProbeTimeout-1)))
-	require.True(t, b.Allow(now.Add(s.ProbeTimeout)))
+	now = now.Add(MinOpen)
+	require.True(t, b.Allows(now))
+	b.Start()
+	require.False(t, b.Allows(now))
+	b.Abandon()
+	require.True(t, b.Allows(now))
 }
 
 // The oracle counts what the breaker let through and knows when it must and must not.
 func TestBreakerFuzz(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := DefaultSettings()
 		now := time.Unix(0, 0)
-		b := New(&s, newRand())
-		failures, quiet := 0, time.Time{}
-		var probeAt time.Time
+		rng := newRand()
+		var b Breaker
+		running, failures, slow := 0, 0, false
+		var shut, failed time.Time
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
-			"request": func(t *rapid.T) {
-				before := b.State(now)
-				if !b.Allow(now) {
+			"start": func(*rapid.T) {
+				if !b.Allows(now) {
 					return
 				}
-				require.NotEqual(t, StateOpen, before)
-				if before == StateHalfOpen {
-					if !probeAt.IsZero() {
-						require.GreaterOrEqual(t, now.Sub(probeAt), s.ProbeTimeout, "two probes at once")
-					}
-					probeAt = now
-				}
-				ok := rapid.Bool().Draw(t, "ok")
-				if before == StateHalfOpen && rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+				require.False(t, now.Before(shut), "a request while open")
+				require.False(t, slow && running >= SlowStartEnd, "more than a slow start allows")
+				b.Start()
+				running++
+			},
+			"end": func(t *rapid.T) {
+				if running == 0 {
 					return
 				}
-				probeAt = time.Time{}
-				b.Record(now, ok)
-				failures = map[bool]int{true: 0, false: failures + 1}[ok]
-				if before == StateClosed && failures >= s.Consecutive {
-					require.Equal(t, StateOpen, b.State(now))
-				}
-				if b.State(now) == StateOpen {
-					quiet = now
+				running--
+				switch rapid.SampledFrom([]string{"succeed", "fail", "pause", "abandon"}).Draw(t, "how") {
+				case "succeed":
+					b.Succeed()
 					failures = 0
+				case "fail":
+					b.Fail(now, rng)
+					failures++
+					failed = now
+					if failures >= Failures && !now.Before(shut) {
+						require.False(t, b.Allows(now), "open after failures in a row")
+						shut = now.Add(MinOpen / 2)
+						slow = true
+					}
+				case "pause":
+					d := time.Duration(rapid.IntRange(1, 60_000).Draw(t, "pause")) * time.Millisecond
+					b.Pause(now, d)
+					failed = now
+					if until := now.Add(min(d, MaxOpen)); until.After(shut) {
+						shut = until
+					}
+				case "abandon":
+					b.Abandon()
 				}
 			},
 			"": func(t *rapid.T) {
-				w := b.Weight(now)
-				require.True(t, w >= 0 && w <= 1)
-				if b.State(now) == StateOpen {
-					require.LessOrEqual(t, now.Sub(quiet), s.MaxOpenFor*5/4, "open for ever")
+				require.Equal(t, running, b.Outstanding())
+				if running == 0 && now.Sub(failed) >= MaxOpen {
+					require.True(t, b.Allows(now), "open for ever")
 				}
 			},
 		})
--- a/internal/breaker/doc.go
+++ b/internal/breaker/doc.go
@@ -1,2 +1,2 @@
-// Package breaker guards targets: a circuit breaker with slow start, an adaptive concurrency limit and a retry budget.
+// Package breaker guards targets: a circuit breaker with slow start, and an adaptive concurrency limit.
 package breaker
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattantray/rattantray/internal/breaker"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/budgeter"
@@ -41,7 +42,7 @@
 	Attempt func(ctx context.Context, target cataloger.Target, r Request) (Answer, error)
 
 	mu       sync.Mutex
-	breakers map[string]*breaker
+	breakers map[string]*breaker.Breaker
 	budgets  *budgeter.Set[budgetKey]
 }
 
@@ -56,7 +57,7 @@
 		Clock:    f.Clock,
 		Rand:     rng,
 		Attempt:  f.Forward,
-		breakers: map[string]*breaker{},
+		breakers: map[string]*breaker.Breaker{},
 		budgets:  budgeter.NewSet[budgetKey](budgetBurst, maxBudgets),
 	}
 }
@@ -75,7 +76,7 @@
 	for {
 		target, ok := b.pick(targets, run.tried)
 		if !ok {
-			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(minOpen)
+			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(breaker.MinOpen)
 		}
 		answer, err := b.attempt(ctx, target, run.next(b.Clock.Now()))
 		if err == nil {
@@ -156,15 +157,15 @@
 	best := -1
 	bestLoad, bestTried, ties := 0, false, 0
 	for i, t := range targets {
-		br := b.breaker(t.Name)
-		if t.State != cataloger.StateLive || !br.allows(now) {
+		br := b.of(t.Name)
+		if t.State != cataloger.StateLive || !br.Allows(now) {
 			continue
 		}
 		was := slices.Contains(tried, t.Name)
 		switch {
-		case best < 0 || (bestTried && !was) || (was == bestTried && br.outstanding < bestLoad):
-			best, bestLoad, bestTried, ties = i, br.outstanding, was, 1
-		case was == bestTried && br.outstanding == bestLoad:
+		case best < 0 || (bestTried && !was) || (was == bestTried && br.Outstanding() < bestLoad):
+			best, bestLoad, bestTried, ties = i, br.Outstanding(), was, 1
+		case was == bestTried && br.Outstanding() == bestLoad:
 			ties++
 			if b.Rand.IntN(ties) == 0 {
 				best = i
@@ -174,7 +175,7 @@
 	if best < 0 {
 		return cataloger.Target{}, false
 	}
-	b.breaker(targets[best].Name).start()
+	b.of(targets[best].Name).Start()
 	return targets[best], true
 }
 
@@ -182,29 +183,29 @@
 	answer, err := b.Attempt(ctx, target, r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	br := b.breaker(target.Name)
+	br := b.of(target.Name)
 	if err == nil {
-		br.succeed()
+		br.Succeed()
 		return answer, nil
 	}
 	now := b.Clock.Now()
 	refusal := refuser.From(err)
 	switch refusal.Code {
 	case refuser.TargetRefused:
-		br.pause(now, max(refusal.RetryAfter, refusalPause))
+		br.Pause(now, max(refusal.RetryAfter, refusalPause))
 	case refuser.Canceled, refuser.UnknownMethod, refuser.MalformedRequest:
-		br.abandon()
+		br.Abandon()
 	default:
-		br.fail(now, b.Rand)
+		br.Fail(now, b.Rand)
 	}
 	return Answer{}, refusal
 }
 
-// breaker returns the state of an instance; the caller holds mu.
-func (b *Balancer) breaker(name string) *breaker {
+// of returns the state of an instance; the caller holds mu.
+func (b *Balancer) of(name string) *breaker.Breaker {
 	br, ok := b.breakers[name]
 	if !ok {
-		br = &breaker{}
+		br = &breaker.Breaker{}
 		b.breakers[name] = br
 	}
 	return br
@@ -215,7 +216,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, br := range b.breakers {
-		if !names[name] && br.outstanding == 0 {
+		if !names[name] && br.Outstanding() == 0 {
 			delete(b.breakers, name)
 		}
 	}
@@ -225,7 +226,7 @@
 func (b *Balancer) Outstanding(name string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.breaker(name).outstanding
+	return b.of(name).Outstanding()
 }
 
 // pause returns the jittered wait before the next attempt.
--- a/internal/forwarder/balancer_fuzz_test.go
+++ b/internal/forwarder/balancer_fuzz_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/rattantray/rattantray/internal/breaker"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/budgeter"
@@ -77,7 +78,7 @@
 		Clock:    timer.System{},
 		Rand:     rand.New(rand.NewPCG(1, 2)),
 		Attempt:  m.attempt,
-		breakers: map[string]*breaker{},
+		breakers: map[string]*breaker.Breaker{},
 		budgets:  budgeter.NewSet[budgetKey](fuzzBurst, maxBudgets),
 	}
 	return m
@@ -209,7 +210,7 @@
 func (to *fuzzTarget) succeeded() {
 	to.failures = 0
 	to.limit *= 2
-	if to.limit >= slowStartEnd {
+	if to.limit >= breaker.SlowStartEnd {
 		to.limit = 0
 	}
 }
@@ -217,11 +218,11 @@
 // failed counts a failure; the breaker's pause has jitter, of which the oracle holds the least.
 func (to *fuzzTarget) failed() {
 	to.failures++
-	if time.Now().Before(to.closedUntil) || (to.failures < breakerFailures && to.limit == 0) {
+	if time.Now().Before(to.closedUntil) || (to.failures < breaker.Failures && to.limit == 0) {
 		return
 	}
 	to.limit = 1
-	to.closeFor(minOpen / 2)
+	to.closeFor(breaker.MinOpen / 2)
 }
 
 func (m *balancerModel) wait() {
--- a/internal/forwarder/balancer_test.go
+++ b/internal/forwarder/balancer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattantray/rattantray/internal/breaker"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/servicefaker"
 	"github.com/rattantray/rattantray/internal/timer"
@@ -85,7 +86,7 @@
 		})
 		const requests = 1000
 		for range requests {
-			b.breakers = map[string]*breaker{}
+			b.breakers = map[string]*breaker.Breaker{}
 			_, err := b.Do(context.Background(), instances(3), Request{Idempotent: true}, Policy{Budget: 0.1})
 			require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
 		}
@@ -118,7 +119,7 @@
 			}
 			return lost
 		}
-		require.LessOrEqual(t, load(10*time.Second), breakerFailures+8, "only probes meet the failing instance")
+		require.LessOrEqual(t, load(10*time.Second), breaker.Failures+8, "only probes meet the failing instance")
 		mu.Lock()
 		sick = false
 		mu.Unlock()
@@ -155,7 +156,7 @@
 		r := booking()
 		r.RequestID = fmt.Sprintf("r-%d", i)
 		b.mu.Lock()
-		b.breakers = map[string]*breaker{}
+		b.breakers = map[string]*breaker.Breaker{}
 		b.mu.Unlock()
 		_, err := b.Do(context.Background(), targets, r, Policy{})
 		if err == nil {
@@ -187,7 +188,7 @@
 			targets := instances(n)
 			for b.Loop() {
 				t, _ := bl.pick(targets, nil)
-				bl.breakers[t.Name].succeed()
+				bl.breakers[t.Name].Succeed()
 			}
 		})
 	}
