Count a stream taken over as outstanding

Cause: a stream that another entry began and this one follows had no permit, so that the selector gave new work out as if it were not there, and nothing was learnt of its links.

Change: Selector.Adopt gives the permit; the dispatcher takes it when it takes a held stream over.

Measured: TestHeldStreamIsTakenOver asks for one stream outstanding on each target of the route while it runs and for none after; it failed before in held, cancelled meanwhile, head silent and wrong part. go test -race ./internal/selector ./internal/dispatcher passes.

Conclusion: done.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -41,6 +41,8 @@
 	Metrics metrics.Registry
 	// Pick returns a route and the permit that accounts for it; its errors are refusals that nothing ran.
 	Pick func(selector.Request) (cataloger.Route, *selector.Permit, error)
+	// Adopt returns the permit that accounts for a stream which runs already.
+	Adopt func(selector.Request, cataloger.Route) *selector.Permit
 	// Substitute returns the route with a lost target's stages given to others.
 	Substitute func(req selector.Request, route cataloger.Route, lost string) (cataloger.Route, *selector.Permit, bool)
 	// Engine returns the engine at an address.
@@ -94,7 +96,7 @@
 	}
 	d.canceller.dropped = func() { d.counts.cancelsDropped.Inc(1) }
 	if s != nil {
-		d.Pick, d.Substitute, d.Leaving, d.Failed, d.Stalled = s.Pick, s.Substitute, s.Leaving, s.Fail, s.Blame
+		d.Pick, d.Adopt, d.Substitute, d.Leaving, d.Failed, d.Stalled = s.Pick, s.Adopt, s.Substitute, s.Leaving, s.Fail, s.Blame
 	}
 	if pool != nil {
 		d.Engine = pool.Get
--- a/internal/dispatcher/held_test.go
+++ b/internal/dispatcher/held_test.go
@@ -97,6 +97,9 @@
 			c.before(t, b, job)
 			col := &collector{t: t, job: job}
 			col.each = func(p Part) error {
+				for _, s := range p.Route.Stages {
+					require.Equal(t, 1, b.selector.Outstanding(s.Target), "the stream counts as work in progress")
+				}
 				if p.Position == heldTokens+3 {
 					c.mid(t, b, job)
 				}
@@ -104,6 +107,9 @@
 			}
 			require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
 			col.requireWhole()
+			for _, target := range b.fleet.Targets {
+				require.Zero(t, b.selector.Outstanding(target.Name))
+			}
 			last := col.parts[len(col.parts)-1].Attempt
 			if c.kept {
 				require.Equal(t, map[uint32]bool{1: true}, b.attempts())
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -81,7 +81,11 @@
 	r.attempt = held.Attempt
 	r.mayHaveRun = true
 	r.checker.Begin(held.Attempt, stages(held.Route))
-	return plan{route: held.Route, resume: true}, nil
+	p := plan{route: held.Route, resume: true}
+	if r.d.Adopt != nil {
+		p.permit = r.d.Adopt(r.request(), held.Route)
+	}
+	return p, nil
 }
 
 // takenOver tells whether the present attempt was begun by another entry.
--- a/internal/selector/permit.go
+++ b/internal/selector/permit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattantray/rattantray/internal/cataloger"
 	commonv1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 )
 
@@ -54,6 +55,46 @@
 	return p
 }
 
+// Adopt counts a stream that runs already as outstanding, such as one that another router began.
+func (s *Selector) Adopt(req Request, route cataloger.Route) *Permit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &Permit{s: s, prefill: true, prefixes: req.Prefixes}
+	var model Model
+	if g := s.graphs[req.key()]; g != nil {
+		model = g.model
+	}
+	for _, st := range route.Stages {
+		t := s.targets[st.Target]
+		if t == nil || p.n == maxStages {
+			// A stage is gone: the others still have the work, and no link is read by its place in the route.
+			continue
+		}
+		l := leg{t: t, layers: float64(st.EndLayer - st.FirstLayer)}
+		if p.n > 0 {
+			l.link = s.linkOf(p.legs[p.n-1].t.name, t.name)
+			l.nominal = s.hopTime(model, p.legs[p.n-1].t, t)
+		}
+		t.streams++
+		t.decodeLayers += l.layers
+		p.legs[p.n] = l
+		p.n++
+	}
+	return p
+}
+
+// hopTime requires s.mu and returns the time in seconds that one activation takes on the unharmed link between two targets.
+func (s *Selector) hopTime(m Model, from, to *target) float64 {
+	link := s.assumed(&from.info, &to.info)
+	if l := s.links[linkKey{from.name, to.name}]; l != nil && l.listed {
+		link = l.nominal
+	}
+	if link.Bandwidth <= 0 {
+		return link.LatencySeconds
+	}
+	return link.LatencySeconds + float64(m.ActivationBytes)/link.Bandwidth
+}
+
 // Observe takes in the receipt of the next token.
 func (p *Permit) Observe(r *commonv1.Receipt) {
 	if p == nil {
