Move streams off a degraded link

Cause: new work avoids a degraded link, but what ran over it stayed: 13 streams on a link that carries 25 tokens/s take 0.5 s a token, 2.5 times the mean and so under the four times at which a stream counts as slow, while the engines at both ends idle for most of the 8 s that they need. 150 tokens/s of the other chains and 25 of this one are the 167 to 175 of 200 seen after the strike.

Change: a stream whose token spends more time on a link that was measured at twice its stated time than in all its stages moves, within the limits of slow moves (two a job, the retry budget). Slow streams move down to 3 tokens left. Substitutes are chosen by the link to them as well.

TestStreamMovesOffADegradedLink fails before (no move).

Conclusion: streams leave the link; what is left is the lag of load reports, some 2 s.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -51,6 +51,8 @@
 	Isolated func() bool
 	// Leaving tells whether a target's streams should move elsewhere.
 	Leaving func(target string) bool
+	// Degraded tells whether the link between two targets is much slower than stated.
+	Degraded func(from, to string) bool
 	// Failed reports a target that lost a stream.
 	Failed func(target string)
 	// Stalled reports the targets of a chain of which one, not known which, is silent, slow or wrong.
@@ -97,6 +99,7 @@
 	d.canceller.dropped = func() { d.counts.cancelsDropped.Inc(1) }
 	if s != nil {
 		d.Pick, d.Adopt, d.Substitute, d.Leaving, d.Failed, d.Stalled = s.Pick, s.Adopt, s.Substitute, s.Leaving, s.Fail, s.Blame
+		d.Degraded = s.Degraded
 	}
 	if pool != nil {
 		d.Engine = pool.Get
--- a/internal/dispatcher/fault_test.go
+++ b/internal/dispatcher/fault_test.go
@@ -361,3 +361,26 @@
 	require.Equal(t, int64(1), b.count("dispatcher.moved"))
 	require.NotEqual(t, slowed, col.parts[59].Receipt.Stages[1].Target)
 }
+
+func TestStreamMovesOffADegradedLink(t *testing.T) {
+	b := newBench(t, threeStagesTwice, slow)
+	warm := &collector{t: t, job: testJob("warm", 60)}
+	require.NoError(t, b.dispatcher.Run(t.Context(), warm.job, warm.emit))
+	job := testJob("r", 60)
+	col := &collector{t: t, job: job}
+	slowed := ""
+	col.each = func(p Part) error {
+		if p.Position == 5 {
+			slowed = p.Route.Stages[1].Target
+			require.NoError(t, b.engines[p.Route.Stages[0].Target].SetFaults(enginefaker.Fault{
+				// A token takes less than four times as long as usual.
+				Kind: enginefaker.FaultSlowLink, Delay: enginefaker.Duration(25 * time.Millisecond), Peer: p.Route.Stages[1].Address,
+			}))
+		}
+		return nil
+	}
+	require.NoError(t, b.dispatcher.Run(t.Context(), job, col.emit))
+	col.requireWhole()
+	require.Equal(t, int64(1), b.count("dispatcher.moved"))
+	require.NotEqual(t, slowed, col.parts[59].Receipt.Stages[1].Target)
+}
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -11,14 +11,17 @@
 const (
 	// moveCheck is how often a stream looks whether it should move.
 	moveCheck = 200 * time.Millisecond
-	// minMoveTokens is how many tokens must be left for a stream to move.
+	// minMoveTokens is how many tokens must be left for a stream to move, minSlowTokens where it is slow.
 	minMoveTokens = 8
+	minSlowTokens = 3
 	// slowFactor is the multiple of the mean gap over all streams at which a stream is slow.
 	slowFactor = 4
 	// slowLeast is the mean gap in seconds that is never slow, the stated target for 95 in 100 gaps.
 	slowLeast = 0.031
 	// slowGaps is how many gaps a stream must have seen before it is called slow.
 	slowGaps = 8
+	// linkGaps is how many it must have seen before a degraded link counts against it.
+	linkGaps = 2
 	// maxSlowMoves bounds the moves of one job off slow targets.
 	maxSlowMoves = 2
 )
@@ -29,11 +32,12 @@
 		return nil
 	}
 	r.moveChecked = now
-	if r.job.end()-r.checker.Next() < minMoveTokens {
-		return nil
+	f := &failure{kind: failedMove}
+	left := r.job.end() - r.checker.Next()
+	if left >= minMoveTokens {
+		f.target = r.leaving(p.route)
 	}
-	f := &failure{kind: failedMove, target: r.leaving(p.route)}
-	if f.target == "" {
+	if f.target == "" && left >= minSlowTokens {
 		f.target = r.slow()
 	}
 	if f.target == "" {
@@ -61,10 +65,10 @@
 	return ""
 }
 
-// slow returns the slowest target of a stream that is much slower than others, as far as the retry budget allows, or "".
+// slow returns the slowest target of a stream that is much slower than others or waits on a degraded link, as far as the
+// retry budget allows, or "".
 func (r *run) slow() string {
-	mean, known := r.tail.mean()
-	if !known || r.slowMoves >= maxSlowMoves || r.gaps.gaps < slowGaps || r.gaps.mean < max(slowFactor*mean, slowLeast) {
+	if r.slowMoves >= maxSlowMoves || !r.behind() && !r.heldUp() {
 		return ""
 	}
 	if !r.d.budgets.spend(budgetKey{r.job.Workspace, r.job.Service}, r.job.RetryBudget) {
@@ -79,6 +83,30 @@
 	return target
 }
 
+// behind tells whether the stream is much slower than others.
+func (r *run) behind() bool {
+	mean, known := r.tail.mean()
+	return known && r.gaps.gaps >= slowGaps && r.gaps.mean >= max(slowFactor*mean, slowLeast)
+}
+
+// heldUp tells whether the stream spends most of its time on a link that is slower than stated.
+//
+// New work avoids such a link at once, but what runs over it would keep to it, and both ends idle meanwhile.
+func (r *run) heldUp() bool {
+	if r.d.Degraded == nil || r.gaps.gaps < linkGaps || r.gaps.mean < slowLeast {
+		return false
+	}
+	stages := r.receipt.GetStages()
+	runs, longest, at := time.Duration(0), time.Duration(0), 0
+	for i, s := range stages {
+		runs += s.Duration.AsDuration()
+		if transfer := s.Transfer.AsDuration(); transfer > longest {
+			longest, at = transfer, i
+		}
+	}
+	return at > 0 && longest > runs && r.d.Degraded(stages[at-1].Target, stages[at].Target)
+}
+
 // slowest returns the target whose run and incoming link took longest, and whether the link took more than the run.
 func slowest(receipt *commonv1.Receipt) (target string, link bool) {
 	longest := time.Duration(-1)
--- a/internal/selector/pick.go
+++ b/internal/selector/pick.go
@@ -329,9 +329,9 @@
 	return w.route(), s.grant(&w), true
 }
 
-// substitute returns the holder named, or with no name the least loaded other one, for the layers of a stage.
+// substitute returns the holder named, or with no name the quickest other one, for the layers of a stage.
 func (w *walker) substitute(st cataloger.Stage, name, lost string) int32 {
-	best := int32(-1)
+	best, bestTime := int32(-1), math.Inf(1)
 	for i := range w.g.holders {
 		h := &w.g.holders[i]
 		if h.first > st.FirstLayer || h.end < st.EndLayer || h.t.name == lost {
@@ -346,9 +346,19 @@
 		if !h.t.trusted(w.now) || slices.Contains(w.req.Avoid, h.t.name) {
 			continue
 		}
-		if best < 0 || h.t.load(w.now)/h.decode < w.g.holders[best].t.load(w.now)/w.g.holders[best].decode {
-			best = int32(i)
+		if t := w.tokenTime(h); t < bestTime {
+			best, bestTime = int32(i), t
 		}
 	}
 	return best
 }
+
+// tokenTime returns the time in seconds that a token waits at a holder and on the link to it.
+func (w *walker) tokenTime(h *holder) float64 {
+	wait := h.t.load(w.now) / h.decode
+	if w.n == 0 {
+		return wait
+	}
+	from := w.g.holders[w.steps[w.n-1].holder].t
+	return wait + w.s.hopTime(w.g.model, from, h.t)*w.ratio(from, h.t)
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -246,6 +246,14 @@
 	return t == nil || t.info.State == cataloger.StateLeaving || t.reportedLeaving
 }
 
+// Degraded tells whether the link between two targets was measured to be much slower than stated.
+func (s *Selector) Degraded(from, to string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[linkKey{from, to}]
+	return l != nil && l.current(s.Clock.Now()) >= splitRatio
+}
+
 // reportSmoothing is the time in which the mean of a target's reports follows a change by 1-1/e.
 const reportSmoothing = time.Second
 
