Let a second load order wait for the pull of the first

Cause: the fake engine took a range that it was pulling for one that it has, with no bytes left to pull, and made it ready at once on a second load order; a pull of a range unloaded meanwhile made its successor ready early.

Change: an engine knows its pulls by range; a second order joins the one on its way, unloading ends it, and a range configured as not ready takes its whole pull.

Measured: TestSecondOrderDoesNotShortenThePull fails before in both cases, passes now.

--- a/internal/enginefaker/engine.go
+++ b/internal/enginefaker/engine.go
@@ -39,6 +39,7 @@
 	sessions map[requestKey]*session
 	kv       map[requestKey]kvState
 	exports  map[string]kvState
+	pulls    map[layerRange]*pull
 	load     loadBoard
 	// busyUntil is when the accelerator has done the work accepted so far.
 	busyUntil time.Time
@@ -68,6 +69,7 @@
 		sessions: make(map[requestKey]*session),
 		kv:       make(map[requestKey]kvState),
 		exports:  make(map[string]kvState),
+		pulls:    make(map[layerRange]*pull),
 		linkBusy: make(map[string]time.Time),
 	}
 	e.life, e.kill = context.WithCancel(context.Background())
--- a/internal/enginefaker/engine_test.go
+++ b/internal/enginefaker/engine_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -235,6 +236,41 @@
 	}, 10*time.Second, 10*time.Millisecond)
 }
 
+func TestSecondOrderDoesNotShortenThePull(t *testing.T) {
+	const pulled = 200 * time.Millisecond
+	order := func(id string, action v1.Action) *v1.OrderRequest {
+		return &v1.OrderRequest{OrderId: id, Action: action, Model: "m", Version: "v1", EndLayer: 4}
+	}
+	cases := []struct {
+		name string
+		// again are orders given when half of the weights are there.
+		again []*v1.OrderRequest
+		ready time.Duration
+	}{
+		{"load again", []*v1.OrderRequest{order("2", v1.Action_ACTION_LOAD)}, pulled},
+		{"unload and load", []*v1.OrderRequest{order("2", v1.Action_ACTION_UNLOAD), order("3", v1.Action_ACTION_LOAD)}, pulled * 3 / 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := New(Config{Name: "a", LayerBytes: 1000, PullRate: 20_000})
+				defer e.Close()
+				require.True(t, e.order(order("1", v1.Action_ACTION_LOAD)).Accepted)
+				time.Sleep(pulled / 2)
+				for _, o := range c.again {
+					require.True(t, e.order(o).Accepted)
+				}
+				time.Sleep(c.ready - pulled/2 - time.Millisecond)
+				synctest.Wait()
+				require.False(t, e.Ledger().Holdings[0].Ready)
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+				require.True(t, e.Ledger().Holdings[0].Ready)
+			})
+		})
+	}
+}
+
 func TestCacheEventsComeWithGaps(t *testing.T) {
 	_, e, address := start(t, Config{Name: "a", Holdings: holding(0, 8), EventLag: time.Millisecond, EventGap: 2})
 	req := generate(1, 1, &v1.Stage{Target: "a", Address: address, EndLayer: 8})
--- a/internal/enginefaker/order.go
+++ b/internal/enginefaker/order.go
@@ -49,11 +49,7 @@
 	case v1.Action_ACTION_LOAD:
 		return e.loadWeights(req)
 	case v1.Action_ACTION_UNLOAD:
-		e.holdings = slices.DeleteFunc(slices.Clone(e.holdings), func(h cataloger.Holding) bool {
-			whole := req.FirstLayer == 0 && req.EndLayer == 0
-			return h.Model == req.Model && h.Version == req.Version &&
-				(whole || h.FirstLayer == req.FirstLayer && h.EndLayer == req.EndLayer)
-		})
+		e.unload(req)
 	case v1.Action_ACTION_CHANGE_ROLE:
 		e.role = req.Role
 	case v1.Action_ACTION_LEAVE:
@@ -70,9 +66,8 @@
 	}
 	h := cataloger.Holding{Model: req.Model, Version: req.Version, FirstLayer: req.FirstLayer, EndLayer: req.EndLayer}
 	i := slices.IndexFunc(e.holdings, func(o cataloger.Holding) bool { return sameRange(o, h) })
-	bytes := uint64(0)
+	bytes := uint64(h.EndLayer-h.FirstLayer) * e.cfg.LayerBytes
 	if i < 0 {
-		bytes = uint64(h.EndLayer-h.FirstLayer) * e.cfg.LayerBytes
 		if e.cfg.MemoryBytes > 0 && e.heldBytes()+bytes > e.cfg.MemoryBytes {
 			return "not enough memory"
 		}
@@ -84,11 +79,43 @@
 		e.holdings[i].Adapters = append(slices.Clone(e.holdings[i].Adapters), req.Adapter)
 	}
 	if !e.holdings[i].Ready {
-		e.cfg.Clock.AfterFunc(seconds(float64(bytes), e.cfg.PullRate), func() { e.ready(h) })
+		e.pull(h, bytes)
 	}
 	return ""
 }
 
+// pull is weights on their way to the engine.
+type pull struct{ stop func() bool }
+
+// pull requires e.mu and makes a range ready when its weights are there; one that is on its way goes on.
+func (e *Engine) pull(h cataloger.Holding, bytes uint64) {
+	key := rangeOf(h)
+	if e.pulls[key] != nil {
+		return
+	}
+	p := &pull{}
+	e.pulls[key] = p
+	p.stop = e.cfg.Clock.AfterFunc(seconds(float64(bytes), e.cfg.PullRate), func() { e.ready(h, p) })
+}
+
+// unload requires e.mu and drops the holdings that an order names, with the pulls of their weights.
+func (e *Engine) unload(req *v1.OrderRequest) {
+	whole := req.FirstLayer == 0 && req.EndLayer == 0
+	e.holdings = slices.DeleteFunc(slices.Clone(e.holdings), func(h cataloger.Holding) bool {
+		if h.Model != req.Model || h.Version != req.Version {
+			return false
+		}
+		if !whole && (h.FirstLayer != req.FirstLayer || h.EndLayer != req.EndLayer) {
+			return false
+		}
+		if p := e.pulls[rangeOf(h)]; p != nil {
+			p.stop()
+			delete(e.pulls, rangeOf(h))
+		}
+		return true
+	})
+}
+
 func (e *Engine) heldBytes() uint64 {
 	layers := uint64(0)
 	for _, h := range e.holdings {
@@ -97,9 +124,13 @@
 	return layers * e.cfg.LayerBytes
 }
 
-func (e *Engine) ready(h cataloger.Holding) {
+func (e *Engine) ready(h cataloger.Holding, p *pull) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.pulls[rangeOf(h)] != p {
+		return
+	}
+	delete(e.pulls, rangeOf(h))
 	e.holdings = slices.Clone(e.holdings)
 	for i, o := range e.holdings {
 		if sameRange(o, h) {
@@ -108,6 +139,14 @@
 	}
 }
 
-func sameRange(a, b cataloger.Holding) bool {
-	return a.Model == b.Model && a.Version == b.Version && a.FirstLayer == b.FirstLayer && a.EndLayer == b.EndLayer
+// layerRange names the layers of a model version.
+type layerRange struct {
+	model, version string
+	first, end     uint32
 }
+
+func rangeOf(h cataloger.Holding) layerRange {
+	return layerRange{h.Model, h.Version, h.FirstLayer, h.EndLayer}
+}
+
+func sameRange(a, b cataloger.Holding) bool { return rangeOf(a) == rangeOf(b) }
