Give each stream of a request attempt numbers of its own

Cause: an entry that takes an answer up began at the multiple of 1,024 after the attempt of the resume token. Where it was lost before its first token, the caller came back with the same token and the third entry ran other attempts of the same numbers; so it did where the second had gone on with the held stream and began its own attempt later. Engines fence by number. A change of the model version went on 64 above the last attempt that gave a part, which may be below one that was made.

Change: the caller counts the streams that it opens with a token (hand_overs), and the count gives the range of 1,024 numbers; an entry never leaves its range and ends the answer as attempts-exhausted instead. Another version goes on in the same range. Callers that do not count keep the rule of before, as docs/design/resume-tokens.md says.

Conclusion: no number is used twice by callers that count.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -145,6 +145,9 @@
 		req.Timeout = durationpb.New(r.job.Deadline.Sub(r.d.Clock.Now()))
 	}
 	r.checker.Begin(r.attempt, req.Route)
+	if r.job.Attempted != nil {
+		r.job.Attempted(r.attempt)
+	}
 	return engine.Generate(ctx, req)
 }
 
--- a/internal/dispatcher/held_test.go
+++ b/internal/dispatcher/held_test.go
@@ -12,6 +12,7 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/enginefaker"
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
+	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 const heldTokens = 5
@@ -140,6 +141,29 @@
 	}
 }
 
+// TestAttemptsKeepToTheirNumbers breaks every attempt after a token until the numbers of the job are used up.
+func TestAttemptsKeepToTheirNumbers(t *testing.T) {
+	b := newBench(t, threeStagesTwice, slow)
+	for _, e := range b.engines {
+		require.NoError(t, e.SetFaults(enginefaker.Fault{Kind: enginefaker.FaultBreak, AfterTokens: 1}))
+	}
+	job := testJob("r", 100)
+	job.FirstAttempt, job.EndAttempt, job.RetryBudget = 64, 64+fencedStep+8, 100
+	var begun []uint32
+	job.Attempted = func(attempt uint32) { begun = append(begun, attempt) }
+	col := &collector{t: t, job: job}
+	r := refuser.From(b.dispatcher.Run(t.Context(), job, col.emit))
+	require.Equal(t, refuser.AttemptsExhausted, r.Code)
+	require.Equal(t, refuser.FactMayHaveRun, r.Fact)
+	require.Greater(t, len(begun), 2)
+	for i, attempt := range begun {
+		require.Less(t, attempt, job.EndAttempt)
+		if i > 0 {
+			require.Greater(t, attempt, begun[i-1])
+		}
+	}
+}
+
 // BenchmarkReattach measures the time to the next token of an answer whose prompt of 2,000 tokens takes 200 ms to
 // prefill and of which tokens come each 8 ms, with the stream held and without.
 func BenchmarkReattach(b *testing.B) {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -32,6 +32,10 @@
 	Held Held
 	// FirstAttempt is greater than any attempt made before; 0 stands for 1.
 	FirstAttempt uint32
+	// EndAttempt is above the number of every attempt; 0 is no bound.
+	EndAttempt uint32
+	// Attempted is told the number of each attempt before it begins; may be nil.
+	Attempted func(attempt uint32)
 	// MaxAttempts bounds the attempts in a row that gain no token; 0 stands for DefaultMaxAttempts.
 	MaxAttempts int
 	// RecoverWait is how long an answer in progress waits for a chain; 0 stands for the dispatcher's, less does not wait.
--- a/internal/dispatcher/replace.go
+++ b/internal/dispatcher/replace.go
@@ -10,7 +10,7 @@
 
 // replace moves the stages of the lost target, with their KV cache, to other targets and keeps the rest of the chain.
 func (r *run) replace(ctx context.Context, old plan, f *failure) (plan, bool) {
-	if r.d.Substitute == nil || f.target == "" || old.resume || f.kind == failedRefused || f.kind == failedFenced || f.kind == failedInvalid {
+	if r.d.Substitute == nil || !r.numbersLeft() || f.target == "" || old.resume || f.kind == failedRefused || f.kind == failedFenced || f.kind == failedInvalid {
 		return plan{}, false
 	}
 	position := r.checker.Next()
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -199,7 +199,7 @@
 
 // permitted returns the final refusal where the job may not be tried again.
 func (r *run) permitted(f *failure) error {
-	if r.failures >= r.job.MaxAttempts {
+	if r.failures >= r.job.MaxAttempts || !r.numbersLeft() {
 		r.d.counts.exhausted.Inc(1)
 		return r.final(refuser.AttemptsExhausted, f)
 	}
@@ -252,6 +252,11 @@
 // nextAttempt returns the number after the present one, above all that another entry may have used.
 func (r *run) nextAttempt() uint32 { return max(r.attempt+1, r.job.FirstAttempt) }
 
+// numbersLeft tells whether the next attempt has a number within the job's.
+func (r *run) numbersLeft() bool {
+	return r.job.EndAttempt == 0 || r.nextAttempt()+fencedStep < r.job.EndAttempt
+}
+
 func (r *run) shun(target string) {
 	if target != "" && !slices.Contains(r.avoid, target) {
 		r.avoid = append(r.avoid, target)
--- a/internal/receiver/checker.go
+++ b/internal/receiver/checker.go
@@ -15,6 +15,8 @@
 	maxPriority       = 9
 	// maxDelivered bounds the parts that a caller may send back with a resume token.
 	maxDelivered = 1 << 20
+	// maxHandOvers keeps the attempts of the last hand-over within their 32 bits.
+	maxHandOvers = 1 << 20
 )
 
 // checkShape checks what can be told without the service document.
@@ -40,6 +42,10 @@
 		return malformed("delivered parts come without a resume token")
 	case len(req.Delivered) > maxDelivered:
 		return malformed("more than %d delivered parts", maxDelivered)
+	case len(req.ResumeToken) == 0 && req.HandOvers > 0:
+		return malformed("hand-overs come without a resume token")
+	case req.HandOvers > maxHandOvers:
+		return malformed("more than %d hand-overs", maxHandOvers)
 	}
 	return nil
 }
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -22,7 +22,7 @@
 
 const (
 	unset = -1 * time.Nanosecond
-	// attemptStride keeps the attempts of a resumed answer above those of the stream that it replaces.
+	// attemptStride is how many attempt numbers each stream of a request has to itself.
 	attemptStride = 1 << 10
 )
 
@@ -119,7 +119,7 @@
 	x.execution = claims.Execution
 	x.version = claims.Version
 	x.held = Held{Attempt: claims.Attempt, Route: claims.Route}
-	x.firstAttempt = (claims.Attempt/attemptStride + 1) * attemptStride
+	x.firstAttempt = max(claims.Attempt/attemptStride+1, x.req.HandOvers) * attemptStride
 	x.position = uint64(len(x.req.Delivered))
 	return nil
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -74,6 +74,8 @@
 	Priority     uint32
 	Deadline     time.Time
 	FirstAttempt uint32
+	// EndAttempt is the first attempt number that is not this stream's.
+	EndAttempt uint32
 	// Version is the one that began the answer; empty for a new one.
 	Version string
 	// Delivered are the tokens that the caller has.
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -164,6 +164,10 @@
 		{"unknown service", with(modelRequest(), func(r *v1.Request) { r.Service = "none" }), refuser.UnknownService},
 		{"foreign workspace", with(modelRequest(), func(r *v1.Request) { r.Workspace = "other" }), refuser.UnknownWorkspace},
 		{"unknown method", plainRequest("DELETE /bookings"), refuser.UnknownMethod},
+		{"hand-overs without a token", with(modelRequest(), func(r *v1.Request) { r.HandOvers = 1 }), refuser.MalformedRequest},
+		{"too many hand-overs", with(modelRequest(), func(r *v1.Request) {
+			r.ResumeToken, r.HandOvers = []byte("t"), maxHandOvers+1
+		}), refuser.MalformedRequest},
 		{"forged token", with(modelRequest(), func(r *v1.Request) { r.ResumeToken = []byte("forged") }), refuser.ResumeTokenInvalid},
 	}
 	for _, tt := range tests {
@@ -211,6 +215,27 @@
 	require.Len(t, b.emitted, 2)
 }
 
+// TestNoTwoStreamsShareAttempts lets entries that take an answer up die before a token, or go on with the stream held.
+func TestNoTwoStreamsShareAttempts(t *testing.T) {
+	b := newBench(t)
+	require.NoError(t, b.send(t.Context(), modelRequest()))
+	first := b.emitted[0].ResumeToken
+	heldOn := b.Tokens.Sign(tokener.Claims{
+		Workspace: "counter", Service: "assistant", RequestID: modelRequest().RequestId, PayloadDigest: payloadDigest(modelRequest()),
+		Execution: b.jobs[0].Execution, Version: "v1", Attempt: b.jobs[0].FirstAttempt, Position: 2,
+	})
+	for i, token := range [][]byte{first, first, heldOn, heldOn} {
+		req := with(modelRequest(), func(r *v1.Request) {
+			r.ResumeToken, r.Delivered, r.HandOvers = token, [][]byte{[]byte("a")}, uint32(i+1)
+		})
+		require.NoError(t, b.send(t.Context(), req))
+	}
+	for i, job := range b.jobs[1:] {
+		require.GreaterOrEqual(t, job.FirstAttempt, b.jobs[i].EndAttempt)
+		require.Greater(t, job.EndAttempt, job.FirstAttempt)
+	}
+}
+
 func TestExecutionsOfOneRequestIDDiffer(t *testing.T) {
 	b := newBench(t)
 	require.NoError(t, b.send(t.Context(), modelRequest()))
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -30,6 +30,7 @@
 		Priority:     x.req.Priority,
 		Deadline:     x.deadline,
 		FirstAttempt: x.firstAttempt,
+		EndAttempt:   (x.firstAttempt/attemptStride + 1) * attemptStride,
 		Version:      x.version,
 		Delivered:    x.req.Delivered,
 		Retry:        x.doc.Retry,
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -21,10 +21,10 @@
 	for {
 		job := jobOf(g, version)
 		job.Held = r.heldStream(g, version)
+		job.Attempted = func(attempt uint32) { g.FirstAttempt = attempt + 1 }
 		err := r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
 			tokens++
 			g.Delivered = append(g.Delivered, p.Data)
-			g.FirstAttempt = p.Attempt
 			token := receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt}
 			if p.Attempt != attempt {
 				attempt = p.Attempt
@@ -38,11 +38,10 @@
 		g.Version = ""
 		g.Held = receiver.Held{}
 		other := r.otherVersion(g, version)
-		if !outOfChains(refuser.From(err)) || other == version {
+		if !outOfChains(refuser.From(err)) || other == version || g.FirstAttempt >= g.EndAttempt {
 			return err
 		}
 		version = other
-		g.FirstAttempt += versionStride
 	}
 }
 
@@ -98,9 +97,6 @@
 	return other
 }
 
-// versionStride keeps the attempts on another version above those that were made.
-const versionStride = 64
-
 func jobOf(g receiver.Generation, version string) dispatcher.Job {
 	job := dispatcher.Job{
 		Workspace:     string(g.Workspace),
@@ -117,6 +113,7 @@
 		StartPosition: uint64(len(g.Delivered)),
 		Delivered:     g.Delivered,
 		FirstAttempt:  g.FirstAttempt,
+		EndAttempt:    g.EndAttempt,
 		MaxAttempts:   g.Retry.MaxAttempts,
 		RetryBudget:   g.Retry.Budget,
 	}
--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -61,6 +61,45 @@
 	}
 }
 
+// TestTwoEntriesLostBeforeAToken kills the entry of an answer, and the one that takes it up while it prefills.
+func TestTwoEntriesLostBeforeAToken(t *testing.T) {
+	const tokens, killAt = 20, 5
+	inWorld(t, 4, fourChains(), func(w *world) {
+		next := 0
+		second := make(chan struct{})
+		err := w.client.Send(context.Background(), &v1.Request{
+			Workspace: "counter", Service: "assistant", RequestId: "r", Payload: bytes.Repeat([]byte("word"), 2000),
+			MaxTokens: tokens, Timeout: durationpb.New(20 * time.Second),
+		}, func(p *v1.SendResponse) error {
+			require.Equal(t, uint64(next), p.Position)
+			next++
+			if next == killAt {
+				w.kill(w.busyRouter())
+				w.dropStreams()
+				go func() {
+					defer close(second)
+					for len(w.attempts()) < 2 {
+						time.Sleep(10 * time.Millisecond)
+					}
+					w.kill(w.busyRouter())
+				}()
+			}
+			return nil
+		})
+		require.NoError(t, err)
+		<-second
+		require.Equal(t, tokens, next)
+		require.Len(t, w.attempts(), 3)
+		for _, e := range w.engines {
+			begun := map[uint32]int{}
+			for _, r := range e.Ledger().Runs {
+				begun[r.Attempt]++
+				require.Equal(t, 1, begun[r.Attempt], "attempt %d", r.Attempt)
+			}
+		}
+	})
+}
+
 // attempts returns the attempts that engines ran, of whatever request.
 func (w *world) attempts() map[uint32]bool {
 	seen := map[uint32]bool{}
@@ -74,7 +113,7 @@
 
 // busyRouter returns the daemon that has a request in progress.
 func (w *world) busyRouter() *daemon {
-	i := slices.IndexFunc(w.routers, func(d *daemon) bool { return d.router.InProgress() > 0 })
+	i := slices.IndexFunc(w.routers, func(d *daemon) bool { return !d.dead && d.router.InProgress() > 0 })
 	require.GreaterOrEqual(w.t, i, 0)
 	return w.routers[i]
 }
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -61,6 +61,8 @@
 	attempt   uint32
 	delivered [][]byte
 	token     []byte
+	// handOvers counts the streams opened with a resume token.
+	handOvers uint32
 	// sent is true once any entry may have taken the request.
 	sent bool
 }
@@ -191,6 +193,8 @@
 	if s.next > 0 {
 		req.ResumeToken = s.token
 		req.Delivered = s.delivered
+		s.handOvers++
+		req.HandOvers = s.handOvers
 		s.client.Counters.Reattached.Add(1)
 	}
 	stream, err := s.client.stub(address).Send(ctx, connect.NewRequest(&v1.SendRequest{Request: req}))
--- a/pkg/caller/send_test.go
+++ b/pkg/caller/send_test.go
@@ -141,6 +141,18 @@
 	require.Equal(t, "a", string(got.Data))
 }
 
+func TestHandOversAreCounted(t *testing.T) {
+	router := newFakeRouter(t, cut, then(parts(1, 0, 2, 4), cut), cut, then(parts(2, 2, 3, 4), cut), parts(3, 3, 4, 4))
+	c := newClient(t, router.address)
+	_, err := c.Call(t.Context(), request())
+	require.NoError(t, err)
+	var counts []uint32
+	for _, r := range router.requests() {
+		counts = append(counts, r.HandOvers)
+	}
+	require.Equal(t, []uint32{0, 0, 1, 2, 3}, counts, "only streams with a resume token count")
+}
+
 func TestNothingReachableIsNotRun(t *testing.T) {
 	c := newClient(t, deadAddress(t))
 	_, err := c.Call(t.Context(), request())
