Look the targets of a held route up by name

Cause: each reattach built a map of all targets, 6,600 at the design size, to find the few of a route. Change: a binary search per stage; the view lists targets by name. Measured: go test -run 'TestAnswerGoesOn|TestTwoEntries' ./internal/router passes, which take held routes up. Conclusion: done.

--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
@@ -50,21 +52,29 @@
 	if len(g.Held.Route) == 0 || version != g.Version {
 		return dispatcher.Held{}
 	}
-	addresses := map[string]string{}
-	for _, t := range r.tracker.Fleet().Targets {
-		addresses[t.Name] = t.Address
-	}
+	fleet := r.tracker.Fleet()
 	route := cataloger.Route{Model: g.Model.Name, Version: version}
 	for _, s := range g.Held.Route {
-		address, ok := addresses[s.Target]
+		target, ok := targetNamed(fleet, s.Target)
 		if !ok {
 			return dispatcher.Held{}
 		}
-		route.Stages = append(route.Stages, cataloger.Stage{Target: s.Target, Address: address, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
+		route.Stages = append(route.Stages, cataloger.Stage{Target: s.Target, Address: target.Address, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
 	}
 	return dispatcher.Held{Attempt: g.Held.Attempt, Route: route}
 }
 
+// targetNamed finds a target in a view of the fleet, which lists them by name.
+func targetNamed(fleet cataloger.Fleet, name string) (cataloger.Target, bool) {
+	i, ok := slices.BinarySearchFunc(fleet.Targets, name, func(t cataloger.Target, name string) int {
+		return strings.Compare(t.Name, name)
+	})
+	if !ok {
+		return cataloger.Target{}, false
+	}
+	return fleet.Targets[i], true
+}
+
 // claimed returns a route as resume tokens say it.
 func claimed(route cataloger.Route) []tokener.Stage {
 	list := make([]tokener.Stage, len(route.Stages))
