--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -8,8 +8,9 @@
 const (
 	// Failures in a row open the breaker.
 	Failures = 5
-	// MinOpen is the first time that a breaker stays open; it doubles up to MaxOpen, and half of it is jitter.
+	// MinOpen is the first time that a breaker stays open; it doubles, and half of it is jitter.
 	MinOpen = 500 * time.Millisecond
+	// MaxOpen bounds the time that a breaker stays open.
 	MaxOpen = 30 * time.Second
 	// SlowStartEnd is the number of requests in progress at which the slow start is over.
 	SlowStartEnd = 64
