--- a/scripts/overhead/legs.go
+++ b/scripts/overhead/legs.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"os/exec"
+	"runtime"
 	"strings"
 	"time"
 
@@ -56,6 +57,31 @@
 	return summarize(reports, l, before, after), nil
 }
 
+// awaitQuiet waits a while for processes of others to leave the machine alone.
+func (f *fleet) awaitQuiet(limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		before, err := f.read()
+		if err != nil {
+			return err
+		}
+		time.Sleep(quietSample)
+		after, err := f.read()
+		if err != nil {
+			return err
+		}
+		if after.others(before) <= quietShare*float64(runtime.NumCPU()) {
+			return nil
+		}
+	}
+	return nil
+}
+
+const (
+	quietSample = 200 * time.Millisecond
+	// quietShare is the share of the cores that others may use while the machine counts as quiet.
+	quietShare = 0.4
+)
+
 func (f *fleet) callers(ctx context.Context, l load, direct []string) ([]*bencher.Report, error) {
 	args := []string{"request", "bench", "--json", "--rate", fmt.Sprint(l.rate / float64(l.callers)),
 		"--duration", l.duration.String(), "--warm-up", l.warmUp.String(), "--timeout", "30s", "--kind", l.kind}
--- a/scripts/overhead/main.go
+++ b/scripts/overhead/main.go
@@ -19,6 +19,7 @@
 	requestRate, tokenRate     float64
 	engines, callers           int
 	duration, warmUp, limit    time.Duration
+	quietWait                  time.Duration
 	file, profile, bin         string
 }
 
@@ -34,6 +35,7 @@
 	flag.IntVar(&o.callers, "callers", 4, "callers of streams, each a process")
 	flag.DurationVar(&o.duration, "duration", 5*time.Second, "time of each leg of a round")
 	flag.DurationVar(&o.warmUp, "warm-up", time.Second, "time before it that does not count")
+	flag.DurationVar(&o.quietWait, "quiet-wait", 5*time.Second, "wait this long before each round for others to use at most 4 of 10 cores")
 	flag.DurationVar(&o.limit, "limit", 10*time.Minute, "end after this time in any case")
 	flag.StringVar(&o.file, "o", "", "write the report as JSON to this file")
 	flag.StringVar(&o.bin, "bin", "", "measure this program instead of building one")
@@ -67,12 +69,12 @@
 	r := &report{Commit: commit(ctx), Cores: runtime.NumCPU()}
 	calls := load{callers: 1, rate: o.requestRate, duration: o.duration, warmUp: o.warmUp,
 		kind: "workspace=counter,service=bookings,method=GET /status/1"}
-	if r.Requests, err = f.rounds(ctx, o.requestRounds, calls, []string{f.serviceAddress}); err != nil {
+	if r.Requests, err = f.rounds(ctx, o.requestRounds, o.quietWait, calls, []string{f.serviceAddress}); err != nil {
 		return err
 	}
 	streams := load{callers: o.callers, rate: o.tokenRate / tokensPerRequest, duration: o.duration, warmUp: o.warmUp,
 		kind: fmt.Sprintf("workspace=counter,service=renewal-assistant,data=prompt,max-tokens=%d", tokensPerRequest)}
-	if r.Tokens, err = f.rounds(ctx, o.tokenRounds, streams, f.engineAddresses); err != nil {
+	if r.Tokens, err = f.rounds(ctx, o.tokenRounds, o.quietWait, streams, f.engineAddresses); err != nil {
 		return err
 	}
 	r.print(os.Stdout)
@@ -96,9 +98,12 @@
 }
 
 // rounds runs the load on the two ways in turn.
-func (f *fleet) rounds(ctx context.Context, n int, l load, direct []string) ([]round, error) {
+func (f *fleet) rounds(ctx context.Context, n int, wait time.Duration, l load, direct []string) ([]round, error) {
 	var list []round
 	for range n {
+		if err := f.awaitQuiet(wait); err != nil {
+			return list, err
+		}
 		base, err := f.run(ctx, l, direct)
 		if err != nil {
 			return list, err
