--- a/scripts/overhead/fleet.go
+++ b/scripts/overhead/fleet.go
@@ -35,18 +35,18 @@
 	ended time.Duration
 }
 
-func newFleet(ctx context.Context, dir, bin string, engines int, profile string) (*fleet, error) {
+func newFleet(ctx context.Context, dir, bin string, o options) (*fleet, error) {
 	f := &fleet{bin: bin, dir: dir}
-	if err := f.startTargets(ctx, engines); err != nil {
+	if err := f.startTargets(ctx, o); err != nil {
 		return f, err
 	}
-	if err := f.startRouter(ctx, profile); err != nil {
+	if err := f.startRouter(ctx, o.profile); err != nil {
 		return f, err
 	}
 	return f, f.configure(ctx)
 }
 
-func (f *fleet) startTargets(ctx context.Context, engines int) error {
+func (f *fleet) startTargets(ctx context.Context, o options) error {
 	var err error
 	if f.serviceAddress, err = freeAddress(); err != nil {
 		return err
@@ -54,14 +54,14 @@
 	if f.service, err = f.start(ctx, "service", "fake", "service", "--listen", f.serviceAddress, "--work-time", "0s"); err != nil {
 		return err
 	}
-	for i := range engines {
+	for i := range o.engines {
 		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
 		name := fmt.Sprintf("engine-%d", i)
 		engine, err := f.start(ctx, name, "fake", "engine", "--listen", address, "--name", name,
-			"--layers", "0-24", "--prefill-rate", "0", "--decode-rate", "0")
+			"--layers", "0-24", "--prefill-rate", "0", "--decode-rate", fmt.Sprint(o.decodeRate))
 		if err != nil {
 			return err
 		}
--- a/scripts/overhead/main.go
+++ b/scripts/overhead/main.go
@@ -17,6 +17,7 @@
 type options struct {
 	requestRounds, tokenRounds int
 	requestRate, tokenRate     float64
+	decodeRate                 float64
 	engines, callers           int
 	duration, warmUp, limit    time.Duration
 	quietWait                  time.Duration
@@ -31,6 +32,7 @@
 	flag.IntVar(&o.tokenRounds, "tokens", 3, "rounds of streams of tokens")
 	flag.Float64Var(&o.requestRate, "request-rate", 1000, "calls a second")
 	flag.Float64Var(&o.tokenRate, "token-rate", 200_000, "tokens a second that are asked for")
+	flag.Float64Var(&o.decodeRate, "decode-rate", 0, "layer-tokens a second of each engine, by which tokens come one at a time; 0 is unlimited")
 	flag.IntVar(&o.engines, "engines", 8, "engines, each a process")
 	flag.IntVar(&o.callers, "callers", 4, "callers of streams, each a process")
 	flag.DurationVar(&o.duration, "duration", 5*time.Second, "time of each leg of a round")
@@ -61,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := newFleet(ctx, dir, bin, o.engines, o.profile)
+	f, err := newFleet(ctx, dir, bin, o)
 	defer f.stop()
 	if err != nil {
 		return err
