--- a/internal/bencher/audit_test.go
+++ b/internal/bencher/audit_test.go
@@ -87,3 +87,26 @@
 		}
 	})
 }
+
+func TestBenchLeavesTheWarmUpOutOfTheFigures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		b := &Bench{
+			Rate: 100, WarmUp: 5 * time.Second, Duration: 5 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{},
+			Kinds: []Kind{{Name: "k", Workspace: "w", Service: "s", Weight: 1}},
+			Send: func(_ context.Context, _ *v1.Request, emit func(*v1.SendResponse) error) error {
+				if time.Since(begin) < 5*time.Second {
+					time.Sleep(100 * time.Millisecond)
+				}
+				return emit(&v1.SendResponse{Last: true})
+			},
+		}
+		report := b.Run(t.Context())
+		k := report.Kinds[0]
+		require.InDelta(t, 100, report.OfferedRate, 10)
+		require.Less(t, k.Total.Max, 1.0)
+		require.Less(t, k.FromSent.Max, 1.0)
+		require.Equal(t, k.Sent, k.Late.Count)
+		require.Greater(t, len(report.Results()), int(k.Sent))
+	})
+}
--- a/scripts/overhead/main.go
+++ b/scripts/overhead/main.go
@@ -21,7 +21,8 @@
 	engines, callers           int
 	duration, warmUp, limit    time.Duration
 	quietWait                  time.Duration
-	file, profile, bin         string
+	file, profile              string
+	bin, commit                string
 }
 
 const tokensPerRequest = 256
@@ -41,6 +42,7 @@
 	flag.DurationVar(&o.limit, "limit", 10*time.Minute, "end after this time in any case")
 	flag.StringVar(&o.file, "o", "", "write the report as JSON to this file")
 	flag.StringVar(&o.bin, "bin", "", "measure this program instead of building one")
+	flag.StringVar(&o.commit, "commit", "unknown", "commit that the program of -bin was built from")
 	flag.StringVar(&o.profile, "perf", "", "profile the router with perf into this file")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -68,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	r := &report{Commit: commit(ctx), Cores: runtime.NumCPU()}
+	r := &report{Commit: o.source(ctx), Cores: runtime.NumCPU()}
 	calls := load{callers: 1, rate: o.requestRate, duration: o.duration, warmUp: o.warmUp,
 		kind: "workspace=counter,service=bookings,method=GET /status/1"}
 	if r.Requests, err = f.rounds(ctx, o.requestRounds, o.quietWait, calls, []string{f.serviceAddress}); err != nil {
@@ -119,7 +121,11 @@
 	return list, nil
 }
 
-func commit(ctx context.Context) string {
+// source returns the commit of the program that is measured.
+func (o options) source(ctx context.Context) string {
+	if o.bin != "" {
+		return o.commit
+	}
 	out, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty").Output()
 	if err != nil {
 		return "unknown"
