Lower the floor of admission while requests are refused for want of time

Cause, traced each half second: work queues in the engines and not at the entries. The limits of the four entries together let through 64 to 110 requests where 8 keep the four chains busy, as each limit starts at its floor of 16 and doubles before the first slow round ends. A request then takes 16 to 25 times its own work and much ends after its deadline.

Change: a limit that starts from a floor does not double; the floor is already what the targets need. A limit above its floor is left to its own steps.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -213,16 +213,19 @@
 	s.settle()
 }
 
-// SetFloor keeps the adaptive limit of a service from falling under the requests that keep its targets busy:
-// where targets share their rate among requests, the time of each grows long before anything queues.
-func (a *Admitter) SetFloor(name string, requests int) {
+// SetFloor keeps the adaptive limit of a service from falling under the requests that keep its targets busy, and under
+// fewer while requests are refused for want of time: where targets share their rate among requests, the time of each
+// grows long before anything queues.
+func (a *Admitter) SetFloor(name string, calm, shedding int) {
 	s := a.service(name)
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.limit.SetFloor(float64(max(1, requests)))
+	s.scheduler.floor.calm = float64(max(1, calm))
+	s.scheduler.floor.shedding = float64(max(1, min(calm, shedding)))
+	s.scheduler.followFloor(a.Clock.Now())
 	s.scheduler.Advance(a.Clock.Now())
 	s.settle()
 }
--- a/internal/admitter/scheduler.go
+++ b/internal/admitter/scheduler.go
@@ -56,6 +56,7 @@
 	settings Settings
 	limit    *breaker.Limit
 	rand     *rand.Rand
+	floor    floor
 
 	flows map[cataloger.Workspace]*flow
 	// active holds the flows with a request that may be granted, the one furthest behind first.
@@ -128,6 +129,7 @@
 // Offer takes a request; the ticket is granted, waiting or refused.
 func (s *Scheduler) Offer(now time.Time, r Request) *Ticket {
 	s.Advance(now)
+	s.followFloor(now)
 	t := &Ticket{Request: r, cost: max(1, r.Cost), queuePlace: notInHeap, expiryPlace: notInHeap}
 	f := s.flows[r.Workspace]
 	if f == nil {
@@ -178,6 +180,7 @@
 func (s *Scheduler) offerQueued(now time.Time, t *Ticket) *Ticket {
 	f := t.flow
 	if refusal := s.checkWait(now, t); refusal != nil {
+		s.shed(now)
 		return refused(t, refusal)
 	}
 	if refusal := s.checkQueue(t); refusal != nil {
@@ -289,6 +292,7 @@
 func (s *Scheduler) Advance(now time.Time) {
 	for s.expiry.Len() > 0 && !s.expiry.top().latest.After(now) {
 		t := s.expiry.top()
+		s.shed(now)
 		s.refuse(t, s.expiredRefusal(now, t))
 	}
 	s.dispatch(now)
--- a/internal/breaker/limit.go
+++ b/internal/breaker/limit.go
@@ -80,12 +80,15 @@
 	return int(min(l.Max, max(l.Min, v)))
 }
 
-// SetFloor sets Min and raises the limit to it. A limit that has seen no round yet starts from there: from below it
-// sees the time without queueing, which it could not from above.
+// SetFloor sets Min and raises the limit to it; a limit that is at its floor follows it down as well. A limit that has
+// seen no round yet starts from there and without doubling: from below it sees the time without queueing, which it could
+// not from above, and the floor is already what the targets need.
 func (l *Limit) SetFloor(floor float64) {
+	atFloor := l.value <= l.Min
 	l.Min = min(floor, l.Max)
-	if l.costRate == 0 && l.starting {
+	if atFloor || l.costRate == 0 && l.starting {
 		l.value = l.Min
+		l.starting = false
 	}
 	l.value = max(l.value, l.Min)
 }
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -53,6 +53,9 @@
 // busyPerTarget is how many requests in progress keep a target busy while their stages wait for each other.
 const busyPerTarget = 8
 
+// leastPerTarget is how many still do where more wait at the entries.
+const leastPerTarget = busyPerTarget / 2
+
 // mostPerTarget is how many requests in progress a target can still be of use to; more of them only wait in it.
 const mostPerTarget = 4 * busyPerTarget
 
@@ -67,10 +70,13 @@
 			Requests: mostPerTarget * count,
 			CostRate: r.boundOf(d) / float64(entries),
 		})
-		r.admit.SetFloor(d.Name, (busyPerTarget*count+entries-1)/entries)
+		r.admit.SetFloor(d.Name, partOf(busyPerTarget*count, entries), partOf(leastPerTarget*count, entries))
 	}
 }
 
+// partOf is an entry's part of a number of slots, rounded up.
+func partOf(slots, entries int) int { return (slots + entries - 1) / entries }
+
 // targetsServing counts the live targets by the model that they hold, or by their plain service.
 func targetsServing(fleet cataloger.Fleet) map[string]int {
 	targets := map[string]int{}
