Hold no idle service to the times of an overload

Cause, seen in the trace of the whole fleet: after a burst an entry let through one request at a time for 7 s beside a workspace at 20 times its share, and refused the rest as too short of time, by the expected times of the burst. Only a service with nothing in progress was free of them.

Change: while less than half of the floor is in progress, an estimate counts for no more than the time per cost without a queue.

--- a/internal/admitter/refusals.go
+++ b/internal/admitter/refusals.go
@@ -26,9 +26,27 @@
 	if s.inProgress == 0 {
 		mean = min(mean, t.uncorrected)
 	}
+	if s.calm() {
+		unqueued := s.unqueued(t.cost)
+		mean, high = min(mean, unqueued), min(high, unqueued)
+	}
 	return mean, high
 }
 
+// calmShare is the part of the floor up to which what is in progress makes no queue.
+const calmShare = 0.5
+
+// calm tells whether estimates from busier times are void: held to them, a service would refuse all that it gets and
+// learn of its idle targets from one request at a time.
+func (s *Scheduler) calm() bool {
+	return s.limit.Baseline() > 0 && float64(s.inProgress) < calmShare*s.limit.Min
+}
+
+// unqueued is the time that a cost takes where nothing queues at the targets.
+func (s *Scheduler) unqueued(cost float64) time.Duration {
+	return time.Duration(cost * s.limit.Baseline() * float64(time.Second))
+}
+
 // fromRate returns the time that a cost takes at the rate of the last rounds; 0 where none is known.
 func (s *Scheduler) fromRate(cost float64) time.Duration {
 	rate := s.limit.CostRate()
--- a/internal/admitter/scheduler.go
+++ b/internal/admitter/scheduler.go
@@ -235,7 +235,7 @@
 	if r.Tokens > 0 {
 		cost = r.Tokens
 	}
-	late := !r.OK && !t.Request.Deadline.IsZero() && !now.Before(t.Request.Deadline)
+	late := !r.OK && t.cutAt(now)
 	if r.OK || r.Overloaded || late {
 		s.limit.Observe(now, elapsed, cost, s.inProgress, r.Overloaded || late)
 	}
--- a/internal/admitter/ticket.go
+++ b/internal/admitter/ticket.go
@@ -45,3 +45,11 @@
 
 // Granted returns when the request was granted.
 func (t *Ticket) Granted() time.Time { return t.granted }
+
+// transit is how much earlier than here the deadline of a request may pass at its caller, whose end reaches here first.
+const transit = 50 * time.Millisecond
+
+// cutAt tells whether a request that ended without an answer was cut at its deadline.
+func (t *Ticket) cutAt(now time.Time) bool {
+	return !t.Request.Deadline.IsZero() && !now.Before(t.Request.Deadline.Add(-transit))
+}
--- a/internal/breaker/limit.go
+++ b/internal/breaker/limit.go
@@ -93,6 +93,9 @@
 	l.value = max(l.value, l.Min)
 }
 
+// Baseline is the time per unit of cost in rounds at a low limit, in seconds; 0 while it is not known.
+func (l *Limit) Baseline() float64 { return l.baseline }
+
 // CostRate is the cost finished a second by each request in progress, over the last rounds; 0 while it is not known.
 func (l *Limit) CostRate() float64 { return l.costRate }
 
