--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -32,10 +32,16 @@
 	Held Held
 	// FirstAttempt is greater than any attempt made before; 0 stands for 1.
 	FirstAttempt uint32
+	// EndAttempt is above the number of every attempt; 0 is no bound.
+	EndAttempt uint32
+	// Attempted is told the number of each attempt before it begins; may be nil.
+	Attempted func(attempt uint32)
 	// MaxAttempts bounds the attempts in a row that gain no token; 0 stands for DefaultMaxAttempts.
 	MaxAttempts int
 	// RecoverWait is how long an answer in progress waits for a chain; 0 stands for the dispatcher's, less does not wait.
 	RecoverWait time.Duration
+	// Flush is called before the job waits for anything, after parts were emitted; nil for none.
+	Flush func()
 	// RetryBudget is the share of requests that may be retried; 0 stands for DefaultRetryBudget, less is none.
 	RetryBudget float64
 }
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
@@ -21,10 +23,10 @@
 	for {
 		job := jobOf(g, version)
 		job.Held = r.heldStream(g, version)
+		job.Attempted = func(attempt uint32) { g.FirstAttempt = attempt + 1 }
 		err := r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
 			tokens++
 			g.Delivered = append(g.Delivered, p.Data)
-			g.FirstAttempt = p.Attempt
 			token := receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt}
 			if p.Attempt != attempt {
 				attempt = p.Attempt
@@ -38,11 +40,10 @@
 		g.Version = ""
 		g.Held = receiver.Held{}
 		other := r.otherVersion(g, version)
-		if !outOfChains(refuser.From(err)) || other == version {
+		if !outOfChains(refuser.From(err)) || other == version || g.FirstAttempt >= g.EndAttempt {
 			return err
 		}
 		version = other
-		g.FirstAttempt += versionStride
 	}
 }
 
@@ -51,21 +52,29 @@
 	if len(g.Held.Route) == 0 || version != g.Version {
 		return dispatcher.Held{}
 	}
-	addresses := map[string]string{}
-	for _, t := range r.tracker.Fleet().Targets {
-		addresses[t.Name] = t.Address
-	}
+	fleet := r.tracker.Fleet()
 	route := cataloger.Route{Model: g.Model.Name, Version: version}
 	for _, s := range g.Held.Route {
-		address, ok := addresses[s.Target]
+		target, ok := targetNamed(fleet, s.Target)
 		if !ok {
 			return dispatcher.Held{}
 		}
-		route.Stages = append(route.Stages, cataloger.Stage{Target: s.Target, Address: address, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
+		route.Stages = append(route.Stages, cataloger.Stage{Target: s.Target, Address: target.Address, FirstLayer: s.FirstLayer, EndLayer: s.EndLayer})
 	}
 	return dispatcher.Held{Attempt: g.Held.Attempt, Route: route}
 }
 
+// targetNamed finds a target in a view of the fleet, which lists them by name.
+func targetNamed(fleet cataloger.Fleet, name string) (cataloger.Target, bool) {
+	i, ok := slices.BinarySearchFunc(fleet.Targets, name, func(t cataloger.Target, name string) int {
+		return strings.Compare(t.Name, name)
+	})
+	if !ok {
+		return cataloger.Target{}, false
+	}
+	return fleet.Targets[i], true
+}
+
 // claimed returns a route as resume tokens say it.
 func claimed(route cataloger.Route) []tokener.Stage {
 	list := make([]tokener.Stage, len(route.Stages))
@@ -98,9 +107,6 @@
 	return other
 }
 
-// versionStride keeps the attempts on another version above those that were made.
-const versionStride = 64
-
 func jobOf(g receiver.Generation, version string) dispatcher.Job {
 	job := dispatcher.Job{
 		Workspace:     string(g.Workspace),
@@ -117,8 +123,10 @@
 		StartPosition: uint64(len(g.Delivered)),
 		Delivered:     g.Delivered,
 		FirstAttempt:  g.FirstAttempt,
+		EndAttempt:    g.EndAttempt,
 		MaxAttempts:   g.Retry.MaxAttempts,
 		RetryBudget:   g.Retry.Budget,
+		Flush:         g.Flush,
 	}
 	if version != g.Model.Version {
 		// The chains of a version that is rolled out of the fleet do not come back.
--- a/internal/tracker/news_test.go
+++ b/internal/tracker/news_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
 func TestDelegatePassesNewsOnHoweverItLearnedIt(t *testing.T) {
@@ -36,6 +37,29 @@
 	}
 }
 
+// The fleet has to hear of a daemon that joins, but not of the one that it asked.
+func TestJoiningDaemonTellsNoNews(t *testing.T) {
+	n := newNetwork(1)
+	n.grow(12, 3)
+	n.run(5 * time.Second)
+	joining := n.add("r012", "dc00", "", 1, "r000:1")
+	m, contact := joining.m, n.order[0]
+	var told []string
+	for _, msg := range m.Tick(n.now) {
+		require.Equal(t, contact.address, msg.To)
+		for _, answer := range contact.m.Receive(n.now, joining.name, msg.Gossip) {
+			if answer.To == joining.address {
+				told = append(told, tellings(m.Receive(n.now, contact.name, answer.Gossip))...)
+			}
+		}
+	}
+	require.Contains(t, m.members, contact.name)
+	told = append(told, tellings(m.Tick(n.now+100*time.Millisecond))...)
+	require.Empty(t, told)
+	n.run(3 * time.Second)
+	require.Equal(t, map[cataloger.State]int{cataloger.StateLive: 12}, n.states(joining.name))
+}
+
 // tellings returns whom messages tell news.
 func tellings(out []Message) []string {
 	var to []string
--- a/internal/tracker/vote.go
+++ b/internal/tracker/vote.go
@@ -35,7 +35,12 @@
 }
 
 func (m *Machine) receiveAck(from string, g *peerv1.Gossip) {
+	joins := !m.synced
 	m.learnDirect(g)
+	if joins {
+		// The fleet knows the daemon that a joining one has asked, and hears of the joining one from it.
+		m.forgetNews(g)
+	}
 	m.compare(from, g)
 }
 
@@ -49,6 +54,9 @@
 		m.sendVote(asker.peerAddress, subject, true)
 		return
 	}
+	if m.unacquainted(subject) {
+		return
+	}
 	v := m.votes[subject.name]
 	if v == nil {
 		v = &vote{deadline: m.now + m.options.VoteWait, askers: map[string]string{}}
