--- a/internal/bencher/audit_test.go
+++ b/internal/bencher/audit_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/timer"
@@ -63,7 +64,7 @@
 func TestBenchCountsFromWhenARequestWasDue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &Bench{
-			Rate: 100, Duration: 10 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{},
+			Rate: 100, Duration: 10 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{}, NewID: uuid.NewString,
 			Kinds: []Kind{{Name: "slow", Workspace: "w", Service: "s", Weight: 1}, {Name: "busy", Workspace: "w", Service: "s", Weight: 1}},
 			Send: func(_ context.Context, req *v1.Request, emit func(*v1.SendResponse) error) error {
 				if req.Workspace != "w" {
@@ -87,3 +88,26 @@
 		}
 	})
 }
+
+func TestBenchLeavesTheWarmUpOutOfTheFigures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		b := &Bench{
+			Rate: 100, WarmUp: 5 * time.Second, Duration: 5 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{},
+			Kinds: []Kind{{Name: "k", Workspace: "w", Service: "s", Weight: 1}},
+			Send: func(_ context.Context, _ *v1.Request, emit func(*v1.SendResponse) error) error {
+				if time.Since(begin) < 5*time.Second {
+					time.Sleep(100 * time.Millisecond)
+				}
+				return emit(&v1.SendResponse{Last: true})
+			},
+		}
+		report := b.Run(t.Context())
+		k := report.Kinds[0]
+		require.InDelta(t, 100, report.OfferedRate, 10)
+		require.Less(t, k.Total.Max, 1.0)
+		require.Less(t, k.FromSent.Max, 1.0)
+		require.Equal(t, k.Sent, k.Late.Count)
+		require.Greater(t, len(report.Results()), int(k.Sent))
+	})
+}
--- a/internal/receiver/checker.go
+++ b/internal/receiver/checker.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	maxNameBytes      = 200
-	maxRequestIDBytes = 200
-	maxPriority       = 9
+	maxNameBytes = 200
+	maxPriority  = 9
 	// maxDelivered bounds the parts that a caller may send back with a resume token.
 	maxDelivered = 1 << 20
+	// maxHandOvers keeps the attempts of the last hand-over within their 32 bits.
+	maxHandOvers = 1 << 20
 )
 
 // checkShape checks what can be told without the service document.
@@ -22,11 +23,11 @@
 	switch {
 	case req == nil:
 		return malformed("request is missing")
-	case !goodName(req.Workspace, maxNameBytes):
+	case !goodName(req.Workspace):
 		return malformed("workspace is empty, too long or not printable")
-	case !goodName(req.Service, maxNameBytes):
+	case !goodName(req.Service):
 		return malformed("service is empty, too long or not printable")
-	case !goodName(req.RequestId, maxRequestIDBytes):
+	case !goodName(req.RequestId):
 		return malformed("request-id is empty, too long or not printable")
 	case len(req.OrderingKey) > maxNameBytes:
 		return malformed("ordering-key is over %d bytes", maxNameBytes)
@@ -40,6 +41,10 @@
 		return malformed("delivered parts come without a resume token")
 	case len(req.Delivered) > maxDelivered:
 		return malformed("more than %d delivered parts", maxDelivered)
+	case len(req.ResumeToken) == 0 && req.HandOvers > 0:
+		return malformed("hand-overs come without a resume token")
+	case req.HandOvers > maxHandOvers:
+		return malformed("more than %d hand-overs", maxHandOvers)
 	}
 	return nil
 }
@@ -83,8 +88,8 @@
 
 const defaultTimeout = time.Minute
 
-func goodName(s string, limit int) bool {
-	if s == "" || len(s) > limit || !utf8.ValidString(s) {
+func goodName(s string) bool {
+	if s == "" || len(s) > maxNameBytes || !utf8.ValidString(s) {
 		return false
 	}
 	for _, c := range s {
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -22,7 +22,7 @@
 
 const (
 	unset = -1 * time.Nanosecond
-	// attemptStride keeps the attempts of a resumed answer above those of the stream that it replaces.
+	// attemptStride is how many attempt numbers each stream of a request has to itself.
 	attemptStride = 1 << 10
 )
 
@@ -44,7 +44,9 @@
 	position     uint64
 	attempt      uint32
 	// started is true once the request may have reached a target.
-	started   bool
+	started bool
+	// proven is true once the journal decided, whose not-run is proven.
+	proven    bool
 	replayed  bool
 	queueWait time.Duration
 	first     time.Duration
@@ -119,7 +121,7 @@
 	x.execution = claims.Execution
 	x.version = claims.Version
 	x.held = Held{Attempt: claims.Attempt, Route: claims.Route}
-	x.firstAttempt = (claims.Attempt/attemptStride + 1) * attemptStride
+	x.firstAttempt = max(claims.Attempt/attemptStride+1, x.req.HandOvers) * attemptStride
 	x.position = uint64(len(x.req.Delivered))
 	return nil
 }
@@ -204,36 +206,6 @@
 	return res
 }
 
-// final turns the end of the context into a refusal that says whether the request may have run.
-func (x *exchange) final(ctx context.Context, err error) error {
-	if err == nil {
-		return nil
-	}
-	if x.begun() && refuser.From(err).Fact == refuser.FactNotRun {
-		err = refuser.From(err).WithFact(refuser.FactMayHaveRun)
-	}
-	if ctx.Err() == nil || isRefusal(err) {
-		return err
-	}
-	code := refuser.Canceled
-	if errors.Is(context.Cause(ctx), errDeadline) {
-		code = refuser.DeadlineExceeded
-	}
-	refusal := refuser.New(code, "after %s", x.receiver.Clock.Now().Sub(x.begin).Round(time.Millisecond))
-	if !x.started {
-		return refusal.WithFact(refuser.FactNotRun).WithCause(err)
-	}
-	return refusal.WithFact(refuser.FactMayHaveRun).WithCause(err)
-}
-
-// begun tells whether the caller has a part of the answer.
-func (x *exchange) begun() bool { return x.parts > 0 || len(x.req.Delivered) > 0 }
-
-func isRefusal(err error) bool {
-	var r *refuser.Refusal
-	return errors.As(err, &r)
-}
-
 // record adds the request to the metrics and the log.
 func (x *exchange) record(err error) {
 	r := x.receiver
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -74,11 +74,15 @@
 	Priority     uint32
 	Deadline     time.Time
 	FirstAttempt uint32
+	// EndAttempt is the first attempt number that is not this stream's.
+	EndAttempt uint32
 	// Version is the one that began the answer; empty for a new one.
 	Version string
 	// Delivered are the tokens that the caller has.
 	Delivered [][]byte
 	Retry     documenter.Retry
+	// Flush is to be called before a wait after tokens were emitted; until then they may stay with the receiver.
+	Flush func()
 	// Held is the stream of this execution that engines may still hold; its route is empty for a new answer.
 	Held Held
 }
@@ -124,6 +128,8 @@
 
 // Send implements rattantray.v1.RouterService.
 func (r *Receiver) Send(ctx context.Context, req *connect.Request[v1.SendRequest], stream *connect.ServerStream[v1.SendResponse]) error {
+	// What is left when the exchange is over leaves with the end of the stream.
+	defer batcherOf(ctx).hold()
 	return r.serve(ctx, req.Msg.GetRequest(), req.Header(), stream.Send)
 }
 
@@ -205,7 +211,7 @@
 // exchange runs one request and returns a connect error where it is refused.
 func (r *Receiver) exchange(ctx context.Context, req *v1.Request, header http.Header, emit func(*v1.SendResponse) error) (*exchange, error) {
 	x := &exchange{receiver: r, req: req, begin: r.Clock.Now(), emitPart: emit, queueWait: unset, first: unset}
-	err := x.run(ctx, header)
+	err := x.truthful(x.run(ctx, header))
 	x.record(err)
 	if err != nil {
 		return nil, refuser.From(err).Connect()
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -164,16 +164,33 @@
 		{"unknown service", with(modelRequest(), func(r *v1.Request) { r.Service = "none" }), refuser.UnknownService},
 		{"foreign workspace", with(modelRequest(), func(r *v1.Request) { r.Workspace = "other" }), refuser.UnknownWorkspace},
 		{"unknown method", plainRequest("DELETE /bookings"), refuser.UnknownMethod},
+		{"hand-overs without a token", with(modelRequest(), func(r *v1.Request) { r.HandOvers = 1 }), refuser.MalformedRequest},
+		{"too many hand-overs", with(modelRequest(), func(r *v1.Request) {
+			r.ResumeToken, r.HandOvers = []byte("t"), maxHandOvers+1
+		}), refuser.MalformedRequest},
 		{"forged token", with(modelRequest(), func(r *v1.Request) { r.ResumeToken = []byte("forged") }), refuser.ResumeTokenInvalid},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newBench(t)
-			r := refuser.From(b.send(t.Context(), tt.req))
-			require.Equal(t, tt.code, r.Code, r.Error())
-			require.Equal(t, refuser.FactNotRun, r.Fact)
-			require.Zero(t, b.ran)
-			require.Empty(t, b.admits)
+			refused := func(fact refuser.Fact) {
+				r := refuser.From(b.send(t.Context(), tt.req))
+				require.Equal(t, tt.code, r.Code, r.Error())
+				require.Equal(t, fact, r.Fact)
+				require.Zero(t, b.ran)
+				require.Empty(t, b.admits)
+			}
+			if tt.req.GetRequestId() != "r-1" {
+				refused(refuser.FactNotRun)
+				return
+			}
+			refused(refuser.FactMayHaveRun)
+			tt.req.RequestId, tt.req.NotRunBefore = newID(), true
+			if len(tt.req.ResumeToken) > 0 || len(tt.req.Delivered) > 0 {
+				refused(refuser.FactMayHaveRun)
+				return
+			}
+			refused(refuser.FactNotRun)
 		})
 	}
 }
@@ -211,6 +228,27 @@
 	require.Len(t, b.emitted, 2)
 }
 
+// TestNoTwoStreamsShareAttempts lets entries that take an answer up die before a token, or go on with the stream held.
+func TestNoTwoStreamsShareAttempts(t *testing.T) {
+	b := newBench(t)
+	require.NoError(t, b.send(t.Context(), modelRequest()))
+	first := b.emitted[0].ResumeToken
+	heldOn := b.Tokens.Sign(tokener.Claims{
+		Workspace: "counter", Service: "assistant", RequestID: modelRequest().RequestId, PayloadDigest: payloadDigest(modelRequest()),
+		Execution: b.jobs[0].Execution, Version: "v1", Attempt: b.jobs[0].FirstAttempt, Position: 2,
+	})
+	for i, token := range [][]byte{first, first, heldOn, heldOn} {
+		req := with(modelRequest(), func(r *v1.Request) {
+			r.ResumeToken, r.Delivered, r.HandOvers = token, [][]byte{[]byte("a")}, uint32(i+1)
+		})
+		require.NoError(t, b.send(t.Context(), req))
+	}
+	for i, job := range b.jobs[1:] {
+		require.GreaterOrEqual(t, job.FirstAttempt, b.jobs[i].EndAttempt)
+		require.Greater(t, job.EndAttempt, job.FirstAttempt)
+	}
+}
+
 func TestExecutionsOfOneRequestIDDiffer(t *testing.T) {
 	b := newBench(t)
 	require.NoError(t, b.send(t.Context(), modelRequest()))
@@ -314,7 +352,7 @@
 				b := newBench(t)
 				tt.set(b)
 				begin := time.Now()
-				r := refuser.From(b.send(t.Context(), modelRequest()))
+				r := refuser.From(b.send(t.Context(), promised(modelRequest())))
 				require.Equal(t, refuser.DeadlineExceeded, r.Code)
 				require.Equal(t, tt.fact, r.Fact)
 				require.Equal(t, time.Second, time.Since(begin))
@@ -383,7 +421,7 @@
 func TestRefusalWhileDrainingTakesNothingIn(t *testing.T) {
 	b := newBench(t)
 	b.Begin = func() (func(), error) { return nil, refuser.New(refuser.Draining, "shutting down") }
-	r := refuser.From(b.send(t.Context(), modelRequest()))
+	r := refuser.From(b.send(t.Context(), promised(modelRequest())))
 	require.Equal(t, refuser.Draining, r.Code)
 	require.Equal(t, refuser.FactNotRun, r.Fact)
 	require.Zero(t, b.ran)
--- a/internal/receiver/runner.go
+++ b/internal/receiver/runner.go
@@ -20,6 +20,9 @@
 func (x *exchange) generate(ctx context.Context, emit func(Token) error) error {
 	x.started = true
 	x.granted = x.receiver.Clock.Now()
+	b := batcherOf(ctx)
+	b.hold()
+	defer b.release()
 	err := x.receiver.Generate(ctx, Generation{
 		Workspace:    cataloger.Workspace(x.req.Workspace),
 		Service:      x.doc.Name,
@@ -30,10 +33,12 @@
 		Priority:     x.req.Priority,
 		Deadline:     x.deadline,
 		FirstAttempt: x.firstAttempt,
+		EndAttempt:   (x.firstAttempt/attemptStride + 1) * attemptStride,
 		Version:      x.version,
 		Delivered:    x.req.Delivered,
 		Retry:        x.doc.Retry,
 		Held:         x.held,
+		Flush:        b.flushHeld,
 	}, emit)
 	x.observe(err)
 	return err
@@ -110,6 +115,10 @@
 	if err != nil {
 		return err
 	}
+	if x.req.OrderingKey == "" {
+		// Nothing is waited for any more.
+		batcherOf(ctx).hold()
+	}
 	return x.emitWhole(uint32(answer.Status), answer.Body)
 }
 
@@ -149,6 +158,7 @@
 		Retention:     time.Duration(x.doc.AtMostOnce.Retention),
 		AnswerBytes:   x.doc.AtMostOnce.AnswerBytes,
 		BoundTo:       x.req.BoundTo,
+		NotRunBefore:  x.notRunBefore(),
 	}, func(ctx context.Context) (journaler.Answer, error) {
 		if x.doc.Type == documenter.TypeModel {
 			streamed = true
@@ -156,6 +166,7 @@
 		}
 		return x.forwardOnce(ctx)
 	})
+	x.proven = true
 	if err != nil {
 		return err
 	}
