Hold the fleet to its goodput in an overload

Cause: TestOverloadOfTheFleetEnds and the goodput of TestWorkspaceOverItsShare printed their misses and passed.

Change: both tests fail below their bounds; KNOWN-RED.txt keeps the p95 beside a large workspace.

Conclusion: one of the two is mended, the p95 is left.

--- a/internal/router/overload_test.go
+++ b/internal/router/overload_test.go
@@ -146,9 +146,10 @@
 	}
 	alone, _ := measure(false)
 	beside, goodput := measure(true)
-	if limit := time.Duration(undisturbed * float64(alone)); goodput < goodputShare*bound || beside > limit {
-		// The targets stand; KNOWN-RED.txt lists the miss.
-		t.Logf("KNOWN-RED: goodput %.0f, bound %.0f; p95 %s, bound %s", goodput, goodputShare*bound, beside, limit)
+	require.GreaterOrEqual(t, goodput, goodputShare*bound, "goodput beside the large workspace")
+	if limit := time.Duration(undisturbed * float64(alone)); beside > limit {
+		// The target stands; KNOWN-RED.txt lists the miss.
+		t.Logf("KNOWN-RED: p95 %s, bound %s", beside, limit)
 	}
 }
 
@@ -174,10 +175,7 @@
 		after := o.goodput(ends+recoveryLimit, length)
 		t.Logf("goodput before %.0f, in the overload %.0f, after it %.0f of %d, refused %v", before, during, after, bound, o.refusals(""))
 		require.NotContains(t, fmt.Sprint(o.refusals("")), refuser.FactUnspecified.String(), "refusals without a fact")
-		if during < goodputShare*bound || after < goodputShare*before {
-			// The targets stand; KNOWN-RED.txt lists the miss.
-			t.Logf("KNOWN-RED: goodput in the overload %.0f, bound %.0f; after it %.0f, bound %.0f",
-				during, goodputShare*bound, after, goodputShare*before)
-		}
+		require.GreaterOrEqual(t, during, goodputShare*bound, "goodput in the overload")
+		require.GreaterOrEqual(t, after, goodputShare*before, "goodput after the overload")
 	})
 }
