--- a/internal/bencher/audit_test.go
+++ b/internal/bencher/audit_test.go
@@ -93,7 +93,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
 		b := &Bench{
-			Rate: 100, WarmUp: 5 * time.Second, Duration: 5 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{},
+			Rate: 100, WarmUp: 5 * time.Second, Duration: 5 * time.Second, Timeout: time.Second, Seed: 1, Clock: timer.System{}, NewID: uuid.NewString,
 			Kinds: []Kind{{Name: "k", Workspace: "w", Service: "s", Weight: 1}},
 			Send: func(_ context.Context, _ *v1.Request, emit func(*v1.SendResponse) error) error {
 				if time.Since(begin) < 5*time.Second {
