--- a/internal/selector/state.go
+++ b/internal/selector/state.go
@@ -12,7 +12,7 @@
 	// maxSuspicion bounds the wait for the next try of a target that is back without any daemon having seen it down.
 	maxSuspicion = 3 * time.Second
 	// reportFade is the age at which a load report counts for 1/e.
-	reportFade = time.Second
+	reportFade = 500 * time.Millisecond
 	// reportLife is the age at which it no longer counts.
 	reportLife = 4 * reportFade
 	// healthyRatio is what still counts as a link at its stated speed.
