Call one piece where the change wrote a step twice

Behaviour stays, but that a peer which has closed does not begin to serve a stream that it accepted meanwhile on a closed connection. No test is changed.

--- a/internal/bencher/direct.go
+++ b/internal/bencher/direct.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/forwarder"
 	enginev1 "github.com/rattantray/rattantray/pkg/api/rattantray/engine/v1"
 	v1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
 )
@@ -57,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	call.Header.Set("Idempotency-Key", req.RequestId)
+	call.Header.Set(forwarder.HeaderRequestID, req.RequestId)
 	resp, err := d.plain.Do(call)
 	if err != nil {
 		return err
--- a/internal/linker/notify.go
+++ b/internal/linker/notify.go
@@ -45,7 +45,7 @@
 	if r.notifying || r.closed {
 		return
 	}
-	r.notifying = r.peer.spawn(r.sendNotices)
+	r.notifying = r.peer.tasks.Go(r.sendNotices)
 }
 
 // sendNotices sends queued messages over one stream until none has come for the idle time.
--- a/internal/linker/peer.go
+++ b/internal/linker/peer.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/spawner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -21,15 +22,12 @@
 	// ctx ends with Close and bounds everything that the peer runs.
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// tasks holds every goroutine of the peer; its lock is taken last.
+	tasks spawner.Group
 
 	traffic traffic
 	gate    *gate
 
-	// spawnMu orders the start of goroutines before the wait of Close; it is taken last.
-	spawnMu sync.Mutex
-	stopped bool
-
 	randomMu sync.Mutex
 	random   *rand.Rand
 
@@ -83,10 +81,7 @@
 	for _, r := range remotes {
 		r.close()
 	}
-	p.spawnMu.Lock()
-	p.stopped = true
-	p.spawnMu.Unlock()
-	p.wg.Wait()
+	p.tasks.Close()
 	return nil
 }
 
--- a/internal/linker/remote.go
+++ b/internal/linker/remote.go
@@ -165,7 +165,7 @@
 			return nil, errors.Wrap(err, "waiting to dial again")
 		case r.dialing == nil:
 			r.dialing = make(chan struct{})
-			if !r.peer.spawn(r.dial) {
+			if !r.peer.tasks.Go(r.dial) {
 				r.mu.Unlock()
 				return nil, errClosed
 			}
@@ -295,20 +295,9 @@
 
 // checkAlive closes the session if the peer does not answer a ping, so that half-open connections do not stay.
 func (r *remote) checkAlive(session *session) {
-	r.peer.spawn(func() {
+	r.peer.tasks.Go(func() {
 		if _, err := session.Ping(); err != nil {
 			r.drop(session)
 		}
 	})
 }
-
-// spawn runs f in a goroutine that Close waits for; false after Close.
-func (p *Peer) spawn(f func()) bool {
-	p.spawnMu.Lock()
-	defer p.spawnMu.Unlock()
-	if p.stopped {
-		return false
-	}
-	p.wg.Go(f)
-	return true
-}
--- a/internal/linker/serve.go
+++ b/internal/linker/serve.go
@@ -30,7 +30,7 @@
 	defer context.AfterFunc(ctx, stopListening)()
 	defer context.AfterFunc(p.ctx, stopListening)()
 	defer stopListening()
-	p.spawn(func() { p.closeIdle(ctx) })
+	p.tasks.Go(func() { p.closeIdle(ctx) })
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil || p.ctx.Err() != nil {
@@ -73,7 +73,7 @@
 		return
 	}
 	p.accepted[conn] = struct{}{}
-	p.spawn(func() {
+	p.tasks.Go(func() {
 		p.serveConn(ctx, conn)
 		_ = conn.Close()
 		p.mu.Lock()
@@ -109,10 +109,13 @@
 		}
 		select {
 		case slots <- struct{}{}:
-			p.wg.Go(func() {
+			begun := p.tasks.Go(func() {
 				defer func() { <-slots }()
 				p.serveStream(ctx, caller.Name, &joined.streams, stream)
 			})
+			if !begun {
+				return
+			}
 		default:
 			p.refuseStream(stream)
 		}
@@ -172,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	streams.readUntil(stream, time.Time{})
-	p.wg.Go(func() {
+	p.tasks.Go(func() {
 		// The caller sends nothing more, so a read ends when it closes the stream.
 		var b [1]byte
 		_, _ = stream.Read(b[:])
--- a/internal/router/models.go
+++ b/internal/router/models.go
@@ -33,6 +33,18 @@
 	return names
 }
 
+// adapters returns what the services ask for beside the weights, sorted.
+func (w *wantedModel) adapters() []string {
+	var adapters []string
+	for _, k := range w.keys {
+		if k.Adapter != "" {
+			adapters = append(adapters, k.Adapter)
+		}
+	}
+	slices.Sort(adapters)
+	return slices.Compact(adapters)
+}
+
 // bound returns the max-flow bound of a version, in tokens a second; adapters share the layers, so that the best counts.
 func (w *wantedModel) bound(version string, of func(selector.Key) float64) float64 {
 	best := 0.0
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -8,7 +8,6 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/commander"
-	"github.com/rattantray/rattantray/internal/documenter"
 	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/leaser"
 	"github.com/rattantray/rattantray/internal/planner"
@@ -103,9 +102,9 @@
 	if p.router.shutdown.phase() != "serving" {
 		return
 	}
-	for name, model := range models {
+	for name := range models {
 		if p.running[name] == nil {
-			p.running[name] = p.start(ctx, model)
+			p.running[name] = p.start(ctx, name)
 		}
 	}
 }
@@ -120,38 +119,26 @@
 }
 
 // models returns the models that this daemon has to plan; one whose layers have no stated size cannot be placed.
-func (p *placement) models() map[string]documenter.Model {
-	mine := map[string]documenter.Model{}
+func (p *placement) models() map[string]*wantedModel {
+	mine := map[string]*wantedModel{}
 	for name, w := range p.router.modelsInForce() {
 		if w.Model.LayerBytes == 0 {
 			continue
 		}
 		if p.router.tracker.Owner(dutyPlacement, name).Name == p.router.local.Name {
-			mine[name] = w.Model
+			mine[name] = w
 		}
 	}
 	return mine
 }
 
-// adapters returns what the services of a model ask for beside its weights.
-func (p *placement) adapters(name string) []string {
-	var adapters []string
-	for _, d := range p.router.documentsInForce() {
-		if d.Model != nil && d.Model.Name == name && d.Model.Adapter != "" {
-			adapters = append(adapters, d.Model.Adapter)
-		}
-	}
-	slices.Sort(adapters)
-	return slices.Compact(adapters)
-}
-
-func (p *placement) start(ctx context.Context, model documenter.Model) *plan {
+func (p *placement) start(ctx context.Context, model string) *plan {
 	ctx, stop := context.WithCancel(ctx)
 	running := &plan{stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(running.done)
 		defer stop()
-		p.hold(ctx, model.Name)
+		p.hold(ctx, model)
 	}()
 	return running
 }
@@ -253,10 +240,11 @@
 }
 
 func (p *placement) plan(plans *planner.Planner, name string, targets []cataloger.Target) planner.Placement {
-	model, ok := p.models()[name]
+	wanted, ok := p.models()[name]
 	if !ok {
 		return planner.Placement{}
 	}
+	model := wanted.Model
 	speeds := p.router.selector.Speeds()
 	offered := p.offered(name) * offeredMargin
 	placed := plans.Plan(planner.State{
@@ -266,7 +254,7 @@
 			Layers:          model.Layers,
 			LayerBytes:      model.LayerBytes,
 			ActivationBytes: model.ActivationBytes,
-			Adapters:        p.adapters(name),
+			Adapters:        wanted.adapters(),
 		},
 		Targets:      targets,
 		Bandwidth:    speeds.Bandwidth,
