--- a/cmd/rattantray/main.go
+++ b/cmd/rattantray/main.go
@@ -1,8 +1,30 @@
 // Command rattantray is a router for model pipelines over mixed accelerators.
 package main
 
-import "os"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/maker"
+	"github.com/rattantray/rattantray/internal/command/root"
+	"github.com/rattantray/rattantray/internal/command/streamer"
+)
+
+// release is set by the linker of a release build.
+var release = "dev"
 
 func main() {
-	os.Exit(0)
+	os.Exit(run())
+}
+
+func run() int {
+	streams := streamer.System()
+	cmd := root.NewCmdRoot(maker.New(streams, release))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	chosen, err := cmd.ExecuteContextC(ctx)
+	return exiter.Report(streams.Err, chosen, err)
 }
--- /dev/null
+++ b/internal/command/dev/doc.go
@@ -0,0 +1,2 @@
+// Package dev is the command 'dev'.
+package dev
--- /dev/null
+++ b/internal/command/fake/doc.go
@@ -0,0 +1,2 @@
+// Package fake is the command 'fake'.
+package fake
--- /dev/null
+++ b/internal/command/request/bench/bench.go
@@ -0,0 +1,156 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rattantray/rattantray/internal/bencher"
+	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/maker"
+	"github.com/rattantray/rattantray/internal/command/streamer"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/caller"
+)
+
+const ledgerTimeout = 10 * time.Second
+
+// Options holds what the command depends on and its flags.
+type Options struct {
+	IO     *streamer.IOStreams
+	Caller func() (*caller.Client, error)
+	Clock  timer.Clock
+
+	Kinds    []string
+	Rate     float64
+	Duration time.Duration
+	Timeout  time.Duration
+	Seed     uint64
+	Ledgers  []string
+	JSON     bool
+}
+
+// NewCmdBench returns the command; runF replaces its action in tests.
+func NewCmdBench(f *maker.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Caller: f.Caller, Clock: timer.System{}}
+	cmd := &cobra.Command{
+		Use:   "bench",
+		Short: "Load the routers in an open loop and report what came back",
+		Long: `Send requests at a rate that does not depend on the answers, as a Poisson
+process with a fixed seed, and report latencies, refusals and token rate.
+
+A kind of request is written as comma-separated settings: name, workspace,
+service, method, data, max-tokens, weight, once. With --ledger the report
+compares what callers were told with what plain services ran, and the command
+exits with 1 where a request ran twice, was falsely refused as not run, or was
+lost.`,
+		Example: `  rattantray request bench --rate 50 --duration 30s \
+    --kind name=letter,workspace=counter,service=renewal-assistant,data=draft,max-tokens=32,weight=9 \
+    --kind name=booking,workspace=counter,service=bookings,method='POST /bookings',once=true,weight=1 \
+    --ledger http://127.0.0.1:7301/ledger`,
+		Args: exiter.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := opts.check(); err != nil {
+				return err
+			}
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return run(cmd.Context(), opts)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringArrayVar(&opts.Kinds, "kind", nil, "Send this `kind` of request; may be repeated")
+	flags.Float64Var(&opts.Rate, "rate", 10, "Send this `number` of requests a second")
+	flags.DurationVar(&opts.Duration, "duration", 10*time.Second, "Send for this `duration`")
+	flags.DurationVar(&opts.Timeout, "timeout", time.Minute, "Deadline of each request")
+	flags.Uint64Var(&opts.Seed, "seed", 1, "Seed of the arrivals")
+	flags.StringArrayVar(&opts.Ledgers, "ledger", nil, "Check the answers against the ledger at this `URL`; may be repeated")
+	flags.BoolVar(&opts.JSON, "json", false, "Print the report as JSON")
+	return cmd
+}
+
+func (o *Options) check() error {
+	switch {
+	case len(o.Kinds) == 0:
+		return exiter.Flagf("name at least one kind of request with --kind")
+	case o.Rate <= 0:
+		return exiter.Flagf("--rate must be above 0")
+	case o.Duration <= 0:
+		return exiter.Flagf("--duration must be above 0")
+	case o.Timeout <= 0:
+		return exiter.Flagf("--timeout must be above 0")
+	}
+	_, err := parseKinds(o.Kinds)
+	return err
+}
+
+func run(ctx context.Context, opts *Options) error {
+	kinds, err := parseKinds(opts.Kinds)
+	if err != nil {
+		return err
+	}
+	client, err := opts.Caller()
+	if err != nil {
+		return err
+	}
+	load := &bencher.Bench{
+		Send:     client.Send,
+		Rate:     opts.Rate,
+		Duration: opts.Duration,
+		Timeout:  opts.Timeout,
+		Kinds:    kinds,
+		Seed:     opts.Seed,
+		Clock:    opts.Clock,
+	}
+	if opts.IO.IsErrTTY() {
+		load.Progress = opts.progress
+	}
+	report := load.Run(ctx)
+	if load.Progress != nil {
+		opts.IO.Errorf("\n")
+	}
+	if err := opts.audit(ctx, report); err != nil {
+		return err
+	}
+	return opts.print(report)
+}
+
+func (o *Options) progress(p bencher.Progress) {
+	o.IO.Errorf("\r%6s  sent %d  running %d  finished %d  refused %d   ",
+		p.Elapsed.Round(time.Second), p.Sent, p.Running, p.Finished, p.Refused)
+}
+
+func (o *Options) audit(ctx context.Context, report *bencher.Report) error {
+	if len(o.Ledgers) == 0 {
+		return nil
+	}
+	// The load may have been cut short; the ledgers are read all the same.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	runs, err := bencher.ReadLedgers(ctx, http.DefaultClient, o.Ledgers)
+	if err != nil {
+		return err
+	}
+	report.Audit = bencher.Check(report.Results(), runs)
+	return nil
+}
+
+func (o *Options) print(report *bencher.Report) error {
+	if o.JSON {
+		enc := json.NewEncoder(o.IO.Out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(report); err != nil {
+			return err
+		}
+	} else {
+		printReport(o.IO, report)
+	}
+	if report.Audit != nil && !report.Audit.Passed() {
+		return &exiter.CodeError{Code: exiter.Error}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/request/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench is the command 'request bench'.
+package bench
--- /dev/null
+++ b/internal/command/request/doc.go
@@ -0,0 +1,2 @@
+// Package request is the command 'request'.
+package request
--- /dev/null
+++ b/internal/command/root/doc.go
@@ -0,0 +1,2 @@
+// Package root is the command 'rattantray'.
+package root
--- /dev/null
+++ b/internal/command/router/doc.go
@@ -0,0 +1,2 @@
+// Package router is the command 'router'.
+package router
--- /dev/null
+++ b/internal/command/router/start/start.go
@@ -0,0 +1,111 @@
+package start
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/maker"
+	"github.com/rattantray/rattantray/internal/command/streamer"
+	"github.com/rattantray/rattantray/internal/router"
+	"github.com/rattantray/rattantray/internal/setter"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// Options holds what the command depends on and its flags.
+type Options struct {
+	IO       *streamer.IOStreams
+	Settings router.Settings
+	// Signals carries further requests to stop; the first one comes as the end of the command's context.
+	Signals <-chan os.Signal
+	// Unknown names environment variables with the program's prefix that no flag reads.
+	Unknown []string
+	// LogSettings writes the effective settings.
+	LogSettings func(zerolog.Logger)
+}
+
+// NewCmdStart returns the command; runF replaces its action in tests.
+func NewCmdStart(f *maker.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO}
+	cmd := &cobra.Command{
+		Use:   "start",
+		Short: "Run a router",
+		Long: `Run a router until it is told to stop.
+
+SIGTERM or an interrupt starts a graceful shutdown: callers are sent elsewhere,
+requests in progress end, and the command exits with 0. A second signal tells
+how many requests would be cut; a third one cuts them.`,
+		Example: `  rattantray router start --data-centre kochi --listen 10.0.0.5:7070 \
+    --peer-listen 10.0.0.5:7071 --platform 10.0.0.2:7200 --peer-secret "$SECRET"`,
+		Args: exiter.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			opts.Settings.Release = f.Release
+			if err := opts.Settings.Check(); err != nil {
+				return exiter.WrapFlag(err)
+			}
+			opts.Unknown = setter.Unknown(cmd.Flags())
+			opts.LogSettings = func(log zerolog.Logger) { setter.Log(log, cmd.Flags(), router.SecretFlags...) }
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			signals := make(chan os.Signal, 1)
+			signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+			defer signal.Stop(signals)
+			opts.Signals = signals
+			return run(cmd.Context(), opts)
+		},
+	}
+	opts.Settings.AddFlags(cmd.Flags())
+	return cmd
+}
+
+func run(ctx context.Context, opts *Options) error {
+	log, err := router.NewLog(opts.IO.Err, opts.Settings)
+	if err != nil {
+		return exiter.WrapFlag(err)
+	}
+	opts.LogSettings(log)
+	for _, name := range opts.Unknown {
+		log.Warn().Str("variable", name).Msg("environment variable is not read by any flag")
+	}
+	r, err := router.New(opts.Settings, log, timer.System{})
+	if err != nil {
+		return exiter.WrapFlag(err)
+	}
+	r.Ready = func(address string) { opts.IO.Printf("router ready on %s\n", address) }
+	ended := make(chan struct{})
+	defer close(ended)
+	go watchSignals(ctx, opts, log, r, ended)
+	return r.Run(ctx)
+}
+
+// watchSignals acts on the signals after the first one.
+func watchSignals(ctx context.Context, opts *Options, log zerolog.Logger, r *router.Router, ended <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-ended:
+		return
+	}
+	warned := false
+	for first := true; ; first = false {
+		select {
+		case <-ended:
+			return
+		case <-opts.Signals:
+		}
+		switch {
+		case first:
+			log.Info().Msg("graceful shutdown begun")
+		case !warned:
+			warned = true
+			log.Warn().Int("in-progress", r.InProgress()).Msg("one more signal cuts the requests in progress")
+		default:
+			r.Force()
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/service/diff/doc.go
@@ -0,0 +1,2 @@
+// Package diff is the command 'service diff'.
+package diff
--- /dev/null
+++ b/internal/command/service/doc.go
@@ -0,0 +1,2 @@
+// Package service is the command 'service'.
+package service
--- /dev/null
+++ b/internal/command/service/schema/doc.go
@@ -0,0 +1,2 @@
+// Package schema is the command 'service schema'.
+package schema
--- /dev/null
+++ b/internal/router/data.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/dispatcher"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/receiver"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/selector"
+)
+
+const (
+	reweighInterval  = 5 * time.Second
+	settleInterval   = 100 * time.Millisecond
+	idleUpdateLimit  = time.Minute
+	capacityInterval = time.Second
+)
+
+func (r *Router) buildAdmission() (registrar.Service, error) {
+	r.admit = admitter.New(r.Clock)
+	return registrar.Service{
+		Name:  ServiceAdmission,
+		Needs: []string{ServiceConfig},
+		Value: r.admit,
+		Run:   r.admit.Run,
+	}, nil
+}
+
+func (r *Router) buildSelection() (registrar.Service, error) {
+	r.engines = engineer.NewPool(engineer.HTTPClient())
+	r.selector = selector.New(r.Clock, r.random())
+	r.dispatch = dispatcher.New(r.Clock, r.random(), r.Log, r.meter.Registry, r.selector, r.engines)
+	return registrar.Service{
+		Name:  ServiceSelection,
+		Needs: []string{ServiceMembers, ServiceConfig},
+		Value: r.selector,
+		Run:   r.runSelection,
+		Stop:  func(context.Context) error { r.dispatch.Wait(); return nil },
+	}, nil
+}
+
+// runSelection takes each change of the fleet and of the documents into the selector and the admitter.
+func (r *Router) runSelection(ctx context.Context) error {
+	fleetChanged, stop := r.tracker.Subscribe()
+	defer stop()
+	configChanged, stopConfig := r.config.Subscribe()
+	defer stopConfig()
+	reweigh := time.NewTicker(reweighInterval)
+	defer reweigh.Stop()
+	r.updateSelection()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-reweigh.C:
+			r.selector.Reweigh()
+			continue
+		case <-fleetChanged:
+		case <-configChanged:
+		}
+		r.updateSelection()
+		// Changes come in bursts; one update takes the whole burst in.
+		if err := r.Clock.Sleep(ctx, settleInterval); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Router) updateSelection() {
+	documents := r.config.Documents()
+	r.admit.Configure(documents)
+	r.selector.Update(r.tracker.Fleet(), modelsOf(documents))
+}
+
+func modelsOf(documents []*documenter.Document) []selector.Model {
+	seen := map[selector.Key]bool{}
+	var models []selector.Model
+	for _, d := range documents {
+		if d.Model == nil {
+			continue
+		}
+		m := selector.Model{
+			Name:            d.Model.Name,
+			Version:         d.Model.Version,
+			Adapter:         d.Model.Adapter,
+			Layers:          d.Model.Layers,
+			ActivationBytes: d.Model.ActivationBytes,
+		}
+		if !seen[m.Key()] {
+			seen[m.Key()] = true
+			models = append(models, m)
+		}
+	}
+	return models
+}
+
+// generate runs a model request through the dispatcher.
+func (r *Router) generate(ctx context.Context, g receiver.Generation, emit func(receiver.Token) error) error {
+	job := dispatcher.Job{
+		Workspace:     string(g.Workspace),
+		Service:       g.Service,
+		RequestID:     g.Execution,
+		Model:         g.Model.Name,
+		Version:       g.Model.Version,
+		Adapter:       g.Model.Adapter,
+		Layers:        g.Model.Layers,
+		Prompt:        g.Prompt,
+		MaxTokens:     g.MaxTokens,
+		Priority:      g.Priority,
+		Deadline:      g.Deadline,
+		StartPosition: uint64(len(g.Delivered)),
+		Delivered:     g.Delivered,
+		FirstAttempt:  g.FirstAttempt,
+		MaxAttempts:   g.Retry.MaxAttempts,
+		RetryBudget:   g.Retry.Budget,
+	}
+	return r.dispatch.Run(ctx, job, func(p dispatcher.Part) error {
+		return emit(receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt})
+	})
+}
--- /dev/null
+++ b/internal/router/doc.go
@@ -0,0 +1,2 @@
+// Package router puts the services of one daemon together.
+package router
--- /dev/null
+++ b/internal/router/fleet.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/tracker"
+	"github.com/rattantray/rattantray/pkg/caller"
+)
+
+const (
+	platformDialTimeout = 2 * time.Second
+	budgetInterval      = 10 * time.Second
+)
+
+func (r *Router) buildStore() (registrar.Service, error) {
+	client, err := r.platformClient()
+	if err != nil {
+		return registrar.Service{}, err
+	}
+	scheme := "http://"
+	if r.Settings.PlatformCA != "" {
+		scheme = "https://"
+	}
+	budget := storer.DefaultBudget()
+	budget.Clock = r.Clock
+	budget.Random = r.random()
+	budget.Metrics = r.meter.Registry
+	budget.Reads = r.Settings.StoreReads
+	budget.Writes = r.Settings.StoreWrites
+	r.limiter = storer.NewLimiter(storer.NewClient(client, scheme+r.Settings.Platform), budget)
+	return registrar.Service{Name: ServiceStore, Value: r.limiter, Run: r.runBudget}, nil
+}
+
+func (r *Router) platformClient() (*http.Client, error) {
+	return caller.HTTPClient(caller.TLSFiles{CA: r.Settings.PlatformCA}, platformDialTimeout)
+}
+
+// runBudget shares the rates of the object API out over the members that live.
+func (r *Router) runBudget(ctx context.Context) error {
+	for r.Clock.Sleep(ctx, budgetInterval) == nil {
+		members := float64(max(1, len(tracker.Live(r.tracker.Fleet().Members))))
+		r.limiter.SetRates(r.Settings.StoreReads/members, r.Settings.StoreWrites/members)
+	}
+	return ctx.Err()
+}
+
+func (r *Router) buildLink() (registrar.Service, error) {
+	security, err := r.peerSecurity()
+	if err != nil {
+		return registrar.Service{}, err
+	}
+	r.peer, err = linker.NewPeer(linker.Config{
+		Name:        r.local.Name,
+		Incarnation: r.local.Incarnation,
+		DataCentre:  r.local.DataCentre,
+		Security:    security,
+		Clock:       r.Clock,
+		Random:      r.random(),
+		Log:         r.Log,
+	})
+	if err != nil {
+		return registrar.Service{}, err
+	}
+	var listener net.Listener
+	return registrar.Service{
+		Name:  ServiceLink,
+		Value: r.peer,
+		Start: func(context.Context) error {
+			var err error
+			listener, err = r.listen("peer-listen", r.Settings.PeerListen)
+			return err
+		},
+		Run:  func(ctx context.Context) error { return r.peer.Serve(ctx, listener) },
+		Stop: func(context.Context) error { return r.peer.Close() },
+	}, nil
+}
+
+func (r *Router) buildMembers() (registrar.Service, error) {
+	r.tracker = &tracker.Tracker{
+		Local:   r.local,
+		Seeds:   r.Settings.Peers,
+		Link:    r.peer.Link(),
+		ListVMs: r.limiter.Store(storer.ClassOther).ListVMs,
+		Options: tracker.DefaultOptions(),
+		Clock:   r.Clock,
+		Random:  r.random(),
+		Log:     r.Log,
+	}
+	r.peer.Handle(tracker.Method, r.tracker.Handle)
+	return registrar.Service{
+		Name:  ServiceMembers,
+		Needs: []string{ServiceStore, ServiceLink},
+		Value: r.tracker,
+		Run:   r.tracker.Run,
+	}, nil
+}
--- /dev/null
+++ b/internal/router/plain.go
@@ -0,0 +1,19 @@
+package router
+
+import (
+	"context"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+func (r *Router) forward(ctx context.Context, doc *documenter.Document, req forwarder.Request) (forwarder.Answer, error) {
+	for _, t := range r.tracker.Fleet().Targets {
+		if t.Type == cataloger.TypeService && t.Service == doc.Name && t.State == cataloger.StateLive {
+			return r.plain.Forward(ctx, t, req)
+		}
+	}
+	return forwarder.Answer{}, refuser.New(refuser.NoTarget, "no target serves %q", doc.Name)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,192 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	randv2 "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/admitter"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/dispatcher"
+	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/linker"
+	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/internal/tokener"
+	"github.com/rattantray/rattantray/internal/tracker"
+)
+
+// Names of the services of a daemon.
+const (
+	ServiceStore      = "store"
+	ServiceLink       = "link"
+	ServiceMembers    = "members"
+	ServiceConfig     = "config"
+	ServiceProbes     = "probes"
+	ServiceAdmission  = "admission"
+	ServiceSelection  = "selection"
+	ServiceJournal    = "journal"
+	ServiceOrdering   = "ordering"
+	ServicePlacement  = "placement"
+	ServiceReceiver   = "receiver"
+	ServiceOperations = "operations"
+)
+
+const randomKeyBytes = 32
+
+// Router is one daemon.
+type Router struct {
+	Settings Settings
+	Log      zerolog.Logger
+	Clock    timer.Clock
+	// Ready is called with the address for callers once the daemon serves; nil where nobody waits.
+	Ready func(address string)
+
+	registrar *registrar.Registrar
+	meter     *meter.Meter
+	local     cataloger.Member
+	begun     time.Time
+	shutdown  *shutdown
+
+	limiter  *storer.Limiter
+	peer     *linker.Peer
+	tracker  *tracker.Tracker
+	config   *thinConfig
+	engines  *engineer.Pool
+	selector *selector.Selector
+	dispatch *dispatcher.Dispatcher
+	admit    *admitter.Admitter
+	tokens   *tokener.Tokener
+	plain    *forwarder.Forwarder
+
+	mu      sync.Mutex
+	address string
+}
+
+// New returns a daemon with settings that were checked.
+func New(settings Settings, log zerolog.Logger, clock timer.Clock) (*Router, error) {
+	settings = settings.WithDefaults()
+	now := clock.Now()
+	r := &Router{
+		Settings: settings,
+		Log:      log.With().Str("member", settings.Name).Logger(),
+		Clock:    clock,
+		meter:    meter.New(),
+		begun:    now,
+		plain:    forwarder.New(clock),
+		local: cataloger.Member{
+			Name: settings.Name,
+			// The wall clock orders the starts of one daemon; the fleet settles ties by refutation.
+			Incarnation: uint64(now.UnixNano()),
+			Address:     settings.Advertise,
+			PeerAddress: settings.PeerAdvertise,
+			DataCentre:  cataloger.DataCentre(settings.DataCentre),
+			Region:      settings.Region,
+			State:       cataloger.StateLive,
+		},
+	}
+	r.registrar = registrar.New(r.Log, clock)
+	r.shutdown = newShutdown(r)
+	for _, build := range r.builders() {
+		service, err := build()
+		if err != nil {
+			return nil, err
+		}
+		if err := r.registrar.Register(service); err != nil {
+			return nil, err
+		}
+	}
+	r.gauges()
+	return r, nil
+}
+
+func (r *Router) builders() []func() (registrar.Service, error) {
+	return []func() (registrar.Service, error){
+		r.buildStore,
+		r.buildLink,
+		r.buildMembers,
+		r.buildConfig,
+		r.buildProbes,
+		r.buildAdmission,
+		r.buildSelection,
+		r.buildJournal,
+		r.buildOrdering,
+		r.buildPlacement,
+		r.buildReceiver,
+	}
+}
+
+// Run serves until ctx is done and the graceful shutdown that follows has ended.
+func (r *Router) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		defer stop()
+		r.shutdown.run(ctx, serving)
+	})
+	defer stop()
+	return r.registrar.Run(serving)
+}
+
+// Drain starts a graceful shutdown within a time limit; 0 takes the setting.
+func (r *Router) Drain(timeout time.Duration) { r.shutdown.drain(timeout) }
+
+// Force ends a graceful shutdown at once.
+func (r *Router) Force() { r.shutdown.force() }
+
+// InProgress returns how many requests have no final answer yet.
+func (r *Router) InProgress() int { return r.shutdown.inProgress() }
+
+// Address returns the address that the daemon serves callers on.
+func (r *Router) Address() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.address
+}
+
+func (r *Router) random() *randv2.Rand {
+	var seed [32]byte
+	_, _ = rand.Read(seed[:])
+	return randv2.New(randv2.NewChaCha8(seed))
+}
+
+func (r *Router) listen(name, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrapf(err, "--%s", name)
+}
+
+func httpServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
+	}
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxStreamsPerConn = 4096
+)
+
+func incarnationText(name string, incarnation uint64) string {
+	return fmt.Sprintf("%s/%d", name, incarnation)
+}
--- /dev/null
+++ b/internal/router/settings.go
@@ -0,0 +1,203 @@
+package router
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/rattantray/rattantray/internal/setter"
+	"github.com/rattantray/rattantray/internal/tokener"
+)
+
+// Settings are the settings of one daemon, from flags and environment variables.
+type Settings struct {
+	Name       string
+	DataCentre string
+	Region     string
+
+	Listen        string
+	Advertise     string
+	PeerListen    string
+	PeerAdvertise string
+	AdminListen   string
+	Peers         []string
+
+	Platform    string
+	PlatformCA  string
+	StoreReads  float64
+	StoreWrites float64
+
+	TLSCert       string
+	TLSKey        string
+	TLSClientCA   string
+	PeerCert      string
+	PeerKey       string
+	PeerCA        string
+	PeerSecret    string
+	InsecurePeers bool
+	ResumeKeys    []string
+	OperatorToken string
+
+	ResolveTTL   time.Duration
+	DrainTimeout time.Duration
+	ResumeWindow time.Duration
+	StartTimeout time.Duration
+	LogLevel     string
+	LogFormat    string
+	Release      string
+}
+
+// SecretFlags are the flags whose values are not logged.
+var SecretFlags = []string{"peer-secret", "resume-key", "operator-token"}
+
+const (
+	defaultResolveTTL   = 5 * time.Second
+	defaultDrainTimeout = 2 * time.Minute
+	defaultResumeWindow = 10 * time.Minute
+	defaultStartTimeout = 30 * time.Second
+	defaultStoreReads   = 2000
+	defaultStoreWrites  = 300
+	maxResolveTTL       = time.Minute
+)
+
+// AddFlags gives a command a flag for each setting.
+func (s *Settings) AddFlags(flags *pflag.FlagSet) {
+	flags.StringVar(&s.Name, "name", "", "Name of this router; --advertise where empty")
+	flags.StringVar(&s.DataCentre, "data-centre", "", "Data centre of this router")
+	flags.StringVar(&s.Region, "region", "", "Region of the data centre")
+	flags.StringVar(&s.Listen, "listen", "127.0.0.1:7070", "Serve callers on this `address`")
+	flags.StringVar(&s.Advertise, "advertise", "", "Name this `address` to callers; --listen where empty")
+	flags.StringVar(&s.PeerListen, "peer-listen", "127.0.0.1:7071", "Serve other routers on this `address`")
+	flags.StringVar(&s.PeerAdvertise, "peer-advertise", "", "Name this `address` to other routers; --peer-listen where empty")
+	flags.StringVar(&s.AdminListen, "admin-listen", "", "Serve operators, metrics and health on this `address`; --listen where empty")
+	flags.StringSliceVar(&s.Peers, "peer", nil, "Try other routers at these peer `addresses`, besides the VM list")
+	flags.StringVar(&s.Platform, "platform", "127.0.0.1:7200", "Platform's object API at this `address`")
+	flags.StringVar(&s.PlatformCA, "platform-ca", "", "Trust the CA certificates in this PEM `file` for the platform and speak TLS")
+	flags.Float64Var(&s.StoreReads, "store-reads", defaultStoreReads, "Reads a second that the whole fleet may ask of the object API")
+	flags.Float64Var(&s.StoreWrites, "store-writes", defaultStoreWrites, "Writes a second that the whole fleet may ask of the object API")
+	flags.StringVar(&s.TLSCert, "tls-cert", "", "Present the certificate in this PEM `file` to callers")
+	flags.StringVar(&s.TLSKey, "tls-key", "", "Use the key in this PEM `file` towards callers")
+	flags.StringVar(&s.TLSClientCA, "tls-client-ca", "", "Ask callers for a certificate signed by a CA in this PEM `file`")
+	flags.StringVar(&s.PeerCert, "peer-cert", "", "Present the certificate in this PEM `file` to other routers")
+	flags.StringVar(&s.PeerKey, "peer-key", "", "Use the key in this PEM `file` towards other routers")
+	flags.StringVar(&s.PeerCA, "peer-ca", "", "Trust the CA certificates in this PEM `file` for other routers")
+	flags.StringVar(&s.PeerSecret, "peer-secret", "", "Authenticate other routers by this shared `secret` in place of certificates")
+	flags.BoolVar(&s.InsecurePeers, "insecure-peers", false, "Accept other routers without authentication")
+	flags.StringSliceVar(&s.ResumeKeys, "resume-key", nil, "Sign resume tokens with these hexadecimal `keys`, the newest first")
+	flags.StringVar(&s.OperatorToken, "operator-token", "", "Ask operators for this bearer `token`")
+	flags.DurationVar(&s.ResolveTTL, "resolve-ttl", defaultResolveTTL, "Let callers keep the answers of Resolve for this `duration`")
+	flags.DurationVar(&s.DrainTimeout, "drain-timeout", defaultDrainTimeout, "Let requests in progress end for at most this `duration`")
+	flags.DurationVar(&s.ResumeWindow, "resume-window", defaultResumeWindow, "Accept resume tokens up to this `age`")
+	flags.DurationVar(&s.StartTimeout, "start-timeout", defaultStartTimeout, "Wait for the configuration at most this `duration` before reporting it late")
+	flags.StringVar(&s.LogLevel, "log-level", "info", "Log from this `level`: debug, info, warn, error")
+	flags.StringVar(&s.LogFormat, "log-format", "json", "Log as json or text")
+}
+
+// Check returns the first setting that is not accepted.
+func (s *Settings) Check() error {
+	return setter.First(
+		setter.NotEmpty("data-centre", s.DataCentre),
+		setter.Address("listen", s.Listen),
+		setter.Address("peer-listen", s.PeerListen),
+		optionalAddress("advertise", s.Advertise),
+		optionalAddress("peer-advertise", s.PeerAdvertise),
+		optionalAddress("admin-listen", s.AdminListen),
+		addresses("peer", s.Peers),
+		setter.Address("platform", s.Platform),
+		setter.Positive("store-reads", s.StoreReads),
+		setter.Positive("store-writes", s.StoreWrites),
+		setter.Positive("resolve-ttl", s.ResolveTTL),
+		atMost("resolve-ttl", s.ResolveTTL, maxResolveTTL),
+		setter.Positive("drain-timeout", s.DrainTimeout),
+		setter.Positive("resume-window", s.ResumeWindow),
+		setter.Positive("start-timeout", s.StartTimeout),
+		setter.OneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
+		setter.OneOf("log-format", s.LogFormat, "json", "text"),
+		together("tls-cert", s.TLSCert, "tls-key", s.TLSKey),
+		together("peer-cert", s.PeerCert, "peer-key", s.PeerKey),
+		s.checkPeers(),
+		s.checkResumeKeys(),
+	)
+}
+
+// WithDefaults returns a copy in which settings that follow others are filled in.
+func (s Settings) WithDefaults() Settings {
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+	if s.Name == "" {
+		s.Name = s.Advertise
+	}
+	return s
+}
+
+func (s *Settings) checkPeers() error {
+	secure := s.PeerCert != "" || s.PeerSecret != ""
+	if secure || s.InsecurePeers {
+		return nil
+	}
+	return &setter.BadSetting{
+		Name:     "peer-cert",
+		Accepted: "--peer-cert with --peer-key and --peer-ca, or --peer-secret, or --insecure-peers",
+	}
+}
+
+func (s *Settings) checkResumeKeys() error {
+	for _, k := range s.ResumeKeys {
+		raw, err := hex.DecodeString(k)
+		if err != nil || len(raw) < tokener.MinKeyBytes {
+			return &setter.BadSetting{Name: "resume-key", Value: "(set)", Accepted: "at least 32 hexadecimal digits"}
+		}
+	}
+	return nil
+}
+
+func (s *Settings) resumeSecrets() [][]byte {
+	secrets := make([][]byte, 0, len(s.ResumeKeys))
+	for _, k := range s.ResumeKeys {
+		raw, _ := hex.DecodeString(k)
+		secrets = append(secrets, raw)
+	}
+	return secrets
+}
+
+func optionalAddress(name, value string) error {
+	if value == "" {
+		return nil
+	}
+	return setter.Address(name, value)
+}
+
+func addresses(name string, values []string) error {
+	for _, v := range values {
+		if err := setter.Address(name, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func atMost(name string, value, limit time.Duration) error {
+	if value <= limit {
+		return nil
+	}
+	return &setter.BadSetting{Name: name, Value: value.String(), Accepted: "at most " + limit.String()}
+}
+
+func together(name, value, otherName, other string) error {
+	if (value == "") == (other == "") {
+		return nil
+	}
+	return &setter.BadSetting{Name: name, Value: value, Accepted: "--" + name + " and --" + otherName + " together"}
+}
+
+// DefaultSettings returns the values that the flags have where nothing sets them.
+func DefaultSettings() Settings {
+	var s Settings
+	s.AddFlags(pflag.NewFlagSet("defaults", pflag.ContinueOnError))
+	return s
+}
