--- /dev/null
+++ b/internal/command/model/changes/doc.go
@@ -0,0 +1,2 @@
+// Package changes is the command 'model changes'.
+package changes
--- /dev/null
+++ b/internal/command/model/doc.go
@@ -0,0 +1,2 @@
+// Package model is the command 'model'.
+package model
--- /dev/null
+++ b/internal/command/model/list/doc.go
@@ -0,0 +1,2 @@
+// Package list is the command 'model list'.
+package list
--- /dev/null
+++ b/internal/command/model/status/doc.go
@@ -0,0 +1,2 @@
+// Package status is the command 'model status'.
+package status
--- a/internal/command/printer/printer.go
+++ b/internal/command/printer/printer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -180,3 +181,6 @@
 	}
 	return out
 }
+
+// Rate returns a rate rounded to one place, as a table shows it.
+func Rate(perSecond float64) float64 { return math.Round(perSecond*10) / 10 }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -8,6 +8,7 @@
 	"github.com/rattantray/rattantray/internal/command/fake"
 	"github.com/rattantray/rattantray/internal/command/maker"
 	"github.com/rattantray/rattantray/internal/command/member"
+	"github.com/rattantray/rattantray/internal/command/model"
 	"github.com/rattantray/rattantray/internal/command/request"
 	"github.com/rattantray/rattantray/internal/command/router"
 	"github.com/rattantray/rattantray/internal/command/service"
@@ -47,6 +48,7 @@
 		router.NewCmdRouter(f),
 		service.NewCmdService(f),
 		target.NewCmdTarget(f),
+		model.NewCmdModel(f),
 		version.NewCmdVersion(f),
 	)
 	return cmd
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,8 +29,10 @@
 
 	// Documents is the part of the API that works on service documents.
 	Documents Documents
-	Self      func() cataloger.Member
-	Fleet     func() cataloger.Fleet
+	// Models is the part of the API that tells of models.
+	Models Models
+	Self   func() cataloger.Member
+	Fleet  func() cataloger.Fleet
 	// Outstanding returns how many requests this daemon has in progress on a target.
 	Outstanding func(target string) int
 	Services    func() []registrar.Status
@@ -54,6 +56,12 @@
 	Status  func(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 }
 
+// Models holds the calls on models.
+type Models struct {
+	List   func(context.Context, *v1.ListModelsRequest) (*v1.ListModelsResponse, error)
+	Status func(context.Context, *v1.ModelStatusRequest) (*v1.ModelStatusResponse, error)
+}
+
 // handle checks the token, calls and turns refusals into connect errors.
 func handle[Req, Resp any](ctx context.Context, o *Operator, req *connect.Request[Req], call func(context.Context, *Req) (*Resp, error)) (*connect.Response[Resp], error) {
 	if err := o.authorize(req.Header()); err != nil {
@@ -107,6 +115,16 @@
 	return handle(ctx, o, req, o.Documents.Status)
 }
 
+// ListModels implements rattantray.v1.OperatorService.
+func (o *Operator) ListModels(ctx context.Context, req *connect.Request[v1.ListModelsRequest]) (*connect.Response[v1.ListModelsResponse], error) {
+	return handle(ctx, o, req, o.Models.List)
+}
+
+// ModelStatus implements rattantray.v1.OperatorService.
+func (o *Operator) ModelStatus(ctx context.Context, req *connect.Request[v1.ModelStatusRequest]) (*connect.Response[v1.ModelStatusResponse], error) {
+	return handle(ctx, o, req, o.Models.Status)
+}
+
 // ListTargets implements rattantray.v1.OperatorService.
 func (o *Operator) ListTargets(ctx context.Context, req *connect.Request[v1.ListTargetsRequest]) (*connect.Response[v1.ListTargetsResponse], error) {
 	return handle(ctx, o, req, func(context.Context, *v1.ListTargetsRequest) (*v1.ListTargetsResponse, error) {
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -206,6 +206,7 @@
 		Release:        r.Settings.Release,
 		Begun:          r.begun,
 		Documents:      r.documents(),
+		Models:         r.modelCalls(),
 		Self:           func() cataloger.Member { return r.local },
 		Fleet:          r.tracker.Fleet,
 		Outstanding:    r.outstanding,
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -30,7 +30,8 @@
 	router  *Router
 	demands *demands
 	// orders are connections to engines for nothing but orders, which must not arrive late.
-	orders *engineer.Pool
+	orders   *engineer.Pool
+	progress *progress
 
 	mu      sync.Mutex
 	running map[string]*plan
@@ -60,8 +61,12 @@
 func (r *Router) buildPlacement() (registrar.Service, error) {
 	client := engineer.HTTPClientOver(commander.Dial(r.Network.Dial).WithResend(commander.DefaultOrderTimeout))
 	client.Transport = commander.Gate{Clock: r.Clock, Base: client.Transport}
-	r.placement = &placement{router: r, demands: newDemands(r.Clock), orders: engineer.NewPool(client), running: map[string]*plan{}}
+	r.placement = &placement{
+		router: r, demands: newDemands(r.Clock), orders: engineer.NewPool(client), progress: newProgress(),
+		running: map[string]*plan{},
+	}
 	r.peer.Handle(methodDemand, r.placement.handleDemand)
+	r.peer.Handle(methodPlacementStatus, r.placement.handlePlacementStatus)
 	return registrar.Service{
 		Name:  ServicePlacement,
 		Needs: []string{ServiceLeases, ServiceMembers, ServiceConfig, ServiceSelection},
@@ -117,12 +122,12 @@
 // models returns the models that this daemon has to plan; one whose layers have no stated size cannot be placed.
 func (p *placement) models() map[string]documenter.Model {
 	mine := map[string]documenter.Model{}
-	for _, d := range p.router.documentsInForce() {
-		if d.Model == nil || d.Model.LayerBytes == 0 {
+	for name, w := range p.router.modelsInForce() {
+		if w.Model.LayerBytes == 0 {
 			continue
 		}
-		if p.router.tracker.Owner(dutyPlacement, d.Model.Name).Name == p.router.local.Name {
-			mine[d.Model.Name] = *d.Model
+		if p.router.tracker.Owner(dutyPlacement, name).Name == p.router.local.Name {
+			mine[name] = w.Model
 		}
 	}
 	return mine
@@ -173,6 +178,7 @@
 		}
 	}()
 	r.Log.Info().Str("model", name).Uint64("fencing", lease.Fencing()).Msg("placement begun")
+	defer p.progress.ended(name)
 	_ = p.commander(name, lease).Run(ctx)
 }
 
@@ -202,6 +208,7 @@
 }
 
 func (p *placement) observe(model string, o commander.Outcome) {
+	p.progress.ordered(model, o)
 	event := p.router.Log.Info()
 	if o.Err != nil {
 		event = p.router.Log.Warn().Err(o.Err)
@@ -215,11 +222,12 @@
 // targets returns the engines assigned to a model: those that hold some of it, and those without holdings that fall to it.
 func (p *placement) targets(name string) []cataloger.Target {
 	var names []string
-	for _, d := range p.router.documentsInForce() {
-		if d.Model != nil && d.Model.LayerBytes > 0 {
-			names = append(names, d.Model.Name)
+	for model, w := range p.router.modelsInForce() {
+		if w.Model.LayerBytes > 0 {
+			names = append(names, model)
 		}
 	}
+	slices.Sort(names)
 	var found []cataloger.Target
 	for _, t := range p.router.tracker.Fleet().Targets {
 		if t.Type == cataloger.TypeEngine && assignedModel(t, names) == name {
@@ -250,6 +258,7 @@
 		return planner.Placement{}
 	}
 	speeds := p.router.selector.Speeds()
+	offered := p.demands.total(name) * offeredMargin
 	placed := plans.Plan(planner.State{
 		Model: planner.Model{
 			Name:            model.Name,
@@ -262,8 +271,9 @@
 		Targets:      targets,
 		Bandwidth:    speeds.Bandwidth,
 		LinksVersion: speeds.Version,
-		Offered:      p.demands.total(name) * offeredMargin,
+		Offered:      offered,
 	})
+	p.progress.planned(name, model.Version, offered, p.router.Clock.Now(), placed)
 	p.router.meter.Set("placement-bound-"+name, placed.Bound)
 	return placed
 }
--- a/pkg/api/rattantray/v1/rattantrayv1connect/operator.connect.go
+++ b/pkg/api/rattantray/v1/rattantrayv1connect/operator.connect.go
@@ -51,6 +51,12 @@
 	// OperatorServiceListTargetsProcedure is the fully-qualified name of the OperatorService's
 	// ListTargets RPC.
 	OperatorServiceListTargetsProcedure = "/rattantray.v1.OperatorService/ListTargets"
+	// OperatorServiceListModelsProcedure is the fully-qualified name of the OperatorService's
+	// ListModels RPC.
+	OperatorServiceListModelsProcedure = "/rattantray.v1.OperatorService/ListModels"
+	// OperatorServiceModelStatusProcedure is the fully-qualified name of the OperatorService's
+	// ModelStatus RPC.
+	OperatorServiceModelStatusProcedure = "/rattantray.v1.OperatorService/ModelStatus"
 	// OperatorServiceListMembersProcedure is the fully-qualified name of the OperatorService's
 	// ListMembers RPC.
 	OperatorServiceListMembersProcedure = "/rattantray.v1.OperatorService/ListMembers"
@@ -73,6 +79,10 @@
 	// Status tells on which daemons a version is in force.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 	ListTargets(context.Context, *connect.Request[v1.ListTargetsRequest]) (*connect.Response[v1.ListTargetsResponse], error)
+	// ListModels tells what the services in force ask of each model.
+	ListModels(context.Context, *connect.Request[v1.ListModelsRequest]) (*connect.Response[v1.ListModelsResponse], error)
+	// ModelStatus tells how far a model's targets are in line with the services in force.
+	ModelStatus(context.Context, *connect.Request[v1.ModelStatusRequest]) (*connect.Response[v1.ModelStatusResponse], error)
 	ListMembers(context.Context, *connect.Request[v1.ListMembersRequest]) (*connect.Response[v1.ListMembersResponse], error)
 	// Drain starts a graceful shutdown of the daemon that is asked.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
@@ -132,6 +142,18 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ListTargets")),
 			connect.WithClientOptions(opts...),
 		),
+		listModels: connect.NewClient[v1.ListModelsRequest, v1.ListModelsResponse](
+			httpClient,
+			baseURL+OperatorServiceListModelsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ListModels")),
+			connect.WithClientOptions(opts...),
+		),
+		modelStatus: connect.NewClient[v1.ModelStatusRequest, v1.ModelStatusResponse](
+			httpClient,
+			baseURL+OperatorServiceModelStatusProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ModelStatus")),
+			connect.WithClientOptions(opts...),
+		),
 		listMembers: connect.NewClient[v1.ListMembersRequest, v1.ListMembersResponse](
 			httpClient,
 			baseURL+OperatorServiceListMembersProcedure,
@@ -162,6 +184,8 @@
 	history       *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
 	status        *connect.Client[v1.StatusRequest, v1.StatusResponse]
 	listTargets   *connect.Client[v1.ListTargetsRequest, v1.ListTargetsResponse]
+	listModels    *connect.Client[v1.ListModelsRequest, v1.ListModelsResponse]
+	modelStatus   *connect.Client[v1.ModelStatusRequest, v1.ModelStatusResponse]
 	listMembers   *connect.Client[v1.ListMembersRequest, v1.ListMembersResponse]
 	drain         *connect.Client[v1.DrainRequest, v1.DrainResponse]
 	routerStatus  *connect.Client[v1.RouterStatusRequest, v1.RouterStatusResponse]
@@ -202,6 +226,16 @@
 	return c.listTargets.CallUnary(ctx, req)
 }
 
+// ListModels calls rattantray.v1.OperatorService.ListModels.
+func (c *operatorServiceClient) ListModels(ctx context.Context, req *connect.Request[v1.ListModelsRequest]) (*connect.Response[v1.ListModelsResponse], error) {
+	return c.listModels.CallUnary(ctx, req)
+}
+
+// ModelStatus calls rattantray.v1.OperatorService.ModelStatus.
+func (c *operatorServiceClient) ModelStatus(ctx context.Context, req *connect.Request[v1.ModelStatusRequest]) (*connect.Response[v1.ModelStatusResponse], error) {
+	return c.modelStatus.CallUnary(ctx, req)
+}
+
 // ListMembers calls rattantray.v1.OperatorService.ListMembers.
 func (c *operatorServiceClient) ListMembers(ctx context.Context, req *connect.Request[v1.ListMembersRequest]) (*connect.Response[v1.ListMembersResponse], error) {
 	return c.listMembers.CallUnary(ctx, req)
@@ -229,6 +263,10 @@
 	// Status tells on which daemons a version is in force.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 	ListTargets(context.Context, *connect.Request[v1.ListTargetsRequest]) (*connect.Response[v1.ListTargetsResponse], error)
+	// ListModels tells what the services in force ask of each model.
+	ListModels(context.Context, *connect.Request[v1.ListModelsRequest]) (*connect.Response[v1.ListModelsResponse], error)
+	// ModelStatus tells how far a model's targets are in line with the services in force.
+	ModelStatus(context.Context, *connect.Request[v1.ModelStatusRequest]) (*connect.Response[v1.ModelStatusResponse], error)
 	ListMembers(context.Context, *connect.Request[v1.ListMembersRequest]) (*connect.Response[v1.ListMembersResponse], error)
 	// Drain starts a graceful shutdown of the daemon that is asked.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
@@ -284,6 +322,18 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ListTargets")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceListModelsHandler := connect.NewUnaryHandler(
+		OperatorServiceListModelsProcedure,
+		svc.ListModels,
+		connect.WithSchema(operatorServiceMethods.ByName("ListModels")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceModelStatusHandler := connect.NewUnaryHandler(
+		OperatorServiceModelStatusProcedure,
+		svc.ModelStatus,
+		connect.WithSchema(operatorServiceMethods.ByName("ModelStatus")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceListMembersHandler := connect.NewUnaryHandler(
 		OperatorServiceListMembersProcedure,
 		svc.ListMembers,
@@ -318,6 +368,10 @@
 			operatorServiceStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceListTargetsProcedure:
 			operatorServiceListTargetsHandler.ServeHTTP(w, r)
+		case OperatorServiceListModelsProcedure:
+			operatorServiceListModelsHandler.ServeHTTP(w, r)
+		case OperatorServiceModelStatusProcedure:
+			operatorServiceModelStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceListMembersProcedure:
 			operatorServiceListMembersHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
@@ -361,6 +415,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattantray.v1.OperatorService.ListTargets is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) ListModels(context.Context, *connect.Request[v1.ListModelsRequest]) (*connect.Response[v1.ListModelsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattantray.v1.OperatorService.ListModels is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) ModelStatus(context.Context, *connect.Request[v1.ModelStatusRequest]) (*connect.Response[v1.ModelStatusResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattantray.v1.OperatorService.ModelStatus is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) ListMembers(context.Context, *connect.Request[v1.ListMembersRequest]) (*connect.Response[v1.ListMembersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattantray.v1.OperatorService.ListMembers is not implemented"))
 }
--- a/pkg/refuser/code.go
+++ b/pkg/refuser/code.go
@@ -66,6 +66,7 @@
 	VersionConflict     Code = 602
 	ApplyUncertain      Code = 603
 	ServiceNotFound     Code = 604
+	ModelNotFound       Code = 605
 	PeerUnavailable     Code = 701
 	LeaseLost           Code = 702
 	PredecessorTimedOut Code = 801
@@ -127,6 +128,7 @@
 	{VersionConflict, "version-conflict", "The stored version is not the expected one.", FactNotRun, false, connect.CodeAborted},
 	{ApplyUncertain, "apply-uncertain", "The store gave no answer; the document may be stored.", FactMayHaveRun, true, connect.CodeUnavailable},
 	{ServiceNotFound, "service-not-found", "No service document of this name is stored.", FactNotRun, false, connect.CodeNotFound},
+	{ModelNotFound, "model-not-found", "No service in force runs a model of this name.", FactNotRun, false, connect.CodeNotFound},
 	{PeerUnavailable, "peer-unavailable", "Another daemon could not be reached.", FactNotRun, true, connect.CodeUnavailable},
 	{LeaseLost, "lease-lost", "The lease of the duty is held by another daemon.", FactNotRun, true, connect.CodeAborted},
 	{PredecessorTimedOut, "predecessor-timed-out", "A predecessor under the ordering key did not come in time.", FactNotRun, true, connect.CodeAborted},
