Let the oracle of the balancer know the jitter of breakers

Cause: the oracle held the least jitter of a pause (MinOpen/2) as if it were the pause. A failure that ended after it, while the product's breaker was still open by its jitter, closed the instance anew for the oracle only.

Change: the source of jitter is one of three constants (least, middle, most), so that the oracle holds the exact pause, and counts trips.

--- a/internal/forwarder/balancer_fuzz_test.go
+++ b/internal/forwarder/balancer_fuzz_test.go
@@ -24,12 +24,25 @@
 	cataloger.Target
 	inFlight int
 	failures int
+	// trips counts the openings of the breaker without a success between.
+	trips int
 	// limit is that of the slow start after the breaker opened; 0 is none.
 	limit int
-	// closedUntil is the earliest time at which the instance may be sent anything.
+	// closedUntil is when the instance may be sent anything again.
 	closedUntil time.Time
+	// jitter draws what the breaker draws.
+	jitter *rand.Rand
 }
 
+// constantSource draws the same number for ever, so that the oracle knows the jitter of every breaker exactly.
+type constantSource uint64
+
+// Uint64 implements rand.Source.
+func (c constantSource) Uint64() uint64 { return uint64(c) }
+
+// jitterSources draw the least, the middle and the largest jitter.
+var jitterSources = []constantSource{0x00000001_00000001, 0x80000000_80000000, 0xffffffff_ffffffff}
+
 // fuzzRequest is what the oracle knows of one request.
 type fuzzRequest struct {
 	Request
@@ -71,12 +84,16 @@
 
 func newBalancerModel(t *rapid.T) *balancerModel {
 	m := &balancerModel{t: t, requests: map[string]*fuzzRequest{}}
+	random := rand.New(rapid.SampledFrom(jitterSources).Draw(t, "jitter"))
 	for i := range 3 {
-		m.targets = append(m.targets, &fuzzTarget{Target: cataloger.Target{Name: fmt.Sprint("t", i), State: cataloger.StateLive}})
+		m.targets = append(m.targets, &fuzzTarget{
+			Target: cataloger.Target{Name: fmt.Sprint("t", i), State: cataloger.StateLive},
+			jitter: random,
+		})
 	}
 	m.balancer = &Balancer{
 		Clock:    timer.System{},
-		Rand:     rand.New(rand.NewPCG(1, 2)),
+		Rand:     random,
 		Attempt:  m.attempt,
 		breakers: map[string]*breaker.Breaker{},
 		budgets:  budgeter.NewSet[budgetKey](fuzzBurst, maxBudgets),
@@ -209,20 +226,23 @@
 
 func (to *fuzzTarget) succeeded() {
 	to.failures = 0
+	to.trips = 0
 	to.limit *= 2
 	if to.limit >= breaker.SlowStartEnd {
 		to.limit = 0
 	}
 }
 
-// failed counts a failure; the breaker's pause has jitter, of which the oracle holds the least.
+// failed counts a failure; one that ends while the instance is closed says nothing new.
 func (to *fuzzTarget) failed() {
 	to.failures++
 	if time.Now().Before(to.closedUntil) || (to.failures < breaker.Failures && to.limit == 0) {
 		return
 	}
 	to.limit = 1
-	to.closeFor(breaker.MinOpen / 2)
+	half := min(breaker.MinOpen<<min(to.trips, 10), breaker.MaxOpen) / 2
+	to.trips++
+	to.closeFor(half + time.Duration(to.jitter.Int64N(int64(half)+1)))
 }
 
 func (m *balancerModel) wait() {
