--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,11 +47,13 @@
 	Name       string
 	DataCentre string
 	Region     string
-	// ClientListen, ReadyListen, ResolveListen are host:port; PeerListen is for datagrams and HTTP of other gateways.
+	// ClientListen, ReadyListen and ResolveListen are host:port; PeerListen is for datagrams and HTTP of other gateways, and
+	// ControlListen, where it is set, serves the same HTTP.
 	ClientListen  string
 	ReadyListen   string
 	ResolveListen string
 	PeerListen    string
+	ControlListen string
 	// Seeds are peer addresses that may be stale.
 	Seeds []string
 	// Grace is the time between the signal to stop and the kill.
@@ -176,6 +178,7 @@
 	g.listed.Log, g.listed.Apply, g.listed.Ask = g.Log, g.applyTarget, g.askPeers
 
 	g.gossiper = gossiper.New(conn, g.Clock)
+	g.gossiper.Name = g.Settings.Name
 	g.gossiper.Log, g.gossiper.Self, g.gossiper.Receive, g.gossiper.Gone = g.Log, g.heartbeat, g.receive, g.gone
 	g.gossiper.Learn(g.Settings.Seeds...)
 
@@ -208,6 +211,7 @@
 		{Name: "register", Run: g.register},
 		{Name: "lag", Needs: []string{"config", "targets", "gossiper"}, Run: g.watchLag},
 		{Name: "peers", Run: serve(g.Settings.PeerListen, newServer(g.peerHandler()))},
+		{Name: "control", Run: g.runControl},
 		{Name: "leaser", Run: g.duty.leaser.Run},
 		{Name: "duty", Needs: []string{"leaser", "gossiper"}, Run: g.runDuty},
 		{Name: "orderer", Needs: []string{"duty", "config", "targets"}, Run: g.orderer.Run},
@@ -259,23 +263,19 @@
 		Uint32("first", first).Uint32("end", end).Msg("target listed")
 }
 
-// register leaves the peer address in the store and learns those of the others.
+// register leaves the peer address in the store and then learns those of the others, so that of two daemons that start
+// together at least one learns of the other.
 func (g *Gateway) register(ctx context.Context) error {
-	key := peersPrefix + g.Settings.Name
 	for {
-		objects, _, err := g.Adapter.Store.List(ctx, peersPrefix)
-		var version uint64
-		known := ""
-		for _, o := range objects {
-			g.gossiper.Learn(string(o.Value))
-			if o.Key == key {
-				version, known = o.Version, string(o.Value)
-			}
-		}
-		if err == nil && known != g.Settings.PeerListen {
-			_, err = g.Adapter.Store.Put(ctx, key, []byte(g.Settings.PeerListen), version)
+		err := g.leaveAddress(ctx)
+		var objects []storer.Object
+		if err == nil {
+			objects, _, err = g.Adapter.Store.List(ctx, peersPrefix)
 		}
 		if err == nil {
+			for _, o := range objects {
+				g.gossiper.Learn(string(o.Value))
+			}
 			return nil
 		}
 		g.Log.Warn().Err(err).Msg("peer address not left in the store yet")
@@ -284,3 +284,18 @@
 		}
 	}
 }
+
+// leaveAddress writes the peer address, unless an earlier start of this daemon did.
+func (g *Gateway) leaveAddress(ctx context.Context) error {
+	key, address := peersPrefix+g.Settings.Name, []byte(g.Settings.PeerListen)
+	_, err := g.Adapter.Store.Put(ctx, key, address, 0)
+	if !errors.Is(err, storer.ErrConflict) {
+		return err
+	}
+	o, err := g.Adapter.Store.Get(ctx, key)
+	if err != nil || string(o.Value) == string(address) {
+		return err
+	}
+	_, err = g.Adapter.Store.Put(ctx, key, address, o.Version)
+	return err
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -190,3 +190,12 @@
 	})
 	return mux
 }
+
+// runControl serves peers on the platform's address for control, too.
+func (g *Gateway) runControl(ctx context.Context) error {
+	if g.Settings.ControlListen == "" {
+		<-ctx.Done()
+		return nil
+	}
+	return serve(g.Settings.ControlListen, newServer(g.peerHandler()))(ctx)
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -41,6 +41,8 @@
 
 // Gossiper sends and takes heartbeats; set its exported fields before Run.
 type Gossiper struct {
+	// Name is this daemon's.
+	Name string
 	// Self returns this daemon's heartbeat; Peers is filled in.
 	Self func() *peerv1.GatewayHeartbeat
 	// Receive takes each heartbeat of another daemon.
@@ -155,7 +157,7 @@
 			g.Log.Warn().Err(err).Msg("heartbeat not understood")
 			continue
 		}
-		if h.GetName() == g.Self().GetName() {
+		if h.GetName() == g.Name {
 			continue
 		}
 		if g.take(h) {
--- a/internal/relayer/planning.go
+++ b/internal/relayer/planning.go
@@ -20,8 +20,8 @@
 	hopCost = 300 * time.Microsecond
 	// fullShare is the part of a target's memory for requests that is given away; reports of other daemons lag.
 	fullShare = 0.9
-	// loadWeight is how much dearer a layer gets as the memory of its target fills.
-	loadWeight = 1.5
+	// leastFree bounds how dear a layer gets as the memory of its target fills.
+	leastFree = 0.05
 	// hintMargin is the part by which answers are taken to be longer than their hint.
 	hintMargin = 1.25
 )
@@ -56,14 +56,14 @@
 		}
 		room := memory(v.Target, e).TokenLayers(end - first)
 		used := v.TokenLayers + tokens*float64(end-first)
-		if used > fullShare*room {
+		if used > fullShare*room || room <= 0 {
 			continue
 		}
 		step := e.StepTime.Seconds() + e.SequenceTime.Seconds()*float64(v.Requests)
 		cost := step * max(e.Kinds[v.Kind].Pace, 0.01) * max(v.Pace, 1) / float64(max(e.Layers, 1))
 		out[version] = append(out[version], pathfinder.Holder{
 			Target: v.Name, Address: v.Address, DataCentre: v.DataCentre, First: first, End: end,
-			LayerCost: cost * (1 + loadWeight*used/max(room, 1)), HopCost: hopCost.Seconds(),
+			LayerCost: cost / max(1-used/(fullShare*room), leastFree), HopCost: hopCost.Seconds(),
 		})
 	}
 	return out
