Keep streams on fast links and believe a loss at the second sign

Cause: (1) the cost of a layer grew with 1/(1-used), so paths hopped between data centres for half-empty targets; the shared pipe filled and pauses passed the objective (41 of 145 answers late in two seconds, before any loss). (2) One dial that timed out on a lossy link made a target count as lost for 4 s. (3) A target that gives layers up waits for the streams that pass them, and was ordered again meanwhile. (4) Watches that bring nothing kept revoked keys in force. (5) Daemons that start together all asked for the lease.

Change: crossings are priced by the load of the pipe, layers by the fourth power of the fill; doubts need a second sign or silent streams and are taken back by an event; streams leave stages that are given up; the holder's own writes show changes that no watch brought; the duty waits for the first heartbeats.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -15,6 +15,8 @@
 	SuspicionTime = 4 * time.Second
 	// RefusalTime is how long a target is passed over that refused a request for want of room or as it gives its layers up.
 	RefusalTime = 300 * time.Millisecond
+	// doubtTime is within which a second failure to answer makes a target count as lost.
+	doubtTime = 2 * time.Second
 	// peerLoadAge is how long the load that another daemon reported counts.
 	peerLoadAge = 2 * time.Second
 )
@@ -35,6 +37,9 @@
 	requests    int
 	lostAt      time.Time
 	refusedAt   time.Time
+	// doubtedAt is when the target last did not answer, and clearedAt when it was last proven to.
+	doubtedAt time.Time
+	clearedAt time.Time
 	// pace is the measured slowness, 1 where nothing else is known.
 	pace float64
 	// firstSeen is when the target was listed.
@@ -205,7 +210,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b, ok := a.beliefs[name]
-	if !ok || b.target.Incarnation != incarnation || !since.After(b.lostAt) {
+	if !ok || b.target.Incarnation != incarnation || !since.After(b.lostAt) || !since.After(b.clearedAt) {
 		return false
 	}
 	news := b.lostAt.IsZero() || a.Now().Sub(b.lostAt) >= SuspicionTime
@@ -213,6 +218,41 @@
 	return news
 }
 
+// Doubt takes in that a target did not answer once; it tells whether that was the second time in a row.
+func (a *Assessor) Doubt(name string, incarnation uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[name]
+	if !ok || b.target.Incarnation != incarnation {
+		return false
+	}
+	now := a.Now()
+	again := !b.doubtedAt.IsZero() && now.Sub(b.doubtedAt) < doubtTime
+	b.doubtedAt, b.refusedAt = now, now
+	return again
+}
+
+// Trust takes in that a target answered.
+func (a *Assessor) Trust(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b, ok := a.beliefs[name]; ok {
+		b.doubtedAt = time.Time{}
+	}
+}
+
+// Clear takes in that a target was proven to work at a time, and tells whether it was believed lost.
+func (a *Assessor) Clear(name string, at time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[name]
+	if !ok || b.lostAt.IsZero() || !at.After(b.lostAt) {
+		return false
+	}
+	b.lostAt, b.doubtedAt, b.clearedAt = time.Time{}, time.Time{}, at
+	return true
+}
+
 // Refuse takes in that a target wants no more work for a moment.
 func (a *Assessor) Refuse(name string) {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/auditor/auditor_test.go
@@ -0,0 +1,59 @@
+package auditor
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+func TestMissedChanges(t *testing.T) {
+	cases := []struct {
+		name string
+		// writes are the own ones, seen what watches bring of the rest.
+		writes []uint64
+		seen   []uint64
+		missed int
+	}{
+		{"nothing but own writes", []uint64{10, 11, 12}, nil, 0},
+		{"a change that a watch brought", []uint64{10, 12}, []uint64{11}, 0},
+		{"a change that no watch brought", []uint64{10, 12, 13}, nil, 1},
+		{"one of two changes", []uint64{10, 13}, []uint64{11}, 1},
+		{"the first write says nothing of what was before", []uint64{10}, nil, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				missed := 0
+				a := New(timer.System{}, func() { missed++ })
+				for _, w := range c.writes {
+					a.Wrote(w)
+					time.Sleep(grace / 2)
+					for _, s := range c.seen {
+						if s < w {
+							a.See(s)
+						}
+					}
+					time.Sleep(time.Second)
+				}
+				require.Equal(t, c.missed, missed)
+			})
+		})
+	}
+}
+
+// TestLateEventIsNoAlarm lets a watch bring a change shortly after the write that shows it.
+func TestLateEventIsNoAlarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(timer.System{}, func() { t.Error("nothing was missed") })
+		a.Wrote(10)
+		time.Sleep(time.Second)
+		a.Wrote(12)
+		time.Sleep(grace - time.Millisecond)
+		a.See(11)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -38,6 +38,8 @@
 	Log    zerolog.Logger
 	// Apply takes each change, one at a time; deleted objects come without a value.
 	Apply func(o storer.Object, deleted bool)
+	// See takes the revision of each change that is seen, whatever becomes of it.
+	See func(revision uint64)
 	// Ask returns the copy of a peer that knows more; nil where there are none. It is used while the store is away.
 	Ask func(ctx context.Context, prefix string, revision uint64) (Copy, bool)
 
@@ -59,7 +61,7 @@
 // New returns a follower that knows no objects.
 func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
 	return &Follower{
-		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(),
+		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), See: func(uint64) {},
 		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, nudged: make(chan struct{}, 1),
 	}
 }
@@ -202,6 +204,7 @@
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Key] = true
+		f.See(o.Version)
 		f.put(o)
 	}
 	for key, o := range f.objects {
@@ -219,6 +222,7 @@
 	f.revision = max(f.revision, e.Revision)
 	if e.Object.Key != "" {
 		f.changed = max(f.changed, e.Revision)
+		f.See(e.Object.Version)
 	}
 	switch {
 	case e.Object.Key == "":
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -41,7 +41,7 @@
 
 // comesFirst tells whether this daemon is the first choice for the duty.
 func (g *Gateway) comesFirst() bool {
-	if !g.Ready() {
+	if !g.Ready() || !g.gossiper.Settled() {
 		return false
 	}
 	members := []cataloger.Member{{Name: g.Settings.Name}}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/auditor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/follower"
 	"github.com/rattantray/rattantray/internal/gossiper"
@@ -94,6 +95,7 @@
 	// configs and listed follow the configuration and the targets.
 	configs *follower.Follower
 	listed  *follower.Follower
+	auditor *auditor.Auditor
 	duty    duty
 	client  *http.Server
 	leaving atomic.Bool
@@ -173,8 +175,11 @@
 func (g *Gateway) prepare(conn net.PacketConn) {
 	store := g.Adapter.Store
 	g.configs = follower.New(store, g.Settings.ConfigPrefix, g.Clock)
+	g.auditor = auditor.New(g.Clock, g.missed)
+	g.configs.See = g.auditor.See
 	g.configs.Log, g.configs.Apply, g.configs.Ask = g.Log, g.applyConfig, g.askPeers
 	g.listed = follower.New(store, g.Settings.TargetsPrefix, g.Clock)
+	g.listed.See = g.auditor.See
 	g.listed.Log, g.listed.Apply, g.listed.Ask = g.Log, g.applyTarget, g.askPeers
 
 	g.gossiper = gossiper.New(conn, g.Clock)
@@ -197,12 +202,32 @@
 	g.orderer.Holds, g.orderer.Place, g.orderer.Report = g.holdsDuty, g.Adapter.Place, g.Adapter.Backend.Report
 
 	l := leaser.New(cataloger.Member{Name: g.Settings.Name, Epoch: g.epoch})
-	l.Store, l.Clock, l.Log, l.Duration = store, g.Clock, g.Log, leaseDuration
+	l.Store, l.Clock, l.Log, l.Duration = g.audited(store), g.Clock, g.Log, leaseDuration
 	l.Random, l.Metrics = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), metrics.NewRegistry()
 	g.duty.leaser = l
 	g.client = newServer(g.count(g.Adapter.Client))
 }
 
+// audited returns the store with its writes told to the auditor.
+func (g *Gateway) audited(store storer.Store) storer.Store {
+	put := store.Put
+	store.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+		version, err := put(ctx, key, value, expected)
+		if err == nil {
+			g.auditor.Wrote(version)
+		}
+		return version, err
+	}
+	return store
+}
+
+// missed reads everything anew, as a watch has not brought what was written.
+func (g *Gateway) missed() {
+	g.Log.Info().Msg("changes were missed, reading anew")
+	g.configs.Nudge()
+	g.listed.Nudge()
+}
+
 func (g *Gateway) services() []registrar.Service {
 	return []registrar.Service{
 		{Name: "config", Run: g.configs.Run},
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -23,8 +23,12 @@
 	fanOut = 8
 	// missed is how many heartbeats in a row a peer may miss before it counts as gone.
 	missed = 4
-	// strangerPause is the time between heartbeats to addresses that nobody answers at.
+	// strangerPause is the time between heartbeats to addresses that nobody answers at, and firstPause that of the first
+	// SettleTime, when the others may be starting as well.
 	strangerPause = 2 * time.Second
+	firstPause    = 200 * time.Millisecond
+	// SettleTime is how long a daemon needs to hear those that run, after its start.
+	SettleTime = 1200 * time.Millisecond
 	// forgetTime is how long a peer that went silent is still tried.
 	forgetTime = time.Minute
 	// named is how many peers a heartbeat names.
@@ -58,6 +62,7 @@
 	// strangers are addresses at which a daemon may be, with the time of the last heartbeat sent there.
 	strangers map[string]time.Time
 	turn      int
+	started   time.Time
 }
 
 // New returns a gossiper that knows no one.
@@ -65,7 +70,7 @@
 	return &Gossiper{
 		Conn: conn, Clock: clock, Log: zerolog.Nop(),
 		Receive: func(*peerv1.GatewayHeartbeat) {}, Gone: func(string) {},
-		peers: map[string]*peer{}, strangers: map[string]time.Time{},
+		started: clock.Now(), peers: map[string]*peer{}, strangers: map[string]time.Time{},
 	}
 }
 
@@ -120,6 +125,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	pause := strangerPause
+	if now.Sub(g.started) < SettleTime {
+		pause = firstPause
+	}
 	var known []string
 	for _, p := range g.peers {
 		known = append(known, p.heartbeat.GetPeerAddress())
@@ -132,7 +141,7 @@
 	for a, sent := range g.strangers {
 		if slices.Contains(known, a) || a == self {
 			delete(g.strangers, a)
-		} else if now.Sub(sent) >= strangerPause {
+		} else if now.Sub(sent) >= pause {
 			g.strangers[a] = now
 			addresses = append(addresses, a)
 		}
@@ -216,6 +225,9 @@
 	return time.Duration(missed*max(rounds, 1)) * Interval
 }
 
+// Settled tells whether the daemon has run long enough to know the others.
+func (g *Gossiper) Settled() bool { return g.Clock.Now().Sub(g.started) >= SettleTime }
+
 // Alive returns the last heartbeats of the peers that are heard, by name; those that leave are among them.
 func (g *Gossiper) Alive() []*peerv1.GatewayHeartbeat {
 	g.mu.Lock()
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -29,6 +29,8 @@
 	orderTimeout = time.Second
 	// listTime is how long after the end of a load the platform's list shows it, at the most.
 	listTime = 4 * time.Second
+	// handoffTime is how long a target may wait for the requests that pass the layers it gives up.
+	handoffTime = 10 * time.Second
 	// retryPause is the time before a target is given another order after one that failed.
 	retryPause = 500 * time.Millisecond
 )
@@ -235,10 +237,14 @@
 // order notes an order as pending and gives it.
 func (o *Orderer) order(ctx context.Context, e *matcher.Engine, t cataloger.Target, m placer.Move) {
 	now := o.Clock.Now()
+	wait := listTime
+	if first, end, _ := t.Held(); end > first {
+		wait += handoffTime
+	}
 	o.mu.Lock()
 	o.pending[t.Name] = Pending{
 		Target: t.Name, Incarnation: t.Incarnation, First: m.First, End: m.End,
-		At: now, Until: now.Add(o.loadTime(e, m) + listTime),
+		At: now, Until: now.Add(o.loadTime(e, m) + wait),
 	}
 	o.mu.Unlock()
 	go o.give(ctx, t, m)
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -152,6 +152,7 @@
 		return sendAgain, g.refused(first.Target, reply)
 	}
 	g.mayHaveRun = true
+	r.Targets.Trust(first.Name)
 	if reply.Sound() {
 		return g.relay(ctx, reply)
 	}
@@ -165,7 +166,8 @@
 func (g *generation) sendFailed(ctx context.Context, first cataloger.Target, err error) (sendResult, *refuser.Refusal) {
 	if errors.Is(err, exchanger.ErrNotSent) {
 		if ctx.Err() == nil {
-			g.relayer.lose(first, err.Error())
+			g.relayer.doubt(first, err.Error())
+			g.avoid[first.Name] = true
 		}
 		return sendAgain, refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
 	}
@@ -259,6 +261,7 @@
 	g.path, g.last, g.started, g.moving, g.cancel = path, r.Clock.Now(), false, false, cancel
 	g.release = r.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
 	g.mu.Unlock()
+	r.cross(g.request, path)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.streams[g] = struct{}{}
--- a/internal/relayer/planning.go
+++ b/internal/relayer/planning.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"time"
 
 	"github.com/rattantray/rattantray/internal/assessor"
@@ -13,15 +14,17 @@
 const (
 	// maxStages is how many stages targets accept in one path.
 	maxStages = 32
-	// crossingCost makes a path leave its data centre only where the layers or the memory are missing there: prompts of a
-	// few paths fill the pipe between data centres.
-	crossingCost = 12 * time.Millisecond
+	// crossingCost is what a hop between data centres costs while the pipe is idle; it grows as the pipe fills, since a token
+	// waits there behind whole prompts.
+	crossingCost = 5 * time.Millisecond
+	// leastPipe bounds how dear a crossing gets as the pipe fills.
+	leastPipe = 0.02
 	// hopCost is what one more stage adds to each token: the wait for the target's next pass.
 	hopCost = 300 * time.Microsecond
 	// fullShare is the part of a target's memory for requests that is given away; reports of other daemons lag.
-	fullShare = 0.9
-	// leastFree bounds how dear a layer gets as the memory of its target fills.
-	leastFree = 0.05
+	fullShare = 0.97
+	// fullWeight is how much dearer a layer gets as the memory of its target fills: little at first, as targets batch.
+	fullWeight = 4
 	// hintMargin is the part by which answers are taken to be longer than their hint.
 	hintMargin = 1.25
 )
@@ -63,7 +66,7 @@
 		cost := step * max(e.Kinds[v.Kind].Pace, 0.01) * max(v.Pace, 1) / float64(max(e.Layers, 1))
 		out[version] = append(out[version], pathfinder.Holder{
 			Target: v.Name, Address: v.Address, DataCentre: v.DataCentre, First: first, End: end,
-			LayerCost: cost / max(1-used/(fullShare*room), leastFree), HopCost: hopCost.Seconds(),
+			LayerCost: cost * (1 + fullWeight*math.Pow(used/room, 4)), HopCost: hopCost.Seconds(),
 		})
 	}
 	return out
@@ -80,7 +83,7 @@
 	var best []cataloger.Stage
 	bestCost := 0.0
 	for _, hs := range holders(views, e, tokens, avoid) {
-		p := pathfinder.Problem{End: e.Layers, Holders: hs, CrossingCost: crossingCost.Seconds(), MaxStages: maxStages}
+		p := pathfinder.Problem{End: e.Layers, Holders: hs, CrossingCost: r.crossing(e), MaxStages: maxStages}
 		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
 		}
@@ -127,7 +130,7 @@
 			continue
 		}
 		p := pathfinder.Problem{
-			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: crossingCost.Seconds(),
+			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: r.crossing(e),
 			Before: places[path[i-1].Target].DataCentre,
 		}
 		if i+1 < len(path) {
@@ -145,6 +148,33 @@
 	return out, len(out) <= maxStages
 }
 
+// crossing returns what a hop between data centres costs now, in seconds a token.
+func (r *Relayer) crossing(e *matcher.Engine) float64 {
+	if e.PipeBytesPerSecond <= 0 {
+		return crossingCost.Seconds()
+	}
+	used := r.pipe.Rate(r.Clock.Now()) * float64(r.Daemons()) / e.PipeBytesPerSecond
+	free := max(1-used, leastPipe)
+	return crossingCost.Seconds() / (free * free)
+}
+
+// cross counts the bytes that a generation sends between data centres over a path.
+func (r *Relayer) cross(req *Request, path []cataloger.Stage) {
+	e := req.Service.Engine
+	crossings := 0
+	var before cataloger.DataCentre
+	for i, s := range path {
+		v, _ := r.Targets.Get(s.Target)
+		if i > 0 && v.DataCentre != before {
+			crossings++
+		}
+		before = v.DataCentre
+	}
+	if crossings > 0 {
+		r.pipe.Add(r.Clock.Now(), float64(crossings)*need(req, e)*e.ActivationBytes)
+	}
+}
+
 func without(holders []pathfinder.Holder, target string) []pathfinder.Holder {
 	var out []pathfinder.Holder
 	for _, h := range holders {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -38,6 +38,8 @@
 	rationers map[string]*rationer.Rationer
 	streams   map[*generation]struct{}
 	asked     map[string]time.Time
+	// pipe is what this daemon's generations send between data centres, in bytes.
+	pipe rateMeter
 }
 
 // New returns a relayer without requests.
@@ -96,6 +98,13 @@
 	return refuser.New(refuser.Canceled, "the client went away").WithFact(ran)
 }
 
+// doubt notes that a target did not answer once; another time soon after, it is lost.
+func (r *Relayer) doubt(t cataloger.Target, why string) {
+	if r.Targets.Doubt(t.Name, t.Incarnation) {
+		r.lose(t, why)
+	}
+}
+
 // lose notes that a target does not answer.
 func (r *Relayer) lose(t cataloger.Target, why string) {
 	if r.Targets.Lose(t.Name, t.Incarnation, r.Clock.Now()) {
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/repairer"
 )
@@ -16,6 +17,8 @@
 	gapPatience   = 6
 	// firstPatience is the silence before the first event that is worth a look; prompts wait for their prefill.
 	firstPatience = 600 * time.Millisecond
+	// clearTime is how long after a target was believed lost an event must come through it to prove that it is not.
+	clearTime = 150 * time.Millisecond
 	// askPause is the least time between two reports of one target, which lag by some hundred milliseconds.
 	askPause = 250 * time.Millisecond
 	// askTimeout bounds a report; a target that does not answer in it is lost.
@@ -72,6 +75,7 @@
 	for i, g := range generations {
 		streams[i] = g.stream()
 	}
+	r.clear(streams)
 	d := repairer.Diagnose(now, streams)
 	for _, name := range d.Lost {
 		if v, ok := r.Targets.Get(name); ok {
@@ -90,6 +94,20 @@
 	}
 }
 
+// clear takes doubts back about targets that streams have passed since.
+func (r *Relayer) clear(streams []repairer.Stream) {
+	for _, d := range r.Targets.Doubts() {
+		for _, s := range streams {
+			if s.Last.Sub(d.Since) < clearTime || !s.Passes(d.Target) {
+				continue
+			}
+			if r.Targets.Clear(d.Target, s.Last) {
+				r.Log.Info().Str("target", d.Target).Msg("target answers after all")
+			}
+		}
+	}
+}
+
 func (r *Relayer) mayAsk(target string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -106,7 +124,7 @@
 	defer cancel()
 	report, err := r.Backend.Report(ctx, first)
 	if err != nil {
-		r.lose(first, "no report: "+err.Error())
+		r.doubt(first, "no report: "+err.Error())
 		return
 	}
 	if report.Pace > 0 {
@@ -130,13 +148,19 @@
 			if now.Sub(s.Last) > s.Patience/2 {
 				gone[stage.Target] = true
 			}
-		case i > 0 && v.Left > leavingPatience:
+		case i > 0 && (v.Left > leavingPatience || !holds(v, stage)):
 			gone[stage.Target] = true
 		}
 	}
 	return gone
 }
 
+// holds tells whether a target still holds the layers of a stage; one that gives them up waits for the streams that pass it.
+func holds(v assessor.View, s cataloger.Stage) bool {
+	first, end, _ := v.Held()
+	return first <= s.FirstLayer && s.EndLayer <= end
+}
+
 // repair moves a generation off stages; it does so once at a time.
 func (r *Relayer) repair(ctx context.Context, g *generation, gone map[string]bool) {
 	g.mu.Lock()
--- a/internal/repairer/repairer.go
+++ b/internal/repairer/repairer.go
@@ -1,6 +1,7 @@
 package repairer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
@@ -26,6 +27,11 @@
 
 func (s Stream) silent(now time.Time) bool { return now.Sub(s.Last) > s.Patience }
 
+// Passes tells whether the stream passes a target.
+func (s Stream) Passes(target string) bool {
+	return slices.ContainsFunc(s.Path, func(stage cataloger.Stage) bool { return stage.Target == target })
+}
+
 // Diagnosis is what the silence of streams says.
 type Diagnosis struct {
 	// Lost are targets that must be lost, as all that pass through them went silent together.
