--- a/internal/matcher/document.go
+++ b/internal/matcher/document.go
@@ -63,6 +63,8 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
+	// Slots is how many requests a target runs at a time.
+	Slots int
 	// Model and LoadTime are those of the model that all targets of the service hold, whole.
 	Model    string
 	LoadTime time.Duration
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -21,8 +21,9 @@
 	interval = 150 * time.Millisecond
 	// settleTime is how long the list of targets must stand still before layers are placed on a fleet that holds none.
 	settleTime = 700 * time.Millisecond
-	// reserveRequests is for how many usual requests a target keeps memory.
-	reserveRequests = 64
+	// reserveShare is for which part of its slots, filled by usual requests, a target keeps memory: enough to take over the
+	// load of a data centre that lost its pipeline.
+	reserveShare = 0.6
 	// spareShare is by how much the layers that fit should exceed the model before memory for requests is given up.
 	spareShare = 1.2
 	// orderTimeout bounds one order.
@@ -221,7 +222,7 @@
 
 // reserveFor returns the tokens that each target keeps memory for: fewer where the model would not fit otherwise.
 func reserveFor(e *matcher.Engine, views []assessor.View) float64 {
-	reserve := reserveRequests * max(e.UsualPrompt+e.UsualAnswer, 1)
+	reserve := reserveShare * float64(max(e.Slots, 1)) * max(e.UsualPrompt+e.UsualAnswer, 1)
 	for ; reserve > 1; reserve /= 2 {
 		total := 0.0
 		for _, v := range views {
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
@@ -29,6 +30,8 @@
 	// failure is the last answer of a target that reports a failure of its own; it is the answer where no better one comes.
 	failure *wholeReply
 	answer  *wholeReply
+	// targets are the names of those that were tried.
+	targets []string
 }
 
 // wholeReply is a reply whose body was read.
@@ -40,6 +43,14 @@
 // forward relays a request to one of the targets of a plain service.
 func (r *Relayer) forward(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
 	call := &plainCall{relayer: r, request: req}
+	refusal := call.run(ctx, w)
+	r.logEnd(req, refusal, func(e *zerolog.Event) { e.Strs("targets", call.targets) })
+	return refusal
+}
+
+// run makes attempts until an answer can be passed on.
+func (c *plainCall) run(ctx context.Context, w http.ResponseWriter) *refuser.Refusal {
+	r, req, call := c.relayer, c.request, c
 	_, err := r.Balancer.Run(ctx, r.instances(req.Service.Name), forwarder.Request{
 		Workspace:  req.Workspace,
 		Service:    req.Service.Name,
@@ -77,6 +88,7 @@
 
 // attempt sends the request to one target and reads the whole answer.
 func (c *plainCall) attempt(ctx context.Context, t cataloger.Target, fr forwarder.Request) (forwarder.Answer, error) {
+	c.targets = append(c.targets, t.Name)
 	now := c.relayer.Clock.Now()
 	ctx, cancel := context.WithDeadline(ctx, fr.Deadline)
 	defer cancel()
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
@@ -15,7 +16,8 @@
 )
 
 const (
-	// maxSends bounds the sendings of one generation, whatever its route allows; sendings to targets that were lost are free.
+	// maxSends bounds the sendings of one generation. Those that did not run, and those to targets that are gone, do not
+	// count toward the attempts that its route allows.
 	maxSends = 4
 	// pathPause is the time between two looks for a path for a stream that has begun.
 	pathPause = 50 * time.Millisecond
@@ -39,16 +41,23 @@
 	begun bool
 	// mayHaveRun is true once a sending did not prove that it did not run.
 	mayHaveRun bool
-	// sends counts the sendings to targets that are not lost.
+	// sends counts all sendings, and runs those that may have run on a target that is still there.
 	sends int
+	runs  int
 	avoid map[string]bool
 
 	// mu guards what the watchdog reads and changes.
-	mu      sync.Mutex
-	path    []cataloger.Stage
-	last    time.Time
-	gap     time.Duration
-	started bool
+	mu   sync.Mutex
+	path []cataloger.Stage
+	last time.Time
+	// delivered is when the last event was delivered.
+	delivered time.Time
+	gap       time.Duration
+	started   bool
+	// first is the time to the first event, longest the longest gap after it.
+	first   time.Duration
+	longest time.Duration
+	repaths int
 	moving  bool
 	// repairAt is when the next repair may be tried.
 	repairAt time.Time
@@ -71,10 +80,28 @@
 	g := &generation{relayer: r, request: req, w: w, avoid: map[string]bool{}}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
+	refusal := g.run(ctx)
+	r.logEnd(req, refusal, g.describe)
+	if refusal != nil && g.begun {
+		// The answer has begun and must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	return refusal
+}
+
+// describe adds what became of the generation to its last line.
+func (g *generation) describe(e *zerolog.Event) {
+	e.Int("sends", g.sends).Int("runs", g.runs).Int("repaths", g.repaths).Str("last", g.events.last).Dur("first", g.first).
+		Dur("longest-gap", g.longest).Int("stages", len(g.path))
+}
+
+// run sends the request until its answer is complete or its refusal final.
+func (g *generation) run(ctx context.Context) *refuser.Refusal {
+	r, req := g.relayer, g.request
 	for repeat := false; ; repeat = true {
 		path, ok := g.findPath(ctx)
 		if !ok {
-			return g.end(ctx, refuser.New(refuser.NoPipeline, "no pipeline of %s has room", req.Service.Name).WithRetryAfter(noPathRetry))
+			return g.end(ctx, refuser.New(refuser.NoPipeline, "%s", r.shortage(req)).WithRetryAfter(noPathRetry))
 		}
 		// The budget counts sendings, so nothing is taken out before there is somewhere to send.
 		if repeat && !r.spend(req) {
@@ -84,7 +111,7 @@
 		if result == sendDone {
 			return refusal
 		}
-		if !g.maySend(path[0]) {
+		if !g.maySend(g.runs) {
 			return g.end(ctx, refusal)
 		}
 	}
@@ -104,12 +131,18 @@
 	}
 }
 
-// maySend tells whether the request may be sent again after a sending to a first stage.
-func (g *generation) maySend(first cataloger.Stage) bool {
-	if v, ok := g.relayer.Targets.Get(first.Target); ok && !v.Lost {
-		g.sends++
+// sent counts a sending to a first stage that has ended without an answer.
+func (g *generation) sent(first cataloger.Target, ran bool) {
+	g.sends++
+	v, ok := g.relayer.Targets.Get(first.Name)
+	if ran && ok && v.Incarnation == first.Incarnation {
+		g.runs++
 	}
-	return g.sends < min(max(g.request.Route.MaxAttempts, 1), maxSends) && (!g.mayHaveRun || g.request.Route.Resumable)
+}
+
+// maySend tells whether the request may be sent once more than so many times that ran.
+func (g *generation) maySend(runs int) bool {
+	return g.sends < maxSends && runs < max(g.request.Route.MaxAttempts, 1) && (!g.mayHaveRun || g.request.Route.Resumable)
 }
 
 // end returns the final refusal, or breaks an answer off that has begun.
@@ -121,10 +154,6 @@
 	if ctx.Err() != nil {
 		refusal = ended(ctx, fact)
 	}
-	if g.begun {
-		g.relayer.Log.Warn().Str("request", g.request.ID).Str("last", g.events.last).Err(refusal).Msg("stream broken off")
-		panic(http.ErrAbortHandler)
-	}
 	return refusal.WithFact(fact)
 }
 
@@ -145,14 +174,23 @@
 	}
 	reply, err := r.Backend.Send(ctx, call)
 	if err != nil {
+		g.sent(first.Target, !errors.Is(err, exchanger.ErrNotSent))
 		return g.sendFailed(ctx, first.Target, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun {
+		g.sent(first.Target, false)
 		return sendAgain, g.refused(first.Target, reply)
 	}
 	g.mayHaveRun = true
 	r.Targets.Trust(first.Name)
+	result, refusal := g.answer(ctx, reply)
+	g.sent(first.Target, true)
+	return result, refusal
+}
+
+// answer takes the answer of a target that ran the request.
+func (g *generation) answer(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
 	if reply.Sound() {
 		return g.relay(ctx, reply)
 	}
@@ -254,6 +292,11 @@
 	return sendAgain, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
 
+// movable tells whether the generation may leave its present sending for another one.
+func (g *generation) movable() bool {
+	return g.request.Route.Resumable && g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
+}
+
 // enter registers the generation with the watchdog.
 func (g *generation) enter(path []cataloger.Stage, cancel context.CancelCauseFunc) {
 	r := g.relayer
@@ -285,6 +328,15 @@
 	if g.started {
 		g.gap += (now.Sub(g.last) - g.gap) / 8
 	}
+	if g.first == 0 {
+		g.first = now.Sub(g.request.Arrived)
+	} else {
+		g.longest = max(g.longest, now.Sub(g.delivered))
+	}
+	g.delivered = now
+	if !g.started {
+		g.relayer.noteFirst(now.Sub(g.last))
+	}
 	g.started = true
 	g.last = now
 }
--- a/internal/relayer/planning.go
+++ b/internal/relayer/planning.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -91,6 +92,52 @@
 	return best, best != nil
 }
 
+// shortage says why there is no path: the first layers that no target holds at all, that none takes work for, or that none
+// has memory for.
+func (r *Relayer) shortage(req *Request) string {
+	e := req.Service.Engine
+	views := r.Targets.Service(req.Service.Name)
+	checks := []struct {
+		what string
+		ok   func(assessor.View) bool
+	}{
+		{"held by no target", func(assessor.View) bool { return true }},
+		{"held only by targets that leave or do not answer", assessor.View.Usable},
+		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refused }},
+		{"held only by targets without memory for it", func(v assessor.View) bool {
+			first, end, _ := v.Held()
+			return v.Usable() && !v.Refused && v.TokenLayers+need(req, e)*float64(end-first) <= fullShare*memory(v.Target, e).TokenLayers(end-first)
+		}},
+	}
+	for _, c := range checks {
+		if first, end, ok := uncovered(views, e.Layers, c.ok); ok {
+			return fmt.Sprintf("layers %d to %d are %s", first, end, c.what)
+		}
+	}
+	return "the targets that have room do not make a path"
+}
+
+// uncovered returns the first range of layers that none of the targets that are ok holds.
+func uncovered(views []assessor.View, layers uint32, ok func(assessor.View) bool) (first, end uint32, found bool) {
+	held := make([]bool, layers)
+	for _, v := range views {
+		if from, to, _ := v.Held(); to > from && ok(v) {
+			for l := from; l < min(to, layers); l++ {
+				held[l] = true
+			}
+		}
+	}
+	for l, is := range held {
+		if !is && !found {
+			first, found = uint32(l), true
+		}
+		if is && found {
+			return first, uint32(l), true
+		}
+	}
+	return first, layers, found
+}
+
 // planWhole returns the target with the least work, where each holds the whole model.
 func (r *Relayer) planWhole(views []assessor.View, avoid map[string]bool) ([]cataloger.Stage, bool) {
 	best := -1
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,11 +41,13 @@
 	asked     map[string]time.Time
 	// pipe is what this daemon's generations send between data centres, in bytes.
 	pipe rateMeter
+	// usualFirst is the usual wait for a first event, in nanoseconds.
+	usualFirst atomic.Int64
 }
 
 // New returns a relayer without requests.
 func New(clock timer.Clock) *Relayer {
-	return &Relayer{
+	r := &Relayer{
 		Clock:     clock,
 		Log:       zerolog.Nop(),
 		Daemons:   func() int { return 1 },
@@ -54,6 +57,8 @@
 		streams:   map[*generation]struct{}{},
 		asked:     map[string]time.Time{},
 	}
+	r.usualFirst.Store(int64(mostFirstPatience / firstGaps))
+	return r
 }
 
 // Refuse writes the final answer to a request that is not served.
@@ -74,6 +79,19 @@
 	return r.forward(ctx, w, req)
 }
 
+// logEnd writes the line that ends the life of a request.
+func (r *Relayer) logEnd(req *Request, refusal *refuser.Refusal, more func(*zerolog.Event)) {
+	e := r.Log.Info()
+	if refusal != nil {
+		e = r.Log.Warn().Str("code", refusal.Code.String()).Str("fact", refusal.Fact.String()).Str("why", refusal.Message)
+		if refusal.RetryAfter > 0 {
+			e.Dur("retry-after", refusal.RetryAfter)
+		}
+	}
+	e.Str("request", req.ID).Str("route", req.Route.Name).Str("service", req.Service.Name).Uint64("config", req.ConfigVersion).
+		Dur("took", r.Clock.Now().Sub(req.Arrived)).Func(more).Msg("request ended")
+}
+
 func (r *Relayer) rationer(service string) *rationer.Rationer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -15,8 +15,10 @@
 	// leastPatience is the silence in the middle of a stream that is worth a look, and gapPatience how many usual gaps.
 	leastPatience = 250 * time.Millisecond
 	gapPatience   = 6
-	// firstPatience is the silence before the first event that is worth a look; prompts wait for their prefill.
-	firstPatience = 600 * time.Millisecond
+	// Before the first event, firstGaps usual waits are worth a look, within bounds; prompts wait for their prefill.
+	firstGaps          = 5
+	leastFirstPatience = 200 * time.Millisecond
+	mostFirstPatience  = 600 * time.Millisecond
 	// clearTime is how long after a target was believed lost an event must come through it to prove that it is not.
 	clearTime = 150 * time.Millisecond
 	// askPause is the least time between two reports of one target, which lag by some hundred milliseconds.
@@ -56,11 +58,23 @@
 	return len(r.streams)
 }
 
+// firstPatience returns the wait for a first event that is worth a look.
+func (r *Relayer) firstPatience() time.Duration {
+	usual := time.Duration(r.usualFirst.Load())
+	return min(max(firstGaps*usual, leastFirstPatience), mostFirstPatience)
+}
+
+// noteFirst takes the wait for a first event into the usual one.
+func (r *Relayer) noteFirst(d time.Duration) {
+	usual := r.usualFirst.Load()
+	r.usualFirst.Store(usual + (int64(min(d, mostFirstPatience))-usual)/32)
+}
+
 // stream returns the generation as the repairer sees it.
 func (g *generation) stream() repairer.Stream {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	patience := firstPatience
+	patience := g.relayer.firstPatience()
 	if g.started {
 		patience = max(leastPatience, gapPatience*g.gap)
 	}
@@ -185,7 +199,7 @@
 		v, ok := r.Targets.Get(name)
 		lost = lost || !ok || v.Lost
 	}
-	if lost && g.request.Route.Resumable {
+	if lost && g.movable() {
 		cancel(errMoved)
 		return
 	}
@@ -214,7 +228,7 @@
 		g.settle(nil)
 	case RepathUnknown:
 		// Whatever path the target follows now, all parts of it hold their layers.
-		if g.request.Route.Resumable {
+		if g.movable() {
 			cancel(errMoved)
 			return
 		}
@@ -234,6 +248,7 @@
 		return
 	}
 	g.release()
+	g.repaths++
 	g.path = path
 	g.last = g.relayer.Clock.Now()
 	g.release = g.relayer.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
