Give the duty to a daemon that reaches the store, and act without a lease that nobody holds

Change: the wait goes on while the daemon comes first; candidates reach the store; the first one orders at once where no live daemon holds the lease, as targets refuse orders that expect another number of placements.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/leaser"
 	"github.com/rattantray/rattantray/internal/tracker"
@@ -25,73 +26,108 @@
 	lease *leaser.Lease
 	// first tells whether this daemon comes first among those that it hears.
 	first bool
+	// give cancels the wait for the lease; nil where there is none.
+	give context.CancelFunc
 }
 
-// holdsDuty tells whether this daemon gives orders. While the store is away nobody can take the lease, and the daemon that
-// comes first goes on without: targets refuse an order that expects another number of placements.
-func (g *Gateway) holdsDuty() bool {
-	d := &g.duty
+// valid tells whether this daemon holds the lease.
+func (d *duty) valid() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lease != nil && d.lease.Valid() {
-		return true
-	}
-	return d.first && g.listed.Failing()
+	return d.lease != nil && d.lease.Valid()
+}
+
+func (d *duty) comesFirst() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.first
 }
 
-// comesFirst tells whether this daemon is the first choice for the duty.
-func (g *Gateway) comesFirst() bool {
-	if !g.Ready() || !g.gossiper.Settled() {
+// holdsDuty tells whether this daemon gives orders. The lease keeps two daemons from doing so at a time, which would be a
+// waste, not a fault: a target refuses an order that expects another number of placements. So the daemon that comes first
+// does not wait for a lease whose holder nobody hears, or while the store is away.
+func (g *Gateway) holdsDuty() bool {
+	if g.duty.valid() {
+		return true
+	}
+	if !g.duty.comesFirst() {
 		return false
 	}
-	members := []cataloger.Member{{Name: g.Settings.Name}}
 	for _, h := range g.gossiper.Alive() {
-		if h.GetReady() && !h.GetLeaving() {
-			members = append(members, cataloger.Member{Name: h.GetName()})
+		if h.GetHoldsDuty() {
+			return false
+		}
+	}
+	return true
+}
+
+// candidates returns the daemons that may take the duty: those that reach the store, or all where none does.
+func candidates(heartbeats []*peerv1.GatewayHeartbeat) []cataloger.Member {
+	var reach, others []cataloger.Member
+	for _, h := range heartbeats {
+		switch {
+		case !h.GetReady() || h.GetLeaving():
+		case h.GetStoreReachable():
+			reach = append(reach, cataloger.Member{Name: h.GetName()})
+		default:
+			others = append(others, cataloger.Member{Name: h.GetName()})
 		}
 	}
-	first, ok := tracker.Rendezvous(members, dutyName)
-	return ok && first.Name == g.Settings.Name
+	if len(reach) > 0 {
+		return reach
+	}
+	return others
+}
+
+// first tells whether this daemon is the first choice for the duty.
+func (g *Gateway) first() bool {
+	if !g.gossiper.Settled() {
+		return false
+	}
+	m, ok := tracker.Rendezvous(candidates(append(g.gossiper.Alive(), g.heartbeat())), dutyName)
+	return ok && m.Name == g.Settings.Name
 }
 
 // runDuty holds the lease while this daemon comes first.
 func (g *Gateway) runDuty(ctx context.Context) error {
 	for g.Clock.Sleep(ctx, dutyPause) == nil {
-		first := g.comesFirst()
-		g.duty.mu.Lock()
-		g.duty.first = first
-		lease := g.duty.lease
-		g.duty.mu.Unlock()
+		first := g.first()
+		d := &g.duty
+		d.mu.Lock()
+		d.first = first
+		lease := d.lease
+		if lease != nil && (!first || !lease.Valid()) {
+			d.lease = nil
+		}
 		switch {
-		case lease != nil && !lease.Valid():
-			g.setLease(nil)
-		case lease != nil && !first:
-			g.setLease(nil)
+		case first && d.lease == nil && d.give == nil:
+			var acquire context.Context
+			acquire, d.give = context.WithCancel(ctx)
+			go g.acquire(acquire)
+		case !first && d.give != nil:
+			d.give()
+		}
+		d.mu.Unlock()
+		if lease != nil && !first {
 			if err := lease.Release(ctx); err != nil {
 				g.Log.Info().Err(err).Msg("lease not freed, it runs out")
 			}
-		case lease == nil && first:
-			g.acquire(ctx)
 		}
 	}
 	return nil
 }
 
-// acquire waits for the lease for a while.
+// acquire waits for the lease until ctx is done.
 func (g *Gateway) acquire(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaseDuration)
-	defer cancel()
 	lease, err := g.duty.leaser.Acquire(ctx, dutyName)
+	g.duty.mu.Lock()
+	defer g.duty.mu.Unlock()
+	g.duty.give()
+	g.duty.give = nil
 	if err != nil {
 		g.Log.Info().Err(err).Msg("lease not held")
 		return
 	}
-	g.setLease(lease)
+	g.duty.lease = lease
 	g.Log.Info().Uint64("fencing", lease.Fencing()).Msg("duty of placing layers held")
 }
-
-func (g *Gateway) setLease(l *leaser.Lease) {
-	g.duty.mu.Lock()
-	defer g.duty.mu.Unlock()
-	g.duty.lease = l
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,7 @@
 
 const (
 	// leaseDuration is how long the duty of placing layers outlasts its holder.
-	leaseDuration = 3 * time.Second
+	leaseDuration = 2 * time.Second
 	// lagPause is how long a change that a peer knows may be under way before it is fetched.
 	lagPause = 400 * time.Millisecond
 	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address.
