Avoid targets as the first that fail what they receive first

Change: each target has a share of faults as the first that fades in 5 s and is priced in the choice of paths; a request that does not begin while others through the same first target go on is sent elsewhere; refusals in a row back off to 2 s.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,8 +14,15 @@
 	// SuspicionTime is how long a target that went silent is left alone: by then the platform's list has dropped it, or it
 	// reports there again.
 	SuspicionTime = 4 * time.Second
-	// RefusalTime is how long a target is passed over that refused a request for want of room or as it gives its layers up.
-	RefusalTime = 300 * time.Millisecond
+	// RefusalTime is how long a target is passed over that refused a request for want of room or as it gives its layers up;
+	// it doubles with each refusal in a row, up to maxRefusalTime.
+	RefusalTime    = 300 * time.Millisecond
+	maxRefusalTime = 2 * time.Second
+	// faultTime is the time over which faults of a target are forgotten, so that it is tried again.
+	faultTime = 5 * time.Second
+	// faultGain and soundGain are how far one request moves the share of faults.
+	faultGain = 0.2
+	soundGain = 0.1
 	// doubtTime is within which a second failure to answer makes a target count as lost.
 	doubtTime = 2 * time.Second
 	// peerLoadAge is how long the load that another daemon reported counts.
@@ -36,7 +44,12 @@
 	tokenLayers float64
 	requests    int
 	lostAt      time.Time
-	refusedAt   time.Time
+	// refusedUntil is when the target may be asked again after refusals, of which there were so many in a row.
+	refusedUntil time.Time
+	refusals     int
+	// faults is the share of requests that the target received first and failed, at faultsAt.
+	faults   float64
+	faultsAt time.Time
 	// doubtedAt is when the target last did not answer, and clearedAt when it was last proven to.
 	doubtedAt time.Time
 	clearedAt time.Time
@@ -58,6 +71,8 @@
 	Lost    bool
 	Refused bool
 	Pace    float64
+	// Faults is the share of the requests that the target received first and failed lately.
+	Faults float64
 	// Left is how long ago the target began to leave; 0 where it does not.
 	Left time.Duration
 }
@@ -166,7 +181,8 @@
 func (a *Assessor) view(b *belief, now time.Time) View {
 	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.pace}
 	v.Lost = !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
-	v.Refused = !b.refusedAt.IsZero() && now.Sub(b.refusedAt) < RefusalTime
+	v.Refused = now.Before(b.refusedUntil)
+	v.Faults = b.faultsNow(now)
 	if !b.leavingAt.IsZero() {
 		v.Left = max(now.Sub(b.leavingAt), 1)
 	}
@@ -178,6 +194,42 @@
 	return v
 }
 
+// faultsNow returns the share of faults, which fades.
+func (b *belief) faultsNow(now time.Time) float64 {
+	if b.faults == 0 {
+		return 0
+	}
+	return b.faults * math.Exp(-now.Sub(b.faultsAt).Seconds()/faultTime.Seconds())
+}
+
+// refuse passes the target over for a while.
+func (b *belief) refuse(now time.Time) {
+	if now.Before(b.refusedUntil) {
+		// The answers of requests that were under way say nothing new.
+		return
+	}
+	b.refusedUntil = now.Add(min(RefusalTime<<min(b.refusals, 10), maxRefusalTime))
+	b.refusals++
+}
+
+// Answer takes in whether a target that received a request first answered it soundly and in time.
+func (a *Assessor) Answer(name string, sound bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[name]
+	if !ok {
+		return
+	}
+	now := a.Now()
+	b.faults = b.faultsNow(now)
+	b.faultsAt = now
+	if sound {
+		b.faults -= b.faults * soundGain
+	} else {
+		b.faults += (1 - b.faults) * faultGain
+	}
+}
+
 // Reserve counts the tokens of a request on each stage of its path until the returned function is called.
 func (a *Assessor) Reserve(path []cataloger.Stage, tokens float64) (release func()) {
 	a.mu.Lock()
@@ -228,16 +280,19 @@
 	}
 	now := a.Now()
 	again := !b.doubtedAt.IsZero() && now.Sub(b.doubtedAt) < doubtTime
-	b.doubtedAt, b.refusedAt = now, now
+	b.doubtedAt = now
+	b.refuse(now)
 	return again
 }
 
-// Trust takes in that a target answered.
-func (a *Assessor) Trust(name string) {
+// Trust takes in that the targets of a path took a request.
+func (a *Assessor) Trust(path []cataloger.Stage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b, ok := a.beliefs[name]; ok {
-		b.doubtedAt = time.Time{}
+	for _, s := range path {
+		if b, ok := a.beliefs[s.Target]; ok {
+			b.doubtedAt, b.refusals = time.Time{}, 0
+		}
 	}
 }
 
@@ -258,7 +313,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if b, ok := a.beliefs[name]; ok {
-		b.refusedAt = a.Now()
+		b.refuse(a.Now())
 	}
 }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -110,7 +110,7 @@
 		return nil, errors.Wrap(err, "send")
 	}
 	for foreign := 0; ; foreign++ {
-		resp, err := readAnswer(c.reader, call.Method)
+		resp, err := readAnswer(c.reader, call.Method) //nolint:bodyclose // the answer closes it
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -18,6 +18,8 @@
 	LayerCost float64
 	// HopCost is what passing through the target costs, in seconds a token.
 	HopCost float64
+	// EntryCost is what it costs more to send the request to this target first, in seconds a token.
+	EntryCost float64
 }
 
 // Problem is the choice of a path over the layers [First,End).
@@ -142,7 +144,7 @@
 			next = step{cost: here[i].cost + run, entered: here[i].entered, previous: here[i].previous}
 		}
 		if b == 1 {
-			entry := h.HopCost + p.crossing(p.Before, h.DataCentre)
+			entry := h.HopCost + h.EntryCost + p.crossing(p.Before, h.DataCentre)
 			next = step{cost: entry + run, entered: 0, previous: -1}
 		} else if cost, previous := p.entry(here, near, anywhere, h); cost+run < next.cost {
 			next = step{cost: cost + run, entered: b - 1, previous: previous}
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -47,7 +47,11 @@
 				before = p.Holders[at].DataCentre
 			}
 			used[i] = true
-			walk(layer+1, i, cost+h.HopCost+p.crossing(before, h.DataCentre)+h.LayerCost, used)
+			entry := h.HopCost
+			if at < 0 {
+				entry += h.EntryCost
+			}
+			walk(layer+1, i, cost+entry+p.crossing(before, h.DataCentre)+h.LayerCost, used)
 			delete(used, i)
 		}
 	}
@@ -78,6 +82,7 @@
 			End:        first + uint32(rapid.IntRange(1, 5).Draw(t, "width")),
 			LayerCost:  float64(rapid.IntRange(1, 9).Draw(t, "cost")),
 			HopCost:    float64(rapid.IntRange(1, 9).Draw(t, "hop")),
+			EntryCost:  float64(rapid.IntRange(0, 9).Draw(t, "entry")),
 		})
 	}
 	return p
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -19,8 +18,6 @@
 const (
 	// wholeBytes is the size up to which an answer is read to its end before any of it is passed on.
 	wholeBytes = 1 << 20
-	// noTargetRetry is when to come back to a service without targets: about one heartbeat of theirs.
-	noTargetRetry = time.Second
 )
 
 // plainCall is a request to a plain service over its attempts.
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -28,6 +28,9 @@
 	readBuffer  = 16 << 10
 )
 
+// errSwallowed ends a sending that its first target seems to have lost.
+var errSwallowed = errors.New("the target does not begin")
+
 // errMoved ends a sending whose first target was lost, so that the stream goes on elsewhere.
 var errMoved = errors.New("stream is moved to another pipeline")
 
@@ -133,8 +136,10 @@
 
 // sent counts a sending to a first stage that has ended without an answer.
 func (g *generation) sent(first cataloger.Target, ran bool) {
-	g.sends++
 	v, ok := g.relayer.Targets.Get(first.Name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sends++
 	if ran && ok && v.Incarnation == first.Incarnation {
 		g.runs++
 	}
@@ -183,7 +188,6 @@
 		return sendAgain, g.refused(first.Target, reply)
 	}
 	g.mayHaveRun = true
-	r.Targets.Trust(first.Name)
 	result, refusal := g.answer(ctx, reply)
 	g.sent(first.Target, true)
 	return result, refusal
@@ -194,7 +198,7 @@
 	if reply.Sound() {
 		return g.relay(ctx, reply)
 	}
-	return g.failed(ctx, reply)
+	return g.failed(reply)
 }
 
 // pathless tells whether targets hold the whole model, so that no path is named.
@@ -211,6 +215,9 @@
 	}
 	g.mayHaveRun = true
 	g.avoid[first.Name] = true
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, errMoved) && !errors.Is(err, errSwallowed) {
+		g.relayer.Targets.Answer(first.Name, false)
+	}
 	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Err(err).Msg("no answer")
 	return sendAgain, refuser.New(refuser.StreamLost, "no answer from %s: %s", first.Name, err)
 }
@@ -223,13 +230,15 @@
 		name = at.Name
 	}
 	r.Targets.Refuse(name)
+	r.Targets.Answer(name, name != first.Name)
 	g.avoid[name] = true
 	r.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Str("at", name).Int("status", reply.Status).Msg("refused by target")
 	return refuser.New(refuser.TargetRefused, "%s refused with %d", name, reply.Status).WithRetryAfter(noPathRetry)
 }
 
 // failed takes a target's answer that is no success.
-func (g *generation) failed(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
+func (g *generation) failed(reply *Reply) (sendResult, *refuser.Refusal) {
+	g.blame()
 	if reply.Status < http.StatusMultipleChoices || g.begun {
 		return sendAgain, mayHaveRun("answer %d is not signed", reply.Status)
 	}
@@ -243,6 +252,19 @@
 	return sendDone, nil
 }
 
+// blame notes that the first target failed the request by itself.
+func (g *generation) blame() {
+	name := g.firstTarget()
+	g.relayer.Targets.Answer(name, false)
+	g.avoid[name] = true
+}
+
+func (g *generation) firstTarget() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.path[0].Target
+}
+
 // relay passes the events of an answer on as they come.
 func (g *generation) relay(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
 	flusher := http.NewResponseController(g.w)
@@ -286,14 +308,14 @@
 func (g *generation) broken(ctx context.Context, err error) (sendResult, *refuser.Refusal) {
 	g.events.cut()
 	g.relayer.Log.Info().Str("request", g.request.ID).Str("last", g.events.last).Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
-	g.mu.Lock()
-	g.avoid[g.path[0].Target] = true
-	g.mu.Unlock()
+	g.avoid[g.firstTarget()] = true
 	return sendAgain, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
 
 // movable tells whether the generation may leave its present sending for another one.
 func (g *generation) movable() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.request.Route.Resumable && g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
 }
 
@@ -336,6 +358,8 @@
 	g.delivered = now
 	if !g.started {
 		g.relayer.noteFirst(now.Sub(g.last))
+		g.relayer.Targets.Trust(g.path)
+		g.relayer.Targets.Answer(g.path[0].Target, true)
 	}
 	g.started = true
 	g.last = now
--- a/internal/relayer/planning.go
+++ b/internal/relayer/planning.go
@@ -22,6 +22,9 @@
 	leastPipe = 0.02
 	// hopCost is what one more stage adds to each token: the wait for the target's next pass.
 	hopCost = 300 * time.Microsecond
+	// faultCost is what a target that fails all requests that it receives first costs as the first one, in time a token: a
+	// request that is swallowed costs half a second, and a repeat.
+	faultCost = 50 * time.Millisecond
 	// fullShare is the part of a target's memory for requests that is given away; reports of other daemons lag.
 	fullShare = 0.97
 	// fullWeight is how much dearer a layer gets as the memory of its target fills: little at first, as targets batch.
@@ -68,6 +71,7 @@
 		out[version] = append(out[version], pathfinder.Holder{
 			Target: v.Name, Address: v.Address, DataCentre: v.DataCentre, First: first, End: end,
 			LayerCost: cost * (1 + fullWeight*math.Pow(used/room, 4)), HopCost: hopCost.Seconds(),
+			EntryCost: v.Faults * faultCost.Seconds(),
 		})
 	}
 	return out
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,9 +64,6 @@
 // Refuse writes the final answer to a request that is not served.
 type Refuse func(w http.ResponseWriter, refusal *refuser.Refusal)
 
-// errAborted ends a request whose answer has begun and can't be completed.
-var errAborted = errors.New("answer broken off")
-
 // Serve relays one request and writes its answer; a refusal is returned where nothing was written.
 // It panics with http.ErrAbortHandler where an answer that has begun must not look complete.
 func (r *Relayer) Serve(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -21,6 +21,8 @@
 	mostFirstPatience  = 600 * time.Millisecond
 	// clearTime is how long after a target was believed lost an event must come through it to prove that it is not.
 	clearTime = 150 * time.Millisecond
+	// swallowPatience is how many times its patience a request waits that its first target seems to have lost.
+	swallowPatience = 2
 	// askPause is the least time between two reports of one target, which lag by some hundred milliseconds.
 	askPause = 250 * time.Millisecond
 	// askTimeout bounds a report; a target that does not answer in it is lost.
@@ -102,12 +104,35 @@
 		}
 	}
 	for i, g := range generations {
+		if r.leaveSwallowed(g, streams, i, now) {
+			continue
+		}
 		if gone := r.goneStages(streams[i], now); len(gone) > 0 {
 			r.repair(ctx, g, gone)
 		}
 	}
 }
 
+// leaveSwallowed ends a sending whose first target has lost the request, as it seems: it has not begun, while others that the
+// target received go on.
+func (r *Relayer) leaveSwallowed(g *generation, streams []repairer.Stream, i int, now time.Time) bool {
+	s := streams[i]
+	g.mu.Lock()
+	begun, cancel := g.started || g.moving, g.cancel
+	g.mu.Unlock()
+	if begun || now.Sub(s.Last) < swallowPatience*s.Patience || !g.movable() {
+		return false
+	}
+	for _, other := range streams {
+		if other.Path[0].Target == s.Path[0].Target && now.Sub(other.Last) < watchInterval {
+			r.Targets.Answer(s.Path[0].Target, false)
+			cancel(errSwallowed)
+			return true
+		}
+	}
+	return false
+}
+
 // clear takes doubts back about targets that streams have passed since.
 func (r *Relayer) clear(streams []repairer.Stream) {
 	for _, d := range r.Targets.Doubts() {
