Believe losses by report only and move holders only into lasting gaps

Change: silence only decides whom to ask; streams stay on leaving targets for the drain time and a margin; targets that hold layers move only into gaps that last 1.5 s; entries that are removed stay known as leaving for a while.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -25,6 +25,8 @@
 	soundGain = 0.1
 	// doubtTime is within which a second failure to answer makes a target count as lost.
 	doubtTime = 2 * time.Second
+	// removedTime is how long a target that is listed no more is remembered.
+	removedTime = 15 * time.Second
 	// peerLoadAge is how long the load that another daemon reported counts.
 	peerLoadAge = 2 * time.Second
 )
@@ -55,8 +57,8 @@
 	clearedAt time.Time
 	// pace is the measured slowness, 1 where nothing else is known.
 	pace float64
-	// firstSeen is when the target was listed.
-	firstSeen time.Time
+	// removedAt is when the target was listed no more.
+	removedAt time.Time
 	// leavingAt is when the target was first seen to leave.
 	leavingAt time.Time
 }
@@ -109,9 +111,13 @@
 	now := a.Now()
 	b, ok := a.beliefs[t.Name]
 	if !ok || b.target.Incarnation != t.Incarnation {
-		b = &belief{pace: 1, firstSeen: now}
+		b = &belief{pace: 1}
 		a.beliefs[t.Name] = b
 	}
+	if t.State == cataloger.StateLive {
+		b.leavingAt = time.Time{}
+	}
+	b.removedAt = time.Time{}
 	if b.target.Address != t.Address {
 		delete(a.byAddress, b.target.Address)
 	}
@@ -122,14 +128,28 @@
 	a.byAddress[t.Address] = t.Name
 }
 
-// Remove forgets a target.
+// Remove takes in that a target is listed no more. It is kept for a while as leaving, since it may still serve what it has.
 func (a *Assessor) Remove(name string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.Now()
+	for other, b := range a.beliefs {
+		if !b.removedAt.IsZero() && now.Sub(b.removedAt) > removedTime {
+			a.forget(other, b)
+		}
+	}
 	b, ok := a.beliefs[name]
-	if !ok {
+	if !ok || !b.removedAt.IsZero() {
 		return
 	}
+	b.removedAt = now
+	if b.leavingAt.IsZero() {
+		b.leavingAt = now
+	}
+	b.target = b.target.WithState(cataloger.StateLeaving)
+}
+
+func (a *Assessor) forget(name string, b *belief) {
 	if a.byAddress[b.target.Address] == name {
 		delete(a.byAddress, b.target.Address)
 	}
@@ -165,7 +185,7 @@
 	now := a.Now()
 	var out []View
 	for _, b := range a.beliefs {
-		if b.target.Service == service {
+		if b.target.Service == service && b.removedAt.IsZero() {
 			out = append(out, a.view(b, now))
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,9 @@
 	// Seeds are peer addresses that may be stale.
 	Seeds []string
 	// Grace is the time between the signal to stop and the kill.
-	Grace       time.Duration
+	Grace time.Duration
+	// DrainTime is how long targets serve after they were listed as leaving.
+	DrainTime   time.Duration
 	RetryBudget rationer.Budget
 	// ConfigPrefix and TargetsPrefix are the keys of the store that hold the configuration and the targets.
 	ConfigPrefix  string
@@ -189,6 +191,7 @@
 
 	r := g.relayer
 	r.Backend, r.Targets, r.Budget, r.Log = g.Adapter.Backend, g.targets, g.Settings.RetryBudget, g.Log
+	r.DrainTime = g.Settings.DrainTime
 	r.Daemons = func() int { return len(g.gossiper.Alive()) + 1 }
 	r.Lost = func(cataloger.Target) { g.gossiper.Send() }
 
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -32,6 +32,8 @@
 	listTime = 4 * time.Second
 	// handoffTime is how long a target may wait for the requests that pass the layers it gives up.
 	handoffTime = 10 * time.Second
+	// moveTime is how long a gap must last before targets that hold other layers are moved into it.
+	moveTime = 1500 * time.Millisecond
 	// retryPause is the time before a target is given another order after one that failed.
 	retryPause = 500 * time.Millisecond
 )
@@ -96,6 +98,8 @@
 	// seen are the targets of each service at the last look, and changed is when they last changed.
 	seen    map[string][]string
 	changed map[string]time.Time
+	// wanted is since when moves of targets that hold layers are wanted, by service.
+	wanted map[string]time.Time
 }
 
 // New returns an orderer that has given no orders.
@@ -103,6 +107,7 @@
 	return &Orderer{
 		Targets: targets, Clock: clock, Log: zerolog.Nop(),
 		pending: map[string]Pending{}, counts: map[string]count{}, seen: map[string][]string{}, changed: map[string]time.Time{},
+		wanted: map[string]time.Time{},
 	}
 }
 
@@ -150,11 +155,36 @@
 	for _, v := range views {
 		byName[v.Name] = v
 	}
-	for _, m := range o.problem(s.Engine, views).Next(o.limit(s.Engine, views)) {
+	problem := o.problem(s.Engine, views)
+	problem.Keep = true
+	moves := problem.Next(o.limit(s.Engine, views))
+	if len(moves) == 0 {
+		problem.Keep = false
+		moves = o.overdue(s.Name, problem.Next(1), now)
+	}
+	for _, m := range moves {
 		o.order(ctx, s.Engine, byName[m.Target].Target, m)
 	}
 }
 
+// overdue returns moves of targets that hold layers once such moves have been wanted for a while: a replacement may be on its
+// way, and a target that is believed lost may answer again.
+func (o *Orderer) overdue(service string, moves []placer.Move, now time.Time) []placer.Move {
+	if len(moves) == 0 {
+		delete(o.wanted, service)
+		return nil
+	}
+	since, ok := o.wanted[service]
+	if !ok {
+		o.wanted[service] = now
+		return nil
+	}
+	if now.Sub(since) < moveTime {
+		return nil
+	}
+	return moves
+}
+
 // settled tells whether the list of targets has stood still, or layers are held already.
 func (o *Orderer) settled(service string, views []assessor.View, now time.Time) bool {
 	names := make([]string, 0, len(views))
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -50,6 +50,8 @@
 type Problem struct {
 	Layers  uint32
 	Targets []Target
+	// Keep leaves targets alone that hold layers.
+	Keep bool
 }
 
 // coverage counts the holders of each layer.
@@ -146,7 +148,7 @@
 func (s *state) best() (target int, first uint32, found bool) {
 	bestGain := 0.0
 	for i, t := range s.Targets {
-		if t.Leaving || t.Ordered || t.Capacity == 0 {
+		if t.Leaving || t.Ordered || t.Capacity == 0 || s.Keep && !t.empty() {
 			continue
 		}
 		gain, at := s.gain(i)
--- a/internal/relayer/planning.go
+++ b/internal/relayer/planning.go
@@ -168,11 +168,11 @@
 		avoid[s.Target] = true
 	}
 	views := r.Targets.Service(req.Service.Name)
-	places := map[string]assessor.View{}
-	for _, v := range views {
-		places[v.Name] = v
+	first, ok := r.Targets.Get(path[0].Target)
+	if !ok {
+		return nil, false
 	}
-	_, _, version := places[path[0].Target].Held()
+	_, _, version := first.Held()
 	spare := holders(views, e, need(req, e), avoid)[version]
 	var out []cataloger.Stage
 	for i, s := range path {
@@ -182,10 +182,10 @@
 		}
 		p := pathfinder.Problem{
 			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: r.crossing(e),
-			Before: places[path[i-1].Target].DataCentre,
+			Before: r.place(path[i-1]),
 		}
 		if i+1 < len(path) {
-			p.After = places[path[i+1].Target].DataCentre
+			p.After = r.place(path[i+1])
 		}
 		stages, _, ok := p.Find()
 		if !ok {
@@ -226,6 +226,12 @@
 	}
 }
 
+// place returns the data centre of a stage, empty where its target is forgotten.
+func (r *Relayer) place(s cataloger.Stage) cataloger.DataCentre {
+	v, _ := r.Targets.Get(s.Target)
+	return v.DataCentre
+}
+
 func without(holders []pathfinder.Holder, target string) []pathfinder.Holder {
 	var out []pathfinder.Holder
 	for _, h := range holders {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -28,6 +28,8 @@
 	Balancer *forwarder.Balancer
 	// Budget bounds the repeats of each service, over all daemons.
 	Budget rationer.Budget
+	// DrainTime is how long targets serve after they were listed as leaving.
+	DrainTime time.Duration
 	// Daemons returns how many daemons share the budget.
 	Daemons func() int
 	// Lost hears of targets that this daemon found not to answer.
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -31,8 +31,9 @@
 	repathTimeout = 500 * time.Millisecond
 	// repairPause is the time between two tries to replace stages of one stream.
 	repairPause = 300 * time.Millisecond
-	// leavingPatience is how long after a stage began to leave the streams that still pass it are moved.
-	leavingPatience = 1200 * time.Millisecond
+	// leavingMargin is how long after the time that a leaving target still serves its streams are moved; most have ended then,
+	// and a stream that is moved pauses.
+	leavingMargin = 500 * time.Millisecond
 )
 
 // Watch looks after the streams in progress until ctx is done.
@@ -92,13 +93,7 @@
 		streams[i] = g.stream()
 	}
 	r.clear(streams)
-	d := repairer.Diagnose(now, streams)
-	for _, name := range d.Lost {
-		if v, ok := r.Targets.Get(name); ok {
-			r.lose(v.Target, "all streams through it went silent")
-		}
-	}
-	for _, first := range d.Ask {
+	for _, first := range repairer.Ask(now, streams) {
 		if v, ok := r.Targets.Get(first.Target); ok && !v.Lost && r.mayAsk(first.Target, now) {
 			go r.ask(ctx, v.Target)
 		}
@@ -187,7 +182,7 @@
 			if now.Sub(s.Last) > s.Patience/2 {
 				gone[stage.Target] = true
 			}
-		case i > 0 && (v.Left > leavingPatience || !holds(v, stage)):
+		case i > 0 && (v.Left > r.DrainTime+leavingMargin || !holds(v, stage)):
 			gone[stage.Target] = true
 		}
 	}
--- a/internal/repairer/repairer.go
+++ b/internal/repairer/repairer.go
@@ -7,13 +7,9 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
-const (
-	// overlap is how much later than the silence of a stream another one must have progressed to clear a stage of both: events
-	// of one step of a target arrive together.
-	overlap = 30 * time.Millisecond
-	// witnesses is how many silent streams convict the only stage that they may blame.
-	witnesses = 2
-)
+// overlap is how much later than the silence of a stream another one must have progressed to clear a stage of both: events of
+// one step of a target arrive together.
+const overlap = 30 * time.Millisecond
 
 // Stream is a stream in progress.
 type Stream struct {
@@ -32,39 +28,21 @@
 	return slices.ContainsFunc(s.Path, func(stage cataloger.Stage) bool { return stage.Target == target })
 }
 
-// Diagnosis is what the silence of streams says.
-type Diagnosis struct {
-	// Lost are targets that must be lost, as all that pass through them went silent together.
-	Lost []string
-	// Ask are the first stages of silent streams whose reports tell more.
-	Ask []cataloger.Stage
-}
-
-// Diagnose weighs the streams in progress; it blames only a stage that no stream has passed since.
-func Diagnose(now time.Time, streams []Stream) Diagnosis {
+// Ask returns the first stages whose reports tell which stage is lost: those of silent streams that have a stage which no
+// stream has passed since.
+func Ask(now time.Time, streams []Stream) []cataloger.Stage {
 	progress := lastProgress(streams)
-	blamed := map[string]int{}
 	asked := map[string]bool{}
-	var d Diagnosis
+	var out []cataloger.Stage
 	for _, s := range streams {
-		if !s.silent(now) {
+		first := s.Path[0]
+		if asked[first.Target] || !s.silent(now) || !suspect(s, progress) {
 			continue
 		}
-		suspects := suspectsOf(s, progress)
-		if len(suspects) == 1 {
-			blamed[suspects[0]]++
-		}
-		if first := s.Path[0]; !asked[first.Target] {
-			asked[first.Target] = true
-			d.Ask = append(d.Ask, first)
-		}
+		asked[first.Target] = true
+		out = append(out, first)
 	}
-	for target, n := range blamed {
-		if n >= witnesses {
-			d.Lost = append(d.Lost, target)
-		}
-	}
-	return d
+	return out
 }
 
 // lastProgress returns when a stream last passed each target.
@@ -80,13 +58,9 @@
 	return out
 }
 
-// suspectsOf returns the stages that nothing has passed since the stream went silent.
-func suspectsOf(s Stream, progress map[string]time.Time) []string {
-	var out []string
-	for _, stage := range s.Path {
-		if !progress[stage.Target].After(s.Last.Add(overlap)) {
-			out = append(out, stage.Target)
-		}
-	}
-	return out
+// suspect tells whether there is a stage that nothing has passed since the stream went silent.
+func suspect(s Stream, progress map[string]time.Time) bool {
+	return slices.ContainsFunc(s.Path, func(stage cataloger.Stage) bool {
+		return !progress[stage.Target].After(s.Last.Add(overlap))
+	})
 }
