Pass the head of an answer on with its first piece only

Change: the head is written with the first piece or the whole end.

Test: TestBrokenHeadIsNotPassedOn fails before (headers of the target on the refusal) and passes after; streams, plain requests, repairs, swallowed requests and deadlines have tables of their own.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -268,20 +268,13 @@
 // relay passes the events of an answer on as they come.
 func (g *generation) relay(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
 	flusher := http.NewResponseController(g.w)
-	if !g.begun {
-		copyHeader(g.w, reply.Header)
-		g.w.Header().Del("Content-Length")
-	}
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := reply.Body.Read(buffer)
 		out, whole := g.events.take(buffer[:n])
 		if len(out) > 0 {
 			g.progress()
-			if !g.begun {
-				g.begun = true
-				g.w.WriteHeader(reply.Status)
-			}
+			g.begin(reply)
 			if _, err := g.w.Write(out); err != nil {
 				return sendDone, nil
 			}
@@ -293,10 +286,7 @@
 		case !whole:
 			return g.broken(ctx, errors.New("events are missing"))
 		case errors.Is(err, io.EOF) && !g.events.half():
-			if !g.begun {
-				g.begun = true
-				g.w.WriteHeader(reply.Status)
-			}
+			g.begin(reply)
 			return sendDone, nil
 		case err != nil:
 			return g.broken(ctx, err)
@@ -304,6 +294,18 @@
 	}
 }
 
+// begin writes the head of the answer, unless an earlier sending did. It waits for the first event, as a sending that breaks
+// before may end in a refusal, which must not bear the head of an answer.
+func (g *generation) begin(reply *Reply) {
+	if g.begun {
+		return
+	}
+	g.begun = true
+	copyHeader(g.w, reply.Header)
+	g.w.Header().Del("Content-Length")
+	g.w.WriteHeader(reply.Status)
+}
+
 // broken takes a stream that ended before its end.
 func (g *generation) broken(ctx context.Context, err error) (sendResult, *refuser.Refusal) {
 	g.events.cut()
--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,361 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/rationer"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// script is how one sending is answered.
+type script struct {
+	status int
+	notRun bool
+	blamed string
+	// unsigned answers bear no signature.
+	unsigned bool
+	body     string
+	// err ends the body in place of its end; before the head where there is no status.
+	err error
+	// hang keeps the sending without an answer until it is canceled.
+	hang bool
+}
+
+// fakeBackend answers the sendings in turn.
+type fakeBackend struct {
+	mu      sync.Mutex
+	scripts []script
+	calls   []Call
+	repaths [][]cataloger.Stage
+	// stalled is what reports say.
+	stalled []Stalled
+}
+
+func (f *fakeBackend) send(ctx context.Context, call Call) (*Reply, error) {
+	f.mu.Lock()
+	n := len(f.calls)
+	f.calls = append(f.calls, call)
+	s := f.scripts[min(n, len(f.scripts)-1)]
+	f.mu.Unlock()
+	if s.hang {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
+	if s.status == 0 {
+		return nil, s.err
+	}
+	var body io.Reader = strings.NewReader(s.body)
+	if s.err != nil {
+		body = io.MultiReader(body, failing{s.err})
+	}
+	return &Reply{
+		Status: s.status, Header: http.Header{"Signature": {call.Target.Name}}, Length: -1, Body: io.NopCloser(body),
+		NotRun: s.notRun, Blamed: s.blamed, Signed: !s.unsigned,
+	}, nil
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+func (f *fakeBackend) backend() Backend {
+	return Backend{
+		Send: f.send,
+		Repath: func(_ context.Context, _ cataloger.Target, _ string, path []cataloger.Stage) (RepathResult, string, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.repaths = append(f.repaths, path)
+			return RepathDone, "", nil
+		},
+		Report: func(context.Context, cataloger.Target) (Report, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return Report{Stalled: f.stalled}, nil
+		},
+	}
+}
+
+// fleet lists two pipelines of two stages in one data centre, and two instances of a plain service.
+func fleet() *assessor.Assessor {
+	a := assessor.New(time.Now)
+	add := func(name, service string, first, end uint32) {
+		t := cataloger.Target{Name: name, Service: service, Address: name + ":80", DataCentre: "a", State: cataloger.StateLive, Incarnation: 1}
+		if end > 0 {
+			t.Kind = "l4"
+			t.Holdings = []cataloger.Holding{{Version: "1", FirstLayer: first, EndLayer: end, Ready: true}}
+		}
+		a.Put(t)
+	}
+	add("a1", "llm", 0, 5)
+	add("a2", "llm", 5, 10)
+	add("b1", "llm", 0, 5)
+	add("b2", "llm", 5, 10)
+	add("p1", "app", 0, 0)
+	add("p2", "app", 0, 0)
+	return a
+}
+
+func newTestRelayer(f *fakeBackend) *Relayer {
+	r := New(timer.System{})
+	r.Backend, r.Targets = f.backend(), fleet()
+	r.Budget = rationer.Budget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}
+	return r
+}
+
+func stream(resumable bool) *Request {
+	return &Request{
+		ID: "r1", Method: "POST", URI: "/x", Header: http.Header{}, Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second),
+		Route: &matcher.Route{Name: "letters", Kind: matcher.KindStreaming, MaxAttempts: 2, Resumable: resumable},
+		Service: &matcher.Service{Name: "llm", Engine: &matcher.Engine{
+			Layers: 10, LayerBytes: 1e9, TokenBytes: 1e5, StepTime: time.Millisecond, UsualPrompt: 100, UsualAnswer: 100,
+			Kinds: map[string]matcher.Accelerator{"l4": {MemoryBytes: 22e9, Pace: 1}},
+		}},
+	}
+}
+
+func plain(kind matcher.Kind) *Request {
+	return &Request{
+		ID: "r2", Method: "GET", URI: "/y", Header: http.Header{}, Arrived: time.Now(), Deadline: time.Now().Add(2 * time.Second),
+		Route:   &matcher.Route{Name: "status", Kind: kind, MaxAttempts: 2},
+		Service: &matcher.Service{Name: "app"},
+	}
+}
+
+func pieces(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+var errCut = errors.New("connection reset")
+
+// serve relays a request; aborted tells whether the answer was broken off.
+func serve(r *Relayer, req *Request) (w *httptest.ResponseRecorder, refusal *refuser.Refusal, aborted bool) {
+	w = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			aborted = p == http.ErrAbortHandler
+		}
+	}()
+	refusal = r.Serve(context.Background(), w, req)
+	return w, refusal, false
+}
+
+func TestStreams(t *testing.T) {
+	cases := []struct {
+		name      string
+		scripts   []script
+		resumable bool
+		body      string
+		aborted   bool
+		code      refuser.Code
+		fact      refuser.Fact
+		sends     int
+	}{
+		{"whole", []script{{status: 200, body: pieces(1, 3)}}, true, pieces(1, 3), false, 0, 0, 1},
+		{"goes on elsewhere within one answer", []script{
+			{status: 200, body: pieces(1, 2) + "id: 3\nda", err: errCut}, {status: 200, body: pieces(3, 4)},
+		}, true, pieces(1, 4), false, 0, 0, 2},
+		{"pieces that were delivered are not delivered again", []script{
+			{status: 200, body: pieces(1, 2), err: errCut}, {status: 200, body: pieces(1, 4)},
+		}, true, pieces(1, 4), false, 0, 0, 2},
+		{"a piece is missing after the move", []script{
+			{status: 200, body: pieces(1, 2), err: errCut}, {status: 200, body: pieces(4, 5)},
+		}, true, pieces(1, 2), true, 0, 0, 2},
+		{"ends in the middle of a piece", []script{{status: 200, body: pieces(1, 1) + "id: 2\n"}}, false, pieces(1, 1), true, 0, 0, 1},
+		{"may not be resumed", []script{{status: 200, body: pieces(1, 2), err: errCut}}, false, pieces(1, 2), true, 0, 0, 1},
+		{"may not be resumed and has not begun", []script{{err: errCut}}, false, "", false, refuser.StreamLost, refuser.FactMayHaveRun, 1},
+		{"breaks twice", []script{{status: 200, body: pieces(1, 2), err: errCut}, {status: 200, body: pieces(3, 3), err: errCut}},
+			true, pieces(1, 3), true, 0, 0, 2},
+		{"refused once", []script{{status: 503, notRun: true}, {status: 200, body: pieces(1, 2)}}, false, pieces(1, 2), false, 0, 0, 2},
+		{"never sent", []script{{err: fmt.Errorf("%w: refused", exchanger.ErrNotSent)}}, false, "", false, refuser.NoPipeline, refuser.FactNotRun, 2},
+		{"a promise without proof", []script{{status: 503, body: "busy"}}, false, "", false, refuser.TargetFailed, refuser.FactMayHaveRun, 1},
+		{"success without signature", []script{{status: 200, unsigned: true, body: pieces(1, 2)}}, false, "", false, refuser.TargetFailed, refuser.FactMayHaveRun, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeBackend{scripts: c.scripts}
+				w, refusal, aborted := serve(newTestRelayer(f), stream(c.resumable))
+				require.Equal(t, c.aborted, aborted)
+				require.Equal(t, c.body, w.Body.String())
+				require.Len(t, f.calls, c.sends)
+				if c.code != 0 {
+					require.Equal(t, c.code, refusal.Code)
+					require.Equal(t, c.fact, refusal.Fact)
+					require.Empty(t, w.Header(), "a refusal bears nothing of a target's answer")
+				}
+				if c.body != "" {
+					ran := 0
+					for c.scripts[ran].notRun {
+						ran++
+					}
+					require.Equal(t, f.calls[ran].Target.Name, w.Header().Get("Signature"), "the head is that of the first target that ran it")
+				}
+			})
+		})
+	}
+}
+
+// TestBrokenHeadIsNotPassedOn: the head of an answer has come, and its stream breaks before the first piece.
+func TestBrokenHeadIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{status: 200, err: errCut}}}
+		w, refusal, aborted := serve(newTestRelayer(f), stream(true))
+		require.False(t, aborted)
+		require.Equal(t, refuser.FactMayHaveRun, refusal.Fact)
+		require.Empty(t, w.Header())
+	})
+}
+
+// TestStageLostUnderLoad: the first target reports that a request waits for a silent stage; the stage is replaced.
+func TestStageLostUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{hang: true}}}
+		r := newTestRelayer(f)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Watch(ctx) }()
+		req := stream(false)
+		go func() {
+			defer func() { _ = recover() }()
+			r.Serve(ctx, httptest.NewRecorder(), req)
+		}()
+		synctest.Wait()
+		second := f.calls[0].Path[1]
+		f.mu.Lock()
+		f.stalled = []Stalled{{RequestID: req.ID, Address: second.Address}}
+		f.mu.Unlock()
+		time.Sleep(mostFirstPatience + askPause + 2*watchInterval)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.NotEmpty(t, f.repaths)
+		path := f.repaths[0]
+		require.Equal(t, f.calls[0].Path[0], path[0], "the first stage stays")
+		require.True(t, cataloger.Route{Stages: path}.Covers(10))
+		require.NotEqual(t, second.Target, path[1].Target)
+	})
+}
+
+// TestSwallowedRequestGoesElsewhere: a target that serves one stream does not begin another.
+func TestSwallowedRequestGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{hang: true}, {status: 200, body: pieces(1, 2)}}}
+		r := newTestRelayer(f)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Watch(ctx) }()
+		done := make(chan *httptest.ResponseRecorder)
+		go func() {
+			w, _, _ := serve(r, stream(true))
+			done <- w
+		}()
+		synctest.Wait()
+		// Another stream through the same first target goes on all the while.
+		other := &generation{relayer: r, request: stream(true), path: f.calls[0].Path}
+		r.mu.Lock()
+		r.streams[other] = struct{}{}
+		r.mu.Unlock()
+		for {
+			select {
+			case w := <-done:
+				require.Equal(t, pieces(1, 2), w.Body.String())
+				require.NotEqual(t, f.calls[0].Target.Name, f.calls[1].Target.Name)
+				return
+			case <-time.After(watchInterval / 2):
+				other.mu.Lock()
+				other.last, other.started = time.Now(), true
+				other.mu.Unlock()
+			}
+		}
+	})
+}
+
+func TestPlainRequests(t *testing.T) {
+	cases := []struct {
+		name    string
+		kind    matcher.Kind
+		scripts []script
+		status  int
+		fact    refuser.Fact
+		sends   int
+	}{
+		{"answered", matcher.KindNonIdempotent, []script{{status: 200, body: "ok"}}, 200, 0, 1},
+		{"a failure of the target is passed on", matcher.KindNonIdempotent, []script{{status: 500, body: "no"}}, 500, 0, 1},
+		{"a failure of an idempotent request is tried again", matcher.KindIdempotent, []script{{status: 500}, {status: 200, body: "ok"}}, 200, 0, 2},
+		{"two failures of an idempotent request", matcher.KindIdempotent, []script{{status: 500}, {status: 500}}, 500, 0, 2},
+		{"no answer to what must not repeat", matcher.KindNonIdempotent, []script{{err: errCut}}, 0, refuser.FactMayHaveRun, 1},
+		{"no answer to what may repeat", matcher.KindIdempotent, []script{{err: errCut}, {status: 200, body: "ok"}}, 200, 0, 2},
+		{"not run by the target's own word", matcher.KindNonIdempotent, []script{{status: 503, notRun: true}, {status: 200, body: "ok"}}, 200, 0, 2},
+		{"not run by any target", matcher.KindNonIdempotent, []script{{status: 503, notRun: true}}, 0, refuser.FactNotRun, 2},
+		{"a promise without proof", matcher.KindNonIdempotent, []script{{status: 429}}, 0, refuser.FactMayHaveRun, 1},
+		{"half an answer to what must not repeat", matcher.KindNonIdempotent, []script{{status: 200, body: "o", err: errCut}}, 0, refuser.FactMayHaveRun, 1},
+		{"success without signature", matcher.KindNonIdempotent, []script{{status: 200, unsigned: true}}, 0, refuser.FactMayHaveRun, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeBackend{scripts: c.scripts}
+				w, refusal, aborted := serve(newTestRelayer(f), plain(c.kind))
+				require.False(t, aborted)
+				require.Len(t, f.calls, c.sends)
+				if c.status == 0 {
+					require.Equal(t, c.fact, refusal.Fact)
+					require.Empty(t, w.Header())
+					return
+				}
+				require.Nil(t, refusal)
+				require.Equal(t, c.status, w.Code)
+				require.NotEmpty(t, w.Header().Get("Signature"))
+			})
+		})
+	}
+}
+
+// TestDeadlineEndsARequest: a target that never answers costs no more than the deadline.
+func TestDeadlineEndsARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, req := range []*Request{plain(matcher.KindNonIdempotent), stream(false)} {
+			began := time.Now()
+			_, refusal, _ := serve(newTestRelayer(&fakeBackend{scripts: []script{{hang: true}}}), req)
+			require.Equal(t, refuser.DeadlineExceeded, refusal.Code)
+			require.Equal(t, refuser.FactMayHaveRun, refusal.Fact)
+			require.Equal(t, req.Deadline.Sub(began), time.Since(began))
+		}
+	})
+}
+
+// TestNoRoomIsRefusedAtOnce: memory for requests is full, and the refusal says when to come back.
+func TestNoRoomIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelayer(&fakeBackend{scripts: []script{{status: 200}}})
+		began := time.Now()
+		req := stream(true)
+		req.PromptTokens = 1e9
+		_, refusal, _ := serve(r, req)
+		require.Equal(t, refuser.NoPipeline, refusal.Code)
+		require.Equal(t, refuser.FactNotRun, refusal.Fact)
+		require.Positive(t, refusal.RetryAfter)
+		require.Contains(t, refusal.Message, "without memory")
+		require.Zero(t, time.Since(began))
+	})
+}
