--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -61,10 +61,10 @@
 	switch {
 	case err == nil:
 		return call.answer.write(w)
-	case call.failure != nil && ctx.Err() == nil:
+	case call.failure != nil && !r.over(ctx, req):
 		return call.failure.write(w)
-	case ctx.Err() != nil:
-		return ended(ctx, refuser.From(err).Fact)
+	case r.over(ctx, req):
+		return r.ended(req, refuser.From(err).Fact)
 	}
 	return refuser.From(err)
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -156,8 +156,8 @@
 	if g.mayHaveRun {
 		fact = refuser.FactMayHaveRun
 	}
-	if ctx.Err() != nil {
-		refusal = ended(ctx, fact)
+	if g.relayer.over(ctx, g.request) {
+		refusal = g.relayer.ended(g.request, fact)
 	}
 	return refusal.WithFact(fact)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/assessor"
@@ -107,12 +106,17 @@
 	return r.rationer(req.Service.Name).Spend(r.Clock.Now(), r.Daemons())
 }
 
-// ended returns the refusal of a request whose context is over.
-func ended(ctx context.Context, ran refuser.Fact) *refuser.Refusal {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return refuser.New(refuser.DeadlineExceeded, "no answer in time").WithFact(ran)
+// over tells whether the request can't be answered any more: its time has passed, or its client went away.
+func (r *Relayer) over(ctx context.Context, req *Request) bool {
+	return ctx.Err() != nil || !r.Clock.Now().Before(req.Deadline)
+}
+
+// ended returns the refusal of a request that is over.
+func (r *Relayer) ended(req *Request, ran refuser.Fact) *refuser.Refusal {
+	if r.Clock.Now().Before(req.Deadline) {
+		return refuser.New(refuser.Canceled, "the client went away").WithFact(ran)
 	}
-	return refuser.New(refuser.Canceled, "the client went away").WithFact(ran)
+	return refuser.New(refuser.DeadlineExceeded, "no answer in time").WithFact(ran)
 }
 
 // doubt notes that a target did not answer once; another time soon after, it is lost.
