--- /dev/null
+++ b/internal/assessor/assessor_test.go
@@ -0,0 +1,142 @@
+package assessor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+func testAssessor() (*Assessor, func(time.Duration)) {
+	now := time.Unix(1000, 0)
+	a := New(func() time.Time { return now })
+	return a, func(d time.Duration) { now = now.Add(d) }
+}
+
+func engine(name string, incarnation uint64) cataloger.Target {
+	return cataloger.Target{Name: name, Service: "llm", Address: name + ":80", State: cataloger.StateLive, Incarnation: incarnation}
+}
+
+func view(t *testing.T, a *Assessor, name string) View {
+	v, ok := a.Get(name)
+	require.True(t, ok)
+	return v
+}
+
+func TestLossOfAnIncarnation(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	require.False(t, a.Lose("x", 2, a.Now()), "news of another start")
+	require.True(t, a.Lose("x", 1, a.Now()))
+	require.False(t, a.Lose("x", 1, a.Now()), "no news")
+	require.False(t, view(t, a, "x").Usable())
+	require.Len(t, a.Doubts(), 1)
+	a.Put(engine("x", 2))
+	require.True(t, view(t, a, "x").Usable(), "a new start comes without doubts")
+	require.True(t, a.Lose("x", 2, a.Now()))
+	pass(SuspicionTime)
+	require.True(t, view(t, a, "x").Usable(), "still listed after that time, it is alive")
+}
+
+func TestProofThatATargetWorks(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	lost := a.Now()
+	a.Lose("x", 1, lost)
+	pass(100 * time.Millisecond)
+	require.False(t, a.Clear("x", lost), "what came before proves nothing")
+	require.True(t, a.Clear("x", a.Now()))
+	require.True(t, view(t, a, "x").Usable())
+	require.False(t, a.Lose("x", 1, lost.Add(50*time.Millisecond)), "a peer repeats an older doubt")
+	pass(time.Second)
+	require.True(t, a.Lose("x", 1, a.Now()))
+}
+
+func TestOneFailureToAnswerIsNoLoss(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	require.False(t, a.Doubt("x", 1))
+	require.True(t, view(t, a, "x").Refused, "it is passed over for a moment")
+	pass(time.Second)
+	require.True(t, a.Doubt("x", 1))
+	a.Trust([]cataloger.Stage{{Target: "x"}})
+	require.False(t, a.Doubt("x", 1), "an answer between takes the first back")
+	pass(3 * time.Second)
+	require.False(t, a.Doubt("x", 1), "two failures far apart")
+}
+
+func TestRefusalsBackOff(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	wait := RefusalTime
+	for range 5 {
+		a.Refuse("x")
+		a.Refuse("x")
+		pass(wait - time.Millisecond)
+		require.True(t, view(t, a, "x").Refused)
+		pass(time.Millisecond)
+		require.False(t, view(t, a, "x").Refused)
+		wait = min(2*wait, maxRefusalTime)
+	}
+	a.Trust([]cataloger.Stage{{Target: "x"}})
+	a.Refuse("x")
+	pass(RefusalTime)
+	require.False(t, view(t, a, "x").Refused, "an answer begins anew")
+}
+
+func TestFaultsFade(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	for range 10 {
+		a.Answer("x", false)
+	}
+	high := view(t, a, "x").Faults
+	require.Greater(t, high, 0.8)
+	a.Answer("x", true)
+	require.Less(t, view(t, a, "x").Faults, high)
+	pass(4 * faultTime)
+	require.Less(t, view(t, a, "x").Faults, 0.05)
+}
+
+func TestReservationsEndWithTheirIncarnation(t *testing.T) {
+	a, _ := testAssessor()
+	a.Put(engine("x", 1))
+	path := []cataloger.Stage{{Target: "x", FirstLayer: 2, EndLayer: 5}}
+	release := a.Reserve(path, 100)
+	require.InDelta(t, 300, view(t, a, "x").TokenLayers, 1e-9)
+	a.Put(engine("x", 2))
+	require.Zero(t, view(t, a, "x").TokenLayers, "a new start holds nothing of before")
+	again := a.Reserve(path, 10)
+	release()
+	release()
+	require.InDelta(t, 30, view(t, a, "x").TokenLayers, 1e-9)
+	again()
+	require.Zero(t, view(t, a, "x").Requests)
+}
+
+func TestPeerLoadsAge(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	a.SetPeerLoads("p", map[string]float64{"x": 50})
+	require.InDelta(t, 50, view(t, a, "x").TokenLayers, 1e-9)
+	pass(peerLoadAge)
+	require.Zero(t, view(t, a, "x").TokenLayers)
+}
+
+func TestRemovedTargetIsRememberedAsLeaving(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	a.Remove("x")
+	require.Empty(t, a.Service("llm"))
+	require.False(t, view(t, a, "x").Usable())
+	v, ok := a.At("x:80")
+	require.True(t, ok)
+	require.Equal(t, "x", v.Name)
+	a.Put(engine("y", 1))
+	pass(removedTime + time.Second)
+	a.Remove("y")
+	_, ok = a.Get("x")
+	require.False(t, ok)
+}
