Let few daemons watch the store and the others follow them

Cause: each of 31 daemons watched both kinds, and daemons that did not hear all others yet took a lease session each, which was renewed for ever; every renewal looked to the others like a change that no watch had brought.

Change: four daemons that reach the store watch it, by rendezvous rank; the others follow one of them by cursors into its last 4,096 changes, and go to the store where fewer are alive or a watcher fails. Sessions that no lease stands under are not renewed. A daemon that starts waits for the others before it watches.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -28,6 +28,8 @@
 type Copy struct {
 	Objects  []storer.Object
 	Revision uint64
+	// Cursor is the number of changes that the copy includes.
+	Cursor uint64
 }
 
 // Follower follows one prefix; set its exported fields before Run.
@@ -56,13 +58,14 @@
 	// lapsed are objects that the store no longer has, and may have again soon.
 	lapsed map[string]bool
 	nudged chan struct{}
+	feed   feed
 }
 
 // New returns a follower that knows no objects.
 func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
 	return &Follower{
 		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), See: func(uint64) {},
-		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, nudged: make(chan struct{}, 1),
+		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, nudged: make(chan struct{}, 1), feed: newFeed(),
 	}
 }
 
@@ -84,7 +87,7 @@
 func (f *Follower) Copy() (Copy, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := Copy{Revision: f.revision}
+	c := Copy{Revision: f.revision, Cursor: f.feed.end}
 	for _, o := range f.objects {
 		c.Objects = append(c.Objects, o)
 	}
@@ -107,7 +110,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if errors.Is(err, storer.ErrCompacted) || errors.Is(err, errNudged) {
+		if errors.Is(err, storer.ErrCompacted) || errors.Is(err, errNudged) || errors.Is(err, ErrMoved) {
 			pause = firstPause
 			_ = f.Clock.Sleep(ctx, firstPause)
 			continue
@@ -125,6 +128,9 @@
 
 var errNudged = errors.New("a peer knows more")
 
+// ErrMoved is what a Store returns that goes on somewhere else; it is no outage.
+var ErrMoved = errors.New("the source of objects has changed")
+
 // round lists and then watches until the watch ends.
 func (f *Follower) round(ctx context.Context) error {
 	objects, revision, err := f.Store.List(ctx, f.Prefix)
@@ -241,6 +247,7 @@
 	}
 	f.objects[o.Key] = o
 	f.changed = max(f.changed, o.Version)
+	f.feed.add(Change{Object: o})
 	f.Apply(o, false)
 }
 
@@ -260,7 +267,9 @@
 	o := f.objects[key]
 	delete(f.objects, key)
 	delete(f.lapsed, key)
-	f.Apply(storer.Object{Key: o.Key, Version: o.Version}, true)
+	gone := storer.Object{Key: o.Key, Version: o.Version}
+	f.feed.add(Change{Object: gone, Deleted: true})
+	f.Apply(gone, true)
 }
 
 // dropLapsed forgets what did not come back, unless the store went away again meanwhile.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,10 +34,11 @@
 	leaseDuration = 2 * time.Second
 	// lagPause is how long a change that a peer knows may be under way before it is fetched.
 	lagPause = 400 * time.Millisecond
-	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address.
-	lingerTime = 3500 * time.Millisecond
+	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address; what it takes
+	// later than 3 s after the signal it may not give up.
+	lingerTime = 2800 * time.Millisecond
 	// stopMargin is kept of the time that the platform grants between its signal and the kill.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
 	// peersPrefix is where daemons leave their peer addresses for those that start later.
 	peersPrefix = "gateways/"
 	stopTimeout = 30 * time.Second
@@ -176,11 +177,11 @@
 // prepare ties the parts together.
 func (g *Gateway) prepare(conn net.PacketConn) {
 	store := g.Adapter.Store
-	g.configs = follower.New(store, g.Settings.ConfigPrefix, g.Clock)
+	g.configs = follower.New(g.through(store, g.Settings.ConfigPrefix), g.Settings.ConfigPrefix, g.Clock)
 	g.auditor = auditor.New(g.Clock, g.missed)
 	g.configs.See = g.auditor.See
 	g.configs.Log, g.configs.Apply, g.configs.Ask = g.Log, g.applyConfig, g.askPeers
-	g.listed = follower.New(store, g.Settings.TargetsPrefix, g.Clock)
+	g.listed = follower.New(g.through(store, g.Settings.TargetsPrefix), g.Settings.TargetsPrefix, g.Clock)
 	g.listed.See = g.auditor.See
 	g.listed.Log, g.listed.Apply, g.listed.Ask = g.Log, g.applyTarget, g.askPeers
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
@@ -17,6 +19,7 @@
 
 const (
 	objectsPath = "/objects"
+	changesPath = "/changes"
 	// askTimeout bounds the fetching of a copy from a peer.
 	askTimeout = time.Second
 	// maxCopy bounds a copy, in bytes.
@@ -136,25 +139,35 @@
 	return follower.Copy{}, false
 }
 
-var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// peerClient keeps a connection to each watcher that is followed.
+var peerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
 
-func fetchCopy(ctx context.Context, address, prefix string) (follower.Copy, error) {
-	u := url.URL{Scheme: "http", Host: address, Path: objectsPath, RawQuery: url.Values{"prefix": {prefix}}.Encode()}
+// fetchObjects asks a peer for objects or changes.
+func fetchObjects(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error) {
+	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return follower.Copy{}, err
+		return nil, err
 	}
 	resp, err := peerClient.Do(req)
 	if err != nil {
-		return follower.Copy{}, err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCopy))
 	if err != nil {
-		return follower.Copy{}, err
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s answered %d", address, resp.StatusCode)
 	}
 	message := &peerv1.GatewayObjects{}
-	if err := proto.Unmarshal(data, message); err != nil {
+	return message, proto.Unmarshal(data, message)
+}
+
+func fetchCopy(ctx context.Context, address, prefix string) (follower.Copy, error) {
+	message, err := fetchObjects(ctx, address, objectsPath, url.Values{"prefix": {prefix}})
+	if err != nil {
 		return follower.Copy{}, err
 	}
 	c := follower.Copy{Revision: message.GetRevision()}
@@ -164,34 +177,66 @@
 	return c, nil
 }
 
-// peerHandler serves copies to peers that can't reach the store.
+// peerHandler serves copies and changes of what this daemon follows.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+objectsPath, func(w http.ResponseWriter, r *http.Request) {
-		f := g.listed
-		if r.URL.Query().Get("prefix") == g.Settings.ConfigPrefix {
-			f = g.configs
-		}
-		c, ok := f.Copy()
-		if !ok {
-			http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
-			return
-		}
-		message := &peerv1.GatewayObjects{Revision: c.Revision}
-		for _, o := range c.Objects {
-			message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: o.Version})
-		}
-		data, err := proto.Marshal(message)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		w.Header().Set("Content-Type", "application/protobuf")
-		_, _ = w.Write(data)
-	})
+	mux.HandleFunc("GET "+objectsPath, g.serveObjects)
+	mux.HandleFunc("GET "+changesPath, g.serveChanges)
 	return mux
 }
 
+// followerOf returns what follows a prefix.
+func (g *Gateway) followerOf(r *http.Request) *follower.Follower {
+	if r.URL.Query().Get("prefix") == g.Settings.ConfigPrefix {
+		return g.configs
+	}
+	return g.listed
+}
+
+func (g *Gateway) serveObjects(w http.ResponseWriter, r *http.Request) {
+	c, ok := g.followerOf(r).Copy()
+	if !ok {
+		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
+		return
+	}
+	message := &peerv1.GatewayObjects{}
+	for _, o := range c.Objects {
+		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: o.Version})
+	}
+	g.writeObjects(w, message, c)
+}
+
+func (g *Gateway) serveChanges(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	cursor, err := strconv.ParseUint(query.Get("cursor"), 10, 64)
+	if err != nil || query.Get("epoch") != strconv.FormatUint(g.epoch, 10) {
+		http.Error(w, "the cursor is not of this process", http.StatusGone)
+		return
+	}
+	changes, c, err := g.followerOf(r).Since(r.Context(), cursor, peerWait)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusGone)
+		return
+	}
+	message := &peerv1.GatewayObjects{}
+	for _, change := range changes {
+		o := change.Object
+		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: o.Version, Deleted: change.Deleted})
+	}
+	g.writeObjects(w, message, c)
+}
+
+func (g *Gateway) writeObjects(w http.ResponseWriter, message *peerv1.GatewayObjects, c follower.Copy) {
+	message.Revision, message.Cursor, message.Epoch = c.Revision, c.Cursor, g.epoch
+	data, err := proto.Marshal(message)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/protobuf")
+	_, _ = w.Write(data)
+}
+
 // runControl serves peers on the platform's address for control, too.
 func (g *Gateway) runControl(ctx context.Context) error {
 	if g.Settings.ControlListen == "" {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 	firstPause    = 200 * time.Millisecond
 	// SettleTime is how long a daemon needs to hear those that run, after its start.
 	SettleTime = 1200 * time.Millisecond
+	// quietTime without a new peer ends the start of a large fleet, at maxSettleTime at the latest.
+	quietTime     = 600 * time.Millisecond
+	maxSettleTime = 4 * time.Second
 	// forgetTime is how long a peer that went silent is still tried.
 	forgetTime = time.Minute
 	// named is how many peers a heartbeat names.
@@ -63,6 +66,8 @@
 	strangers map[string]time.Time
 	turn      int
 	started   time.Time
+	// grown is when the last peer was heard for the first time.
+	grown time.Time
 }
 
 // New returns a gossiper that knows no one.
@@ -184,6 +189,9 @@
 		return false
 	}
 	restarted := ok && known.heartbeat.GetEpoch() < h.GetEpoch()
+	if !ok {
+		g.grown = g.Clock.Now()
+	}
 	if !ok || restarted {
 		g.Log.Info().Str("peer", h.GetName()).Uint64("epoch", h.GetEpoch()).Str("address", h.GetPeerAddress()).Msg("peer heard")
 	}
@@ -225,8 +233,14 @@
 	return time.Duration(missed*max(rounds, 1)) * Interval
 }
 
-// Settled tells whether the daemon has run long enough to know the others.
-func (g *Gossiper) Settled() bool { return g.Clock.Now().Sub(g.started) >= SettleTime }
+// Settled tells whether the daemon has run long enough to know the others, and has heard of no new one for a while.
+func (g *Gossiper) Settled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	ran := now.Sub(g.started)
+	return ran >= SettleTime && (now.Sub(g.grown) >= quietTime || ran >= maxSettleTime)
+}
 
 // Alive returns the last heartbeats of the peers that are heard, by name; those that leave are among them.
 func (g *Gossiper) Alive() []*peerv1.GatewayHeartbeat {
--- a/internal/leaser/session.go
+++ b/internal/leaser/session.go
@@ -30,10 +30,14 @@
 	if s.busy || now.Before(s.next) {
 		return operation{}, false
 	}
-	if s.key == "" {
-		if !m.anyWanted() {
-			return operation{}, false
+	if !m.anyUsed() {
+		// A session that no lease stands under is not renewed; others close it, and the next one has another key.
+		if s.key != "" {
+			m.lose()
 		}
+		return operation{}, false
+	}
+	if s.key == "" {
 		m.sessions++
 		*s = session{key: fmt.Sprintf("%s.%d", m.id, m.sessions), sent: map[uint64]time.Time{}}
 	}
@@ -51,9 +55,10 @@
 	return m.operate(now, "", operation{kind: renewSession, key: s.key, value: value, expected: s.version, renewal: s.renewal}), true
 }
 
-func (m *machine) anyWanted() bool {
+// anyUsed tells whether a lease is wanted, or may stand under the session.
+func (m *machine) anyUsed() bool {
 	for _, d := range m.duties {
-		if d.wanted {
+		if d.wanted || d.mayHold || d.held != "" {
 			return true
 		}
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -153,7 +153,8 @@
 	w = httptest.NewRecorder()
 	defer func() {
 		if p := recover(); p != nil {
-			aborted = p == http.ErrAbortHandler
+			err, ok := p.(error)
+			aborted = ok && errors.Is(err, http.ErrAbortHandler)
 		}
 	}()
 	refusal = r.Serve(context.Background(), w, req)
