Explain a failed request from logs alone

Cause: logs named decisions only where something went wrong, wrote while a request waited, and nothing read them.

--- /dev/null
+++ b/internal/command/explain/doc.go
@@ -0,0 +1,2 @@
+// Package explain is the command explain.
+package explain
--- /dev/null
+++ b/internal/command/gateway/checksettings/doc.go
@@ -0,0 +1,2 @@
+// Package checksettings is the command gateway check-settings.
+package checksettings
--- a/internal/command/gateway/gateway.go
+++ b/internal/command/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"github.com/rattantray/rattantray/internal/command/gateway/checksettings"
 	"github.com/rattantray/rattantray/internal/command/gateway/start"
 	"github.com/rattantray/rattantray/internal/command/maker"
 )
@@ -11,8 +12,8 @@
 func NewCmdGateway(f *maker.Factory) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "gateway <command>",
-		Short: "Run gateways on the platform",
+		Short: "Run gateways on the platform and check their settings",
 	}
-	cmd.AddCommand(start.NewCmdStart(f, nil))
+	cmd.AddCommand(checksettings.NewCmdCheckSettings(f, nil), start.NewCmdStart(f, nil))
 	return cmd
 }
--- a/internal/command/gateway/start/start.go
+++ b/internal/command/gateway/start/start.go
@@ -12,7 +12,9 @@
 	"github.com/rattantray/rattantray/internal/command/exiter"
 	"github.com/rattantray/rattantray/internal/command/maker"
 	"github.com/rattantray/rattantray/internal/command/streamer"
+	"github.com/rattantray/rattantray/internal/logger"
 	"github.com/rattantray/rattantray/internal/setter"
+	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/platform"
 )
 
@@ -24,6 +26,8 @@
 	// Reload carries the signals to read the settings again.
 	Reload   <-chan os.Signal
 	LogLevel string
+	// MetricsPort serves the metrics; 0 serves none.
+	MetricsPort int
 }
 
 // NewCmdStart returns the command; runF replaces its action in tests.
@@ -58,6 +62,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&opts.SettingsFile, "settings", os.Getenv(platform.SettingsVariable), "Read the platform's settings from this `file`")
+	flags.IntVar(&opts.MetricsPort, "metrics-port", 0, "Serve the metrics on this `port` of the machine's address; 0 serves none")
 	flags.StringVar(&opts.LogLevel, "log-level", "info", "Log from this `level`: debug, info, warn, error")
 	return cmd
 }
@@ -68,6 +73,18 @@
 		return exiter.WrapFlag(err)
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(opts.IO.Out).Level(level).With().Timestamp().Logger()
-	return platform.Run(ctx, opts.SettingsFile, opts.Reload, log)
+	writer := logger.New(opts.IO.Out, timer.System{})
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		writer.Run(writing)
+		close(written)
+	}()
+	err = platform.Run(ctx, platform.Options{
+		SettingsFile: opts.SettingsFile, MetricsPort: opts.MetricsPort, Reload: opts.Reload,
+		Log: zerolog.New(writer).Level(level).With().Timestamp().Logger(),
+	})
+	stop()
+	<-written
+	return err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/rattantray/rattantray/internal/relayer"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 const (
@@ -56,6 +57,8 @@
 	ResolveListen string
 	PeerListen    string
 	ControlListen string
+	// MetricsListen serves the metrics; empty where they are not wanted.
+	MetricsListen string
 	// Seeds are peer addresses that may be stale.
 	Seeds []string
 	// Grace is the time between the signal to stop and the kill.
@@ -121,6 +124,15 @@
 // Matcher returns the configuration in force, nil where none is known yet.
 func (g *Gateway) Matcher() *matcher.Matcher { return g.config.Load() }
 
+// Refused takes in that a request was refused before it could be relayed.
+func (g *Gateway) Refused(id, host, path string, refusal *refuser.Refusal) {
+	var version uint64
+	if m := g.config.Load(); m != nil {
+		version = m.Version()
+	}
+	g.relayer.Refused(id, host, path, version, refusal)
+}
+
 // Leaving tells whether the daemon shuts down.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
@@ -240,7 +252,8 @@
 		{Name: "register", Run: g.register},
 		{Name: "lag", Needs: []string{"config", "targets", "gossiper"}, Run: g.watchLag},
 		{Name: "peers", Run: serve(g.Settings.PeerListen, newServer(g.peerHandler()))},
-		{Name: "control", Run: g.runControl},
+		{Name: "control", Run: g.serveOptional(g.Settings.ControlListen, g.peerHandler())},
+		{Name: "metrics", Run: g.serveOptional(g.Settings.MetricsListen, g.metricsHandler())},
 		{Name: "leaser", Run: g.duty.leaser.Run},
 		{Name: "duty", Needs: []string{"leaser", "gossiper"}, Run: g.runDuty},
 		{Name: "orderer", Needs: []string{"duty", "config", "targets"}, Run: g.orderer.Run},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -236,12 +236,3 @@
 	w.Header().Set("Content-Type", "application/protobuf")
 	_, _ = w.Write(data)
 }
-
-// runControl serves peers on the platform's address for control, too.
-func (g *Gateway) runControl(ctx context.Context) error {
-	if g.Settings.ControlListen == "" {
-		<-ctx.Done()
-		return nil
-	}
-	return serve(g.Settings.ControlListen, newServer(g.peerHandler()))(ctx)
-}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -43,6 +43,45 @@
 	}
 }
 
+// serveOptional is serve for an address that may not be set.
+func (g *Gateway) serveOptional(address string, handler http.Handler) func(ctx context.Context) error {
+	if address != "" {
+		return serve(address, newServer(handler))
+	}
+	return func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	}
+}
+
+// metricsHandler serves the metrics of the relayer and what the daemon believes.
+func (g *Gateway) metricsHandler() http.Handler {
+	m := g.relayer.Meter
+	m.Gauge("requests-in-progress", func() float64 { return float64(g.active.Load()) })
+	m.Gauge("streams-in-progress", func() float64 { return float64(g.relayer.InProgress()) })
+	m.Gauge("config-version", func() float64 {
+		if c := g.config.Load(); c != nil {
+			return float64(c.Version())
+		}
+		return 0
+	})
+	m.Gauge("targets-lost", func() float64 { return float64(len(g.targets.Doubts())) })
+	m.Gauge("peers-alive", func() float64 { return float64(len(g.gossiper.Alive())) })
+	m.Gauge("store-failing", func() float64 { return oneIf(g.listed.Failing()) })
+	m.Gauge("duty-held", func() float64 { return oneIf(g.holdsDuty()) })
+	m.Gauge("orders-pending", func() float64 { return float64(len(g.orderer.Pending())) })
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m)
+	return mux
+}
+
+func oneIf(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // count counts the requests in progress.
 func (g *Gateway) count(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -87,6 +87,9 @@
 	m.result(r.Code).Inc(1)
 }
 
+// Result counts the result of a request that belongs to no workspace or class.
+func (m *Meter) Result(code refuser.Code) { m.result(code).Inc(1) }
+
 // Gap adds the time between two tokens.
 func (m *Meter) Gap(workspace, class string, d time.Duration) {
 	m.workspace(workspace).update(InterToken, d)
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -41,7 +41,7 @@
 func (r *Relayer) forward(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
 	call := &plainCall{relayer: r, request: req}
 	refusal := call.run(ctx, w)
-	r.logEnd(req, refusal, func(e *zerolog.Event) { e.Strs("targets", call.targets) })
+	r.logEnd(req, refusal, notMeasured, func(e *zerolog.Event) { e.Strs("targets", call.targets) })
 	return refusal
 }
 
@@ -89,7 +89,9 @@
 	now := c.relayer.Clock.Now()
 	ctx, cancel := context.WithDeadline(ctx, fr.Deadline)
 	defer cancel()
-	reply, err := c.relayer.Backend.Send(ctx, Call{Request: c.request, Target: t, Left: c.request.Deadline.Sub(now)})
+	call := Call{Request: c.request, Target: t, Left: c.request.Deadline.Sub(now)}
+	c.relayer.logSent(call, len(c.targets))
+	reply, err := c.relayer.Backend.Send(ctx, call)
 	if err != nil {
 		return forwarder.Answer{}, sendFailure(ctx, err)
 	}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -84,7 +84,11 @@
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
 	refusal := g.run(ctx)
-	r.logEnd(req, refusal, g.describe)
+	first := g.first
+	if first == 0 {
+		first = notMeasured
+	}
+	r.logEnd(req, refusal, first, g.describe)
 	if refusal != nil && g.begun {
 		// The answer has begun and must not look complete.
 		panic(http.ErrAbortHandler)
@@ -177,6 +181,7 @@
 	if r.pathless(g.request) {
 		call.Path = nil
 	}
+	r.logSent(call, g.sends+1)
 	reply, err := r.Backend.Send(ctx, call)
 	if err != nil {
 		g.sent(first.Target, !errors.Is(err, exchanger.ErrNotSent))
@@ -352,10 +357,13 @@
 	if g.started {
 		g.gap += (now.Sub(g.last) - g.gap) / 8
 	}
+	workspace, service := string(g.request.Workspace), g.request.Service.Name
 	if g.first == 0 {
 		g.first = now.Sub(g.request.Arrived)
 	} else {
-		g.longest = max(g.longest, now.Sub(g.delivered))
+		gap := now.Sub(g.delivered)
+		g.longest = max(g.longest, gap)
+		g.relayer.Meter.Gap(workspace, service, gap)
 	}
 	g.delivered = now
 	if !g.started {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/rationer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -35,6 +38,8 @@
 	Lost  func(target cataloger.Target)
 	Clock timer.Clock
 	Log   zerolog.Logger
+	// Meter counts requests by workspace and service.
+	Meter *meter.Meter
 
 	mu        sync.Mutex
 	rationers map[string]*rationer.Rationer
@@ -50,6 +55,7 @@
 func New(clock timer.Clock) *Relayer {
 	r := &Relayer{
 		Clock:     clock,
+		Meter:     meter.New(),
 		Log:       zerolog.Nop(),
 		Daemons:   func() int { return 1 },
 		Lost:      func(cataloger.Target) {},
@@ -77,17 +83,51 @@
 	return r.forward(ctx, w, req)
 }
 
+// Refused writes the line of a request that the configuration of a version does not allow, or that is not understood.
+func (r *Relayer) Refused(id, host, path string, version uint64, refusal *refuser.Refusal) {
+	r.Meter.Result(refusal.Code)
+	r.Log.Warn().Str("request", id).Str("host", host).Str("path", path).Uint64("config", version).
+		Str("code", refusal.Code.String()).Str("why", refusal.Message).Msg("request refused")
+}
+
+// logSent writes the line of one sending.
+func (r *Relayer) logSent(call Call, sending int) {
+	r.Log.Info().Str("request", call.Request.ID).Str("target", call.Target.Name).Int("sending", sending).Dur("left", call.Left).
+		Str("after", call.ResumeAfter).Str("path", pathText(call.Path)).Msg("request sent")
+}
+
+// pathText returns the targets of a path with their layers.
+func pathText(path []cataloger.Stage) string {
+	var b strings.Builder
+	for i, s := range path {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", s.Target, s.FirstLayer, s.EndLayer)
+	}
+	return b.String()
+}
+
+// notMeasured leaves a time out of the metrics.
+const notMeasured = -1
+
 // logEnd writes the line that ends the life of a request.
-func (r *Relayer) logEnd(req *Request, refusal *refuser.Refusal, more func(*zerolog.Event)) {
+func (r *Relayer) logEnd(req *Request, refusal *refuser.Refusal, first time.Duration, more func(*zerolog.Event)) {
+	took := r.Clock.Now().Sub(req.Arrived)
 	e := r.Log.Info()
+	code := refuser.OK
 	if refusal != nil {
+		code = refusal.Code
 		e = r.Log.Warn().Str("code", refusal.Code.String()).Str("fact", refusal.Fact.String()).Str("why", refusal.Message)
 		if refusal.RetryAfter > 0 {
 			e.Dur("retry-after", refusal.RetryAfter)
 		}
 	}
+	r.Meter.Observe(meter.Request{
+		Workspace: string(req.Workspace), Class: req.Service.Name, Code: code, First: first, Total: took, QueueWait: notMeasured,
+	})
 	e.Str("request", req.ID).Str("route", req.Route.Name).Str("service", req.Service.Name).Uint64("config", req.ConfigVersion).
-		Dur("took", r.Clock.Now().Sub(req.Arrived)).Func(more).Msg("request ended")
+		Dur("took", took).Func(more).Msg("request ended")
 }
 
 func (r *Relayer) rationer(service string) *rationer.Rationer {
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -93,6 +93,13 @@
 	RepathRefused
 )
 
+var repathNames = map[RepathResult]string{
+	RepathDone: "done", RepathUnknown: "unknown", RepathEnded: "ended", RepathRefused: "refused",
+}
+
+// String returns the kebab-case name of the result.
+func (r RepathResult) String() string { return repathNames[r] }
+
 // Stalled is a request that waits for a stage which does not answer.
 type Stalled struct {
 	RequestID string
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -236,8 +236,8 @@
 	ctx, stop := context.WithTimeout(ctx, repathTimeout)
 	defer stop()
 	result, address, err := r.Backend.Repath(ctx, first.Target, g.request.ID, next)
-	r.Log.Info().Str("request", g.request.ID).Int("result", int(result)).Str("at", address).Err(err).
-		Interface("path", next).Msg("stages replaced")
+	r.Log.Info().Str("request", g.request.ID).Str("result", result.String()).Str("at", address).Err(err).
+		Str("path", pathText(next)).Msg("stages replaced")
 	switch result {
 	case RepathDone:
 		g.settle(next)
