Give a sending up only with a repeat in hand

Change: the proof of a loss is a request that the target received later and has begun; the repeat is taken out of the budget before the sending is given up.

Test: TestNothingIsGivenUpWithoutBudget fails before.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -40,6 +40,7 @@
 	msgStoreOff = "store lost, going on with what is known"
 	msgStoreOn  = "store is back"
 	msgLeaves   = "gateway leaves"
+	msgStarts   = "gateway starts"
 )
 
 // Explain returns the life of a request; false where no line names it.
@@ -85,6 +86,9 @@
 			b.config = l
 		case msgStoreOff, msgStoreOn:
 			b.store = l
+		case msgStarts:
+			// Another process knows nothing of what this one believed.
+			b = beliefs{targets: map[string]Line{}}
 		case msgLeaves:
 			b.leaving = l
 		case msgListed, msgRemoved, msgLost, msgPeerLost, msgClear:
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -68,6 +68,14 @@
 	require.NotContains(t, x.Cause, "lost")
 }
 
+// TestBeliefsEndWithTheirProcess: the daemon was restarted before the request.
+func TestBeliefsEndWithTheirProcess(t *testing.T) {
+	x := explain(t, `{"node":"a-1","time":1400,"message":"gateway starts"}
+{"node":"a-1","request":"r1","target":"i-1","path":"i-1=0-5","time":1500,"message":"request sent"}
+{"node":"a-1","request":"r1","code":"canceled","time":1800,"message":"request ended"}`)
+	require.Empty(t, x.Beliefs)
+}
+
 func TestUnknownRequest(t *testing.T) {
 	lines, _, err := Read(strings.NewReader(beliefLines))
 	require.NoError(t, err)
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -57,6 +57,10 @@
 	delivered time.Time
 	gap       time.Duration
 	started   bool
+	// sentAt is when the present sending began.
+	sentAt time.Time
+	// prepaid is true where the budget was asked for the next sending already.
+	prepaid bool
 	// first is the time to the first event, longest the longest gap after it.
 	first   time.Duration
 	longest time.Duration
@@ -111,9 +115,10 @@
 			return g.end(ctx, refuser.New(refuser.NoPipeline, "%s", r.shortage(req)).WithRetryAfter(noPathRetry))
 		}
 		// The budget counts sendings, so nothing is taken out before there is somewhere to send.
-		if repeat && !r.spend(req) {
+		if repeat && !g.prepay() {
 			return g.end(ctx, refuser.New(refuser.RetryBudgetSpent, "no repeat is left").WithRetryAfter(noPathRetry))
 		}
+		g.usePrepaid()
 		result, refusal := g.send(ctx, path)
 		if result == sendDone {
 			return refusal
@@ -319,6 +324,20 @@
 	return sendAgain, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
 
+// prepay takes the next sending out of the budget, once; a sending is given up only where that holds.
+func (g *generation) prepay() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.prepaid = g.prepaid || g.relayer.spend(g.request)
+	return g.prepaid
+}
+
+func (g *generation) usePrepaid() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.prepaid = false
+}
+
 // movable tells whether the generation may leave its present sending for another one.
 func (g *generation) movable() bool {
 	g.mu.Lock()
@@ -331,6 +350,7 @@
 	r := g.relayer
 	g.mu.Lock()
 	g.path, g.last, g.started, g.moving, g.cancel = path, r.Clock.Now(), false, false, cancel
+	g.sentAt = g.last
 	g.release = r.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
 	g.mu.Unlock()
 	r.cross(g.request, path)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -271,10 +271,11 @@
 			done <- w
 		}()
 		synctest.Wait()
-		// Another stream through the same first target goes on all the while.
-		other := &generation{relayer: r, request: stream(true), path: f.calls[0].Path}
+		// Two other streams through the same first target go on all the while; the one that was sent later proves the loss.
+		earlier := &generation{relayer: r, request: stream(true), path: f.calls[0].Path, sentAt: time.Now().Add(-time.Second), started: true}
+		other := &generation{relayer: r, request: stream(true), path: f.calls[0].Path, sentAt: time.Now().Add(time.Millisecond)}
 		r.mu.Lock()
-		r.streams[other] = struct{}{}
+		r.streams[earlier], r.streams[other] = struct{}{}, struct{}{}
 		r.mu.Unlock()
 		for {
 			select {
@@ -291,6 +292,29 @@
 	})
 }
 
+// TestNothingIsGivenUpWithoutBudget: a first target seems to have lost a request, and no repeat is left.
+func TestNothingIsGivenUpWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{hang: true}}}
+		r := newTestRelayer(f)
+		r.Budget = rationer.Budget{Window: 10 * time.Second}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Watch(ctx) }()
+		go func() {
+			defer func() { _ = recover() }()
+			r.Serve(ctx, httptest.NewRecorder(), stream(true))
+		}()
+		synctest.Wait()
+		later := &generation{relayer: r, request: stream(true), path: f.calls[0].Path, sentAt: time.Now().Add(time.Millisecond), started: true}
+		r.mu.Lock()
+		r.streams[later] = struct{}{}
+		r.mu.Unlock()
+		time.Sleep(10 * mostFirstPatience)
+		require.Equal(t, 2, r.InProgress(), "the request still waits for its target")
+	})
+}
+
 func TestPlainRequests(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for i, g := range generations {
-		if r.leaveSwallowed(g, streams, i, now) {
+		if r.leaveSwallowed(g, streams[i], generations, now) {
 			continue
 		}
 		if gone := r.goneStages(streams[i], now); len(gone) > 0 {
@@ -108,26 +108,36 @@
 	}
 }
 
-// leaveSwallowed ends a sending whose first target has lost the request, as it seems: it has not begun, while others that the
-// target received go on.
-func (r *Relayer) leaveSwallowed(g *generation, streams []repairer.Stream, i int, now time.Time) bool {
-	s := streams[i]
+// leaveSwallowed ends a sending whose first target has lost the request, as it seems: it has not begun, while one that the
+// target received later has.
+func (r *Relayer) leaveSwallowed(g *generation, s repairer.Stream, generations []*generation, now time.Time) bool {
 	g.mu.Lock()
-	begun, cancel := g.started || g.moving, g.cancel
+	waits, sentAt, cancel := !g.started && !g.moving, g.sentAt, g.cancel
 	g.mu.Unlock()
-	if begun || now.Sub(s.Last) < swallowPatience*s.Patience || !g.movable() {
+	if !waits || now.Sub(s.Last) < swallowPatience*s.Patience || !g.movable() {
 		return false
 	}
-	for _, other := range streams {
-		if other.Path[0].Target == s.Path[0].Target && now.Sub(other.Last) < watchInterval {
-			r.Targets.Answer(s.Path[0].Target, false)
-			cancel(errSwallowed)
-			return true
+	for _, other := range generations {
+		if !other.overtook(s.Path[0].Target, sentAt) {
+			continue
+		}
+		if !g.prepay() {
+			return false
 		}
+		r.Targets.Answer(s.Path[0].Target, false)
+		cancel(errSwallowed)
+		return true
 	}
 	return false
 }
 
+// overtook tells whether the generation has begun at a first target that received it after a time.
+func (g *generation) overtook(first string, sentAt time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.started && g.path[0].Target == first && g.sentAt.After(sentAt)
+}
+
 // clear takes doubts back about targets that streams have passed since.
 func (r *Relayer) clear(streams []repairer.Stream) {
 	for _, d := range r.Targets.Doubts() {
@@ -219,7 +229,7 @@
 		v, ok := r.Targets.Get(name)
 		lost = lost || !ok || v.Lost
 	}
-	if lost && g.movable() {
+	if lost && g.movable() && g.prepay() {
 		cancel(errMoved)
 		return
 	}
@@ -248,7 +258,7 @@
 		g.settle(nil)
 	case RepathUnknown:
 		// Whatever path the target follows now, all parts of it hold their layers.
-		if g.movable() {
+		if g.movable() && g.prepay() {
 			cancel(errMoved)
 			return
 		}
