Ask the stages of slow streams for their pace

Cause: the pace of a target was known only where it was the first stage of a silent stream, so a slow stage in the middle was sent as much as before.

Change: a stream whose mean gap is twice the usual has one of its stages asked, each at most every 1.5 s; what a target says counts for 4 s and is told to the other daemons.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -23,6 +23,9 @@
 	// faultGain and soundGain are how far one request moves the share of faults.
 	faultGain = 0.2
 	soundGain = 0.1
+	// paceTime is how long a pace counts that a target reported, and freshPace how long it is news for other daemons.
+	paceTime  = 4 * time.Second
+	freshPace = 250 * time.Millisecond
 	// doubtTime is within which a second failure to answer makes a target count as lost.
 	doubtTime = 2 * time.Second
 	// removedTime is how long a target that is listed no more is remembered.
@@ -55,8 +58,9 @@
 	// doubtedAt is when the target last did not answer, and clearedAt when it was last proven to.
 	doubtedAt time.Time
 	clearedAt time.Time
-	// pace is the measured slowness, 1 where nothing else is known.
-	pace float64
+	// pace is how slow the target said it was at pacedAt; 1 is its usual pace.
+	pace    float64
+	pacedAt time.Time
 	// removedAt is when the target was listed no more.
 	removedAt time.Time
 	// leavingAt is when the target was first seen to leave.
@@ -199,7 +203,7 @@
 }
 
 func (a *Assessor) view(b *belief, now time.Time) View {
-	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.pace}
+	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.paceNow(now)}
 	v.Lost = !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
 	v.Refused = now.Before(b.refusedUntil)
 	v.Faults = b.faultsNow(now)
@@ -337,15 +341,38 @@
 	}
 }
 
-// SetPace takes in how slow a target says it is; 1 is its usual pace.
-func (a *Assessor) SetPace(name string, pace float64) {
+// SetPace takes in how slow a target said it was at a time; 1 is its usual pace. What it says counts for paceTime.
+func (a *Assessor) SetPace(name string, pace float64, at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b, ok := a.beliefs[name]; ok && pace > 0 {
-		b.pace = pace
+	if b, ok := a.beliefs[name]; ok && pace > 0 && at.After(b.pacedAt) {
+		b.pace, b.pacedAt = pace, at
 	}
 }
 
+// paceNow returns the pace as long as what the target said counts.
+func (b *belief) paceNow(now time.Time) float64 {
+	if b.pacedAt.IsZero() || now.Sub(b.pacedAt) > paceTime {
+		return 1
+	}
+	return b.pace
+}
+
+// Paces returns the targets that have just said that they are slow.
+func (a *Assessor) Paces() map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	out := map[string]float64{}
+	for name, b := range a.beliefs {
+		// Only news of this daemon's own moment is passed on, so that what two daemons tell each other fades.
+		if now.Sub(b.pacedAt) < freshPace && b.paceNow(now) > 1 {
+			out[name] = b.pace
+		}
+	}
+	return out
+}
+
 // Doubts returns the targets that are believed lost.
 func (a *Assessor) Doubts() []Doubt {
 	a.mu.Lock()
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -140,3 +140,18 @@
 	_, ok = a.Get("x")
 	require.False(t, ok)
 }
+
+func TestPaceIsBelievedForAWhile(t *testing.T) {
+	a, pass := testAssessor()
+	a.Put(engine("x", 1))
+	require.InDelta(t, 1, view(t, a, "x").Pace, 0)
+	a.SetPace("x", 3, a.Now())
+	require.InDelta(t, 3, view(t, a, "x").Pace, 0)
+	require.Equal(t, map[string]float64{"x": 3}, a.Paces())
+	a.SetPace("x", 9, a.Now().Add(-time.Second))
+	require.InDelta(t, 3, view(t, a, "x").Pace, 0, "older news changes nothing")
+	pass(freshPace)
+	require.Empty(t, a.Paces(), "what is not new is not passed on")
+	pass(paceTime)
+	require.InDelta(t, 1, view(t, a, "x").Pace, 0)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/follower"
+	"github.com/rattantray/rattantray/internal/gossiper"
 	"github.com/rattantray/rattantray/internal/orderer"
 	"github.com/rattantray/rattantray/internal/storer"
 )
@@ -33,7 +34,7 @@
 		Name: g.Settings.Name, Epoch: g.epoch, DataCentre: g.Settings.DataCentre, Region: g.Settings.Region,
 		ClientAddress: g.Settings.ClientListen, PeerAddress: g.Settings.PeerListen,
 		Ready: g.Ready(), Leaving: g.leaving.Load(),
-		StoreReachable: !g.listed.Failing(), HoldsDuty: g.duty.valid(), TargetsRevision: g.listed.Changed(), Loads: map[string]float32{},
+		StoreReachable: !g.listed.Failing(), HoldsDuty: g.duty.valid(), TargetsRevision: g.listed.Changed(), Loads: map[string]float32{}, Paces: map[string]float32{},
 	}
 	if m := g.config.Load(); m != nil {
 		h.ConfigVersion = m.Version()
@@ -46,6 +47,9 @@
 	for name, n := range g.targets.Loads() {
 		h.Loads[name] = float32(n)
 	}
+	for name, pace := range g.targets.Paces() {
+		h.Paces[name] = float32(pace)
+	}
 	for _, p := range g.orderer.Pending() {
 		h.Orders = append(h.Orders, &peerv1.PendingOrder{
 			Target: p.Target, Incarnation: p.Incarnation, FirstLayer: p.First, EndLayer: p.End,
@@ -69,6 +73,10 @@
 			g.Log.Info().Str("target", d.GetTarget()).Str("peer", h.GetName()).Msg("target believed lost by a peer")
 		}
 	}
+	for name, pace := range h.GetPaces() {
+		// A moment is taken off, so that the news is not passed on as this daemon's own.
+		g.targets.SetPace(name, float64(pace), now.Add(-gossiper.Interval))
+	}
 	for _, p := range h.GetOrders() {
 		g.orderer.Learn(orderer.Pending{
 			Target: p.GetTarget(), Incarnation: p.GetIncarnation(), First: p.GetFirstLayer(), End: p.GetEndLayer(),
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -376,6 +376,7 @@
 	defer g.mu.Unlock()
 	if g.started {
 		g.gap += (now.Sub(g.last) - g.gap) / 8
+		g.relayer.noteGap(now.Sub(g.last))
 	}
 	workspace, service := string(g.request.Workspace), g.request.Service.Name
 	if g.first == 0 {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -49,6 +49,8 @@
 	pipe rateMeter
 	// usualFirst is the usual wait for a first event, in nanoseconds.
 	usualFirst atomic.Int64
+	// usualGaps is the usual time between two events, in nanoseconds.
+	usualGaps atomic.Int64
 }
 
 // New returns a relayer without requests.
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -21,6 +21,13 @@
 	mostFirstPatience  = 600 * time.Millisecond
 	// clearTime is how long after a target was believed lost an event must come through it to prove that it is not.
 	clearTime = 150 * time.Millisecond
+	// slowGaps usual gaps are the mean gap of a stream that has a slow stage, as it seems; paceAskPause is the least time
+	// between two questions to one stage for its pace.
+	slowGaps     = 2
+	paceAskPause = 1500 * time.Millisecond
+	// leastUsualGap bounds the usual gap from below while little is known, and usualWeight is the weight of the past in it.
+	leastUsualGap = 20 * time.Millisecond
+	usualWeight   = 512
 	// swallowPatience is how many times its patience a request waits that its first target seems to have lost.
 	swallowPatience = 2
 	// askPause is the least time between two reports of one target, which lag by some hundred milliseconds.
@@ -98,6 +105,7 @@
 			go r.ask(ctx, v.Target)
 		}
 	}
+	r.askSlow(ctx, generations, now)
 	for i, g := range generations {
 		if r.leaveSwallowed(g, streams[i], generations, now) {
 			continue
@@ -108,6 +116,51 @@
 	}
 }
 
+// askSlow asks a stage of a stream that is slower than is usual for its pace, the one that was asked longest ago.
+func (r *Relayer) askSlow(ctx context.Context, generations []*generation, now time.Time) {
+	for _, g := range generations {
+		g.mu.Lock()
+		slow, path := g.started && g.gap > slowGaps*r.usualGap(), g.path
+		g.mu.Unlock()
+		if !slow {
+			continue
+		}
+		if stage, ok := r.longestUnasked(path, now); ok {
+			if v, found := r.Targets.Get(stage.Target); found && !v.Lost && r.mayAsk(stage.Target, now) {
+				go r.ask(ctx, v.Target)
+				return
+			}
+		}
+	}
+}
+
+// longestUnasked returns the stage whose report is the oldest, unless all are fresh.
+func (r *Relayer) longestUnasked(path []cataloger.Stage, now time.Time) (cataloger.Stage, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best := -1
+	for i, s := range path {
+		if now.Sub(r.asked[s.Target]) >= paceAskPause && (best < 0 || r.asked[s.Target].Before(r.asked[path[best].Target])) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return cataloger.Stage{}, false
+	}
+	return path[best], true
+}
+
+// usualGap returns the usual time between two events.
+func (r *Relayer) usualGap() time.Duration {
+	return max(time.Duration(r.usualGaps.Load()), leastUsualGap)
+}
+
+// noteGap takes a time between two events into the usual one.
+func (r *Relayer) noteGap(d time.Duration) {
+	usual := r.usualGaps.Load()
+	r.usualGaps.Store(usual + (int64(min(d, leastPatience))-usual)/usualWeight)
+}
+
 // leaveSwallowed ends a sending whose first target has lost the request, as it seems: it has not begun, while one that the
 // target received later has.
 func (r *Relayer) leaveSwallowed(g *generation, s repairer.Stream, generations []*generation, now time.Time) bool {
@@ -172,7 +225,7 @@
 		return
 	}
 	if report.Pace > 0 {
-		r.Targets.SetPace(first.Name, report.Pace)
+		r.Targets.SetPace(first.Name, report.Pace, r.Clock.Now())
 	}
 	for _, s := range report.Stalled {
 		if v, ok := r.Targets.At(s.Address); ok {
