Keep heartbeats within a datagram and looks at targets cheap

Cause: a heartbeat named the load of every target: 69 KB at 3,300, over what a datagram takes, so that daemons of the design size would not have heard each other. A look at the targets of a service sorted all and asked each peer's load: 8.1 ms at 3,300.

Change: at most 400 loads, the largest; listed targets are kept by service and name, and the peers' loads as a sum of 250 ms.

Test: TestHeartbeatFitsADatagram fails before.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -1,6 +1,7 @@
 package assessor
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -30,6 +31,8 @@
 	doubtTime = 2 * time.Second
 	// removedTime is how long a target that is listed no more is remembered.
 	removedTime = 15 * time.Second
+	// sumTime is how long the sum of the peers' loads stands while none of them changes.
+	sumTime = 250 * time.Millisecond
 	// peerLoadAge is how long the load that another daemon reported counts.
 	peerLoadAge = 2 * time.Second
 )
@@ -101,6 +104,11 @@
 	beliefs   map[string]*belief
 	byAddress map[string]string
 	peers     map[string]peerLoad
+	// sums are the loads of all peers together, as of summedAt; zero is out of date.
+	sums     map[string]float64
+	summedAt time.Time
+	// services are the listed targets of each service by name; nil is out of date.
+	services map[string][]*belief
 }
 
 // New returns an assessor that knows no target.
@@ -122,6 +130,7 @@
 		b.leavingAt = time.Time{}
 	}
 	b.removedAt = time.Time{}
+	a.services = nil
 	if b.target.Address != t.Address {
 		delete(a.byAddress, b.target.Address)
 	}
@@ -147,6 +156,7 @@
 		return
 	}
 	b.removedAt = now
+	a.services = nil
 	if b.leavingAt.IsZero() {
 		b.leavingAt = now
 	}
@@ -187,19 +197,45 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
-	var out []View
-	for _, b := range a.beliefs {
-		if b.target.Service == service && b.removedAt.IsZero() {
-			out = append(out, a.view(b, now))
+	beliefs := a.listed(service)
+	out := make([]View, len(beliefs))
+	for i, b := range beliefs {
+		out[i] = a.view(b, now)
+	}
+	return out
+}
+
+// listed returns the listed targets of a service by name; the caller holds mu.
+func (a *Assessor) listed(service string) []*belief {
+	if a.services == nil {
+		a.services = map[string][]*belief{}
+		for _, b := range a.beliefs {
+			if b.removedAt.IsZero() {
+				a.services[b.target.Service] = append(a.services[b.target.Service], b)
+			}
+		}
+		for _, list := range a.services {
+			slices.SortFunc(list, func(x, y *belief) int { return cmp.Compare(x.target.Name, y.target.Name) })
 		}
 	}
-	slices.SortFunc(out, func(x, y View) int {
-		if x.Name < y.Name {
-			return -1
+	return a.services[service]
+}
+
+// peerLoads returns the loads of all peers that are not too old; the caller holds mu.
+func (a *Assessor) peerLoads(now time.Time) map[string]float64 {
+	if !a.summedAt.IsZero() && now.Sub(a.summedAt) < sumTime {
+		return a.sums
+	}
+	a.sums, a.summedAt = map[string]float64{}, now
+	for _, p := range a.peers {
+		if now.Sub(p.at) >= peerLoadAge {
+			continue
 		}
-		return 1
-	})
-	return out
+		for name, n := range p.tokenLayers {
+			a.sums[name] += n
+		}
+	}
+	return a.sums
 }
 
 func (a *Assessor) view(b *belief, now time.Time) View {
@@ -210,11 +246,7 @@
 	if !b.leavingAt.IsZero() {
 		v.Left = max(now.Sub(b.leavingAt), 1)
 	}
-	for _, p := range a.peers {
-		if now.Sub(p.at) < peerLoadAge {
-			v.TokenLayers += p.tokenLayers[b.target.Name]
-		}
-	}
+	v.TokenLayers += a.peerLoads(now)[b.target.Name]
 	return v
 }
 
@@ -404,6 +436,7 @@
 func (a *Assessor) SetPeerLoads(peer string, loads map[string]float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.summedAt = time.Time{}
 	if loads == nil {
 		delete(a.peers, peer)
 		return
--- /dev/null
+++ b/internal/gateway/heartbeat_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/orderer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// newTestGateway returns a gateway that is not running, with n targets that each hold a request.
+func newTestGateway(name string, n int) *Gateway {
+	g := New(Settings{Name: name, ClientListen: name + ":1", PeerListen: name + ":2", ConfigPrefix: "config/", TargetsPrefix: "servers/"},
+		timer.System{}, zerolog.Nop())
+	g.prepare(nil)
+	for i := range n {
+		t := cataloger.Target{Name: fmt.Sprintf("i-%010x", i), Service: "llm", Address: fmt.Sprint(i), State: cataloger.StateLive, Incarnation: 1}
+		g.targets.Put(t)
+		g.targets.Reserve([]cataloger.Stage{{Target: t.Name, EndLayer: 10}}, 500)
+	}
+	return g
+}
+
+func TestHeartbeatTellsWhatIsBelieved(t *testing.T) {
+	a, b := newTestGateway("a", 3), newTestGateway("b", 3)
+	lost, _ := a.targets.Get("i-0000000001")
+	a.targets.Lose(lost.Name, 1, time.Now())
+	a.targets.SetPace("i-0000000002", 4, time.Now())
+	a.orderer.Learn(orderer.Pending{
+		Target: "i-0000000000", Incarnation: 1, First: 3, End: 9, At: time.Now(), Until: time.Now().Add(time.Second),
+	})
+	data, err := proto.Marshal(a.heartbeat())
+	require.NoError(t, err)
+	h := &peerv1.GatewayHeartbeat{}
+	require.NoError(t, proto.Unmarshal(data, h))
+	b.receive(h)
+
+	v, _ := b.targets.Get(lost.Name)
+	require.True(t, v.Lost)
+	v, _ = b.targets.Get("i-0000000002")
+	require.InDelta(t, 4, v.Pace, 0)
+	require.InDelta(t, 10_000, v.TokenLayers, 1, "the load of both daemons")
+	require.Len(t, b.orderer.Pending(), 1)
+	b.gone("a")
+	v, _ = b.targets.Get("i-0000000002")
+	require.InDelta(t, 5_000, v.TokenLayers, 1)
+}
+
+func TestCandidatesReachTheStore(t *testing.T) {
+	h := func(name string, ready, leaving, reaches bool) *peerv1.GatewayHeartbeat {
+		return &peerv1.GatewayHeartbeat{Name: name, Ready: ready, Leaving: leaving, StoreReachable: reaches}
+	}
+	names := func(hs ...*peerv1.GatewayHeartbeat) []string {
+		var out []string
+		for _, m := range candidates(hs) {
+			out = append(out, m.Name)
+		}
+		return out
+	}
+	require.Equal(t, []string{"c"}, names(h("a", false, false, true), h("b", true, true, true), h("c", true, false, true), h("d", true, false, false)))
+	require.Equal(t, []string{"d"}, names(h("a", false, false, true), h("d", true, false, false)), "where none reaches the store, all may")
+	require.Empty(t, names())
+}
+
+// TestHeartbeatFitsADatagram: at the size to design for, each target holds a request.
+func TestHeartbeatFitsADatagram(t *testing.T) {
+	data, err := proto.Marshal(newTestGateway("a", 3300).heartbeat())
+	require.NoError(t, err)
+	require.Less(t, len(data), 32<<10)
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{40, 100, 400, 3300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := newTestGateway("a", n)
+			size := 0
+			for b.Loop() {
+				data, err := proto.Marshal(g.heartbeat())
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+func BenchmarkTargetsOfAService(b *testing.B) {
+	for _, n := range []int{40, 100, 400, 3300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := newTestGateway("a", n)
+			for b.Loop() {
+				_ = g.targets.Service("llm")
+			}
+		})
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,6 +26,8 @@
 	changesPath = "/changes"
 	// askTimeout bounds the fetching of a copy from a peer.
 	askTimeout = time.Second
+	// maxLoads bounds the targets whose load a heartbeat names: about 8 KB.
+	maxLoads = 400
 	// maxCopy bounds a copy, in bytes.
 	maxCopy = 32 << 20
 )
@@ -44,7 +49,7 @@
 			Target: d.Target, Incarnation: d.Incarnation, AgeMs: uint32(now.Sub(d.Since).Milliseconds()),
 		})
 	}
-	for name, n := range g.targets.Loads() {
+	for name, n := range largest(g.targets.Loads(), maxLoads) {
 		h.Loads[name] = float32(n)
 	}
 	for name, pace := range g.targets.Paces() {
@@ -59,6 +64,21 @@
 	return h
 }
 
+// largest returns the n largest loads, as a heartbeat is one datagram.
+func largest(loads map[string]float64, n int) map[string]float64 {
+	if len(loads) <= n {
+		return loads
+	}
+	names := slices.SortedFunc(maps.Keys(loads), func(a, b string) int {
+		return cmp.Or(cmp.Compare(loads[b], loads[a]), cmp.Compare(a, b))
+	})
+	out := map[string]float64{}
+	for _, name := range names[:n] {
+		out[name] = loads[name]
+	}
+	return out
+}
+
 // receive takes what another daemon tells.
 func (g *Gateway) receive(h *peerv1.GatewayHeartbeat) {
 	now := g.Clock.Now()
