Spread the returns of clients that were refused together

Cause: every client that found no pipeline was told to come back in 1.00 s, and a whole burst came back at once.

Change: Retry-After is drawn from the stated time to one and a half of it.

Test: TestReturnsAreSpread fails before.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,10 +82,17 @@
 	r.rationer(req.Service.Name).Earn(r.Clock.Now())
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	var refusal *refuser.Refusal
 	if req.Service.Engine != nil && req.Route.Kind == matcher.KindStreaming {
-		return r.generate(ctx, w, req)
+		refusal = r.generate(ctx, w, req)
+	} else {
+		refusal = r.forward(ctx, w, req)
 	}
-	return r.forward(ctx, w, req)
+	if refusal == nil || refusal.RetryAfter <= 0 {
+		return refusal
+	}
+	// Clients that were refused together do not come back together.
+	return refusal.WithRetryAfter(refusal.RetryAfter + rand.N(refusal.RetryAfter/2+1))
 }
 
 // Refused writes the line of a request that the configuration of a version does not allow, or that is not understood.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -369,6 +369,23 @@
 	})
 }
 
+// TestReturnsAreSpread: clients that are refused together come back over half of the time that they are told.
+func TestReturnsAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelayer(&fakeBackend{scripts: []script{{status: 200}}})
+		told := map[time.Duration]bool{}
+		for range 50 {
+			req := stream(true)
+			req.PromptTokens = 1e9
+			_, refusal, _ := serve(r, req)
+			require.GreaterOrEqual(t, refusal.RetryAfter, noPathRetry)
+			require.LessOrEqual(t, refusal.RetryAfter, noPathRetry*3/2)
+			told[refusal.RetryAfter] = true
+		}
+		require.Greater(t, len(told), 40)
+	})
+}
+
 // TestNoRoomIsRefusedAtOnce: memory for requests is full, and the refusal says when to come back.
 func TestNoRoomIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
