Log the time to come back that clients are told, and find the end of a request

Change: the spread comes before the line; the end is the line that says so.

Test: a case of TestCauses fails before.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -56,15 +56,26 @@
 	if len(life) == 0 {
 		return x, false
 	}
-	end := life[len(life)-1]
+	end := endOf(life)
 	beliefs := newBeliefs(lines, end)
 	for _, l := range beliefs.about(life) {
 		x.Beliefs = append(x.Beliefs, event(l))
 	}
-	x.Cause = cause(life, beliefs)
+	x.Cause = cause(life, end, beliefs)
 	return x, true
 }
 
+// endOf returns the line that ends a request, or the last one. Lines of one millisecond need not stand in their order, as those
+// of failures are written first.
+func endOf(life []Line) Line {
+	for _, l := range slices.Backward(life) {
+		if l.Message == msgEnded || l.Message == msgRefused {
+			return l
+		}
+	}
+	return life[len(life)-1]
+}
+
 func event(l Line) Event { return Event{Time: l.Time, Node: l.Node, What: l.Message, Fields: l.Fields} }
 
 // beliefs are the latest lines of one daemon before a moment.
@@ -152,8 +163,7 @@
 }
 
 // cause returns why a request ended as it did.
-func cause(life []Line, b beliefs) string {
-	end := life[len(life)-1]
+func cause(life []Line, end Line, b beliefs) string {
 	if end.Message != msgEnded && end.Message != msgRefused {
 		return fmt.Sprintf("no line tells its end: the logs stop with %q on %s, as where the process was killed", end.Message, end.Node)
 	}
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -45,6 +45,8 @@
 			"its time was up: sent 1 times, the last to i-1 1000 ms before, with no event; stages replaced 0 times; of its targets i-2 (believed lost)"},
 		{"cut in the middle", sent + `{"node":"a-1","request":"r1","code":"stream-lost","why":"stream broke after \"9\": reset","last":"9","longest-gap":80,"time":1900,"message":"request ended"}`,
 			`stream-lost: stream broke after "9": reset; delivered up to event 9, longest gap 80 ms, sent 1 times, the last to i-1; stages replaced 0 times`},
+		{"an end that was written before what led to it", sent + `{"node":"a-1","request":"r1","code":"stream-lost","why":"cut","last":"2","time":1900,"message":"request ended"}
+{"node":"a-1","request":"r1","time":1900,"message":"stream broke"}`, "stream-lost: cut; delivered up to event 2"},
 		{"the client left", sent + `{"node":"a-1","request":"r1","code":"canceled","last":"3","longest-gap":2000.2,"time":2500,"message":"request ended"}`,
 			"the client went away: delivered up to event 3, longest gap 2000 ms"},
 		{"a daemon that was killed", sent, `no line tells its end: the logs stop with "request sent" on a-1, as where the process was killed`},
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -40,7 +40,7 @@
 // forward relays a request to one of the targets of a plain service.
 func (r *Relayer) forward(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
 	call := &plainCall{relayer: r, request: req}
-	refusal := call.run(ctx, w)
+	refusal := spread(call.run(ctx, w))
 	r.logEnd(req, refusal, notMeasured, func(e *zerolog.Event) { e.Strs("targets", call.targets) })
 	return refusal
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -87,7 +87,7 @@
 	g := &generation{relayer: r, request: req, w: w, avoid: map[string]bool{}}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
-	refusal := g.run(ctx)
+	refusal := spread(g.run(ctx))
 	first := g.first
 	if first == 0 {
 		first = notMeasured
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,16 +82,17 @@
 	r.rationer(req.Service.Name).Earn(r.Clock.Now())
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	var refusal *refuser.Refusal
 	if req.Service.Engine != nil && req.Route.Kind == matcher.KindStreaming {
-		refusal = r.generate(ctx, w, req)
-	} else {
-		refusal = r.forward(ctx, w, req)
+		return r.generate(ctx, w, req)
 	}
+	return r.forward(ctx, w, req)
+}
+
+// spread adds up to half of the time to come back, so that clients that were refused together do not come back together.
+func spread(refusal *refuser.Refusal) *refuser.Refusal {
 	if refusal == nil || refusal.RetryAfter <= 0 {
 		return refusal
 	}
-	// Clients that were refused together do not come back together.
 	return refusal.WithRetryAfter(refusal.RetryAfter + rand.N(refusal.RetryAfter/2+1))
 }
 
