--- a/internal/command/experiment/run/run.go
+++ b/internal/command/experiment/run/run.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"math"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -74,6 +75,9 @@
 	return show(opts, report)
 }
 
+// share returns a share to three decimals.
+func share(x float64) float64 { return math.Round(1000*x) / 1000 }
+
 func writePage(report *experimenter.Report, name string) error {
 	file, err := os.Create(name)
 	if err != nil {
@@ -90,7 +94,7 @@
 	var rows []printer.Row
 	for _, m := range report.Means() {
 		rows = append(rows, printer.Row{
-			"policy": m.Policy, "served": printer.Rate(1000 * m.Served), "on-time": printer.Rate(1000 * m.OnTime),
+			"policy": m.Policy, "served": share(m.Served), "on-time": share(m.OnTime),
 			"refused": printer.Rate(m.Refused), "failed": printer.Rate(m.Failed),
 			"first-p50-ms": printer.Rate(m.FirstP50), "first-p99-ms": printer.Rate(m.FirstP99),
 		})
