Remove fields that nothing reads

Found in the reading as a newcomer: lengths and leaving marks of replies, layers and busy marks of reports, and a type without a use.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// sent counts a sending to a first stage that has ended without an answer.
+// sent counts a sending to a first stage that has ended, and whether it may have run there.
 func (g *generation) sent(first cataloger.Target, ran bool) {
 	v, ok := g.relayer.Targets.Get(first.Name)
 	g.mu.Lock()
@@ -154,7 +154,7 @@
 	}
 }
 
-// maySend tells whether the request may be sent once more than so many times that ran.
+// maySend tells whether the request may be sent again after so many sendings that may have run.
 func (g *generation) maySend(runs int) bool {
 	return g.sends < maxSends && runs < max(g.request.Route.MaxAttempts, 1) && (!g.mayHaveRun || g.request.Route.Resumable)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -73,9 +73,6 @@
 	return r
 }
 
-// Refuse writes the final answer to a request that is not served.
-type Refuse func(w http.ResponseWriter, refusal *refuser.Refusal)
-
 // Serve relays one request and writes its answer; a refusal is returned where nothing was written.
 // It panics with http.ErrAbortHandler where an answer that has begun must not look complete.
 func (r *Relayer) Serve(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -66,7 +66,7 @@
 		body = io.MultiReader(body, failing{s.err})
 	}
 	return &Reply{
-		Status: s.status, Header: http.Header{"Signature": {call.Target.Name}}, Length: -1, Body: io.NopCloser(body),
+		Status: s.status, Header: http.Header{"Signature": {call.Target.Name}}, Body: io.NopCloser(body),
 		NotRun: s.notRun, Blamed: s.blamed, Signed: !s.unsigned,
 	}, nil
 }
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -63,8 +63,6 @@
 	Status int
 	// Header holds what is passed on to the client.
 	Header http.Header
-	// Length of the body; -1 where it is not known.
-	Length int64
 	Body   Body
 	// NotRun is the target's proof that it did not run the request.
 	NotRun bool
@@ -76,8 +74,6 @@
 	Signed bool
 	// Encoded bodies are not the target's own.
 	Encoded bool
-	// Leaving targets take no more requests on this connection.
-	Leaving bool
 }
 
 // Sound tells whether the answer may be passed on as a success.
@@ -118,14 +114,10 @@
 type Report struct {
 	// Orders is how many placements the target has accepted since its start.
 	Orders uint64
-	// Busy says that a placement is in progress.
-	Busy bool
 	// Pace is over 1 while the target is slow; 0 where it does not say.
-	Pace    float64
+	Pace float64
+	// Stalled are requests that the target received first.
 	Stalled []Stalled
-	// Target is the description of the target, where Known.
-	Holding cataloger.Holding
-	Holds   bool
 }
 
 // Backend reaches the targets.
