--- /dev/null
+++ b/internal/gateway/duty_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/leaser"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/platformfaker"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// killable returns a store that answers nothing any more once killed is set.
+func killable(store storer.Store, killed *atomic.Bool) storer.Store {
+	put := store.Put
+	store.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+		if killed.Load() {
+			return 0, storer.ErrUnavailable
+		}
+		return put(ctx, key, value, expected)
+	}
+	return store
+}
+
+// TestDutyIsTakenOverFromAKilledHolder: the holder's session stays in the store, and the wait for its end is not begun anew.
+func TestDutyIsTakenOverFromAKilledHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformfaker.New(platformfaker.Config{}).Store()
+		ctx, cancel := context.WithCancel(t.Context())
+		var killed atomic.Bool
+		holder := leaser.New(cataloger.Member{Name: "z", Epoch: 1})
+		holder.Store, holder.Clock, holder.Log, holder.Duration = killable(store, &killed), timer.System{}, zerolog.Nop(), leaseDuration
+		holder.Random, holder.Metrics = rand.New(rand.NewPCG(1, 2)), metrics.NewRegistry()
+		holding, stop := context.WithCancel(ctx)
+		done := make(chan struct{}, 4)
+		run := func(f func(context.Context) error, ctx context.Context) {
+			go func() {
+				_ = f(ctx)
+				done <- struct{}{}
+			}()
+		}
+		run(holder.Run, holding)
+		_, err := holder.Acquire(ctx, dutyName)
+		require.NoError(t, err)
+		killed.Store(true)
+		stop()
+
+		g := New(Settings{Name: "a", PeerListen: "a:2", ConfigPrefix: "config/", TargetsPrefix: "servers/"}, timer.System{}, zerolog.Nop())
+		g.Adapter.Store = store
+		g.prepare(nil)
+		g.config.Store(matcher.New(matcher.Document{Version: 1}))
+		run(g.listed.Run, ctx)
+		run(g.duty.leaser.Run, ctx)
+		run(g.runDuty, ctx)
+		time.Sleep(5 * leaseDuration)
+		require.True(t, g.duty.valid())
+		require.True(t, g.holdsDuty())
+		cancel()
+		for range 4 {
+			<-done
+		}
+	})
+}
+
+// TestDrainTakesNothingThatItMayNotGiveUp: a request taken later than 3 s after the signal has to end, so nothing is taken then.
+func TestDrainTakesNothingThatItMayNotGiveUp(t *testing.T) {
+	const mayNotGiveUp = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGateway("a", 0)
+		g.Settings.Grace = 8 * time.Second
+		g.client = newServer(http.NotFoundHandler())
+		began := time.Now()
+		require.NoError(t, g.drain(t.Context()))
+		require.Less(t, time.Since(began), mayNotGiveUp)
+		require.True(t, g.Leaving())
+		require.False(t, g.Ready())
+	})
+}
