--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -73,11 +73,6 @@
 	return &Chooser{Targets: targets, Now: now, Daemons: func() int { return 1 }}
 }
 
-// memory returns the memory of a target as a placer counts it.
-func memory(v cataloger.Target, e *matcher.Engine) placer.Memory {
-	return placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
-}
-
 // holders returns the targets that may run a part of a generation, by the version of their weights.
 func holders(views []assessor.View, e *matcher.Engine, tokens float64, avoid map[string]bool) map[string][]pathfinder.Holder {
 	out := map[string][]pathfinder.Holder{}
@@ -86,7 +81,7 @@
 		if !v.Usable() || v.Refused || avoid[v.Name] || end <= first {
 			continue
 		}
-		room := memory(v.Target, e).TokenLayers(end - first)
+		room := placer.MemoryOf(e, v.Kind).TokenLayers(end - first)
 		used := v.TokenLayers + tokens*float64(end-first)
 		if used > fullShare*room || room <= 0 {
 			continue
@@ -134,7 +129,7 @@
 		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refused }},
 		{"held only by targets without memory for it", func(v assessor.View) bool {
 			first, end, _ := v.Held()
-			return v.Usable() && !v.Refused && v.TokenLayers+d.Tokens*float64(end-first) <= fullShare*memory(v.Target, e).TokenLayers(end-first)
+			return v.Usable() && !v.Refused && v.TokenLayers+d.Tokens*float64(end-first) <= fullShare*placer.MemoryOf(e, v.Kind).TokenLayers(end-first)
 		}},
 	}
 	for _, check := range checks {
--- a/internal/experimenter/play.go
+++ b/internal/experimenter/play.go
@@ -26,8 +26,6 @@
 	// retryAfter is when refused clients are told to come back, and retrySpread how far they are spread.
 	retryAfter  = time.Second
 	retrySpread = 500 * time.Millisecond
-	// reserveShare is for which part of the slots targets keep memory.
-	reserveShare = 0.6
 )
 
 // play is one seed under one policy.
@@ -130,10 +128,9 @@
 func (p *play) place(quick bool) {
 	e := p.engine
 	problem := placer.Problem{Layers: e.Layers, Keep: !quick}
-	reserve := reserveShare * float64(e.Slots) * (e.UsualPrompt + e.UsualAnswer)
+	reserve := placer.Reserve(e)
 	for _, v := range p.targets.Service(service) {
-		memory := placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
-		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable(), Capacity: memory.Capacity(reserve)}
+		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable(), Capacity: placer.MemoryOf(e, v.Kind).Capacity(reserve)}
 		t.First, t.End, _ = v.Held()
 		problem.Targets = append(problem.Targets, t)
 	}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -21,9 +21,6 @@
 	interval = 150 * time.Millisecond
 	// settleTime is how long the list of targets must stand still before layers are placed on a fleet that holds none.
 	settleTime = 700 * time.Millisecond
-	// reserveShare is for which part of its slots, filled by usual requests, a target keeps memory: enough to take over the
-	// load of a data centre that lost its pipeline.
-	reserveShare = 0.6
 	// spareShare is by how much the layers that fit should exceed the model before memory for requests is given up.
 	spareShare = 1.2
 	// orderTimeout bounds one order.
@@ -242,7 +239,7 @@
 	p := placer.Problem{Layers: e.Layers}
 	for _, v := range views {
 		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable()}
-		t.Capacity = memory(v, e).Capacity(reserve)
+		t.Capacity = placer.MemoryOf(e, v.Kind).Capacity(reserve)
 		t.First, t.End, _ = v.Held()
 		if order, ok := o.pending[v.Name]; ok {
 			t.First, t.End, t.Ordered = order.First, order.End, true
@@ -252,17 +249,13 @@
 	return p
 }
 
-func memory(v assessor.View, e *matcher.Engine) placer.Memory {
-	return placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
-}
-
 // reserveFor returns the tokens that each target keeps memory for: fewer where the model would not fit otherwise.
 func reserveFor(e *matcher.Engine, views []assessor.View) float64 {
-	reserve := reserveShare * float64(max(e.Slots, 1)) * max(e.UsualPrompt+e.UsualAnswer, 1)
+	reserve := placer.Reserve(e)
 	for ; reserve > 1; reserve /= 2 {
 		total := 0.0
 		for _, v := range views {
-			total += float64(memory(v, e).Capacity(reserve))
+			total += float64(placer.MemoryOf(e, v.Kind).Capacity(reserve))
 		}
 		if total >= spareShare*float64(e.Layers) {
 			break
--- a/internal/placer/capacity.go
+++ b/internal/placer/capacity.go
@@ -1,6 +1,14 @@
 package placer
 
-import "math"
+import (
+	"math"
+
+	"github.com/rattantray/rattantray/internal/matcher"
+)
+
+// reserveShare is for which part of its slots, filled by usual requests, a target keeps memory: enough to take over the load
+// of a data centre that lost its pipeline.
+const reserveShare = 0.6
 
 // Memory is the memory of a target and what layers and requests take of it, in bytes.
 type Memory struct {
@@ -11,6 +19,16 @@
 	Layers uint32
 }
 
+// MemoryOf returns the memory of a target of a kind of accelerator.
+func MemoryOf(e *matcher.Engine, kind string) Memory {
+	return Memory{Total: e.Kinds[kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
+}
+
+// Reserve returns the tokens of requests that a target should keep memory for.
+func Reserve(e *matcher.Engine) float64 {
+	return reserveShare * float64(max(e.Slots, 1)) * max(e.UsualPrompt+e.UsualAnswer, 1)
+}
+
 // Capacity returns how many layers fit beside a number of tokens of requests; at least one where a layer fits at all.
 func (m Memory) Capacity(tokens float64) uint32 {
 	if m.Layers == 0 || m.Layer <= 0 || m.Total < m.Layer {
