--- a/internal/tracker/options.go
+++ b/internal/tracker/options.go
@@ -36,6 +36,9 @@
 	// NearWatchers and FarWatchers are how many daemons inside and outside the data centre watch a member.
 	NearWatchers int
 	FarWatchers  int
+	// SmallFleet is the most eligible members of a fleet in which everybody watches everybody: there, few losses at once
+	// take all watchers of a member, whose own loss is then seen only after theirs.
+	SmallFleet int
 	// Helpers is how many more daemons are asked about a doubted member.
 	Helpers int
 	// Delegates is how many daemons of each other data centre are told news, to pass it on there.
@@ -64,6 +67,7 @@
 		TargetAbsence: 30 * time.Second,
 		NearWatchers:  2,
 		FarWatchers:   2,
+		SmallFleet:    8,
 		Helpers:       3,
 		Delegates:     3,
 		DeltaEntries:  64,
@@ -89,6 +93,7 @@
 	setDefault(&o.TargetAbsence, d.TargetAbsence)
 	setDefault(&o.NearWatchers, d.NearWatchers)
 	setDefault(&o.FarWatchers, d.FarWatchers)
+	setDefault(&o.SmallFleet, d.SmallFleet)
 	setDefault(&o.Helpers, d.Helpers)
 	setDefault(&o.Delegates, d.Delegates)
 	setDefault(&o.DeltaEntries, d.DeltaEntries)
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -164,3 +164,22 @@
 		daemons[1].stop()
 	})
 }
+
+// TestLossOfMemberAfterItsWatchers: in a small fleet, members that end one after another within seconds are seen in time,
+// whichever of them would have watched the last.
+func TestLossOfMemberAfterItsWatchers(t *testing.T) {
+	const size = 7
+	for last := range size {
+		n := newNetwork(4388)
+		n.grow(size, 3)
+		n.run(5 * time.Second)
+		for i := 1; i <= 4; i++ {
+			n.order[(last+i)%size].alive = false
+			n.run(300 * time.Millisecond)
+		}
+		n.order[last].alive = false
+		n.run(detectBound)
+		name := n.order[last].name
+		require.Zero(t, n.states(name)[cataloger.StateLive], "%s is still named %s after its end", name, detectBound)
+	}
+}
--- a/internal/tracker/watch.go
+++ b/internal/tracker/watch.go
@@ -57,6 +57,9 @@
 
 // quotas returns how many watchers of a member are inside and outside its data centre.
 func (m *Machine) quotas(nearMembers, farMembers int) (near, far int) {
+	if nearMembers+farMembers < m.options.SmallFleet {
+		return nearMembers, farMembers
+	}
 	total := m.options.NearWatchers + m.options.FarWatchers
 	near = min(m.options.NearWatchers, nearMembers)
 	far = min(total-near, farMembers)
