--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,10 @@
 )
 
 const (
-	// leaseDuration is how long the duty of placing layers outlasts its holder.
-	leaseDuration = 2 * time.Second
+	// leaseDuration is how long the duty of placing layers outlasts its holder. A third of it is the time between the
+	// holder's writes, by which missed changes are noticed; with the auditor's grace and a list, this stays under the two
+	// seconds that a change of the configuration may take.
+	leaseDuration = 3 * time.Second
 	// lagPause is how long a change that a peer knows may be under way before it is fetched.
 	lagPause = 400 * time.Millisecond
 	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address; what it takes
