Read streams anew elsewhere rather than carry them over a full pipe

A prompt read anew within one data centre takes 0.1 s. Now what all daemons' streams have under way is reckoned; a stream that would wait for the pipe for over 0.1 s is sent anew over another pipeline where that is allowed, and one that would wait for over 1.2 s leaves the pipe to others for now. Ruled out: the lost stage was found in 0.26 s and all orders were answered; there was room on the stages that took over.

The model left the transfer out when stages take streams over, had ids of earlier sendings end later ones, and never lost a first stage that is silent: mended.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -64,8 +64,10 @@
 	// Daemons returns how many daemons send about as much as this one.
 	Daemons func() int
 
-	// pipe is what the generations of this daemon send between data centres, in bytes.
-	pipe rateMeter
+	// pipe is what the generations of this daemon send between data centres, in bytes, and waiting what all daemons' leave
+	// there to be sent, taken that they send as much.
+	pipe    rateMeter
+	waiting backlog
 }
 
 // New returns a chooser over what is believed of targets.
@@ -218,32 +220,6 @@
 	return out, len(out) <= maxStages
 }
 
-// crossing returns what a hop between data centres costs now, in seconds a token.
-func (c *Chooser) crossing(e *matcher.Engine) float64 {
-	if e.PipeBytesPerSecond <= 0 {
-		return crossingCost.Seconds()
-	}
-	used := c.pipe.Rate(c.Now()) * float64(c.Daemons()) / e.PipeBytesPerSecond
-	free := max(1-used, leastPipe)
-	return crossingCost.Seconds() / (free * free)
-}
-
-// Cross counts the bytes that a generation sends between data centres over a path.
-func (c *Chooser) Cross(d Demand, path []cataloger.Stage) {
-	crossings := 0
-	var before cataloger.DataCentre
-	for i, s := range path {
-		v, _ := c.Targets.Get(s.Target)
-		if i > 0 && v.DataCentre != before {
-			crossings++
-		}
-		before = v.DataCentre
-	}
-	if crossings > 0 {
-		c.pipe.Add(c.Now(), float64(crossings)*d.Tokens*d.Engine.ActivationBytes)
-	}
-}
-
 // place returns the data centre of a stage, empty where its target is forgotten.
 func (c *Chooser) place(s cataloger.Stage) cataloger.DataCentre {
 	v, _ := c.Targets.Get(s.Target)
--- a/internal/chooser/rate.go
+++ b/internal/chooser/rate.go
@@ -38,3 +38,33 @@
 		m.at = now
 	}
 }
+
+// backlog is what waits for a pipe: what is added to it, less what the pipe has carried since.
+type backlog struct {
+	mu  sync.Mutex
+	sum float64
+	at  time.Time
+}
+
+// Add adds n bytes to a pipe that carries rate bytes a second.
+func (b *backlog) Add(now time.Time, n, rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain(now, rate)
+	b.sum += n
+}
+
+// Wait returns how long the pipe takes for what waits.
+func (b *backlog) Wait(now time.Time, rate float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain(now, rate)
+	return time.Duration(b.sum / rate * float64(time.Second))
+}
+
+func (b *backlog) drain(now time.Time, rate float64) {
+	if d := now.Sub(b.at); d > 0 {
+		b.sum = max(0, b.sum-d.Seconds()*rate)
+		b.at = now
+	}
+}
--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -57,6 +57,12 @@
 	require.Less(t, m["product"].Failed, m["static-pipelines"].Failed)
 }
 
+func TestStagesLostWithoutCopyInTheirDataCentre(t *testing.T) {
+	m := means(scenario(t, "stages-lost-across", "product", "static-pipelines"))
+	require.Greater(t, m["product"].Served, m["static-pipelines"].Served)
+	require.Greater(t, m["product"].OnTime, m["static-pipelines"].OnTime)
+}
+
 func TestRepeatsAtOnce(t *testing.T) {
 	m := means(scenario(t, "repeats-at-once", "product", "static-pipelines"))
 	require.Greater(t, m["product"].Served, m["static-pipelines"].Served)
--- a/internal/experimenter/play.go
+++ b/internal/experimenter/play.go
@@ -43,23 +43,32 @@
 	pipelines [][]cataloger.Stage
 	turn      int
 	streams   map[string]*client
+	askedAt   map[string]time.Duration
 	sent      int
 }
 
 // client is one request of a client over its tries.
 type client struct {
-	id      string
-	prompt  int
-	answer  int
-	asked   time.Duration
-	tries   int
+	id     string
+	prompt int
+	answer int
+	asked  time.Duration
+	tries  int
+	// sending numbers the sendings of all tries, moves counts those over another pipeline, and made the tokens of the present
+	// one.
+	sending int
+	moves   int
+	made    int
 	abuses  bool
 	path    []cataloger.Stage
 	release func()
-	last    time.Duration
-	first   time.Duration
-	gap     time.Duration
-	over    bool
+	// last is when the present sending last progressed, delivered when the client last got an event.
+	last      time.Duration
+	delivered time.Duration
+	repairAt  time.Duration
+	first     time.Duration
+	gap       time.Duration
+	over      bool
 }
 
 var epoch = time.Unix(0, 0)
@@ -68,7 +77,7 @@
 func newPlay(s *Scenario, name string, seed uint64) *play {
 	p := &play{
 		scenario: s, policy: policies[name], fleet: modeler.New(s.spec()), random: rand.New(rand.NewPCG(seed, 1)),
-		engine: s.engine(), result: &Result{Policy: name, Seed: seed}, streams: map[string]*client{},
+		engine: s.engine(), result: &Result{Policy: name, Seed: seed}, streams: map[string]*client{}, askedAt: map[string]time.Duration{},
 	}
 	now := func() time.Time { return epoch.Add(p.fleet.Now()) }
 	p.targets = assessor.New(now)
@@ -202,6 +211,7 @@
 			abuses: p.random.Float64() < load.Abuse,
 		}
 		leaves := p.random.Float64() < load.Leave
+		c.tries = 1
 		p.send(c)
 		if leaves {
 			p.fleet.After(load.Objective/2, func() { p.leave(c) })
@@ -220,7 +230,7 @@
 
 // send makes one try of a client.
 func (p *play) send(c *client) {
-	c.tries++
+	c.sending++
 	path, ok := p.policy.path(p, float64(c.prompt+c.answer))
 	if !ok {
 		p.refused(c)
@@ -228,13 +238,16 @@
 	}
 	c.path, c.last = path, p.fleet.Now()
 	c.release = p.targets.Reserve(path, float64(c.prompt+c.answer))
-	p.chooser.Cross(p.demand(float64(c.prompt+c.answer)), path)
+	p.chooser.Cross(p.demand(float64(c.prompt+c.answer)), nil, path)
 	p.streams[c.id] = c
-	try := c.tries
+	sending := c.sending
 	p.fleet.Send(modeler.Request{ID: c.id, Prompt: c.prompt, Answer: c.answer}, stages(path), modeler.Observer{
-		Event: func(int) { p.event(c) },
+		Event: func(tokens int) {
+			c.made = tokens
+			p.event(c)
+		},
 		End: func(o modeler.Outcome, at string) {
-			if c.tries == try {
+			if c.sending == sending {
 				p.end(c, o, at)
 			}
 		},
@@ -255,9 +268,9 @@
 		c.first = now - c.asked
 		p.result.firsts = append(p.result.firsts, c.first)
 	} else {
-		c.gap = max(c.gap, now-c.last)
+		c.gap = max(c.gap, now-c.delivered)
 	}
-	c.last = now
+	c.last, c.delivered = now, now
 }
 
 // end takes the end of one try.
@@ -299,6 +312,10 @@
 	if c.over {
 		return
 	}
+	if c.first > 0 {
+		p.close(c, OutcomeFailed)
+		return
+	}
 	if c.tries > p.scenario.Load.Retries {
 		p.close(c, OutcomeRefused)
 		return
@@ -309,6 +326,7 @@
 	}
 	p.fleet.After(wait, func() {
 		if !c.over {
+			c.tries++
 			p.send(c)
 		}
 	})
@@ -319,7 +337,7 @@
 	if c.first > 0 || c.over {
 		return
 	}
-	c.tries++
+	c.sending++
 	p.fleet.Cancel(c.id)
 	p.finish(c)
 	p.close(c, OutcomeLeft)
--- a/internal/experimenter/watch.go
+++ b/internal/experimenter/watch.go
@@ -4,13 +4,20 @@
 	"slices"
 	"time"
 
-	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/repairer"
 	"github.com/rattantray/rattantray/pkg/modeler"
 )
 
-// listTime is when the platform's list has dropped a lost target, for those who do not ask.
-const listTime = 3600 * time.Millisecond
+const (
+	// listTime is when the platform's list has dropped a lost target, for those who do not ask.
+	listTime = 3600 * time.Millisecond
+	// repairPause is the time between two tries to repair a stream, askPause that between two questions to one target, and
+	// askTimeout bounds the answer, as the product's.
+	repairPause = 300 * time.Millisecond
+	askPause    = 250 * time.Millisecond
+	askTimeout  = 400 * time.Millisecond
+)
 
 // trouble strikes targets that hold layers.
 func (p *play) trouble(t Trouble) {
@@ -24,7 +31,7 @@
 			p.fleet.Lose(name)
 			p.fleet.After(listTime, func() {
 				p.targets.Remove(name)
-				p.repair(name)
+				p.refill()
 			})
 		case TroubleSlow:
 			p.fleet.Slow(name, t.X)
@@ -64,7 +71,10 @@
 		return
 	}
 	for _, first := range repairer.Ask(now, streams) {
-		p.fleet.Report(first.Target, p.hear)
+		p.ask(first.Target)
+	}
+	for _, c := range p.ordered() {
+		p.repair(c)
 	}
 }
 
@@ -85,38 +95,82 @@
 
 // abandon has a client go whose answer has been silent for too long.
 func (p *play) abandon(c *client) {
-	c.tries++
+	c.sending++
 	p.fleet.Cancel(c.id)
 	p.finish(c)
 	p.close(c, OutcomeFailed)
 }
 
+// ask asks a first stage for its report; one that gives none twice is lost.
+func (p *play) ask(first string) {
+	if at, ok := p.askedAt[first]; ok && p.fleet.Now() < at+askPause {
+		return
+	}
+	p.askedAt[first] = p.fleet.Now()
+	answered := false
+	p.fleet.Report(first, func(r modeler.Report) {
+		answered = true
+		p.hear(r)
+	})
+	p.fleet.After(askTimeout, func() {
+		if !answered && p.targets.Doubt(first, 1) {
+			p.lose(first)
+		}
+	})
+}
+
 // hear takes a report of a first stage.
 func (p *play) hear(r modeler.Report) {
 	for _, silent := range r.Stalled {
-		if p.targets.Lose(silent, 1, epoch.Add(p.fleet.Now())) {
-			p.repair(silent)
-		}
+		p.lose(silent)
 	}
 }
 
-// repair moves the streams off a lost target and has an empty target take its layers.
-func (p *play) repair(lost string) {
-	if !p.policy.repairs {
-		return
+func (p *play) lose(name string) {
+	if p.targets.Lose(name, 1, epoch.Add(p.fleet.Now())) {
+		p.refill()
 	}
-	gone := map[string]bool{lost: true}
-	for _, c := range p.ordered() {
-		if !slices.ContainsFunc(c.path, func(s cataloger.Stage) bool { return s.Target == lost }) {
-			continue
-		}
-		tokens := float64(c.prompt + c.answer)
-		next, ok := p.chooser.Replace(p.demand(tokens), c.path, gone)
-		if !ok || !p.fleet.Repath(c.id, stages(next)) {
-			continue
+}
+
+// refill has empty targets take the layers of lost ones.
+func (p *play) refill() {
+	if p.policy.repairs {
+		p.place(false)
+	}
+}
+
+// repair takes a stream off the stages that are lost.
+func (p *play) repair(c *client) {
+	gone := map[string]bool{}
+	for _, s := range c.path {
+		if v, ok := p.targets.Get(s.Target); !ok || v.Lost {
+			gone[s.Target] = true
 		}
+	}
+	if len(gone) == 0 || p.fleet.Now() < c.repairAt {
+		return
+	}
+	c.repairAt = p.fleet.Now() + repairPause
+	tokens := float64(c.prompt + c.answer)
+	mayMove := func() bool { return c.moves == 0 }
+	next, how := p.chooser.Repair(p.demand(tokens), c.path, gone, mayMove)
+	switch {
+	case how == chooser.RepairMove, how == chooser.RepairNone && mayMove():
+		p.move(c)
+	case how == chooser.RepairReplace && p.fleet.Repath(c.id, stages(next)):
 		c.release()
 		c.path, c.release = next, p.targets.Reserve(next, tokens)
 	}
-	p.place(false)
+}
+
+// move sends what is left of a stream over another pipeline, which reads what there is so far.
+func (p *play) move(c *client) {
+	c.moves++
+	c.sending++
+	p.fleet.Cancel(c.id)
+	p.finish(c)
+	c.prompt += c.made
+	c.answer -= c.made
+	c.made = 0
+	p.send(c)
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -357,7 +357,7 @@
 	g.sentAt = g.last
 	g.release = r.Targets.Reserve(path, g.request.demand().Tokens)
 	g.mu.Unlock()
-	r.Chooser.Cross(g.request.demand(), path)
+	r.Chooser.Cross(g.request.demand(), nil, path)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.streams[g] = struct{}{}
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -6,6 +6,7 @@
 
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/repairer"
 )
 
@@ -267,12 +268,17 @@
 	if wait {
 		return
 	}
-	next, ok := r.Chooser.Replace(g.request.demand(), path, gone)
-	if !ok {
+	next, how := r.Chooser.Repair(g.request.demand(), path, gone, func() bool { return g.movable() && g.prepay() })
+	switch how {
+	case chooser.RepairReplace:
+		go r.repath(ctx, g, path, next, cancel)
+	case chooser.RepairMove:
+		cancel(errMoved)
+	case chooser.RepairWait:
+		g.settle(nil)
+	case chooser.RepairNone:
 		r.abandon(g, cancel, gone)
-		return
 	}
-	go r.repath(ctx, g, path, next, cancel)
 }
 
 // abandon ends a sending whose stages can't be replaced, so that it goes on over another pipeline where that is allowed.
--- a/pkg/modeler/generation.go
+++ b/pkg/modeler/generation.go
@@ -40,10 +40,9 @@
 	if at := g.obstacle(); at != "" {
 		if f.targets[at].lost {
 			// Nobody says that a target is lost; the first stage waits for it.
-			f.After(f.Spec.StallTime, func() { o.End(OutcomeRefused, at) })
 			f.running[r.ID] = g
 			g.stalled = true
-			f.After(f.Spec.StallTime, func() { delete(f.running, r.ID) })
+			f.After(f.Spec.StallTime, func() { g.end(OutcomeRefused, at) })
 			return
 		}
 		o.End(OutcomeRefused, at)
@@ -253,11 +252,15 @@
 			return false
 		}
 	}
-	fresh := 0.0
-	for _, s := range path {
-		if !slices.Contains(g.path, s) {
-			fresh += float64(s.End-s.First) / float64(f.Spec.Layers) / f.Spec.PrefillRate * f.targets[s.Target].kind.PrefillFactor
+	arrive, fresh := f.now, 0.0
+	for i, s := range path {
+		if slices.Contains(g.path, s) {
+			continue
+		}
+		if i > 0 {
+			arrive = max(arrive, f.transfer(f.targets[path[i-1].Target], f.targets[s.Target], g.tokens()))
 		}
+		fresh += float64(s.End-s.First) / float64(f.Spec.Layers) / f.Spec.PrefillRate * f.targets[s.Target].kind.PrefillFactor
 	}
 	g.detach()
 	g.path, g.stalled = slices.Clone(path), false
@@ -268,7 +271,7 @@
 	}
 	g.hold()
 	part := g.part
-	f.After(time.Duration(fresh*float64(g.tokens())*float64(time.Second)), func() {
+	f.At(arrive+time.Duration(fresh*float64(g.tokens())*float64(time.Second)), func() {
 		if g.ended || g.part != part {
 			return
 		}
