Admit generations by rank, return and size where memory is short

Cause: priorities of workspaces and routes were decoded and used by nobody; under an overload of memory small requests took each gap that opened, and clients that came back after a refusal stood where new ones did. Now the last parts of a target's memory are kept for the ranks before, for clients that come back (told by the time that they have left, as each try has an id of its own) and for streams that have begun; a quarter of all requests goes without its rank and room for twice the usual size is asked of everybody, so that no rank and no size starves.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -25,8 +25,6 @@
 	// faultCost is what a target that fails all requests that it receives first costs as the first one, in time a token: a
 	// request that is swallowed costs half a second, and a repeat.
 	faultCost = 50 * time.Millisecond
-	// fullShare is the part of a target's memory for requests that is given away; reports of other daemons lag.
-	fullShare = 0.97
 	// fullWeight is how much dearer a layer gets as the memory of its target fills: little at first, as targets batch.
 	fullWeight = 4
 	// hintMargin is the part by which answers are taken to be longer than their hint.
@@ -39,6 +37,8 @@
 	Engine  *matcher.Engine
 	// Tokens are kept in memory at the end of the generation.
 	Tokens float64
+	// Standing is what the claim of the generation on scarce memory rests on.
+	Standing Standing
 }
 
 // Tokens returns how many tokens a generation keeps in memory at its end, by its prompt, the most that it may write and a hint
@@ -76,7 +76,8 @@
 }
 
 // holders returns the targets that may run a part of a generation, by the version of their weights.
-func holders(views []assessor.View, e *matcher.Engine, tokens float64, avoid map[string]bool) map[string][]pathfinder.Holder {
+func holders(views []assessor.View, d Demand, avoid map[string]bool) map[string][]pathfinder.Holder {
+	e := d.Engine
 	out := map[string][]pathfinder.Holder{}
 	for _, v := range views {
 		first, end, version := v.Held()
@@ -84,15 +85,14 @@
 			continue
 		}
 		room := placer.MemoryOf(e, v.Kind).TokenLayers(end - first)
-		used := v.TokenLayers + tokens*float64(end-first)
-		if used > fullShare*room || room <= 0 {
+		if !d.fits(v.TokenLayers, room, end-first) {
 			continue
 		}
 		step := e.StepTime.Seconds() + e.SequenceTime.Seconds()*float64(v.Requests)
 		cost := step * max(e.Kinds[v.Kind].Pace, 0.01) * max(v.Pace, 1) / float64(max(e.Layers, 1))
 		out[version] = append(out[version], pathfinder.Holder{
 			Target: v.Name, Address: v.Address, DataCentre: v.DataCentre, First: first, End: end,
-			LayerCost: cost * (1 + fullWeight*math.Pow(used/room, 4)), HopCost: hopCost.Seconds(),
+			LayerCost: cost * (1 + fullWeight*math.Pow((v.TokenLayers+d.Tokens*float64(end-first))/room, 4)), HopCost: hopCost.Seconds(),
 			EntryCost: v.Faults * faultCost.Seconds(),
 		})
 	}
@@ -108,7 +108,7 @@
 	}
 	var best []cataloger.Stage
 	bestCost := 0.0
-	for _, hs := range holders(views, e, d.Tokens, avoid) {
+	for _, hs := range holders(views, d, avoid) {
 		p := pathfinder.Problem{End: e.Layers, Holders: hs, CrossingCost: c.crossing(e), MaxStages: maxStages}
 		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
@@ -131,7 +131,7 @@
 		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refused }},
 		{"held only by targets without memory for it", func(v assessor.View) bool {
 			first, end, _ := v.Held()
-			return v.Usable() && !v.Refused && v.TokenLayers+d.Tokens*float64(end-first) <= fullShare*placer.MemoryOf(e, v.Kind).TokenLayers(end-first)
+			return v.Usable() && !v.Refused && d.fits(v.TokenLayers, placer.MemoryOf(e, v.Kind).TokenLayers(end-first), end-first)
 		}},
 	}
 	for _, check := range checks {
@@ -194,7 +194,7 @@
 		return nil, false
 	}
 	_, _, version := first.Held()
-	spare := holders(views, e, d.Tokens, avoid)[version]
+	spare := holders(views, d, avoid)[version]
 	var out []cataloger.Stage
 	for i, s := range path {
 		if !lost[s.Target] {
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -15,6 +15,8 @@
 	hosts      map[string][]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	// priorities are the different ones of the requests for each service, the highest first.
+	priorities map[string][]int
 }
 
 // New returns a matcher for a document, which must not change any more.
@@ -24,6 +26,7 @@
 		hosts:      map[string][]*Route{},
 		services:   map[string]*Service{},
 		workspaces: map[string]*Workspace{},
+		priorities: map[string][]int{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -41,9 +44,31 @@
 			m.workspaces[key] = &d.Workspaces[i]
 		}
 	}
+	m.rankServices()
 	return m
 }
 
+// rankServices lists the priorities with which requests may come to each service.
+func (m *Matcher) rankServices() {
+	var ofWorkspaces []int
+	for _, w := range m.document.Workspaces {
+		if w.Priority != nil {
+			ofWorkspaces = append(ofWorkspaces, *w.Priority)
+		}
+	}
+	for i := range m.document.Routes {
+		r := &m.document.Routes[i]
+		for _, s := range r.Shares {
+			m.priorities[s.Service] = append(m.priorities[s.Service], r.Priority)
+		}
+	}
+	for service, priorities := range m.priorities {
+		priorities = append(priorities, ofWorkspaces...)
+		slices.Sort(priorities)
+		m.priorities[service] = slices.Compact(priorities)
+	}
+}
+
 // Version returns the version of the document.
 func (m *Matcher) Version() uint64 { return m.document.Version }
 
@@ -86,6 +111,12 @@
 	return w.Name, true
 }
 
+// Rank returns how many priorities go before one among the requests for a service.
+func (m *Matcher) Rank(service string, priority int) int {
+	i, _ := slices.BinarySearch(m.priorities[service], priority)
+	return i
+}
+
 // Priority returns the rank of a workspace's requests on a route, 0 the highest.
 func (m *Matcher) Priority(r *Route, workspace cataloger.Workspace) int {
 	for i := range m.document.Workspaces {
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -62,6 +62,19 @@
 	require.Equal(t, 2, m.Priority(all, "phone"))
 }
 
+func TestRank(t *testing.T) {
+	m := New(testDocument())
+	for _, c := range []struct {
+		service  string
+		priority int
+		want     int
+	}{
+		{"app", 0, 0}, {"app", 2, 1}, {"llm", 0, 0}, {"gone", 3, 0},
+	} {
+		require.Equal(t, c.want, m.Rank(c.service, c.priority), "%s %d", c.service, c.priority)
+	}
+}
+
 func TestPickFollowsTheWeights(t *testing.T) {
 	m := New(testDocument())
 	letters, _ := m.Route("desk.example", "/letters/")
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -84,6 +85,7 @@
 
 // generate relays a request over pipelines until its answer is complete.
 func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
+	req.Standing.Draw, req.Standing.Returning = rand.Float64(), r.returns.returning(req.Route.Name, req.Deadline.Sub(req.Arrived))
 	g := &generation{relayer: r, request: req, w: w, avoid: map[string]bool{}}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
@@ -131,9 +133,10 @@
 
 // findPath returns a path, for which a stream that has begun waits a while.
 func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
-	r := g.relayer
+	r, demand := g.relayer, g.request.demand()
+	demand.Standing.Begun = g.begun
 	for waited := time.Duration(0); ; waited += pathPause {
-		if path, ok := r.Chooser.Path(g.request.demand(), g.avoid); ok {
+		if path, ok := r.Chooser.Path(demand, g.avoid); ok {
 			return path, true
 		}
 		if !g.begun || waited >= pathWait || r.Clock.Sleep(ctx, pathPause) != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -48,6 +48,7 @@
 	rationers map[string]*rationer.Rationer
 	streams   map[*generation]struct{}
 	asked     map[string]time.Time
+	returns   returns
 	// usualFirst is the usual wait for a first event, in nanoseconds.
 	usualFirst atomic.Int64
 	// usualGaps is the usual time between two events, in nanoseconds.
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -24,6 +24,10 @@
 	Workspace cataloger.Workspace
 	Route     *matcher.Route
 	Service   *matcher.Service
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Standing is what the claim of a generation on scarce memory rests on; all but its rank is worked out here.
+	Standing chooser.Standing
 	// ConfigVersion is that of the configuration that allowed the request.
 	ConfigVersion uint64
 	Arrived       time.Time
@@ -40,7 +44,10 @@
 // demand returns what a generation asks of its pipeline.
 func (r *Request) demand() chooser.Demand {
 	e := r.Service.Engine
-	return chooser.Demand{Service: r.Service.Name, Engine: e, Tokens: chooser.Tokens(e, r.PromptTokens, r.MaxTokens, r.HintTokens)}
+	return chooser.Demand{
+		Service: r.Service.Name, Engine: e, Tokens: chooser.Tokens(e, r.PromptTokens, r.MaxTokens, r.HintTokens),
+		Standing: r.Standing,
+	}
 }
 
 // Call is one sending of a request to a target.
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -268,7 +268,9 @@
 	if wait {
 		return
 	}
-	next, how := r.Chooser.Repair(g.request.demand(), path, gone, func() bool { return g.movable() && g.prepay() })
+	demand := g.request.demand()
+	demand.Standing.Begun = true
+	next, how := r.Chooser.Repair(demand, path, gone, func() bool { return g.movable() && g.prepay() })
 	switch how {
 	case chooser.RepairReplace:
 		go r.repath(ctx, g, path, next, cancel)
