Read the store anew while nobody writes to it

Cause: the store's watches brought nothing while its history was dropped; a missed change shows by the revisions of the holder's writes, but the holder of the duty had been cut off from the store, and nobody held the lease from 3.7 to 13.3 s. Now each daemon reads the store anew every 0.8 s while nobody holds the lease, both watches count for reaching the store, and the lease is of 2 s again. Ruled out: a version that went back; peers did pass on what they knew, none knew. TestChangesAreReadWhileNobodyWrites fails without the readings.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -16,6 +16,9 @@
 	dutyName = "placement"
 	// dutyPause is the time between two looks at who comes first.
 	dutyPause = 200 * time.Millisecond
+	// unwrittenPause is the time between two readings of the store while nobody holds the lease: the holder's writes show what
+	// watches miss, and a change of the configuration may take two seconds.
+	unwrittenPause = 800 * time.Millisecond
 )
 
 // duty is the place of the daemon that gives orders.
@@ -26,6 +29,8 @@
 	lease *leaser.Lease
 	// first tells whether this daemon comes first among those that it hears.
 	first bool
+	// written is when a holder of the lease was last known, or the store was read in its place; only runDuty uses it.
+	written time.Time
 	// give cancels the wait for the lease; nil where there is none.
 	give context.CancelFunc
 }
@@ -90,7 +95,9 @@
 
 // runDuty holds the lease while this daemon comes first.
 func (g *Gateway) runDuty(ctx context.Context) error {
+	g.duty.written = g.Clock.Now()
 	for g.Clock.Sleep(ctx, dutyPause) == nil {
+		g.readUnwritten()
 		first := g.first()
 		d := &g.duty
 		d.mu.Lock()
@@ -117,6 +124,22 @@
 	return nil
 }
 
+// readUnwritten reads the store anew now and then while nobody writes to it.
+func (g *Gateway) readUnwritten() {
+	d, now := &g.duty, g.Clock.Now()
+	held := d.valid()
+	for _, h := range g.gossiper.Alive() {
+		held = held || h.GetHoldsDuty()
+	}
+	if !held && now.Sub(d.written) < unwrittenPause {
+		return
+	}
+	d.written = now
+	if !held {
+		g.readAnew()
+	}
+}
+
 // acquire waits for the lease until ctx is done.
 func (g *Gateway) acquire(ctx context.Context) {
 	lease, err := g.duty.leaser.Acquire(ctx, dutyName)
--- a/internal/gateway/duty_test.go
+++ b/internal/gateway/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -73,6 +74,45 @@
 	})
 }
 
+// TestChangesAreReadWhileNobodyWrites: watches are silent, and the lease is held by nobody, as while its holder is cut off.
+func TestChangesAreReadWhileNobodyWrites(t *testing.T) {
+	const applyBound = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		whole := platformfaker.New(platformfaker.Config{}).Store()
+		store := whole
+		store.Watch = func(ctx context.Context, _ string, _ uint64, _ func(storer.Event) error) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		store.Put = func(context.Context, string, []byte, uint64) (uint64, error) { return 0, storer.ErrUnavailable }
+		ctx, cancel := context.WithCancel(t.Context())
+		g := New(Settings{Name: "a", PeerListen: "a:2", ConfigPrefix: "config/", TargetsPrefix: "servers/"}, timer.System{}, zerolog.Nop())
+		g.Adapter.Store = store
+		g.Adapter.DecodeTarget = func(key string, _ []byte) (cataloger.Target, error) { return cataloger.Target{Name: key}, nil }
+		g.prepare(nil)
+		done := make(chan struct{}, 4)
+		services := []func(context.Context) error{g.configs.Run, g.listed.Run, g.duty.leaser.Run, g.runDuty}
+		for _, run := range services {
+			go func() {
+				_ = run(ctx)
+				done <- struct{}{}
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			_, err := whole.Put(ctx, fmt.Sprint("servers/", i), []byte("{}"), 0)
+			require.NoError(t, err)
+			time.Sleep(applyBound)
+			c, _ := g.listed.Copy()
+			require.Len(t, c.Objects, i+1, "a change is known within %s", applyBound)
+		}
+		cancel()
+		for range services {
+			<-done
+		}
+	})
+}
+
 // TestDrainTakesNothingThatItMayNotGiveUp: a request taken later than 3 s after the signal has to end, so nothing is taken then.
 func TestDrainTakesNothingThatItMayNotGiveUp(t *testing.T) {
 	const mayNotGiveUp = 3 * time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,7 +34,7 @@
 	// leaseDuration is how long the duty of placing layers outlasts its holder. A third of it is the time between the
 	// holder's writes, by which missed changes are noticed; with the auditor's grace and a list, this stays under the two
 	// seconds that a change of the configuration may take.
-	leaseDuration = 3 * time.Second
+	leaseDuration = 2 * time.Second
 	// lagPause is how long a change that a peer knows may be under way before it is fetched.
 	lagPause = 400 * time.Millisecond
 	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address; what it takes
@@ -243,10 +243,17 @@
 // missed reads everything anew, as a watch has not brought what was written.
 func (g *Gateway) missed() {
 	g.Log.Info().Msg("changes were missed, reading anew")
+	g.readAnew()
+}
+
+func (g *Gateway) readAnew() {
 	g.configs.Nudge()
 	g.listed.Nudge()
 }
 
+// reachesStore tells whether the store answered the last calls.
+func (g *Gateway) reachesStore() bool { return !g.listed.Failing() && !g.configs.Failing() }
+
 func (g *Gateway) services() []registrar.Service {
 	return []registrar.Service{
 		{Name: "config", Run: g.configs.Run},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,7 +39,7 @@
 		Name: g.Settings.Name, Epoch: g.epoch, DataCentre: g.Settings.DataCentre, Region: g.Settings.Region,
 		ClientAddress: g.Settings.ClientListen, PeerAddress: g.Settings.PeerListen,
 		Ready: g.Ready(), Leaving: g.leaving.Load(),
-		StoreReachable: !g.listed.Failing(), HoldsDuty: g.duty.valid(), TargetsRevision: g.listed.Changed(), Loads: map[string]float32{}, Paces: map[string]float32{},
+		StoreReachable: g.reachesStore(), HoldsDuty: g.duty.valid(), TargetsRevision: g.listed.Changed(), Loads: map[string]float32{}, Paces: map[string]float32{},
 	}
 	if m := g.config.Load(); m != nil {
 		h.ConfigVersion = m.Version()
