Keep the times of repairs and the standing of streams in one place

The model had copies of three of the relayer's times: both take them from repairer now. That a stream in progress goes before new ones when its stages are replaced was set by the relayer and forgotten by the model: Chooser.Repair sets it. The two looks for a peer that holds the duty are one. The product does as before.

--- a/internal/chooser/repair.go
+++ b/internal/chooser/repair.go
@@ -34,6 +34,7 @@
 // read it over a pipe that is full, as when many streams lose a stage of which their data centre holds no other copy, it is
 // read anew elsewhere; mayMove is asked then whether it may.
 func (c *Chooser) Repair(d Demand, path []cataloger.Stage, lost map[string]bool, mayMove func() bool) ([]cataloger.Stage, Repair) {
+	d.Standing.Begun = true
 	next, ok := c.Replace(d, path, lost)
 	if !ok {
 		return nil, RepairNone
--- a/internal/experimenter/watch.go
+++ b/internal/experimenter/watch.go
@@ -9,15 +9,8 @@
 	"github.com/rattantray/rattantray/pkg/modeler"
 )
 
-const (
-	// listTime is when the platform's list has dropped a lost target, for those who do not ask.
-	listTime = 3600 * time.Millisecond
-	// repairPause is the time between two tries to repair a stream, askPause that between two questions to one target, and
-	// askTimeout bounds the answer, as the product's.
-	repairPause = 300 * time.Millisecond
-	askPause    = 250 * time.Millisecond
-	askTimeout  = 400 * time.Millisecond
-)
+// listTime is when the platform's list has dropped a lost target, for those who do not ask.
+const listTime = 3600 * time.Millisecond
 
 // trouble strikes targets that hold layers.
 func (p *play) trouble(t Trouble) {
@@ -103,7 +96,7 @@
 
 // ask asks a first stage for its report; one that gives none twice is lost.
 func (p *play) ask(first string) {
-	if at, ok := p.askedAt[first]; ok && p.fleet.Now() < at+askPause {
+	if at, ok := p.askedAt[first]; ok && p.fleet.Now() < at+repairer.AskPause {
 		return
 	}
 	p.askedAt[first] = p.fleet.Now()
@@ -112,7 +105,7 @@
 		answered = true
 		p.hear(r)
 	})
-	p.fleet.After(askTimeout, func() {
+	p.fleet.After(repairer.AskTimeout, func() {
 		if !answered && p.targets.Doubt(first, 1) {
 			p.lose(first)
 		}
@@ -150,7 +143,7 @@
 	if len(gone) == 0 || p.fleet.Now() < c.repairAt {
 		return
 	}
-	c.repairAt = p.fleet.Now() + repairPause
+	c.repairAt = p.fleet.Now() + repairer.RetryPause
 	tokens := float64(c.prompt + c.answer)
 	mayMove := func() bool { return c.moves == 0 }
 	next, how := p.chooser.Repair(p.demand(tokens), c.path, gone, mayMove)
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,12 +59,12 @@
 	if !g.duty.comesFirst() {
 		return false
 	}
-	for _, h := range g.gossiper.Alive() {
-		if h.GetHoldsDuty() {
-			return false
-		}
-	}
-	return true
+	return !g.peerHoldsDuty()
+}
+
+// peerHoldsDuty tells whether a daemon that is heard holds the lease.
+func (g *Gateway) peerHoldsDuty() bool {
+	return slices.ContainsFunc(g.gossiper.Alive(), (*peerv1.GatewayHeartbeat).GetHoldsDuty)
 }
 
 // candidates returns the daemons that may take the duty: those that reach the store, or all where none does.
@@ -127,10 +128,7 @@
 // readUnwritten reads the store anew now and then while nobody writes to it.
 func (g *Gateway) readUnwritten() {
 	d, now := &g.duty, g.Clock.Now()
-	held := d.valid()
-	for _, h := range g.gossiper.Alive() {
-		held = held || h.GetHoldsDuty()
-	}
+	held := d.valid() || g.peerHoldsDuty()
 	if !held && now.Sub(d.written) < unwrittenPause {
 		return
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -20,6 +20,7 @@
 	"github.com/rattantray/rattantray/internal/exchanger"
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/rationer"
+	"github.com/rattantray/rattantray/internal/repairer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
@@ -246,7 +247,7 @@
 		f.mu.Lock()
 		f.stalled = []Stalled{{RequestID: req.ID, Address: second.Address}}
 		f.mu.Unlock()
-		time.Sleep(mostFirstPatience + askPause + 2*watchInterval)
+		time.Sleep(mostFirstPatience + repairer.AskPause + 2*watchInterval)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		require.NotEmpty(t, f.repaths)
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -31,14 +31,8 @@
 	usualWeight   = 512
 	// swallowPatience is how many times its patience a request waits that its first target seems to have lost.
 	swallowPatience = 2
-	// askPause is the least time between two reports of one target, which lag by some hundred milliseconds.
-	askPause = 250 * time.Millisecond
-	// askTimeout bounds a report; a target that does not answer in it is lost.
-	askTimeout = 400 * time.Millisecond
 	// repathTimeout bounds an order to replace a stage.
 	repathTimeout = 500 * time.Millisecond
-	// repairPause is the time between two tries to replace stages of one stream.
-	repairPause = 300 * time.Millisecond
 	// leavingMargin is how long after the time that a leaving target still serves its streams are moved; most have ended then,
 	// and a stream that is moved pauses.
 	leavingMargin = 500 * time.Millisecond
@@ -209,7 +203,7 @@
 func (r *Relayer) mayAsk(target string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.asked[target]) < askPause {
+	if now.Sub(r.asked[target]) < repairer.AskPause {
 		return false
 	}
 	r.asked[target] = now
@@ -218,7 +212,7 @@
 
 // ask learns from the first stage of a silent stream which stages its requests wait for.
 func (r *Relayer) ask(ctx context.Context, first cataloger.Target) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, repairer.AskTimeout)
 	defer cancel()
 	report, err := r.Backend.Report(ctx, first)
 	if err != nil {
@@ -268,9 +262,7 @@
 	if wait {
 		return
 	}
-	demand := g.request.demand()
-	demand.Standing.Begun = true
-	next, how := r.Chooser.Repair(demand, path, gone, func() bool { return g.movable() && g.prepay() })
+	next, how := r.Chooser.Repair(g.request.demand(), path, gone, func() bool { return g.movable() && g.prepay() })
 	switch how {
 	case chooser.RepairReplace:
 		go r.repath(ctx, g, path, next, cancel)
@@ -335,7 +327,7 @@
 	defer g.mu.Unlock()
 	g.moving = false
 	if path == nil {
-		g.repairAt = g.relayer.Clock.Now().Add(repairPause)
+		g.repairAt = g.relayer.Clock.Now().Add(repairer.RetryPause)
 		return
 	}
 	g.release()
--- a/internal/repairer/repairer.go
+++ b/internal/repairer/repairer.go
@@ -7,6 +7,15 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+const (
+	// AskPause is the least time between two reports of one target, which lag by some hundred milliseconds.
+	AskPause = 250 * time.Millisecond
+	// AskTimeout bounds a report; a target that does not answer in it is doubted.
+	AskTimeout = 400 * time.Millisecond
+	// RetryPause is the time between two tries to repair one stream.
+	RetryPause = 300 * time.Millisecond
+)
+
 // overlap is how much later than the silence of a stream another one must have progressed to clear a stage of both: events of
 // one step of a target arrive together.
 const overlap = 30 * time.Millisecond
