--- /dev/null
+++ b/internal/assessor/assessor.go
@@ -0,0 +1,270 @@
+package assessor
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+const (
+	// SuspicionTime is how long a target that went silent is left alone: by then the platform's list has dropped it, or it
+	// reports there again.
+	SuspicionTime = 4 * time.Second
+	// RefusalTime is how long a target is passed over that refused a request for want of room or as it gives its layers up.
+	RefusalTime = 300 * time.Millisecond
+	// peerLoadAge is how long the load that another daemon reported counts.
+	peerLoadAge = 2 * time.Second
+)
+
+// Doubt is a target that a daemon believes lost.
+type Doubt struct {
+	Target      string
+	Incarnation uint64
+	// Since is when the target was last believed lost.
+	Since time.Time
+}
+
+// belief is what is known of one incarnation of a target.
+type belief struct {
+	target cataloger.Target
+	// tokenLayers are reserved by requests in progress on this daemon.
+	tokenLayers float64
+	requests    int
+	lostAt      time.Time
+	refusedAt   time.Time
+	// pace is the measured slowness, 1 where nothing else is known.
+	pace float64
+	// firstSeen is when the target was listed.
+	firstSeen time.Time
+	// leavingAt is when the target was first seen to leave.
+	leavingAt time.Time
+}
+
+// View is a target with what is believed of it, at one moment.
+type View struct {
+	cataloger.Target
+	// TokenLayers and Requests are in progress on the whole fleet, as far as it is known.
+	TokenLayers float64
+	Requests    int
+	// Lost targets do not answer; Refused ones want no more for the moment.
+	Lost    bool
+	Refused bool
+	Pace    float64
+	// Left is how long ago the target began to leave; 0 where it does not.
+	Left time.Duration
+}
+
+// Usable tells whether the target takes new work.
+func (v View) Usable() bool { return v.State == cataloger.StateLive && !v.Lost }
+
+// peerLoad is what another daemon has in progress.
+type peerLoad struct {
+	at          time.Time
+	tokenLayers map[string]float64
+}
+
+// Assessor is safe for concurrent use; set its exported fields before use.
+type Assessor struct {
+	// Now tells the time.
+	Now func() time.Time
+
+	mu        sync.Mutex
+	beliefs   map[string]*belief
+	byAddress map[string]string
+	peers     map[string]peerLoad
+}
+
+// New returns an assessor that knows no target.
+func New(now func() time.Time) *Assessor {
+	return &Assessor{Now: now, beliefs: map[string]*belief{}, byAddress: map[string]string{}, peers: map[string]peerLoad{}}
+}
+
+// Put takes the newest description of a target; another incarnation starts without doubts.
+func (a *Assessor) Put(t cataloger.Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	b, ok := a.beliefs[t.Name]
+	if !ok || b.target.Incarnation != t.Incarnation {
+		b = &belief{pace: 1, firstSeen: now}
+		a.beliefs[t.Name] = b
+	}
+	if b.target.Address != t.Address {
+		delete(a.byAddress, b.target.Address)
+	}
+	if t.State == cataloger.StateLeaving && b.leavingAt.IsZero() {
+		b.leavingAt = now
+	}
+	b.target = t
+	a.byAddress[t.Address] = t.Name
+}
+
+// Remove forgets a target.
+func (a *Assessor) Remove(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[name]
+	if !ok {
+		return
+	}
+	if a.byAddress[b.target.Address] == name {
+		delete(a.byAddress, b.target.Address)
+	}
+	delete(a.beliefs, name)
+}
+
+// Get returns a target by its name.
+func (a *Assessor) Get(name string) (View, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[name]
+	if !ok {
+		return View{}, false
+	}
+	return a.view(b, a.Now()), true
+}
+
+// At returns the target that has an address now.
+func (a *Assessor) At(address string) (View, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[a.byAddress[address]]
+	if !ok {
+		return View{}, false
+	}
+	return a.view(b, a.Now()), true
+}
+
+// Service returns the targets of a service, by name.
+func (a *Assessor) Service(service string) []View {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	var out []View
+	for _, b := range a.beliefs {
+		if b.target.Service == service {
+			out = append(out, a.view(b, now))
+		}
+	}
+	slices.SortFunc(out, func(x, y View) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (a *Assessor) view(b *belief, now time.Time) View {
+	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.pace}
+	v.Lost = !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
+	v.Refused = !b.refusedAt.IsZero() && now.Sub(b.refusedAt) < RefusalTime
+	if !b.leavingAt.IsZero() {
+		v.Left = max(now.Sub(b.leavingAt), 1)
+	}
+	for _, p := range a.peers {
+		if now.Sub(p.at) < peerLoadAge {
+			v.TokenLayers += p.tokenLayers[b.target.Name]
+		}
+	}
+	return v
+}
+
+// Reserve counts the tokens of a request on each stage of its path until the returned function is called.
+func (a *Assessor) Reserve(path []cataloger.Stage, tokens float64) (release func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	type share struct {
+		b           *belief
+		tokenLayers float64
+	}
+	var shares []share
+	for _, s := range path {
+		if b, ok := a.beliefs[s.Target]; ok {
+			n := tokens * float64(s.EndLayer-s.FirstLayer)
+			b.tokenLayers += n
+			b.requests++
+			shares = append(shares, share{b, n})
+		}
+	}
+	return sync.OnceFunc(func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, s := range shares {
+			s.b.tokenLayers -= s.tokenLayers
+			s.b.requests--
+		}
+	})
+}
+
+// Lose takes in that an incarnation of a target does not answer since a time; it tells whether that is news.
+func (a *Assessor) Lose(name string, incarnation uint64, since time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.beliefs[name]
+	if !ok || b.target.Incarnation != incarnation || !since.After(b.lostAt) {
+		return false
+	}
+	news := b.lostAt.IsZero() || a.Now().Sub(b.lostAt) >= SuspicionTime
+	b.lostAt = since
+	return news
+}
+
+// Refuse takes in that a target wants no more work for a moment.
+func (a *Assessor) Refuse(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b, ok := a.beliefs[name]; ok {
+		b.refusedAt = a.Now()
+	}
+}
+
+// SetPace takes in how slow a target says it is; 1 is its usual pace.
+func (a *Assessor) SetPace(name string, pace float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b, ok := a.beliefs[name]; ok && pace > 0 {
+		b.pace = pace
+	}
+}
+
+// Doubts returns the targets that are believed lost.
+func (a *Assessor) Doubts() []Doubt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	var out []Doubt
+	for name, b := range a.beliefs {
+		if !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime {
+			out = append(out, Doubt{Target: name, Incarnation: b.target.Incarnation, Since: b.lostAt})
+		}
+	}
+	return out
+}
+
+// Loads returns the tokens times layers in progress on this daemon, by target.
+func (a *Assessor) Loads() map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]float64{}
+	for name, b := range a.beliefs {
+		if b.tokenLayers > 0 {
+			out[name] = b.tokenLayers
+		}
+	}
+	return out
+}
+
+// SetPeerLoads takes in what another daemon has in progress; nil forgets the daemon.
+func (a *Assessor) SetPeerLoads(peer string, loads map[string]float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if loads == nil {
+		delete(a.peers, peer)
+		return
+	}
+	a.peers[peer] = peerLoad{at: a.Now(), tokenLayers: maps.Clone(loads)}
+}
--- a/internal/cataloger/target.go
+++ b/internal/cataloger/target.go
@@ -82,6 +82,20 @@
 	Role        string
 	Holdings    []Holding
 	State       State
+	// Incarnation tells two starts under one name apart and grows with each; 0 where it is not known.
+	Incarnation uint64
+	// Slots is how many requests the target runs at a time; 0 where it is not known.
+	Slots int
+}
+
+// Held returns the range of layers that the target holds ready, and the version of its weights.
+func (t Target) Held() (first, end uint32, version string) {
+	for _, h := range t.Holdings {
+		if h.Ready {
+			return h.FirstLayer, h.EndLayer, h.Version
+		}
+	}
+	return 0, 0, ""
 }
 
 // WithState returns a copy in another state.
--- /dev/null
+++ b/internal/command/gateway/gateway.go
@@ -0,0 +1,18 @@
+package gateway
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/rattantray/rattantray/internal/command/gateway/start"
+	"github.com/rattantray/rattantray/internal/command/maker"
+)
+
+// NewCmdGateway returns the command with its verbs.
+func NewCmdGateway(f *maker.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "gateway <command>",
+		Short: "Run gateways on the platform",
+	}
+	cmd.AddCommand(start.NewCmdStart(f, nil))
+	return cmd
+}
--- /dev/null
+++ b/internal/command/gateway/start/doc.go
@@ -0,0 +1,2 @@
+// Package start is the command gateway start.
+package start
--- /dev/null
+++ b/internal/command/gateway/start/start.go
@@ -0,0 +1,73 @@
+package start
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/maker"
+	"github.com/rattantray/rattantray/internal/command/streamer"
+	"github.com/rattantray/rattantray/internal/setter"
+	"github.com/rattantray/rattantray/platform"
+)
+
+// Options holds what the command depends on and its flags.
+type Options struct {
+	IO *streamer.IOStreams
+	// SettingsFile is the path of the platform's settings file.
+	SettingsFile string
+	// Reload carries the signals to read the settings again.
+	Reload   <-chan os.Signal
+	LogLevel string
+}
+
+// NewCmdStart returns the command; runF replaces its action in tests.
+func NewCmdStart(f *maker.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO}
+	cmd := &cobra.Command{
+		Use:   "start",
+		Short: "Run a gateway",
+		Long: `Run a gateway on the platform until it is told to stop.
+
+The platform's settings file says where to listen and where the store is.
+SIGHUP has it read again. SIGTERM starts a graceful shutdown: clients are sent
+elsewhere, requests in progress end, and the command exits with 0.`,
+		Example: `  rattantray gateway start --settings /etc/rattantray/settings.toml`,
+		Args:    exiter.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opts.SettingsFile == "" {
+				return exiter.Flagf("no settings file: use --settings or %s", platform.SettingsVariable)
+			}
+			if err := setter.OneOf("log-level", opts.LogLevel, "debug", "info", "warn", "error"); err != nil {
+				return exiter.WrapFlag(err)
+			}
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
+			opts.Reload = reload
+			return run(cmd.Context(), opts)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&opts.SettingsFile, "settings", os.Getenv(platform.SettingsVariable), "Read the platform's settings from this `file`")
+	flags.StringVar(&opts.LogLevel, "log-level", "info", "Log from this `level`: debug, info, warn, error")
+	return cmd
+}
+
+func run(ctx context.Context, opts *Options) error {
+	level, err := zerolog.ParseLevel(opts.LogLevel)
+	if err != nil {
+		return exiter.WrapFlag(err)
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(opts.IO.Out).Level(level).With().Timestamp().Logger()
+	return platform.Run(ctx, opts.SettingsFile, opts.Reload, log)
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -6,6 +6,7 @@
 	"github.com/rattantray/rattantray/internal/command/dev"
 	"github.com/rattantray/rattantray/internal/command/exiter"
 	"github.com/rattantray/rattantray/internal/command/fake"
+	"github.com/rattantray/rattantray/internal/command/gateway"
 	"github.com/rattantray/rattantray/internal/command/maker"
 	"github.com/rattantray/rattantray/internal/command/member"
 	"github.com/rattantray/rattantray/internal/command/model"
@@ -43,6 +44,7 @@
 	cmd.AddCommand(
 		dev.NewCmdDev(f, nil),
 		fake.NewCmdFake(f),
+		gateway.NewCmdGateway(f),
 		member.NewCmdMember(f),
 		request.NewCmdRequest(f),
 		router.NewCmdRouter(f),
--- /dev/null
+++ b/internal/exchanger/exchanger_test.go
@@ -0,0 +1,185 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// target answers each request on a connection with the next script, as raw bytes; "" closes, "reset" resets.
+func target(t *testing.T, scripts ...[]string) (string, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var conns atomic.Int64
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1)) - 1
+			go play(c, scripts[min(n, len(scripts)-1)])
+		}
+	}()
+	return l.Addr().String(), &conns
+}
+
+func play(c net.Conn, script []string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for i, answer := range script {
+		if i > 0 && answer == "" {
+			return
+		}
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		switch answer {
+		case "":
+			return
+		case "reset":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+	}
+	// The connection stays open for the client to close.
+	_, _ = r.ReadByte()
+}
+
+const (
+	whole     = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	foreign   = "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 3\r\n\r\nbad"
+	truncated = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok"
+	chunked   = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	cut       = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+	leaving   = "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+	open      = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok"
+)
+
+func do(t *testing.T, e *Exchanger, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	a, err := e.Do(ctx, Call{
+		Address: address, Method: "POST", URI: "/a/b?c=%2f", Host: "h", Header: http.Header{"X": {"y"}}, Body: []byte("body"),
+		Own: func(h http.Header) bool { return h.Get("Id") == "1" },
+	})
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a)
+	_ = a.Close()
+	return string(body), err
+}
+
+func TestAnswersInAllShapes(t *testing.T) {
+	cases := []struct {
+		name    string
+		scripts [][]string
+		// bodies are those of the calls in turn; an error is "!".
+		bodies []string
+		conns  int64
+	}{
+		{"kept connection", [][]string{{whole, chunked, whole}}, []string{"ok", "ok", "ok"}, 1},
+		{"closed after an answer", [][]string{{leaving}, {whole}}, []string{"ok", "ok"}, 2},
+		{"closed while idle", [][]string{{whole, ""}, {whole}}, []string{"ok", "ok"}, 2},
+		{"extra answer at once", [][]string{{whole + foreign}, {whole}}, []string{"ok", "ok"}, 2},
+		{"answer to another request first", [][]string{{foreign + whole}, {whole}}, []string{"ok", "ok"}, 2},
+		{"only answers to others", [][]string{{foreign + foreign + foreign}}, []string{"!"}, 1},
+		{"truncated", [][]string{{truncated, ""}}, []string{"!"}, 1},
+		{"chunks cut", [][]string{{cut, ""}}, []string{"!"}, 1},
+		{"no answer at all", [][]string{{""}}, []string{"!"}, 1},
+		{"reset", [][]string{{"reset"}}, []string{"!"}, 1},
+		{"bytes that are no answer", [][]string{{"hello\r\n\r\n"}}, []string{"!"}, 1},
+		{"interim answer first", [][]string{{"HTTP/1.1 103 Early Hints\r\n\r\n" + whole}}, []string{"ok"}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, conns := target(t, c.scripts...)
+			e := &Exchanger{}
+			t.Cleanup(func() { e.CloseIdle("") })
+			for i, want := range c.bodies {
+				// The bytes that follow an answer must have arrived before the next call.
+				time.Sleep(20 * time.Millisecond)
+				got, err := do(t, e, address)
+				if want == "!" {
+					require.Error(t, err, "call %d", i)
+					require.False(t, errors.Is(err, ErrNotSent), "call %d may have run", i)
+					continue
+				}
+				require.NoError(t, err, "call %d", i)
+				require.Equal(t, want, got, "call %d", i)
+			}
+			require.Equal(t, c.conns, conns.Load())
+		})
+	}
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, open)
+			if i > 0 {
+				time.Sleep(50 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	e := &Exchanger{}
+	body, err := do(t, e, l.Addr().String())
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	_, err = do(t, e, l.Addr().String())
+	require.Error(t, err, "a reset is not the end of an answer")
+}
+
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = do(t, &Exchanger{}, address)
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		_, _ = http.ReadRequest(r)
+		cancel()
+		_, _ = r.ReadByte()
+		close(closed)
+	}()
+	_, err = (&Exchanger{}).Do(ctx, Call{Address: l.Addr().String(), Method: "GET", URI: "/", Host: "h"})
+	require.ErrorIs(t, err, context.Canceled)
+	<-closed
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,302 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+const (
+	// ReturnTime is how long after the end of an outage of the store lapsed objects may come back.
+	ReturnTime = 2500 * time.Millisecond
+	// firstPause and maxPause bound the time between tries while the store is away.
+	firstPause = 100 * time.Millisecond
+	maxPause   = time.Second
+	// nudgePause is the least time between two lists that peers ask for.
+	nudgePause = 400 * time.Millisecond
+)
+
+// Copy is a view of all objects at a revision.
+type Copy struct {
+	Objects  []storer.Object
+	Revision uint64
+}
+
+// Follower follows one prefix; set its exported fields before Run.
+type Follower struct {
+	Store  storer.Store
+	Prefix string
+	Clock  timer.Clock
+	Log    zerolog.Logger
+	// Apply takes each change, one at a time; deleted objects come without a value.
+	Apply func(o storer.Object, deleted bool)
+	// Ask returns the copy of a peer that knows more; nil where there are none. It is used while the store is away.
+	Ask func(ctx context.Context, prefix string, revision uint64) (Copy, bool)
+
+	mu       sync.Mutex
+	objects  map[string]storer.Object
+	revision uint64
+	// changed is the revision of the last change that was applied.
+	changed uint64
+	// synced is true once a whole list was read.
+	synced bool
+	// failing is true from a failure of the store until its next answer, which is at returned.
+	failing  bool
+	returned time.Time
+	// lapsed are objects that the store no longer has, and may have again soon.
+	lapsed map[string]bool
+	nudged chan struct{}
+}
+
+// New returns a follower that knows no objects.
+func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
+	return &Follower{
+		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(),
+		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, nudged: make(chan struct{}, 1),
+	}
+}
+
+// Revision returns the revision up to which the copy is whole, and whether it is.
+func (f *Follower) Revision() (uint64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, f.synced
+}
+
+// Changed returns the revision of the last change of the objects; a peer with a later one than Revision knows more.
+func (f *Follower) Changed() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Copy returns the objects as they are known.
+func (f *Follower) Copy() (Copy, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := Copy{Revision: f.revision}
+	for _, o := range f.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c, f.synced
+}
+
+// Nudge asks for a list, as a peer knows a later revision.
+func (f *Follower) Nudge() {
+	select {
+	case f.nudged <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows until ctx is done.
+func (f *Follower) Run(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.round(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, storer.ErrCompacted) || errors.Is(err, errNudged) {
+			pause = firstPause
+			_ = f.Clock.Sleep(ctx, firstPause)
+			continue
+		}
+		f.fail(err)
+		f.askPeers(ctx)
+		_ = f.Clock.Sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxPause)
+		if !f.Failing() {
+			pause = firstPause
+		}
+	}
+	return nil
+}
+
+var errNudged = errors.New("a peer knows more")
+
+// round lists and then watches until the watch ends.
+func (f *Follower) round(ctx context.Context) error {
+	objects, revision, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.answered()
+	f.reconcile(objects, revision)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nudged := make(chan struct{})
+	go f.awaitNudge(ctx, cancel, nudged)
+	err = f.Store.Watch(ctx, f.Prefix, revision, func(e storer.Event) error {
+		f.answered()
+		f.take(e)
+		return nil
+	})
+	select {
+	case <-nudged:
+		return errNudged
+	default:
+		return err
+	}
+}
+
+// awaitNudge ends a watch that misses what peers have.
+func (f *Follower) awaitNudge(ctx context.Context, cancel func(), nudged chan struct{}) {
+	if f.Clock.Sleep(ctx, nudgePause) != nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.nudged:
+		close(nudged)
+		cancel()
+	}
+}
+
+// Failing tells whether the store did not answer the last call.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
+func (f *Follower) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing {
+		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("revision", f.revision).Msg("store lost, going on with what is known")
+	}
+	f.failing = true
+}
+
+// answered takes in that the store has answered.
+func (f *Follower) answered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	f.returned = f.Clock.Now()
+	f.Log.Info().Str("prefix", f.Prefix).Msg("store is back")
+	f.Clock.AfterFunc(ReturnTime, f.dropLapsed)
+}
+
+// settling tells whether lapsed objects may still come back.
+func (f *Follower) settling() bool {
+	return f.failing || !f.returned.IsZero() && f.Clock.Now().Sub(f.returned) < ReturnTime
+}
+
+// reconcile takes a whole list.
+func (f *Follower) reconcile(objects []storer.Object, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Key] = true
+		f.put(o)
+	}
+	for key, o := range f.objects {
+		if !listed[key] && o.Version <= revision {
+			f.remove(key)
+		}
+	}
+	f.revision = max(f.revision, revision)
+	f.synced = true
+}
+
+func (f *Follower) take(e storer.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, e.Revision)
+	if e.Object.Key != "" {
+		f.changed = max(f.changed, e.Revision)
+	}
+	switch {
+	case e.Object.Key == "":
+	case e.Deleted:
+		f.remove(e.Object.Key)
+	default:
+		f.put(e.Object)
+	}
+}
+
+// put applies an object that is newer than what is known; the caller holds mu.
+func (f *Follower) put(o storer.Object) {
+	delete(f.lapsed, o.Key)
+	if known, ok := f.objects[o.Key]; ok && known.Version >= o.Version {
+		return
+	}
+	f.objects[o.Key] = o
+	f.changed = max(f.changed, o.Version)
+	f.Apply(o, false)
+}
+
+// remove forgets an object, or marks it as lapsed while it may come back; the caller holds mu.
+func (f *Follower) remove(key string) {
+	if _, ok := f.objects[key]; !ok {
+		return
+	}
+	if f.settling() {
+		f.lapsed[key] = true
+		return
+	}
+	f.drop(key)
+}
+
+func (f *Follower) drop(key string) {
+	o := f.objects[key]
+	delete(f.objects, key)
+	delete(f.lapsed, key)
+	f.Apply(storer.Object{Key: o.Key, Version: o.Version}, true)
+}
+
+// dropLapsed forgets what did not come back, unless the store went away again meanwhile.
+func (f *Follower) dropLapsed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settling() {
+		return
+	}
+	for key := range f.lapsed {
+		f.drop(key)
+	}
+}
+
+// askPeers takes over what a peer knows while the store does not answer; objects that the peer lacks stay.
+func (f *Follower) askPeers(ctx context.Context) {
+	if f.Ask == nil {
+		return
+	}
+	revision, _ := f.Revision()
+	c, ok := f.Ask(ctx, f.Prefix, revision)
+	if !ok || c.Revision <= revision {
+		return
+	}
+	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", c.Revision).Msg("took what a peer knows")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := map[string]bool{}
+	for _, o := range c.Objects {
+		if strings.HasPrefix(o.Key, f.Prefix) {
+			listed[o.Key] = true
+			f.put(o)
+		}
+	}
+	// A peer that follows the store has let lapsed objects come back before it dropped them.
+	for key, o := range f.objects {
+		if !listed[key] && o.Version <= c.Revision {
+			f.drop(key)
+		}
+	}
+	f.revision = c.Revision
+	f.synced = true
+}
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -20,6 +20,8 @@
 	MaxAttempts int
 	// Budget is the share of requests that may be retried; 0 is the default.
 	Budget float64
+	// Spend replaces the balancer's own budget where it is not nil: it allows one more attempt, or returns false.
+	Spend func() bool
 }
 
 const (
@@ -34,12 +36,15 @@
 	maxBudgets  = 8192
 )
 
+// Attempt makes one attempt at a request on one instance; an error is a *refuser.Refusal whose fact is proven.
+type Attempt func(ctx context.Context, target cataloger.Target, r Request) (Answer, error)
+
 // Balancer spreads requests over the instances of plain services and retries what is safe.
 type Balancer struct {
 	Clock timer.Clock
 	Rand  *rand.Rand
 	// Attempt makes one attempt, as Forwarder.Forward does.
-	Attempt func(ctx context.Context, target cataloger.Target, r Request) (Answer, error)
+	Attempt Attempt
 
 	mu       sync.Mutex
 	breakers map[string]*breaker.Breaker
@@ -64,28 +69,37 @@
 
 // Do runs a request on one of the live targets; an error is a *refuser.Refusal whose fact covers all attempts.
 func (b *Balancer) Do(ctx context.Context, targets []cataloger.Target, r Request, policy Policy) (Answer, error) {
+	return b.Run(ctx, targets, r, policy, b.Attempt)
+}
+
+// Run is Do with another way to make an attempt.
+func (b *Balancer) Run(ctx context.Context, targets []cataloger.Target, r Request, policy Policy, attempt Attempt) (Answer, error) {
 	if policy.MaxAttempts <= 0 {
 		policy.MaxAttempts = defaultAttempts
 	}
 	if policy.Budget <= 0 {
 		policy.Budget = defaultBudget
 	}
-	budget := b.budgets.Get(budgetKey{workspace: r.Workspace, service: r.Service})
-	budget.EarnShare(policy.Budget)
+	spend := policy.Spend
+	if spend == nil {
+		budget := b.budgets.Get(budgetKey{workspace: r.Workspace, service: r.Service})
+		budget.EarnShare(policy.Budget)
+		spend = budget.Spend
+	}
 	run := attempts{request: r, policy: policy}
 	for {
 		target, ok := b.pick(targets, run.tried)
 		if !ok {
 			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(breaker.MinOpen)
 		}
-		answer, err := b.attempt(ctx, target, run.next(b.Clock.Now()))
+		answer, err := b.attempt(ctx, target, run.next(b.Clock.Now()), attempt)
 		if err == nil {
 			return answer, nil
 		}
 		if final := run.failed(target.Name, refuser.From(err)); final != nil {
 			return Answer{}, final
 		}
-		if !budget.Spend() {
+		if !spend() {
 			return Answer{}, run.refusal(refuser.RetryBudgetSpent, "after: %s", err)
 		}
 		if b.Clock.Sleep(ctx, b.pause(run.count)) != nil {
@@ -179,8 +193,8 @@
 	return targets[best], true
 }
 
-func (b *Balancer) attempt(ctx context.Context, target cataloger.Target, r Request) (Answer, error) {
-	answer, err := b.Attempt(ctx, target, r)
+func (b *Balancer) attempt(ctx context.Context, target cataloger.Target, r Request, do Attempt) (Answer, error) {
+	answer, err := do(ctx, target, r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	br := b.of(target.Name)
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/follower"
+	"github.com/rattantray/rattantray/internal/gossiper"
+	"github.com/rattantray/rattantray/internal/leaser"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/orderer"
+	"github.com/rattantray/rattantray/internal/rationer"
+	"github.com/rattantray/rattantray/internal/registrar"
+	"github.com/rattantray/rattantray/internal/relayer"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+const (
+	// leaseDuration is how long the duty of placing layers outlasts its holder.
+	leaseDuration = 3 * time.Second
+	// lagPause is how long a change that a peer knows may be under way before it is fetched.
+	lagPause = 400 * time.Millisecond
+	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address.
+	lingerTime = 3500 * time.Millisecond
+	// stopMargin is kept of the time that the platform grants between its signal and the kill.
+	stopMargin = 700 * time.Millisecond
+	// peersPrefix is where daemons leave their peer addresses for those that start later.
+	peersPrefix = "gateways/"
+	stopTimeout = 30 * time.Second
+)
+
+// Settings are those of one gateway.
+type Settings struct {
+	Name       string
+	DataCentre string
+	Region     string
+	// ClientListen, ReadyListen, ResolveListen are host:port; PeerListen is for datagrams and HTTP of other gateways.
+	ClientListen  string
+	ReadyListen   string
+	ResolveListen string
+	PeerListen    string
+	// Seeds are peer addresses that may be stale.
+	Seeds []string
+	// Grace is the time between the signal to stop and the kill.
+	Grace       time.Duration
+	RetryBudget rationer.Budget
+	// ConfigPrefix and TargetsPrefix are the keys of the store that hold the configuration and the targets.
+	ConfigPrefix  string
+	TargetsPrefix string
+}
+
+// Adapter translates between the gateway and the platform that it runs on.
+type Adapter struct {
+	Store        storer.Store
+	DecodeConfig func(value []byte) (matcher.Document, error)
+	// DecodeTarget returns the target of an object; an error says that the object names none to use.
+	DecodeTarget func(key string, value []byte) (cataloger.Target, error)
+	Backend      relayer.Backend
+	Place        func(ctx context.Context, target cataloger.Target, p orderer.Placement) (orderer.Result, error)
+	// Client, Resolve and Ready serve clients, those who ask for addresses, and health checks.
+	Client  http.Handler
+	Resolve http.Handler
+	Ready   http.Handler
+}
+
+// Gateway is one daemon; set its exported fields before Run.
+type Gateway struct {
+	Settings Settings
+	Adapter  Adapter
+	Clock    timer.Clock
+	Log      zerolog.Logger
+
+	epoch    uint64
+	config   atomic.Pointer[matcher.Matcher]
+	targets  *assessor.Assessor
+	relayer  *relayer.Relayer
+	orderer  *orderer.Orderer
+	gossiper *gossiper.Gossiper
+	// configs and listed follow the configuration and the targets.
+	configs *follower.Follower
+	listed  *follower.Follower
+	duty    duty
+	client  *http.Server
+	leaving atomic.Bool
+	active  atomic.Int64
+}
+
+// New returns a gateway; Prepare makes it ready to Run.
+func New(s Settings, clock timer.Clock, log zerolog.Logger) *Gateway {
+	g := &Gateway{Settings: s, Clock: clock, Log: log}
+	g.epoch = uint64(clock.Now().UnixMilli())
+	g.targets = assessor.New(clock.Now)
+	g.relayer = relayer.New(clock)
+	g.orderer = orderer.New(g.targets, clock)
+	return g
+}
+
+// Relayer returns what relays the requests that Matcher allows.
+func (g *Gateway) Relayer() *relayer.Relayer { return g.relayer }
+
+// Matcher returns the configuration in force, nil where none is known yet.
+func (g *Gateway) Matcher() *matcher.Matcher { return g.config.Load() }
+
+// Leaving tells whether the daemon shuts down.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// Ready tells whether the daemon takes requests.
+func (g *Gateway) Ready() bool {
+	_, listed := g.listed.Revision()
+	return g.config.Load() != nil && listed && !g.leaving.Load()
+}
+
+// SetSeeds takes other addresses of peers, from settings that changed.
+func (g *Gateway) SetSeeds(seeds []string) { g.gossiper.Learn(seeds...) }
+
+// Entries returns the addresses that clients may connect to; leaving daemons are named only where there is no other.
+func (g *Gateway) Entries() []string {
+	var ready, leaving []string
+	add := func(h *peerv1.GatewayHeartbeat) {
+		switch {
+		case h.GetLeaving():
+			leaving = append(leaving, h.GetClientAddress())
+		case h.GetReady():
+			ready = append(ready, h.GetClientAddress())
+		}
+	}
+	add(g.heartbeat())
+	for _, h := range g.gossiper.Alive() {
+		add(h)
+	}
+	if len(ready) > 0 {
+		return ready
+	}
+	return leaving
+}
+
+// Run serves until ctx is done, and then shuts down without cutting requests off.
+func (g *Gateway) Run(ctx context.Context) error {
+	conn, err := net.ListenPacket("udp", g.Settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for heartbeats")
+	}
+	g.prepare(conn)
+	kernel := registrar.New(g.Log, g.Clock)
+	kernel.StopTimeout = stopTimeout
+	for _, s := range g.services() {
+		if err := kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	g.Log.Info().Str("name", g.Settings.Name).Str("address", g.Settings.ClientListen).Uint64("epoch", g.epoch).Msg("gateway starts")
+	err = kernel.Run(ctx)
+	g.Log.Info().Err(err).Msg("gateway stops")
+	return err
+}
+
+// prepare ties the parts together.
+func (g *Gateway) prepare(conn net.PacketConn) {
+	store := g.Adapter.Store
+	g.configs = follower.New(store, g.Settings.ConfigPrefix, g.Clock)
+	g.configs.Log, g.configs.Apply, g.configs.Ask = g.Log, g.applyConfig, g.askPeers
+	g.listed = follower.New(store, g.Settings.TargetsPrefix, g.Clock)
+	g.listed.Log, g.listed.Apply, g.listed.Ask = g.Log, g.applyTarget, g.askPeers
+
+	g.gossiper = gossiper.New(conn, g.Clock)
+	g.gossiper.Log, g.gossiper.Self, g.gossiper.Receive, g.gossiper.Gone = g.Log, g.heartbeat, g.receive, g.gone
+	g.gossiper.Learn(g.Settings.Seeds...)
+
+	r := g.relayer
+	r.Backend, r.Targets, r.Budget, r.Log = g.Adapter.Backend, g.targets, g.Settings.RetryBudget, g.Log
+	r.Daemons = func() int { return len(g.gossiper.Alive()) + 1 }
+	r.Lost = func(cataloger.Target) { g.gossiper.Send() }
+
+	g.orderer.Log = g.Log
+	g.orderer.Services = func() []matcher.Service {
+		if m := g.config.Load(); m != nil {
+			return m.Services()
+		}
+		return nil
+	}
+	g.orderer.Holds, g.orderer.Place, g.orderer.Report = g.holdsDuty, g.Adapter.Place, g.Adapter.Backend.Report
+
+	l := leaser.New(cataloger.Member{Name: g.Settings.Name, Epoch: g.epoch})
+	l.Store, l.Clock, l.Log, l.Duration = store, g.Clock, g.Log, leaseDuration
+	l.Random, l.Metrics = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), metrics.NewRegistry()
+	g.duty.leaser = l
+	g.client = newServer(g.count(g.Adapter.Client))
+}
+
+func (g *Gateway) services() []registrar.Service {
+	return []registrar.Service{
+		{Name: "config", Run: g.configs.Run},
+		{Name: "targets", Run: g.listed.Run},
+		{Name: "gossiper", Run: g.gossiper.Run},
+		{Name: "register", Run: g.register},
+		{Name: "lag", Needs: []string{"config", "targets", "gossiper"}, Run: g.watchLag},
+		{Name: "peers", Run: serve(g.Settings.PeerListen, newServer(g.peerHandler()))},
+		{Name: "leaser", Run: g.duty.leaser.Run},
+		{Name: "duty", Needs: []string{"leaser", "gossiper"}, Run: g.runDuty},
+		{Name: "orderer", Needs: []string{"duty", "config", "targets"}, Run: g.orderer.Run},
+		{Name: "watchdog", Needs: []string{"targets"}, Run: g.relayer.Watch},
+		{Name: "ready", Run: serve(g.Settings.ReadyListen, newServer(g.Adapter.Ready))},
+		{Name: "resolve", Needs: []string{"gossiper"}, Run: serve(g.Settings.ResolveListen, newServer(g.Adapter.Resolve))},
+		{
+			Name: "client", Needs: []string{"config", "targets", "watchdog", "ready", "resolve", "peers"},
+			Run: serve(g.Settings.ClientListen, g.client), Stop: g.drain,
+		},
+	}
+}
+
+// applyConfig puts a newer document in force.
+func (g *Gateway) applyConfig(o storer.Object, deleted bool) {
+	if deleted {
+		g.Log.Warn().Str("key", o.Key).Msg("configuration was deleted, the last one stays in force")
+		return
+	}
+	d, err := g.Adapter.DecodeConfig(o.Value)
+	if err != nil {
+		g.Log.Error().Str("key", o.Key).Err(err).Msg("configuration not understood")
+		return
+	}
+	if m := g.config.Load(); m != nil && m.Version() >= d.Version {
+		return
+	}
+	g.config.Store(matcher.New(d))
+	g.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Int("workspaces", len(d.Workspaces)).Msg("configuration in force")
+}
+
+// applyTarget takes a change of a target.
+func (g *Gateway) applyTarget(o storer.Object, deleted bool) {
+	name := strings.TrimPrefix(o.Key, g.Settings.TargetsPrefix)
+	if deleted {
+		g.targets.Remove(name)
+		g.Log.Info().Str("target", name).Msg("target removed")
+		return
+	}
+	t, err := g.Adapter.DecodeTarget(o.Key, o.Value)
+	if err != nil {
+		g.targets.Remove(name)
+		g.Log.Warn().Str("target", name).Err(err).Msg("entry names no target to use")
+		return
+	}
+	g.targets.Put(t)
+	first, end, _ := t.Held()
+	g.Log.Info().Str("target", name).Str("address", t.Address).Str("state", string(t.State)).Uint64("incarnation", t.Incarnation).
+		Uint32("first", first).Uint32("end", end).Msg("target listed")
+}
+
+// register leaves the peer address in the store and learns those of the others.
+func (g *Gateway) register(ctx context.Context) error {
+	key := peersPrefix + g.Settings.Name
+	for {
+		objects, _, err := g.Adapter.Store.List(ctx, peersPrefix)
+		var version uint64
+		known := ""
+		for _, o := range objects {
+			g.gossiper.Learn(string(o.Value))
+			if o.Key == key {
+				version, known = o.Version, string(o.Value)
+			}
+		}
+		if err == nil && known != g.Settings.PeerListen {
+			_, err = g.Adapter.Store.Put(ctx, key, []byte(g.Settings.PeerListen), version)
+		}
+		if err == nil {
+			return nil
+		}
+		g.Log.Warn().Err(err).Msg("peer address not left in the store yet")
+		if g.Clock.Sleep(ctx, time.Second) != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/serving.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header, over what any configuration asks for.
+	headerTimeout = 20 * time.Second
+	// idleTimeout is how long a connection without requests is kept, over what any configuration asks for.
+	idleTimeout = 5 * time.Minute
+	// maxHeaderBytes is over what any configuration allows; the handler checks the limit in force.
+	maxHeaderBytes = 256 << 10
+)
+
+// newServer returns a server with the bounds that hold for all configurations.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// serve returns a service that serves HTTP on an address.
+func serve(address string, server *http.Server) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve on %s", address)
+		}
+		// A server that shuts down still serves the requests that it has read.
+		<-ctx.Done()
+		return nil
+	}
+}
+
+// count counts the requests in progress.
+func (g *Gateway) count(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.active.Add(1)
+		defer g.active.Add(-1)
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// drain tells everybody that this daemon leaves, goes on with what comes for a while, and returns when the last request is
+// answered.
+func (g *Gateway) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, g.Settings.Grace-stopMargin)
+	defer cancel()
+	g.leaving.Store(true)
+	g.gossiper.Send()
+	g.Log.Info().Int64("requests", g.active.Load()).Msg("gateway leaves")
+	_ = g.Clock.Sleep(ctx, lingerTime)
+	err := g.client.Shutdown(ctx)
+	g.Log.Info().Int64("requests", g.active.Load()).Err(err).Msg("gateway has drained")
+	return err
+}
--- /dev/null
+++ b/internal/matcher/matcher.go
@@ -0,0 +1,113 @@
+package matcher
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// Matcher answers by one document; it never changes, so that a request sees one version throughout.
+type Matcher struct {
+	document   Document
+	hosts      map[string][]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+}
+
+// New returns a matcher for a document, which must not change any more.
+func New(d Document) *Matcher {
+	m := &Matcher{
+		document:   d,
+		hosts:      map[string][]*Route{},
+		services:   map[string]*Service{},
+		workspaces: map[string]*Workspace{},
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		m.hosts[host] = append(m.hosts[host], r)
+	}
+	for _, routes := range m.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range d.Services {
+		m.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Workspaces {
+		for _, key := range d.Workspaces[i].Keys {
+			m.workspaces[key] = &d.Workspaces[i]
+		}
+	}
+	return m
+}
+
+// Version returns the version of the document.
+func (m *Matcher) Version() uint64 { return m.document.Version }
+
+// Limits returns the limits on clients.
+func (m *Matcher) Limits() Limits { return m.document.Limits }
+
+// Services returns the services of the document.
+func (m *Matcher) Services() []Service { return m.document.Services }
+
+// Service returns a service by its name.
+func (m *Matcher) Service(name string) (*Service, bool) {
+	s, ok := m.services[name]
+	return s, ok
+}
+
+// Route returns the route with the longest prefix of the path, among those of the host.
+func (m *Matcher) Route(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	routes, ok := m.hosts[host]
+	if name, _, err := net.SplitHostPort(host); !ok && err == nil {
+		routes = m.hosts[name]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Keyed tells whether requests of the route need a key.
+func (m *Matcher) Keyed(r *Route) bool { return len(m.document.Workspaces) > 0 && !r.Public }
+
+// Workspace returns the workspace that holds a key.
+func (m *Matcher) Workspace(key string) (cataloger.Workspace, bool) {
+	w, ok := m.workspaces[key]
+	if !ok {
+		return "", false
+	}
+	return w.Name, true
+}
+
+// Priority returns the rank of a workspace's requests on a route, 0 the highest.
+func (m *Matcher) Priority(r *Route, workspace cataloger.Workspace) int {
+	for i := range m.document.Workspaces {
+		if w := &m.document.Workspaces[i]; w.Name == workspace && w.Priority != nil {
+			return *w.Priority
+		}
+	}
+	return r.Priority
+}
+
+// Pick returns the service of one request; draw is uniform in [0,1).
+func (m *Matcher) Pick(r *Route, draw float64) (*Service, bool) {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += max(s.Weight, 0)
+	}
+	at := draw * total
+	for i, s := range r.Shares {
+		at -= max(s.Weight, 0)
+		if at < 0 && s.Weight > 0 || i == len(r.Shares)-1 {
+			return m.Service(s.Service)
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/orderer/orderer.go
@@ -0,0 +1,320 @@
+package orderer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/placer"
+	"github.com/rattantray/rattantray/internal/relayer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+const (
+	// interval is the time between two looks at the placement.
+	interval = 150 * time.Millisecond
+	// settleTime is how long the list of targets must stand still before layers are placed on a fleet that holds none.
+	settleTime = 700 * time.Millisecond
+	// reserveRequests is for how many usual requests a target keeps memory.
+	reserveRequests = 64
+	// spareShare is by how much the layers that fit should exceed the model before memory for requests is given up.
+	spareShare = 1.2
+	// orderTimeout bounds one order.
+	orderTimeout = time.Second
+	// listTime is how long after the end of a load the platform's list shows it, at the most.
+	listTime = 4 * time.Second
+	// retryPause is the time before a target is given another order after one that failed.
+	retryPause = 500 * time.Millisecond
+)
+
+// Placement is an order to hold the layers [First,End).
+type Placement struct {
+	First uint32
+	End   uint32
+	// Expected is how many placements the target has accepted so far; another number refuses the order.
+	Expected uint64
+}
+
+// Result is what became of an order.
+type Result int
+
+// Results of an order.
+const (
+	// Begun says that the target loads the layers.
+	Begun Result = iota + 1
+	// Held says that the target holds the layers already.
+	Held
+	// Conflict says that the target is busy, or has accepted another number of placements.
+	Conflict
+	// Unknown says that the order was not answered and may be carried out later.
+	Unknown
+)
+
+// Pending is an order that the platform's list does not show yet.
+type Pending struct {
+	Target      string
+	Incarnation uint64
+	First       uint32
+	End         uint32
+	// At is when the order was given, and Until when it counts as failed.
+	At    time.Time
+	Until time.Time
+}
+
+// count is how many placements an incarnation of a target has accepted.
+type count struct {
+	incarnation uint64
+	orders      uint64
+	known       bool
+}
+
+// Orderer decides on and gives orders while this daemon holds the duty; set its exported fields before Run.
+type Orderer struct {
+	Targets *assessor.Assessor
+	// Services returns the services in force.
+	Services func() []matcher.Service
+	// Holds tells whether this daemon has the duty at this moment.
+	Holds func() bool
+	Place func(ctx context.Context, target cataloger.Target, p Placement) (Result, error)
+	// Report asks a target for its state.
+	Report func(ctx context.Context, target cataloger.Target) (relayer.Report, error)
+	Clock  timer.Clock
+	Log    zerolog.Logger
+
+	mu      sync.Mutex
+	pending map[string]Pending
+	counts  map[string]count
+	// seen are the targets of each service at the last look, and changed is when they last changed.
+	seen    map[string][]string
+	changed map[string]time.Time
+}
+
+// New returns an orderer that has given no orders.
+func New(targets *assessor.Assessor, clock timer.Clock) *Orderer {
+	return &Orderer{
+		Targets: targets, Clock: clock, Log: zerolog.Nop(),
+		pending: map[string]Pending{}, counts: map[string]count{}, seen: map[string][]string{}, changed: map[string]time.Time{},
+	}
+}
+
+// Run places layers until ctx is done.
+func (o *Orderer) Run(ctx context.Context) error {
+	for o.Clock.Sleep(ctx, interval) == nil {
+		for _, s := range o.Services() {
+			if s.Engine != nil && s.Engine.Layers > 0 {
+				o.look(ctx, s)
+			}
+		}
+	}
+	return nil
+}
+
+// Pending returns the orders that are not listed yet, those of earlier holders among them.
+func (o *Orderer) Pending() []Pending {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []Pending
+	for _, p := range o.pending {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Learn takes the pending orders of another daemon, so that a successor does not give them again.
+func (o *Orderer) Learn(p Pending) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if known, ok := o.pending[p.Target]; !ok || p.At.After(known.At) {
+		o.pending[p.Target] = p
+	}
+}
+
+// look takes in what is listed and gives the orders that are due.
+func (o *Orderer) look(ctx context.Context, s matcher.Service) {
+	views := o.Targets.Service(s.Name)
+	now := o.Clock.Now()
+	o.forget(views, now)
+	if !o.Holds() || !o.settled(s.Name, views, now) {
+		return
+	}
+	byName := map[string]assessor.View{}
+	for _, v := range views {
+		byName[v.Name] = v
+	}
+	for _, m := range o.problem(s.Engine, views).Next(o.limit(s.Engine, views)) {
+		o.order(ctx, s.Engine, byName[m.Target].Target, m)
+	}
+}
+
+// settled tells whether the list of targets has stood still, or layers are held already.
+func (o *Orderer) settled(service string, views []assessor.View, now time.Time) bool {
+	names := make([]string, 0, len(views))
+	holds := false
+	for _, v := range views {
+		names = append(names, v.Name)
+		first, end, _ := v.Held()
+		holds = holds || end > first
+	}
+	if !slices.Equal(names, o.seen[service]) {
+		o.seen[service], o.changed[service] = names, now
+	}
+	return len(names) > 0 && (holds || now.Sub(o.changed[service]) >= settleTime)
+}
+
+// forget drops orders that the list shows, that failed, or whose target started again.
+func (o *Orderer) forget(views []assessor.View, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, v := range views {
+		p, ok := o.pending[v.Name]
+		if !ok {
+			continue
+		}
+		first, end, _ := v.Held()
+		if p.Incarnation != v.Incarnation || now.After(p.Until) || first == p.First && end == p.End {
+			delete(o.pending, v.Name)
+		}
+	}
+}
+
+// limit returns how many orders may be given now; 0 is no limit.
+func (o *Orderer) limit(e *matcher.Engine, views []assessor.View) int {
+	for _, v := range views {
+		if first, end, _ := v.Held(); end > first && e.LoadsAtOnce > 0 {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			return max(e.LoadsAtOnce-len(o.pending), 1)
+		}
+	}
+	return 0
+}
+
+// problem returns the placement as it is, orders in progress taken as done.
+func (o *Orderer) problem(e *matcher.Engine, views []assessor.View) placer.Problem {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	reserve := reserveFor(e, views)
+	p := placer.Problem{Layers: e.Layers}
+	for _, v := range views {
+		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable()}
+		t.Capacity = memory(v, e).Capacity(reserve)
+		t.First, t.End, _ = v.Held()
+		if order, ok := o.pending[v.Name]; ok {
+			t.First, t.End, t.Ordered = order.First, order.End, true
+		}
+		p.Targets = append(p.Targets, t)
+	}
+	return p
+}
+
+func memory(v assessor.View, e *matcher.Engine) placer.Memory {
+	return placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
+}
+
+// reserveFor returns the tokens that each target keeps memory for: fewer where the model would not fit otherwise.
+func reserveFor(e *matcher.Engine, views []assessor.View) float64 {
+	reserve := reserveRequests * max(e.UsualPrompt+e.UsualAnswer, 1)
+	for ; reserve > 1; reserve /= 2 {
+		total := 0.0
+		for _, v := range views {
+			total += float64(memory(v, e).Capacity(reserve))
+		}
+		if total >= spareShare*float64(e.Layers) {
+			break
+		}
+	}
+	return reserve
+}
+
+// order notes an order as pending and gives it.
+func (o *Orderer) order(ctx context.Context, e *matcher.Engine, t cataloger.Target, m placer.Move) {
+	now := o.Clock.Now()
+	o.mu.Lock()
+	o.pending[t.Name] = Pending{
+		Target: t.Name, Incarnation: t.Incarnation, First: m.First, End: m.End,
+		At: now, Until: now.Add(o.loadTime(e, m) + listTime),
+	}
+	o.mu.Unlock()
+	go o.give(ctx, t, m)
+}
+
+// loadTime estimates how long a load takes beside those in progress; the caller holds mu.
+func (o *Orderer) loadTime(e *matcher.Engine, m placer.Move) time.Duration {
+	d := e.LoadTime.Seconds() * float64(m.End-m.First) / float64(max(e.Layers, 1))
+	if e.LoadsAtOnce > 0 {
+		d *= max(1, float64(len(o.pending)+1)/float64(e.LoadsAtOnce))
+	}
+	return time.Duration(d * float64(time.Second))
+}
+
+// give sends an order; the target refuses it where it has accepted another since.
+func (o *Orderer) give(ctx context.Context, t cataloger.Target, m placer.Move) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	expected, err := o.expected(ctx, t)
+	if err != nil {
+		o.failed(t, err)
+		return
+	}
+	result, err := o.Place(ctx, t, Placement{First: m.First, End: m.End, Expected: expected})
+	o.Log.Info().Str("target", t.Name).Uint32("first", m.First).Uint32("end", m.End).Uint64("expected", expected).
+		Int("result", int(result)).Err(err).Msg("layers ordered")
+	switch result {
+	case Begun:
+		o.setCount(t, expected+1, true)
+	case Held:
+		o.setCount(t, expected, true)
+	default:
+		// The target may have taken this order, a late one, or none; its report tells.
+		o.setCount(t, 0, false)
+		if result == Conflict {
+			o.failed(t, err)
+		}
+	}
+}
+
+// failed lets a target be given another order soon.
+func (o *Orderer) failed(t cataloger.Target, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p, ok := o.pending[t.Name]; ok && p.Incarnation == t.Incarnation {
+		p.Until = o.Clock.Now().Add(retryPause)
+		p.First, p.End, _ = t.Held()
+		o.pending[t.Name] = p
+	}
+	if err != nil {
+		o.Log.Warn().Str("target", t.Name).Err(err).Msg("order failed")
+	}
+}
+
+func (o *Orderer) setCount(t cataloger.Target, orders uint64, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.counts[t.Name] = count{incarnation: t.Incarnation, orders: orders, known: known}
+}
+
+// expected returns how many placements the target has accepted; one that has just started without layers has accepted none.
+func (o *Orderer) expected(ctx context.Context, t cataloger.Target) (uint64, error) {
+	o.mu.Lock()
+	c, ok := o.counts[t.Name]
+	o.mu.Unlock()
+	first, end, _ := t.Held()
+	if ok && c.incarnation == t.Incarnation && c.known {
+		return c.orders, nil
+	}
+	if (!ok || c.incarnation != t.Incarnation) && end <= first {
+		return 0, nil
+	}
+	report, err := o.Report(ctx, t)
+	if err != nil {
+		return 0, err
+	}
+	o.setCount(t, report.Orders, true)
+	return report.Orders, nil
+}
--- /dev/null
+++ b/internal/placer/capacity.go
@@ -0,0 +1,29 @@
+package placer
+
+import "math"
+
+// Memory is the memory of a target and what layers and requests take of it, in bytes.
+type Memory struct {
+	Total float64
+	Layer float64
+	// Token is what one token of a request takes over all layers.
+	Token  float64
+	Layers uint32
+}
+
+// Capacity returns how many layers fit beside a number of tokens of requests; at least one where a layer fits at all.
+func (m Memory) Capacity(tokens float64) uint32 {
+	if m.Layers == 0 || m.Layer <= 0 || m.Total < m.Layer {
+		return 0
+	}
+	each := m.Layer + tokens*m.Token/float64(m.Layers)
+	return uint32(min(max(math.Floor(m.Total/each), 1), float64(m.Layers)))
+}
+
+// TokenLayers returns how many tokens times layers of requests fit beside so many layers.
+func (m Memory) TokenLayers(held uint32) float64 {
+	if m.Token <= 0 || m.Layers == 0 {
+		return math.Inf(1)
+	}
+	return max(m.Total-float64(held)*m.Layer, 0) / (m.Token / float64(m.Layers))
+}
--- /dev/null
+++ b/internal/rationer/doc.go
@@ -0,0 +1,2 @@
+// Package rationer shares a budget of repeated attempts among daemons that each see only their own.
+package rationer
--- /dev/null
+++ b/internal/rationer/rationer.go
@@ -0,0 +1,73 @@
+package rationer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// slices divide the window; a slice is forgotten as a whole once it has left the window.
+	slices = 20
+	// margin is the part of the budget that is used: daemons count by clocks and fleets that differ a little.
+	margin = 0.75
+)
+
+// Budget bounds the repeats in any window of time, over all daemons.
+type Budget struct {
+	// Ratio is the share of requests that may be repeated.
+	Ratio float64
+	// Extra is how many more repeats the whole fleet may make in a window.
+	Extra  float64
+	Window time.Duration
+}
+
+type slice struct {
+	number   int64
+	requests float64
+	repeats  float64
+}
+
+// Rationer counts the requests and repeats for one service on one daemon; it is safe for concurrent use.
+type Rationer struct {
+	mu     sync.Mutex
+	budget Budget
+	ring   [slices + 1]slice
+}
+
+// New returns a rationer without a past.
+func New(b Budget) *Rationer { return &Rationer{budget: b} }
+
+// Earn counts a request of a client.
+func (r *Rationer) Earn(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at(now).requests++
+}
+
+// Spend counts a repeat and allows it, or returns false; daemons is the size of the fleet.
+func (r *Rationer) Spend(now time.Time, daemons int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.at(now)
+	requests, repeats := 0.0, 0.0
+	for _, s := range r.ring {
+		if current.number-s.number <= slices {
+			requests += s.requests
+			repeats += s.repeats
+		}
+	}
+	if repeats+1 > margin*(r.budget.Ratio*requests+r.budget.Extra/float64(max(daemons, 1))) {
+		return false
+	}
+	current.repeats++
+	return true
+}
+
+func (r *Rationer) at(now time.Time) *slice {
+	number := now.UnixNano() / max(int64(r.budget.Window)/slices, 1)
+	s := &r.ring[number%int64(len(r.ring))]
+	if s.number != number {
+		*s = slice{number: number}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/rationer/rationer_test.go
@@ -0,0 +1,78 @@
+package rationer
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestBudgetHoldsInEverySlidingWindow lets some daemons repeat whatever they may, against a log of all of it.
+func TestBudgetHoldsInEverySlidingWindow(t *testing.T) {
+	budget := Budget{Ratio: 0.2, Extra: 40, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 5).Draw(t, "daemons")
+		var fleet []*Rationer
+		for range daemons {
+			fleet = append(fleet, New(budget))
+		}
+		now := time.Unix(1_000_000, 0)
+		var requests, repeats []time.Time
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				d := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+				for range rapid.IntRange(1, 30).Draw(t, "n") {
+					fleet[d].Earn(now)
+					requests = append(requests, now)
+				}
+			},
+			"repeats": func(t *rapid.T) {
+				d := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+				for range rapid.IntRange(1, 60).Draw(t, "n") {
+					if fleet[d].Spend(now, daemons) {
+						repeats = append(repeats, now)
+					}
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				within := func(times []time.Time, age time.Duration) float64 {
+					n := 0.0
+					for _, at := range times {
+						if now.Sub(at) < age {
+							n++
+						}
+					}
+					return n
+				}
+				// The requests of one and a half windows count: those of the window or of the one half a window before it.
+				allowed := budget.Extra + budget.Ratio*within(requests, budget.Window*3/2)
+				require.LessOrEqual(t, within(repeats, budget.Window), allowed)
+			},
+		})
+	})
+}
+
+func TestBudgetIsUsable(t *testing.T) {
+	r := New(Budget{Ratio: 0.2, Extra: 40, Window: 10 * time.Second})
+	now := time.Unix(1_000_000, 0)
+	spent := 0
+	for range 100 {
+		r.Earn(now)
+		if r.Spend(now, 4) {
+			spent++
+		}
+	}
+	require.GreaterOrEqual(t, spent, 20)
+}
--- /dev/null
+++ b/internal/relayer/generation.go
@@ -0,0 +1,287 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	// maxSends bounds the sendings of one generation, whatever its route allows; sendings to targets that were lost are free.
+	maxSends = 4
+	// pathPause is the time between two looks for a path for a stream that has begun.
+	pathPause = 50 * time.Millisecond
+	// pathWait is how long a stream that has begun waits for a path; clients give up on silence soon after.
+	pathWait = 1500 * time.Millisecond
+	// noPathRetry is when to come back where layers are held by nobody: about the time of a load.
+	noPathRetry = time.Second
+	readBuffer  = 16 << 10
+)
+
+// errMoved ends a sending whose first target was lost, so that the stream goes on elsewhere.
+var errMoved = errors.New("stream is moved to another pipeline")
+
+// generation is a request to model engines, over all its sendings.
+type generation struct {
+	relayer *Relayer
+	request *Request
+	w       http.ResponseWriter
+	events  events
+	// begun is true once the head of the answer was written.
+	begun bool
+	// mayHaveRun is true once a sending did not prove that it did not run.
+	mayHaveRun bool
+	// sends counts the sendings to targets that are not lost.
+	sends int
+	avoid map[string]bool
+
+	// mu guards what the watchdog reads and changes.
+	mu      sync.Mutex
+	path    []cataloger.Stage
+	last    time.Time
+	gap     time.Duration
+	started bool
+	moving  bool
+	// repairAt is when the next repair may be tried.
+	repairAt time.Time
+	cancel   context.CancelCauseFunc
+	release  func()
+}
+
+// sendResult says how a sending ended.
+type sendResult int
+
+const (
+	// sendDone: the answer is complete, or the refusal is final.
+	sendDone sendResult = iota
+	// sendAgain: another sending may serve the request.
+	sendAgain
+)
+
+// generate relays a request over pipelines until its answer is complete.
+func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
+	g := &generation{relayer: r, request: req, w: w, avoid: map[string]bool{}}
+	g.events.last = req.ResumeAfter
+	g.events.resumed = req.ResumeAfter != ""
+	for repeat := false; ; repeat = true {
+		path, ok := g.findPath(ctx)
+		if !ok {
+			return g.end(ctx, refuser.New(refuser.NoPipeline, "no pipeline of %s has room", req.Service.Name).WithRetryAfter(noPathRetry))
+		}
+		// The budget counts sendings, so nothing is taken out before there is somewhere to send.
+		if repeat && !r.spend(req) {
+			return g.end(ctx, refuser.New(refuser.RetryBudgetSpent, "no repeat is left").WithRetryAfter(noPathRetry))
+		}
+		result, refusal := g.send(ctx, path)
+		if result == sendDone {
+			return refusal
+		}
+		if !g.maySend(path[0]) {
+			return g.end(ctx, refusal)
+		}
+	}
+}
+
+// findPath returns a path, for which a stream that has begun waits a while.
+func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
+	r := g.relayer
+	for waited := time.Duration(0); ; waited += pathPause {
+		if path, ok := r.plan(g.request, g.avoid); ok {
+			return path, true
+		}
+		if !g.begun || waited >= pathWait || r.Clock.Sleep(ctx, pathPause) != nil {
+			return nil, false
+		}
+		clear(g.avoid)
+	}
+}
+
+// maySend tells whether the request may be sent again after a sending to a first stage.
+func (g *generation) maySend(first cataloger.Stage) bool {
+	if v, ok := g.relayer.Targets.Get(first.Target); ok && !v.Lost {
+		g.sends++
+	}
+	return g.sends < min(max(g.request.Route.MaxAttempts, 1), maxSends) && (!g.mayHaveRun || g.request.Route.Resumable)
+}
+
+// end returns the final refusal, or breaks an answer off that has begun.
+func (g *generation) end(ctx context.Context, refusal *refuser.Refusal) *refuser.Refusal {
+	fact := refuser.FactNotRun
+	if g.mayHaveRun {
+		fact = refuser.FactMayHaveRun
+	}
+	if ctx.Err() != nil {
+		refusal = ended(ctx, fact)
+	}
+	if g.begun {
+		g.relayer.Log.Warn().Str("request", g.request.ID).Str("last", g.events.last).Err(refusal).Msg("stream broken off")
+		panic(http.ErrAbortHandler)
+	}
+	return refusal.WithFact(fact)
+}
+
+// send sends the request over a path and relays the answer.
+func (g *generation) send(ctx context.Context, path []cataloger.Stage) (sendResult, *refuser.Refusal) {
+	r := g.relayer
+	first, ok := r.Targets.Get(path[0].Target)
+	if !ok {
+		return sendAgain, refuser.New(refuser.NoTarget, "%s has just left", path[0].Target).WithRetryAfter(noPathRetry)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	g.enter(path, cancel)
+	defer g.leave()
+	call := Call{Request: g.request, Target: first.Target, Path: path, Left: g.request.Deadline.Sub(r.Clock.Now()), ResumeAfter: g.events.last}
+	if r.pathless(g.request) {
+		call.Path = nil
+	}
+	reply, err := r.Backend.Send(ctx, call)
+	if err != nil {
+		return g.sendFailed(ctx, first.Target, err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.NotRun {
+		return sendAgain, g.refused(first.Target, reply)
+	}
+	g.mayHaveRun = true
+	if reply.Sound() {
+		return g.relay(ctx, reply)
+	}
+	return g.failed(ctx, reply)
+}
+
+// pathless tells whether targets hold the whole model, so that no path is named.
+func (r *Relayer) pathless(req *Request) bool { return req.Service.Engine.Layers == 0 }
+
+// sendFailed takes a sending that brought no answer.
+func (g *generation) sendFailed(ctx context.Context, first cataloger.Target, err error) (sendResult, *refuser.Refusal) {
+	if errors.Is(err, exchanger.ErrNotSent) {
+		if ctx.Err() == nil {
+			g.relayer.lose(first, err.Error())
+		}
+		return sendAgain, refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
+	}
+	g.mayHaveRun = true
+	g.avoid[first.Name] = true
+	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Err(err).Msg("no answer")
+	return sendAgain, refuser.New(refuser.StreamLost, "no answer from %s: %s", first.Name, err)
+}
+
+// refused takes a target's proof that it did not run the request.
+func (g *generation) refused(first cataloger.Target, reply *Reply) *refuser.Refusal {
+	r := g.relayer
+	name := first.Name
+	if at, ok := r.Targets.At(reply.Blamed); ok {
+		name = at.Name
+	}
+	r.Targets.Refuse(name)
+	g.avoid[name] = true
+	r.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Str("at", name).Int("status", reply.Status).Msg("refused by target")
+	return refuser.New(refuser.TargetRefused, "%s refused with %d", name, reply.Status).WithRetryAfter(noPathRetry)
+}
+
+// failed takes a target's answer that is no success.
+func (g *generation) failed(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
+	if reply.Status < http.StatusMultipleChoices || g.begun {
+		return sendAgain, mayHaveRun("answer %d is not signed", reply.Status)
+	}
+	whole, err := readWhole(reply)
+	if err != nil {
+		return sendAgain, mayHaveRun("answer broke off: %s", err)
+	}
+	if refusal := whole.write(g.w); refusal != nil {
+		return sendAgain, refusal
+	}
+	return sendDone, nil
+}
+
+// relay passes the events of an answer on as they come.
+func (g *generation) relay(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
+	flusher := http.NewResponseController(g.w)
+	if !g.begun {
+		copyHeader(g.w, reply.Header)
+		g.w.Header().Del("Content-Length")
+	}
+	buffer := make([]byte, readBuffer)
+	for {
+		n, err := reply.Body.Read(buffer)
+		out, whole := g.events.take(buffer[:n])
+		if len(out) > 0 {
+			g.progress()
+			if !g.begun {
+				g.begun = true
+				g.w.WriteHeader(reply.Status)
+			}
+			if _, err := g.w.Write(out); err != nil {
+				return sendDone, nil
+			}
+			if err := flusher.Flush(); err != nil {
+				return sendDone, nil
+			}
+		}
+		switch {
+		case !whole:
+			return g.broken(ctx, errors.New("events are missing"))
+		case errors.Is(err, io.EOF) && !g.events.half():
+			if !g.begun {
+				g.begun = true
+				g.w.WriteHeader(reply.Status)
+			}
+			return sendDone, nil
+		case err != nil:
+			return g.broken(ctx, err)
+		}
+	}
+}
+
+// broken takes a stream that ended before its end.
+func (g *generation) broken(ctx context.Context, err error) (sendResult, *refuser.Refusal) {
+	g.events.cut()
+	g.relayer.Log.Info().Str("request", g.request.ID).Str("last", g.events.last).Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
+	g.mu.Lock()
+	g.avoid[g.path[0].Target] = true
+	g.mu.Unlock()
+	return sendAgain, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
+}
+
+// enter registers the generation with the watchdog.
+func (g *generation) enter(path []cataloger.Stage, cancel context.CancelCauseFunc) {
+	r := g.relayer
+	g.mu.Lock()
+	g.path, g.last, g.started, g.moving, g.cancel = path, r.Clock.Now(), false, false, cancel
+	g.release = r.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
+	g.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.streams[g] = struct{}{}
+}
+
+func (g *generation) leave() {
+	r := g.relayer
+	r.mu.Lock()
+	delete(r.streams, g)
+	r.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.release()
+}
+
+// progress notes that events have come.
+func (g *generation) progress() {
+	now := g.relayer.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.started {
+		g.gap += (now.Sub(g.last) - g.gap) / 8
+	}
+	g.started = true
+	g.last = now
+}
--- /dev/null
+++ b/internal/relayer/planning.go
@@ -0,0 +1,156 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/pathfinder"
+	"github.com/rattantray/rattantray/internal/placer"
+)
+
+const (
+	// maxStages is how many stages targets accept in one path.
+	maxStages = 32
+	// crossingCost makes a path leave its data centre only where the layers or the memory are missing there: prompts of a
+	// few paths fill the pipe between data centres.
+	crossingCost = 12 * time.Millisecond
+	// hopCost is what one more stage adds to each token: the wait for the target's next pass.
+	hopCost = 300 * time.Microsecond
+	// fullShare is the part of a target's memory for requests that is given away; reports of other daemons lag.
+	fullShare = 0.9
+	// loadWeight is how much dearer a layer gets as the memory of its target fills.
+	loadWeight = 1.5
+	// hintMargin is the part by which answers are taken to be longer than their hint.
+	hintMargin = 1.25
+)
+
+// need returns how many tokens a generation keeps in memory at its end.
+func need(req *Request, e *matcher.Engine) float64 {
+	prompt, answer := req.PromptTokens, e.UsualAnswer
+	if prompt == 0 {
+		prompt = e.UsualPrompt
+	}
+	if req.HintTokens > 0 {
+		answer = req.HintTokens * hintMargin
+	}
+	if req.MaxTokens > 0 {
+		answer = min(answer, req.MaxTokens)
+	}
+	return prompt + answer
+}
+
+// memory returns the memory of a target as a placer counts it.
+func memory(v cataloger.Target, e *matcher.Engine) placer.Memory {
+	return placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
+}
+
+// holders returns the targets that may run a part of a generation, by the version of their weights.
+func holders(views []assessor.View, e *matcher.Engine, tokens float64, avoid map[string]bool) map[string][]pathfinder.Holder {
+	out := map[string][]pathfinder.Holder{}
+	for _, v := range views {
+		first, end, version := v.Held()
+		if !v.Usable() || v.Refused || avoid[v.Name] || end <= first {
+			continue
+		}
+		room := memory(v.Target, e).TokenLayers(end - first)
+		used := v.TokenLayers + tokens*float64(end-first)
+		if used > fullShare*room {
+			continue
+		}
+		step := e.StepTime.Seconds() + e.SequenceTime.Seconds()*float64(v.Requests)
+		cost := step * max(e.Kinds[v.Kind].Pace, 0.01) * max(v.Pace, 1) / float64(max(e.Layers, 1))
+		out[version] = append(out[version], pathfinder.Holder{
+			Target: v.Name, Address: v.Address, DataCentre: v.DataCentre, First: first, End: end,
+			LayerCost: cost * (1 + loadWeight*used/max(room, 1)), HopCost: hopCost.Seconds(),
+		})
+	}
+	return out
+}
+
+// plan returns the cheapest path for a generation.
+func (r *Relayer) plan(req *Request, avoid map[string]bool) ([]cataloger.Stage, bool) {
+	e := req.Service.Engine
+	views := r.Targets.Service(req.Service.Name)
+	tokens := need(req, e)
+	if e.Layers == 0 {
+		return r.planWhole(views, avoid)
+	}
+	var best []cataloger.Stage
+	bestCost := 0.0
+	for _, hs := range holders(views, e, tokens, avoid) {
+		p := pathfinder.Problem{End: e.Layers, Holders: hs, CrossingCost: crossingCost.Seconds(), MaxStages: maxStages}
+		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
+			best, bestCost = stages, cost
+		}
+	}
+	return best, best != nil
+}
+
+// planWhole returns the target with the least work, where each holds the whole model.
+func (r *Relayer) planWhole(views []assessor.View, avoid map[string]bool) ([]cataloger.Stage, bool) {
+	best := -1
+	for i, v := range views {
+		if v.Usable() && !v.Refused && !avoid[v.Name] && (best < 0 || v.TokenLayers < views[best].TokenLayers) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return []cataloger.Stage{{Target: views[best].Name, Address: views[best].Address, EndLayer: 1}}, true
+}
+
+// replan returns the path with other targets in place of those that were lost; false where the first one was, or no other
+// targets hold the layers.
+func (r *Relayer) replan(req *Request, path []cataloger.Stage, lost map[string]bool) ([]cataloger.Stage, bool) {
+	e := req.Service.Engine
+	if lost[path[0].Target] || e.Layers == 0 {
+		return nil, false
+	}
+	avoid := map[string]bool{}
+	for _, s := range path {
+		avoid[s.Target] = true
+	}
+	views := r.Targets.Service(req.Service.Name)
+	places := map[string]assessor.View{}
+	for _, v := range views {
+		places[v.Name] = v
+	}
+	_, _, version := places[path[0].Target].Held()
+	spare := holders(views, e, need(req, e), avoid)[version]
+	var out []cataloger.Stage
+	for i, s := range path {
+		if !lost[s.Target] {
+			out = append(out, s)
+			continue
+		}
+		p := pathfinder.Problem{
+			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: crossingCost.Seconds(),
+			Before: places[path[i-1].Target].DataCentre,
+		}
+		if i+1 < len(path) {
+			p.After = places[path[i+1].Target].DataCentre
+		}
+		stages, _, ok := p.Find()
+		if !ok {
+			return nil, false
+		}
+		out = append(out, stages...)
+		for _, used := range stages {
+			spare = without(spare, used.Target)
+		}
+	}
+	return out, len(out) <= maxStages
+}
+
+func without(holders []pathfinder.Holder, target string) []pathfinder.Holder {
+	var out []pathfinder.Holder
+	for _, h := range holders {
+		if h.Target != target {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,117 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/rationer"
+	"github.com/rattantray/rattantray/internal/timer"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// Relayer relays requests; set its exported fields before use.
+type Relayer struct {
+	Backend Backend
+	Targets *assessor.Assessor
+	// Balancer spreads the requests of plain services.
+	Balancer *forwarder.Balancer
+	// Budget bounds the repeats of each service, over all daemons.
+	Budget rationer.Budget
+	// Daemons returns how many daemons share the budget.
+	Daemons func() int
+	// Lost hears of targets that this daemon found not to answer.
+	Lost  func(target cataloger.Target)
+	Clock timer.Clock
+	Log   zerolog.Logger
+
+	mu        sync.Mutex
+	rationers map[string]*rationer.Rationer
+	streams   map[*generation]struct{}
+	asked     map[string]time.Time
+}
+
+// New returns a relayer without requests.
+func New(clock timer.Clock) *Relayer {
+	return &Relayer{
+		Clock:     clock,
+		Log:       zerolog.Nop(),
+		Daemons:   func() int { return 1 },
+		Lost:      func(cataloger.Target) {},
+		Balancer:  forwarder.NewBalancer(&forwarder.Forwarder{Clock: clock}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		rationers: map[string]*rationer.Rationer{},
+		streams:   map[*generation]struct{}{},
+		asked:     map[string]time.Time{},
+	}
+}
+
+// Refuse writes the final answer to a request that is not served.
+type Refuse func(w http.ResponseWriter, refusal *refuser.Refusal)
+
+// errAborted ends a request whose answer has begun and can't be completed.
+var errAborted = errors.New("answer broken off")
+
+// Serve relays one request and writes its answer; a refusal is returned where nothing was written.
+// It panics with http.ErrAbortHandler where an answer that has begun must not look complete.
+func (r *Relayer) Serve(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
+	r.rationer(req.Service.Name).Earn(r.Clock.Now())
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	if req.Service.Engine != nil && req.Route.Kind == matcher.KindStreaming {
+		return r.generate(ctx, w, req)
+	}
+	return r.forward(ctx, w, req)
+}
+
+func (r *Relayer) rationer(service string) *rationer.Rationer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ra, ok := r.rationers[service]
+	if !ok {
+		ra = rationer.New(r.Budget)
+		r.rationers[service] = ra
+	}
+	return ra
+}
+
+// spend takes one repeat out of the budget of the request's service, or returns false.
+func (r *Relayer) spend(req *Request) bool {
+	return r.rationer(req.Service.Name).Spend(r.Clock.Now(), r.Daemons())
+}
+
+// ended returns the refusal of a request whose context is over.
+func ended(ctx context.Context, ran refuser.Fact) *refuser.Refusal {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return refuser.New(refuser.DeadlineExceeded, "no answer in time").WithFact(ran)
+	}
+	return refuser.New(refuser.Canceled, "the client went away").WithFact(ran)
+}
+
+// lose notes that a target does not answer.
+func (r *Relayer) lose(t cataloger.Target, why string) {
+	if r.Targets.Lose(t.Name, t.Incarnation, r.Clock.Now()) {
+		r.Log.Warn().Str("target", t.Name).Str("address", t.Address).Str("why", why).Msg("target believed lost")
+		r.Lost(t)
+	}
+}
+
+// copyHeader sets the header of an answer to that of a reply.
+func copyHeader(w http.ResponseWriter, h http.Header) {
+	out := w.Header()
+	for name, values := range h {
+		out[name] = values
+	}
+	if len(h["Content-Type"]) == 0 {
+		// A nil value keeps the server from guessing one.
+		out["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/internal/relayer/request.go
@@ -0,0 +1,126 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
+)
+
+// Request is a request of a client that the configuration allows.
+type Request struct {
+	ID     string
+	Method string
+	// URI is the path and query as the client sent them.
+	URI  string
+	Host string
+	// Header holds what is passed on to targets.
+	Header    http.Header
+	Body      []byte
+	Workspace cataloger.Workspace
+	Route     *matcher.Route
+	Service   *matcher.Service
+	// ConfigVersion is that of the configuration that allowed the request.
+	ConfigVersion uint64
+	Arrived       time.Time
+	// Deadline is the client's or the route's, whichever is sooner.
+	Deadline time.Time
+	// PromptTokens, MaxTokens and HintTokens are what a generation reads, may write and is thought to write; 0 is unknown.
+	PromptTokens float64
+	MaxTokens    float64
+	HintTokens   float64
+	// ResumeAfter is the id of the last event that the client has; empty for a new stream.
+	ResumeAfter string
+}
+
+// Call is one sending of a request to a target.
+type Call struct {
+	Request *Request
+	Target  cataloger.Target
+	// Path names the stages of a pipeline, the target's first; empty where the target serves alone.
+	Path []cataloger.Stage
+	// Left is the time that the target may take.
+	Left time.Duration
+	// ResumeAfter is the id of the last event that was delivered.
+	ResumeAfter string
+}
+
+// Body is the body of an answer; reading it to io.EOF without another error proves that it is whole.
+type Body = io.ReadCloser
+
+// Reply is a target's answer.
+type Reply struct {
+	Status int
+	// Header holds what is passed on to the client.
+	Header http.Header
+	// Length of the body; -1 where it is not known.
+	Length int64
+	Body   Body
+	// NotRun is the target's proof that it did not run the request.
+	NotRun bool
+	// Misdirected says that the target is not the expected one, or does not hold what the path asks of it.
+	Misdirected bool
+	// Blamed is the address of the stage at fault, where the target names one.
+	Blamed string
+	// Signed answers carry the target's signature.
+	Signed bool
+	// Encoded bodies are not the target's own.
+	Encoded bool
+	// Leaving targets take no more requests on this connection.
+	Leaving bool
+}
+
+// Sound tells whether the answer may be passed on as a success.
+func (r *Reply) Sound() bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Signed && !r.Encoded
+}
+
+// RepathResult is what became of an order to replace stages of a request in progress.
+type RepathResult int
+
+// Results of a replacement.
+const (
+	// RepathDone says that the request goes on over the new path.
+	RepathDone RepathResult = iota + 1
+	// RepathUnknown says that the order was not answered and may still be carried out.
+	RepathUnknown
+	// RepathEnded says that the target has no such request any more.
+	RepathEnded
+	// RepathRefused says that a stage of the new path is not there or has no room.
+	RepathRefused
+)
+
+// Stalled is a request that waits for a stage which does not answer.
+type Stalled struct {
+	RequestID string
+	// Address is that of the silent stage.
+	Address string
+}
+
+// Report is what a target says of itself.
+type Report struct {
+	// Orders is how many placements the target has accepted since its start.
+	Orders uint64
+	// Busy says that a placement is in progress.
+	Busy bool
+	// Pace is over 1 while the target is slow; 0 where it does not say.
+	Pace    float64
+	Stalled []Stalled
+	// Target is the description of the target, where Known.
+	Holding cataloger.Holding
+	Holds   bool
+}
+
+// Backend reaches the targets.
+type Backend struct {
+	// Send sends a call and returns the head of its answer. An error that is exchanger.ErrNotSent proves that nothing was sent.
+	Send func(ctx context.Context, call Call) (*Reply, error)
+	// Repath asks the first stage of a request in progress to go on over another path with the same first stage; address
+	// names the stage that refused.
+	Repath func(ctx context.Context, first cataloger.Target, requestID string, path []cataloger.Stage) (result RepathResult, address string, err error)
+	// Report asks a target for its state.
+	Report func(ctx context.Context, target cataloger.Target) (Report, error)
+}
--- /dev/null
+++ b/internal/relayer/watchdog.go
@@ -0,0 +1,216 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/repairer"
+)
+
+const (
+	// watchInterval is the time between two looks at the streams in progress.
+	watchInterval = 50 * time.Millisecond
+	// leastPatience is the silence in the middle of a stream that is worth a look, and gapPatience how many usual gaps.
+	leastPatience = 250 * time.Millisecond
+	gapPatience   = 6
+	// firstPatience is the silence before the first event that is worth a look; prompts wait for their prefill.
+	firstPatience = 600 * time.Millisecond
+	// askPause is the least time between two reports of one target, which lag by some hundred milliseconds.
+	askPause = 250 * time.Millisecond
+	// askTimeout bounds a report; a target that does not answer in it is lost.
+	askTimeout = 400 * time.Millisecond
+	// repathTimeout bounds an order to replace a stage.
+	repathTimeout = 500 * time.Millisecond
+	// repairPause is the time between two tries to replace stages of one stream.
+	repairPause = 300 * time.Millisecond
+	// leavingPatience is how long after a stage began to leave the streams that still pass it are moved.
+	leavingPatience = 1200 * time.Millisecond
+)
+
+// Watch looks after the streams in progress until ctx is done.
+func (r *Relayer) Watch(ctx context.Context) error {
+	for r.Clock.Sleep(ctx, watchInterval) == nil {
+		r.look(ctx)
+	}
+	return nil
+}
+
+func (r *Relayer) inProgress() []*generation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*generation, 0, len(r.streams))
+	for g := range r.streams {
+		out = append(out, g)
+	}
+	return out
+}
+
+// InProgress returns how many generations are in progress.
+func (r *Relayer) InProgress() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.streams)
+}
+
+// stream returns the generation as the repairer sees it.
+func (g *generation) stream() repairer.Stream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	patience := firstPatience
+	if g.started {
+		patience = max(leastPatience, gapPatience*g.gap)
+	}
+	return repairer.Stream{ID: g.request.ID, Path: g.path, Last: g.last, Patience: patience}
+}
+
+// look finds lost stages and moves what passes through them.
+func (r *Relayer) look(ctx context.Context) {
+	now := r.Clock.Now()
+	generations := r.inProgress()
+	streams := make([]repairer.Stream, len(generations))
+	for i, g := range generations {
+		streams[i] = g.stream()
+	}
+	d := repairer.Diagnose(now, streams)
+	for _, name := range d.Lost {
+		if v, ok := r.Targets.Get(name); ok {
+			r.lose(v.Target, "all streams through it went silent")
+		}
+	}
+	for _, first := range d.Ask {
+		if v, ok := r.Targets.Get(first.Target); ok && !v.Lost && r.mayAsk(first.Target, now) {
+			go r.ask(ctx, v.Target)
+		}
+	}
+	for i, g := range generations {
+		if gone := r.goneStages(streams[i], now); len(gone) > 0 {
+			r.repair(ctx, g, gone)
+		}
+	}
+}
+
+func (r *Relayer) mayAsk(target string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.asked[target]) < askPause {
+		return false
+	}
+	r.asked[target] = now
+	return true
+}
+
+// ask learns from the first stage of a silent stream which stages its requests wait for.
+func (r *Relayer) ask(ctx context.Context, first cataloger.Target) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	report, err := r.Backend.Report(ctx, first)
+	if err != nil {
+		r.lose(first, "no report: "+err.Error())
+		return
+	}
+	if report.Pace > 0 {
+		r.Targets.SetPace(first.Name, report.Pace)
+	}
+	for _, s := range report.Stalled {
+		if v, ok := r.Targets.At(s.Address); ok {
+			r.lose(v.Target, "reported as silent by "+first.Name)
+		}
+	}
+}
+
+// goneStages returns the stages of a stream that were lost, or leave soon.
+func (r *Relayer) goneStages(s repairer.Stream, now time.Time) map[string]bool {
+	gone := map[string]bool{}
+	for i, stage := range s.Path {
+		v, ok := r.Targets.Get(stage.Target)
+		switch {
+		case !ok || v.Lost:
+			// A stream that goes on does not need the stage moved, whatever others believe.
+			if now.Sub(s.Last) > s.Patience/2 {
+				gone[stage.Target] = true
+			}
+		case i > 0 && v.Left > leavingPatience:
+			gone[stage.Target] = true
+		}
+	}
+	return gone
+}
+
+// repair moves a generation off stages; it does so once at a time.
+func (r *Relayer) repair(ctx context.Context, g *generation, gone map[string]bool) {
+	g.mu.Lock()
+	path, wait, cancel := g.path, g.moving || r.Clock.Now().Before(g.repairAt), g.cancel
+	g.moving = g.moving || !wait
+	g.mu.Unlock()
+	if wait {
+		return
+	}
+	next, ok := r.replan(g.request, path, gone)
+	if !ok {
+		r.abandon(g, cancel, gone)
+		return
+	}
+	go r.repath(ctx, g, path, next, cancel)
+}
+
+// abandon ends a sending whose stages can't be replaced, so that it goes on over another pipeline where that is allowed.
+func (r *Relayer) abandon(g *generation, cancel context.CancelCauseFunc, gone map[string]bool) {
+	lost := false
+	for name := range gone {
+		v, ok := r.Targets.Get(name)
+		lost = lost || !ok || v.Lost
+	}
+	if lost && g.request.Route.Resumable {
+		cancel(errMoved)
+		return
+	}
+	g.settle(nil)
+}
+
+// repath orders the first stage to go on over another path.
+func (r *Relayer) repath(ctx context.Context, g *generation, old, next []cataloger.Stage, cancel context.CancelCauseFunc) {
+	first, ok := r.Targets.Get(old[0].Target)
+	if !ok {
+		cancel(errMoved)
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, repathTimeout)
+	defer stop()
+	result, address, err := r.Backend.Repath(ctx, first.Target, g.request.ID, next)
+	r.Log.Info().Str("request", g.request.ID).Int("result", int(result)).Str("at", address).Err(err).
+		Interface("path", next).Msg("stages replaced")
+	switch result {
+	case RepathDone:
+		g.settle(next)
+	case RepathRefused:
+		if v, ok := r.Targets.At(address); ok {
+			r.Targets.Refuse(v.Name)
+		}
+		g.settle(nil)
+	case RepathUnknown:
+		// Whatever path the target follows now, all parts of it hold their layers.
+		if g.request.Route.Resumable {
+			cancel(errMoved)
+			return
+		}
+		g.settle(nil)
+	default:
+		g.settle(nil)
+	}
+}
+
+// settle ends a repair; a new path takes the place of the old one.
+func (g *generation) settle(path []cataloger.Stage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.moving = false
+	if path == nil {
+		g.repairAt = g.relayer.Clock.Now().Add(repairPause)
+		return
+	}
+	g.release()
+	g.path = path
+	g.last = g.relayer.Clock.Now()
+	g.release = g.relayer.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
+}
--- /dev/null
+++ b/internal/repairer/doc.go
@@ -0,0 +1,2 @@
+// Package repairer tells from streams that went silent which stage of their pipelines is lost.
+package repairer
