--- a/internal/relayer/planning.go
+++ b/internal/chooser/chooser.go
@@ -1,4 +1,4 @@
-package relayer
+package chooser
 
 import (
 	"fmt"
@@ -33,21 +33,46 @@
 	hintMargin = 1.25
 )
 
-// need returns how many tokens a generation keeps in memory at its end.
-func need(req *Request, e *matcher.Engine) float64 {
-	prompt, answer := req.PromptTokens, e.UsualAnswer
+// Demand is what a generation asks of its pipeline.
+type Demand struct {
+	Service string
+	Engine  *matcher.Engine
+	// Tokens are kept in memory at the end of the generation.
+	Tokens float64
+}
+
+// Tokens returns how many tokens a generation keeps in memory at its end, by its prompt, the most that it may write and a hint
+// of what it will; 0 is unknown.
+func Tokens(e *matcher.Engine, prompt, most, hint float64) float64 {
+	answer := e.UsualAnswer
 	if prompt == 0 {
 		prompt = e.UsualPrompt
 	}
-	if req.HintTokens > 0 {
-		answer = req.HintTokens * hintMargin
+	if hint > 0 {
+		answer = hint * hintMargin
 	}
-	if req.MaxTokens > 0 {
-		answer = min(answer, req.MaxTokens)
+	if most > 0 {
+		answer = min(answer, most)
 	}
 	return prompt + answer
 }
 
+// Chooser chooses paths; set its exported fields before use. It is safe for concurrent use.
+type Chooser struct {
+	Targets *assessor.Assessor
+	Now     func() time.Time
+	// Daemons returns how many daemons send about as much as this one.
+	Daemons func() int
+
+	// pipe is what the generations of this daemon send between data centres, in bytes.
+	pipe rateMeter
+}
+
+// New returns a chooser over what is believed of targets.
+func New(targets *assessor.Assessor, now func() time.Time) *Chooser {
+	return &Chooser{Targets: targets, Now: now, Daemons: func() int { return 1 }}
+}
+
 // memory returns the memory of a target as a placer counts it.
 func memory(v cataloger.Target, e *matcher.Engine) placer.Memory {
 	return placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
@@ -77,18 +102,17 @@
 	return out
 }
 
-// plan returns the cheapest path for a generation.
-func (r *Relayer) plan(req *Request, avoid map[string]bool) ([]cataloger.Stage, bool) {
-	e := req.Service.Engine
-	views := r.Targets.Service(req.Service.Name)
-	tokens := need(req, e)
+// Path returns the cheapest path for a generation; false where none has room.
+func (c *Chooser) Path(d Demand, avoid map[string]bool) ([]cataloger.Stage, bool) {
+	e := d.Engine
+	views := c.Targets.Service(d.Service)
 	if e.Layers == 0 {
-		return r.planWhole(views, avoid)
+		return whole(views, avoid)
 	}
 	var best []cataloger.Stage
 	bestCost := 0.0
-	for _, hs := range holders(views, e, tokens, avoid) {
-		p := pathfinder.Problem{End: e.Layers, Holders: hs, CrossingCost: r.crossing(e), MaxStages: maxStages}
+	for _, hs := range holders(views, e, d.Tokens, avoid) {
+		p := pathfinder.Problem{End: e.Layers, Holders: hs, CrossingCost: c.crossing(e), MaxStages: maxStages}
 		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
 		}
@@ -96,11 +120,11 @@
 	return best, best != nil
 }
 
-// shortage says why there is no path: the first layers that no target holds at all, that none takes work for, or that none
+// Shortage says why there is no path: the first layers that no target holds at all, that none takes work for, or that none
 // has memory for.
-func (r *Relayer) shortage(req *Request) string {
-	e := req.Service.Engine
-	views := r.Targets.Service(req.Service.Name)
+func (c *Chooser) Shortage(d Demand) string {
+	e := d.Engine
+	views := c.Targets.Service(d.Service)
 	checks := []struct {
 		what string
 		ok   func(assessor.View) bool
@@ -110,12 +134,12 @@
 		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refused }},
 		{"held only by targets without memory for it", func(v assessor.View) bool {
 			first, end, _ := v.Held()
-			return v.Usable() && !v.Refused && v.TokenLayers+need(req, e)*float64(end-first) <= fullShare*memory(v.Target, e).TokenLayers(end-first)
+			return v.Usable() && !v.Refused && v.TokenLayers+d.Tokens*float64(end-first) <= fullShare*memory(v.Target, e).TokenLayers(end-first)
 		}},
 	}
-	for _, c := range checks {
-		if first, end, ok := uncovered(views, e.Layers, c.ok); ok {
-			return fmt.Sprintf("layers %d to %d are %s", first, end, c.what)
+	for _, check := range checks {
+		if first, end, ok := uncovered(views, e.Layers, check.ok); ok {
+			return fmt.Sprintf("layers %d to %d are %s", first, end, check.what)
 		}
 	}
 	return "the targets that have room do not make a path"
@@ -142,8 +166,8 @@
 	return first, layers, found
 }
 
-// planWhole returns the target with the least work, where each holds the whole model.
-func (r *Relayer) planWhole(views []assessor.View, avoid map[string]bool) ([]cataloger.Stage, bool) {
+// whole returns the target with the least work, where each holds the whole model.
+func whole(views []assessor.View, avoid map[string]bool) ([]cataloger.Stage, bool) {
 	best := -1
 	for i, v := range views {
 		if v.Usable() && !v.Refused && !avoid[v.Name] && (best < 0 || v.TokenLayers < views[best].TokenLayers) {
@@ -156,10 +180,10 @@
 	return []cataloger.Stage{{Target: views[best].Name, Address: views[best].Address, EndLayer: 1}}, true
 }
 
-// replan returns the path with other targets in place of those that were lost; false where the first one was, or no other
+// Replace returns the path with other targets in place of those that were lost; false where the first one was, or no other
 // targets hold the layers.
-func (r *Relayer) replan(req *Request, path []cataloger.Stage, lost map[string]bool) ([]cataloger.Stage, bool) {
-	e := req.Service.Engine
+func (c *Chooser) Replace(d Demand, path []cataloger.Stage, lost map[string]bool) ([]cataloger.Stage, bool) {
+	e := d.Engine
 	if lost[path[0].Target] || e.Layers == 0 {
 		return nil, false
 	}
@@ -167,13 +191,13 @@
 	for _, s := range path {
 		avoid[s.Target] = true
 	}
-	views := r.Targets.Service(req.Service.Name)
-	first, ok := r.Targets.Get(path[0].Target)
+	views := c.Targets.Service(d.Service)
+	first, ok := c.Targets.Get(path[0].Target)
 	if !ok {
 		return nil, false
 	}
 	_, _, version := first.Held()
-	spare := holders(views, e, need(req, e), avoid)[version]
+	spare := holders(views, e, d.Tokens, avoid)[version]
 	var out []cataloger.Stage
 	for i, s := range path {
 		if !lost[s.Target] {
@@ -181,11 +205,11 @@
 			continue
 		}
 		p := pathfinder.Problem{
-			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: r.crossing(e),
-			Before: r.place(path[i-1]),
+			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: c.crossing(e),
+			Before: c.place(path[i-1]),
 		}
 		if i+1 < len(path) {
-			p.After = r.place(path[i+1])
+			p.After = c.place(path[i+1])
 		}
 		stages, _, ok := p.Find()
 		if !ok {
@@ -200,35 +224,34 @@
 }
 
 // crossing returns what a hop between data centres costs now, in seconds a token.
-func (r *Relayer) crossing(e *matcher.Engine) float64 {
+func (c *Chooser) crossing(e *matcher.Engine) float64 {
 	if e.PipeBytesPerSecond <= 0 {
 		return crossingCost.Seconds()
 	}
-	used := r.pipe.Rate(r.Clock.Now()) * float64(r.Daemons()) / e.PipeBytesPerSecond
+	used := c.pipe.Rate(c.Now()) * float64(c.Daemons()) / e.PipeBytesPerSecond
 	free := max(1-used, leastPipe)
 	return crossingCost.Seconds() / (free * free)
 }
 
-// cross counts the bytes that a generation sends between data centres over a path.
-func (r *Relayer) cross(req *Request, path []cataloger.Stage) {
-	e := req.Service.Engine
+// Cross counts the bytes that a generation sends between data centres over a path.
+func (c *Chooser) Cross(d Demand, path []cataloger.Stage) {
 	crossings := 0
 	var before cataloger.DataCentre
 	for i, s := range path {
-		v, _ := r.Targets.Get(s.Target)
+		v, _ := c.Targets.Get(s.Target)
 		if i > 0 && v.DataCentre != before {
 			crossings++
 		}
 		before = v.DataCentre
 	}
 	if crossings > 0 {
-		r.pipe.Add(r.Clock.Now(), float64(crossings)*need(req, e)*e.ActivationBytes)
+		c.pipe.Add(c.Now(), float64(crossings)*d.Tokens*d.Engine.ActivationBytes)
 	}
 }
 
 // place returns the data centre of a stage, empty where its target is forgotten.
-func (r *Relayer) place(s cataloger.Stage) cataloger.DataCentre {
-	v, _ := r.Targets.Get(s.Target)
+func (c *Chooser) place(s cataloger.Stage) cataloger.DataCentre {
+	v, _ := c.Targets.Get(s.Target)
 	return v.DataCentre
 }
 
--- a/internal/relayer/pipe.go
+++ b/internal/chooser/rate.go
@@ -1,4 +1,4 @@
-package relayer
+package chooser
 
 import (
 	"math"
--- /dev/null
+++ b/internal/command/experiment/doc.go
@@ -0,0 +1,2 @@
+// Package experiment groups the commands about experiments on modelled engines.
+package experiment
--- /dev/null
+++ b/internal/command/experiment/run/doc.go
@@ -0,0 +1,2 @@
+// Package run is the command experiment run.
+package run
--- /dev/null
+++ b/internal/command/experiment/run/run.go
@@ -0,0 +1,99 @@
+package run
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/maker"
+	"github.com/rattantray/rattantray/internal/command/printer"
+	"github.com/rattantray/rattantray/internal/command/streamer"
+	"github.com/rattantray/rattantray/internal/experimenter"
+)
+
+var fields = []string{"policy", "served", "on-time", "refused", "failed", "first-p50-ms", "first-p99-ms"}
+
+// Options holds what the command depends on and its flags.
+type Options struct {
+	IO     *streamer.IOStreams
+	Export printer.Export
+
+	File string
+	// Page is where the report is written as HTML; empty writes none.
+	Page string
+}
+
+// NewCmdRun returns the command; runF replaces its action in tests.
+func NewCmdRun(f *maker.Factory, runF func(*Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO}
+	cmd := &cobra.Command{
+		Use:   "run <file>",
+		Short: "Run an experiment",
+		Long: `Play the load and the troubles of a scenario on modelled engines, in virtual
+time, under each of its policies and seeds, and compare the policies.
+
+The product's policy is the code that gateways run: placement, choice of paths
+and repair. Engines are modelled; daemons and their network are not.`,
+		Example: `  rattantray experiment run docs/examples/experiments/burst.yaml
+  rattantray experiment run docs/examples/experiments/stage-lost.yaml --page report.html`,
+		Args: exiter.Args("file"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			opts.File = args[0]
+			if runF != nil {
+				return runF(opts)
+			}
+			return run(opts)
+		},
+	}
+	cmd.Flags().StringVar(&opts.Page, "page", "", "Write the report with plots to this HTML `file`")
+	printer.AddFlags(cmd, &opts.Export, fields)
+	return cmd
+}
+
+func run(opts *Options) error {
+	file, err := os.Open(opts.File)
+	if err != nil {
+		return exiter.WrapFlag(err)
+	}
+	defer func() { _ = file.Close() }()
+	s, err := experimenter.Parse(file)
+	if err != nil {
+		return exiter.WrapFlag(errors.Wrapf(err, "%s", opts.File))
+	}
+	bar := progressbar.NewOptions(len(s.Seeds)*len(s.Policies),
+		progressbar.OptionSetWriter(opts.IO.Err), progressbar.OptionSetDescription(s.Name), progressbar.OptionClearOnFinish())
+	report := experimenter.Run(s, func() { _ = bar.Add(1) })
+	if opts.Page != "" {
+		if err := writePage(report, opts.Page); err != nil {
+			return err
+		}
+	}
+	return show(opts, report)
+}
+
+func writePage(report *experimenter.Report, name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write the page")
+	}
+	if err := report.WriteHTML(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+func show(opts *Options, report *experimenter.Report) error {
+	var rows []printer.Row
+	for _, m := range report.Means() {
+		rows = append(rows, printer.Row{
+			"policy": m.Policy, "served": printer.Rate(1000 * m.Served), "on-time": printer.Rate(1000 * m.OnTime),
+			"refused": printer.Rate(m.Refused), "failed": printer.Rate(m.Failed),
+			"first-p50-ms": printer.Rate(m.FirstP50), "first-p99-ms": printer.Rate(m.FirstP99),
+		})
+	}
+	return printer.Print(opts.IO, printer.Listing{Fields: fields, Rows: rows}, opts.Export)
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -5,6 +5,7 @@
 
 	"github.com/rattantray/rattantray/internal/command/dev"
 	"github.com/rattantray/rattantray/internal/command/exiter"
+	"github.com/rattantray/rattantray/internal/command/experiment"
 	"github.com/rattantray/rattantray/internal/command/explain"
 	"github.com/rattantray/rattantray/internal/command/fake"
 	"github.com/rattantray/rattantray/internal/command/gateway"
@@ -44,6 +45,7 @@
 	addGlobalFlags(cmd, f)
 	cmd.AddCommand(
 		dev.NewCmdDev(f, nil),
+		experiment.NewCmdExperiment(f),
 		explain.NewCmdExplain(f, nil),
 		fake.NewCmdFake(f),
 		gateway.NewCmdGateway(f),
--- /dev/null
+++ b/internal/experimenter/experimenter_test.go
@@ -0,0 +1,115 @@
+package experimenter
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// testLength holds the troubles of the examples but the last.
+const testLength = 22 * time.Second
+
+// scenario returns an example, cut down to one seed and to testLength.
+func scenario(t *testing.T, name string, policies ...string) *Scenario {
+	file, err := os.Open(filepath.Join("..", "..", "docs", "examples", "experiments", name+".yaml"))
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	s, err := Parse(file)
+	require.NoError(t, err)
+	s.Seeds = s.Seeds[:1]
+	s.Length = min(s.Length, testLength)
+	if len(policies) > 0 {
+		s.Policies = policies
+	}
+	return s
+}
+
+func means(s *Scenario) map[string]Mean {
+	out := map[string]Mean{}
+	for _, m := range Run(s, func() {}).Means() {
+		out[m.Policy] = m
+	}
+	return out
+}
+
+// Each load pattern has a test of its own name. The bounds are the stated aims: all are served where nothing is lost, and no
+// policy without the product's decisions is ahead.
+
+func TestBurst(t *testing.T) {
+	m := means(scenario(t, "burst", "product", "static-pipelines"))
+	require.InDelta(t, 1, m["product"].Served, 0.01)
+	require.GreaterOrEqual(t, m["product"].OnTime, m["static-pipelines"].OnTime)
+}
+
+func TestClientsThatLeave(t *testing.T) {
+	m := means(scenario(t, "clients-leave", "product", "static-pipelines"))
+	require.InDelta(t, 1, m["product"].Served, 0.01)
+	require.GreaterOrEqual(t, m["product"].OnTime, m["static-pipelines"].OnTime)
+}
+
+func TestStageLostUnderLoad(t *testing.T) {
+	m := means(scenario(t, "stage-lost", "product", "static-pipelines"))
+	require.Greater(t, m["product"].OnTime, m["static-pipelines"].OnTime)
+	require.Less(t, m["product"].Failed, m["static-pipelines"].Failed)
+}
+
+func TestRepeatsAtOnce(t *testing.T) {
+	m := means(scenario(t, "repeats-at-once", "product", "static-pipelines"))
+	require.Greater(t, m["product"].Served, m["static-pipelines"].Served)
+}
+
+func TestSlowStages(t *testing.T) {
+	m := means(scenario(t, "slow-stages", "product", "static-pipelines"))
+	require.InDelta(t, 1, m["product"].Served, 0.01)
+	require.GreaterOrEqual(t, m["product"].OnTime, m["static-pipelines"].OnTime)
+}
+
+// TestGoodputReturnsAfterABurst: two seconds after the end of a burst all that come are on time again.
+func TestGoodputReturnsAfterABurst(t *testing.T) {
+	s := scenario(t, "burst", "product")
+	result := Run(s, func() {}).Results[0]
+	burst := s.Load.Bursts[0]
+	from := int((burst.At + burst.For + 2*time.Second) / time.Second)
+	// The last seconds hold requests that are still in progress.
+	for i, second := range result.Seconds[from : from+2] {
+		require.Zero(t, second[OutcomeLate]+second[OutcomeRefused]+second[OutcomeFailed], "second %d", from+i)
+	}
+}
+
+func TestASeedPlaysTheSameEachTime(t *testing.T) {
+	s := scenario(t, "stage-lost", "product")
+	s.Length = 12 * time.Second
+	first, second := Run(s, func() {}), Run(s, func() {})
+	require.Equal(t, first.Results[0].Seconds, second.Results[0].Seconds)
+}
+
+func TestReportIsAPageWithPlots(t *testing.T) {
+	s := scenario(t, "calm")
+	s.Length, s.Policies = 3*time.Second, []string{"product", "static-pipelines"}
+	var b strings.Builder
+	require.NoError(t, Run(s, func() {}).WriteHTML(&b))
+	require.Equal(t, len(plotted), strings.Count(b.String(), "<svg"))
+	require.Contains(t, b.String(), "static-pipelines")
+}
+
+func TestBadScenariosAreNamed(t *testing.T) {
+	whole, err := os.ReadFile(filepath.Join("..", "..", "docs", "examples", "experiments", "stage-lost.yaml"))
+	require.NoError(t, err)
+	for _, c := range []struct{ old, replacement, want string }{
+		{"seeds: [1, 2, 3]", "seeds: []", "seeds"},
+		{"layers: 80", "layers: 0", "model"},
+		{"layers: 80", "layer: 80", "line"},
+		{"kind: lose, count: 2", "kind: loose, count: 2", "troubles[1]"},
+		{"kind: l4, count: 5", "kind: h100, count: 5", "targets[4]"},
+		{"policies: [product,", "policies: [best,", "least-outstanding, product, static-pipelines"},
+		{"rate: 62", "rate: -1", "load"},
+	} {
+		require.Contains(t, string(whole), c.old)
+		_, err := Parse(strings.NewReader(strings.Replace(string(whole), c.old, c.replacement, 1)))
+		require.ErrorContains(t, err, c.want, c.replacement)
+	}
+}
--- /dev/null
+++ b/internal/experimenter/play.go
@@ -0,0 +1,329 @@
+package experimenter
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/assessor"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/placer"
+	"github.com/rattantray/rattantray/pkg/modeler"
+)
+
+const (
+	service = "model"
+	// megabyte is in bytes.
+	megabyte = 1e6
+	// warmUp is the time for the first loads, before any request.
+	warmUp = 10 * time.Second
+	// askAfter is the silence after which the first stage of a stream is asked, and look the time between two looks.
+	askAfter = 300 * time.Millisecond
+	look     = 50 * time.Millisecond
+	// retryAfter is when refused clients are told to come back, and retrySpread how far they are spread.
+	retryAfter  = time.Second
+	retrySpread = 500 * time.Millisecond
+	// reserveShare is for which part of the slots targets keep memory.
+	reserveShare = 0.6
+)
+
+// play is one seed under one policy.
+type play struct {
+	scenario *Scenario
+	policy   policy
+	fleet    *modeler.Fleet
+	random   *rand.Rand
+	engine   *matcher.Engine
+	targets  *assessor.Assessor
+	chooser  *chooser.Chooser
+	result   *Result
+
+	names     []string
+	pipelines [][]cataloger.Stage
+	turn      int
+	streams   map[string]*client
+	sent      int
+}
+
+// client is one request of a client over its tries.
+type client struct {
+	id      string
+	prompt  int
+	answer  int
+	asked   time.Duration
+	tries   int
+	abuses  bool
+	path    []cataloger.Stage
+	release func()
+	last    time.Duration
+	first   time.Duration
+	gap     time.Duration
+	over    bool
+}
+
+var epoch = time.Unix(0, 0)
+
+// newPlay lays the targets out and lets them load.
+func newPlay(s *Scenario, name string, seed uint64) *play {
+	p := &play{
+		scenario: s, policy: policies[name], fleet: modeler.New(s.spec()), random: rand.New(rand.NewPCG(seed, 1)),
+		engine: s.engine(), result: &Result{Policy: name, Seed: seed}, streams: map[string]*client{},
+	}
+	now := func() time.Time { return epoch.Add(p.fleet.Now()) }
+	p.targets = assessor.New(now)
+	p.chooser = chooser.New(p.targets, now)
+	for _, group := range s.Targets {
+		for range group.Count {
+			t := fmt.Sprintf("%s-%s-%d", group.DataCentre, group.Kind, len(p.names))
+			p.names = append(p.names, t)
+			p.fleet.Add(t, group.DataCentre, group.Kind)
+			p.targets.Put(cataloger.Target{
+				Name: t, Address: t, Service: service, DataCentre: cataloger.DataCentre(group.DataCentre), Kind: group.Kind,
+				State: cataloger.StateLive, Incarnation: 1,
+			})
+		}
+	}
+	p.place(true)
+	p.fleet.Run(warmUp)
+	p.layPipelines()
+	return p
+}
+
+// spec returns the engines of the model.
+func (s *Scenario) spec() modeler.Spec {
+	m := s.Model
+	kinds := map[string]modeler.Kind{}
+	for _, k := range s.Kinds {
+		kinds[k.Name] = modeler.Kind{MemoryBytes: k.MemoryMB * megabyte, Pace: k.Pace, PrefillFactor: k.PrefillFactor}
+	}
+	return modeler.Spec{
+		Layers: m.Layers, LayerBytes: m.LayerMB * megabyte, TokenBytes: m.TokenBytes, Step: m.Step, PerSequence: m.PerSequence,
+		Context: m.Context, PrefillRate: m.PrefillRate, Chunk: m.Chunk, Slots: m.Slots, Queue: m.Queue, EventTokens: m.EventTokens,
+		Delay: m.Delay, PipeRate: m.PipeMbps * megabyte / 8, ActivationBytes: m.ActivationBytes, LoadTime: m.LoadTime,
+		LoadsAtOnce: m.LoadsAtOnce, StallTime: m.StallTime, ReportLag: m.ReportLag, Kinds: kinds,
+	}
+}
+
+// engine returns the same as the product's decisions know it.
+func (s *Scenario) engine() *matcher.Engine {
+	m := s.Model
+	e := &matcher.Engine{
+		Slots: m.Slots, Layers: m.Layers, LayerBytes: m.LayerMB * megabyte, TokenBytes: m.TokenBytes, StepTime: m.Step,
+		SequenceTime: m.PerSequence, ContextTime: m.Context, PrefillRate: m.PrefillRate, ActivationBytes: m.ActivationBytes,
+		PipeBytesPerSecond: m.PipeMbps * megabyte / 8, LoadTime: m.LoadTime, LoadsAtOnce: m.LoadsAtOnce,
+		UsualPrompt: s.Load.Prompt.Mean, UsualAnswer: s.Load.Answer.Mean, Kinds: map[string]matcher.Accelerator{},
+	}
+	for _, k := range s.Kinds {
+		e.Kinds[k.Name] = matcher.Accelerator{MemoryBytes: k.MemoryMB * megabyte, Pace: k.Pace, PrefillFactor: k.PrefillFactor}
+	}
+	return e
+}
+
+func (p *play) demand(tokens float64) chooser.Demand {
+	return chooser.Demand{Service: service, Engine: p.engine, Tokens: tokens}
+}
+
+// place gives the orders that the product's placer wants; quick loads come before the first request.
+func (p *play) place(quick bool) {
+	e := p.engine
+	problem := placer.Problem{Layers: e.Layers, Keep: !quick}
+	reserve := reserveShare * float64(e.Slots) * (e.UsualPrompt + e.UsualAnswer)
+	for _, v := range p.targets.Service(service) {
+		memory := placer.Memory{Total: e.Kinds[v.Kind].MemoryBytes, Layer: e.LayerBytes, Token: e.TokenBytes, Layers: e.Layers}
+		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable(), Capacity: memory.Capacity(reserve)}
+		t.First, t.End, _ = v.Held()
+		problem.Targets = append(problem.Targets, t)
+	}
+	for _, m := range problem.Next(0) {
+		p.load(m, quick)
+	}
+}
+
+func (p *play) load(m placer.Move, quick bool) {
+	v, _ := p.targets.Get(m.Target)
+	p.targets.Put(v.WithHoldings(nil))
+	p.fleet.Place(m.Target, m.First, m.End, quick, func() {
+		held := []cataloger.Holding{{Version: "1", FirstLayer: m.First, EndLayer: m.End, Ready: true}}
+		p.targets.Put(v.WithHoldings(held))
+	})
+}
+
+// layPipelines fixes the pipelines that a static policy uses: each takes targets that no other one has.
+func (p *play) layPipelines() {
+	avoid := map[string]bool{}
+	for {
+		path, ok := p.chooser.Path(p.demand(1), avoid)
+		if !ok {
+			return
+		}
+		p.pipelines = append(p.pipelines, path)
+		for _, s := range path {
+			avoid[s.Target] = true
+		}
+	}
+}
+
+// run plays the load and the troubles.
+func (p *play) run() *Result {
+	p.arrive()
+	for _, t := range p.scenario.Troubles {
+		p.fleet.At(warmUp+t.At, func() { p.trouble(t) })
+	}
+	p.fleet.After(look, p.watch)
+	p.fleet.Run(warmUp + p.scenario.Length)
+	for _, c := range p.streams {
+		p.result.note(p.second(c.asked), OutcomeOpen)
+	}
+	p.result.sum()
+	return p.result
+}
+
+func (p *play) second(at time.Duration) int { return int((at - warmUp) / time.Second) }
+
+// rate returns the requests a second now.
+func (p *play) rate() float64 {
+	rate := p.scenario.Load.Rate
+	for _, b := range p.scenario.Load.Bursts {
+		if at := p.fleet.Now() - warmUp; at >= b.At && at < b.At+b.For {
+			rate *= b.X
+		}
+	}
+	return rate
+}
+
+// arrive has the next client come after a time that fits the rate.
+func (p *play) arrive() {
+	wait := p.random.ExpFloat64() / p.rate()
+	p.fleet.After(time.Duration(wait*float64(time.Second)), func() {
+		load := p.scenario.Load
+		p.sent++
+		c := &client{
+			id: fmt.Sprint("r", p.sent), prompt: p.draw(load.Prompt), answer: p.draw(load.Answer), asked: p.fleet.Now(),
+			abuses: p.random.Float64() < load.Abuse,
+		}
+		leaves := p.random.Float64() < load.Leave
+		p.send(c)
+		if leaves {
+			p.fleet.After(load.Objective/2, func() { p.leave(c) })
+		}
+		p.arrive()
+	})
+}
+
+func (p *play) draw(s Size) int {
+	n := s.Mean * math.Exp(p.random.NormFloat64()*s.Spread-s.Spread*s.Spread/2)
+	if s.Most > 0 {
+		n = min(n, s.Most)
+	}
+	return max(int(n), 1)
+}
+
+// send makes one try of a client.
+func (p *play) send(c *client) {
+	c.tries++
+	path, ok := p.policy.path(p, float64(c.prompt+c.answer))
+	if !ok {
+		p.refused(c)
+		return
+	}
+	c.path, c.last = path, p.fleet.Now()
+	c.release = p.targets.Reserve(path, float64(c.prompt+c.answer))
+	p.chooser.Cross(p.demand(float64(c.prompt+c.answer)), path)
+	p.streams[c.id] = c
+	try := c.tries
+	p.fleet.Send(modeler.Request{ID: c.id, Prompt: c.prompt, Answer: c.answer}, stages(path), modeler.Observer{
+		Event: func(int) { p.event(c) },
+		End: func(o modeler.Outcome, at string) {
+			if c.tries == try {
+				p.end(c, o, at)
+			}
+		},
+	})
+}
+
+func stages(path []cataloger.Stage) []modeler.Stage {
+	var out []modeler.Stage
+	for _, s := range path {
+		out = append(out, modeler.Stage{Target: s.Target, First: s.FirstLayer, End: s.EndLayer})
+	}
+	return out
+}
+
+func (p *play) event(c *client) {
+	now := p.fleet.Now()
+	if c.first == 0 {
+		c.first = now - c.asked
+		p.result.firsts = append(p.result.firsts, c.first)
+	} else {
+		c.gap = max(c.gap, now-c.last)
+	}
+	c.last = now
+}
+
+// end takes the end of one try.
+func (p *play) end(c *client, o modeler.Outcome, at string) {
+	p.finish(c)
+	switch o {
+	case modeler.OutcomeDone:
+		p.result.gaps = append(p.result.gaps, c.gap)
+		outcome := OutcomeOnTime
+		if c.first > p.scenario.Load.Objective || c.gap > p.scenario.Load.Gap {
+			outcome = OutcomeLate
+		}
+		p.close(c, outcome)
+	case modeler.OutcomeRefused:
+		p.targets.Refuse(at)
+		p.refused(c)
+	default:
+		p.close(c, OutcomeFailed)
+	}
+}
+
+func (p *play) finish(c *client) {
+	delete(p.streams, c.id)
+	if c.release != nil {
+		c.release()
+		c.release = nil
+	}
+}
+
+func (p *play) close(c *client, o Outcome) {
+	if !c.over {
+		c.over = true
+		p.result.note(p.second(c.asked), o)
+	}
+}
+
+// refused has a client come back as it was told, or at once where it does not listen.
+func (p *play) refused(c *client) {
+	if c.over {
+		return
+	}
+	if c.tries > p.scenario.Load.Retries {
+		p.close(c, OutcomeRefused)
+		return
+	}
+	wait := retryAfter + time.Duration(p.random.Float64()*float64(retrySpread))
+	if c.abuses {
+		wait = time.Millisecond
+	}
+	p.fleet.After(wait, func() {
+		if !c.over {
+			p.send(c)
+		}
+	})
+}
+
+// leave has a client go before its first event.
+func (p *play) leave(c *client) {
+	if c.first > 0 || c.over {
+		return
+	}
+	c.tries++
+	p.fleet.Cancel(c.id)
+	p.finish(c)
+	p.close(c, OutcomeLeft)
+}
--- /dev/null
+++ b/internal/experimenter/result.go
@@ -0,0 +1,136 @@
+package experimenter
+
+import (
+	"slices"
+	"time"
+)
+
+// Outcome is how a client's request ended.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	// OutcomeOnTime and OutcomeLate are whole answers; late ones missed the objective or paused over the gap.
+	OutcomeOnTime Outcome = "on-time"
+	OutcomeLate   Outcome = "late"
+	// OutcomeRefused requests did not run, OutcomeFailed ones were cut or went silent.
+	OutcomeRefused Outcome = "refused"
+	OutcomeFailed  Outcome = "failed"
+	// OutcomeLeft requests were given up by their clients early, and OutcomeOpen ones were in progress at the end.
+	OutcomeLeft Outcome = "left"
+	OutcomeOpen Outcome = "open"
+)
+
+// Second counts the outcomes of the requests that came in one second.
+type Second map[Outcome]int
+
+// Result is one seed under one policy.
+type Result struct {
+	Policy string `json:"policy"`
+	Seed   uint64 `json:"seed"`
+	// Totals count the outcomes, and Seconds those of each second.
+	Totals  Second   `json:"totals"`
+	Seconds []Second `json:"seconds"`
+	// Served is the share of whole answers, and OnTime that of answers on time, of requests that were not given up.
+	Served float64 `json:"served"`
+	OnTime float64 `json:"on-time"`
+	// FirstP50, FirstP99 and GapP99 are in milliseconds.
+	FirstP50 float64 `json:"first-p50-ms"`
+	FirstP99 float64 `json:"first-p99-ms"`
+	GapP99   float64 `json:"gap-p99-ms"`
+
+	firsts []time.Duration
+	gaps   []time.Duration
+}
+
+func (r *Result) note(second int, o Outcome) {
+	for len(r.Seconds) <= second {
+		r.Seconds = append(r.Seconds, Second{})
+	}
+	r.Seconds[max(second, 0)][o]++
+}
+
+// sum works the shares and quantiles out.
+func (r *Result) sum() {
+	r.Totals = Second{}
+	for _, s := range r.Seconds {
+		for o, n := range s {
+			r.Totals[o] += n
+		}
+	}
+	t := r.Totals
+	whole := t[OutcomeOnTime] + t[OutcomeLate]
+	owed := whole + t[OutcomeRefused] + t[OutcomeFailed]
+	if owed > 0 {
+		r.Served, r.OnTime = float64(whole)/float64(owed), float64(t[OutcomeOnTime])/float64(owed)
+	}
+	r.FirstP50, r.FirstP99, r.GapP99 = quantile(r.firsts, 0.5), quantile(r.firsts, 0.99), quantile(r.gaps, 0.99)
+}
+
+// quantile returns a quantile in milliseconds, 0 of nothing.
+func quantile(times []time.Duration, q float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(times))
+	return float64(sorted[int(q*float64(len(sorted)-1))]) / float64(time.Millisecond)
+}
+
+// Report is a whole experiment.
+type Report struct {
+	Scenario string    `json:"scenario"`
+	Results  []*Result `json:"results"`
+}
+
+// Run plays every seed under every policy; done is called after each play.
+func Run(s *Scenario, done func()) *Report {
+	report := &Report{Scenario: s.Name}
+	for _, name := range s.Policies {
+		for _, seed := range s.Seeds {
+			report.Results = append(report.Results, newPlay(s, name, seed).run())
+			done()
+		}
+	}
+	return report
+}
+
+// Mean is the mean of a policy over its seeds.
+type Mean struct {
+	Policy   string  `json:"policy"`
+	Served   float64 `json:"served"`
+	OnTime   float64 `json:"on-time"`
+	Refused  float64 `json:"refused"`
+	Failed   float64 `json:"failed"`
+	FirstP50 float64 `json:"first-p50-ms"`
+	FirstP99 float64 `json:"first-p99-ms"`
+}
+
+// Means returns the mean of each policy, in the order of the scenario.
+func (r *Report) Means() []Mean {
+	var out []Mean
+	counts := map[string]float64{}
+	index := map[string]int{}
+	for _, result := range r.Results {
+		i, ok := index[result.Policy]
+		if !ok {
+			i = len(out)
+			index[result.Policy] = i
+			out = append(out, Mean{Policy: result.Policy})
+		}
+		counts[result.Policy]++
+		m := &out[i]
+		m.Served += result.Served
+		m.OnTime += result.OnTime
+		m.Refused += float64(result.Totals[OutcomeRefused])
+		m.Failed += float64(result.Totals[OutcomeFailed])
+		m.FirstP50 += result.FirstP50
+		m.FirstP99 += result.FirstP99
+	}
+	for i := range out {
+		n := counts[out[i].Policy]
+		m := &out[i]
+		m.Served, m.OnTime, m.Refused, m.Failed = m.Served/n, m.OnTime/n, m.Refused/n, m.Failed/n
+		m.FirstP50, m.FirstP99 = m.FirstP50/n, m.FirstP99/n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/experimenter/scenario.go
@@ -0,0 +1,180 @@
+package experimenter
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Scenario is one experiment; durations are text, as 500ms.
+type Scenario struct {
+	Name string `yaml:"name"`
+	// Seeds are played one after the other.
+	Seeds    []uint64      `yaml:"seeds"`
+	Length   time.Duration `yaml:"length"`
+	Policies []string      `yaml:"policies"`
+	Model    Model         `yaml:"model"`
+	Kinds    []Kind        `yaml:"kinds"`
+	Targets  []Targets     `yaml:"targets"`
+	Load     Load          `yaml:"load"`
+	Troubles []Trouble     `yaml:"troubles"`
+}
+
+// Model describes what is served, for all of its layers.
+type Model struct {
+	Layers          uint32        `yaml:"layers"`
+	LayerMB         float64       `yaml:"layer-mb"`
+	TokenBytes      float64       `yaml:"token-bytes"`
+	Step            time.Duration `yaml:"step"`
+	PerSequence     time.Duration `yaml:"per-sequence"`
+	Context         time.Duration `yaml:"context-per-1000"`
+	PrefillRate     float64       `yaml:"prefill-rate"`
+	Chunk           int           `yaml:"chunk"`
+	Slots           int           `yaml:"slots"`
+	Queue           int           `yaml:"queue"`
+	EventTokens     int           `yaml:"event-tokens"`
+	Delay           time.Duration `yaml:"delay"`
+	PipeMbps        float64       `yaml:"pipe-mbps"`
+	ActivationBytes float64       `yaml:"activation-bytes"`
+	LoadTime        time.Duration `yaml:"load-time"`
+	LoadsAtOnce     int           `yaml:"loads-at-once"`
+	StallTime       time.Duration `yaml:"stall-time"`
+	ReportLag       time.Duration `yaml:"report-lag"`
+}
+
+// Kind is a kind of accelerator.
+type Kind struct {
+	Name          string  `yaml:"name"`
+	MemoryMB      float64 `yaml:"memory-mb"`
+	Pace          float64 `yaml:"pace"`
+	PrefillFactor float64 `yaml:"prefill-factor"`
+}
+
+// Targets are some targets of a kind in a data centre.
+type Targets struct {
+	DataCentre string `yaml:"data-centre"`
+	Kind       string `yaml:"kind"`
+	Count      int    `yaml:"count"`
+}
+
+// Load says what clients ask for.
+type Load struct {
+	// Rate is in requests a second.
+	Rate      float64       `yaml:"rate"`
+	Prompt    Size          `yaml:"prompt"`
+	Answer    Size          `yaml:"answer"`
+	Objective time.Duration `yaml:"objective"`
+	// Gap is the longest pause between two events of an answer on time.
+	Gap time.Duration `yaml:"gap"`
+	// Patience is the silence after which a client leaves.
+	Patience time.Duration `yaml:"patience"`
+	// Retries is how often a client comes back after a refusal; those of Abuse do so at once.
+	Retries int `yaml:"retries"`
+	// Abuse is the share of clients that repeat at once and Leave that of clients that leave before their first event.
+	Abuse  float64 `yaml:"abuse"`
+	Leave  float64 `yaml:"leave"`
+	Bursts []Burst `yaml:"bursts"`
+}
+
+// Size is a size in tokens with a spread, as the standard deviation of its logarithm.
+type Size struct {
+	Mean   float64 `yaml:"mean"`
+	Spread float64 `yaml:"spread"`
+	Most   float64 `yaml:"most"`
+}
+
+// Burst multiplies the rate for a while.
+type Burst struct {
+	At  time.Duration `yaml:"at"`
+	For time.Duration `yaml:"for"`
+	X   float64       `yaml:"x"`
+}
+
+// Trouble befalls some targets.
+type Trouble struct {
+	At time.Duration `yaml:"at"`
+	// Kind is lose, slow, or restart-all.
+	Kind  string        `yaml:"kind"`
+	Count int           `yaml:"count"`
+	X     float64       `yaml:"x"`
+	For   time.Duration `yaml:"for"`
+}
+
+// Kinds of trouble.
+const (
+	TroubleLose = "lose"
+	TroubleSlow = "slow"
+)
+
+// Parse reads a scenario; an error names the line and what is accepted.
+func Parse(r io.Reader) (*Scenario, error) {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return nil, err
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	s := &Scenario{}
+	if err := decoder.Decode(s); err != nil {
+		return nil, errors.Wrap(err, "scenario")
+	}
+	return s, s.check()
+}
+
+// check returns the first field that is not accepted, by its path.
+func (s *Scenario) check() error {
+	bad := func(path, accepted string) error { return errors.Newf("scenario: %s: want %s", path, accepted) }
+	switch {
+	case s.Name == "":
+		return bad("name", "a name")
+	case len(s.Seeds) == 0:
+		return bad("seeds", "at least one number")
+	case s.Length <= 0:
+		return bad("length", "a duration above 0, as 40s")
+	case s.Model.Layers == 0 || s.Model.LayerMB <= 0 || s.Model.TokenBytes <= 0:
+		return bad("model", "layers, layer-mb and token-bytes above 0")
+	case s.Model.Step <= 0 || s.Model.PrefillRate <= 0 || s.Model.Chunk <= 0 || s.Model.Slots <= 0 || s.Model.EventTokens <= 0:
+		return bad("model", "step, prefill-rate, chunk, slots and event-tokens above 0")
+	case s.Load.Rate <= 0 || s.Load.Prompt.Mean < 1 || s.Load.Answer.Mean < 1:
+		return bad("load", "a rate above 0 and sizes of at least one token")
+	case s.Load.Objective <= 0 || s.Load.Gap <= 0 || s.Load.Patience <= 0:
+		return bad("load", "objective, gap and patience above 0")
+	}
+	return s.checkLists(bad)
+}
+
+func (s *Scenario) checkLists(bad func(path, accepted string) error) error {
+	kinds := map[string]bool{}
+	for i, k := range s.Kinds {
+		if k.Name == "" || k.MemoryMB <= 0 || k.Pace <= 0 || k.PrefillFactor <= 0 {
+			return bad(fmt.Sprintf("kinds[%d]", i), "name, memory-mb, pace and prefill-factor")
+		}
+		kinds[k.Name] = true
+	}
+	for i, t := range s.Targets {
+		if !kinds[t.Kind] || t.DataCentre == "" || t.Count <= 0 {
+			return bad(fmt.Sprintf("targets[%d]", i), "a data-centre, a kind of the list and a count above 0")
+		}
+	}
+	if len(s.Targets) == 0 {
+		return bad("targets", "at least one entry")
+	}
+	for i, name := range s.Policies {
+		if _, ok := policies[name]; !ok {
+			return bad(fmt.Sprintf("policies[%d]", i), "one of "+policyNames())
+		}
+	}
+	if len(s.Policies) == 0 {
+		return bad("policies", "at least one of "+policyNames())
+	}
+	for i, t := range s.Troubles {
+		if t.Kind != TroubleLose && t.Kind != TroubleSlow || t.Count <= 0 {
+			return bad(fmt.Sprintf("troubles[%d]", i), "kind lose or slow, and a count above 0")
+		}
+	}
+	return nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,7 @@
 	g := &Gateway{Settings: s, Clock: clock, Log: log}
 	g.epoch = uint64(clock.Now().UnixMilli())
 	g.targets = assessor.New(clock.Now)
-	g.relayer = relayer.New(clock)
+	g.relayer = relayer.New(g.targets, clock)
 	g.orderer = orderer.New(g.targets, clock)
 	return g
 }
@@ -203,9 +203,10 @@
 	g.gossiper.Learn(g.Settings.Seeds...)
 
 	r := g.relayer
-	r.Backend, r.Targets, r.Budget, r.Log = g.Adapter.Backend, g.targets, g.Settings.RetryBudget, g.Log
+	r.Backend, r.Budget, r.Log = g.Adapter.Backend, g.Settings.RetryBudget, g.Log
 	r.DrainTime = g.Settings.DrainTime
 	r.Daemons = func() int { return len(g.gossiper.Alive()) + 1 }
+	r.Chooser.Daemons = r.Daemons
 	r.Lost = func(cataloger.Target) { g.gossiper.Send() }
 
 	g.orderer.Log = g.Log
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -54,7 +54,8 @@
 func (u *upstream) watcher() *peerv1.GatewayHeartbeat {
 	g := u.gateway
 	alive := g.gossiper.Alive()
-	if !g.gossiper.Settled() || len(alive) < watchers {
+	// The daemon that holds the duty notices what no watch has brought, by its own writes, and must then read the store itself.
+	if !g.gossiper.Settled() || len(alive) < watchers || g.duty.comesFirst() {
 		return nil
 	}
 	byName := map[string]*peerv1.GatewayHeartbeat{}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -112,7 +112,7 @@
 	for repeat := false; ; repeat = true {
 		path, ok := g.findPath(ctx)
 		if !ok {
-			return g.end(ctx, refuser.New(refuser.NoPipeline, "%s", r.shortage(req)).WithRetryAfter(noPathRetry))
+			return g.end(ctx, refuser.New(refuser.NoPipeline, "%s", r.Chooser.Shortage(req.demand())).WithRetryAfter(noPathRetry))
 		}
 		// The budget counts sendings, so nothing is taken out before there is somewhere to send.
 		if repeat && !g.prepay() {
@@ -133,7 +133,7 @@
 func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
 	r := g.relayer
 	for waited := time.Duration(0); ; waited += pathPause {
-		if path, ok := r.plan(g.request, g.avoid); ok {
+		if path, ok := r.Chooser.Path(g.request.demand(), g.avoid); ok {
 			return path, true
 		}
 		if !g.begun || waited >= pathWait || r.Clock.Sleep(ctx, pathPause) != nil {
@@ -351,9 +351,9 @@
 	g.mu.Lock()
 	g.path, g.last, g.started, g.moving, g.cancel = path, r.Clock.Now(), false, false, cancel
 	g.sentAt = g.last
-	g.release = r.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
+	g.release = r.Targets.Reserve(path, g.request.demand().Tokens)
 	g.mu.Unlock()
-	r.cross(g.request, path)
+	r.Chooser.Cross(g.request.demand(), path)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.streams[g] = struct{}{}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/meter"
@@ -26,6 +27,8 @@
 type Relayer struct {
 	Backend Backend
 	Targets *assessor.Assessor
+	// Chooser chooses the paths of generations.
+	Chooser *chooser.Chooser
 	// Balancer spreads the requests of plain services.
 	Balancer *forwarder.Balancer
 	// Budget bounds the repeats of each service, over all daemons.
@@ -45,17 +48,17 @@
 	rationers map[string]*rationer.Rationer
 	streams   map[*generation]struct{}
 	asked     map[string]time.Time
-	// pipe is what this daemon's generations send between data centres, in bytes.
-	pipe rateMeter
 	// usualFirst is the usual wait for a first event, in nanoseconds.
 	usualFirst atomic.Int64
 	// usualGaps is the usual time between two events, in nanoseconds.
 	usualGaps atomic.Int64
 }
 
-// New returns a relayer without requests.
-func New(clock timer.Clock) *Relayer {
+// New returns a relayer without requests over what is believed of targets.
+func New(targets *assessor.Assessor, clock timer.Clock) *Relayer {
 	r := &Relayer{
+		Targets:   targets,
+		Chooser:   chooser.New(targets, clock.Now),
 		Clock:     clock,
 		Meter:     meter.New(),
 		Log:       zerolog.Nop(),
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/matcher"
 )
 
@@ -36,6 +37,12 @@
 	ResumeAfter string
 }
 
+// demand returns what a generation asks of its pipeline.
+func (r *Request) demand() chooser.Demand {
+	e := r.Service.Engine
+	return chooser.Demand{Service: r.Service.Name, Engine: e, Tokens: chooser.Tokens(e, r.PromptTokens, r.MaxTokens, r.HintTokens)}
+}
+
 // Call is one sending of a request to a target.
 type Call struct {
 	Request *Request
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -267,7 +267,7 @@
 	if wait {
 		return
 	}
-	next, ok := r.replan(g.request, path, gone)
+	next, ok := r.Chooser.Replace(g.request.demand(), path, gone)
 	if !ok {
 		r.abandon(g, cancel, gone)
 		return
@@ -334,5 +334,5 @@
 	g.repaths++
 	g.path = path
 	g.last = g.relayer.Clock.Now()
-	g.release = g.relayer.Targets.Reserve(path, need(g.request, g.request.Service.Engine))
+	g.release = g.relayer.Targets.Reserve(path, g.request.demand().Tokens)
 }
--- /dev/null
+++ b/pkg/modeler/doc.go
@@ -0,0 +1,2 @@
+// Package modeler models engines that hold ranges of a model's layers, under load and in virtual time, without network.
+package modeler
