Let a paused node of the test network wake sooner

TestPauseOfAPausedNodeMovesItsEnd fails without the change of nextTick. The bounds of the oracle are as before, and a pause may still end sooner.

--- a/internal/tracker/fuzz_test.go
+++ b/internal/tracker/fuzz_test.go
@@ -190,7 +190,7 @@
 			tr.gone = max(tr.gone, nd.m.self.incarnation)
 		}
 	case 4:
-		nd.pausedUntil = o.net.now + time.Duration(1+draw(120))*100*time.Millisecond
+		o.net.pause(nd, time.Duration(1+draw(120))*100*time.Millisecond)
 		o.disturb()
 	case 5:
 		nd.skew += time.Duration(draw(200)-100) * 100 * time.Millisecond
@@ -285,8 +285,7 @@
 	o.net.loss, o.net.dup, o.net.jitter = 0, 0, time.Millisecond
 	o.disturb()
 	for _, nd := range o.net.order {
-		nd.pausedUntil = 0
-		nd.nextTick = min(nd.nextTick, o.net.now+100*time.Millisecond)
+		o.net.pause(nd, 0)
 	}
 	o.run(settleBound)
 	for _, nd := range o.net.order {
--- a/internal/tracker/measure_test.go
+++ b/internal/tracker/measure_test.go
@@ -109,7 +109,7 @@
 					f := watchAlarms(n)
 					for trial := range trialsFor(size) {
 						nd := n.order[(trial*7+1)%size]
-						nd.pausedUntil = n.now + pause
+						n.pause(nd, pause)
 						f.excused[nd.name] = n.now + pause + 2*time.Second
 						n.run(pause)
 						if n.states(nd.name)[cataloger.StateLive] > 0 {
--- a/internal/tracker/network_test.go
+++ b/internal/tracker/network_test.go
@@ -4,8 +4,10 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
@@ -165,6 +167,12 @@
 	}
 }
 
+// pause stops a node for d; one that is paused already wakes then, earlier or later than it would have.
+func (n *network) pause(nd *node, d time.Duration) {
+	nd.pausedUntil = n.now + d
+	nd.nextTick = min(nd.nextTick, nd.pausedUntil)
+}
+
 func (n *network) nextNode() *node {
 	var best *node
 	for _, nd := range n.order {
@@ -220,3 +228,34 @@
 	}
 	return nd.m.member(e, func(time.Duration) time.Time { return time.Time{} }).State
 }
+
+// Ticks and messages stop and go on together, as one loop takes both.
+func TestPauseOfAPausedNodeMovesItsEnd(t *testing.T) {
+	for name, second := range map[string]time.Duration{"sooner": 100 * time.Millisecond, "later": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(1)
+			n.grow(3, 1)
+			n.run(time.Second)
+			nd := n.order[1]
+			n.pause(nd, 10*time.Second)
+			n.run(300 * time.Millisecond)
+			n.pause(nd, second)
+			var ticked, heard time.Duration
+			received := nd.received
+			n.onStep = func(stepped *node) {
+				switch {
+				case stepped != nd:
+				case nd.received > received:
+					received = nd.received
+					heard = max(heard, n.now)
+				case ticked == 0:
+					ticked = n.now
+				}
+			}
+			end := nd.pausedUntil
+			n.run(second + time.Second)
+			require.InDelta(t, end, ticked, float64(100*time.Millisecond))
+			require.Greater(t, heard, end)
+		})
+	}
+}
