Let streams leave targets that leave one after the other

Streams leave within the time that the target serves, each at a moment drawn from its id; those whose first target leaves are sent anew over another pipeline before it cuts them. Streams through layers that are given up leave within 2 s, at once where nothing is served until then. The placer prefers targets that few streams pass for filling gaps, and each gap waits by itself: an older one made a new one count as lasting, and a serving target was moved half a second after it opened.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -69,8 +69,9 @@
 	pacedAt time.Time
 	// removedAt is when the target was listed no more.
 	removedAt time.Time
-	// leavingAt is when the target was first seen to leave.
+	// leavingAt is when the target was first seen to leave, and gaveUpAt when it last gave layers up.
 	leavingAt time.Time
+	gaveUpAt  time.Time
 }
 
 // View is a target with what is believed of it, at one moment.
@@ -87,6 +88,8 @@
 	Faults float64
 	// Left is how long ago the target began to leave; 0 where it does not.
 	Left time.Duration
+	// GaveUp is how long ago the target last gave layers up; 0 where it has given up none.
+	GaveUp time.Duration
 }
 
 // Usable tells whether the target takes new work.
@@ -141,10 +144,20 @@
 	if t.State == cataloger.StateLeaving && b.leavingAt.IsZero() {
 		b.leavingAt = now
 	}
+	if givesUp(b.target, t) {
+		b.gaveUpAt = now
+	}
 	b.target = t
 	a.byAddress[t.Address] = t.Name
 }
 
+// givesUp tells whether a target no longer holds all layers that it held.
+func givesUp(before, after cataloger.Target) bool {
+	first, end, _ := before.Held()
+	newFirst, newEnd, _ := after.Held()
+	return end > first && (newFirst > first || newEnd < end)
+}
+
 // Remove takes in that a target is listed no more. It is kept for a while as leaving, since it may still serve what it has.
 func (a *Assessor) Remove(name string) {
 	a.mu.Lock()
@@ -250,6 +263,9 @@
 	if !b.leavingAt.IsZero() {
 		v.Left = max(now.Sub(b.leavingAt), 1)
 	}
+	if !b.gaveUpAt.IsZero() {
+		v.GaveUp = max(now.Sub(b.gaveUpAt), 1)
+	}
 	v.TokenLayers += a.peerLoads(now)[b.target.Name]
 	return v
 }
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -168,3 +168,27 @@
 	pass(misplacedTime)
 	require.False(t, view(t, a, "x").Refused)
 }
+
+func TestTargetThatGivesLayersUp(t *testing.T) {
+	now := time.Unix(100, 0)
+	a := New(func() time.Time { return now })
+	put := func(incarnation, first, end uint32) View {
+		target := cataloger.Target{Name: "i-1", Address: "10.0.0.1:80", State: cataloger.StateLive, Incarnation: uint64(incarnation)}
+		if end > first {
+			target.Holdings = []cataloger.Holding{{Version: "1", FirstLayer: first, EndLayer: end, Ready: true}}
+		}
+		a.Put(target)
+		now = now.Add(time.Second)
+		v, ok := a.Get("i-1")
+		require.True(t, ok)
+		return v
+	}
+	require.Zero(t, put(1, 0, 0).GaveUp)
+	require.Zero(t, put(1, 10, 20).GaveUp, "the first layers")
+	require.Zero(t, put(1, 10, 20).GaveUp)
+	require.Zero(t, put(1, 8, 22).GaveUp, "more than before")
+	require.Equal(t, time.Second, put(1, 0, 0).GaveUp)
+	require.Equal(t, 2*time.Second, put(1, 30, 40).GaveUp, "others are loaded")
+	require.Equal(t, time.Second, put(1, 35, 45).GaveUp)
+	require.Zero(t, put(2, 0, 0).GaveUp, "a new process has given up nothing")
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -141,6 +141,12 @@
 	return "the targets that have room do not make a path"
 }
 
+// Whole tells whether targets that may be used hold every layer.
+func (c *Chooser) Whole(d Demand) bool {
+	_, _, missing := uncovered(c.Targets.Service(d.Service), d.Engine.Layers, assessor.View.Usable)
+	return !missing
+}
+
 // uncovered returns the first range of layers that none of the targets that are ok holds.
 func uncovered(views []assessor.View, layers uint32, ok func(assessor.View) bool) (first, end uint32, found bool) {
 	held := make([]bool, layers)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -97,8 +97,8 @@
 	// seen are the targets of each service at the last look, and changed is when they last changed.
 	seen    map[string][]string
 	changed map[string]time.Time
-	// wanted is since when moves of targets that hold layers are wanted, by service.
-	wanted map[string]time.Time
+	// gaps is since when there are gaps in the placement of each service.
+	gaps map[string]map[placer.Gap]time.Time
 }
 
 // New returns an orderer that has given no orders.
@@ -106,7 +106,7 @@
 	return &Orderer{
 		Targets: targets, Clock: clock, Log: zerolog.Nop(),
 		pending: map[string]Pending{}, counts: map[string]count{}, seen: map[string][]string{}, changed: map[string]time.Time{},
-		wanted: map[string]time.Time{},
+		gaps: map[string]map[placer.Gap]time.Time{},
 	}
 }
 
@@ -155,6 +155,7 @@
 		byName[v.Name] = v
 	}
 	problem := o.problem(s.Engine, views)
+	o.noteGaps(s.Name, problem, now)
 	problem.Keep = true
 	moves := problem.Next(o.limit(s.Engine, views))
 	if len(moves) == 0 {
@@ -163,29 +164,41 @@
 		if !problem.Whole() {
 			wait = urgentMoveTime
 		}
-		moves = o.overdue(s.Name, problem.Next(1), now, wait)
+		moves = o.overdue(s.Name, problem, now, wait)
 	}
 	for _, m := range moves {
 		o.order(ctx, s.Engine, byName[m.Target].Target, m)
 	}
 }
 
-// overdue returns moves of targets that hold layers once such moves have been wanted for a while: a replacement may be on its
-// way, and a target that is believed lost may answer again.
-func (o *Orderer) overdue(service string, moves []placer.Move, now time.Time, wait time.Duration) []placer.Move {
-	if len(moves) == 0 {
-		delete(o.wanted, service)
-		return nil
-	}
-	since, ok := o.wanted[service]
-	if !ok {
-		o.wanted[service] = now
-		return nil
+// noteGaps takes in which layers are not held where they should be.
+func (o *Orderer) noteGaps(service string, p placer.Problem, now time.Time) {
+	since := map[placer.Gap]time.Time{}
+	for gap := range p.Gaps() {
+		since[gap] = now
+		if at, ok := o.gaps[service][gap]; ok {
+			since[gap] = at
+		}
 	}
-	if now.Sub(since) < wait {
-		return nil
+	o.gaps[service] = since
+}
+
+// overdue returns the moves of targets that hold layers into gaps that have lasted for a while: a replacement may be on its
+// way, and a target that is believed lost may answer again.
+func (o *Orderer) overdue(service string, p placer.Problem, now time.Time, wait time.Duration) []placer.Move {
+	dataCentres := map[string]cataloger.DataCentre{}
+	for _, t := range p.Targets {
+		dataCentres[t.Name] = t.DataCentre
 	}
-	return moves
+	return slices.DeleteFunc(p.Next(1), func(m placer.Move) bool {
+		for layer := m.First; layer < m.End; layer++ {
+			gap := placer.Gap{DataCentre: dataCentres[m.Target], Layer: layer}
+			if since, ok := o.gaps[service][gap]; ok && now.Sub(since) >= wait {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 // settled tells whether the list of targets has stood still, or layers are held already.
@@ -241,6 +254,9 @@
 		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable()}
 		t.Capacity = placer.MemoryOf(e, v.Kind).Capacity(reserve)
 		t.First, t.End, _ = v.Held()
+		if t.End > t.First {
+			t.Streams = v.TokenLayers / float64(t.End-t.First) / max(e.UsualPrompt+e.UsualAnswer, 1)
+		}
 		if order, ok := o.pending[v.Name]; ok {
 			t.First, t.End, t.Ordered = order.First, order.End, true
 		}
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -213,3 +213,27 @@
 		require.Equal(t, 1, e.reports)
 	})
 }
+
+// TestEachGapHasItsOwnWait: an older gap, which nobody can fill, does not make a new one count as lasting.
+func TestEachGapHasItsOwnWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines()
+		for _, dc := range []cataloger.DataCentre{"a", "b"} {
+			e.listAt(string(dc)+"1", dc, 0, 6)
+			e.listAt(string(dc)+"2", dc, 6, 12)
+		}
+		e.listAt("far1", "far", 0, 6)
+		e.listAt("far2", "far", 6, 12)
+		e.listAt("b-spare", "b", 6, 12)
+		start(t, e)
+		time.Sleep(time.Second)
+		e.targets.Lose("a1", 1, time.Now())
+		time.Sleep(moveTime)
+		e.targets.Lose("a1", 1, time.Now())
+		e.targets.Lose("b1", 1, time.Now())
+		time.Sleep(moveTime - interval)
+		require.Empty(t, e.orders(), "the new gap has not lasted")
+		time.Sleep(3 * interval)
+		require.Equal(t, []string{"b-spare 0-6"}, e.orders())
+	})
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,6 +20,9 @@
 	// moveThreshold is what moving a target that holds layers must gain; a move costs a load and takes the old range
 	// away, which only a layer that a group lacks is worth.
 	moveThreshold = 60
+	// streamCost is what it costs to take a range away from a generation in progress, which pauses as it goes on elsewhere;
+	// a hundred of them are worth a layer that a group lacks.
+	streamCost = 3
 )
 
 // Target is a target that may hold layers.
@@ -35,6 +38,8 @@
 	Leaving bool
 	// Ordered targets are not given another order yet.
 	Ordered bool
+	// Streams is how many generations in progress pass the target, about.
+	Streams float64
 }
 
 func (t Target) empty() bool { return t.End <= t.First }
@@ -92,6 +97,26 @@
 	return moves
 }
 
+// Gap is a layer that nobody in a data centre, or in the group of data centres that it belongs to, holds or was ordered to.
+type Gap struct {
+	DataCentre cataloger.DataCentre
+	Layer      uint32
+}
+
+// Gaps returns all gaps.
+func (p Problem) Gaps() map[Gap]bool {
+	s := newState(p)
+	out := map[Gap]bool{}
+	for i, t := range s.Targets {
+		for l, n := range s.group[s.groups[i]] {
+			if n == 0 {
+				out[Gap{DataCentre: t.DataCentre, Layer: uint32(l)}] = true
+			}
+		}
+	}
+	return out
+}
+
 // Whole tells whether every layer is held, or ordered, somewhere.
 func (p Problem) Whole() bool {
 	for _, n := range newState(p).fleet {
@@ -188,7 +213,7 @@
 	if s.needed(t) {
 		return 0, 0
 	}
-	return top - (sums[min(t.End, s.Layers)] - sums[min(t.First, s.Layers)]) - moveThreshold, at
+	return top - (sums[min(t.End, s.Layers)] - sums[min(t.First, s.Layers)]) - moveThreshold - streamCost*t.Streams, at
 }
 
 // needed tells whether taking the range of a target, which is not counted now, away would end a service that is whole.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -157,3 +157,33 @@
 		})
 	}
 }
+
+// TestGapIsFilledByATargetThatFewPass: of targets that hold spare copies, the one with the fewest streams is moved.
+func TestGapIsFilledByATargetThatFewPass(t *testing.T) {
+	for _, idle := range []string{"spare1", "spare2", "spare3"} {
+		p := Problem{Layers: 12, Targets: []Target{
+			{Name: "head", DataCentre: "a", Capacity: 6, End: 6, Streams: 50},
+			{Name: "tail", DataCentre: "a", Capacity: 6, First: 6, End: 12, Leaving: true},
+		}}
+		for _, name := range []string{"spare1", "spare2", "spare3"} {
+			spare := Target{Name: name, DataCentre: "a", Capacity: 6, End: 6, Streams: 40}
+			if name == idle {
+				spare.Streams = 0
+			}
+			p.Targets = append(p.Targets, spare)
+		}
+		require.Equal(t, []Move{{Target: idle, First: 6, End: 12}}, p.Next(1))
+	}
+}
+
+// TestGapsOfADataCentreAreKnown: a layer that another data centre holds is a gap where its own could hold all.
+func TestGapsOfADataCentreAreKnown(t *testing.T) {
+	p := Problem{Layers: 4, Targets: []Target{
+		{Name: "a1", DataCentre: "a", Capacity: 4, End: 3},
+		{Name: "b1", DataCentre: "b", Capacity: 4, End: 4},
+		// Neither c nor d can hold the model, so that they make one group.
+		{Name: "c1", DataCentre: "c", Capacity: 2, First: 0, End: 2},
+		{Name: "d1", DataCentre: "d", Capacity: 3, First: 1, End: 3},
+	}}
+	require.Equal(t, map[Gap]bool{{"a", 3}: true, {"c", 3}: true, {"d", 3}: true}, p.Gaps())
+}
--- /dev/null
+++ b/internal/relayer/leave_test.go
@@ -0,0 +1,122 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/rationer"
+)
+
+// passing registers streams that pass a1 and a2 and counts those that are sent elsewhere.
+func passing(r *Relayer, n int, resumable bool, moved *int) {
+	path, _ := r.Chooser.Path(stream(true).demand(), map[string]bool{"b1": true, "b2": true})
+	for i := range n {
+		req := stream(resumable)
+		req.ID = fmt.Sprint("r", i)
+		g := &generation{relayer: r, request: req, started: true, last: time.Now(), release: func() {}}
+		g.path = path
+		g.cancel = func(cause error) {
+			if cause == errMoved {
+				*moved++
+				g.moving = true
+			}
+		}
+		r.mu.Lock()
+		r.streams[g] = struct{}{}
+		r.mu.Unlock()
+	}
+}
+
+func put(r *Relayer, name string, state cataloger.State, first, end uint32) {
+	target := cataloger.Target{Name: name, Service: "llm", Address: name + ":80", DataCentre: "a", Kind: "l4", State: state, Incarnation: 1}
+	if end > first {
+		target.Holdings = []cataloger.Holding{{Version: "1", FirstLayer: first, EndLayer: end, Ready: true}}
+	}
+	r.Targets.Put(target)
+}
+
+// TestPlannedLeaveUnderLoad: as a target leaves or gives layers up, the streams that pass it go on without it one after the
+// other, and all before it ends; where nothing is served until it has loaded others, they leave it at once.
+func TestPlannedLeaveUnderLoad(t *testing.T) {
+	const streams = 100
+	cases := []struct {
+		name   string
+		change func(r *Relayer)
+		within time.Duration
+		atOnce bool
+	}{
+		{"a stage leaves", func(r *Relayer) { put(r, "a2", cataloger.StateLeaving, 5, 10) }, 2*time.Second + leavingMargin, false},
+		{"a stage gives its layers up", func(r *Relayer) { put(r, "a2", cataloger.StateLive, 0, 0) }, handoverTime, false},
+		{"a stage gives layers up while others are held nowhere", func(r *Relayer) {
+			put(r, "a2", cataloger.StateLive, 0, 0)
+			put(r, "b1", cataloger.StateLeaving, 0, 5)
+			put(r, "a1", cataloger.StateLeaving, 0, 5)
+		}, 2 * watchInterval, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeBackend{}
+				r := newTestRelayer(f)
+				r.DrainTime = 2 * time.Second
+				moved := 0
+				passing(r, streams, false, &moved)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = r.Watch(ctx) }()
+				time.Sleep(time.Second)
+				c.change(r)
+				left, most := 0, 0
+				for began := time.Now(); time.Since(began) < c.within+2*watchInterval; {
+					time.Sleep(watchInterval)
+					f.mu.Lock()
+					most = max(most, len(f.repaths)-left)
+					left = len(f.repaths)
+					f.mu.Unlock()
+				}
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				require.Len(t, f.repaths, streams)
+				for _, path := range f.repaths {
+					require.Equal(t, "b2", path[1].Target)
+				}
+				if !c.atOnce {
+					require.LessOrEqual(t, most, streams/8, "in one look")
+				}
+			})
+		})
+	}
+}
+
+// TestFirstTargetLeavesUnderLoad: its streams go on over other pipelines one after the other, those that may.
+func TestFirstTargetLeavesUnderLoad(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newTestRelayer(&fakeBackend{})
+			r.DrainTime = 2 * time.Second
+			r.Budget = rationer.Budget{Extra: 1000, Window: 10 * time.Second}
+			moved := 0
+			passing(r, 100, resumable, &moved)
+			put(r, "a1", cataloger.StateLeaving, 0, 5)
+			most := 0
+			for range int((r.DrainTime+leavingMargin)/watchInterval) + 1 {
+				time.Sleep(watchInterval)
+				before := moved
+				r.look(t.Context())
+				most = max(most, moved-before)
+			}
+			want := 0
+			if resumable {
+				want = 100
+			}
+			require.Equal(t, want, moved)
+			require.LessOrEqual(t, most, 100/8)
+		})
+	}
+}
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -33,9 +33,10 @@
 	swallowPatience = 2
 	// repathTimeout bounds an order to replace a stage.
 	repathTimeout = 500 * time.Millisecond
-	// leavingMargin is how long after the time that a leaving target still serves its streams are moved; most have ended then,
-	// and a stream that is moved pauses.
+	// leavingMargin is how much longer than it has to a leaving target usually serves.
 	leavingMargin = 500 * time.Millisecond
+	// handoverTime is within which the streams leave a target that gives layers up; it loads others once they have.
+	handoverTime = 2 * time.Second
 )
 
 // Watch looks after the streams in progress until ctx is done.
@@ -105,9 +106,11 @@
 		if r.leaveSwallowed(g, streams[i], generations, now) {
 			continue
 		}
-		if gone := r.goneStages(streams[i], now); len(gone) > 0 {
+		if gone := r.goneStages(g, streams[i], now); len(gone) > 0 {
 			r.repair(ctx, g, gone)
+			continue
 		}
+		r.leaveFirst(g, streams[i])
 	}
 }
 
@@ -229,8 +232,8 @@
 	}
 }
 
-// goneStages returns the stages of a stream that were lost, or leave soon.
-func (r *Relayer) goneStages(s repairer.Stream, now time.Time) map[string]bool {
+// goneStages returns the stages of a stream that were lost, or that it is to leave by now.
+func (r *Relayer) goneStages(g *generation, s repairer.Stream, now time.Time) map[string]bool {
 	gone := map[string]bool{}
 	for i, stage := range s.Path {
 		v, ok := r.Targets.Get(stage.Target)
@@ -240,13 +243,38 @@
 			if now.Sub(s.Last) > s.Patience/2 {
 				gone[stage.Target] = true
 			}
-		case i > 0 && (v.Left > r.DrainTime+leavingMargin || !holds(v, stage)):
+		case i > 0 && (r.leaves(s, v) || !holds(v, stage) && r.handsOver(g, s, v)):
 			gone[stage.Target] = true
 		}
 	}
 	return gone
 }
 
+// leaves tells whether it is time for a stream to go on without a target that leaves.
+func (r *Relayer) leaves(s repairer.Stream, v assessor.View) bool {
+	return v.Left > repairer.LeaveAfter(s.ID, r.DrainTime+leavingMargin)
+}
+
+// handsOver tells whether it is time for a stream to go on without a target that gave up the layers which it needs: at once
+// where nothing is served until the target has loaded others.
+func (r *Relayer) handsOver(g *generation, s repairer.Stream, v assessor.View) bool {
+	return v.GaveUp > repairer.LeaveAfter(s.ID, handoverTime) || !r.Chooser.Whole(g.request.demand())
+}
+
+// leaveFirst sends what is left of a stream over another pipeline before its first target, which leaves, cuts it off.
+func (r *Relayer) leaveFirst(g *generation, s repairer.Stream) {
+	v, ok := r.Targets.Get(s.Path[0].Target)
+	if !ok || v.Lost || !r.leaves(s, v) {
+		return
+	}
+	g.mu.Lock()
+	begun, cancel := g.started && !g.moving, g.cancel
+	g.mu.Unlock()
+	if begun && g.movable() && g.prepay() {
+		cancel(errMoved)
+	}
+}
+
 // holds tells whether a target still holds the layers of a stage; one that gives them up waits for the streams that pass it.
 func holds(v assessor.View, s cataloger.Stage) bool {
 	first, end, _ := v.Held()
