Stand in while all gateways leave, and begin pipelines nearby

Clients were sent to all that leave.

Change: where nobody else takes requests, clients are sent to the gateway that left last. It serves what ends before it does and refuses the rest with the time when the first is back; a gateway without requests ends then. First stages in another data centre cost 1.5 ms a token more.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -20,6 +20,9 @@
 	crossingCost = 5 * time.Millisecond
 	// leastPipe bounds how dear a crossing gets as the pipe fills.
 	leastPipe = 0.02
+	// awayCost is what a first stage in another data centre than the daemon costs: events cross between them, and a link that
+	// loses packets makes them late.
+	awayCost = 1500 * time.Microsecond
 	// hopCost is what one more stage adds to each token: the wait for the target's next pass.
 	hopCost = 300 * time.Microsecond
 	// faultCost is what a target that fails all requests that it receives first costs as the first one, in time a token: a
@@ -63,6 +66,8 @@
 type Chooser struct {
 	Targets *assessor.Assessor
 	Now     func() time.Time
+	// DataCentre is where the daemon is; empty is anywhere.
+	DataCentre cataloger.DataCentre
 	// Daemons returns how many daemons send about as much as this one.
 	Daemons func() int
 
@@ -75,7 +80,7 @@
 }
 
 // holders returns the targets that may run a part of a generation, by the version of their weights.
-func holders(views []assessor.View, d Demand, avoid map[string]bool) map[string][]pathfinder.Holder {
+func (c *Chooser) holders(views []assessor.View, d Demand, avoid map[string]bool) map[string][]pathfinder.Holder {
 	e := d.Engine
 	out := map[string][]pathfinder.Holder{}
 	for _, v := range views {
@@ -89,10 +94,14 @@
 		}
 		step := e.StepTime.Seconds() + e.SequenceTime.Seconds()*float64(v.Requests)
 		cost := step * max(e.Kinds[v.Kind].Pace, 0.01) * max(v.Pace, 1) / float64(max(e.Layers, 1))
+		entry := v.Faults * faultCost.Seconds()
+		if c.DataCentre != "" && v.DataCentre != c.DataCentre {
+			entry += awayCost.Seconds()
+		}
 		out[version] = append(out[version], pathfinder.Holder{
 			Target: v.Name, Address: v.Address, DataCentre: v.DataCentre, First: first, End: end,
 			LayerCost: cost * (1 + fullWeight*math.Pow((v.TokenLayers+d.Tokens*float64(end-first))/room, 4)), HopCost: hopCost.Seconds(),
-			EntryCost: v.Faults * faultCost.Seconds(),
+			EntryCost: entry,
 		})
 	}
 	return out
@@ -107,7 +116,7 @@
 	}
 	var best []cataloger.Stage
 	bestCost := 0.0
-	for _, hs := range holders(views, d, avoid) {
+	for _, hs := range c.holders(views, d, avoid) {
 		p := pathfinder.Problem{End: e.Layers, Holders: hs, Crossing: c.crossing(e), MaxStages: maxStages}
 		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
@@ -199,7 +208,7 @@
 		return nil, false
 	}
 	_, _, version := first.Held()
-	spare := holders(views, d, avoid)[version]
+	spare := c.holders(views, d, avoid)[version]
 	var out []cataloger.Stage
 	for i, s := range path {
 		if !lost[s.Target] {
--- a/internal/chooser/repair_test.go
+++ b/internal/chooser/repair_test.go
@@ -149,3 +149,28 @@
 	require.True(t, ok)
 	require.Equal(t, pathOf(head, thirdTail), path, "the empty pipe is taken")
 }
+
+// TestFirstStageInTheOwnDataCentre: of two pipelines that are as good, the one in the daemon's data centre is taken, until it
+// costs more.
+func TestFirstStageInTheOwnDataCentre(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, own := range []cataloger.DataCentre{"a", "b"} {
+		c := newTestChooser(&now, head, tail, otherHead, otherTail)
+		c.DataCentre = own
+		near, far := pathOf(head, tail), pathOf(otherHead, otherTail)
+		if own == "b" {
+			near, far = far, near
+		}
+		taken := map[string]int{}
+		for range 250 {
+			path, ok := c.Path(testDemand(), nil)
+			require.True(t, ok)
+			if taken[far[0].Target] == 0 && path[0].Target == far[0].Target {
+				require.Greater(t, taken[near[0].Target], 10, "the far pipeline is taken as the near one fills")
+			}
+			taken[path[0].Target]++
+			c.Targets.Reserve(path, testDemand().Tokens)
+		}
+		require.Positive(t, taken[far[0].Target])
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/auditor"
 	"github.com/rattantray/rattantray/internal/cataloger"
@@ -40,6 +39,12 @@
 	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address; what it takes
 	// later than 3 s after the signal it may not give up.
 	lingerTime = 2800 * time.Millisecond
+	// standInPause is the time between two looks whether another daemon takes requests, and standInMargin is left at the end
+	// for those in progress.
+	standInPause  = 50 * time.Millisecond
+	standInMargin = 500 * time.Millisecond
+	// quietTime is how long a daemon without requests waits for one on the connections that it still has.
+	quietTime = 400 * time.Millisecond
 	// stopMargin is kept of the time that the platform grants between its signal and the kill.
 	stopMargin = 300 * time.Millisecond
 	// peersPrefix is where daemons leave their peer addresses for those that start later.
@@ -107,7 +112,9 @@
 	duty    duty
 	client  *http.Server
 	leaving atomic.Bool
-	active  atomic.Int64
+	// departures are those of all daemons, this one among them.
+	departures departures
+	active     atomic.Int64
 }
 
 // New returns a gateway; Prepare makes it ready to Run.
@@ -147,25 +154,23 @@
 // SetSeeds takes other addresses of peers, from settings that changed.
 func (g *Gateway) SetSeeds(seeds []string) { g.gossiper.Learn(seeds...) }
 
-// Entries returns the addresses that clients may connect to; leaving daemons are named only where there is no other.
+// Entries returns the addresses that clients may connect to; where all daemons leave, that of the last, which stands in.
 func (g *Gateway) Entries() []string {
 	var ready, leaving []string
-	add := func(h *peerv1.GatewayHeartbeat) {
+	addresses := map[string]string{}
+	for _, h := range append(g.gossiper.Alive(), g.heartbeat()) {
+		addresses[h.GetName()] = h.GetClientAddress()
 		switch {
 		case h.GetLeaving():
-			leaving = append(leaving, h.GetClientAddress())
+			leaving = append(leaving, h.GetName())
 		case h.GetReady():
 			ready = append(ready, h.GetClientAddress())
 		}
 	}
-	add(g.heartbeat())
-	for _, h := range g.gossiper.Alive() {
-		add(h)
-	}
-	if len(ready) > 0 {
+	if len(ready) > 0 || len(leaving) == 0 {
 		return ready
 	}
-	return leaving
+	return []string{addresses[g.departures.Last(leaving)]}
 }
 
 // Run serves until ctx is done, and then shuts down without cutting requests off.
@@ -209,6 +214,7 @@
 	r.DrainTime = g.Settings.DrainTime
 	r.Daemons = func() int { return len(g.gossiper.Alive()) + 1 }
 	r.Chooser.Daemons = r.Daemons
+	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
 	r.Lost = func(cataloger.Target) { g.gossiper.Send() }
 
 	g.orderer.Log = g.Log
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,6 +82,7 @@
 // receive takes what another daemon tells.
 func (g *Gateway) receive(h *peerv1.GatewayHeartbeat) {
 	now := g.Clock.Now()
+	g.departures.See(h.GetName(), h.GetEpoch(), h.GetLeaving(), now)
 	loads := map[string]float64{}
 	for name, n := range h.GetLoads() {
 		loads[name] = float64(n)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -53,6 +53,8 @@
 	usualFirst atomic.Int64
 	// usualGaps is the usual time between two events, in nanoseconds.
 	usualGaps atomic.Int64
+	// closing is set once the daemon ends without another in its place.
+	closing atomic.Pointer[Closing]
 }
 
 // New returns a relayer without requests over what is believed of targets.
@@ -77,6 +79,9 @@
 // Serve relays one request and writes its answer; a refusal is returned where nothing was written.
 // It panics with http.ErrAbortHandler where an answer that has begun must not look complete.
 func (r *Relayer) Serve(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
+	if refusal := r.closed(req); refusal != nil {
+		return refusal
+	}
 	r.rationer(req.Service.Name).Earn(r.Clock.Now())
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -402,3 +402,29 @@
 		require.Zero(t, time.Since(began))
 	})
 }
+
+// TestRequestsThatOutlastADaemonWithoutSuccessor: they are refused at once, with the time when another is back.
+func TestRequestsThatOutlastADaemonWithoutSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{status: 200, body: "ok"}}}
+		r := newTestRelayer(f)
+		end := time.Now().Add(3 * time.Second)
+		require.True(t, r.Close(Closing{Ends: end, Back: time.Now().Add(2 * time.Second)}))
+		require.False(t, r.Close(Closing{Ends: end, Back: time.Now().Add(2 * time.Second)}), "once")
+
+		w, refusal, _ := serve(r, plain(matcher.KindNonIdempotent))
+		require.Nil(t, refusal, "its deadline is 2 s away")
+		require.Equal(t, "ok", w.Body.String())
+
+		_, refusal, _ = serve(r, stream(true))
+		require.Equal(t, refuser.Draining, refusal.Code)
+		require.Equal(t, refuser.FactNotRun, refusal.Fact)
+		require.GreaterOrEqual(t, refusal.RetryAfter, 2*time.Second)
+		require.LessOrEqual(t, refusal.RetryAfter, 3*time.Second)
+		require.Len(t, f.calls, 1)
+
+		time.Sleep(2 * time.Second)
+		_, refusal, _ = serve(r, stream(true))
+		require.GreaterOrEqual(t, refusal.RetryAfter, leastReturn)
+	})
+}
