Give layers with few holders others first

As targets are replaced one by one, coverage drifted to between one and five holders, and the memory at the layer with the fewest bounds all requests.

Change: the second and third holder anywhere are worth more than the first of a data centre, the fourth less. Layers with fewer holders than the mean count as gaps into which targets with spare copies are moved once they last. Ruled out: valuing the first of a data centre at a third; then an empty fleet does not get a pipeline in each.

TestThinLayersGetHoldersFirst fails without it. TestEachGapHasItsOwnWait has one more target, so that the first loss leaves no thin layers.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -192,9 +192,10 @@
 	}
 	return slices.DeleteFunc(p.Next(1), func(m placer.Move) bool {
 		for layer := m.First; layer < m.End; layer++ {
-			gap := placer.Gap{DataCentre: dataCentres[m.Target], Layer: layer}
-			if since, ok := o.gaps[service][gap]; ok && now.Sub(since) >= wait {
-				return false
+			for _, dc := range []cataloger.DataCentre{dataCentres[m.Target], ""} {
+				if since, ok := o.gaps[service][placer.Gap{DataCentre: dc, Layer: layer}]; ok && now.Sub(since) >= wait {
+					return false
+				}
 			}
 		}
 		return true
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -223,6 +223,7 @@
 			e.listAt(string(dc)+"2", dc, 6, 12)
 		}
 		e.listAt("far1", "far", 0, 6)
+		e.listAt("far1b", "far", 0, 6)
 		e.listAt("far2", "far", 6, 12)
 		e.listAt("b-spare", "b", 6, 12)
 		start(t, e)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,10 +7,10 @@
 )
 
 // What one more holder of a layer is worth, by the number of holders that it has. The first one anywhere decides whether
-// requests are served at all; the first one of a group of data centres, whether they stay on fast links; the others stand
-// ready for a loss.
+// requests are served at all, the next ones, how many: all pass all layers, so that the memory at the layer with the fewest
+// holders bounds them. The first one of a group of data centres decides whether requests stay on fast links.
 var (
-	fleetValues = []float64{3000, 6, 2, 1}
+	fleetValues = []float64{3000, 800, 400, 60, 6, 1}
 	groupValues = []float64{300, 3, 1}
 )
 
@@ -98,6 +98,7 @@
 }
 
 // Gap is a layer that nobody in a data centre, or in the group of data centres that it belongs to, holds or was ordered to.
+// Without a data centre it is one that has fewer holders anywhere than the layers have on the mean.
 type Gap struct {
 	DataCentre cataloger.DataCentre
 	Layer      uint32
@@ -107,6 +108,15 @@
 func (p Problem) Gaps() map[Gap]bool {
 	s := newState(p)
 	out := map[Gap]bool{}
+	total := 0
+	for _, n := range s.fleet {
+		total += n
+	}
+	for l, n := range s.fleet {
+		if n < total/len(s.fleet) {
+			out[Gap{Layer: uint32(l)}] = true
+		}
+	}
 	for i, t := range s.Targets {
 		for l, n := range s.group[s.groups[i]] {
 			if n == 0 {
