Avoid instances of plain services that are slow or fail at times

Cause: with one of three instances in trouble for 10 s, each gateway went on giving it a third of its requests: at a few requests a second there is rarely one in progress, so that the fewest in progress says nothing, and a breaker opens after five failures in a row only.

Change: an instance's cost is its requests in progress, times how much slower than usual for their routes its answers came lately, times its failures beyond those usual for them. It fades within 5 s.

--- a/internal/command/experiment/run/run.go
+++ b/internal/command/experiment/run/run.go
@@ -15,7 +15,7 @@
 	"github.com/rattantray/rattantray/internal/experimenter"
 )
 
-var fields = []string{"policy", "served", "on-time", "refused", "failed", "first-p50-ms", "first-p99-ms"}
+var fields = []string{"policy", "served", "on-time", "refused", "failed", "first-p50-ms", "first-p99-ms", "step-p50-ms", "step-p99-ms"}
 
 // Options holds what the command depends on and its flags.
 type Options struct {
@@ -97,6 +97,7 @@
 			"policy": m.Policy, "served": share(m.Served), "on-time": share(m.OnTime),
 			"refused": printer.Rate(m.Refused), "failed": printer.Rate(m.Failed),
 			"first-p50-ms": printer.Rate(m.FirstP50), "first-p99-ms": printer.Rate(m.FirstP99),
+			"step-p50-ms": printer.Rate(m.StepP50), "step-p99-ms": printer.Rate(m.StepP99),
 		})
 	}
 	return printer.Print(opts.IO, printer.Listing{Fields: fields, Rows: rows}, opts.Export)
--- a/internal/experimenter/play.go
+++ b/internal/experimenter/play.go
@@ -68,6 +68,7 @@
 	repairAt  time.Duration
 	first     time.Duration
 	gap       time.Duration
+	events    int
 	over      bool
 }
 
@@ -272,6 +273,7 @@
 		c.gap = max(c.gap, now-c.delivered)
 	}
 	c.last, c.delivered = now, now
+	c.events++
 }
 
 // end takes the end of one try.
@@ -280,6 +282,9 @@
 	switch o {
 	case modeler.OutcomeDone:
 		p.result.gaps = append(p.result.gaps, c.gap)
+		if c.events > 1 {
+			p.result.steps = append(p.result.steps, (c.delivered-c.asked-c.first)/time.Duration(c.events-1))
+		}
 		outcome := OutcomeOnTime
 		if c.first > p.scenario.Load.Objective || c.gap > p.scenario.Load.Gap {
 			outcome = OutcomeLate
--- a/internal/experimenter/result.go
+++ b/internal/experimenter/result.go
@@ -34,13 +34,16 @@
 	// Served is the share of whole answers, and OnTime that of answers on time, of requests that were not given up.
 	Served float64 `json:"served"`
 	OnTime float64 `json:"on-time"`
-	// FirstP50, FirstP99 and GapP99 are in milliseconds.
+	// FirstP50, FirstP99 and GapP99 are in milliseconds; StepP50 and StepP99 are of the mean time between two events of an answer.
 	FirstP50 float64 `json:"first-p50-ms"`
 	FirstP99 float64 `json:"first-p99-ms"`
 	GapP99   float64 `json:"gap-p99-ms"`
+	StepP50  float64 `json:"step-p50-ms"`
+	StepP99  float64 `json:"step-p99-ms"`
 
 	firsts []time.Duration
 	gaps   []time.Duration
+	steps  []time.Duration
 }
 
 func (r *Result) note(second int, o Outcome) {
@@ -65,6 +68,7 @@
 		r.Served, r.OnTime = float64(whole)/float64(owed), float64(t[OutcomeOnTime])/float64(owed)
 	}
 	r.FirstP50, r.FirstP99, r.GapP99 = quantile(r.firsts, 0.5), quantile(r.firsts, 0.99), quantile(r.gaps, 0.99)
+	r.StepP50, r.StepP99 = quantile(r.steps, 0.5), quantile(r.steps, 0.99)
 }
 
 // quantile returns a quantile in milliseconds, 0 of nothing.
@@ -103,6 +107,8 @@
 	Failed   float64 `json:"failed"`
 	FirstP50 float64 `json:"first-p50-ms"`
 	FirstP99 float64 `json:"first-p99-ms"`
+	StepP50  float64 `json:"step-p50-ms"`
+	StepP99  float64 `json:"step-p99-ms"`
 }
 
 // Means returns the mean of each policy, in the order of the scenario.
@@ -125,12 +131,15 @@
 		m.Failed += float64(result.Totals[OutcomeFailed])
 		m.FirstP50 += result.FirstP50
 		m.FirstP99 += result.FirstP99
+		m.StepP50 += result.StepP50
+		m.StepP99 += result.StepP99
 	}
 	for i := range out {
 		n := counts[out[i].Policy]
 		m := &out[i]
 		m.Served, m.OnTime, m.Refused, m.Failed = m.Served/n, m.OnTime/n, m.Refused/n, m.Failed/n
 		m.FirstP50, m.FirstP99 = m.FirstP50/n, m.FirstP99/n
+		m.StepP50, m.StepP99 = m.StepP50/n, m.StepP99/n
 	}
 	return out
 }
--- /dev/null
+++ b/internal/experimenter/unraced_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package experimenter
+
+const raced = false
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -46,9 +48,18 @@
 	// Attempt makes one attempt, as Forwarder.Forward does.
 	Attempt Attempt
 
-	mu       sync.Mutex
-	breakers map[string]*breaker.Breaker
-	budgets  *budgeter.Set[budgetKey]
+	mu        sync.Mutex
+	instances map[string]*replica
+	budgets   *budgeter.Set[budgetKey]
+	usual     map[routeKey]*usual
+}
+
+type routeKey struct{ service, route string }
+
+// replica is what is known of one instance.
+type replica struct {
+	breaker.Breaker
+	record record
 }
 
 type budgetKey struct {
@@ -59,11 +70,11 @@
 // NewBalancer returns a balancer that makes its attempts with f.
 func NewBalancer(f *Forwarder, rng *rand.Rand) *Balancer {
 	return &Balancer{
-		Clock:    f.Clock,
-		Rand:     rng,
-		Attempt:  f.Forward,
-		breakers: map[string]*breaker.Breaker{},
-		budgets:  budgeter.NewSet[budgetKey](budgetBurst, maxBudgets),
+		Clock:     f.Clock,
+		Rand:      rng,
+		Attempt:   f.Forward,
+		instances: map[string]*replica{},
+		budgets:   budgeter.NewSet[budgetKey](budgetBurst, maxBudgets),
 	}
 }
 
@@ -163,46 +174,64 @@
 	return refuser.New(code, format, args...).WithFact(a.fact())
 }
 
-// pick returns the live target with the fewest requests in progress, one not tried before where there is one.
+// pick returns the live target at which a request costs least, one not tried before where there is one.
 func (b *Balancer) pick(targets []cataloger.Target, tried []string) (cataloger.Target, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
-	best := -1
-	bestLoad, bestTried, ties := 0, false, 0
-	for i, t := range targets {
-		br := b.of(t.Name)
-		if t.State != cataloger.StateLive || !br.Allows(now) {
-			continue
-		}
-		was := slices.Contains(tried, t.Name)
+	var fresh, again []cataloger.Target
+	for _, t := range targets {
 		switch {
-		case best < 0 || (bestTried && !was) || (was == bestTried && br.Outstanding() < bestLoad):
-			best, bestLoad, bestTried, ties = i, br.Outstanding(), was, 1
-		case was == bestTried && br.Outstanding() == bestLoad:
+		case t.State != cataloger.StateLive || !b.of(t.Name).Allows(now):
+		case slices.Contains(tried, t.Name):
+			again = append(again, t)
+		default:
+			fresh = append(fresh, t)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = again
+	}
+	if len(fresh) == 0 {
+		return cataloger.Target{}, false
+	}
+	best := b.cheapest(fresh, now)
+	b.of(best.Name).Start()
+	return best, true
+}
+
+// cheapest returns one of the targets at which a request costs least; the caller holds mu.
+func (b *Balancer) cheapest(targets []cataloger.Target, now time.Time) cataloger.Target {
+	costs, least := make([]float64, len(targets)), math.Inf(1)
+	for i, t := range targets {
+		known := b.of(t.Name)
+		costs[i] = known.record.Cost(now, known.Outstanding())
+		least = min(least, costs[i])
+	}
+	var best cataloger.Target
+	ties := 0
+	for i, t := range targets {
+		if costs[i] <= alike*least {
 			ties++
 			if b.Rand.IntN(ties) == 0 {
-				best = i
+				best = t
 			}
 		}
 	}
-	if best < 0 {
-		return cataloger.Target{}, false
-	}
-	b.of(targets[best].Name).Start()
-	return targets[best], true
+	return best
 }
 
 func (b *Balancer) attempt(ctx context.Context, target cataloger.Target, r Request, do Attempt) (Answer, error) {
+	began := b.Clock.Now()
 	answer, err := do(ctx, target, r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	br := b.of(target.Name)
+	br, now := b.of(target.Name), b.Clock.Now()
 	if err == nil {
+		b.note(br, r, now, began, false)
 		br.Succeed()
 		return answer, nil
 	}
-	now := b.Clock.Now()
 	refusal := refuser.From(err)
 	switch refusal.Code {
 	case refuser.TargetRefused:
@@ -210,17 +239,33 @@
 	case refuser.Canceled, refuser.UnknownMethod, refuser.MalformedRequest:
 		br.Abandon()
 	default:
+		b.note(br, r, now, began, true)
 		br.Fail(now, b.Rand)
 	}
 	return Answer{}, refusal
 }
 
+// note takes in an attempt that the instance answered or failed; the caller holds mu.
+func (b *Balancer) note(known *replica, r Request, now, began time.Time, failed bool) {
+	key := routeKey{service: r.Service, route: cmp.Or(r.Route, r.Method)}
+	u, ok := b.usual[key]
+	if !ok {
+		if b.usual == nil || len(b.usual) >= maxRoutes {
+			b.usual = map[routeKey]*usual{}
+		}
+		u = &usual{}
+		b.usual[key] = u
+	}
+	slower, fault := u.Note(now.Sub(began), failed)
+	known.record.Note(now, slower, fault)
+}
+
 // of returns the state of an instance; the caller holds mu.
-func (b *Balancer) of(name string) *breaker.Breaker {
-	br, ok := b.breakers[name]
+func (b *Balancer) of(name string) *replica {
+	br, ok := b.instances[name]
 	if !ok {
-		br = &breaker.Breaker{}
-		b.breakers[name] = br
+		br = &replica{}
+		b.instances[name] = br
 	}
 	return br
 }
@@ -229,9 +274,9 @@
 func (b *Balancer) Retain(names map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, br := range b.breakers {
+	for name, br := range b.instances {
 		if !names[name] && br.Outstanding() == 0 {
-			delete(b.breakers, name)
+			delete(b.instances, name)
 		}
 	}
 }
--- a/internal/forwarder/balancer_fuzz_test.go
+++ b/internal/forwarder/balancer_fuzz_test.go
@@ -92,11 +92,11 @@
 		})
 	}
 	m.balancer = &Balancer{
-		Clock:    timer.System{},
-		Rand:     random,
-		Attempt:  m.attempt,
-		breakers: map[string]*breaker.Breaker{},
-		budgets:  budgeter.NewSet[budgetKey](fuzzBurst, maxBudgets),
+		Clock:     timer.System{},
+		Rand:      random,
+		Attempt:   m.attempt,
+		instances: map[string]*replica{},
+		budgets:   budgeter.NewSet[budgetKey](fuzzBurst, maxBudgets),
 	}
 	return m
 }
--- a/internal/forwarder/balancer_test.go
+++ b/internal/forwarder/balancer_test.go
@@ -86,7 +86,7 @@
 		})
 		const requests = 1000
 		for range requests {
-			b.breakers = map[string]*breaker.Breaker{}
+			b.instances = map[string]*replica{}
 			_, err := b.Do(context.Background(), instances(3), Request{Idempotent: true}, Policy{Budget: 0.1})
 			require.Equal(t, refuser.FactMayHaveRun, refuser.From(err).Fact)
 		}
@@ -156,7 +156,7 @@
 		r := booking()
 		r.RequestID = fmt.Sprintf("r-%d", i)
 		b.mu.Lock()
-		b.breakers = map[string]*breaker.Breaker{}
+		b.instances = map[string]*replica{}
 		b.mu.Unlock()
 		_, err := b.Do(context.Background(), targets, r, Policy{})
 		if err == nil {
@@ -188,7 +188,7 @@
 			targets := instances(n)
 			for b.Loop() {
 				t, _ := bl.pick(targets, nil)
-				bl.breakers[t.Name].Succeed()
+				bl.instances[t.Name].Succeed()
 			}
 		})
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,7 +46,9 @@
 	Service   string
 	RequestID string
 	// Method is an HTTP method and a path, as "POST /bookings".
-	Method  string
+	Method string
+	// Route names requests that take about as long as each other; empty is Method.
+	Route   string
 	Payload []byte
 	// Deadline ends the attempt; the zero time is no deadline.
 	Deadline time.Time
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -51,6 +51,7 @@
 	_, err := r.Balancer.Run(ctx, r.instances(req.Service.Name), forwarder.Request{
 		Workspace:  req.Workspace,
 		Service:    req.Service.Name,
+		Route:      req.Route.Name,
 		RequestID:  req.ID,
 		Deadline:   req.Deadline,
 		Idempotent: req.Route.Repeatable(),
