Play hot keys and restarts of all processes in experiments

Cause: the scenario format had neither, though its page named a restart of all, and two of the load patterns had no test by name.

Change: load.hot-keys has a share of the requests be one and the same for a while; kind restart-all ends all processes with the streams in progress, and others begin that know only what is listed.

--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -88,6 +88,28 @@
 	}
 }
 
+func TestHotKey(t *testing.T) {
+	m := means(scenario(t, "hot-key", "product", "static-pipelines"))
+	require.InDelta(t, 1, m["product"].Served, 0.01)
+	require.GreaterOrEqual(t, m["product"].OnTime, m["static-pipelines"].OnTime)
+}
+
+// TestAllProcessesRestarted: whoever had no event yet is served after coming back, and two seconds after the processes are back
+// all that come are on time again.
+func TestAllProcessesRestarted(t *testing.T) {
+	s := scenario(t, "all-restarted", "product")
+	result := Run(s, func() {}).Results[0]
+	restart := s.Troubles[0]
+	at, back := int(restart.At/time.Second), int((restart.At+restart.For)/time.Second)+1
+	require.Positive(t, result.Seconds[at-1][OutcomeFailed], "answers in progress are cut")
+	for i, second := range result.Seconds[at+1:] {
+		require.Zero(t, second[OutcomeRefused]+second[OutcomeFailed], "second %d", at+1+i)
+	}
+	for i, second := range result.Seconds[back+2 : back+4] {
+		require.Zero(t, second[OutcomeLate], "second %d", back+2+i)
+	}
+}
+
 func TestASeedPlaysTheSameEachTime(t *testing.T) {
 	s := scenario(t, "stage-lost", "product")
 	s.Length = 12 * time.Second
@@ -115,6 +137,8 @@
 		{"kind: l4, count: 5", "kind: h100, count: 5", "targets[4]"},
 		{"policies: [product,", "policies: [best,", "least-outstanding, product, static-pipelines"},
 		{"rate: 62", "rate: -1", "load"},
+		{"retries: 1", "retries: 1\n  hot-keys: [{at: 1s, for: 1s, share: 2, prompt: 1, answer: 1}]", "load.hot-keys[0]"},
+		{"kind: lose, count: 2", "kind: restart-all", "troubles[1]"},
 	} {
 		require.Contains(t, string(whole), c.old)
 		_, err := Parse(strings.NewReader(strings.Replace(string(whole), c.old, c.replacement, 1)))
--- a/internal/experimenter/play.go
+++ b/internal/experimenter/play.go
@@ -45,6 +45,8 @@
 	streams   map[string]*client
 	askedAt   map[string]time.Duration
 	sent      int
+	// awayUntil is when processes that restart take requests again.
+	awayUntil time.Duration
 }
 
 // client is one request of a client over its tries.
@@ -80,9 +82,7 @@
 		scenario: s, policy: policies[name], fleet: modeler.New(s.spec()), random: rand.New(rand.NewPCG(seed, 1)),
 		engine: s.engine(), result: &Result{Policy: name, Seed: seed}, streams: map[string]*client{}, askedAt: map[string]time.Duration{},
 	}
-	now := func() time.Time { return epoch.Add(p.fleet.Now()) }
-	p.targets = assessor.New(now)
-	p.chooser = chooser.New(p.targets, now)
+	p.startProcesses()
 	for _, group := range s.Targets {
 		for range group.Count {
 			t := fmt.Sprintf("%s-%s-%d", group.DataCentre, group.Kind, len(p.names))
@@ -100,6 +100,14 @@
 	return p
 }
 
+// startProcesses begins with processes that know nothing.
+func (p *play) startProcesses() {
+	now := func() time.Time { return epoch.Add(p.fleet.Now()) }
+	p.targets = assessor.New(now)
+	p.chooser = chooser.New(p.targets, now)
+	clear(p.askedAt)
+}
+
 // spec returns the engines of the model.
 func (s *Scenario) spec() modeler.Spec {
 	m := s.Model
@@ -211,6 +219,7 @@
 			id: fmt.Sprint("r", p.sent), prompt: p.draw(load.Prompt), answer: p.draw(load.Answer), asked: p.fleet.Now(),
 			abuses: p.random.Float64() < load.Abuse,
 		}
+		p.heat(c)
 		leaves := p.random.Float64() < load.Leave
 		c.tries = 1
 		p.send(c)
@@ -221,6 +230,16 @@
 	})
 }
 
+// heat gives a request the sizes of a hot key, by chance.
+func (p *play) heat(c *client) {
+	at := p.fleet.Now() - warmUp
+	for _, k := range p.scenario.Load.HotKeys {
+		if at >= k.At && at < k.At+k.For && p.random.Float64() < k.Share {
+			c.prompt, c.answer = k.Prompt, k.Answer
+		}
+	}
+}
+
 func (p *play) draw(s Size) int {
 	n := s.Mean * math.Exp(p.random.NormFloat64()*s.Spread-s.Spread*s.Spread/2)
 	if s.Most > 0 {
@@ -232,6 +251,10 @@
 // send makes one try of a client.
 func (p *play) send(c *client) {
 	c.sending++
+	if p.fleet.Now() < p.awayUntil {
+		p.refused(c)
+		return
+	}
 	d := p.demand(c.prompt, c.answer)
 	path, ok := p.policy.path(p, d)
 	if !ok {
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -78,6 +78,8 @@
 	Abuse  float64 `yaml:"abuse"`
 	Leave  float64 `yaml:"leave"`
 	Bursts []Burst `yaml:"bursts"`
+	// HotKeys are times in which many clients ask for the same.
+	HotKeys []HotKey `yaml:"hot-keys"`
 }
 
 // Size is a size in tokens with a spread, as the standard deviation of its logarithm.
@@ -94,10 +96,20 @@
 	X   float64       `yaml:"x"`
 }
 
-// Trouble befalls some targets.
+// HotKey has a share of the requests be one and the same for a while.
+type HotKey struct {
+	At    time.Duration `yaml:"at"`
+	For   time.Duration `yaml:"for"`
+	Share float64       `yaml:"share"`
+	// Prompt and Answer are its sizes in tokens.
+	Prompt int `yaml:"prompt"`
+	Answer int `yaml:"answer"`
+}
+
+// Trouble befalls some targets, or all processes that relay.
 type Trouble struct {
 	At time.Duration `yaml:"at"`
-	// Kind is lose, slow, or restart-all.
+	// Kind is lose, slow, or restart-all; processes that restart are away for For.
 	Kind  string        `yaml:"kind"`
 	Count int           `yaml:"count"`
 	X     float64       `yaml:"x"`
@@ -106,8 +118,9 @@
 
 // Kinds of trouble.
 const (
-	TroubleLose = "lose"
-	TroubleSlow = "slow"
+	TroubleLose    = "lose"
+	TroubleSlow    = "slow"
+	TroubleRestart = "restart-all"
 )
 
 // Parse reads a scenario; an error names the line and what is accepted.
@@ -171,9 +184,23 @@
 	if len(s.Policies) == 0 {
 		return bad("policies", "at least one of "+policyNames())
 	}
+	return s.checkTimes(bad)
+}
+
+// checkTimes checks what happens at times of the scenario.
+func (s *Scenario) checkTimes(bad func(path, accepted string) error) error {
 	for i, t := range s.Troubles {
-		if t.Kind != TroubleLose && t.Kind != TroubleSlow || t.Count <= 0 {
-			return bad(fmt.Sprintf("troubles[%d]", i), "kind lose or slow, and a count above 0")
+		path := fmt.Sprintf("troubles[%d]", i)
+		switch {
+		case t.Kind == TroubleRestart && t.For <= 0:
+			return bad(path, "the time for which processes are away")
+		case t.Kind != TroubleRestart && (t.Kind != TroubleLose && t.Kind != TroubleSlow || t.Count <= 0):
+			return bad(path, "kind lose or slow and a count above 0, or kind restart-all")
+		}
+	}
+	for i, k := range s.Load.HotKeys {
+		if k.For <= 0 || k.Share <= 0 || k.Share > 1 || k.Prompt <= 0 || k.Answer <= 0 {
+			return bad(fmt.Sprintf("load.hot-keys[%d]", i), "for, prompt and answer above 0 and a share up to 1")
 		}
 	}
 	return nil
--- a/internal/experimenter/watch.go
+++ b/internal/experimenter/watch.go
@@ -12,8 +12,12 @@
 // listTime is when the platform's list has dropped a lost target, for those who do not ask.
 const listTime = 3600 * time.Millisecond
 
-// trouble strikes targets that hold layers.
+// trouble strikes targets that hold layers, or all processes.
 func (p *play) trouble(t Trouble) {
+	if t.Kind == TroubleRestart {
+		p.restart(t.For)
+		return
+	}
 	for range t.Count {
 		name, ok := p.victim()
 		if !ok {
@@ -33,6 +37,22 @@
 	}
 }
 
+// restart ends all processes with the streams in progress, and begins others after a while that know what is listed.
+func (p *play) restart(away time.Duration) {
+	p.awayUntil = p.fleet.Now() + away
+	for _, c := range p.ordered() {
+		c.sending++
+		p.fleet.Cancel(c.id)
+		p.finish(c)
+		p.refused(c)
+	}
+	listed := p.targets.Service(service)
+	p.startProcesses()
+	for _, v := range listed {
+		p.targets.Put(v.Target)
+	}
+}
+
 // victim returns a target at random that holds layers and is not lost.
 func (p *play) victim() (string, bool) {
 	var out []string
--- a/internal/experimenter/whole_test.go
+++ b/internal/experimenter/whole_test.go
@@ -17,7 +17,7 @@
 	}
 	files, err := filepath.Glob(filepath.Join("..", "..", "docs", "examples", "experiments", "*.yaml"))
 	require.NoError(t, err)
-	require.Len(t, files, 7)
+	require.Len(t, files, 9)
 	for _, name := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(name), ".yaml"), func(t *testing.T) {
 			t.Parallel()
