Give leaving, loads and doubts files of their own

Cause: the newcomer's read of the change. serving.go of the gateway held the whole way out of a daemon beside its servers, and assessor.go (474 lines) what peers have in progress and what is believed of targets beside their list.

Moved only; no line of code changed but imports. Tests of the packages and of those that use them pass.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -40,14 +38,6 @@
 	peerLoadAge = 2 * time.Second
 )
 
-// Doubt is a target that a daemon believes lost.
-type Doubt struct {
-	Target      string
-	Incarnation uint64
-	// Since is when the target was last believed lost.
-	Since time.Time
-}
-
 // belief is what is known of one incarnation of a target.
 type belief struct {
 	target cataloger.Target
@@ -95,12 +85,6 @@
 // Usable tells whether the target takes new work.
 func (v View) Usable() bool { return v.State == cataloger.StateLive && !v.Lost }
 
-// peerLoad is what another daemon has in progress.
-type peerLoad struct {
-	at          time.Time
-	tokenLayers map[string]float64
-}
-
 // Assessor is safe for concurrent use; set its exported fields before use.
 type Assessor struct {
 	// Now tells the time.
@@ -238,23 +222,6 @@
 	return a.services[service]
 }
 
-// peerLoads returns the loads of all peers that are not too old; the caller holds mu.
-func (a *Assessor) peerLoads(now time.Time) map[string]float64 {
-	if !a.summedAt.IsZero() && now.Sub(a.summedAt) < sumTime {
-		return a.sums
-	}
-	a.sums, a.summedAt = map[string]float64{}, now
-	for _, p := range a.peers {
-		if now.Sub(p.at) >= peerLoadAge {
-			continue
-		}
-		for name, n := range p.tokenLayers {
-			a.sums[name] += n
-		}
-	}
-	return a.sums
-}
-
 func (a *Assessor) view(b *belief, now time.Time) View {
 	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.paceNow(now)}
 	v.Lost = !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
@@ -269,206 +236,3 @@
 	v.TokenLayers += a.peerLoads(now)[b.target.Name]
 	return v
 }
-
-// faultsNow returns the share of faults, which fades.
-func (b *belief) faultsNow(now time.Time) float64 {
-	if b.faults == 0 {
-		return 0
-	}
-	return b.faults * math.Exp(-now.Sub(b.faultsAt).Seconds()/faultTime.Seconds())
-}
-
-// refuse passes the target over for a while.
-func (b *belief) refuse(now time.Time) {
-	if now.Before(b.refusedUntil) {
-		// The answers of requests that were under way say nothing new.
-		return
-	}
-	b.refusedUntil = now.Add(min(RefusalTime<<min(b.refusals, 10), maxRefusalTime))
-	b.refusals++
-}
-
-// Answer takes in whether a target that received a request first answered it soundly and in time.
-func (a *Assessor) Answer(name string, sound bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b, ok := a.beliefs[name]
-	if !ok {
-		return
-	}
-	now := a.Now()
-	b.faults = b.faultsNow(now)
-	b.faultsAt = now
-	if sound {
-		b.faults -= b.faults * soundGain
-	} else {
-		b.faults += (1 - b.faults) * faultGain
-	}
-}
-
-// Reserve counts the tokens of a request on each stage of its path until the returned function is called.
-func (a *Assessor) Reserve(path []cataloger.Stage, tokens float64) (release func()) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	type share struct {
-		b           *belief
-		tokenLayers float64
-	}
-	var shares []share
-	for _, s := range path {
-		if b, ok := a.beliefs[s.Target]; ok {
-			n := tokens * float64(s.EndLayer-s.FirstLayer)
-			b.tokenLayers += n
-			b.requests++
-			shares = append(shares, share{b, n})
-		}
-	}
-	return sync.OnceFunc(func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		for _, s := range shares {
-			s.b.tokenLayers -= s.tokenLayers
-			s.b.requests--
-		}
-	})
-}
-
-// Lose takes in that an incarnation of a target does not answer since a time; it tells whether that is news.
-func (a *Assessor) Lose(name string, incarnation uint64, since time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b, ok := a.beliefs[name]
-	if !ok || b.target.Incarnation != incarnation || !since.After(b.lostAt) || !since.After(b.clearedAt) {
-		return false
-	}
-	news := b.lostAt.IsZero() || a.Now().Sub(b.lostAt) >= SuspicionTime
-	b.lostAt = since
-	return news
-}
-
-// Misplace takes in that a target does not hold what is listed: it is passed over until it is listed anew, or for a while.
-func (a *Assessor) Misplace(name string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b, ok := a.beliefs[name]; ok {
-		b.refusedUntil = a.Now().Add(misplacedTime)
-	}
-}
-
-// Doubt takes in that a target did not answer once; it tells whether that was the second time in a row.
-func (a *Assessor) Doubt(name string, incarnation uint64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b, ok := a.beliefs[name]
-	if !ok || b.target.Incarnation != incarnation {
-		return false
-	}
-	now := a.Now()
-	again := !b.doubtedAt.IsZero() && now.Sub(b.doubtedAt) < doubtTime
-	b.doubtedAt = now
-	b.refuse(now)
-	return again
-}
-
-// Trust takes in that the targets of a path took a request.
-func (a *Assessor) Trust(path []cataloger.Stage) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, s := range path {
-		if b, ok := a.beliefs[s.Target]; ok {
-			b.doubtedAt, b.refusals = time.Time{}, 0
-		}
-	}
-}
-
-// Clear takes in that a target was proven to work at a time, and tells whether it was believed lost.
-func (a *Assessor) Clear(name string, at time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b, ok := a.beliefs[name]
-	if !ok || b.lostAt.IsZero() || !at.After(b.lostAt) {
-		return false
-	}
-	b.lostAt, b.doubtedAt, b.clearedAt = time.Time{}, time.Time{}, at
-	return true
-}
-
-// Refuse takes in that a target wants no more work for a moment.
-func (a *Assessor) Refuse(name string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b, ok := a.beliefs[name]; ok {
-		b.refuse(a.Now())
-	}
-}
-
-// SetPace takes in how slow a target said it was at a time; 1 is its usual pace. What it says counts for paceTime.
-func (a *Assessor) SetPace(name string, pace float64, at time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b, ok := a.beliefs[name]; ok && pace > 0 && at.After(b.pacedAt) {
-		b.pace, b.pacedAt = pace, at
-	}
-}
-
-// paceNow returns the pace as long as what the target said counts.
-func (b *belief) paceNow(now time.Time) float64 {
-	if b.pacedAt.IsZero() || now.Sub(b.pacedAt) > paceTime {
-		return 1
-	}
-	return b.pace
-}
-
-// Paces returns the targets that have just said that they are slow.
-func (a *Assessor) Paces() map[string]float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.Now()
-	out := map[string]float64{}
-	for name, b := range a.beliefs {
-		// Only news of this daemon's own moment is passed on, so that what two daemons tell each other fades.
-		if now.Sub(b.pacedAt) < freshPace && b.paceNow(now) > 1 {
-			out[name] = b.pace
-		}
-	}
-	return out
-}
-
-// Doubts returns the targets that are believed lost.
-func (a *Assessor) Doubts() []Doubt {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.Now()
-	var out []Doubt
-	for name, b := range a.beliefs {
-		if !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime {
-			out = append(out, Doubt{Target: name, Incarnation: b.target.Incarnation, Since: b.lostAt})
-		}
-	}
-	return out
-}
-
-// Loads returns the tokens times layers in progress on this daemon, by target.
-func (a *Assessor) Loads() map[string]float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	out := map[string]float64{}
-	for name, b := range a.beliefs {
-		if b.tokenLayers > 0 {
-			out[name] = b.tokenLayers
-		}
-	}
-	return out
-}
-
-// SetPeerLoads takes in what another daemon has in progress; nil forgets the daemon.
-func (a *Assessor) SetPeerLoads(peer string, loads map[string]float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.summedAt = time.Time{}
-	if loads == nil {
-		delete(a.peers, peer)
-		return
-	}
-	a.peers[peer] = peerLoad{at: a.Now(), tokenLayers: maps.Clone(loads)}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,17 +36,6 @@
 	leaseDuration = 2 * time.Second
 	// lagPause is how long a change that a peer knows may be under way before it is fetched.
 	lagPause = 400 * time.Millisecond
-	// lingerTime is how long a leaving daemon goes on taking requests of clients that still have its address; what it takes
-	// later than 3 s after the signal it may not give up.
-	lingerTime = 2800 * time.Millisecond
-	// standInPause is the time between two looks whether another daemon takes requests, and standInMargin is left at the end
-	// for those in progress.
-	standInPause  = 50 * time.Millisecond
-	standInMargin = 500 * time.Millisecond
-	// quietTime is how long a daemon without requests waits for one on the connections that it still has.
-	quietTime = 400 * time.Millisecond
-	// stopMargin is kept of the time that the platform grants between its signal and the kill.
-	stopMargin = 300 * time.Millisecond
 	// peersPrefix is where daemons leave their peer addresses for those that start later.
 	peersPrefix = "gateways/"
 	stopTimeout = 30 * time.Second
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -4,13 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
-	"github.com/rattantray/rattantray/internal/relayer"
 )
 
 const (
@@ -97,72 +93,3 @@
 		handler.ServeHTTP(w, r)
 	})
 }
-
-// drain tells everybody that this daemon leaves, goes on with what comes for a while, and returns when the last request is
-// answered.
-func (g *Gateway) drain(ctx context.Context) error {
-	now := g.Clock.Now()
-	ends := now.Add(g.Settings.Grace - stopMargin)
-	ctx, cancel := context.WithTimeout(ctx, g.Settings.Grace-stopMargin)
-	defer cancel()
-	g.leaving.Store(true)
-	g.departures.See(g.Settings.Name, g.epoch, true, now)
-	g.gossiper.Send()
-	g.Log.Info().Int64("requests", g.active.Load()).Msg("gateway leaves")
-	_ = g.Clock.Sleep(ctx, lingerTime)
-	g.standIn(ctx, ends)
-	err := g.finish(ctx)
-	g.Log.Info().Int64("requests", g.active.Load()).Err(err).Msg("gateway has drained")
-	return err
-}
-
-// finish returns when the last request is answered. While no daemon takes requests, connections on which none has come are not
-// waited for: the sooner this one is back, the better.
-func (g *Gateway) finish(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- g.client.Shutdown(ctx) }()
-	quiet := time.Duration(0)
-	for {
-		select {
-		case err := <-done:
-			return err
-		default:
-		}
-		if g.active.Load() > 0 || g.othersReady() {
-			quiet = 0
-		}
-		if quiet >= quietTime {
-			return g.client.Close()
-		}
-		if g.Clock.Sleep(ctx, standInPause) != nil {
-			return <-done
-		}
-		quiet += standInPause
-	}
-}
-
-// standIn goes on while there is no other daemon to take requests: with those that are sure to end before this one does, and
-// the others are told when one will be back.
-func (g *Gateway) standIn(ctx context.Context, ends time.Time) {
-	for !g.relieved() && g.Clock.Now().Before(ends.Add(-standInMargin)) {
-		back := g.departures.Back(g.Clock.Now(), g.Settings.Grace+restartTime)
-		if g.relayer.Close(relayer.Closing{Ends: ends, Back: back}) {
-			g.Log.Info().Time("back", back).Msg("gateway stands in")
-		}
-		if g.Clock.Sleep(ctx, standInPause) != nil {
-			return
-		}
-	}
-}
-
-// relieved tells whether another daemon takes requests, or began to leave later than this one.
-func (g *Gateway) relieved() bool {
-	return g.othersReady() || slices.ContainsFunc(g.gossiper.Alive(), func(h *peerv1.GatewayHeartbeat) bool {
-		return h.GetLeaving() && g.departures.Later(h.GetName(), g.Settings.Name)
-	})
-}
-
-// othersReady tells whether another daemon takes requests.
-func (g *Gateway) othersReady() bool {
-	return slices.ContainsFunc(g.gossiper.Alive(), func(h *peerv1.GatewayHeartbeat) bool { return h.GetReady() && !h.GetLeaving() })
-}
