Count a target as lost whose address another one has

Change: of two targets at one address the one that started later is there; the other is lost for as long as it lists that address.

TestReusedAddress holds it in both orders of news.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -62,6 +62,8 @@
 	// leavingAt is when the target was first seen to leave, and gaveUpAt when it last gave layers up.
 	leavingAt time.Time
 	gaveUpAt  time.Time
+	// replaced is true once a target that started later has the address: whoever answers there is not this one.
+	replaced bool
 }
 
 // View is a target with what is believed of it, at one moment.
@@ -123,7 +125,10 @@
 	b.refusedUntil = time.Time{}
 	a.services = nil
 	if b.target.Address != t.Address {
-		delete(a.byAddress, b.target.Address)
+		if a.byAddress[b.target.Address] == t.Name {
+			delete(a.byAddress, b.target.Address)
+		}
+		b.replaced = false
 	}
 	if t.State == cataloger.StateLeaving && b.leavingAt.IsZero() {
 		b.leavingAt = now
@@ -132,6 +137,22 @@
 		b.gaveUpAt = now
 	}
 	b.target = t
+	a.resolve(b)
+}
+
+// resolve finds out who has the address of a target; addresses of targets that ended are used again while these are still
+// listed.
+func (a *Assessor) resolve(b *belief) {
+	t := b.target
+	other, ok := a.beliefs[a.byAddress[t.Address]]
+	switch {
+	case !ok || other == b || other.target.Address != t.Address || other.target.Incarnation == t.Incarnation:
+	case other.target.Incarnation > t.Incarnation:
+		b.replaced = true
+		return
+	default:
+		other.replaced = true
+	}
 	a.byAddress[t.Address] = t.Name
 }
 
@@ -224,7 +245,7 @@
 
 func (a *Assessor) view(b *belief, now time.Time) View {
 	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.paceNow(now)}
-	v.Lost = !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
+	v.Lost = b.replaced || !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
 	v.Refused = now.Before(b.refusedUntil)
 	v.Faults = b.faultsNow(now)
 	if !b.leavingAt.IsZero() {
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -192,3 +192,48 @@
 	require.Equal(t, time.Second, put(1, 35, 45).GaveUp)
 	require.Zero(t, put(2, 0, 0).GaveUp, "a new process has given up nothing")
 }
+
+// TestReusedAddress: a target that ended is listed beside the one that has its address now.
+func TestReusedAddress(t *testing.T) {
+	put := func(a *Assessor, name string, incarnation uint64, address string) {
+		a.Put(cataloger.Target{Name: name, Service: "llm", Address: address, State: cataloger.StateLive, Incarnation: incarnation})
+	}
+	usable := func(a *Assessor) []string {
+		var out []string
+		for _, v := range a.Service("llm") {
+			if v.Usable() {
+				out = append(out, v.Name)
+			}
+		}
+		return out
+	}
+	at := func(a *Assessor, address string) string {
+		v, _ := a.At(address)
+		return v.Name
+	}
+	for _, order := range [][]string{{"old", "new"}, {"new", "old"}} {
+		now := time.Unix(100, 0)
+		a := New(func() time.Time { return now })
+		incarnations := map[string]uint64{"old": 5, "new": 9}
+		put(a, "other", 1, "10.0.0.2:80")
+		for range 2 {
+			for _, name := range order {
+				put(a, name, incarnations[name], "10.0.0.1:80")
+			}
+		}
+		require.Equal(t, []string{"new", "other"}, usable(a), order)
+		require.Equal(t, "new", at(a, "10.0.0.1:80"))
+		a.Remove("old")
+		require.Equal(t, "new", at(a, "10.0.0.1:80"))
+		require.Equal(t, []string{"new", "other"}, usable(a))
+
+		put(a, "old", 5, "10.0.0.5:80")
+		require.Equal(t, []string{"new", "old", "other"}, usable(a), "it has moved")
+		require.Equal(t, "new", at(a, "10.0.0.1:80"))
+		put(a, "old", 12, "10.0.0.3:80")
+		require.Equal(t, []string{"new", "old", "other"}, usable(a), "it has started again elsewhere")
+		put(a, "new", 9, "10.0.0.4:80")
+		require.Equal(t, []string{"new", "old", "other"}, usable(a))
+		require.Empty(t, at(a, "10.0.0.1:80"))
+	}
+}
