Leave stages that started again at once

Cause: found reading the change. A stage whose target started again without its layers was left at once before streams leave one after the other; since then it was waited for as if it had given the layers up, although its memory is gone.

The case "a stage starts again without layers" of TestPlannedLeaveUnderLoad fails without this.

--- a/internal/relayer/leave_test.go
+++ b/internal/relayer/leave_test.go
@@ -35,7 +35,13 @@
 }
 
 func put(r *Relayer, name string, state cataloger.State, first, end uint32) {
-	target := cataloger.Target{Name: name, Service: "llm", Address: name + ":80", DataCentre: "a", Kind: "l4", State: state, Incarnation: 1}
+	start(r, name, 1, state, first, end)
+}
+
+func start(r *Relayer, name string, incarnation uint64, state cataloger.State, first, end uint32) {
+	target := cataloger.Target{
+		Name: name, Service: "llm", Address: name + ":80", DataCentre: "a", Kind: "l4", State: state, Incarnation: incarnation,
+	}
 	if end > first {
 		target.Holdings = []cataloger.Holding{{Version: "1", FirstLayer: first, EndLayer: end, Ready: true}}
 	}
@@ -54,6 +60,7 @@
 	}{
 		{"a stage leaves", func(r *Relayer) { put(r, "a2", cataloger.StateLeaving, 5, 10) }, 2*time.Second + leavingMargin, false},
 		{"a stage gives its layers up", func(r *Relayer) { put(r, "a2", cataloger.StateLive, 0, 0) }, handoverTime, false},
+		{"a stage starts again without layers", func(r *Relayer) { start(r, "a2", 2, cataloger.StateLive, 0, 0) }, 2 * watchInterval, true},
 		{"a stage gives layers up while others are held nowhere", func(r *Relayer) {
 			put(r, "a2", cataloger.StateLive, 0, 0)
 			put(r, "b1", cataloger.StateLeaving, 0, 5)
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -255,10 +255,11 @@
 	return v.Left > repairer.LeaveAfter(s.ID, r.DrainTime+leavingMargin)
 }
 
-// handsOver tells whether it is time for a stream to go on without a target that gave up the layers which it needs: at once
-// where nothing is served until the target has loaded others.
+// handsOver tells whether it is time for a stream to go on without a target that does not hold the layers which it needs any
+// more: at once where the target started again instead of giving them up, or where nothing is served until it has loaded
+// others.
 func (r *Relayer) handsOver(g *generation, s repairer.Stream, v assessor.View) bool {
-	return v.GaveUp > repairer.LeaveAfter(s.ID, handoverTime) || !r.Chooser.Whole(g.request.demand())
+	return v.GaveUp == 0 || v.GaveUp > repairer.LeaveAfter(s.ID, handoverTime) || !r.Chooser.Whole(g.request.demand())
 }
 
 // leaveFirst sends what is left of a stream over another pipeline before its first target, which leaves, cuts it off.
