Keep away from targets that say they leave or want a pause

Cause: a target that leaves says so in its answers (Server-Leaving), and one that is full may say for how long (Retry-After with 503). Neither was read: a gateway learned of a departure from the store only, and asked again after 0.3 s.

The assessor keeps an incarnation that said it leaves out of all new work, whatever is listed afterwards, also where the list drops it and names it again; heartbeats pass it on for 5 s. A pause outlasts listings and answers; where all targets ask for one, requests are refused at once with the time when the first is back. Second tries of plain services took the list of instances as of the first: they look anew now.

Ruled out: keeping the mark with the belief of the target, which is forgotten 15 s after a listing ends. Tests fail without the change: 1, 100, 400 pipelines, second tries, replacements, an oracle over listings, removals and restarts.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -48,6 +48,8 @@
 	// refusedUntil is when the target may be asked again after refusals, of which there were so many in a row.
 	refusedUntil time.Time
 	refusals     int
+	// pausedUntil is until when the target wants nothing from this daemon, as it said itself.
+	pausedUntil time.Time
 	// faults is the share of requests that the target received first and failed, at faultsAt.
 	faults   float64
 	faultsAt time.Time
@@ -75,7 +77,9 @@
 	// Lost targets do not answer; Refused ones want no more for the moment.
 	Lost    bool
 	Refused bool
-	Pace    float64
+	// Paused is for how much longer the target wants nothing from this daemon; such a target is also Refused.
+	Paused time.Duration
+	Pace   float64
 	// Faults is the share of the requests that the target received first and failed lately.
 	Faults float64
 	// Left is how long ago the target began to leave; 0 where it does not.
@@ -95,6 +99,7 @@
 	mu        sync.Mutex
 	beliefs   map[string]*belief
 	byAddress map[string]string
+	departed  departed
 	peers     map[string]peerLoad
 	// sums are the loads of all peers together, as of summedAt; zero is out of date.
 	sums     map[string]float64
@@ -105,7 +110,7 @@
 
 // New returns an assessor that knows no target.
 func New(now func() time.Time) *Assessor {
-	return &Assessor{Now: now, beliefs: map[string]*belief{}, byAddress: map[string]string{}, peers: map[string]peerLoad{}}
+	return &Assessor{Now: now, beliefs: map[string]*belief{}, byAddress: map[string]string{}, departed: departed{}, peers: map[string]peerLoad{}}
 }
 
 // Put takes the newest description of a target; another incarnation starts without doubts.
@@ -137,6 +142,9 @@
 		b.gaveUpAt = now
 	}
 	b.target = t
+	if d, ok := a.departed.of(t); ok {
+		b.depart(d.Since)
+	}
 	a.resolve(b)
 }
 
@@ -246,7 +254,8 @@
 func (a *Assessor) view(b *belief, now time.Time) View {
 	v := View{Target: b.target, TokenLayers: b.tokenLayers, Requests: b.requests, Pace: b.paceNow(now)}
 	v.Lost = b.replaced || !b.lostAt.IsZero() && now.Sub(b.lostAt) < SuspicionTime
-	v.Refused = now.Before(b.refusedUntil)
+	v.Paused = max(b.pausedUntil.Sub(now), 0)
+	v.Refused = now.Before(b.refusedUntil) || v.Paused > 0
 	v.Faults = b.faultsNow(now)
 	if !b.leavingAt.IsZero() {
 		v.Left = max(now.Sub(b.leavingAt), 1)
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rattantray/rattantray/internal/assessor"
@@ -156,6 +157,29 @@
 	return !missing
 }
 
+// Back returns how long it takes until targets that asked for a pause make the layers whole that the others hold in part; 0 where
+// no pause is what is missing.
+func (c *Chooser) Back(d Demand) time.Duration {
+	if d.Engine.Layers == 0 {
+		return c.Targets.Back(d.Service)
+	}
+	views := c.Targets.Service(d.Service)
+	var pauses []time.Duration
+	for _, v := range views {
+		if v.Usable() && v.Paused > 0 {
+			pauses = append(pauses, v.Paused)
+		}
+	}
+	slices.Sort(pauses)
+	for _, pause := range append([]time.Duration{0}, pauses...) {
+		here := func(v assessor.View) bool { return v.Usable() && v.Paused <= pause }
+		if _, _, missing := uncovered(views, d.Engine.Layers, here); !missing {
+			return pause
+		}
+	}
+	return 0
+}
+
 // uncovered returns the first range of layers that none of the targets that are ok holds.
 func uncovered(views []assessor.View, layers uint32, ok func(assessor.View) bool) (first, end uint32, found bool) {
 	held := make([]bool, layers)
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -80,11 +80,11 @@
 
 // Do runs a request on one of the live targets; an error is a *refuser.Refusal whose fact covers all attempts.
 func (b *Balancer) Do(ctx context.Context, targets []cataloger.Target, r Request, policy Policy) (Answer, error) {
-	return b.Run(ctx, targets, r, policy, b.Attempt)
+	return b.Run(ctx, func() []cataloger.Target { return targets }, r, policy, b.Attempt)
 }
 
-// Run is Do with another way to make an attempt.
-func (b *Balancer) Run(ctx context.Context, targets []cataloger.Target, r Request, policy Policy, attempt Attempt) (Answer, error) {
+// Run is Do with another way to make an attempt, and with the targets as they are known at each attempt.
+func (b *Balancer) Run(ctx context.Context, targets func() []cataloger.Target, r Request, policy Policy, attempt Attempt) (Answer, error) {
 	if policy.MaxAttempts <= 0 {
 		policy.MaxAttempts = defaultAttempts
 	}
@@ -99,7 +99,7 @@
 	}
 	run := attempts{request: r, policy: policy}
 	for {
-		target, ok := b.pick(targets, run.tried)
+		target, ok := b.pick(targets(), run.tried)
 		if !ok {
 			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(breaker.MinOpen)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,6 +205,7 @@
 	r.Chooser.Daemons = r.Daemons
 	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
 	r.Lost = func(cataloger.Target) { g.gossiper.Send() }
+	r.Left = func(cataloger.Target) { g.gossiper.Send() }
 
 	g.orderer.Log = g.Log
 	g.orderer.Services = func() []matcher.Service {
--- a/internal/gateway/heartbeat_test.go
+++ b/internal/gateway/heartbeat_test.go
@@ -36,6 +36,7 @@
 	a.orderer.Learn(orderer.Pending{
 		Target: "i-0000000000", Incarnation: 1, First: 3, End: 9, At: time.Now(), Until: time.Now().Add(time.Second),
 	})
+	a.targets.Leave("i-0000000000", 1, time.Now())
 	data, err := proto.Marshal(a.heartbeat())
 	require.NoError(t, err)
 	h := &peerv1.GatewayHeartbeat{}
@@ -48,6 +49,8 @@
 	require.InDelta(t, 4, v.Pace, 0)
 	require.InDelta(t, 10_000, v.TokenLayers, 1, "the load of both daemons")
 	require.Len(t, b.orderer.Pending(), 1)
+	v, _ = b.targets.Get("i-0000000000")
+	require.False(t, v.Usable(), "it said that it leaves")
 	b.gone("a")
 	v, _ = b.targets.Get("i-0000000002")
 	require.InDelta(t, 5_000, v.TokenLayers, 1)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -49,6 +49,11 @@
 			Target: d.Target, Incarnation: d.Incarnation, AgeMs: uint32(now.Sub(d.Since).Milliseconds()),
 		})
 	}
+	for _, d := range g.targets.Departures() {
+		h.Departures = append(h.Departures, &peerv1.TargetDoubt{
+			Target: d.Target, Incarnation: d.Incarnation, AgeMs: uint32(max(now.Sub(d.Since), 0).Milliseconds()),
+		})
+	}
 	for name, n := range largest(g.targets.Loads(), maxLoads) {
 		h.Loads[name] = float32(n)
 	}
@@ -94,6 +99,12 @@
 			g.Log.Info().Str("target", d.GetTarget()).Str("peer", h.GetName()).Msg("target believed lost by a peer")
 		}
 	}
+	for _, d := range h.GetDepartures() {
+		since := now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)
+		if g.targets.Leave(d.GetTarget(), d.GetIncarnation(), since) {
+			g.Log.Info().Str("target", d.GetTarget()).Str("peer", h.GetName()).Msg("a peer was told that the target leaves")
+		}
+	}
 	for name, pace := range h.GetPaces() {
 		// A moment is taken off, so that the news is not passed on as this daemon's own.
 		g.targets.SetPace(name, float64(pace), now.Add(-gossiper.Interval))
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -48,7 +48,7 @@
 // run makes attempts until an answer can be passed on.
 func (c *plainCall) run(ctx context.Context, w http.ResponseWriter) *refuser.Refusal {
 	r, req, call := c.relayer, c.request, c
-	_, err := r.Balancer.Run(ctx, r.instances(req.Service.Name), forwarder.Request{
+	_, err := r.Balancer.Run(ctx, func() []cataloger.Target { return r.instances(req.Service.Name) }, forwarder.Request{
 		Workspace:  req.Workspace,
 		Service:    req.Service.Name,
 		Route:      req.Route.Name,
@@ -67,7 +67,11 @@
 	case r.over(ctx, req):
 		return r.ended(req, refuser.From(err).Fact)
 	}
-	return refuser.From(err)
+	refusal := refuser.From(err)
+	if back := r.Targets.Back(req.Service.Name); back > 0 && refusal.Fact == refuser.FactNotRun {
+		return refusal.WithRetryAfter(back)
+	}
+	return refusal
 }
 
 // instances returns the targets of a service as a balancer wants them.
@@ -75,7 +79,7 @@
 	var out []cataloger.Target
 	for _, v := range r.Targets.Service(service) {
 		t := v.Target
-		if v.Lost {
+		if v.Lost || v.Paused > 0 {
 			t = t.WithState(cataloger.StateSuspect)
 		}
 		// Incarnations under one name share nothing, also not their breakers.
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -114,7 +114,7 @@
 	for repeat := false; ; repeat = true {
 		path, ok := g.findPath(ctx)
 		if !ok {
-			return g.end(ctx, refuser.New(refuser.NoPipeline, "%s", r.Chooser.Shortage(req.demand())).WithRetryAfter(noPathRetry))
+			return g.end(ctx, refuser.New(refuser.NoPipeline, "%s", r.Chooser.Shortage(req.demand())).WithRetryAfter(max(r.Chooser.Back(req.demand()), noPathRetry)))
 		}
 		// The budget counts sendings, so nothing is taken out before there is somewhere to send.
 		if repeat && !g.prepay() {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -38,7 +38,9 @@
 	// Daemons returns how many daemons share the budget.
 	Daemons func() int
 	// Lost hears of targets that this daemon found not to answer.
-	Lost  func(target cataloger.Target)
+	Lost func(target cataloger.Target)
+	// Left hears of targets that told this daemon that they leave.
+	Left  func(target cataloger.Target)
 	Clock timer.Clock
 	Log   zerolog.Logger
 	// Meter counts requests by workspace and service.
@@ -67,6 +69,7 @@
 		Log:       zerolog.Nop(),
 		Daemons:   func() int { return 1 },
 		Lost:      func(cataloger.Target) {},
+		Left:      func(cataloger.Target) {},
 		Balancer:  forwarder.NewBalancer(&forwarder.Forwarder{Clock: clock}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rationers: map[string]*rationer.Rationer{},
 		streams:   map[*generation]struct{}{},
@@ -182,6 +185,18 @@
 	}
 }
 
+// Heed takes in what a target said of itself.
+func (r *Relayer) Heed(t cataloger.Target, n Notice) {
+	if n.Pause > 0 {
+		r.Targets.Pause(t.Name, t.Incarnation, n.Pause)
+		r.Log.Info().Str("target", t.Name).Dur("pause", n.Pause).Msg("target wants a pause")
+	}
+	if n.Leaving && r.Targets.Leave(t.Name, t.Incarnation, r.Clock.Now()) {
+		r.Log.Info().Str("target", t.Name).Str("address", t.Address).Msg("target says that it leaves")
+		r.Left(t)
+	}
+}
+
 // lose notes that a target does not answer.
 func (r *Relayer) lose(t cataloger.Target, why string) {
 	if r.Targets.Lose(t.Name, t.Incarnation, r.Clock.Now()) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -35,6 +35,8 @@
 	body     string
 	// err ends the body in place of its end; before the head where there is no status.
 	err error
+	// notice is what the target says of itself beside its answer.
+	notice Notice
 	// hang keeps the sending without an answer until it is canceled.
 	hang bool
 }
@@ -45,6 +47,8 @@
 	scripts []script
 	calls   []Call
 	repaths [][]cataloger.Stage
+	// heed hears the notices.
+	heed func(cataloger.Target, Notice)
 	// stalled is what reports say.
 	stalled []Stalled
 }
@@ -59,6 +63,9 @@
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
 	}
+	if s.notice != (Notice{}) {
+		f.heed(call.Target, s.notice)
+	}
 	if s.status == 0 {
 		return nil, s.err
 	}
@@ -116,6 +123,7 @@
 func newTestRelayer(f *fakeBackend) *Relayer {
 	r := New(fleet(), timer.System{})
 	r.Backend = f.backend()
+	f.heed = r.Heed
 	r.Budget = rationer.Budget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}
 	return r
 }
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -66,6 +66,14 @@
 // Body is the body of an answer; reading it to io.EOF without another error proves that it is whole.
 type Body = io.ReadCloser
 
+// Notice is what a target says of itself beside its answer to anything.
+type Notice struct {
+	// Leaving targets want nothing new any more.
+	Leaving bool
+	// Pause is how long the target wants nothing from this daemon; 0 is no wish.
+	Pause time.Duration
+}
+
 // Reply is a target's answer.
 type Reply struct {
 	Status int
