Lay pipelines by data centre where pipes are slow, and hold budgets through restarts

Cause: on the large site's small twin (12 daemons, pipes on which a prompt takes 0.5 s) no data centre's targets held the model beside memory for 0.6 of their slots, so that every path crossed three times or more: nearly nothing was served, and prompts waited for pipes until their clients left.

Change: where a usual prompt takes over 0.1 s from one data centre to another, a data centre keeps less memory for requests if it holds the whole model then, and targets are laid end to end; where none can, data centres are joined into groups of as few as can be. A crossing is priced by the time of a prompt on it. A prompt that would wait over 1.2 s for pipes is refused with the time when they have drained. Retry budgets divide by the largest fleet of the window, and a restarted daemon's part grows over it. A daemon that starts without the store asks the peer with the newest copy first.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -19,6 +19,8 @@
 	// crossingCost is what a hop between data centres costs while the pipe is idle; it grows as the pipe fills, since a token
 	// waits there behind whole prompts.
 	crossingCost = 5 * time.Millisecond
+	// firstWeight is how much more the time to a first event counts than the same time spread over an answer: clients wait for it.
+	firstWeight = 4
 	// leastPipe bounds how dear a crossing gets as the pipe fills.
 	leastPipe = 0.02
 	// awayCost is what a first stage in another data centre than the daemon costs: events cross between them, and a link that
@@ -129,8 +131,18 @@
 	return out
 }
 
-// Path returns the cheapest path for a generation; false where none has room.
+// Path returns the cheapest path for a generation; false where none has room, or its prompt would wait for the pipes between data
+// centres until its client has gone.
 func (c *Chooser) Path(d Demand, avoid map[string]bool) ([]cataloger.Stage, bool) {
+	path, ok := c.cheapest(d, avoid)
+	if ok && !d.Standing.Begun && c.transfer(d, nil, path) > mostTransfer {
+		return nil, false
+	}
+	return path, ok
+}
+
+// cheapest returns the cheapest path for a generation; false where none has room.
+func (c *Chooser) cheapest(d Demand, avoid map[string]bool) ([]cataloger.Stage, bool) {
 	e := d.Engine
 	views := c.Targets.Service(d.Service)
 	if e.Layers == 0 {
@@ -169,6 +181,9 @@
 			return fmt.Sprintf("layers %d to %d are %s", first, end, check.what)
 		}
 	}
+	if path, ok := c.cheapest(d, nil); ok {
+		return fmt.Sprintf("a prompt would wait for %s for the pipes between data centres", c.transfer(d, nil, path).Round(time.Millisecond))
+	}
 	return "the targets that have room do not make a path"
 }
 
@@ -178,8 +193,8 @@
 	return !missing
 }
 
-// Back returns how long it takes until targets that asked for a pause make the layers whole that the others hold in part; 0 where
-// no pause is what is missing.
+// Back returns how long it takes until there may be a path again: until targets that asked for a pause make the layers whole that
+// the others hold in part, or the pipes between data centres have drained; 0 where it is something else that is missing.
 func (c *Chooser) Back(d Demand) time.Duration {
 	if d.Engine.Layers == 0 {
 		return c.Targets.Back(d.Service)
@@ -195,12 +210,21 @@
 	for _, pause := range append([]time.Duration{0}, pauses...) {
 		here := func(v assessor.View) bool { return v.Usable() && v.Paused <= pause }
 		if _, _, missing := uncovered(views, d.Engine.Layers, here); !missing {
-			return pause
+			return max(pause, c.drained(d))
 		}
 	}
 	return 0
 }
 
+// drained returns how long it takes until the pipes have drained so far that the cheapest path is worth its wait.
+func (c *Chooser) drained(d Demand) time.Duration {
+	path, ok := c.cheapest(d, nil)
+	if !ok {
+		return 0
+	}
+	return max(c.transfer(d, nil, path)-mostTransfer, 0)
+}
+
 // uncovered returns the first range of layers that none of the targets that are ok holds.
 func uncovered(views []assessor.View, layers uint32, ok func(assessor.View) bool) (first, end uint32, found bool) {
 	held := make([]bool, layers)
--- a/internal/chooser/pipes.go
+++ b/internal/chooser/pipes.go
@@ -41,15 +41,59 @@
 
 // crossing returns what hops between data centres cost now, in seconds a token.
 func (c *Chooser) crossing(e *matcher.Engine) func(from, to cataloger.DataCentre) float64 {
-	now, daemons := c.Now(), float64(c.Daemons())
+	sent := c.sent(e)
+	idle := crossingCost.Seconds()
+	if e.PipeBytesPerSecond > 0 {
+		idle += firstWeight * e.UsualPrompt * e.ActivationBytes / e.PipeBytesPerSecond / max(e.UsualAnswer, 1)
+	}
 	return func(from, to cataloger.DataCentre) float64 {
 		if e.PipeBytesPerSecond <= 0 {
 			return crossingCost.Seconds()
 		}
-		used := c.pipes.of(hop{from, to}).sent.Rate(now) * daemons / e.PipeBytesPerSecond
+		used := sent(hop{from, to}) / e.PipeBytesPerSecond
 		free := max(1-used, leastPipe)
-		return crossingCost.Seconds() / (free * free)
+		return idle / (free * free)
+	}
+}
+
+// sent returns what the generations of all daemons send over a hop, in bytes a second: this daemon's own rate times the fleet, in
+// a fleet that does not know the others' loads drawn towards the mean over all hops.
+func (c *Chooser) sent(e *matcher.Engine) func(h hop) float64 {
+	now, daemons := c.Now(), float64(c.Daemons())
+	if c.LoadsKnown() {
+		return func(h hop) float64 { return daemons * c.pipes.of(h).sent.Rate(now) }
+	}
+	mean := c.pipes.meanRate(now)
+	weight := meanRequests * (e.UsualPrompt + e.UsualAnswer) * e.ActivationBytes / rateTime.Seconds()
+	return func(h hop) float64 {
+		if mean == 0 {
+			return 0
+		}
+		return daemons * mean * (weight + c.pipes.of(h).sent.Rate(now)) / (weight + mean)
+	}
+}
+
+// meanRate returns the mean rate over all hops, in bytes a second.
+func (p *pipes) meanRate(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := 0.0
+	for _, one := range p.all {
+		sum += one.sent.Rate(now)
 	}
+	return sum / float64(max(len(p.all), 1))
+}
+
+// likely returns how many daemons send a prompt over a hop at about the time when this one does: all where many streams lose a
+// stage together; for a new generation as many as send as much over the hop, as far as this daemon's own count tells.
+func (c *Chooser) likely(h hop, e *matcher.Engine, repair bool) float64 {
+	daemons := float64(max(c.Daemons(), 1))
+	if repair || c.LoadsKnown() {
+		return daemons
+	}
+	prompt := max(e.UsualPrompt*e.ActivationBytes, 1)
+	own := c.pipes.of(h).sent.Rate(c.Now()) * rateTime.Seconds() / prompt
+	return 1 + (daemons-1)*own/(own+daemons/MeshDaemons)
 }
 
 // crossings returns the hops over which stages of a path read a whole generation: those to stages that were not in the path
@@ -71,10 +115,10 @@
 	now, rate := c.Now(), d.Engine.PipeBytesPerSecond
 	for _, h := range c.crossings(before, path) {
 		p := c.pipes.of(h)
-		p.sent.Add(now, d.Tokens*d.Engine.ActivationBytes)
 		if rate > 0 {
-			p.waiting.Add(now, d.Read*d.Engine.ActivationBytes*float64(c.Daemons()), rate)
+			p.waiting.Add(now, d.Read*d.Engine.ActivationBytes*c.likely(h, d.Engine, before != nil), rate)
 		}
+		p.sent.Add(now, d.Tokens*d.Engine.ActivationBytes)
 	}
 }
 
--- a/internal/chooser/race.go
+++ b/internal/chooser/race.go
@@ -10,8 +10,12 @@
 // which as many requests come as a pipeline takes at a time.
 const meshKnown = 0.8
 
-// known returns the part of the costs that does not vary: all of it for a daemon alone. A daemon of n that knows its own requests
-// only knows 1/n of the load, and its count is worth 1/sqrt(n), as the error of a count goes.
+// knownPower is how fast the worth of a daemon's own count falls as the fleet grows: 0.44 of the costs do not vary at 27 daemons,
+// 0.3 at 118 and 0.22 at 400. More variation spreads better, and lets more requests pass any one stage that is lost.
+const knownPower = -0.25
+
+// known returns the part of the costs that does not vary: all of it for a daemon alone, and less the more daemons there are
+// whose requests this one does not know.
 func (c *Chooser) known() float64 {
 	daemons := c.Daemons()
 	switch {
@@ -20,7 +24,7 @@
 	case c.LoadsKnown():
 		return meshKnown
 	}
-	return 1 / math.Sqrt(float64(daemons))
+	return math.Pow(float64(daemons), knownPower)
 }
 
 // racer is a holder's part in the race for a path.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,8 @@
 	members  atomic.Pointer[membership]
 	started  time.Time
 	heard    heard
+	// size is that of the fleet within the window of the retry budget.
+	size rationer.Peak
 	// configs and listed follow the configuration and the targets.
 	configs *follower.Follower
 	listed  *follower.Follower
@@ -220,9 +222,13 @@
 
 	r := g.relayer
 	r.Backend, r.Budget, r.Log = g.Adapter.Backend, g.Settings.RetryBudget, g.Log
+	if !g.Settings.FirstStart {
+		r.Budget.Since = g.started
+	}
 	r.DrainTime = g.Settings.DrainTime
-	r.Daemons = func() int { return len(g.others()) + 1 }
-	r.Chooser.Daemons = r.Daemons
+	g.size.Window = g.Settings.RetryBudget.Window
+	r.Sharers = func() int { return g.size.Max(g.Clock.Now()) }
+	r.Chooser.Daemons = func() int { return len(g.others()) + 1 }
 	r.Chooser.LoadsKnown = g.gossiper.Mesh
 	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
 	r.Lost = func(cataloger.Target) { g.gossiper.Tell() }
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/follower"
 )
 
@@ -97,24 +100,31 @@
 	if m := g.config.Load(); m != nil {
 		version = m.Version()
 	}
-	asked := 0
-	for _, m := range g.others() {
-		known := g.heard.of(m.Name)
-		newer := known.targets > revision
-		if prefix == g.Settings.ConfigPrefix {
-			newer = known.config > version
-		}
-		if !newer {
-			continue
-		}
+	has, known := func(r revisions) uint64 { return r.targets }, revision
+	if prefix == g.Settings.ConfigPrefix {
+		has, known = func(r revisions) uint64 { return r.config }, version
+	}
+	for _, m := range g.newest(has, known) {
 		c, err := fetchCopy(ctx, m.PeerAddress, prefix)
 		if err == nil && c.Revision > revision {
 			return c, true
 		}
 		g.Log.Debug().Err(err).Str("peer", m.Name).Str("prefix", prefix).Msg("peer has no newer copy")
-		if asked++; asked == maxAsked {
-			break
-		}
 	}
 	return follower.Copy{}, false
 }
+
+// newest returns up to maxAsked peers that were heard to have more than what is known, the newest first: what an older one has,
+// such as a key that was withdrawn since, must not be in force again after a restart.
+func (g *Gateway) newest(has func(revisions) uint64, known uint64) []cataloger.Member {
+	var out []cataloger.Member
+	for _, m := range g.others() {
+		if has(g.heard.of(m.Name)) > known {
+			out = append(out, m)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b cataloger.Member) int {
+		return cmp.Compare(has(g.heard.of(b.Name)), has(g.heard.of(a.Name)))
+	})
+	return out[:min(len(out), maxAsked)]
+}
--- /dev/null
+++ b/internal/gateway/lag_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// TestNewestPeersAreAskedFirst: a daemon that starts while the store is away takes the newest that any peer has, as older ones may
+// still hold a key that was withdrawn or a target that has left.
+func TestNewestPeersAreAskedFirst(t *testing.T) {
+	g := newTestGateway("m", 0)
+	var all []cataloger.Member
+	for i, version := range []uint64{3, 9, 0, 7, 9, 1, 8} {
+		m := staying(string(rune('a' + i)))
+		all = append(all, m)
+		if version > 0 {
+			g.heard.note(m.Name, revisions{config: version, targets: 100 - version})
+		}
+	}
+	g.takeMembers(all)
+	names := func(has func(revisions) uint64, known uint64) string {
+		out := ""
+		for _, m := range g.newest(has, known) {
+			out += m.Name
+		}
+		return out
+	}
+	config := func(r revisions) uint64 { return r.config }
+	require.Equal(t, "begd", names(config, 0))
+	require.Equal(t, "beg", names(config, 7))
+	require.Empty(t, names(config, 9))
+	require.Equal(t, "fad", names(func(r revisions) uint64 { return r.targets }, 92))
+
+	require.Equal(t, revisions{config: 9, targets: 99}, g.heard.newest())
+	g.receive("b", &peerv1.GatewayNews{Epoch: 1, ConfigVersion: 4})
+	require.Equal(t, uint64(9), g.heard.of("b").config, "what a peer has never gets older")
+	g.gone("b")
+	g.gone("e")
+	require.Equal(t, uint64(8), g.heard.newest().config, "of those that are there")
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -21,14 +21,14 @@
 	// Interval is the time between two rounds.
 	Interval = 250 * time.Millisecond
 	// MeshSize is how many peers are all told everything in turn, meshFanOut of them in each round.
-	MeshSize   = 8
+	MeshSize   = 12
 	meshFanOut = 3
 	// fanOut is how many peers, drawn anew, a round tells in a larger fleet. News that are passed on by fanOut daemons each
 	// reach 400 in some six rounds; what is urgent does not wait for these.
 	fanOut = 1
 	// urgentFanOut is how many peers are told at once of what is urgent, and relayFanOut how many each of those passes it on to
 	// where it is new to them.
-	urgentFanOut = 8
+	urgentFanOut = 12
 	relayFanOut  = 6
 )
 
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -249,11 +249,11 @@
 func (o *Orderer) problem(e *matcher.Engine, views []assessor.View) placer.Problem {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	reserve := reserveFor(e, views)
-	p := placer.Problem{Layers: e.Layers}
+	reserve := reservesFor(e, views)
+	p := placer.Problem{Layers: e.Layers, SlowPipes: placer.SlowPipes(e)}
 	for _, v := range views {
 		t := placer.Target{Name: v.Name, DataCentre: v.DataCentre, Leaving: !v.Usable()}
-		t.Capacity = placer.MemoryOf(e, v.Kind).Capacity(reserve)
+		t.Capacity = placer.MemoryOf(e, v.Kind).Capacity(reserve(v.DataCentre))
 		t.First, t.End, _ = v.Held()
 		if t.End > t.First {
 			t.Streams = v.TokenLayers / float64(t.End-t.First) / max(e.UsualPrompt+e.UsualAnswer, 1)
@@ -266,6 +266,33 @@
 	return p
 }
 
+// reservesFor returns the tokens that the targets of a data centre keep memory for: where pipes are slow, fewer than elsewhere if
+// they hold the whole model then.
+func reservesFor(e *matcher.Engine, views []assessor.View) func(dc cataloger.DataCentre) float64 {
+	usual := reserveFor(e, views)
+	if !placer.SlowPipes(e) {
+		return func(cataloger.DataCentre) float64 { return usual }
+	}
+	kinds := map[cataloger.DataCentre][]string{}
+	for _, v := range views {
+		if v.State == cataloger.StateLive {
+			kinds[v.DataCentre] = append(kinds[v.DataCentre], v.Kind)
+		}
+	}
+	own := map[cataloger.DataCentre]float64{}
+	for dc, list := range kinds {
+		if tokens, whole := placer.ReserveFor(e, list); whole {
+			own[dc] = min(tokens, usual)
+		}
+	}
+	return func(dc cataloger.DataCentre) float64 {
+		if tokens, ok := own[dc]; ok {
+			return tokens
+		}
+		return usual
+	}
+}
+
 // reserveFor returns the tokens that each target keeps memory for: fewer where the model would not fit otherwise.
 func reserveFor(e *matcher.Engine, views []assessor.View) float64 {
 	reserve := placer.Reserve(e)
--- a/internal/placer/capacity.go
+++ b/internal/placer/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/rattantray/rattantray/internal/matcher"
 )
@@ -10,6 +11,40 @@
 // of a data centre that lost its pipeline.
 const reserveShare = 0.6
 
+const (
+	// leastRequests is for how many usual requests a target keeps memory at the least, so that a large one still has room.
+	leastRequests = 6
+	// slowTransfer is the time of a usual prompt from one data centre to another from which on the pipes count as slow: a few
+	// times it is the time that clients wait for a first event.
+	slowTransfer = 100 * time.Millisecond
+	// reserveSteps is how many reserves are tried between the usual one and the least.
+	reserveSteps = 16
+)
+
+// SlowPipes tells whether a usual prompt takes long from one data centre to another.
+func SlowPipes(e *matcher.Engine) bool {
+	return e.PipeBytesPerSecond > 0 && e.UsualPrompt*e.ActivationBytes/e.PipeBytesPerSecond > slowTransfer.Seconds()
+}
+
+// ReserveFor returns the tokens of requests that the targets of a data centre should keep memory for: as many as usual where the
+// model fits beside them, else as many as it leaves, where that is enough for some requests. false says that the targets of the
+// data centre can't hold the model.
+func ReserveFor(e *matcher.Engine, kinds []string) (tokens float64, whole bool) {
+	most := Reserve(e)
+	least := min(leastRequests*max(e.UsualPrompt+e.UsualAnswer, 1), most)
+	for step := range reserveSteps {
+		tokens = most * math.Pow(least/most, float64(step)/(reserveSteps-1))
+		room := uint32(0)
+		for _, kind := range kinds {
+			room += MemoryOf(e, kind).Capacity(tokens)
+		}
+		if room >= e.Layers {
+			return tokens, true
+		}
+	}
+	return most, false
+}
+
 // Memory is the memory of a target and what layers and requests take of it, in bytes.
 type Memory struct {
 	Total float64
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -57,6 +57,8 @@
 	Targets []Target
 	// Keep leaves targets alone that hold layers.
 	Keep bool
+	// SlowPipes says that a prompt takes long from one data centre to another, so that pipelines cross as seldom as can be.
+	SlowPipes bool
 }
 
 // coverage counts the holders of each layer.
@@ -88,7 +90,7 @@
 	s := newState(p)
 	var moves []Move
 	for limit <= 0 || len(moves) < limit {
-		i, first, ok := s.best()
+		i, first, ok := s.next()
 		if !ok {
 			break
 		}
@@ -158,41 +160,21 @@
 	return s
 }
 
-// group numbers the groups of data centres; one that can hold the whole model is a group of its own, the others make one
-// together.
-func (p Problem) group() []int {
-	total := map[cataloger.DataCentre]uint32{}
-	var order []cataloger.DataCentre
-	for _, t := range p.Targets {
-		if _, ok := total[t.DataCentre]; !ok {
-			order = append(order, t.DataCentre)
-		}
-		room := min(t.Capacity, p.Layers)
-		if t.Leaving {
-			room = 0
-		}
-		total[t.DataCentre] += room
-	}
-	slices.Sort(order)
-	number, next := map[cataloger.DataCentre]int{}, 1
-	for _, dc := range order {
-		if total[dc] >= p.Layers {
-			number[dc] = next
-			next++
-		}
-	}
-	groups := make([]int, len(p.Targets))
-	for i, t := range p.Targets {
-		groups[i] = number[t.DataCentre]
-	}
-	return groups
-}
-
 func (s *state) count(i int, first, end uint32, n int) {
 	s.fleet.add(first, end, n)
 	s.group[s.groups[i]].add(first, end, n)
 }
 
+// next returns the target and the first layer of the next move.
+func (s *state) next() (target int, first uint32, found bool) {
+	if s.SlowPipes {
+		if target, first, found := s.lay(); found {
+			return target, first, found
+		}
+	}
+	return s.best()
+}
+
 // best returns the target and the first layer of the move that gains most.
 func (s *state) best() (target int, first uint32, found bool) {
 	bestGain := 0.0
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -19,6 +19,8 @@
 	// Extra is how many more repeats the whole fleet may make in a window.
 	Extra  float64
 	Window time.Duration
+	// Since is when this process started, where an earlier one of the daemon may have made repeats just before; zero where none did.
+	Since time.Time
 }
 
 type slice struct {
@@ -31,7 +33,9 @@
 type Rationer struct {
 	mu     sync.Mutex
 	budget Budget
-	ring   [slices + 1]slice
+	// zero is the time at which slice 0 begins: times are measured from it, as the time of day may jump.
+	zero time.Time
+	ring [slices + 1]slice
 }
 
 // New returns a rationer without a past.
@@ -44,7 +48,8 @@
 	r.at(now).requests++
 }
 
-// Spend counts a repeat and allows it, or returns false; daemons is the size of the fleet.
+// Spend counts a repeat and allows it, or returns false; daemons is the largest size of the fleet within the window, as those that
+// were lost meanwhile may have used their parts. So may the earlier process of this one.
 func (r *Rationer) Spend(now time.Time, daemons int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,15 +61,27 @@
 			repeats += s.repeats
 		}
 	}
-	if repeats+1 > margin*(r.budget.Ratio*requests+r.budget.Extra/float64(max(daemons, 1))) {
+	extra := r.budget.Extra / float64(max(daemons, 1)) * r.ownPart(now)
+	if repeats+1 > margin*(r.budget.Ratio*requests+extra) {
 		return false
 	}
 	current.repeats++
 	return true
 }
 
+// ownPart returns the part of this daemon's extra repeats that an earlier process of it can't have used within the window.
+func (r *Rationer) ownPart(now time.Time) float64 {
+	if r.budget.Since.IsZero() {
+		return 1
+	}
+	return min(max(now.Sub(r.budget.Since), 0).Seconds()/r.budget.Window.Seconds(), 1)
+}
+
 func (r *Rationer) at(now time.Time) *slice {
-	number := now.UnixNano() / max(int64(r.budget.Window)/slices, 1)
+	if r.zero.IsZero() {
+		r.zero = now
+	}
+	number := int64(max(now.Sub(r.zero), 0)) / max(int64(r.budget.Window)/slices, 1)
 	s := &r.ring[number%int64(len(r.ring))]
 	if s.number != number {
 		*s = slice{number: number}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -35,8 +35,8 @@
 	Budget rationer.Budget
 	// DrainTime is how long targets serve after they were listed as leaving.
 	DrainTime time.Duration
-	// Daemons returns how many daemons share the budget.
-	Daemons func() int
+	// Sharers returns how many daemons share the budget.
+	Sharers func() int
 	// Lost hears of targets that this daemon found not to answer.
 	Lost func(target cataloger.Target)
 	// Left hears of targets that told this daemon that they leave.
@@ -67,7 +67,7 @@
 		Clock:     clock,
 		Meter:     meter.New(),
 		Log:       zerolog.Nop(),
-		Daemons:   func() int { return 1 },
+		Sharers:   func() int { return 1 },
 		Lost:      func(cataloger.Target) {},
 		Left:      func(cataloger.Target) {},
 		Balancer:  forwarder.NewBalancer(&forwarder.Forwarder{Clock: clock}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -162,7 +162,7 @@
 
 // spend takes one repeat out of the budget of the request's service, or returns false.
 func (r *Relayer) spend(req *Request) bool {
-	return r.rationer(req.Service.Name).Spend(r.Clock.Now(), r.Daemons())
+	return r.rationer(req.Service.Name).Spend(r.Clock.Now(), r.Sharers())
 }
 
 // over tells whether the request can't be answered any more: its time has passed, or its client went away.
