--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -225,14 +225,17 @@
 }
 
 // Service returns the targets of a service, by name.
-func (a *Assessor) Service(service string) []View {
+func (a *Assessor) Service(service string) []View { return a.AppendService(nil, service) }
+
+// AppendService appends the targets of a service, by name.
+func (a *Assessor) AppendService(out []View, service string) []View {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
 	beliefs := a.listed(service)
-	out := make([]View, len(beliefs))
-	for i, b := range beliefs {
-		out[i] = a.view(b, now)
+	out = slices.Grow(out, len(beliefs))
+	for _, b := range beliefs {
+		out = append(out, a.view(b, now))
 	}
 	return out
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rattantray/rattantray/internal/assessor"
@@ -91,13 +92,20 @@
 func (c *Chooser) racers(views []assessor.View, d Demand, avoid map[string]bool) []racer {
 	e := d.Engine
 	load := c.load(views, d)
+	memory := map[string]placer.Memory{}
 	out := make([]racer, 0, len(views))
-	for _, v := range views {
+	for i := range views {
+		v := &views[i]
 		first, end, _ := v.Held()
 		if !v.Usable() || v.Refused || avoid[v.Name] || end <= first {
 			continue
 		}
-		room := placer.MemoryOf(e, v.Kind).TokenLayers(end - first)
+		m, ok := memory[v.Kind]
+		if !ok {
+			m = placer.MemoryOf(e, v.Kind)
+			memory[v.Kind] = m
+		}
+		room := m.TokenLayers(end - first)
 		used := load(v, room, end-first)
 		if !d.fits(used, room, end-first) {
 			continue
@@ -141,10 +149,16 @@
 	return path, ok
 }
 
+// viewBuffers hold the views of a choice, of which there are hundreds.
+var viewBuffers = sync.Pool{New: func() any { return new([]assessor.View) }}
+
 // cheapest returns the cheapest path for a generation; false where none has room.
 func (c *Chooser) cheapest(d Demand, avoid map[string]bool) ([]cataloger.Stage, bool) {
 	e := d.Engine
-	views := c.Targets.Service(d.Service)
+	buffer := viewBuffers.Get().(*[]assessor.View)
+	defer viewBuffers.Put(buffer)
+	*buffer = c.Targets.AppendService((*buffer)[:0], d.Service)
+	views := *buffer
 	if e.Layers == 0 {
 		return whole(views, avoid)
 	}
--- a/internal/chooser/load.go
+++ b/internal/chooser/load.go
@@ -18,22 +18,23 @@
 //
 // Where the others' loads are not known, each is taken to send as much as this daemon: its own count at the target, drawn towards
 // the count that would fill all targets alike.
-func (c *Chooser) load(views []assessor.View, d Demand) func(v assessor.View, room float64, layers uint32) float64 {
+func (c *Chooser) load(views []assessor.View, d Demand) func(v *assessor.View, room float64, layers uint32) float64 {
 	daemons := float64(max(c.Daemons(), 1))
 	if c.LoadsKnown() || daemons == 1 {
-		return func(v assessor.View, _ float64, _ uint32) float64 { return v.TokenLayers }
+		return func(v *assessor.View, _ float64, _ uint32) float64 { return v.TokenLayers }
 	}
 	var used, all float64
-	for _, v := range views {
+	for i := range views {
+		v := &views[i]
 		if first, end, _ := v.Held(); end > first && v.Usable() {
 			used += v.TokenLayers
 			all += placer.MemoryOf(d.Engine, v.Kind).TokenLayers(end - first)
 		}
 	}
 	if used == 0 || math.IsInf(all, 1) {
-		return func(v assessor.View, _ float64, _ uint32) float64 { return daemons * v.TokenLayers }
+		return func(v *assessor.View, _ float64, _ uint32) float64 { return daemons * v.TokenLayers }
 	}
-	return func(v assessor.View, room float64, layers uint32) float64 {
+	return func(v *assessor.View, room float64, layers uint32) float64 {
 		mean, weight := used/all*room, meanRequests*d.Tokens*float64(layers)
 		return daemons * mean * (weight + v.TokenLayers) / (weight + mean)
 	}
--- a/internal/chooser/race.go
+++ b/internal/chooser/race.go
@@ -29,7 +29,7 @@
 
 // racer is a holder's part in the race for a path.
 type racer struct {
-	view assessor.View
+	view *assessor.View
 	// room is the memory for requests, in tokens times layers, and used what is in progress there.
 	room float64
 	used float64
--- a/internal/chooser/race_test.go
+++ b/internal/chooser/race_test.go
@@ -131,7 +131,7 @@
 	load := func(name string) float64 {
 		v, ok := c.Targets.Get(name)
 		require.True(t, ok)
-		return c.load(c.Targets.Service("llm"), d)(v, 1e6, 10)
+		return c.load(c.Targets.Service("llm"), d)(&v, 1e6, 10)
 	}
 	require.Zero(t, load("p00-0"))
 	c.Targets.Reserve([]cataloger.Stage{{Target: "p00-0", EndLayer: 10}}, 800)
@@ -150,7 +150,7 @@
 	c.LoadsKnown = func() bool { return false }
 	e.TokenBytes = 0
 	v, _ := c.Targets.Get("p00-0")
-	require.InDelta(t, 100*8000, c.load(c.Targets.Service("llm"), d)(v, math.Inf(1), 10), 1, "memory without bounds")
+	require.InDelta(t, 100*8000, c.load(c.Targets.Service("llm"), d)(&v, math.Inf(1), 10), 1, "memory without bounds")
 }
 
 func BenchmarkPath(b *testing.B) {
