Close connections of nameless answers, and tell stalled streams by their events

Cause: answers to reports and orders name no request. A target that sends one twice, late, would answer the next request on that connection: shown with an exchange that read the stale copy. Bytes without an event, as comments, counted as progress of a stream, so that the watchdog never asked after it.

Change: the connection of a report or an order is not used again; only events with an id are progress of a stream that has them.

Ruled out: reading such connections dry before their next use, as the copy may come later. Both tests fail without the change.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -41,6 +41,9 @@
 	Body   []byte
 	// Own tells whether an answer belongs to this request; nil accepts every one.
 	Own func(http.Header) bool
+	// Last says that the connection is not to be used again: nothing in the answer names its request, so that a late copy of it
+	// could be taken for the answer to the next one.
+	Last bool
 }
 
 // Answer is an answer whose body is still to be read; Close ends it.
@@ -119,7 +122,7 @@
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: unframed(resp),
 				body: resp.Body, conn: c, pool: e,
 				// A connection that brought another request's answer may bring more.
-				reusable: foreign == 0 && !resp.Close && !unframed(resp),
+				reusable: foreign == 0 && !call.Last && !resp.Close && !unframed(resp),
 			}, nil
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || foreign == maxForeign || unframed(resp) {
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -183,3 +183,35 @@
 	require.ErrorIs(t, err, context.Canceled)
 	<-closed
 }
+
+// TestLateCopyOfAnAnswer: a target sends the answer of a call a second time, once the next request is on its way. An answer that
+// names its request is passed over; after one that does not, the connection is not used again.
+func TestLateCopyOfAnAnswer(t *testing.T) {
+	const nameless = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
+	serve := func(last bool) (string, int64) {
+		address, conns := target(t, []string{nameless, nameless + whole}, []string{whole})
+		e := &Exchanger{}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		a, err := e.Do(ctx, Call{Address: address, Method: "GET", URI: "/report", Host: "h", Last: last})
+		require.NoError(t, err)
+		_, err = io.ReadAll(a)
+		require.NoError(t, err)
+		require.NoError(t, a.Close())
+		a, err = e.Do(ctx, Call{
+			Address: address, Method: "POST", URI: "/a", Host: "h",
+			Own: func(h http.Header) bool { return h.Get("Id") == "1" || h.Get("Id") == "" },
+		})
+		require.NoError(t, err)
+		body, err := io.ReadAll(a)
+		require.NoError(t, err)
+		_ = a.Close()
+		return string(body), conns.Load()
+	}
+	body, conns := serve(false)
+	require.Equal(t, "stale", body, "what Last is for")
+	require.Equal(t, int64(1), conns)
+	body, conns = serve(true)
+	require.Equal(t, "ok", body)
+	require.Equal(t, int64(2), conns)
+}
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -13,7 +13,7 @@
 	// last is the id of the last event that was taken; resumed streams start behind it.
 	last    string
 	resumed bool
-	// first is true until an event was taken.
+	// taken is how many events with an id were taken.
 	taken   int
 	pending []byte
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -288,9 +288,13 @@
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := reply.Body.Read(buffer)
+		before := g.events.taken
 		out, whole := g.events.take(buffer[:n])
 		if len(out) > 0 {
-			g.progress()
+			// What has no id is no progress of a stream whose events have: one that stalls may still send a comment now and then.
+			if g.events.taken > before || g.events.taken == 0 {
+				g.progress()
+			}
 			g.begin(reply)
 			if _, err := g.w.Write(out); err != nil {
 				return sendDone, nil
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -267,6 +267,44 @@
 }
 
 // TestSwallowedRequestGoesElsewhere: a target that serves one stream does not begin another.
+// TestStreamThatStallsWithComments: bytes without an event are no progress, so that the watchdog asks after the stream; events are,
+// however slow.
+func TestStreamThatStallsWithComments(t *testing.T) {
+	for _, comments := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			reader, writer := io.Pipe()
+			f := &fakeBackend{scripts: []script{{}}}
+			r := newTestRelayer(f)
+			r.Backend.Send = func(_ context.Context, call Call) (*Reply, error) {
+				return &Reply{Status: 200, Header: http.Header{}, Body: reader, Signed: true}, nil
+			}
+			done := make(chan struct{})
+			go func() {
+				_, _, _ = serve(r, stream(true))
+				close(done)
+			}()
+			_, _ = io.WriteString(writer, pieces(1, 3))
+			for i := range 30 {
+				time.Sleep(150 * time.Millisecond)
+				if comments {
+					_, _ = io.WriteString(writer, ": waiting\n\n")
+				} else {
+					_, _ = io.WriteString(writer, pieces(4+i, 4+i))
+				}
+			}
+			synctest.Wait()
+			streams := []repairer.Stream{r.inProgress()[0].stream()}
+			_ = writer.Close()
+			<-done
+			if comments {
+				require.Len(t, repairer.Ask(time.Now(), streams), 1)
+			} else {
+				require.Empty(t, repairer.Ask(time.Now(), streams))
+			}
+		})
+	}
+}
+
 func TestSwallowedRequestGoesElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeBackend{scripts: []script{{hang: true}, {status: 200, body: pieces(1, 2)}}}
