--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -107,8 +107,9 @@
 
 func peerAddress(i int) string { return fmt.Sprintf("10.%d.%d.1:7340", i/200, i%200) }
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t *testing.T, n int, loss float64) *fleet {
 	f := &fleet{t: t, hub: newHub()}
+	f.hub.loss = loss
 	for i := range n {
 		f.all, f.stop = append(f.all, nil), append(f.stop, nil)
 		f.start(i)
@@ -156,8 +157,7 @@
 		for _, loss := range []float64{0, 0.05} {
 			t.Run(fmt.Sprint(n, " ", loss), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFleet(t, n)
-					f.hub.loss = loss
+					f := newFleet(t, n, loss)
 					time.Sleep(8 * time.Second)
 					for i := range n {
 						require.Equal(t, n-1, f.named(i), "all know gateway %d", i)
@@ -192,7 +192,7 @@
 	mean := map[int]float64{}
 	for _, n := range []int{4, 30, 118} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, n)
+			f := newFleet(t, n, 0)
 			time.Sleep(10 * time.Second)
 			for _, g := range f.all {
 				for i := range 38 {
@@ -223,7 +223,7 @@
 func TestUrgentNewsReachAll(t *testing.T) {
 	for _, n := range []int{4, 118} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, n)
+			f := newFleet(t, n, 0)
 			time.Sleep(8 * time.Second)
 			for _, g := range f.all {
 				for _, name := range []string{"lost", "leaves"} {
@@ -289,7 +289,7 @@
 func TestCutDaemonComesBack(t *testing.T) {
 	for _, n := range []int{2, 4, 30} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, n)
+			f := newFleet(t, n, 0)
 			time.Sleep(8 * time.Second)
 			cut := f.hub.cutOff(peerAddress(1))
 			time.Sleep(2500 * time.Millisecond)
