Refuse nothing for want of memory by a guess alone

Cause: in a fleet that does not know the others' loads, a layer that few targets hold looks full by this daemon's own count times the fleet.

Change: where the guess leaves no path, the targets' own word decides: paths over those that are not full by what this daemon knows.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -89,9 +89,8 @@
 }
 
 // racers returns the targets that may run a part of a generation, with the memory that they have for it.
-func (c *Chooser) racers(views []assessor.View, d Demand, avoid map[string]bool) []racer {
+func (c *Chooser) racers(views []assessor.View, d Demand, avoid map[string]bool, load loadFunc) []racer {
 	e := d.Engine
-	load := c.load(views, d)
 	memory := map[string]placer.Memory{}
 	out := make([]racer, 0, len(views))
 	for i := range views {
@@ -117,8 +116,8 @@
 }
 
 // holders returns the targets that may run a part of a generation, by the version of their weights.
-func (c *Chooser) holders(views []assessor.View, d Demand, avoid map[string]bool) map[string][]pathfinder.Holder {
-	racers := c.racers(views, d, avoid)
+func (c *Chooser) holders(views []assessor.View, d Demand, avoid map[string]bool, load loadFunc) map[string][]pathfinder.Holder {
+	racers := c.racers(views, d, avoid, load)
 	race := c.race(racers)
 	out := map[string][]pathfinder.Holder{}
 	for _, r := range racers {
@@ -162,9 +161,19 @@
 	if e.Layers == 0 {
 		return whole(views, avoid)
 	}
+	path, ok := c.find(e, c.holders(views, d, avoid, c.load(views, d)))
+	if !ok && !c.LoadsKnown() {
+		// A load that is guessed keeps requests off targets that may be full, where others are left; whether they are, they know.
+		path, ok = c.find(e, c.holders(views, d, avoid, ownLoad))
+	}
+	return path, ok
+}
+
+// find returns the cheapest path over the holders of one version.
+func (c *Chooser) find(e *matcher.Engine, holders map[string][]pathfinder.Holder) ([]cataloger.Stage, bool) {
 	var best []cataloger.Stage
 	bestCost := 0.0
-	for _, hs := range c.holders(views, d, avoid) {
+	for _, hs := range holders {
 		p := pathfinder.Problem{End: e.Layers, Holders: hs, Crossing: c.crossing(e), MaxStages: maxStages}
 		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
@@ -291,7 +300,7 @@
 		return nil, false
 	}
 	_, _, version := first.Held()
-	spare := c.holders(views, d, avoid)[version]
+	spare := c.holders(views, d, avoid, c.load(views, d))[version]
 	var out []cataloger.Stage
 	for i, s := range path {
 		if !lost[s.Target] {
--- a/internal/chooser/load.go
+++ b/internal/chooser/load.go
@@ -14,14 +14,20 @@
 // target the own count says little of what the others send there.
 const meanRequests = 2
 
-// load returns what is in progress at a target on the whole fleet, in tokens times layers.
+// loadFunc returns what is in progress at a target with so much memory for requests on so many layers, in tokens times layers.
+type loadFunc func(v *assessor.View, room float64, layers uint32) float64
+
+// ownLoad is what is known to be in progress.
+func ownLoad(v *assessor.View, _ float64, _ uint32) float64 { return v.TokenLayers }
+
+// load returns what is in progress at a target on the whole fleet.
 //
 // Where the others' loads are not known, each is taken to send as much as this daemon: its own count at the target, drawn towards
 // the count that would fill all targets alike.
-func (c *Chooser) load(views []assessor.View, d Demand) func(v *assessor.View, room float64, layers uint32) float64 {
+func (c *Chooser) load(views []assessor.View, d Demand) loadFunc {
 	daemons := float64(max(c.Daemons(), 1))
 	if c.LoadsKnown() || daemons == 1 {
-		return func(v *assessor.View, _ float64, _ uint32) float64 { return v.TokenLayers }
+		return ownLoad
 	}
 	var used, all float64
 	for i := range views {
--- a/internal/chooser/race_test.go
+++ b/internal/chooser/race_test.go
@@ -165,3 +165,60 @@
 		})
 	}
 }
+
+// TestRaceAlwaysFindsAPath: where ranges overlap, costs that vary make the cheapest walk leave a target and come back to it, which
+// targets refuse; another path is found then, wherever all layers are held.
+func TestRaceAlwaysFindsAPath(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := assessor.New(func() time.Time { return now })
+	rng := rand.New(rand.NewPCG(3, 3))
+	for i := range 60 {
+		width := uint32(4 + rng.IntN(14))
+		first := min(uint32(rng.IntN(40)), 40-width)
+		if i < 4 {
+			first, width = uint32(i)*10, 10
+		}
+		a.Put(cataloger.Target{
+			Name: fmt.Sprintf("t%02d", i), Service: "llm", Address: fmt.Sprint(i), State: cataloger.StateLive, Kind: "slow",
+			DataCentre: cataloger.DataCentre(fmt.Sprint(i % 3)), Incarnation: 1,
+			Holdings: []cataloger.Holding{{Version: "1", FirstLayer: first, EndLayer: first + width, Ready: true}},
+		})
+	}
+	c := New(a, func() time.Time { return now })
+	c.Daemons, c.LoadsKnown = func() int { return 118 }, func() bool { return false }
+	c.Draw = rng.ExpFloat64
+	for i := range 3000 {
+		_, ok := c.Path(Demand{Service: "llm", Engine: raceEngine(), Tokens: 840, Read: 700}, nil)
+		require.True(t, ok, "request %d: %s", i, c.Shortage(Demand{Service: "llm", Engine: raceEngine(), Tokens: 840, Read: 700}))
+	}
+}
+
+// TestGuessedLoadsRefuseNothing: a layer that all requests pass and few targets hold looks full by a guess, as all daemons' requests
+// are there; whether it is, its targets say.
+func TestGuessedLoadsRefuseNothing(t *testing.T) {
+	c := raceFleet(27, 2, func(int) string { return "slow" })[0]
+	d := Demand{Service: "llm", Engine: raceEngine(), Tokens: 840, Read: 700}
+	full := 0
+	for range 30 {
+		path, ok := c.Path(d, nil)
+		require.True(t, ok)
+		c.Targets.Reserve(path, 840)
+		if c.load(c.Targets.Service("llm"), d)(viewOf(t, c, path[0].Target), 1e6, 10) > 1e6 {
+			full++
+		}
+	}
+	require.Positive(t, full, "by the guess")
+	for range 300 {
+		if path, ok := c.Path(d, nil); ok {
+			c.Targets.Reserve(path, 840)
+		}
+	}
+	_, ok := c.Path(d, nil)
+	require.False(t, ok, "what this daemon knows is no guess")
+}
+
+func viewOf(t *testing.T, c *Chooser, name string) *assessor.View {
+	v, ok := c.Targets.Get(name)
+	require.True(t, ok)
+	return &v
+}
