Follow one peer for as long as it can be, nearby where there is one

Each daemon that joined, left or lost the store moved the levels by which daemons follow each other, and each change of peer reads the whole list (3,000 targets) anew, from any data centre.

Change: a peer is followed as long as it is there, reaches the store and is not passed over; a new one is taken in the own data centre where there is one. Two that come to follow each other are parted by what others have, as before.

Ruled out: lists as differences by revision, which needs versions of removals.

--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -326,3 +326,44 @@
 	v, _ = g.targets.Get("i-0000000000")
 	require.InDelta(t, before.TokenLayers, v.TokenLayers, 1)
 }
+
+// TestPeerIsFollowedForAsLongAsItCanBe: each change of peer reads the whole list anew, which a fleet whose members come and go
+// would do all the time.
+func TestPeerIsFollowedForAsLongAsItCanBe(t *testing.T) {
+	var all []cataloger.Member
+	for i := range 118 {
+		m := staying(fmt.Sprintf("front-%03d", i))
+		m.DataCentre = cataloger.DataCentre(fmt.Sprint("dc-", i%5))
+		all = append(all, m)
+	}
+	g := New(Settings{Name: "front-500", DataCentre: "dc-3"}, timer.System{}, zerolog.Nop())
+	g.prepare(nil)
+	g.started = g.started.Add(-maxSettleTime)
+	see := func(ms []cataloger.Member) { g.members.Store(&membership{others: ms}) }
+	see(all)
+	u := &upstream{gateway: g, bad: map[string]time.Time{}}
+	first := u.watcher()
+	require.Equal(t, cataloger.DataCentre("dc-3"), first.DataCentre, "one nearby")
+	u.peer = first
+	for i := range 100 {
+		var fewer []cataloger.Member
+		for j, m := range all {
+			if m.Name == first.Name || j%7 != i%7 {
+				fewer = append(fewer, m)
+			}
+		}
+		see(append(fewer, staying(fmt.Sprintf("new-%03d", i))))
+		require.Equal(t, first.Name, u.watcher().Name)
+	}
+	gone := slices.DeleteFunc(slices.Clone(all), func(m cataloger.Member) bool { return m.Name == first.Name })
+	see(gone)
+	require.NotEqual(t, first.Name, u.watcher().Name)
+	again := *first
+	again.Epoch = 2
+	see(append(gone, again))
+	next := u.watcher()
+	require.True(t, next.Name != first.Name || next.Epoch == 2, "a restarted peer counts its changes anew")
+	see(all)
+	u.bad[first.Name] = time.Now().Add(time.Hour)
+	require.NotEqual(t, first.Name, u.watcher().Name, "it does not answer, or others know more")
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -49,7 +49,8 @@
 	return store, u
 }
 
-// watcher returns the peer to follow; nil where this daemon watches the store itself.
+// watcher returns the peer to follow; nil where this daemon watches the store itself. A peer is followed for as long as it can be:
+// each change of peer reads the whole list anew. One of the own data centre is taken where there is one.
 func (u *upstream) watcher() *cataloger.Member {
 	g := u.gateway
 	// The daemon that holds the duty notices what no watch has brought, by its own writes, and must then read the store itself.
@@ -57,21 +58,42 @@
 		return nil
 	}
 	levels, own := watchLevels(candidates(g.all()), g.Settings.Name)
+	if own == 0 {
+		return nil
+	}
 	now := g.Clock.Now()
+	usable := func(m cataloger.Member) bool { return has(traitReachesStore)(m) && now.After(u.bad[m.Name]) }
+	if u.peer != nil {
+		others := candidates(g.others())
+		if i := named(others, u.peer.Name); i >= 0 && others[i].Epoch == u.peer.Epoch && usable(others[i]) {
+			return u.peer
+		}
+	}
 	for level := own - 1; level >= 0; level-- {
-		var usable []cataloger.Member
-		for _, m := range levels[level] {
-			if has(traitReachesStore)(m) && now.After(u.bad[m.Name]) {
-				usable = append(usable, m)
+		near, far := apart(levels[level], usable, cataloger.DataCentre(g.Settings.DataCentre))
+		for _, list := range [][]cataloger.Member{near, far} {
+			if chosen, ok := tracker.Rendezvous(list, g.Settings.Name); ok {
+				return &chosen
 			}
 		}
-		if chosen, ok := tracker.Rendezvous(usable, g.Settings.Name); ok {
-			return &chosen
-		}
 	}
 	return nil
 }
 
+// apart returns the usable members of a data centre and those of the others.
+func apart(all []cataloger.Member, usable func(cataloger.Member) bool, dc cataloger.DataCentre) (near, far []cataloger.Member) {
+	for _, m := range all {
+		switch {
+		case !usable(m):
+		case m.DataCentre == dc:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
+
 // watchLevels returns the daemons by their distance from the store, and that of one of them: the first watch it themselves, and
 // each level has followersEach daemons for each one of the level before. One that is not among them comes last.
 func watchLevels(members []cataloger.Member, name string) (levels [][]cataloger.Member, own int) {
