Name the updates between gateways by the field's terms

News became updates, Tell became NotifyUrgent; the peers that always get everything are called so. Read as a newcomer; behaviour and assertions as before.

--- a/internal/chooser/load.go
+++ b/internal/chooser/load.go
@@ -7,9 +7,6 @@
 	"github.com/rattantray/rattantray/internal/placer"
 )
 
-// MeshDaemons is about how many daemons know each other's loads.
-const MeshDaemons = 8
-
 // meanRequests is how many requests the mean over all targets counts for beside this daemon's own: with few requests at each
 // target the own count says little of what the others send there.
 const meanRequests = 2
--- a/internal/chooser/pipes.go
+++ b/internal/chooser/pipes.go
@@ -9,6 +9,9 @@
 	"github.com/rattantray/rattantray/internal/matcher"
 )
 
+// promptWeight is of how many daemons' prompts one of this daemon's own is a sign, in a large fleet.
+const promptWeight = 8
+
 // hop is the way from one data centre to another; each has a pipe of its own.
 type hop struct{ from, to cataloger.DataCentre }
 
@@ -93,7 +96,7 @@
 	}
 	prompt := max(e.UsualPrompt*e.ActivationBytes, 1)
 	own := c.pipes.of(h).sent.Rate(c.Now()) * rateTime.Seconds() / prompt
-	return 1 + (daemons-1)*own/(own+daemons/MeshDaemons)
+	return 1 + (daemons-1)*own/(own+daemons/promptWeight)
 }
 
 // crossings returns the hops over which stages of a path read a whole generation: those to stages that were not in the path
--- a/internal/chooser/pipes_test.go
+++ b/internal/chooser/pipes_test.go
@@ -23,7 +23,7 @@
 	}
 	c := New(a, func() time.Time { return *now })
 	c.Daemons = func() int { return daemons }
-	c.LoadsKnown = func() bool { return daemons <= MeshDaemons }
+	c.LoadsKnown = func() bool { return daemons <= 8 }
 	e := raceEngine()
 	e.LayerBytes, e.ActivationBytes, e.PipeBytesPerSecond = 1e8, 22_900, 2*700*22_900
 	return c, Demand{Service: "llm", Engine: e, Tokens: 840, Read: 700}
--- a/internal/chooser/race.go
+++ b/internal/chooser/race.go
@@ -6,7 +6,7 @@
 	"github.com/rattantray/rattantray/internal/assessor"
 )
 
-// meshKnown is the part of the costs that does not vary where the others' loads are known: these are some rounds of news old, in
+// meshKnown is the part of the costs that does not vary where the others' loads are known: these are some rounds of updates old, in
 // which as many requests come as a pipeline takes at a time.
 const meshKnown = 0.8
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,7 @@
 	g.poster.Log = g.Log
 	g.tracker = g.newTracker()
 	g.gossiper = &gossiper.Gossiper{
-		Peers: g.others, Close: g.successors, News: g.news, Receive: g.receive, Notify: g.poster.Notify, Clock: g.Clock, Log: g.Log,
+		Peers: g.others, Always: g.successors, Update: g.update, Receive: g.receive, Send: g.poster.Notify, Clock: g.Clock, Log: g.Log,
 	}
 	g.poster.Handle(gossiper.Method, g.gossiper.Handle)
 
@@ -231,8 +231,8 @@
 	r.Chooser.Daemons = func() int { return len(g.others()) + 1 }
 	r.Chooser.LoadsKnown = g.gossiper.Mesh
 	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
-	r.Lost = func(cataloger.Target) { g.gossiper.Tell() }
-	r.Left = func(cataloger.Target) { g.gossiper.Tell() }
+	r.Lost = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
+	r.Left = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
 
 	g.orderer.Log = g.Log
 	g.orderer.Services = func() []matcher.Service {
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -36,7 +36,7 @@
 	require.Equal(t, "fad", names(func(r revisions) uint64 { return r.targets }, 92))
 
 	require.Equal(t, revisions{config: 9, targets: 99}, g.heard.newest())
-	g.receive("b", &peerv1.GatewayNews{Epoch: 1, ConfigVersion: 4})
+	g.receive("b", &peerv1.GatewayUpdate{Epoch: 1, ConfigVersion: 4})
 	require.Equal(t, uint64(9), g.heard.of("b").config, "what a peer has never gets older")
 	g.gone("b")
 	g.gone("e")
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -171,7 +171,7 @@
 }
 
 // tellTraits tells the others what has changed with this daemon. That it gets ready is told at once, the rest now and then only,
-// as each change is news for the whole fleet.
+// as each change goes to the whole fleet.
 func (g *Gateway) tellTraits(ctx context.Context, told *toldTraits) {
 	now, traits := g.Clock.Now(), g.traits()
 	if traits == told.traits || traits&traitReady == told.traits&traitReady && now.Sub(told.at) < traitPause {
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -218,9 +218,9 @@
 	require.InDelta(t, mean[30], mean[118], 0.25*mean[30])
 }
 
-// TestUrgentNewsReachAll: a target that one daemon finds lost, or that tells one of them that it leaves, is known to nearly all at
+// TestUrgentUpdatesReachAll: a target that one daemon finds lost, or that tells one of them that it leaves, is known to nearly all at
 // once, and to the rest a few rounds later.
-func TestUrgentNewsReachAll(t *testing.T) {
+func TestUrgentUpdatesReachAll(t *testing.T) {
 	for _, n := range []int{4, 118} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, n, 0)
@@ -231,9 +231,9 @@
 				}
 			}
 			f.all[1].targets.Lose("lost", 1, time.Now())
-			f.all[1].gossiper.Tell()
+			f.all[1].gossiper.NotifyUrgent()
 			f.all[2].targets.Leave("leaves", 1, time.Now())
-			f.all[2].gossiper.Tell()
+			f.all[2].gossiper.NotifyUrgent()
 			unaware := func() int {
 				out := 0
 				for _, g := range f.all {
@@ -322,7 +322,7 @@
 	g.takeMembers([]cataloger.Member{peer})
 	v, _ = g.targets.Get("i-0000000000")
 	require.InDelta(t, before.TokenLayers, v.TokenLayers, 1)
-	require.False(t, g.receive("a", &peerv1.GatewayNews{Epoch: 1, Loads: map[uint32]float32{assessor.LoadKey("i-0000000000"): 1000}}))
+	require.False(t, g.receive("a", &peerv1.GatewayUpdate{Epoch: 1, Loads: map[uint32]float32{assessor.LoadKey("i-0000000000"): 1000}}))
 	v, _ = g.targets.Get("i-0000000000")
 	require.InDelta(t, before.TokenLayers, v.TokenLayers, 1)
 }
--- a/internal/gateway/news.go
+++ b/internal/gateway/update.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	// maxLoads bounds the targets whose load one message names, the largest first: about half a kilobyte.
+	// maxLoads bounds the targets whose load one update names, the largest first: about half a kilobyte.
 	maxLoads = 48
-	// maxNews bounds the targets of each kind of news in one message, the latest first: under a kilobyte together.
-	maxNews = 24
+	// maxEntries bounds the targets of each kind in one update, the latest first: under a kilobyte together.
+	maxEntries = 24
 	// successors is how many daemons know of the orders that are not listed yet: those that may have to give the next ones.
 	successors = 3
 )
 
-// news returns what this daemon tells; all of it in small fleets and to possible successors.
-func (g *Gateway) news(all bool) *peerv1.GatewayNews {
+// update returns what this daemon tells its peers; all of it in small fleets and for possible successors.
+func (g *Gateway) update(all bool) *peerv1.GatewayUpdate {
 	now := g.Clock.Now()
-	n := &peerv1.GatewayNews{Epoch: g.epoch, TargetsRevision: g.listed.Changed(), Loads: map[uint32]float32{}}
+	n := &peerv1.GatewayUpdate{Epoch: g.epoch, TargetsRevision: g.listed.Changed(), Loads: map[uint32]float32{}}
 	if m := g.config.Load(); m != nil {
 		n.ConfigVersion = m.Version()
 	}
@@ -58,13 +58,13 @@
 // age returns how many milliseconds ago something was.
 func age(now, at time.Time) uint32 { return uint32(max(now.Sub(at), 0).Milliseconds()) }
 
-// latest returns the maxNews latest of some news.
-func latest[T any](news []T, at func(T) time.Time) []T {
-	if len(news) > maxNews {
-		slices.SortFunc(news, func(a, b T) int { return at(b).Compare(at(a)) })
-		news = news[:maxNews]
+// latest returns the maxEntries latest of some entries.
+func latest[T any](entries []T, at func(T) time.Time) []T {
+	if len(entries) > maxEntries {
+		slices.SortFunc(entries, func(a, b T) int { return at(b).Compare(at(a)) })
+		entries = entries[:maxEntries]
 	}
-	return news
+	return entries
 }
 
 // successors returns the daemons that would take the duty over, where this one holds it and has orders that are not listed yet.
@@ -101,7 +101,7 @@
 
 // receive takes what another daemon tells, unless a later process has its name, and tells whether a target is lost or leaves that
 // was thought well.
-func (g *Gateway) receive(peer string, n *peerv1.GatewayNews) (urgent bool) {
+func (g *Gateway) receive(peer string, n *peerv1.GatewayUpdate) (urgent bool) {
 	now := g.Clock.Now()
 	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
 	if i := named(g.others(), peer); i >= 0 && g.others()[i].Epoch > n.GetEpoch() {
--- a/internal/gateway/news_test.go
+++ b/internal/gateway/update_test.go
@@ -28,7 +28,7 @@
 	return g
 }
 
-func TestNewsTellWhatIsBelieved(t *testing.T) {
+func TestUpdateTellsWhatIsBelieved(t *testing.T) {
 	a, b := newTestGateway("a", 3), newTestGateway("b", 3)
 	lost, _ := a.targets.Get("i-0000000001")
 	a.targets.Lose(lost.Name, 1, time.Now())
@@ -37,12 +37,12 @@
 		Target: "i-0000000000", Incarnation: 1, First: 3, End: 9, At: time.Now(), Until: time.Now().Add(time.Second),
 	})
 	a.targets.Leave("i-0000000000", 1, time.Now())
-	data, err := proto.Marshal(a.news(true))
+	data, err := proto.Marshal(a.update(true))
 	require.NoError(t, err)
-	h := &peerv1.GatewayNews{}
+	h := &peerv1.GatewayUpdate{}
 	require.NoError(t, proto.Unmarshal(data, h))
 	require.True(t, b.receive("a", h), "a target is lost")
-	require.False(t, b.receive("a", h), "no news any more")
+	require.False(t, b.receive("a", h), "known by now")
 
 	v, _ := b.targets.Get(lost.Name)
 	require.True(t, v.Lost)
@@ -71,20 +71,20 @@
 	require.Empty(t, names())
 }
 
-// TestNewsFitADatagram: at the size to design for, each target holds a request.
-func TestNewsFitADatagram(t *testing.T) {
-	data, err := proto.Marshal(newTestGateway("a", 3300).news(true))
+// TestUpdateFitsADatagram: at the size to design for, each target holds a request.
+func TestUpdateFitsADatagram(t *testing.T) {
+	data, err := proto.Marshal(newTestGateway("a", 3300).update(true))
 	require.NoError(t, err)
 	require.Less(t, len(data), 32<<10)
 }
 
-func BenchmarkNews(b *testing.B) {
+func BenchmarkUpdate(b *testing.B) {
 	for _, n := range []int{40, 100, 400, 3300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			g := newTestGateway("a", n)
 			size := 0
 			for b.Loop() {
-				data, err := proto.Marshal(g.news(true))
+				data, err := proto.Marshal(g.update(true))
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -21,7 +21,7 @@
 	// followersEach how many of the others follow one daemon, so that no daemon's own work does.
 	watchers      = 4
 	followersEach = 8
-	// peerWait is how long a watcher holds a question without news.
+	// peerWait is how long a watcher holds a question while nothing changes.
 	peerWait = 3 * time.Second
 	// badPeerTime is how long a watcher is passed over that did not answer.
 	badPeerTime = 5 * time.Second
--- a/internal/gossiper/doc.go
+++ b/internal/gossiper/doc.go
@@ -1,2 +1,2 @@
-// Package gossiper spreads news among daemons, so that what each sends and takes does not grow with the fleet.
+// Package gossiper spreads updates among daemons, so that what each sends and receives does not grow with the fleet.
 package gossiper
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -14,44 +14,42 @@
 	"github.com/rattantray/rattantray/internal/timer"
 )
 
-// Method is the name of the handler that takes news.
-const Method = "news"
+// Method is the name of the handler that takes updates.
+const Method = "update"
 
 const (
 	// Interval is the time between two rounds.
 	Interval = 250 * time.Millisecond
-	// MeshSize is how many peers are all told everything in turn, meshFanOut of them in each round.
+	// MeshSize is up to how many peers are all sent everything in turn, to meshFanOut of them in each round.
 	MeshSize   = 12
 	meshFanOut = 3
-	// fanOut is how many peers, drawn anew, a round tells in a larger fleet. News that are passed on by fanOut daemons each
-	// reach 400 in some six rounds; what is urgent does not wait for these.
+	// fanOut is how many peers, drawn at random, a round notifies in a larger fleet; what is urgent does not wait for rounds.
 	fanOut = 1
-	// urgentFanOut is how many peers are told at once of what is urgent, and relayFanOut how many each of those passes it on to
-	// where it is new to them.
+	// urgentFanOut is how many peers are notified at once of what is urgent, and relayFanOut how many each of them passes it on
+	// to where it did not know of it.
 	urgentFanOut = 12
 	relayFanOut  = 6
 )
 
-// Gossiper tells peers the news; set its exported fields before Run.
+// Gossiper sends updates to peers; set its exported fields before Run.
 type Gossiper struct {
-	// Peers returns the peers that are there; Close those among them that are told everything in each round, however large the
-	// fleet is.
-	Peers func() []cataloger.Member
-	Close func() []cataloger.Member
-	// News returns what this daemon has to tell; all is for those that are told everything.
-	News func(all bool) *peerv1.GatewayNews
-	// Receive takes the news of a peer, and tells whether there was something urgent among them that this daemon did not know.
-	Receive func(peer string, n *peerv1.GatewayNews) (urgent bool)
-	// Notify sends a message to the handler of a method at an address.
-	Notify func(address, method string, msg proto.Message) error
-	Clock  timer.Clock
-	Log    zerolog.Logger
+	// Peers returns the live peers; Always those among them that get everything in each round, however large the fleet is.
+	Peers  func() []cataloger.Member
+	Always func() []cataloger.Member
+	// Update returns this daemon's update; all is the one with everything.
+	Update func(all bool) *peerv1.GatewayUpdate
+	// Receive takes the update of a peer, and tells whether it held something urgent that this daemon did not know.
+	Receive func(peer string, u *peerv1.GatewayUpdate) (urgent bool)
+	// Send sends a message to the handler of a method at an address.
+	Send  func(address, method string, msg proto.Message) error
+	Clock timer.Clock
+	Log   zerolog.Logger
 
 	// turn is the next of a small fleet's peers; only Run uses it.
 	turn int
 }
 
-// Run tells the news until ctx is done.
+// Run sends updates until ctx is done.
 func (g *Gossiper) Run(ctx context.Context) error {
 	for g.Clock.Sleep(ctx, Interval) == nil {
 		g.round()
@@ -59,13 +57,13 @@
 	return nil
 }
 
-// round tells the peers whose turn it is.
+// round notifies the peers whose turn it is.
 func (g *Gossiper) round() {
 	if peers := g.Peers(); len(peers) <= MeshSize {
-		g.send(g.next(peers), true)
+		g.sendTo(g.next(peers), true)
 		return
 	}
-	g.tell(fanOut)
+	g.notify(fanOut)
 }
 
 // next returns the next of a small fleet's peers.
@@ -78,23 +76,23 @@
 	return out
 }
 
-// Tell tells something urgent at once.
-func (g *Gossiper) Tell() { g.tell(urgentFanOut) }
+// NotifyUrgent notifies many peers at once.
+func (g *Gossiper) NotifyUrgent() { g.notify(urgentFanOut) }
 
-// Mesh tells whether the fleet is so small that everybody is told everything.
+// Mesh tells whether the fleet is so small that every peer gets everything.
 func (g *Gossiper) Mesh() bool { return len(g.Peers()) <= MeshSize }
 
-// tell tells everything to those that are close, and the news to n others.
-func (g *Gossiper) tell(n int) {
+// notify sends everything to those that always get it, and the update to n others.
+func (g *Gossiper) notify(n int) {
 	peers := g.Peers()
 	if len(peers) <= MeshSize {
-		g.send(peers, true)
+		g.sendTo(peers, true)
 		return
 	}
-	if near := g.Close(); len(near) > 0 {
-		g.send(near, true)
+	if always := g.Always(); len(always) > 0 {
+		g.sendTo(always, true)
 	}
-	g.send(draw(peers, n), false)
+	g.sendTo(draw(peers, n), false)
 }
 
 // draw returns n of the peers at random.
@@ -106,26 +104,26 @@
 	return out
 }
 
-func (g *Gossiper) send(peers []cataloger.Member, all bool) {
+func (g *Gossiper) sendTo(peers []cataloger.Member, all bool) {
 	if len(peers) == 0 {
 		return
 	}
-	news := g.News(all)
+	update := g.Update(all)
 	for _, p := range peers {
-		if err := g.Notify(p.PeerAddress, Method, news); err != nil {
-			g.Log.Debug().Err(err).Str("peer", p.Name).Msg("news not sent")
+		if err := g.Send(p.PeerAddress, Method, update); err != nil {
+			g.Log.Debug().Err(err).Str("peer", p.Name).Msg("update not sent")
 		}
 	}
 }
 
-// Handle takes the news of a peer; it is a linker.Handler.
+// Handle takes the update of a peer; it is a linker.Handler.
 func (g *Gossiper) Handle(_ context.Context, peer string, body []byte) (proto.Message, error) {
-	n := &peerv1.GatewayNews{}
-	if err := proto.Unmarshal(body, n); err != nil {
-		return nil, errors.Wrap(err, "decode news")
+	u := &peerv1.GatewayUpdate{}
+	if err := proto.Unmarshal(body, u); err != nil {
+		return nil, errors.Wrap(err, "decode update")
 	}
-	if g.Receive(peer, n) && !g.Mesh() {
-		g.send(draw(g.Peers(), relayFanOut), false)
+	if g.Receive(peer, u) && !g.Mesh() {
+		g.sendTo(draw(g.Peers(), relayFanOut), false)
 	}
 	return nil, nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -26,18 +26,18 @@
 		peers = append(peers, cataloger.Member{Name: fmt.Sprint(i), PeerAddress: fmt.Sprint(i)})
 	}
 	return &Gossiper{
-		Peers: func() []cataloger.Member { return peers },
-		Close: func() []cataloger.Member { return nil },
-		News: func(all bool) *peerv1.GatewayNews {
-			n := &peerv1.GatewayNews{}
+		Peers:  func() []cataloger.Member { return peers },
+		Always: func() []cataloger.Member { return nil },
+		Update: func(all bool) *peerv1.GatewayUpdate {
+			n := &peerv1.GatewayUpdate{}
 			if all {
 				n.ConfigVersion = 1
 			}
 			return n
 		},
-		Receive: func(string, *peerv1.GatewayNews) bool { return false },
-		Notify: func(address, method string, msg proto.Message) error {
-			*out = append(*out, sent{address, msg.(*peerv1.GatewayNews).GetConfigVersion() == 1})
+		Receive: func(string, *peerv1.GatewayUpdate) bool { return false },
+		Send: func(address, method string, msg proto.Message) error {
+			*out = append(*out, sent{address, msg.(*peerv1.GatewayUpdate).GetConfigVersion() == 1})
 			return nil
 		},
 		Clock: timer.System{}, Log: zerolog.Nop(),
@@ -54,13 +54,13 @@
 		}
 		require.LessOrEqual(t, len(out), 10*meshFanOut, "%d peers", n)
 		out = nil
-		g.Tell()
+		g.NotifyUrgent()
 		require.LessOrEqual(t, len(out), urgentFanOut, "%d peers", n)
 		require.GreaterOrEqual(t, len(out), min(n, urgentFanOut), "%d peers", n)
 	}
 }
 
-func TestSmallFleetIsToldEverythingInTurn(t *testing.T) {
+func TestSmallFleetGetsEverythingInTurn(t *testing.T) {
 	for _, n := range []int{1, 2, 3, 5, MeshSize} {
 		var out []sent
 		g := newTestGossiper(n, &out)
@@ -76,25 +76,25 @@
 	}
 }
 
-func TestCloseOnesAreToldEverything(t *testing.T) {
+func TestSomeAlwaysGetEverything(t *testing.T) {
 	var out []sent
 	g := newTestGossiper(30, &out)
-	g.Close = func() []cataloger.Member { return g.Peers()[:2] }
+	g.Always = func() []cataloger.Member { return g.Peers()[:2] }
 	g.round()
 	require.Equal(t, []sent{{"0", true}, {"1", true}}, out[:2])
 	require.Len(t, out, 2+fanOut)
 	require.False(t, out[2].all)
 }
 
-// TestUrgentNewsArePassedOnOnce: by each daemon to which they are new, and in large fleets only, where not all were told.
-func TestUrgentNewsArePassedOnOnce(t *testing.T) {
-	body, err := proto.Marshal(&peerv1.GatewayNews{})
+// TestUrgentUpdatesArePassedOnOnce: by each daemon that did not know, and in large fleets only, where not all were notified.
+func TestUrgentUpdatesArePassedOnOnce(t *testing.T) {
+	body, err := proto.Marshal(&peerv1.GatewayUpdate{})
 	require.NoError(t, err)
 	for n, want := range map[int]int{MeshSize: 0, 40: relayFanOut} {
 		var out []sent
 		g := newTestGossiper(n, &out)
 		urgent := true
-		g.Receive = func(string, *peerv1.GatewayNews) bool { return urgent }
+		g.Receive = func(string, *peerv1.GatewayUpdate) bool { return urgent }
 		_, err := g.Handle(t.Context(), "0", body)
 		require.NoError(t, err)
 		require.Len(t, out, want)
--- a/internal/poster/poster_test.go
+++ b/internal/poster/poster_test.go
@@ -25,7 +25,7 @@
 	a, b := listen(t, "a"), listen(t, "b")
 	got := make(chan string, 4)
 	b.Handle("news", func(_ context.Context, peer string, body []byte) (proto.Message, error) {
-		n := &peerv1.GatewayNews{}
+		n := &peerv1.GatewayUpdate{}
 		err := proto.Unmarshal(body, n)
 		got <- peer
 		return nil, errors.CombineErrors(err, errors.New("an error is logged only"))
@@ -35,9 +35,9 @@
 	go func() { done <- a.Run(ctx) }()
 	go func() { done <- b.Run(ctx) }()
 	to := b.Conn.LocalAddr().String()
-	require.NoError(t, a.Link().Notify(to, "news", &peerv1.GatewayNews{Epoch: 7}))
-	require.NoError(t, a.Notify(to, "unknown", &peerv1.GatewayNews{}))
-	require.NoError(t, a.Notify(to, "news", &peerv1.GatewayNews{}))
+	require.NoError(t, a.Link().Notify(to, "news", &peerv1.GatewayUpdate{Epoch: 7}))
+	require.NoError(t, a.Notify(to, "unknown", &peerv1.GatewayUpdate{}))
+	require.NoError(t, a.Notify(to, "news", &peerv1.GatewayUpdate{}))
 	require.Equal(t, "a", <-got)
 	require.Equal(t, "a", <-got)
 	cancel()
@@ -48,7 +48,7 @@
 func TestMessagesThatAreNotSent(t *testing.T) {
 	p := listen(t, "a")
 	defer func() { require.NoError(t, p.Conn.Close()) }()
-	require.Error(t, p.Notify("front.example:7340", "news", &peerv1.GatewayNews{}), "names are not looked up")
+	require.Error(t, p.Notify("front.example:7340", "news", &peerv1.GatewayUpdate{}), "names are not looked up")
 	big := &peerv1.Datagram{Body: bytes.Repeat([]byte{1}, maxDatagram)}
 	require.ErrorIs(t, p.Notify("127.0.0.1:9", "news", big), ErrTooLarge)
 }
