Rank gateways by the tracker's own function

Cause: successors, registrars and watch levels each wrote the loop that tracker.RankMembers is. Change: they call it; same order by rendezvous scores. Ruled out: nothing else was touched.

--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -51,18 +51,13 @@
 
 // registrar tells whether this daemon is among those that keep their addresses in the store.
 func (g *Gateway) registrar() bool {
-	var list []tracker.Candidate
+	var staying []cataloger.Member
 	for _, m := range g.all() {
 		if m.State == cataloger.StateLive {
-			list = append(list, tracker.Candidate{Name: m.Name})
+			staying = append(staying, m)
 		}
 	}
-	for _, i := range tracker.Rank(list, "registrar", registrars) {
-		if list[i].Name == g.Settings.Name {
-			return true
-		}
-	}
-	return false
+	return named(tracker.RankMembers(staying, "registrar", registrars), g.Settings.Name) >= 0
 }
 
 // findPeers tries the addresses that others have left in the store.
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -72,16 +72,7 @@
 	if !g.holdsDuty() || len(g.orderer.Pending()) == 0 {
 		return nil
 	}
-	next := candidates(g.others())
-	list := make([]tracker.Candidate, len(next))
-	for i, m := range next {
-		list[i].Name = m.Name
-	}
-	var out []cataloger.Member
-	for _, i := range tracker.Rank(list, dutyName, successors) {
-		out = append(out, next[i])
-	}
-	return out
+	return tracker.RankMembers(candidates(g.others()), dutyName, successors)
 }
 
 // largest returns the n largest loads, as a heartbeat is one datagram.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -97,19 +97,12 @@
 // watchLevels returns the daemons by their distance from the store, and that of one of them: the first watch it themselves, and
 // each level has followersEach daemons for each one of the level before. One that is not among them comes last.
 func watchLevels(members []cataloger.Member, name string) (levels [][]cataloger.Member, own int) {
-	list := make([]tracker.Candidate, len(members))
-	for i, m := range members {
-		list[i].Name = m.Name
-	}
-	ranked := tracker.Rank(list, "watch", len(list))
+	ranked := tracker.RankMembers(members, "watch", len(members))
 	own = -1
 	for size := watchers; len(ranked) > 0; size *= followersEach {
-		var level []cataloger.Member
-		for _, i := range ranked[:min(size, len(ranked))] {
-			if members[i].Name == name {
-				own = len(levels)
-			}
-			level = append(level, members[i])
+		level := ranked[:min(size, len(ranked))]
+		if named(level, name) >= 0 {
+			own = len(levels)
 		}
 		levels, ranked = append(levels, level), ranked[len(level):]
 	}
