--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,11 +140,15 @@
 
 // Refused takes in that a request was refused before it could be relayed.
 func (g *Gateway) Refused(id, host, path string, refusal *refuser.Refusal) {
-	var version uint64
+	g.relayer.Refused(id, host, path, g.configVersion(), refusal)
+}
+
+// configVersion returns the version of the configuration in force, 0 where none is known yet.
+func (g *Gateway) configVersion() uint64 {
 	if m := g.config.Load(); m != nil {
-		version = m.Version()
+		return m.Version()
 	}
-	g.relayer.Refused(id, host, path, version, refusal)
+	return 0
 }
 
 // Leaving tells whether the daemon shuts down.
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -65,12 +65,9 @@
 func (g *Gateway) watchLag(ctx context.Context) error {
 	var configLag, targetsLag time.Time
 	for g.Clock.Sleep(ctx, lagPause/4) == nil {
-		newest, version := g.heard.newest(), uint64(0)
-		if m := g.config.Load(); m != nil {
-			version = m.Version()
-		}
+		newest := g.heard.newest()
 		revision, _ := g.listed.Revision()
-		configLag = g.checkLag(newest.config > version, configLag, g.configs, g.configsUp)
+		configLag = g.checkLag(newest.config > g.configVersion(), configLag, g.configs, g.configsUp)
 		targetsLag = g.checkLag(newest.targets > revision, targetsLag, g.listed, g.listedUp)
 	}
 	return nil
@@ -96,13 +93,9 @@
 func (g *Gateway) askPeers(ctx context.Context, prefix string, revision uint64) (follower.Copy, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	version := uint64(0)
-	if m := g.config.Load(); m != nil {
-		version = m.Version()
-	}
 	has, known := func(r revisions) uint64 { return r.targets }, revision
 	if prefix == g.Settings.ConfigPrefix {
-		has, known = func(r revisions) uint64 { return r.config }, version
+		has, known = func(r revisions) uint64 { return r.config }, g.configVersion()
 	}
 	for _, m := range g.newest(has, known) {
 		c, err := fetchCopy(ctx, m.PeerAddress, prefix)
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -25,9 +25,8 @@
 // update returns what this daemon tells its peers; all of it in small fleets and for possible successors.
 func (g *Gateway) update(all bool) *peerv1.GatewayUpdate {
 	now := g.Clock.Now()
-	n := &peerv1.GatewayUpdate{Epoch: g.epoch, TargetsRevision: g.listed.Changed(), Loads: map[uint32]float32{}}
-	if m := g.config.Load(); m != nil {
-		n.ConfigVersion = m.Version()
+	n := &peerv1.GatewayUpdate{
+		Epoch: g.epoch, ConfigVersion: g.configVersion(), TargetsRevision: g.listed.Changed(), Loads: map[uint32]float32{},
 	}
 	for _, d := range latest(g.targets.Doubts(), func(d assessor.Doubt) time.Time { return d.Since }) {
 		n.Doubts = append(n.Doubts, &peerv1.TargetDoubt{Target: d.Target, Incarnation: d.Incarnation, AgeMs: age(now, d.Since)})
