Log where a configuration was taken from and since when it was known of

The logs could not tell news that travels slowly from a gateway that reads from one that lags: `configuration in force` now names its source and the time since the gateway first heard of the version, `heard of a newer configuration` the peer that named it, and the metric config-version-heard shows a gateway that lags. Nothing is decided by them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -322,7 +322,12 @@
 		return
 	}
 	g.config.Store(matcher.New(d))
-	g.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Int("workspaces", len(d.Workspaces)).Msg("configuration in force")
+	log := g.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Int("workspaces", len(d.Workspaces)).
+		Str("source", g.configsUp.origin())
+	if heard, at := g.heard.newestConfig(); heard >= d.Version {
+		log = log.Dur("since-heard", g.Clock.Now().Sub(at))
+	}
+	log.Msg("configuration in force")
 }
 
 // applyTarget takes a change of a target.
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -25,9 +25,13 @@
 type heard struct {
 	mu    sync.Mutex
 	peers map[string]revisions
+	// config is the newest configuration that any peer has named, first at configAt.
+	config   uint64
+	configAt time.Time
 }
 
-func (h *heard) note(peer string, r revisions) {
+// note takes what a peer has, and tells whether its configuration is newer than any that was heard of before.
+func (h *heard) note(peer string, r revisions, now time.Time) (newer bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.peers == nil {
@@ -35,6 +39,18 @@
 	}
 	known := h.peers[peer]
 	h.peers[peer] = revisions{config: max(known.config, r.config), targets: max(known.targets, r.targets)}
+	if r.config <= h.config {
+		return false
+	}
+	h.config, h.configAt = r.config, now
+	return true
+}
+
+// newestConfig returns the newest configuration that any peer has named, and when it was first named.
+func (h *heard) newestConfig() (uint64, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.config, h.configAt
 }
 
 func (h *heard) forget(peer string) {
@@ -100,6 +116,7 @@
 	for _, m := range g.newest(has, known) {
 		c, err := fetchCopy(ctx, m.PeerAddress, prefix)
 		if err == nil && c.Revision > revision {
+			g.upstreamOf(prefix).from(&m)
 			return c, true
 		}
 		g.Log.Debug().Err(err).Str("peer", m.Name).Str("prefix", prefix).Msg("peer has no newer copy")
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -18,7 +19,7 @@
 		m := staying(string(rune('a' + i)))
 		all = append(all, m)
 		if version > 0 {
-			g.heard.note(m.Name, revisions{config: version, targets: 100 - version})
+			g.heard.note(m.Name, revisions{config: version, targets: 100 - version}, time.Now())
 		}
 	}
 	g.takeMembers(all)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -79,6 +79,14 @@
 	return g.listed
 }
 
+// upstreamOf returns where a prefix is read.
+func (g *Gateway) upstreamOf(prefix string) *upstream {
+	if prefix == g.Settings.ConfigPrefix {
+		return g.configsUp
+	}
+	return g.listedUp
+}
+
 func (g *Gateway) serveObjects(w http.ResponseWriter, r *http.Request) {
 	c, ok := g.followerOf(r).Copy()
 	if !ok {
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -59,11 +59,10 @@
 	m := g.relayer.Meter
 	m.Gauge("requests-in-progress", func() float64 { return float64(g.active.Load()) })
 	m.Gauge("streams-in-progress", func() float64 { return float64(g.relayer.InProgress()) })
-	m.Gauge("config-version", func() float64 {
-		if c := g.config.Load(); c != nil {
-			return float64(c.Version())
-		}
-		return 0
+	m.Gauge("config-version", func() float64 { return float64(g.configVersion()) })
+	m.Gauge("config-version-heard", func() float64 {
+		version, _ := g.heard.newestConfig()
+		return float64(version)
 	})
 	m.Gauge("targets-lost", func() float64 { return float64(len(g.targets.Doubts())) })
 	m.Gauge("peers-alive", func() float64 { return float64(len(g.others())) })
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -97,7 +97,9 @@
 	if i := named(g.others(), peer); i >= 0 && g.others()[i].Epoch > n.GetEpoch() {
 		return false
 	}
-	g.heard.note(peer, revisions{config: n.GetConfigVersion(), targets: n.GetTargetsRevision()})
+	if g.heard.note(peer, revisions{config: n.GetConfigVersion(), targets: n.GetTargetsRevision()}, now) && n.GetConfigVersion() > g.configVersion() {
+		g.Log.Info().Uint64("version", n.GetConfigVersion()).Str("peer", peer).Msg("heard of a newer configuration")
+	}
 	if len(n.GetLoads()) > 0 || g.gossiper.Mesh() {
 		loads := map[uint32]float64{}
 		for key, tokens := range n.GetLoads() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,26 @@
 	peer   *cataloger.Member
 	cursor uint64
 	epoch  uint64
+	// source names where the last objects came from: sourceStore or a peer.
+	source atomic.Value
+}
+
+// sourceStore is the source of what the store itself has answered.
+const sourceStore = "store"
+
+// from notes where the next objects come from.
+func (u *upstream) from(peer *cataloger.Member) {
+	if peer == nil {
+		u.source.Store(sourceStore)
+		return
+	}
+	u.source.Store(peer.Name)
+}
+
+// origin returns where the last objects came from.
+func (u *upstream) origin() string {
+	name, _ := u.source.Load().(string)
+	return name
 }
 
 // through returns the store with its lists and watches read from the watchers.
@@ -117,6 +138,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.peer = u.watcher()
+	u.from(u.peer)
 	if u.peer == nil {
 		return u.direct.List(ctx, prefix)
 	}
