Show that a change no watch brings is late in a fleet

The watches of the store go silent, as when it drops its history, and one gateway learns of a change by its own write. Bounds are those of the deployments: 2 s at 4 gateways, 3 s at 31, 4 s at 118, 7 s at the design size.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/auditor"
 	"github.com/rattantray/rattantray/internal/cataloger"
@@ -92,6 +94,9 @@
 	Clock    timer.Clock
 	Log      zerolog.Logger
 
+	// fetch asks a peer for objects or changes.
+	fetch func(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error)
+
 	epoch    uint64
 	config   atomic.Pointer[matcher.Matcher]
 	targets  *assessor.Assessor
@@ -122,7 +127,7 @@
 
 // New returns a gateway; Prepare makes it ready to Run.
 func New(s Settings, clock timer.Clock, log zerolog.Logger) *Gateway {
-	g := &Gateway{Settings: s, Clock: clock, Log: log}
+	g := &Gateway{Settings: s, Clock: clock, Log: log, fetch: fetchObjects}
 	g.epoch = uint64(clock.Now().UnixMilli())
 	g.started = clock.Now()
 	g.members.Store(&membership{})
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -114,7 +114,7 @@
 		has, known = func(r revisions) uint64 { return r.config }, g.configVersion()
 	}
 	for _, m := range g.newest(has, known) {
-		c, err := fetchCopy(ctx, m.PeerAddress, prefix)
+		c, err := g.fetchCopy(ctx, m.PeerAddress, prefix)
 		if err == nil && c.Revision > revision {
 			g.upstreamOf(prefix).from(&m)
 			return c, true
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -51,8 +51,8 @@
 	return message, proto.Unmarshal(data, message)
 }
 
-func fetchCopy(ctx context.Context, address, prefix string) (follower.Copy, error) {
-	message, err := fetchObjects(ctx, address, objectsPath, url.Values{"prefix": {prefix}})
+func (g *Gateway) fetchCopy(ctx context.Context, address, prefix string) (follower.Copy, error) {
+	message, err := g.fetch(ctx, address, objectsPath, url.Values{"prefix": {prefix}})
 	if err != nil {
 		return follower.Copy{}, err
 	}
--- /dev/null
+++ b/internal/gateway/raced_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package gateway
+
+const raced = true
--- /dev/null
+++ b/internal/gateway/spread_test.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/platformfaker"
+	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/timer"
+)
+
+// testConfigKey is the object that holds the configuration; its value is the version in decimal.
+const testConfigKey = "config/main"
+
+// spreadFleet is a fleet whose gateways follow one store, by themselves and through each other.
+type spreadFleet struct {
+	t        *testing.T
+	hub      *hub
+	platform *platformfaker.Platform
+	all      []*Gateway
+	// silent gateways hear nothing on watches of the store that began before.
+	mu     sync.Mutex
+	silent chan struct{}
+}
+
+// newSpreadFleet starts n gateways and waits until they have settled.
+func newSpreadFleet(t *testing.T, n int) *spreadFleet {
+	f := &spreadFleet{t: t, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range n {
+		g := f.add(i)
+		for _, run := range []func(context.Context) error{
+			g.configs.Run, g.listed.Run, g.poster.Run, g.tracker.Run, g.watchMembers, g.gossiper.Run, g.watchLag, g.duty.leaser.Run, g.runDuty,
+		} {
+			wg.Go(func() { _ = run(ctx) })
+		}
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return f
+}
+
+// add makes gateway i.
+func (f *spreadFleet) add(i int) *Gateway {
+	g := New(Settings{
+		Name: fmt.Sprintf("front-%03d", i), ClientListen: fmt.Sprint("client-", i), PeerListen: peerAddress(i), DataCentre: fmt.Sprint("dc-", i%3),
+		Seeds: []string{peerAddress(0), peerAddress(1), peerAddress(2)}, ConfigPrefix: "config/", TargetsPrefix: "servers/",
+		FirstStart: true, Grace: 8 * time.Second,
+	}, timer.System{}, zerolog.Nop())
+	g.Adapter.Store = f.store()
+	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
+		version, err := strconv.ParseUint(string(value), 10, 64)
+		return matcher.Document{Version: version}, err
+	}
+	g.Adapter.DecodeTarget = func(key string, value []byte) (cataloger.Target, error) {
+		return cataloger.Target{Name: key, Address: string(value), State: cataloger.StateLive, Incarnation: 1}, nil
+	}
+	g.prepare(f.hub.listen(peerAddress(i)))
+	g.fetch = f.fetch
+	f.all = append(f.all, g)
+	return g
+}
+
+// store returns the store with watches that can go silent.
+func (f *spreadFleet) store() storer.Store {
+	store := f.platform.Store()
+	watch := store.Watch
+	store.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+		f.mu.Lock()
+		silent := f.silent
+		f.mu.Unlock()
+		heard, stop := context.WithCancel(ctx)
+		defer stop()
+		ended := make(chan error, 1)
+		go func() { ended <- watch(heard, prefix, after, emit) }()
+		select {
+		case err := <-ended:
+			return err
+		case <-silent:
+			stop()
+			<-ended
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}
+	return store
+}
+
+// silence has the watches of this moment hear nothing from now on; a watch that begins later hears everything.
+func (f *spreadFleet) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.silent)
+	f.silent = make(chan struct{})
+}
+
+// fetch asks a gateway as its HTTP server would be asked.
+func (f *spreadFleet) fetch(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error) {
+	for _, g := range f.all {
+		if g.Settings.PeerListen != address {
+			continue
+		}
+		recorder := httptest.NewRecorder()
+		target := url.URL{Path: path, RawQuery: query.Encode()}
+		g.peerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target.String(), nil).WithContext(ctx))
+		if recorder.Code != http.StatusOK {
+			return nil, errors.Newf("%s answered %d", address, recorder.Code)
+		}
+		message := &peerv1.GatewayObjects{}
+		return message, proto.Unmarshal(recorder.Body.Bytes(), message)
+	}
+	return nil, errors.Newf("nobody listens on %s", address)
+}
+
+// acknowledge writes a version of the configuration to the store.
+func (f *spreadFleet) acknowledge(version uint64) {
+	store := f.platform.Store()
+	var revision uint64
+	if o, err := store.Get(f.t.Context(), testConfigKey); err == nil {
+		revision = o.Version
+	}
+	_, err := store.Put(f.t.Context(), testConfigKey, []byte(strconv.FormatUint(version, 10)), revision)
+	require.NoError(f.t, err)
+}
+
+// behind returns how many gateways have an older configuration in force.
+func (f *spreadFleet) behind(version uint64) int {
+	n := 0
+	for _, g := range f.all {
+		if g.configVersion() < version {
+			n++
+		}
+	}
+	return n
+}
+
+// applyBounds are how long a change may take by the size of the fleet: the bounds of the deployments with 4, 31 and 118 gateways, and
+// that of the design size.
+var applyBounds = map[int]time.Duration{4: 2 * time.Second, 31: 3 * time.Second, 118: 4 * time.Second, 400: 7 * time.Second}
+
+// TestChangeThatNoWatchBringsIsInForceInTime guards against gateways that still accept a withdrawn key seconds after the
+// acknowledgement, as the watches of the store had gone silent and one gateway alone knew of the change.
+func TestChangeThatNoWatchBringsIsInForceInTime(t *testing.T) {
+	for _, n := range []int{4, 31, 118, 400} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			if n > 118 && raced {
+				t.Skip("CI plays the design size without the race detector")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newSpreadFleet(t, n)
+				f.acknowledge(1)
+				time.Sleep(12 * time.Second)
+				require.Zero(t, f.behind(1), "the fleet has started")
+				for version := uint64(2); version <= 6; version++ {
+					f.silence()
+					f.acknowledge(version)
+					time.Sleep(applyBounds[n])
+					require.Zero(t, f.behind(version), "version %d is in force on all within %s", version, applyBounds[n])
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -144,7 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	message, err := fetchObjects(ctx, u.peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
+	message, err := u.gateway.fetch(ctx, u.peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
 	if err != nil {
 		return nil, 0, u.moved(err)
 	}
@@ -219,7 +219,7 @@
 	u.mu.Lock()
 	cursor, epoch := u.cursor, u.epoch
 	u.mu.Unlock()
-	message, err := fetchObjects(ctx, peer.PeerAddress, changesPath, url.Values{
+	message, err := u.gateway.fetch(ctx, peer.PeerAddress, changesPath, url.Values{
 		"prefix": {u.prefix}, "cursor": {strconv.FormatUint(cursor, 10)}, "epoch": {strconv.FormatUint(epoch, 10)},
 	})
 	u.mu.Lock()
