Tell the readers of the store at once of changes that no watch brought

Cause: four gateways read the store and the others follow them. When the watches of all four go silent, the holder of the placement lease notices by its own write and reads the change, but it told one random peer each 250 ms, so that the four heard of it after seconds; and gateways that heard sooner went from one lagging source to the next, each for 0.4 s, until none was left.

That rules the processor out: the followers are as fast as ever.

Change: the gateways that read the store tell each other of a new configuration, and of every change that a list brought in place of a watch, within 0.1 s, three times as datagrams may be lost; one that is told of the latter reads at once. It is a datagram to four or five others for a change, whatever the size of the fleet. A follower gives its source up after 0.8 s, what the source needs to make up for a silent watch.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -50,6 +50,8 @@
 	revision uint64
 	// changed is the revision of the last change that was applied.
 	changed uint64
+	// missed is the revision of the last change that a list brought in place of a watch.
+	missed uint64
 	// synced is true once a whole list was read.
 	synced bool
 	// failing is true from a failure of the store until its next answer, which is at returned.
@@ -83,6 +85,13 @@
 	return f.changed
 }
 
+// Missed returns the revision of the last change that a list has brought, as no watch had; 0 where watches have brought all.
+func (f *Follower) Missed() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.missed
+}
+
 // Copy returns the objects as they are known.
 func (f *Follower) Copy() (Copy, bool) {
 	f.mu.Lock()
@@ -208,11 +217,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := make(map[string]bool, len(objects))
+	before := f.changed
 	for _, o := range objects {
 		listed[o.Key] = true
 		f.See(o.Version)
 		f.put(o)
 	}
+	if f.synced && f.changed > before {
+		f.missed = f.changed
+	}
 	for key, o := range f.objects {
 		if !listed[key] && o.Version <= revision {
 			f.remove(key)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,8 +38,6 @@
 	// holder's writes, by which missed changes are noticed; with the auditor's grace and a list, this stays under the two
 	// seconds that a change of the configuration may take.
 	leaseDuration = 2 * time.Second
-	// lagPause is how long a change that a peer knows may be under way before it is fetched.
-	lagPause = 400 * time.Millisecond
 	// peersPrefix is where daemons leave their peer addresses for those that start later.
 	peersPrefix = "gateways/"
 	stopTimeout = 30 * time.Second
@@ -228,6 +226,7 @@
 		Peers: g.others, Always: g.successors, Update: g.update, Receive: g.receive, Send: g.poster.Notify, Clock: g.Clock, Log: g.Log,
 	}
 	g.poster.Handle(gossiper.Method, g.gossiper.Handle)
+	g.poster.Handle(revisionsMethod, g.handleRevisions)
 
 	r := g.relayer
 	r.Backend, r.Budget, r.Log = g.Adapter.Backend, g.Settings.RetryBudget, g.Log
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -12,8 +12,17 @@
 	"github.com/rattantray/rattantray/internal/follower"
 )
 
-// maxAsked bounds the peers that are asked for a copy while the store is away.
-const maxAsked = 4
+const (
+	// maxAsked bounds the peers that are asked for a copy while the store is away.
+	maxAsked = 4
+	// lagInterval is the time between two looks whether peers know more.
+	lagInterval = 100 * time.Millisecond
+	// lagPause is how long a change that a peer knows may be under way on a watch of the store, which gathers changes for as long.
+	lagPause = 400 * time.Millisecond
+	// peerLagPause is the same on the way through peers: a reader of the store that has missed a change needs lagPause to
+	// notice and a list to make up for it, and leaving it sooner would only lead to another that lags as well.
+	peerLagPause = 2 * lagPause
+)
 
 // revisions are what a daemon has in force.
 type revisions struct {
@@ -77,10 +86,13 @@
 	return h.peers[peer]
 }
 
-// watchLag has the followers list anew where a peer has known more for a while.
+// watchLag tells the other readers of the store what this gateway has found, and has the followers list anew where a peer has known
+// more for a while.
 func (g *Gateway) watchLag(ctx context.Context) error {
 	var configLag, targetsLag time.Time
-	for g.Clock.Sleep(ctx, lagPause/4) == nil {
+	var told toldRevisions
+	for g.Clock.Sleep(ctx, lagInterval) == nil {
+		g.tellReaders(&told)
 		newest := g.heard.newest()
 		revision, _ := g.listed.Revision()
 		configLag = g.checkLag(newest.config > g.configVersion(), configLag, g.configs, g.configsUp)
@@ -92,12 +104,16 @@
 // checkLag returns since when a follower lags, zero where it does not.
 func (g *Gateway) checkLag(lags bool, since time.Time, f *follower.Follower, u *upstream) time.Time {
 	now := g.Clock.Now()
+	patience := lagPause
+	if !u.readsStore() {
+		patience = peerLagPause
+	}
 	switch {
 	case !lags:
 		return time.Time{}
 	case since.IsZero():
 		return now
-	case now.Sub(since) >= lagPause:
+	case now.Sub(since) >= patience:
 		u.distrust()
 		f.Nudge()
 		return now
--- /dev/null
+++ b/internal/gateway/readers.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+const (
+	// revisionsMethod is the name of the handler that takes what other readers of the store have.
+	revisionsMethod = "revisions"
+	// tellTime is how long a change is told for, once in lagInterval, as datagrams may be lost.
+	tellTime = 300 * time.Millisecond
+)
+
+// toldRevisions are what this gateway last told the other readers of the store.
+type toldRevisions struct {
+	config uint64
+	// missed are the last changes that no watch had brought.
+	missed revisions
+	at     time.Time
+	// unwatched is that there were such among what is told since at.
+	unwatched bool
+}
+
+// readers returns the other gateways that read the store itself: the first level, and the holder of the duty.
+func (g *Gateway) readers() []cataloger.Member {
+	levels, _ := watchLevels(candidates(g.all()), g.Settings.Name)
+	var out []cataloger.Member
+	for i, level := range levels {
+		for _, m := range level {
+			if m.Name != g.Settings.Name && (i == 0 || has(traitHoldsDuty)(m)) {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// tellReaders tells the other readers of the store of a new configuration, and of any change that no watch has brought: their
+// watches may have missed it too, and all others follow them. Updates alone would take seconds to reach them in a large fleet.
+func (g *Gateway) tellReaders(told *toldRevisions) {
+	now := g.Clock.Now()
+	config, missed := g.configVersion(), revisions{config: g.configs.Missed(), targets: g.listed.Missed()}
+	if config > told.config || missed != told.missed {
+		*told = toldRevisions{config: config, missed: missed, at: now, unwatched: missed != told.missed}
+	}
+	if now.Sub(told.at) > tellTime || !g.configsUp.readsStore() {
+		return
+	}
+	message := &peerv1.GatewayRevisions{
+		Epoch: g.epoch, ConfigVersion: config, TargetsRevision: g.listed.Changed(), Unwatched: told.unwatched,
+	}
+	for _, m := range g.readers() {
+		if err := g.poster.Notify(m.PeerAddress, revisionsMethod, message); err != nil {
+			g.Log.Debug().Err(err).Str("peer", m.Name).Msg("revisions not sent")
+		}
+	}
+}
+
+// handleRevisions takes what another reader of the store has; it is a linker.Handler. What no watch has brought is read at once.
+func (g *Gateway) handleRevisions(_ context.Context, peer string, body []byte) (proto.Message, error) {
+	m := &peerv1.GatewayRevisions{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, errors.Wrap(err, "decode revisions")
+	}
+	if g.replaced(peer, m.GetEpoch()) {
+		return nil, nil
+	}
+	g.takeRevisions(peer, revisions{config: m.GetConfigVersion(), targets: m.GetTargetsRevision()})
+	if !m.GetUnwatched() {
+		return nil, nil
+	}
+	if m.GetConfigVersion() > g.configVersion() && g.configsUp.readsStore() {
+		g.configs.Nudge()
+	}
+	if revision, _ := g.listed.Revision(); m.GetTargetsRevision() > revision && g.listedUp.readsStore() {
+		g.listed.Nudge()
+	}
+	return nil, nil
+}
+
+// replaced tells whether a later process has the name of the one that started at epoch.
+func (g *Gateway) replaced(peer string, epoch uint64) bool {
+	others := g.others()
+	i := named(others, peer)
+	return i >= 0 && others[i].Epoch > epoch
+}
+
+// takeRevisions takes in what a peer has.
+func (g *Gateway) takeRevisions(peer string, r revisions) {
+	if g.heard.note(peer, r, g.Clock.Now()) && r.config > g.configVersion() {
+		g.Log.Info().Uint64("version", r.config).Str("peer", peer).Msg("heard of a newer configuration")
+	}
+}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -94,12 +94,10 @@
 func (g *Gateway) receive(peer string, n *peerv1.GatewayUpdate) (urgent bool) {
 	now := g.Clock.Now()
 	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
-	if i := named(g.others(), peer); i >= 0 && g.others()[i].Epoch > n.GetEpoch() {
+	if g.replaced(peer, n.GetEpoch()) {
 		return false
 	}
-	if g.heard.note(peer, revisions{config: n.GetConfigVersion(), targets: n.GetTargetsRevision()}, now) && n.GetConfigVersion() > g.configVersion() {
-		g.Log.Info().Uint64("version", n.GetConfigVersion()).Str("peer", peer).Msg("heard of a newer configuration")
-	}
+	g.takeRevisions(peer, revisions{config: n.GetConfigVersion(), targets: n.GetTargetsRevision()})
 	if len(n.GetLoads()) > 0 || g.gossiper.Mesh() {
 		loads := map[uint32]float64{}
 		for key, tokens := range n.GetLoads() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -70,6 +70,9 @@
 	return store, u
 }
 
+// readsStore tells whether the last objects came from the store itself.
+func (u *upstream) readsStore() bool { return u.origin() == sourceStore }
+
 // watcher returns the peer to follow; nil where this daemon watches the store itself. A peer is followed for as long as it can be:
 // each change of peer reads the whole list anew. One of the own data centre is taken where there is one.
 func (u *upstream) watcher() *cataloger.Member {
