Count an object that a list lacks as a change

The gateway that noticed by its own write read the list and dropped the target, but Changed, by which others notice that they lag, counted only objects that a list has, not those that it lacks. So no other gateway read anew.

The test's silence() waits until the watches are silent, which makes TestChangeThatNoWatchBringsIsInForceInTime stricter as well.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -223,14 +223,18 @@
 		f.See(o.Version)
 		f.put(o)
 	}
-	if f.synced && f.changed > before {
-		f.missed = f.changed
-	}
 	for key, o := range f.objects {
 		if !listed[key] && o.Version <= revision {
+			if !f.lapsed[key] {
+				// The list does not tell when the object was removed.
+				f.changed = max(f.changed, revision)
+			}
 			f.remove(key)
 		}
 	}
+	if f.synced && f.changed > before {
+		f.missed = f.changed
+	}
 	f.revision = max(f.revision, revision)
 	f.synced = true
 }
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -72,7 +73,7 @@
 		return matcher.Document{Version: version}, err
 	}
 	g.Adapter.DecodeTarget = func(key string, value []byte) (cataloger.Target, error) {
-		return cataloger.Target{Name: key, Address: string(value), State: cataloger.StateLive, Incarnation: 1}, nil
+		return cataloger.Target{Name: strings.TrimPrefix(key, "servers/"), Service: "llm", Address: string(value), State: cataloger.StateLive, Incarnation: 1}, nil
 	}
 	g.prepare(f.hub.listen(peerAddress(i)))
 	g.fetch = f.fetch
@@ -108,9 +109,10 @@
 // silence has the watches of this moment hear nothing from now on; a watch that begins later hears everything.
 func (f *spreadFleet) silence() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	close(f.silent)
 	f.silent = make(chan struct{})
+	f.mu.Unlock()
+	synctest.Wait()
 }
 
 // fetch asks a gateway as its HTTP server would be asked.
@@ -153,6 +155,17 @@
 	return n
 }
 
+// listing returns how many gateways list a target.
+func (f *spreadFleet) listing(target string) int {
+	n := 0
+	for _, g := range f.all {
+		if v, _ := g.targets.Get(target); v.Usable() {
+			n++
+		}
+	}
+	return n
+}
+
 // applyBounds are how long a change may take by the size of the fleet: the bounds of the deployments with 4, 31 and 118 gateways, and
 // that of the design size.
 var applyBounds = map[int]time.Duration{4: 2 * time.Second, 31: 3 * time.Second, 118: 4 * time.Second, 400: 7 * time.Second}
@@ -181,3 +194,29 @@
 		})
 	}
 }
+
+// TestTargetThatIsGoneUnwatchedIsKnownInTime guards against gateways that send requests to a target whose entry was removed while the
+// watches of the store were silent: a list that lacks an object is a change, too, that others must hear of.
+func TestTargetThatIsGoneUnwatchedIsKnownInTime(t *testing.T) {
+	for _, n := range []int{4, 31, 118} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSpreadFleet(t, n)
+				f.acknowledge(1)
+				store := f.platform.Store()
+				revision, err := store.Put(t.Context(), "servers/gone", []byte("10.9.0.1:80"), 0)
+				require.NoError(t, err)
+				_, err = store.Put(t.Context(), "servers/stays", []byte("10.9.0.2:80"), 0)
+				require.NoError(t, err)
+				time.Sleep(12 * time.Second)
+				require.Equal(t, n, f.listing("gone"), "the fleet has started")
+				f.silence()
+				_, err = store.Delete(t.Context(), "servers/gone", revision)
+				require.NoError(t, err)
+				time.Sleep(applyBounds[n])
+				require.Zero(t, f.listing("gone"))
+				require.Equal(t, n, f.listing("stays"))
+			})
+		})
+	}
+}
