--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/timer"
 )
 
@@ -23,17 +24,17 @@
 
 	mu sync.Mutex
 	// accounted is the revision up to which all changes are known or were asked for.
-	accounted uint64
-	seen      map[uint64]bool
+	accounted storer.Point
+	seen      map[storer.Point]bool
 }
 
 // New returns an auditor that has seen nothing.
 func New(clock timer.Clock, missed func()) *Auditor {
-	return &Auditor{Clock: clock, Missed: missed, seen: map[uint64]bool{}}
+	return &Auditor{Clock: clock, Missed: missed, seen: map[storer.Point]bool{}}
 }
 
 // See takes the revision of a change that a watch or a list brought.
-func (a *Auditor) See(revision uint64) {
+func (a *Auditor) See(revision storer.Point) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if revision > a.accounted && len(a.seen) < maxSeen {
@@ -42,7 +43,7 @@
 }
 
 // Wrote takes the revision of a write of this daemon and checks soon whether all changes before it were seen.
-func (a *Auditor) Wrote(revision uint64) {
+func (a *Auditor) Wrote(revision storer.Point) {
 	a.See(revision)
 	a.Clock.AfterFunc(grace, func() {
 		if a.check(revision) {
@@ -52,14 +53,14 @@
 }
 
 // check accounts for the changes up to a revision and tells whether some were missed.
-func (a *Auditor) check(revision uint64) bool {
+func (a *Auditor) check(revision storer.Point) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if revision <= a.accounted {
 		return false
 	}
 	first := a.accounted == 0
-	known := uint64(0)
+	known := storer.Point(0)
 	for r := range a.seen {
 		if r > a.accounted && r <= revision {
 			known++
--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/timer"
 )
 
@@ -15,15 +16,15 @@
 	cases := []struct {
 		name string
 		// writes are the own ones, seen what watches bring of the rest.
-		writes []uint64
-		seen   []uint64
+		writes []storer.Point
+		seen   []storer.Point
 		missed int
 	}{
-		{"nothing but own writes", []uint64{10, 11, 12}, nil, 0},
-		{"a change that a watch brought", []uint64{10, 12}, []uint64{11}, 0},
-		{"a change that no watch brought", []uint64{10, 12, 13}, nil, 1},
-		{"one of two changes", []uint64{10, 13}, []uint64{11}, 1},
-		{"the first write says nothing of what was before", []uint64{10}, nil, 0},
+		{"nothing but own writes", []storer.Point{10, 11, 12}, nil, 0},
+		{"a change that a watch brought", []storer.Point{10, 12}, []storer.Point{11}, 0},
+		{"a change that no watch brought", []storer.Point{10, 12, 13}, nil, 1},
+		{"one of two changes", []storer.Point{10, 13}, []storer.Point{11}, 1},
+		{"the first write says nothing of what was before", []storer.Point{10}, nil, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/command/dev/dev.go
+++ b/internal/command/dev/dev.go
@@ -37,7 +37,10 @@
 		Long: `Run everything in one process on loopback, to try rattantray out.
 
 The platform, eight engines of four kinds that hold layers of one model, and a
-booking application are small stand-ins. An interrupt shuts down gracefully.`,
+booking application are small stand-ins. An interrupt shuts down gracefully.
+
+To see what a drill does, POST /restore?age=5s to the platform's address, which is
+printed at the start: it comes back from a copy that is so old.`,
 		Example: `  rattantray dev
   rattantray dev --listen 127.0.0.1:8080 --routers 2`,
 		Args: exiter.NoArgs,
@@ -92,11 +95,12 @@
 	return f.run(ctx)
 }
 
-func printHints(s *streamer.IOStreams, address string) {
+func printHints(s *streamer.IOStreams, address, platform string) {
 	s.Printf(`
 try:
   rattantray request send --router %[1]s -w counter -s renewal-assistant -d 'Draft a renewal letter' --max-tokens 24
   rattantray request send --router %[1]s -w counter -s bookings -m 'POST /bookings' -d '{"card":4711}'
   rattantray service view --router %[1]s renewal-assistant > assistant.yaml   # edit it, then: service apply -f assistant.yaml
-`, address)
+  curl -X POST 'http://%[2]s/restore?age=5s'   # the platform comes back from a copy that is 5 s old
+`, address, platform)
 }
--- a/internal/command/dev/fleet.go
+++ b/internal/command/dev/fleet.go
@@ -68,10 +68,12 @@
 	opts     *Options
 	log      zerolog.Logger
 	platform *platformfaker.Platform
-	engines  []*enginefaker.Engine
-	servers  []*http.Server
-	vms      []cataloger.VM
-	routers  []*router.Router
+	// platformAddress is host:port.
+	platformAddress string
+	engines         []*enginefaker.Engine
+	servers         []*http.Server
+	vms             []cataloger.VM
+	routers         []*router.Router
 }
 
 func newFleet(opts *Options, log zerolog.Logger) (*fleet, error) {
@@ -80,8 +82,8 @@
 		log:      log,
 		platform: platformfaker.New(platformfaker.Config{Clock: timer.System{}}),
 	}
-	platformAddress, err := f.serve(f.platform.Handler())
-	if err != nil {
+	var err error
+	if f.platformAddress, err = f.serve(f.platform.Handler()); err != nil {
 		return nil, err
 	}
 	if err := f.addEngines(); err != nil {
@@ -90,7 +92,7 @@
 	if err := f.addService(); err != nil {
 		return nil, err
 	}
-	if err := f.addRouters(platformAddress); err != nil {
+	if err := f.addRouters(); err != nil {
 		return nil, err
 	}
 	f.platform.SetVMs(f.vms)
@@ -160,7 +162,7 @@
 	f.vms = append(f.vms, cataloger.VM{Name: name, DataCentre: dc, Role: cataloger.RoleTarget, Targets: []cataloger.Target{target}})
 }
 
-func (f *fleet) addRouters(platformAddress string) error {
+func (f *fleet) addRouters() error {
 	host, portText, _ := net.SplitHostPort(f.opts.Listen)
 	port, err := strconv.Atoi(portText)
 	if err != nil {
@@ -177,7 +179,7 @@
 		s.Listen = net.JoinHostPort(host, strconv.Itoa(port+i))
 		s.PeerListen = peers[i]
 		s.Peers = peers
-		s.Platform = platformAddress
+		s.Platform = f.platformAddress
 		s.PeerSecret = devSecret
 		s.ResumeKeys = []string{strings.Repeat("5a", 32)}
 		s.ResolveTTL = 2 * time.Second
@@ -230,7 +232,7 @@
 		err = f.awaitServing(ctx)
 	}
 	if err == nil {
-		printHints(f.opts.IO, f.opts.Listen)
+		printHints(f.opts.IO, f.opts.Listen, f.platformAddress)
 	} else {
 		cancel()
 	}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -39,7 +39,7 @@
 			}
 			return f.object, nil
 		},
-		Put: func(_ context.Context, key string, value []byte, expected uint64) (uint64, error) {
+		Put: func(_ context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if expected != f.object.Version {
--- a/internal/commander/record.go
+++ b/internal/commander/record.go
@@ -51,7 +51,7 @@
 type recorder struct {
 	store   *storer.Store
 	model   string
-	version uint64
+	version storer.Point
 	record  Record
 }
 
--- a/internal/configurer/effect.go
+++ b/internal/configurer/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 // effect is something that the machine wants done.
@@ -11,7 +12,7 @@
 	// effectList asks for a list of the store.
 	effectList struct{}
 	// effectWatch starts the watch after a revision.
-	effectWatch struct{ after uint64 }
+	effectWatch struct{ after storer.Point }
 	// effectUnwatch ends the watch.
 	effectUnwatch struct{}
 	// effectPush sends an item to a peer; base is what a splice may be made from.
--- a/internal/configurer/effects.go
+++ b/internal/configurer/effects.go
@@ -109,7 +109,7 @@
 	case event.Object.Key == "":
 	case event.Deleted:
 		// A delete past the system, by other means, counts as a tombstone.
-		item = &Item{Name: event.Object.Key[len(Prefix):], Version: event.Revision, Deleted: true, Time: c.Clock.Now()}
+		item = &Item{Name: event.Object.Key[len(Prefix):], Version: uint64(event.Revision), Deleted: true, Time: c.Clock.Now()}
 	default:
 		i, ok := c.readObject(event.Object)
 		if !ok {
--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -173,13 +173,13 @@
 		return d.isolated
 	}
 	inner := s
-	s.List = func(ctx context.Context, prefix string) ([]storer.Object, uint64, error) {
+	s.List = func(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
 		if alone() {
 			return nil, 0, storer.ErrUnavailable
 		}
 		return inner.List(ctx, prefix)
 	}
-	s.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+	s.Watch = func(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
 		if alone() {
 			return storer.ErrUnavailable
 		}
--- a/internal/configurer/follow.go
+++ b/internal/configurer/follow.go
@@ -7,7 +7,7 @@
 )
 
 // listed takes in a list of the store that was asked for at sent.
-func (m *machine) listed(now, sent time.Time, items []Item, revision uint64) []effect {
+func (m *machine) listed(now, sent time.Time, items []Item, revision storer.Point) []effect {
 	m.listing = false
 	m.listAt = now.Add(m.jitter(m.listInterval))
 	m.boot.listed = true
@@ -34,7 +34,7 @@
 }
 
 // watched takes in an event of the watch; item is nil on a bookmark.
-func (m *machine) watched(now time.Time, item *Item, revision uint64) []effect {
+func (m *machine) watched(now time.Time, item *Item, revision storer.Point) []effect {
 	m.heardAt = now
 	m.cursor = max(m.cursor, revision)
 	m.watchRetry = watchRetry
--- a/internal/configurer/fuzz_test.go
+++ b/internal/configurer/fuzz_test.go
@@ -286,7 +286,7 @@
 	variants := map[string]func(storer.Store) storer.Store{
 		"lost answer as refusal": func(s storer.Store) storer.Store {
 			put := s.Put
-			s.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+			s.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 				version, err := put(ctx, key, value, expected)
 				if storer.ErrorName(err) == "uncertain" {
 					err = storer.ErrTooLarge
@@ -297,7 +297,7 @@
 		},
 		"lost answer as success": func(s storer.Store) storer.Store {
 			put := s.Put
-			s.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+			s.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 				version, err := put(ctx, key, value, expected)
 				if storer.ErrorName(err) == "uncertain" {
 					return expected + 1, nil
--- a/internal/configurer/machine.go
+++ b/internal/configurer/machine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 // Timings of the machine.
@@ -49,7 +50,7 @@
 	heardAt      time.Time
 	watchAt      time.Time
 	watchRetry   time.Duration
-	cursor       uint64
+	cursor       storer.Point
 	listing      bool
 	listAt       time.Time
 	listInterval time.Duration
--- a/internal/configurer/measure_test.go
+++ b/internal/configurer/measure_test.go
@@ -154,14 +154,14 @@
 		f.meter[d.member.Name] = m
 	}
 	list, watch := s.List, s.Watch
-	s.List = func(ctx context.Context, prefix string) ([]storer.Object, uint64, error) {
+	s.List = func(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
 		objects, revision, err := list(ctx, prefix)
 		for _, o := range objects {
 			add(len(o.Value) + framingBytes)
 		}
 		return objects, revision, err
 	}
-	s.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+	s.Watch = func(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
 		return watch(ctx, prefix, after, func(e storer.Event) error {
 			add(len(e.Object.Value) + framingBytes)
 			return emit(e)
--- a/internal/configurer/operator.go
+++ b/internal/configurer/operator.go
@@ -74,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	seen := req.GetExpectedVersion()
-	current, err := c.readForChange(ctx, doc.Name, seen)
+	current, err := c.readForChange(ctx, doc.Name, storer.Point(seen))
 	if err != nil {
 		return refusedApply(err), nil
 	}
@@ -138,7 +138,7 @@
 func (c *Configurer) applyResponse(ctx context.Context, doc *documenter.Document, r storer.Result) *v1.ApplyResponse {
 	switch r.Outcome {
 	case storer.OutcomeAccepted:
-		return &v1.ApplyResponse{Result: v1.ApplyResult_APPLY_RESULT_ACCEPTED, Version: r.Version}
+		return &v1.ApplyResponse{Result: v1.ApplyResult_APPLY_RESULT_ACCEPTED, Version: uint64(r.Version)}
 	case storer.OutcomeConflict:
 		current := storedFrom(r.Stored)
 		if current.version == 0 {
@@ -178,13 +178,13 @@
 	result, err := settler.Put(ctx, storer.Write{
 		Key:      key(ch.name),
 		Value:    value,
-		Expected: current.version,
-		Find:     findWrite(r.Nonce, current.version),
+		Expected: storer.Point(current.version),
+		Find:     findWrite(r.Nonce, storer.Point(current.version)),
 	})
 	if err != nil || result.Outcome != storer.OutcomeAccepted {
 		return result, err
 	}
-	item := Item{Name: ch.name, Version: result.Version, Deleted: ch.deleted, Author: ch.author, Time: r.Time, Text: ch.text}
+	item := Item{Name: ch.name, Version: uint64(result.Version), Deleted: ch.deleted, Author: ch.author, Time: r.Time, Text: ch.text}
 	c.step(ctx, func(m *machine, _ time.Time) []effect { return m.accepted(item) })
 	return result, nil
 }
@@ -196,15 +196,15 @@
 }
 
 // read returns what the store holds under a name, at least as new as a version and as what is in force here.
-func (c *Configurer) read(ctx context.Context, name string, atLeast uint64) (stored, error) {
-	atLeast = max(atLeast, c.view.Load().entries[name].newest.Version)
+func (c *Configurer) read(ctx context.Context, name string, atLeast storer.Point) (stored, error) {
+	atLeast = max(atLeast, storer.Point(c.view.Load().entries[name].newest.Version))
 	giveUp := c.Clock.Now().Add(readPatience)
 	for {
 		o, err := c.Store.Get(ctx, key(name))
 		switch {
 		case err == nil && o.Version >= atLeast:
 			s, err := decodeStored(o)
-			return stored{service: s, version: o.Version}, err
+			return stored{service: s, version: uint64(o.Version)}, err
 		case errors.Is(err, storer.ErrNotFound) && atLeast == 0:
 			return stored{}, nil
 		case err != nil && !errors.Is(err, storer.ErrNotFound):
@@ -217,7 +217,7 @@
 }
 
 // readForChange is read for a change, which is worth a few attempts where the store is weak or the budget spent.
-func (c *Configurer) readForChange(ctx context.Context, name string, atLeast uint64) (stored, error) {
+func (c *Configurer) readForChange(ctx context.Context, name string, atLeast storer.Point) (stored, error) {
 	giveUp := c.Clock.Now().Add(readPatience)
 	for {
 		s, err := c.read(ctx, name, atLeast)
@@ -233,14 +233,14 @@
 	if err != nil {
 		return stored{}
 	}
-	return stored{service: s, version: o.Version}
+	return stored{service: s, version: uint64(o.Version)}
 }
 
 // Delete stores a tombstone if the stored version is the expected one.
 func (c *Configurer) Delete(ctx context.Context, req *v1.DeleteServiceRequest) (*v1.DeleteServiceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	current, err := c.readForChange(ctx, req.Name, req.ExpectedVersion)
+	current, err := c.readForChange(ctx, req.Name, storer.Point(req.ExpectedVersion))
 	switch {
 	case err != nil:
 		r := refusedApply(err)
--- a/internal/configurer/spread_test.go
+++ b/internal/configurer/spread_test.go
@@ -97,7 +97,7 @@
 		silent := make(chan struct{})
 		f.wrap = func(_ *daemon, s storer.Store) storer.Store {
 			watch := s.Watch
-			s.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+			s.Watch = func(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
 				return watch(ctx, prefix, after, func(e storer.Event) error {
 					select {
 					case <-silent:
--- a/internal/configurer/stored.go
+++ b/internal/configurer/stored.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return Item{}, err
 	}
-	return itemFromStored(s, o.Version)
+	return itemFromStored(s, uint64(o.Version))
 }
 
 func itemFromStored(s *peerv1.StoredService, version uint64) (Item, error) {
@@ -149,8 +149,8 @@
 }
 
 // findWrite tells whether a stored object shows the write with a nonce that expected a version.
-func findWrite(nonce string, expected uint64) func(storer.Object) (storer.Verdict, uint64) {
-	return func(o storer.Object) (storer.Verdict, uint64) {
+func findWrite(nonce string, expected storer.Point) func(storer.Object) (storer.Verdict, storer.Point) {
+	return func(o storer.Object) (storer.Verdict, storer.Point) {
 		s, err := decodeStored(o)
 		if err != nil {
 			return storer.VerdictUnknown, 0
@@ -161,9 +161,9 @@
 		known := expected == 0 && !s.Truncated
 		for _, h := range s.History {
 			if h.Nonce == nonce {
-				return storer.VerdictOurs, h.Version
+				return storer.VerdictOurs, storer.Point(h.Version)
 			}
-			known = known || h.Version == expected
+			known = known || storer.Point(h.Version) == expected
 		}
 		if known {
 			return storer.VerdictOther, 0
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -39,6 +39,7 @@
 	msgClear    = "target answers after all"
 	msgStoreOff = "store lost, going on with what is known"
 	msgStoreOn  = "store is back"
+	msgEra      = "store is in a new era"
 	msgLeaves   = "gateway leaves"
 	msgStarts   = "gateway starts"
 )
@@ -82,6 +83,7 @@
 type beliefs struct {
 	config  Line
 	store   Line
+	era     Line
 	leaving Line
 	targets map[string]Line
 }
@@ -97,6 +99,8 @@
 			b.config = l
 		case msgStoreOff, msgStoreOn:
 			b.store = l
+		case msgEra:
+			b.era = l
 		case msgStarts:
 			// Another process knows nothing of what this one believed.
 			b = beliefs{targets: map[string]Line{}}
@@ -112,7 +116,7 @@
 // about returns the lines that matter for a request: those of its daemon, and of the targets that it names.
 func (b beliefs) about(life []Line) []Line {
 	var out []Line
-	for _, l := range []Line{b.config, b.store, b.leaving} {
+	for _, l := range []Line{b.config, b.store, b.era, b.leaving} {
 		if l.Message != "" {
 			out = append(out, l)
 		}
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// TestDrillIsNamed: a request that falls after a drill of the store shows it, also where its cause is another.
+func TestDrillIsNamed(t *testing.T) {
+	x := explain(t, `{"level":"warn","node":"a-1","era":2,"time":1400,"message":"store is in a new era"}
+{"level":"warn","node":"b-1","era":3,"time":1401,"message":"store is in a new era"}
+{"node":"a-1","request":"r1","target":"i-1","path":"i-1=0-5","time":1500,"message":"request sent"}
+{"node":"a-1","request":"r1","code":"canceled","time":1800,"message":"request ended"}`)
+	require.Len(t, x.Beliefs, 3)
+	require.Equal(t, "store is in a new era", x.Beliefs[1].What)
+	require.InDelta(t, 2, x.Beliefs[1].Fields["era"], 0)
+}
+
 // TestBeliefsAreThoseOfTheDaemonAtTheTime: what other daemons believed, or this one later, did not decide.
 func TestBeliefsAreThoseOfTheDaemonAtTheTime(t *testing.T) {
 	x := explain(t, `{"node":"a-1","request":"r1","target":"i-2","path":"i-1=0-5 i-2=5-10","time":1500,"message":"request sent"}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -27,7 +27,7 @@
 // Copy is a view of all objects at a revision.
 type Copy struct {
 	Objects  []storer.Object
-	Revision uint64
+	Revision storer.Point
 	// Cursor is the number of changes that the copy includes.
 	Cursor uint64
 }
@@ -40,25 +40,40 @@
 	Log    zerolog.Logger
 	// Apply takes each change, one at a time; deleted objects come without a value.
 	Apply func(o storer.Object, deleted bool)
+	// Compare orders two values of an object by what they say: it is negative where a is the earlier one, 0 where neither is. It
+	// decides between values of two eras, whose revisions say nothing about each other; nil lets the later era win.
+	Compare func(a, b storer.Object) int
+	// Lasting objects stay where a list of a new era lacks them.
+	Lasting bool
+	// EraRose is called as an answer or a peer names a later era than before.
+	EraRose func(era uint64)
+	// Behind tells whether a peer is known to have more than what a list has brought.
+	Behind func() bool
 	// See takes the revision of each change that is seen, whatever becomes of it.
-	See func(revision uint64)
-	// Ask returns the copy of a peer that knows more; nil where there are none. It is used while the store is away.
-	Ask func(ctx context.Context, prefix string, revision uint64) (Copy, bool)
+	See func(revision storer.Point)
+	// Ask returns the copy of a peer that knows more; nil where there are none. It is used while the store is away, and while
+	// Behind.
+	Ask func(ctx context.Context, prefix string, revision storer.Point) (Copy, bool)
 
 	mu       sync.Mutex
 	objects  map[string]storer.Object
-	revision uint64
+	revision storer.Point
 	// changed is the revision of the last change that was applied.
-	changed uint64
+	changed storer.Point
 	// missed is the revision of the last change that a list brought in place of a watch.
-	missed uint64
+	missed storer.Point
 	// synced is true once a whole list was read.
 	synced bool
 	// failing is true from a failure of the store until its next answer, which is at returned.
 	failing  bool
 	returned time.Time
+	// restored is when the store was last noticed to have come back from an older copy.
+	restored time.Time
 	// lapsed are objects that the store no longer has, and may have again soon.
 	lapsed map[string]bool
+	// gone are objects that were dropped lately, and held those that a copy of the store names although they were.
+	gone   map[string]tombstone
+	held   map[string]storer.Object
 	nudged chan struct{}
 	feed   feed
 }
@@ -66,27 +81,29 @@
 // New returns a follower that knows no objects.
 func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
 	return &Follower{
-		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), See: func(uint64) {},
-		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, nudged: make(chan struct{}, 1), feed: newFeed(),
+		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), See: func(storer.Point) {}, EraRose: func(uint64) {},
+		Behind:  func() bool { return false },
+		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, gone: map[string]tombstone{}, held: map[string]storer.Object{},
+		nudged: make(chan struct{}, 1), feed: newFeed(),
 	}
 }
 
 // Revision returns the revision up to which the copy is whole, and whether it is.
-func (f *Follower) Revision() (uint64, bool) {
+func (f *Follower) Revision() (storer.Point, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision, f.synced
 }
 
 // Changed returns the revision of the last change of the objects; a peer with a later one than Revision knows more.
-func (f *Follower) Changed() uint64 {
+func (f *Follower) Changed() storer.Point {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.changed
 }
 
 // Missed returns the revision of the last change that a list has brought, as no watch had; 0 where watches have brought all.
-func (f *Follower) Missed() uint64 {
+func (f *Follower) Missed() storer.Point {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.missed
@@ -148,6 +165,9 @@
 	}
 	f.answered()
 	f.reconcile(objects, revision)
+	if f.Behind() {
+		f.askPeers(ctx)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	nudged := make(chan struct{})
@@ -189,7 +209,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.failing {
-		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("revision", f.revision).Msg("store lost, going on with what is known")
+		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Stringer("revision", f.revision).Msg("store lost, going on with what is known")
 	}
 	f.failing = true
 }
@@ -213,23 +233,30 @@
 }
 
 // reconcile takes a whole list.
-func (f *Follower) reconcile(objects []storer.Object, revision uint64) {
+func (f *Follower) reconcile(objects []storer.Object, revision storer.Point) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.enter(revision)
 	listed := make(map[string]bool, len(objects))
 	before := f.changed
 	for _, o := range objects {
 		listed[o.Key] = true
 		f.See(o.Version)
-		f.put(o)
+		f.put(o, revision)
 	}
 	for key, o := range f.objects {
-		if !listed[key] && o.Version <= revision {
-			if !f.lapsed[key] {
-				// The list does not tell when the object was removed.
-				f.changed = max(f.changed, revision)
-			}
-			f.remove(key)
+		if listed[key] || !f.covers(revision, o) {
+			continue
+		}
+		if !f.lapsed[key] {
+			// The list does not tell when the object was removed.
+			f.changed = max(f.changed, revision)
+		}
+		f.remove(key)
+	}
+	for key := range f.held {
+		if !listed[key] {
+			delete(f.held, key)
 		}
 	}
 	if f.synced && f.changed > before {
@@ -242,32 +269,54 @@
 func (f *Follower) take(e storer.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = max(f.revision, e.Revision)
+	f.enter(e.Revision)
 	if e.Object.Key != "" {
 		f.changed = max(f.changed, e.Revision)
 		f.See(e.Object.Version)
 	}
 	switch {
 	case e.Object.Key == "":
-	case e.Deleted:
+	case !e.Deleted:
+		f.put(e.Object, e.Revision)
+	case f.objects[e.Object.Key].Version <= e.Revision:
+		delete(f.held, e.Object.Key)
 		f.remove(e.Object.Key)
-	default:
-		f.put(e.Object)
 	}
+	f.revision = max(f.revision, e.Revision)
 }
 
-// put applies an object that is newer than what is known; the caller holds mu.
-func (f *Follower) put(o storer.Object) {
+// put applies an object, as a source knows it that is whole up to a point, unless what is known is newer; the caller holds mu.
+func (f *Follower) put(o storer.Object, source storer.Point) {
 	delete(f.lapsed, o.Key)
-	if known, ok := f.objects[o.Key]; ok && known.Version >= o.Version {
+	known, ok := f.objects[o.Key]
+	switch {
+	case ok && !replaces(known, o, f.Compare):
+		return
+	case !ok && f.synced && source < f.revision && o.Version <= f.revision:
+		// The source lags: the object was dropped since.
+		return
+	case !ok && f.buried(o):
+		f.held[o.Key] = o
 		return
 	}
+	f.accept(o)
+}
+
+// accept puts an object in place of what is known; the caller holds mu.
+func (f *Follower) accept(o storer.Object) {
+	delete(f.gone, o.Key)
+	delete(f.held, o.Key)
 	f.objects[o.Key] = o
 	f.changed = max(f.changed, o.Version)
 	f.feed.add(Change{Object: o})
 	f.Apply(o, false)
 }
 
+// covers tells whether a source that is whole up to a point would name an object if it were still there.
+func (f *Follower) covers(source storer.Point, o storer.Object) bool {
+	return o.Version <= source && (!f.Lasting || o.Version.Era() >= source.Era())
+}
+
 // remove forgets an object, or marks it as lapsed while it may come back; the caller holds mu.
 func (f *Follower) remove(key string) {
 	if _, ok := f.objects[key]; !ok {
@@ -282,6 +331,7 @@
 
 func (f *Follower) drop(key string) {
 	o := f.objects[key]
+	f.bury(o)
 	delete(f.objects, key)
 	delete(f.lapsed, key)
 	gone := storer.Object{Key: o.Key, Version: o.Version}
@@ -308,22 +358,26 @@
 	}
 	revision, _ := f.Revision()
 	c, ok := f.Ask(ctx, f.Prefix, revision)
-	if !ok || c.Revision <= revision {
+	if !ok {
 		return
 	}
-	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", c.Revision).Msg("took what a peer knows")
+	f.Log.Info().Str("prefix", f.Prefix).Stringer("revision", c.Revision).Msg("took what a peer knows")
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.enter(c.Revision)
 	listed := map[string]bool{}
 	for _, o := range c.Objects {
 		if strings.HasPrefix(o.Key, f.Prefix) {
 			listed[o.Key] = true
-			f.put(o)
+			f.put(o, c.Revision)
 		}
 	}
+	if c.Revision < f.revision {
+		return
+	}
 	// A peer that follows the store has let lapsed objects come back before it dropped them.
 	for key, o := range f.objects {
-		if !listed[key] && o.Version <= c.Revision {
+		if !listed[key] && f.covers(c.Revision, o) {
 			f.drop(key)
 		}
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -17,7 +17,7 @@
 type fakeStore struct {
 	mu       sync.Mutex
 	objects  map[string]storer.Object
-	revision uint64
+	revision storer.Point
 	events   chan storer.Event
 	// err is what every call returns.
 	err   error
@@ -30,7 +30,7 @@
 
 func (s *fakeStore) store() storer.Store {
 	return storer.Store{
-		List: func(context.Context, string) ([]storer.Object, uint64, error) {
+		List: func(context.Context, string) ([]storer.Object, storer.Point, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.lists++
@@ -40,7 +40,7 @@
 			}
 			return out, s.revision, s.err
 		},
-		Watch: func(ctx context.Context, _ string, _ uint64, emit func(storer.Event) error) error {
+		Watch: func(ctx context.Context, _ string, _ storer.Point, emit func(storer.Event) error) error {
 			for {
 				select {
 				case <-ctx.Done():
@@ -89,7 +89,12 @@
 
 // follow runs a follower and returns what it believes.
 func follow(t *testing.T, s *fakeStore) (*Follower, func() map[string]string) {
-	f := New(s.store(), "servers/", timer.System{})
+	return followStore(t, s.store(), func(*Follower) {})
+}
+
+// followStore runs a follower that set has prepared, and returns what it believes.
+func followStore(t testing.TB, store storer.Store, set func(*Follower)) (*Follower, func() map[string]string) {
+	f := New(store, "servers/", timer.System{})
 	var mu sync.Mutex
 	known := map[string]string{}
 	f.Apply = func(o storer.Object, deleted bool) {
@@ -101,6 +106,7 @@
 			known[o.Key] = string(o.Value)
 		}
 	}
+	set(f)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -138,8 +144,8 @@
 		require.Equal(t, map[string]string{"servers/b": "2"}, known(), "a removal in calm counts at once")
 		revision, synced := f.Revision()
 		require.True(t, synced)
-		require.Equal(t, uint64(3), revision)
-		require.Equal(t, uint64(3), f.Changed())
+		require.Equal(t, storer.Point(3), revision)
+		require.Equal(t, storer.Point(3), f.Changed())
 	})
 }
 
@@ -215,7 +221,7 @@
 		s.set("servers/a", "1")
 		s.set("servers/b", "1")
 		f, known := follow(t, s)
-		f.Ask = func(_ context.Context, _ string, revision uint64) (Copy, bool) {
+		f.Ask = func(_ context.Context, _ string, revision storer.Point) (Copy, bool) {
 			return Copy{Revision: 9, Objects: []storer.Object{{Key: "servers/a", Value: []byte("2"), Version: 8}, {Key: "other/x", Version: 9}}}, revision < 9
 		}
 		synctest.Wait()
--- a/internal/gateway/duty_test.go
+++ b/internal/gateway/duty_test.go
@@ -24,7 +24,7 @@
 // killable returns a store that answers nothing any more once killed is set.
 func killable(store storer.Store, killed *atomic.Bool) storer.Store {
 	put := store.Put
-	store.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	store.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 		if killed.Load() {
 			return 0, storer.ErrUnavailable
 		}
@@ -79,11 +79,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		whole := platformfaker.New(platformfaker.Config{}).Store()
 		store := whole
-		store.Watch = func(ctx context.Context, _ string, _ uint64, _ func(storer.Event) error) error {
+		store.Watch = func(ctx context.Context, _ string, _ storer.Point, _ func(storer.Event) error) error {
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		store.Put = func(context.Context, string, []byte, uint64) (uint64, error) { return 0, storer.ErrUnavailable }
+		store.Put = func(context.Context, string, []byte, storer.Point) (storer.Point, error) {
+			return 0, storer.ErrUnavailable
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		g := New(Settings{Name: "a", PeerListen: "a:2", ConfigPrefix: "config/", TargetsPrefix: "servers/"}, timer.System{}, zerolog.Nop())
 		g.Adapter.Store = store
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,9 @@
 	// departures are those of all daemons, this one among them.
 	departures departures
 	active     atomic.Int64
+	// era is the latest of the store's that was noticed, and eras counts how often it rose.
+	era  atomic.Uint64
+	eras atomic.Int64
 }
 
 // New returns a gateway; Prepare makes it ready to Run.
@@ -214,10 +217,13 @@
 	g.auditor = auditor.New(g.Clock, g.missed)
 	g.configs.See = g.auditor.See
 	g.configs.Log, g.configs.Apply, g.configs.Ask = g.Log, g.applyConfig, g.askPeers
+	g.configs.Compare, g.configs.Lasting, g.configs.EraRose = g.compareConfigs, true, g.EraRose
+	g.configs.Behind = func() bool { return g.heard.newest().config > g.configVersion() }
 	through, g.listedUp = g.through(store, g.Settings.TargetsPrefix)
 	g.listed = follower.New(through, g.Settings.TargetsPrefix, g.Clock)
 	g.listed.See = g.auditor.See
 	g.listed.Log, g.listed.Apply, g.listed.Ask = g.Log, g.applyTarget, g.askPeers
+	g.listed.Compare, g.listed.EraRose = g.compareTargets, g.EraRose
 
 	g.poster = poster.New(g.Settings.Name, conn, g.Clock)
 	g.poster.Log = g.Log
@@ -261,7 +267,7 @@
 // audited returns the store with its writes told to the auditor.
 func (g *Gateway) audited(store storer.Store) storer.Store {
 	put := store.Put
-	store.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	store.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 		version, err := put(ctx, key, value, expected)
 		if err == nil {
 			g.auditor.Wrote(version)
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/follower"
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 const (
@@ -26,8 +27,10 @@
 
 // revisions are what a daemon has in force.
 type revisions struct {
-	config  uint64
-	targets uint64
+	// config is the version inside the document.
+	config uint64
+	// targets is the last change of the list of targets.
+	targets storer.Point
 }
 
 // heard is what peers have said that they have in force; its zero value is ready for use.
@@ -122,16 +125,16 @@
 }
 
 // askPeers fetches the copy of a peer that knows more than a revision.
-func (g *Gateway) askPeers(ctx context.Context, prefix string, revision uint64) (follower.Copy, bool) {
+func (g *Gateway) askPeers(ctx context.Context, prefix string, revision storer.Point) (follower.Copy, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	has, known := func(r revisions) uint64 { return r.targets }, revision
+	has, known := func(r revisions) uint64 { return uint64(r.targets) }, uint64(revision)
 	if prefix == g.Settings.ConfigPrefix {
 		has, known = func(r revisions) uint64 { return r.config }, g.configVersion()
 	}
 	for _, m := range g.newest(has, known) {
 		c, err := g.fetchCopy(ctx, m.PeerAddress, prefix)
-		if err == nil && c.Revision > revision {
+		if err == nil && (c.Revision > revision || prefix == g.Settings.ConfigPrefix) {
 			g.upstreamOf(prefix).from(&m)
 			return c, true
 		}
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -8,6 +8,7 @@
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 // TestNewestPeersAreAskedFirst: a daemon that starts while the store is away takes the newest that any peer has, as older ones may
@@ -19,7 +20,7 @@
 		m := staying(string(rune('a' + i)))
 		all = append(all, m)
 		if version > 0 {
-			g.heard.note(m.Name, revisions{config: version, targets: 100 - version}, time.Now())
+			g.heard.note(m.Name, revisions{config: version, targets: storer.Point(100 - version)}, time.Now())
 		}
 	}
 	g.takeMembers(all)
@@ -34,7 +35,7 @@
 	require.Equal(t, "begd", names(config, 0))
 	require.Equal(t, "beg", names(config, 7))
 	require.Empty(t, names(config, 9))
-	require.Equal(t, "fad", names(func(r revisions) uint64 { return r.targets }, 92))
+	require.Equal(t, "fad", names(func(r revisions) uint64 { return uint64(r.targets) }, 92))
 
 	require.Equal(t, revisions{config: 9, targets: 99}, g.heard.newest())
 	g.receive("b", &peerv1.GatewayUpdate{Epoch: 1, ConfigVersion: 4})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,13 +56,18 @@
 	if err != nil {
 		return follower.Copy{}, err
 	}
-	c := follower.Copy{Revision: message.GetRevision()}
+	c := follower.Copy{Revision: storer.Point(message.GetRevision())}
 	for _, o := range message.GetItems() {
-		c.Objects = append(c.Objects, storer.Object{Key: o.GetKey(), Value: o.GetValue(), Version: o.GetVersion()})
+		c.Objects = append(c.Objects, objectOf(o))
 	}
 	return c, nil
 }
 
+// objectOf returns the object of a message.
+func objectOf(o *peerv1.GatewayObject) storer.Object {
+	return storer.Object{Key: o.GetKey(), Value: o.GetValue(), Version: storer.Point(o.GetVersion())}
+}
+
 // peerHandler serves copies and changes of what this daemon follows.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -95,7 +100,7 @@
 	}
 	message := &peerv1.GatewayObjects{}
 	for _, o := range c.Objects {
-		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: o.Version})
+		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: uint64(o.Version)})
 	}
 	g.writeObjects(w, message, c)
 }
@@ -115,13 +120,13 @@
 	message := &peerv1.GatewayObjects{}
 	for _, change := range changes {
 		o := change.Object
-		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: o.Version, Deleted: change.Deleted})
+		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: uint64(o.Version), Deleted: change.Deleted})
 	}
 	g.writeObjects(w, message, c)
 }
 
 func (g *Gateway) writeObjects(w http.ResponseWriter, message *peerv1.GatewayObjects, c follower.Copy) {
-	message.Revision, message.Cursor, message.Epoch = c.Revision, c.Cursor, g.epoch
+	message.Revision, message.Cursor, message.Epoch = uint64(c.Revision), c.Cursor, g.epoch
 	data, err := proto.Marshal(message)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 const (
@@ -21,9 +22,9 @@
 // toldRevisions are what this gateway last told the other readers of the store.
 type toldRevisions struct {
 	config uint64
-	// missed are the last changes that no watch had brought.
-	missed revisions
-	at     time.Time
+	// missedConfig and missedTargets are the last changes that no watch had brought.
+	missedConfig, missedTargets storer.Point
+	at                          time.Time
 	// unwatched is that there were such among what is told since at.
 	unwatched bool
 }
@@ -46,15 +47,16 @@
 // watches may have missed it too, and all others follow them. Updates alone would take seconds to reach them in a large fleet.
 func (g *Gateway) tellReaders(told *toldRevisions) {
 	now := g.Clock.Now()
-	config, missed := g.configVersion(), revisions{config: g.configs.Missed(), targets: g.listed.Missed()}
-	if config > told.config || missed != told.missed {
-		*told = toldRevisions{config: config, missed: missed, at: now, unwatched: missed != told.missed}
+	news := toldRevisions{config: g.configVersion(), missedConfig: g.configs.Missed(), missedTargets: g.listed.Missed(), at: now}
+	news.unwatched = news.missedConfig != told.missedConfig || news.missedTargets != told.missedTargets
+	if news.config > told.config || news.unwatched {
+		*told = news
 	}
 	if now.Sub(told.at) > tellTime || !g.configsUp.readsStore() {
 		return
 	}
 	message := &peerv1.GatewayRevisions{
-		Epoch: g.epoch, ConfigVersion: config, TargetsRevision: g.listed.Changed(), Unwatched: told.unwatched,
+		Epoch: g.epoch, ConfigVersion: told.config, TargetsRevision: uint64(g.listed.Changed()), Unwatched: told.unwatched,
 	}
 	for _, m := range g.readers() {
 		if err := g.poster.Notify(m.PeerAddress, revisionsMethod, message); err != nil {
@@ -72,14 +74,14 @@
 	if g.replaced(peer, m.GetEpoch()) {
 		return nil, nil
 	}
-	g.takeRevisions(peer, revisions{config: m.GetConfigVersion(), targets: m.GetTargetsRevision()})
+	g.takeRevisions(peer, revisions{config: m.GetConfigVersion(), targets: storer.Point(m.GetTargetsRevision())})
 	if !m.GetUnwatched() {
 		return nil, nil
 	}
 	if m.GetConfigVersion() > g.configVersion() && g.configsUp.readsStore() {
 		g.configs.Nudge()
 	}
-	if revision, _ := g.listed.Revision(); m.GetTargetsRevision() > revision && g.listedUp.readsStore() {
+	if revision, _ := g.listed.Revision(); storer.Point(m.GetTargetsRevision()) > revision && g.listedUp.readsStore() {
 		g.listed.Nudge()
 	}
 	return nil, nil
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -27,8 +27,12 @@
 // each writes before it reads.
 func (g *Gateway) register(ctx context.Context) error {
 	written, pause := false, searchPause
+	var era uint64
 	var search time.Time
 	for g.Clock.Sleep(ctx, registerInterval) == nil {
+		if now := g.era.Load(); now != era {
+			written, era = false, now
+		}
 		alone := len(g.others()) == 0
 		if !written && (alone || g.settled() && g.registrar()) {
 			err := g.leaveAddress(ctx)
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -66,6 +66,7 @@
 	})
 	m.Gauge("targets-lost", func() float64 { return float64(len(g.targets.Doubts())) })
 	m.Gauge("peers-alive", func() float64 { return float64(len(g.others())) })
+	m.Gauge("store-eras", func() float64 { return float64(g.eras.Load()) })
 	m.Gauge("store-failing", func() float64 { return oneIf(g.listed.Failing()) })
 	m.Gauge("duty-held", func() float64 { return oneIf(g.holdsDuty()) })
 	m.Gauge("orders-pending", func() float64 { return float64(len(g.orderer.Pending())) })
@@ -74,12 +75,7 @@
 	return mux
 }
 
-func oneIf(is bool) float64 {
-	if is {
-		return 1
-	}
-	return 0
-}
+func oneIf(is bool) float64 { return float64(boolRank(is)) }
 
 // count counts the requests in progress.
 func (g *Gateway) count(handler http.Handler) http.Handler {
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -35,37 +35,45 @@
 	hub      *hub
 	platform *platformfaker.Platform
 	all      []*Gateway
-	// silent gateways hear nothing on watches of the store that began before.
-	mu     sync.Mutex
+	ctx      context.Context
+	wg       sync.WaitGroup
+
+	mu sync.Mutex
+	// silent is closed as the watches of the store that began before hear nothing any more.
 	silent chan struct{}
 }
 
 // newSpreadFleet starts n gateways and waits until they have settled.
 func newSpreadFleet(t *testing.T, n int) *spreadFleet {
-	f := &spreadFleet{t: t, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
+	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{})}
 	for i := range n {
-		g := f.add(i)
-		for _, run := range []func(context.Context) error{
-			g.configs.Run, g.listed.Run, g.poster.Run, g.tracker.Run, g.watchMembers, g.gossiper.Run, g.watchLag, g.duty.leaser.Run, g.runDuty,
-		} {
-			wg.Go(func() { _ = run(ctx) })
-		}
+		f.start(i, true)
 	}
 	t.Cleanup(func() {
 		cancel()
-		wg.Wait()
+		f.wg.Wait()
 	})
 	return f
 }
 
+// start starts gateway i; first is that the whole fleet starts.
+func (f *spreadFleet) start(i int, first bool) *Gateway {
+	g := f.add(i, first)
+	for _, run := range []func(context.Context) error{
+		g.configs.Run, g.listed.Run, g.poster.Run, g.tracker.Run, g.watchMembers, g.gossiper.Run, g.watchLag, g.duty.leaser.Run, g.runDuty,
+	} {
+		f.wg.Go(func() { _ = run(f.ctx) })
+	}
+	return g
+}
+
 // add makes gateway i.
-func (f *spreadFleet) add(i int) *Gateway {
+func (f *spreadFleet) add(i int, first bool) *Gateway {
 	g := New(Settings{
 		Name: fmt.Sprintf("front-%03d", i), ClientListen: fmt.Sprint("client-", i), PeerListen: peerAddress(i), DataCentre: fmt.Sprint("dc-", i%3),
 		Seeds: []string{peerAddress(0), peerAddress(1), peerAddress(2)}, ConfigPrefix: "config/", TargetsPrefix: "servers/",
-		FirstStart: true, Grace: 8 * time.Second,
+		FirstStart: first, Grace: 8 * time.Second,
 	}, timer.System{}, zerolog.Nop())
 	g.Adapter.Store = f.store()
 	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
@@ -85,7 +93,7 @@
 func (f *spreadFleet) store() storer.Store {
 	store := f.platform.Store()
 	watch := store.Watch
-	store.Watch = func(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+	store.Watch = func(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
 		f.mu.Lock()
 		silent := f.silent
 		f.mu.Unlock()
@@ -136,7 +144,7 @@
 // acknowledge writes a version of the configuration to the store.
 func (f *spreadFleet) acknowledge(version uint64) {
 	store := f.platform.Store()
-	var revision uint64
+	var revision storer.Point
 	if o, err := store.Get(f.t.Context(), testConfigKey); err == nil {
 		revision = o.Version
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -10,6 +10,7 @@
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/orderer"
+	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tracker"
 )
 
@@ -26,7 +27,7 @@
 func (g *Gateway) update(all bool) *peerv1.GatewayUpdate {
 	now := g.Clock.Now()
 	n := &peerv1.GatewayUpdate{
-		Epoch: g.epoch, ConfigVersion: g.configVersion(), TargetsRevision: g.listed.Changed(), Loads: map[uint32]float32{},
+		Epoch: g.epoch, ConfigVersion: g.configVersion(), TargetsRevision: uint64(g.listed.Changed()), Loads: map[uint32]float32{},
 	}
 	for _, d := range latest(g.targets.Doubts(), func(d assessor.Doubt) time.Time { return d.Since }) {
 		n.Doubts = append(n.Doubts, &peerv1.TargetDoubt{Target: d.Target, Incarnation: d.Incarnation, AgeMs: age(now, d.Since)})
@@ -97,7 +98,7 @@
 	if g.replaced(peer, n.GetEpoch()) {
 		return false
 	}
-	g.takeRevisions(peer, revisions{config: n.GetConfigVersion(), targets: n.GetTargetsRevision()})
+	g.takeRevisions(peer, revisions{config: n.GetConfigVersion(), targets: storer.Point(n.GetTargetsRevision())})
 	if len(n.GetLoads()) > 0 || g.gossiper.Mesh() {
 		loads := map[uint32]float64{}
 		for key, tokens := range n.GetLoads() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -136,7 +136,7 @@
 	return levels, own
 }
 
-func (u *upstream) list(ctx context.Context, prefix string) ([]storer.Object, uint64, error) {
+func (u *upstream) list(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
 	u.gateway.join(ctx)
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -154,9 +154,9 @@
 	u.cursor, u.epoch = message.GetCursor(), message.GetEpoch()
 	var out []storer.Object
 	for _, o := range message.GetItems() {
-		out = append(out, storer.Object{Key: o.GetKey(), Value: o.GetValue(), Version: o.GetVersion()})
+		out = append(out, objectOf(o))
 	}
-	return out, message.GetRevision(), nil
+	return out, storer.Point(message.GetRevision()), nil
 }
 
 // moved passes the watcher over that failed; the caller holds mu.
@@ -166,7 +166,7 @@
 	return errors.Mark(err, follower.ErrMoved)
 }
 
-func (u *upstream) watch(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+func (u *upstream) watch(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
 	u.mu.Lock()
 	peer := u.peer
 	u.mu.Unlock()
@@ -188,13 +188,13 @@
 		if err != nil {
 			return err
 		}
+		revision := storer.Point(message.GetRevision())
 		for _, o := range message.GetItems() {
-			object := storer.Object{Key: o.GetKey(), Value: o.GetValue(), Version: o.GetVersion()}
-			if err := emit(storer.Event{Object: object, Deleted: o.GetDeleted(), Revision: message.GetRevision()}); err != nil {
+			if err := emit(storer.Event{Object: objectOf(o), Deleted: o.GetDeleted(), Revision: revision}); err != nil {
 				return err
 			}
 		}
-		if err := emit(storer.Event{Revision: message.GetRevision()}); err != nil {
+		if err := emit(storer.Event{Revision: revision}); err != nil {
 			return err
 		}
 		u.mu.Lock()
--- a/internal/journaler/bench_test.go
+++ b/internal/journaler/bench_test.go
@@ -98,7 +98,7 @@
 			store := newMemoryStore(storeLatency)
 			limiter := rate.NewLimiter(storeWrites, storeWrites/10)
 			api := store.store()
-			put := func(key string, value string, expected uint64) (uint64, error) {
+			put := func(key string, value string, expected storer.Point) (storer.Point, error) {
 				if !limiter.Allow() {
 					return 0, storer.ErrRateLimited
 				}
--- a/internal/journaler/cluster_test.go
+++ b/internal/journaler/cluster_test.go
@@ -23,7 +23,7 @@
 type memoryStore struct {
 	mu       sync.Mutex
 	objects  map[string]version
-	revision uint64
+	revision storer.Point
 	latency  time.Duration
 	down     bool
 	// hang makes puts of heads take this long before they have their effect.
@@ -74,7 +74,7 @@
 			res := getResult(key, m.objects[key])
 			return res.object, res.err
 		},
-		Put: func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+		Put: func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 			if err := m.begin(ctx, key, true); err != nil {
 				return 0, err
 			}
@@ -92,7 +92,7 @@
 			}
 			return m.revision, nil
 		},
-		Delete: func(ctx context.Context, key string, expected uint64) (uint64, error) {
+		Delete: func(ctx context.Context, key string, expected storer.Point) (storer.Point, error) {
 			if err := m.begin(ctx, key, true); err != nil {
 				return 0, err
 			}
@@ -143,7 +143,7 @@
 	n := &node{member: cataloger.Member{Name: name, Incarnation: incarnation, PeerAddress: name}, done: make(chan struct{})}
 	api := c.store.store()
 	put := api.Put
-	api.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	api.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 		if n.killed.Load() {
 			return 0, storer.ErrUnavailable
 		}
--- a/internal/journaler/commit.go
+++ b/internal/journaler/commit.go
@@ -14,7 +14,7 @@
 type commit struct {
 	head     *peerv1.JournalHead
 	value    []byte
-	expected uint64
+	expected storer.Point
 	batch    []change
 	records  []byte
 	expires  int64
@@ -118,7 +118,7 @@
 }
 
 // committed takes a write of the head that is known to have taken effect.
-func (s *shard) committed(now time.Time, version uint64) {
+func (s *shard) committed(now time.Time, version storer.Point) {
 	c := s.commit
 	s.commit = nil
 	s.version = version
--- a/internal/journaler/fuzzstore_test.go
+++ b/internal/journaler/fuzzstore_test.go
@@ -4,12 +4,12 @@
 
 type version struct {
 	value   []byte
-	version uint64
+	version storer.Point
 }
 
 type fuzzStore struct {
 	objects  map[string][]version
-	revision uint64
+	revision storer.Point
 	ignore   bool
 }
 
--- a/internal/journaler/segment.go
+++ b/internal/journaler/segment.go
@@ -15,7 +15,7 @@
 	archive  bool
 	next     tail
 	value    []byte
-	expected uint64
+	expected storer.Point
 	readBack bool
 }
 
@@ -93,7 +93,7 @@
 }
 
 // segmentStored takes a segment's write that is known to have taken effect; the next head names it.
-func (s *shard) segmentStored(now time.Time, version uint64) {
+func (s *shard) segmentStored(now time.Time, version storer.Point) {
 	w := s.segment
 	s.segment = nil
 	s.stats.Segments++
@@ -101,7 +101,7 @@
 	w.next.version = version
 	ref := &peerv1.JournalSegmentRef{
 		Number:    w.next.number,
-		Version:   version,
+		Version:   uint64(version),
 		ExpiresMs: w.next.expires,
 		Bytes:     uint32(len(w.next.bytes)),
 	}
--- a/internal/journaler/shard.go
+++ b/internal/journaler/shard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 // phase says how far the takeover of a shard has come.
@@ -42,7 +43,7 @@
 	volatile bool
 	table    *table
 	// version is the store version of the head, and head what will be written next, without records.
-	version uint64
+	version storer.Point
 	head    *peerv1.JournalHead
 	// open holds the serialized records that the stored head holds and no segment yet.
 	open []byte
@@ -68,7 +69,7 @@
 	compactTo time.Time
 	// sweptAt is when bound mode last dropped old ids.
 	sweptAt  time.Time
-	deleting uint64
+	deleting storer.Point
 
 	busy     bool
 	retryAt  time.Time
@@ -92,7 +93,7 @@
 // tail is the segment that is still growing.
 type tail struct {
 	number  uint64
-	version uint64
+	version storer.Point
 	bytes   []byte
 	expires int64
 }
--- a/internal/journaler/storecall.go
+++ b/internal/journaler/storecall.go
@@ -40,14 +40,14 @@
 	purpose  callPurpose
 	key      string
 	value    []byte
-	expected uint64
+	expected storer.Point
 }
 
 // storeResult is the answer to a storeCall.
 type storeResult struct {
 	object storer.Object
 	// version is the new version after a write.
-	version uint64
+	version storer.Point
 	err     error
 }
 
--- a/internal/journaler/takeover.go
+++ b/internal/journaler/takeover.go
@@ -60,7 +60,7 @@
 // segmentLoaded takes the records of one segment; a read that is older than the head is made again.
 func (s *shard) segmentLoaded(now time.Time, res storeResult) {
 	ref := s.loading[0]
-	if res.err != nil || res.object.Version < ref.Version {
+	if res.err != nil || res.object.Version < storer.Point(ref.Version) {
 		s.failed(now)
 		return
 	}
--- a/internal/leaser/acquire.go
+++ b/internal/leaser/acquire.go
@@ -13,7 +13,7 @@
 
 type observation struct {
 	key     string
-	version uint64
+	version storer.Point
 	since   time.Time
 }
 
@@ -86,7 +86,7 @@
 	return nil
 }
 
-func (m *machine) close(now time.Time, name, key string, version uint64) operation {
+func (m *machine) close(now time.Time, name, key string, version storer.Point) operation {
 	value := encode(&peerv1.LeaseSession{Closed: true, Holder: m.holder})
 	return m.operate(now, name, operation{kind: closeSession, key: key, value: value, expected: version})
 }
@@ -97,6 +97,10 @@
 		d.next = now
 		return nil
 	}
+	if now.Before(m.takeAfter) {
+		d.next = m.takeAfter
+		return nil
+	}
 	d.mayHold, d.unsettled, d.taking = true, true, d.version
 	value := encode(&peerv1.Lease{Session: m.session.key, Holder: m.holder})
 	return []operation{m.operate(now, name, operation{kind: writeLease, key: dutyPrefix + name, value: value, expected: d.version})}
@@ -111,7 +115,7 @@
 	case lease.Session == "":
 		d.mayHold, d.unsettled = false, false
 	case d.wanted && lease.Session == m.session.key:
-		d.fencing, d.held = r.version, lease.Session
+		d.fencing, d.held = uint64(r.version), lease.Session
 		d.taking, d.unsettled = r.version, false
 	}
 }
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// EraRose ends all leases where the store is in a later era than was known, as it came back from an older copy; waits go on.
+func (l *Leaser) EraRose(era uint64) {
+	err := l.steps.Offer(func(m *machine, now time.Time) []operation {
+		if !m.eraKnown {
+			// Leases of the era before may be held by others.
+			m.era, m.eraKnown = era-1, true
+		}
+		m.eraRose(now, era)
+		return nil
+	})
+	if err != nil {
+		// The next answer of the store names the era as well.
+		l.Log.Warn().Err(err).Uint64("era", era).Msg("new era of the store not taken in yet")
+	}
+}
+
 // forget ends a wait whose caller left.
 func (l *Leaser) forget(name string, got chan *Lease) {
 	_ = l.steps.Offer(func(m *machine, _ time.Time) []operation {
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -111,7 +111,7 @@
 				cut := &atomic.Bool{}
 				store := p.Store()
 				put := store.Put
-				store.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+				store.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 					if cut.Load() {
 						return 0, storer.ErrUnavailable
 					}
--- a/internal/leaser/machine.go
+++ b/internal/leaser/machine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rattantray/rattantray/internal/storer"
 )
 
 // Prefixes of the keys in the store.
@@ -19,7 +21,7 @@
 	// next is when to act again.
 	next time.Time
 	// stored is the lease as last read.
-	version uint64
+	version storer.Point
 	holder  string
 	// watched is the other daemon's session as seen unchanged since a time.
 	watched observation
@@ -30,7 +32,7 @@
 	mayHold bool
 	// taking is the newest version of the lease that is known: the one that the last write to take it got,
 	// or expected where its outcome is unsettled. An older one comes from a stale read.
-	taking    uint64
+	taking    storer.Point
 	unsettled bool
 }
 
@@ -46,6 +48,11 @@
 	given  map[string]bool
 	duties map[string]*duty
 	number uint64
+	// era is the store's latest that is known, and takeAfter the time before which no lease is taken in it: by then every lease
+	// of an earlier era is over, also where its holder does not know of the new one.
+	era       uint64
+	eraKnown  bool
+	takeAfter time.Time
 }
 
 // newMachine returns a machine without leases; run tells this run of the daemon from every other one.
@@ -146,6 +153,20 @@
 	}
 }
 
+// eraRose takes in the era of an answer. In a later one than before, the store may have forgotten this daemon's leases and may give
+// them to others.
+func (m *machine) eraRose(now time.Time, era uint64) {
+	if m.eraKnown && era > m.era {
+		m.takeAfter = now.Add(m.timing.Wait)
+		if m.session.key != "" {
+			m.lose()
+		}
+	}
+	if !m.eraKnown || era > m.era {
+		m.era, m.eraKnown = era, true
+	}
+}
+
 func (m *machine) operate(now time.Time, name string, op operation) operation {
 	m.number++
 	op.number, op.duty, op.sent = m.number, name, now
@@ -158,6 +179,9 @@
 // done takes in the result of a call and returns the calls that follow.
 func (m *machine) done(now time.Time, op operation, r result) []operation {
 	m.expire(now)
+	if era, ok := r.era(); ok {
+		m.eraRose(now, era)
+	}
 	if op.duty == "" {
 		m.doneSession(now, op, r)
 		return nil
--- a/internal/leaser/operation.go
+++ b/internal/leaser/operation.go
@@ -18,7 +18,7 @@
 	key  string
 	// value and expected are for writes.
 	value    []byte
-	expected uint64
+	expected storer.Point
 	sent     time.Time
 	// renewal is the renewal that a write to the own session carries.
 	renewal uint64
@@ -37,10 +37,16 @@
 // result is what a call to the store gave.
 type result struct {
 	object  storer.Object
-	version uint64
+	version storer.Point
 	err     error
 }
 
+// era returns the era of the store that the result names.
+func (r result) era() (uint64, bool) {
+	p := max(r.version, r.object.Version)
+	return p.Era(), r.err == nil && p != 0
+}
+
 func decodeSession(r result) (*peerv1.LeaseSession, error) {
 	if r.err != nil {
 		return nil, r.err
--- a/internal/leaser/session.go
+++ b/internal/leaser/session.go
@@ -15,7 +15,7 @@
 	key     string
 	open    bool
 	busy    bool
-	version uint64
+	version storer.Point
 	renewal uint64
 	// sent holds the times at which renewals were sent that may have taken effect.
 	sent map[uint64]time.Time
@@ -99,7 +99,7 @@
 }
 
 // extend counts the session's time from before the renewal that took effect was sent.
-func (m *machine) extend(renewal, version uint64) {
+func (m *machine) extend(renewal uint64, version storer.Point) {
 	s := &m.session
 	sent, ok := s.sent[renewal]
 	if !ok {
--- a/internal/leaser/sweep.go
+++ b/internal/leaser/sweep.go
@@ -17,13 +17,13 @@
 // sweep deletes closed sessions and closes abandoned ones, so that the store holds no session of a daemon that is gone.
 // The daemon with the first open session does it; a double sweep is harmless.
 func (l *Leaser) sweep(ctx context.Context) {
-	before := map[string]uint64{}
+	before := map[string]storer.Point{}
 	for l.Clock.Sleep(ctx, sweepInterval) == nil {
 		objects, _, err := l.Store.List(ctx, sessionPrefix)
 		if err != nil {
 			continue
 		}
-		now := map[string]uint64{}
+		now := map[string]storer.Point{}
 		sweeper := l.isFirst(objects)
 		for _, o := range objects {
 			now[o.Key] = o.Version
--- a/internal/platformfaker/handler.go
+++ b/internal/platformfaker/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,8 @@
 
 const maxFaultBytes = 64 << 10
 
-// Handler returns the platform as an HTTP service, with POST /faults, DELETE /faults and GET /ledger beside it.
+// Handler returns the platform as an HTTP service, with POST /faults, DELETE /faults, POST /restore?age=5s and GET
+// /ledger beside it.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(platformv1connect.NewPlatformServiceHandler(&server{store: p.Store()}))
@@ -25,6 +27,7 @@
 		p.ClearFaults()
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("POST /restore", p.postRestore)
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(p.Ledger())
@@ -45,6 +48,18 @@
 	http.Error(w, err.Error(), http.StatusBadRequest)
 }
 
+func (p *Platform) postRestore(w http.ResponseWriter, r *http.Request) {
+	age, err := time.ParseDuration(r.URL.Query().Get("age"))
+	if err == nil {
+		err = p.Restore(age)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 type server struct {
 	store storer.Store
 }
@@ -66,7 +81,7 @@
 	if err != nil {
 		return nil, wireError(err)
 	}
-	resp := &platformv1.ListResponse{Revision: revision}
+	resp := &platformv1.ListResponse{Revision: uint64(revision)}
 	for _, o := range objects {
 		resp.Objects = append(resp.Objects, storer.ObjectToProto(o))
 	}
@@ -75,25 +90,25 @@
 
 // Put implements platformv1connect.PlatformServiceHandler.
 func (s *server) Put(ctx context.Context, req *connect.Request[platformv1.PutRequest]) (*connect.Response[platformv1.PutResponse], error) {
-	version, err := s.store.Put(ctx, req.Msg.Key, req.Msg.Value, req.Msg.ExpectedVersion)
+	version, err := s.store.Put(ctx, req.Msg.Key, req.Msg.Value, storer.Point(req.Msg.ExpectedVersion))
 	if err != nil {
 		return nil, wireError(err)
 	}
-	return connect.NewResponse(&platformv1.PutResponse{Version: version}), nil
+	return connect.NewResponse(&platformv1.PutResponse{Version: uint64(version)}), nil
 }
 
 // Delete implements platformv1connect.PlatformServiceHandler.
 func (s *server) Delete(ctx context.Context, req *connect.Request[platformv1.DeleteRequest]) (*connect.Response[platformv1.DeleteResponse], error) {
-	revision, err := s.store.Delete(ctx, req.Msg.Key, req.Msg.ExpectedVersion)
+	revision, err := s.store.Delete(ctx, req.Msg.Key, storer.Point(req.Msg.ExpectedVersion))
 	if err != nil {
 		return nil, wireError(err)
 	}
-	return connect.NewResponse(&platformv1.DeleteResponse{Revision: revision}), nil
+	return connect.NewResponse(&platformv1.DeleteResponse{Revision: uint64(revision)}), nil
 }
 
 // Watch implements platformv1connect.PlatformServiceHandler.
 func (s *server) Watch(ctx context.Context, req *connect.Request[platformv1.WatchRequest], stream *connect.ServerStream[platformv1.WatchResponse]) error {
-	err := s.store.Watch(ctx, req.Msg.Prefix, req.Msg.FromRevision, func(e storer.Event) error {
+	err := s.store.Watch(ctx, req.Msg.Prefix, storer.Point(req.Msg.FromRevision), func(e storer.Event) error {
 		return stream.Send(storer.EventToProto(e))
 	})
 	return wireError(err)
--- a/internal/platformfaker/platform.go
+++ b/internal/platformfaker/platform.go
@@ -47,7 +47,8 @@
 }
 
 type change struct {
-	revision uint64
+	at       time.Time
+	revision storer.Point
 	key      string
 	before   storer.Object
 	existed  bool
@@ -65,7 +66,7 @@
 	cfg Config
 
 	mu       sync.Mutex
-	revision uint64
+	revision storer.Point
 	objects  map[string]storer.Object
 	// changes holds the last changes with revisions without gaps, the oldest first.
 	changes []change
@@ -124,6 +125,36 @@
 	p.broadcast()
 }
 
+// Restore brings the platform back from a copy that is so old, or as old as the changes that it remembers: a new era begins, in which
+// the revisions since then are given out again.
+func (p *Platform) Restore(age time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	then := p.cfg.Clock.Now().Add(-age)
+	back := 0
+	for i := len(p.changes) - 1; i >= 0 && p.changes[i].at.After(then); i-- {
+		back++
+	}
+	revision := p.revision - storer.Point(back)
+	era := p.revision.Era() + 1
+	restored := map[string]storer.Object{}
+	for key, o := range p.pastAll(revision) {
+		var err error
+		if o.Version, err = storer.NewPoint(era, o.Version.Revision()); err != nil {
+			return err
+		}
+		restored[key] = o
+	}
+	at, err := storer.NewPoint(era, revision.Revision())
+	if err != nil {
+		return err
+	}
+	p.objects, p.revision = restored, at
+	p.changes, p.changeBytes = nil, 0
+	p.broadcast()
+	return nil
+}
+
 // Ledger returns the counts so far.
 func (p *Platform) Ledger() Ledger {
 	p.mu.Lock()
@@ -133,7 +164,7 @@
 	for op, n := range p.ledger.Calls {
 		l.Calls[op] = n
 	}
-	l.Revision = p.revision
+	l.Revision = uint64(p.revision)
 	l.Objects = len(p.objects)
 	return l
 }
@@ -183,7 +214,7 @@
 	return clone(o), nil
 }
 
-func (p *Platform) list(ctx context.Context, prefix string) ([]storer.Object, uint64, error) {
+func (p *Platform) list(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
 	if err := p.enter(ctx, OperationList, prefix); err != nil {
 		return nil, 0, err
 	}
@@ -205,7 +236,7 @@
 	return out, revision, nil
 }
 
-func (p *Platform) put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+func (p *Platform) put(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 	if err := p.enter(ctx, OperationPut, key); err != nil {
 		return 0, err
 	}
@@ -215,14 +246,14 @@
 	return p.write(OperationPut, key, value, expected)
 }
 
-func (p *Platform) remove(ctx context.Context, key string, expected uint64) (uint64, error) {
+func (p *Platform) remove(ctx context.Context, key string, expected storer.Point) (storer.Point, error) {
 	if err := p.enter(ctx, OperationDelete, key); err != nil {
 		return 0, err
 	}
 	return p.write(OperationDelete, key, nil, expected)
 }
 
-func (p *Platform) write(op Operation, key string, value []byte, expected uint64) (uint64, error) {
+func (p *Platform) write(op Operation, key string, value []byte, expected storer.Point) (storer.Point, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, lost := p.meet(FaultRequestLost, op, key); lost {
@@ -239,7 +270,7 @@
 	return p.revision, nil
 }
 
-func (p *Platform) apply(op Operation, key string, value []byte, expected uint64) error {
+func (p *Platform) apply(op Operation, key string, value []byte, expected storer.Point) error {
 	before, existed := p.objects[key]
 	switch {
 	case op == OperationDelete && !existed:
@@ -248,7 +279,7 @@
 		return errors.Wrapf(storer.ErrConflict, "%s %s: stored version %d, expected %d", op, key, before.Version, expected)
 	}
 	p.revision++
-	c := change{revision: p.revision, key: key, before: before, existed: existed}
+	c := change{at: p.cfg.Clock.Now(), revision: p.revision, key: key, before: before, existed: existed}
 	if op == OperationDelete {
 		delete(p.objects, key)
 		c.deleted = true
@@ -278,13 +309,13 @@
 	p.changes = slices.Clone(p.changes[drop:])
 }
 
-func (p *Platform) staleRevision(f Fault) uint64 {
+func (p *Platform) staleRevision(f Fault) storer.Point {
 	back := min(max(f.Revisions, 1), uint64(len(p.changes)))
-	return p.revision - back
+	return p.revision - storer.Point(back)
 }
 
 // past returns the object as it was at a revision.
-func (p *Platform) past(key string, revision uint64) (storer.Object, bool) {
+func (p *Platform) past(key string, revision storer.Point) (storer.Object, bool) {
 	for _, c := range p.changes {
 		if c.revision > revision && c.key == key {
 			return c.before, c.existed
@@ -294,7 +325,7 @@
 	return o, ok
 }
 
-func (p *Platform) pastAll(revision uint64) map[string]storer.Object {
+func (p *Platform) pastAll(revision storer.Point) map[string]storer.Object {
 	objects := make(map[string]storer.Object, len(p.objects))
 	for key, o := range p.objects {
 		objects[key] = o
--- a/internal/platformfaker/platform_test.go
+++ b/internal/platformfaker/platform_test.go
@@ -21,7 +21,7 @@
 		history, writes, bytes int
 	}{{100, 1000, 10}, {100_000, 200, 1 << 20}} {
 		p := New(Config{History: c.history})
-		s, version := p.Store(), uint64(0)
+		s, version := p.Store(), storer.Point(0)
 		var err error
 		for range c.writes {
 			version, err = s.Put(t.Context(), "a", make([]byte, c.bytes), version)
@@ -30,7 +30,7 @@
 			require.LessOrEqual(t, p.changeBytes, maxChangeBytes)
 		}
 		require.ErrorIs(t, s.Watch(t.Context(), "", 0, nil), storer.ErrCompacted)
-		recent := version - min(uint64(c.history), 30)
+		recent := version - min(storer.Point(c.history), 30)
 		err = s.Watch(t.Context(), "", recent, func(e storer.Event) error {
 			require.Equal(t, recent+1, e.Revision)
 			return context.Canceled
@@ -107,7 +107,7 @@
 			for range n {
 				go func() { _ = s.Watch(b.Context(), "a", 0, func(storer.Event) error { return nil }) }()
 			}
-			version := uint64(0)
+			version := storer.Point(0)
 			for b.Loop() {
 				version, _ = s.Put(b.Context(), "a", nil, version)
 			}
--- a/internal/platformfaker/watch.go
+++ b/internal/platformfaker/watch.go
@@ -9,7 +9,7 @@
 	"github.com/rattantray/rattantray/internal/storer"
 )
 
-func (p *Platform) watch(ctx context.Context, prefix string, after uint64, emit func(storer.Event) error) error {
+func (p *Platform) watch(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
 	if err := p.enter(ctx, OperationWatch, prefix); err != nil {
 		return err
 	}
@@ -41,7 +41,7 @@
 type watch struct {
 	platform *Platform
 	prefix   string
-	cursor   uint64
+	cursor   storer.Point
 	started  bool
 	// held is an event that a reorder fault holds back until its successor.
 	held *storer.Event
@@ -55,12 +55,12 @@
 	if _, out := p.meet(FaultOutage, OperationWatch, w.prefix); out {
 		return nil, nil, errors.Wrapf(storer.ErrUnavailable, "watch %s", w.prefix)
 	}
-	oldest := p.revision - uint64(len(p.changes))
+	oldest := p.revision - storer.Point(len(p.changes))
 	if w.cursor < oldest {
 		return nil, nil, errors.Wrapf(storer.ErrCompacted, "watch %s after %d, oldest is %d", w.prefix, w.cursor, oldest)
 	}
 	var events []storer.Event
-	start := min(w.cursor-oldest, uint64(len(p.changes)))
+	start := min(w.cursor-oldest, storer.Point(len(p.changes)))
 	for _, c := range p.changes[start:] {
 		events = w.add(events, c)
 	}
--- a/internal/storer/budget.go
+++ b/internal/storer/budget.go
@@ -130,7 +130,7 @@
 	return o, err
 }
 
-func (v *view) list(ctx context.Context, prefix string) (objects []Object, revision uint64, err error) {
+func (v *view) list(ctx context.Context, prefix string) (objects []Object, revision Point, err error) {
 	err = v.call(ctx, "list", v.reads, func(ctx context.Context) error {
 		objects, revision, err = v.inner.List(ctx, prefix)
 		return err
@@ -138,7 +138,7 @@
 	return objects, revision, err
 }
 
-func (v *view) put(ctx context.Context, key string, value []byte, expected uint64) (version uint64, err error) {
+func (v *view) put(ctx context.Context, key string, value []byte, expected Point) (version Point, err error) {
 	err = v.call(ctx, "put", v.writes, func(ctx context.Context) error {
 		version, err = v.inner.Put(ctx, key, value, expected)
 		return err
@@ -146,7 +146,7 @@
 	return version, err
 }
 
-func (v *view) remove(ctx context.Context, key string, expected uint64) (revision uint64, err error) {
+func (v *view) remove(ctx context.Context, key string, expected Point) (revision Point, err error) {
 	err = v.call(ctx, "delete", v.writes, func(ctx context.Context) error {
 		revision, err = v.inner.Delete(ctx, key, expected)
 		return err
@@ -163,7 +163,7 @@
 }
 
 // watch holds one read a second of the budget for as long as it waits.
-func (v *view) watch(ctx context.Context, prefix string, after uint64, emit func(Event) error) error {
+func (v *view) watch(ctx context.Context, prefix string, after Point, emit func(Event) error) error {
 	if err := v.admit(ctx, v.reads); err != nil {
 		return v.count("watch", err)
 	}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -34,7 +34,7 @@
 	return ObjectFromProto(resp.Msg.Object), nil
 }
 
-func (c *client) list(ctx context.Context, prefix string) ([]Object, uint64, error) {
+func (c *client) list(ctx context.Context, prefix string) ([]Object, Point, error) {
 	resp, err := c.rpc.List(ctx, connect.NewRequest(&platformv1.ListRequest{Prefix: prefix}))
 	if err != nil {
 		return nil, 0, readError(err)
@@ -43,32 +43,32 @@
 	for _, o := range resp.Msg.Objects {
 		objects = append(objects, ObjectFromProto(o))
 	}
-	return objects, resp.Msg.Revision, nil
+	return objects, Point(resp.Msg.Revision), nil
 }
 
-func (c *client) put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+func (c *client) put(ctx context.Context, key string, value []byte, expected Point) (Point, error) {
 	if len(value) > MaxValueBytes {
 		return 0, errors.Wrapf(ErrTooLarge, "put %s: %d bytes", key, len(value))
 	}
-	req := &platformv1.PutRequest{Key: key, Value: value, ExpectedVersion: expected}
+	req := &platformv1.PutRequest{Key: key, Value: value, ExpectedVersion: uint64(expected)}
 	resp, err := c.rpc.Put(ctx, connect.NewRequest(req))
 	if err != nil {
 		return 0, writeError(err)
 	}
-	return resp.Msg.Version, nil
+	return Point(resp.Msg.Version), nil
 }
 
-func (c *client) remove(ctx context.Context, key string, expected uint64) (uint64, error) {
-	req := &platformv1.DeleteRequest{Key: key, ExpectedVersion: expected}
+func (c *client) remove(ctx context.Context, key string, expected Point) (Point, error) {
+	req := &platformv1.DeleteRequest{Key: key, ExpectedVersion: uint64(expected)}
 	resp, err := c.rpc.Delete(ctx, connect.NewRequest(req))
 	if err != nil {
 		return 0, writeError(err)
 	}
-	return resp.Msg.Revision, nil
+	return Point(resp.Msg.Revision), nil
 }
 
-func (c *client) watch(ctx context.Context, prefix string, after uint64, emit func(Event) error) error {
-	req := &platformv1.WatchRequest{Prefix: prefix, FromRevision: after}
+func (c *client) watch(ctx context.Context, prefix string, after Point, emit func(Event) error) error {
+	req := &platformv1.WatchRequest{Prefix: prefix, FromRevision: uint64(after)}
 	stream, err := c.rpc.Watch(ctx, connect.NewRequest(req))
 	if err != nil {
 		return readError(err)
--- a/internal/storer/contract_test.go
+++ b/internal/storer/contract_test.go
@@ -71,7 +71,7 @@
 		}
 		objects, revision, err := f.store.List(ctx, "b/")
 		require.NoError(t, err)
-		require.Equal(t, uint64(3), revision)
+		require.Equal(t, storer.Point(3), revision)
 		require.Len(t, objects, 2)
 		require.Equal(t, "b/1", objects[0].Key)
 	}},
@@ -264,7 +264,7 @@
 }
 
 // collect watches until n changes came.
-func collect(ctx context.Context, t *testing.T, f fixture, after uint64, n int) []storer.Event {
+func collect(ctx context.Context, t *testing.T, f fixture, after storer.Point, n int) []storer.Event {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var got []storer.Event
--- a/internal/storer/settle.go
+++ b/internal/storer/settle.go
@@ -50,17 +50,17 @@
 type Write struct {
 	Key      string
 	Value    []byte
-	Expected uint64
+	Expected Point
 	// Find looks for the write in an object newer than Expected and returns the version it got.
 	// Where nil, an equal value is ours and any other is unknown, as a later write may have covered ours.
-	Find func(Object) (Verdict, uint64)
+	Find func(Object) (Verdict, Point)
 }
 
 // Result is a settled write.
 type Result struct {
 	Outcome Outcome
 	// Version is the version that the write got, where it was accepted.
-	Version uint64
+	Version Point
 	// Stored is the newest object read, where there was a conflict.
 	Stored Object
 }
@@ -160,7 +160,7 @@
 	return s.Clock.Sleep(ctx, d)
 }
 
-func (w Write) findEqual(o Object) (Verdict, uint64) {
+func (w Write) findEqual(o Object) (Verdict, Point) {
 	if bytes.Equal(o.Value, w.Value) {
 		return VerdictOurs, o.Version
 	}
--- a/internal/storer/settle_test.go
+++ b/internal/storer/settle_test.go
@@ -60,7 +60,7 @@
 					_, err := s.Put(t.Context(), "a", []byte(c.stored), 0)
 					require.NoError(t, err)
 				}
-				var expected uint64
+				var expected storer.Point
 				if c.base != "" {
 					var err error
 					expected, err = s.Put(t.Context(), "a", []byte(c.base), 0)
@@ -94,7 +94,7 @@
 func TestSettleCoveredWrite(t *testing.T) {
 	inner := platformfaker.New(platformfaker.Config{}).Store()
 	s := inner
-	s.Put = func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	s.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
 		v, err := inner.Put(ctx, key, value, expected)
 		if err != nil {
 			return 0, err
@@ -112,8 +112,8 @@
 }
 
 // lineage finds a write in values that list the writes that made them, the newest first.
-func lineage(nonce string, version uint64) func(storer.Object) (storer.Verdict, uint64) {
-	return func(o storer.Object) (storer.Verdict, uint64) {
+func lineage(nonce string, version storer.Point) func(storer.Object) (storer.Verdict, storer.Point) {
+	return func(o storer.Object) (storer.Verdict, storer.Point) {
 		writes := strings.Split(string(o.Value), ",")
 		for i, w := range writes {
 			if w == nonce {
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -35,7 +35,7 @@
 	Key   string
 	Value []byte
 	// Version is the revision of the store at the object's last write; revisions grow with every write to the store.
-	Version uint64
+	Version Point
 }
 
 // Event is a change seen by a watch; a bookmark has no key.
@@ -43,7 +43,7 @@
 	Object  Object
 	Deleted bool
 	// Revision is the revision up to which the watch is complete.
-	Revision uint64
+	Revision Point
 }
 
 // Store is the object API.
@@ -51,13 +51,13 @@
 	// Get returns one object or ErrNotFound.
 	Get func(ctx context.Context, key string) (Object, error)
 	// List returns the objects under a prefix in key order, and the revision they were read at.
-	List func(ctx context.Context, prefix string) ([]Object, uint64, error)
+	List func(ctx context.Context, prefix string) ([]Object, Point, error)
 	// Put writes value if the stored version is expected, 0 for a new key, and returns the new version.
-	Put func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error)
+	Put func(ctx context.Context, key string, value []byte, expected Point) (Point, error)
 	// Delete removes the object if the stored version is expected, and returns the store's revision.
-	Delete func(ctx context.Context, key string, expected uint64) (uint64, error)
+	Delete func(ctx context.Context, key string, expected Point) (Point, error)
 	// Watch calls emit for each change under prefix after a revision, in order, until ctx is done or it fails.
-	Watch func(ctx context.Context, prefix string, after uint64, emit func(Event) error) error
+	Watch func(ctx context.Context, prefix string, after Point, emit func(Event) error) error
 	// ListVMs returns the platform's list of VMs, which lags.
 	ListVMs func(ctx context.Context) ([]cataloger.VM, error)
 }
--- a/internal/storer/wire.go
+++ b/internal/storer/wire.go
@@ -36,17 +36,17 @@
 
 // ObjectToProto returns the object as its message.
 func ObjectToProto(o Object) *platformv1.Object {
-	return &platformv1.Object{Key: o.Key, Value: o.Value, Version: o.Version}
+	return &platformv1.Object{Key: o.Key, Value: o.Value, Version: uint64(o.Version)}
 }
 
 // ObjectFromProto returns the object of a message, which may be nil.
 func ObjectFromProto(p *platformv1.Object) Object {
-	return Object{Key: p.GetKey(), Value: p.GetValue(), Version: p.GetVersion()}
+	return Object{Key: p.GetKey(), Value: p.GetValue(), Version: Point(p.GetVersion())}
 }
 
 // EventToProto returns the event as its message.
 func EventToProto(e Event) *platformv1.WatchResponse {
-	p := &platformv1.WatchResponse{Deleted: e.Deleted, Revision: e.Revision}
+	p := &platformv1.WatchResponse{Deleted: e.Deleted, Revision: uint64(e.Revision)}
 	if e.Object.Key != "" {
 		p.Object = ObjectToProto(e.Object)
 	}
@@ -55,7 +55,7 @@
 
 // EventFromProto returns the event of a message.
 func EventFromProto(p *platformv1.WatchResponse) Event {
-	return Event{Object: ObjectFromProto(p.GetObject()), Deleted: p.GetDeleted(), Revision: p.GetRevision()}
+	return Event{Object: ObjectFromProto(p.GetObject()), Deleted: p.GetDeleted(), Revision: Point(p.GetRevision())}
 }
 
 // VMToProto returns the VM as its message.
