Tell readers only of changes that a write proved to be missed

Cause: every list after the first counted what it brought as missed by the watch, also where a watch would have brought it a moment later. Readers told each other, listed, found more, and told again, for as long as targets changed.

Change: only the list after the auditor's proof counts (Follower.Miss). The tests for changes that no watch brings pass as before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -60,8 +60,10 @@
 	revision storer.Point
 	// changed is the revision of the last change that was applied.
 	changed storer.Point
-	// missed is the revision of the last change that a list brought in place of a watch.
-	missed storer.Point
+	// missing is true from the proof that the watch has missed changes until the next list, and missed is the revision of the last
+	// change that such a list brought.
+	missing bool
+	missed  storer.Point
 	// synced is true once a whole list was read.
 	synced bool
 	// failing is true from a failure of the store until its next answer, which is at returned.
@@ -102,7 +104,15 @@
 	return f.changed
 }
 
-// Missed returns the revision of the last change that a list has brought, as no watch had; 0 where watches have brought all.
+// Miss asks for a list, as the watch has missed changes.
+func (f *Follower) Miss() {
+	f.mu.Lock()
+	f.missing = true
+	f.mu.Unlock()
+	f.Nudge()
+}
+
+// Missed returns the revision of the last change that the list after a Miss has brought; 0 where there was none.
 func (f *Follower) Missed() storer.Point {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -259,9 +269,10 @@
 			delete(f.held, key)
 		}
 	}
-	if f.synced && f.changed > before {
+	if f.missing && f.changed > before {
 		f.missed = f.changed
 	}
+	f.missing = false
 	f.revision = max(f.revision, revision)
 	f.synced = true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,7 +280,8 @@
 // missed reads everything anew, as a watch has not brought what was written.
 func (g *Gateway) missed() {
 	g.Log.Info().Msg("changes were missed, reading anew")
-	g.readAnew()
+	g.configs.Miss()
+	g.listed.Miss()
 }
 
 func (g *Gateway) readAnew() {
