Bound answers that never end, and pass long sound ones on

What clients could see: a gateway out of memory, or none of its answers, as a target sends bytes that are no answer without end.

At the bound the connection is closed, the target counts as having failed, and what may be repeated goes elsewhere. An unsigned success is refused before its body is read. A sound plain answer over 64 KiB, which was refused over 1 MiB before, is passed on as it comes; it does not look complete where it breaks.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -24,11 +24,23 @@
 	idleMargin = time.Second
 	// maxForeign bounds the answers to other requests that are passed over before an exchange fails.
 	maxForeign = 2
+	// MaxHeadBytes bounds what comes before the body of an answer, interim answers among it: some fifty times the headers of the
+	// platform's targets. Bytes that are no answer may come without end.
+	MaxHeadBytes = 64 << 10
+	// maxForeignBytes bounds the body of an answer to another request that is passed over.
+	maxForeignBytes = 64 << 10
+	// unbounded is no limit of a connection.
+	unbounded = -1
 	bufferSize = 4 << 10
 )
 
-// ErrNotSent says that no byte of the request has left.
-var ErrNotSent = errors.New("request was not sent")
+// Errors of an exchange.
+var (
+	// ErrNotSent says that no byte of the request has left.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrEndless says that what came in place of an answer went over its bound.
+	ErrEndless = errors.Newf("over %d bytes and no answer", MaxHeadBytes)
+)
 
 // Call is one request.
 type Call struct {
@@ -79,6 +91,23 @@
 	reader *bufio.Reader
 	// expires is when the peer may close the connection.
 	expires time.Time
+	// left is how many bytes may still be read, or unbounded.
+	left int
+}
+
+// Read reads what the bound leaves.
+func (c *conn) Read(p []byte) (int, error) {
+	switch {
+	case c.left == 0:
+		return 0, ErrEndless
+	case c.left > 0:
+		p = p[:min(len(p), c.left)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.left > 0 {
+		c.left -= n
+	}
+	return n, err
 }
 
 func (e *Exchanger) now() time.Time {
@@ -113,10 +142,12 @@
 		return nil, errors.Wrap(err, "send")
 	}
 	for foreign := 0; ; foreign++ {
+		c.left = MaxHeadBytes
 		resp, err := readAnswer(c.reader, call.Method) //nolint:bodyclose // the answer closes it
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
+		c.left = unbounded
 		if call.Own == nil || call.Own(resp.Header) {
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: unframed(resp),
@@ -125,7 +156,8 @@
 				reusable: foreign == 0 && !call.Last && !resp.Close && !unframed(resp),
 			}, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || foreign == maxForeign || unframed(resp) {
+		passed, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes+1))
+		if err != nil || passed > maxForeignBytes || foreign == maxForeign || unframed(resp) {
 			return nil, errors.New("the answer belongs to another request")
 		}
 	}
@@ -181,7 +213,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, bufferSize)}, nil
+	c := &conn{Conn: nc, left: unbounded}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
 }
 
 // Read reads from the body; io.EOF says that the body is whole.
--- /dev/null
+++ b/internal/relayer/endless_test.go
@@ -0,0 +1,152 @@
+package relayer
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+// endlessBody repeats a piece until it is closed, with a pause before each; it counts what was read.
+type endlessBody struct {
+	piece  string
+	pause  time.Duration
+	read   int
+	closed bool
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	time.Sleep(b.pause)
+	n := copy(p, strings.Repeat(b.piece, len(p)/len(b.piece)+1))
+	if b.pause > 0 {
+		n = copy(p, b.piece)
+	}
+	b.read += n
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *endlessBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// TestPlainAnswersWithoutEnd guards against a target that takes a gateway's memory, or a client's time, with a body that never ends: it
+// is left at the bound, and what may be repeated is answered by another target before the deadline.
+func TestPlainAnswersWithoutEnd(t *testing.T) {
+	cases := []struct {
+		name     string
+		kind     matcher.Kind
+		unsigned bool
+		status   int
+		pause    time.Duration
+		answered bool
+		fact     refuser.Fact
+	}{
+		{"bytes that are no answer, may repeat", matcher.KindIdempotent, true, 200, 0, true, 0},
+		{"bytes that are no answer, must not repeat", matcher.KindNonIdempotent, true, 200, 0, false, refuser.FactMayHaveRun},
+		{"a byte at a time, may repeat", matcher.KindIdempotent, false, 200, time.Millisecond, true, 0},
+		{"a byte at a time, must not repeat", matcher.KindNonIdempotent, false, 200, time.Millisecond, false, refuser.FactMayHaveRun},
+		{"a failure without end, may repeat", matcher.KindIdempotent, false, 500, 0, true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := &endlessBody{piece: "x", pause: c.pause}
+				f := &fakeBackend{scripts: []script{{status: c.status, unsigned: c.unsigned, endless: body}, {status: 200, body: "ok"}}}
+				req := plain(c.kind)
+				w, refusal, aborted := serve(newTestRelayer(f), req)
+				require.False(t, aborted)
+				require.True(t, body.closed, "its connection is closed")
+				require.LessOrEqual(t, body.read, 2*wholeBytes)
+				require.LessOrEqual(t, time.Since(req.Deadline), c.pause, "in time, but for the last byte")
+				if c.answered {
+					require.Nil(t, refusal)
+					require.Equal(t, "ok", w.Body.String())
+					return
+				}
+				require.Equal(t, c.fact, refusal.Fact)
+				require.Empty(t, w.Header())
+			})
+		})
+	}
+}
+
+// TestLongPlainAnswerIsPassedOn: a sound answer over what is read before any of it is passed on is not cut, and one that breaks does
+// not look complete.
+func TestLongPlainAnswerIsPassedOn(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 1<<18)
+	for _, kind := range []matcher.Kind{matcher.KindIdempotent, matcher.KindNonIdempotent} {
+		f := &fakeBackend{scripts: []script{{status: 200, body: long}}}
+		w, refusal, aborted := serve(newTestRelayer(f), plain(kind))
+		require.Nil(t, refusal)
+		require.False(t, aborted)
+		require.Equal(t, long, w.Body.String())
+		require.NotEmpty(t, w.Header().Get("Signature"))
+		f = &fakeBackend{scripts: []script{{status: 200, body: long, err: errCut}}}
+		_, _, aborted = serve(newTestRelayer(f), plain(kind))
+		require.True(t, aborted)
+	}
+}
+
+// TestStreamsWithoutEvents guards against a first stage that sends bytes without end in place of events: the stream goes on elsewhere
+// where it may, and nothing of that reaches the client.
+func TestStreamsWithoutEvents(t *testing.T) {
+	cases := []struct{ name, begin, piece string }{
+		{"a line without end", "", "x"},
+		{"an event without end", "id: 1\n", "data: x\n"},
+		{"comments without end", "", ": x\n\n"},
+		{"events without ids", "", "data: x\n\n"},
+		{"blank lines", "", "\n"},
+		{"comments without end after an event", pieces(1, 1), ": x\n\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := &endlessBody{piece: c.piece}
+				f := &fakeBackend{scripts: []script{{status: 200, body: c.begin, endless: body}, {status: 200, body: pieces(1, 3)}}}
+				w, refusal, aborted := serve(newTestRelayer(f), stream(true))
+				require.Nil(t, refusal)
+				require.False(t, aborted)
+				require.True(t, body.closed)
+				require.LessOrEqual(t, body.read, 2*maxEvent)
+				var events []string
+				for event := range strings.SplitSeq(w.Body.String(), "\n\n") {
+					if strings.HasPrefix(event, "id:") {
+						events = append(events, event+"\n\n")
+					}
+				}
+				require.Equal(t, pieces(1, 3), strings.Join(events, ""))
+
+				body = &endlessBody{piece: c.piece}
+				f = &fakeBackend{scripts: []script{{status: 200, body: c.begin, endless: body}}}
+				_, refusal, aborted = serve(newTestRelayer(f), stream(false))
+				require.True(t, body.closed)
+				require.True(t, aborted || refusal.Fact == refuser.FactMayHaveRun, "a truthful end where it may not go on")
+			})
+		})
+	}
+}
+
+// TestQuietStreamIsNotCut: a stream whose comments keep it open through long pauses goes on.
+func TestQuietStreamIsNotCut(t *testing.T) {
+	var b strings.Builder
+	for id := 1; id <= 5; id++ {
+		b.WriteString(strings.Repeat(": still there\n\n", 1000))
+		b.WriteString(pieces(id, id))
+	}
+	f := &fakeBackend{scripts: []script{{status: 200, body: b.String()}}}
+	w, refusal, aborted := serve(newTestRelayer(f), stream(false))
+	require.Nil(t, refusal)
+	require.False(t, aborted)
+	require.Equal(t, b.String(), w.Body.String())
+}
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -5,8 +5,9 @@
 	"strconv"
 )
 
-// maxEvent bounds one event of a stream.
-const maxEvent = 1 << 20
+// maxEvent bounds one event of a stream, and what comes between two that have an id, in bytes: some hundred times the events of the
+// deployments. Bytes that are no events may come without end.
+const maxEvent = 64 << 10
 
 // events cuts a stream into whole events and drops those that were delivered already.
 type events struct {
@@ -14,7 +15,9 @@
 	last    string
 	resumed bool
 	// taken is how many events with an id were taken.
-	taken   int
+	taken int
+	// idle is how many bytes came since the last event with an id.
+	idle    int
 	pending []byte
 }
 
@@ -39,15 +42,17 @@
 		}
 	}
 	e.pending = append(e.pending[:0], e.pending[end:]...)
-	return out, len(e.pending) <= maxEvent
+	return out, len(e.pending) <= maxEvent && e.idle <= maxEvent
 }
 
 // accept decides on one event: whether it is delivered, and whether the stream is still whole.
 func (e *events) accept(event []byte) (deliver, whole bool) {
 	id, ok := eventID(event)
 	if !ok {
+		e.idle += len(event)
 		return true, true
 	}
+	e.idle = 0
 	last, okLast := number(e.last)
 	now, okNow := number(id)
 	if okLast && okNow && (e.resumed || e.taken > 0) {
@@ -66,6 +71,7 @@
 // cut drops the half event at the end of a stream that broke, and makes ready for its continuation.
 func (e *events) cut() {
 	e.pending = e.pending[:0]
+	e.idle = 0
 	e.resumed = true
 }
 
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// wholeBytes is the size up to which an answer is read to its end before any of it is passed on.
-	wholeBytes = 1 << 20
+	// wholeBytes is the size up to which an answer is read to its end before any of it is passed on, so that another target can
+	// be tried: eighty times the answers of the deployments. A sound answer that is longer is passed on as it comes.
+	wholeBytes = 64 << 10
 )
 
 // plainCall is a request to a plain service over its attempts.
@@ -31,10 +32,14 @@
 	targets []string
 }
 
-// wholeReply is a reply whose body was read.
+// wholeReply is a reply whose body was read, up to wholeBytes.
 type wholeReply struct {
 	*Reply
 	body []byte
+	// more is true where the body goes on.
+	more bool
+	// end ends the exchange; nil where that was done.
+	end func()
 }
 
 // forward relays a request to one of the targets of a plain service.
@@ -92,33 +97,59 @@
 func (c *plainCall) attempt(ctx context.Context, t cataloger.Target, fr forwarder.Request) (forwarder.Answer, error) {
 	c.targets = append(c.targets, t.Name)
 	now := c.relayer.Clock.Now()
-	ctx, cancel := context.WithDeadline(ctx, fr.Deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	expire := c.relayer.Clock.AfterFunc(fr.Deadline.Sub(now), func() { cancel(context.DeadlineExceeded) })
+	end := func() {
+		expire()
+		cancel(nil)
+	}
 	call := Call{Request: c.request, Target: t, Left: c.request.Deadline.Sub(now)}
 	c.relayer.logSent(call, len(c.targets))
 	reply, err := c.relayer.Backend.Send(ctx, call)
 	if err != nil {
+		defer end()
 		return forwarder.Answer{}, sendFailure(ctx, err)
 	}
-	defer func() { _ = reply.Body.Close() }()
-	if reply.NotRun {
-		return forwarder.Answer{}, refuser.New(refuser.TargetRefused, "%s refused with %d", t.Name, reply.Status)
+	whole, err := c.take(t, reply)
+	if err == nil && whole.more {
+		// The rest has the time of the request, not of the attempt.
+		expire()
+		whole.end = func() {
+			_ = reply.Body.Close()
+			end()
+		}
+	} else {
+		_ = reply.Body.Close()
+		end()
 	}
-	whole, err := readWhole(reply)
 	if err != nil {
-		return forwarder.Answer{}, mayHaveRun("answer of %s: %s", t.Name, err)
-	}
-	if reply.Status >= http.StatusInternalServerError && c.request.Route.Repeatable() {
-		c.failure = whole
-		return forwarder.Answer{}, mayHaveRun("%s answered %d", t.Name, reply.Status)
-	}
-	if reply.Status < http.StatusMultipleChoices && !reply.Sound() {
-		return forwarder.Answer{}, mayHaveRun("answer of %s is not signed", t.Name)
+		return forwarder.Answer{}, err
 	}
 	c.answer = whole
 	return forwarder.Answer{Status: reply.Status, Target: t.Name}, nil
 }
 
+// take reads a target's answer as far as it has to be before it can be passed on; an error says why it can't be.
+func (c *plainCall) take(t cataloger.Target, reply *Reply) (*wholeReply, error) {
+	switch {
+	case reply.NotRun:
+		return nil, refuser.New(refuser.TargetRefused, "%s refused with %d", t.Name, reply.Status)
+	case reply.Status < http.StatusMultipleChoices && !reply.Sound():
+		return nil, mayHaveRun("answer of %s is not signed", t.Name)
+	}
+	whole, err := readWhole(reply)
+	switch {
+	case err != nil:
+		return nil, mayHaveRun("answer of %s: %s", t.Name, err)
+	case whole.more && !reply.Sound():
+		return nil, mayHaveRun("failure of %s is over %d bytes", t.Name, wholeBytes)
+	case reply.Status >= http.StatusInternalServerError && c.request.Route.Repeatable():
+		c.failure = whole
+		return nil, mayHaveRun("%s answered %d", t.Name, reply.Status)
+	}
+	return whole, nil
+}
+
 // sendFailure returns the refusal of a sending without an answer.
 func sendFailure(ctx context.Context, err error) error {
 	if errors.Is(err, exchanger.ErrNotSent) {
@@ -139,10 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > wholeBytes {
-		return nil, errors.Newf("over %d bytes", wholeBytes)
-	}
-	return &wholeReply{Reply: reply, body: body}, nil
+	return &wholeReply{Reply: reply, body: body, more: len(body) > wholeBytes}, nil
 }
 
 // promises are statuses that promise the client that its request did not run and never will.
@@ -159,8 +187,23 @@
 		return mayHaveRun("the target answered %d without saying that it did not run", a.Status)
 	}
 	copyHeader(w, a.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if !a.more {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.body)
+	_, err := w.Write(a.body)
+	if a.more {
+		defer a.end()
+		if err == nil {
+			a.pass(w)
+		}
+	}
 	return nil
 }
+
+// pass passes on the rest of an answer that has begun, which must not look complete where it breaks.
+func (a *wholeReply) pass(w http.ResponseWriter) {
+	if _, err := io.Copy(w, a.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -260,8 +260,11 @@
 		return sendAgain, mayHaveRun("answer %d is not signed", reply.Status)
 	}
 	whole, err := readWhole(reply)
-	if err != nil {
+	switch {
+	case err != nil:
 		return sendAgain, mayHaveRun("answer broke off: %s", err)
+	case whole.more:
+		return sendAgain, mayHaveRun("failure is over %d bytes", wholeBytes)
 	}
 	if refusal := whole.write(g.w); refusal != nil {
 		return sendAgain, refusal
@@ -305,7 +308,7 @@
 		}
 		switch {
 		case !whole:
-			return g.broken(ctx, errors.New("events are missing"))
+			return g.broken(ctx, errors.New("events are missing, or too long"))
 		case errors.Is(err, io.EOF) && !g.events.half():
 			g.begin(reply)
 			return sendDone, nil
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -37,6 +37,8 @@
 	err error
 	// notice is what the target says of itself beside its answer.
 	notice Notice
+	// endless follows the body in place of its end.
+	endless *endlessBody
 	// hang keeps the sending without an answer until it is canceled.
 	hang bool
 }
@@ -73,8 +75,16 @@
 	if s.err != nil {
 		body = io.MultiReader(body, failing{s.err})
 	}
+	var closer io.Closer = io.NopCloser(nil)
+	if s.endless != nil {
+		body, closer = io.MultiReader(body, s.endless), s.endless
+		context.AfterFunc(ctx, func() { _ = closer.Close() })
+	}
 	return &Reply{
-		Status: s.status, Header: http.Header{"Signature": {call.Target.Name}}, Body: io.NopCloser(body),
+		Status: s.status, Header: http.Header{"Signature": {call.Target.Name}}, Body: struct {
+			io.Reader
+			io.Closer
+		}{body, closer},
 		NotRun: s.notRun, Blamed: s.blamed, Signed: !s.unsigned,
 	}, nil
 }
