--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -30,7 +30,7 @@
 	// maxForeignBytes bounds the body of an answer to another request that is passed over.
 	maxForeignBytes = 64 << 10
 	// unbounded is no limit of a connection.
-	unbounded = -1
+	unbounded  = -1
 	bufferSize = 4 << 10
 )
 
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -344,3 +344,15 @@
 		require.Equal(t, map[string]string{"servers/a": "8"}, d.known(), "what is written after the restore is taken")
 	})
 }
+
+// TestChangesOfOneAnswerNeedNoOrder: the changes of one answer come with the point that they lead to together, and an earlier one may
+// follow a later one.
+func TestChangesOfOneAnswerNeedNoOrder(t *testing.T) {
+	f := New(storer.Store{}, "servers/", timer.System{})
+	f.Apply = func(storer.Object, bool) {}
+	f.reconcile(nil, 5)
+	f.take(storer.Event{Object: storer.Object{Key: "servers/b", Version: 9}, Revision: 9})
+	f.take(storer.Event{Object: storer.Object{Key: "servers/a", Version: 8}, Revision: 9})
+	c, _ := f.Copy()
+	require.Len(t, c.Objects, 2)
+}
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -98,9 +98,9 @@
 	c.targets = append(c.targets, t.Name)
 	now := c.relayer.Clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	expire := c.relayer.Clock.AfterFunc(fr.Deadline.Sub(now), func() { cancel(context.DeadlineExceeded) })
+	stopTimer := c.relayer.Clock.AfterFunc(fr.Deadline.Sub(now), func() { cancel(context.DeadlineExceeded) })
 	end := func() {
-		expire()
+		stopTimer()
 		cancel(nil)
 	}
 	call := Call{Request: c.request, Target: t, Left: c.request.Deadline.Sub(now)}
@@ -113,7 +113,7 @@
 	whole, err := c.take(t, reply)
 	if err == nil && whole.more {
 		// The rest has the time of the request, not of the attempt.
-		expire()
+		stopTimer()
 		whole.end = func() {
 			_ = reply.Body.Close()
 			end()
