--- a/internal/follower/era.go
+++ b/internal/follower/era.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// buryTime is how long a dropped object is remembered: over the age of any copy that the store may come back from.
-	buryTime = time.Minute
-	// maxBuried bounds the objects that are remembered; the oldest are forgotten first.
-	maxBuried = 8192
-	// holdTime is how long an object is held back that a copy of the store names although it was dropped: by then the store has
-	// removed the entries of those that do not renew them.
-	holdTime = 6 * time.Second
+	// tombstoneTime is how long a dropped object is remembered: over the age of any copy that the store may come back from.
+	tombstoneTime = time.Minute
+	// maxTombstones bounds the objects that are remembered; the oldest are forgotten first.
+	maxTombstones = 8192
+	// deferTime is how long an object waits that a copy of the store names although it was dropped: by then the store has removed
+	// the entries of those that do not renew them.
+	deferTime = 6 * time.Second
 )
 
 // tombstone is an object that was dropped.
@@ -33,9 +33,9 @@
 	return offered.Version > known.Version
 }
 
-// enter takes in the point of an answer. Where its era is later than all before, the store came back from an older copy: as after an
+// noteEra takes in the point of an answer. Where its era is later than all before, the store came back from an older copy: as after an
 // outage, what the copy lacks may come back; the caller holds mu.
-func (f *Follower) enter(p storer.Point) {
+func (f *Follower) noteEra(p storer.Point) {
 	if !f.synced || p.Era() <= f.revision.Era() {
 		return
 	}
@@ -43,47 +43,47 @@
 	f.returned = f.Clock.Now()
 	f.restored = f.returned
 	f.Clock.AfterFunc(ReturnTime, f.dropLapsed)
-	f.Clock.AfterFunc(holdTime, f.acceptHeld)
+	f.Clock.AfterFunc(deferTime, f.applyDeferred)
 	f.revision = p
 	f.EraRose(p.Era())
 }
 
-// bury remembers an object that is dropped; the caller holds mu.
-func (f *Follower) bury(o storer.Object) {
+// addTombstone remembers an object that is dropped; the caller holds mu.
+func (f *Follower) addTombstone(o storer.Object) {
 	now := f.Clock.Now()
-	if len(f.gone) >= maxBuried {
+	if len(f.tombstones) >= maxTombstones {
 		oldest := o.Key
-		for key, t := range f.gone {
-			if now.Sub(t.at) > buryTime {
-				delete(f.gone, key)
-			} else if oldest == o.Key || t.at.Before(f.gone[oldest].at) {
+		for key, t := range f.tombstones {
+			if now.Sub(t.at) > tombstoneTime {
+				delete(f.tombstones, key)
+			} else if oldest == o.Key || t.at.Before(f.tombstones[oldest].at) {
 				oldest = key
 			}
 		}
-		if len(f.gone) >= maxBuried {
-			delete(f.gone, oldest)
+		if len(f.tombstones) >= maxTombstones {
+			delete(f.tombstones, oldest)
 		}
 	}
-	f.gone[o.Key] = tombstone{object: o, at: now}
+	f.tombstones[o.Key] = tombstone{object: o, at: now}
 }
 
-// buried tells whether an object of a later era says no more than what was dropped in an earlier one; the caller holds mu.
-func (f *Follower) buried(o storer.Object) bool {
-	t, ok := f.gone[o.Key]
-	if !ok || f.Clock.Now().Sub(t.at) > buryTime || o.Version.Era() <= t.object.Version.Era() {
+// deleted tells whether an object of a later era says no more than what was dropped in an earlier one; the caller holds mu.
+func (f *Follower) deleted(o storer.Object) bool {
+	t, ok := f.tombstones[o.Key]
+	if !ok || f.Clock.Now().Sub(t.at) > tombstoneTime || o.Version.Era() <= t.object.Version.Era() {
 		return false
 	}
 	return f.Compare != nil && f.Compare(t.object, o) >= 0
 }
 
-// acceptHeld applies what was held back and is still there, unless another copy came meanwhile.
-func (f *Follower) acceptHeld() {
+// applyDeferred applies what was deferred and is still there, unless another copy came meanwhile.
+func (f *Follower) applyDeferred() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.Clock.Now().Sub(f.restored) < holdTime {
+	if f.Clock.Now().Sub(f.restored) < deferTime {
 		return
 	}
-	for _, o := range f.held {
+	for _, o := range f.deferred {
 		f.accept(o)
 	}
 }
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -130,8 +130,8 @@
 		name string
 		// before happens before the copy is made, after while it is older than the store, and rewrite right after the restore.
 		before, after, rewrite func(t testing.TB, d *drill)
-		lasting                bool
-		// soon is what is known at once after the restore, settled after the time of an outage, and late after what was held back.
+		keep                   bool
+		// soon is what is known at once after the restore, settled after the time of an outage, and late after what was deferred.
 		soon, settled, late map[string]string
 	}{
 		{
@@ -161,7 +161,7 @@
 			soon:    map[string]string{"servers/a": "1"}, settled: map[string]string{"servers/a": "1"}, late: map[string]string{"servers/a": "1"},
 		},
 		{
-			name: "a lasting object that the copy lacks stays", lasting: true,
+			name: "an object that is kept although the copy lacks it", keep: true,
 			before: func(testing.TB, *drill) {},
 			after:  func(t testing.TB, d *drill) { d.put(t, "servers/a", "1") },
 			soon:   map[string]string{"servers/a": "1"}, settled: map[string]string{"servers/a": "1"}, late: map[string]string{"servers/a": "1"},
@@ -192,7 +192,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var eras []uint64
 				d := newDrill(t, func(f *Follower) {
-					f.Compare, f.Lasting = compareValues, c.lasting
+					f.Compare, f.KeepMissing = compareValues, c.keep
 					f.EraRose = func(era uint64) { eras = append(eras, era) }
 				})
 				c.before(t, d)
@@ -208,7 +208,7 @@
 				require.Equal(t, c.soon, d.known())
 				time.Sleep(ReturnTime)
 				require.Equal(t, c.settled, d.known())
-				time.Sleep(holdTime)
+				time.Sleep(deferTime)
 				require.Equal(t, c.late, d.known())
 				require.Equal(t, []uint64{1}, eras)
 			})
@@ -314,7 +314,7 @@
 					time.Sleep(time.Duration(ages[i]) * 500 * time.Millisecond)
 				}
 			}
-			time.Sleep(ReturnTime + holdTime + 2*time.Second)
+			time.Sleep(ReturnTime + deferTime + 2*time.Second)
 			require.Empty(t, undone, strings.Join(steps, " "))
 			require.Equal(t, owned, d.known(), strings.Join(steps, " "))
 		})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -43,8 +43,8 @@
 	// Compare orders two values of an object by what they say: it is negative where a is the earlier one, 0 where neither is. It
 	// decides between values of two eras, whose revisions say nothing about each other; nil lets the later era win.
 	Compare func(a, b storer.Object) int
-	// Lasting objects stay where a list of a new era lacks them.
-	Lasting bool
+	// KeepMissing keeps objects that a list of a new era lacks.
+	KeepMissing bool
 	// EraRose is called as an answer or a peer names a later era than before.
 	EraRose func(era uint64)
 	// Behind tells whether a peer is known to have more than what a list has brought.
@@ -73,11 +73,11 @@
 	restored time.Time
 	// lapsed are objects that the store no longer has, and may have again soon.
 	lapsed map[string]bool
-	// gone are objects that were dropped lately, and held those that a copy of the store names although they were.
-	gone   map[string]tombstone
-	held   map[string]storer.Object
-	nudged chan struct{}
-	feed   feed
+	// tombstones are of objects that were dropped lately, and deferred are those that a copy of the store names although they were.
+	tombstones map[string]tombstone
+	deferred   map[string]storer.Object
+	nudged     chan struct{}
+	feed       feed
 }
 
 // New returns a follower that knows no objects.
@@ -85,7 +85,7 @@
 	return &Follower{
 		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), See: func(storer.Point) {}, EraRose: func(uint64) {},
 		Behind:  func() bool { return false },
-		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, gone: map[string]tombstone{}, held: map[string]storer.Object{},
+		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, tombstones: map[string]tombstone{}, deferred: map[string]storer.Object{},
 		nudged: make(chan struct{}, 1), feed: newFeed(),
 	}
 }
@@ -104,15 +104,15 @@
 	return f.changed
 }
 
-// Miss asks for a list, as the watch has missed changes.
-func (f *Follower) Miss() {
+// MarkMissed asks for a list, as the watch has missed changes.
+func (f *Follower) MarkMissed() {
 	f.mu.Lock()
 	f.missing = true
 	f.mu.Unlock()
 	f.Nudge()
 }
 
-// Missed returns the revision of the last change that the list after a Miss has brought; 0 where there was none.
+// Missed returns the revision of the last change that the list after a MarkMissed has brought; 0 where there was none.
 func (f *Follower) Missed() storer.Point {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -246,7 +246,7 @@
 func (f *Follower) reconcile(objects []storer.Object, revision storer.Point) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.enter(revision)
+	f.noteEra(revision)
 	listed := make(map[string]bool, len(objects))
 	before := f.changed
 	for _, o := range objects {
@@ -264,9 +264,9 @@
 		}
 		f.remove(key)
 	}
-	for key := range f.held {
+	for key := range f.deferred {
 		if !listed[key] {
-			delete(f.held, key)
+			delete(f.deferred, key)
 		}
 	}
 	if f.missing && f.changed > before {
@@ -280,7 +280,7 @@
 func (f *Follower) take(e storer.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.enter(e.Revision)
+	f.noteEra(e.Revision)
 	if e.Object.Key != "" {
 		f.changed = max(f.changed, e.Revision)
 		f.See(e.Object.Version)
@@ -290,7 +290,7 @@
 	case !e.Deleted:
 		f.put(e.Object, e.Revision)
 	case f.objects[e.Object.Key].Version <= e.Revision:
-		delete(f.held, e.Object.Key)
+		delete(f.deferred, e.Object.Key)
 		f.remove(e.Object.Key)
 	}
 	f.revision = max(f.revision, e.Revision)
@@ -306,8 +306,8 @@
 	case !ok && f.synced && source < f.revision && o.Version <= f.revision:
 		// The source lags: the object was dropped since.
 		return
-	case !ok && f.buried(o):
-		f.held[o.Key] = o
+	case !ok && f.deleted(o):
+		f.deferred[o.Key] = o
 		return
 	}
 	f.accept(o)
@@ -315,8 +315,8 @@
 
 // accept puts an object in place of what is known; the caller holds mu.
 func (f *Follower) accept(o storer.Object) {
-	delete(f.gone, o.Key)
-	delete(f.held, o.Key)
+	delete(f.tombstones, o.Key)
+	delete(f.deferred, o.Key)
 	f.objects[o.Key] = o
 	f.changed = max(f.changed, o.Version)
 	f.feed.add(Change{Object: o})
@@ -325,7 +325,7 @@
 
 // covers tells whether a source that is whole up to a point would name an object if it were still there.
 func (f *Follower) covers(source storer.Point, o storer.Object) bool {
-	return o.Version <= source && (!f.Lasting || o.Version.Era() >= source.Era())
+	return o.Version <= source && (!f.KeepMissing || o.Version.Era() >= source.Era())
 }
 
 // remove forgets an object, or marks it as lapsed while it may come back; the caller holds mu.
@@ -342,7 +342,7 @@
 
 func (f *Follower) drop(key string) {
 	o := f.objects[key]
-	f.bury(o)
+	f.addTombstone(o)
 	delete(f.objects, key)
 	delete(f.lapsed, key)
 	gone := storer.Object{Key: o.Key, Version: o.Version}
@@ -375,7 +375,7 @@
 	f.Log.Info().Str("prefix", f.Prefix).Stringer("revision", c.Revision).Msg("took what a peer knows")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.enter(c.Revision)
+	f.noteEra(c.Revision)
 	listed := map[string]bool{}
 	for _, o := range c.Objects {
 		if strings.HasPrefix(o.Key, f.Prefix) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,7 +217,7 @@
 	g.auditor = auditor.New(g.Clock, g.missed)
 	g.configs.See = g.auditor.See
 	g.configs.Log, g.configs.Apply, g.configs.Ask = g.Log, g.applyConfig, g.askPeers
-	g.configs.Compare, g.configs.Lasting, g.configs.EraRose = g.compareConfigs, true, g.EraRose
+	g.configs.Compare, g.configs.KeepMissing, g.configs.EraRose = g.compareConfigs, true, g.EraRose
 	g.configs.Behind = func() bool { return g.heard.newest().config > g.configVersion() }
 	through, g.listedUp = g.through(store, g.Settings.TargetsPrefix)
 	g.listed = follower.New(through, g.Settings.TargetsPrefix, g.Clock)
@@ -280,8 +280,8 @@
 // missed reads everything anew, as a watch has not brought what was written.
 func (g *Gateway) missed() {
 	g.Log.Info().Msg("changes were missed, reading anew")
-	g.configs.Miss()
-	g.listed.Miss()
+	g.configs.MarkMissed()
+	g.listed.MarkMissed()
 }
 
 func (g *Gateway) readAnew() {
@@ -334,7 +334,7 @@
 	}
 	g.config.Store(matcher.New(d))
 	log := g.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Int("workspaces", len(d.Workspaces)).
-		Str("source", g.configsUp.origin())
+		Str("source", g.configsUp.sourceName())
 	if heard, at := g.heard.newestConfig(); heard >= d.Version {
 		log = log.Dur("since-heard", g.Clock.Now().Sub(at))
 	}
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -89,13 +89,13 @@
 	return h.peers[peer]
 }
 
-// watchLag tells the other readers of the store what this gateway has found, and has the followers list anew where a peer has known
+// watchLag notifies the other readers of the store of what this gateway has found, and has the followers list anew where a peer has known
 // more for a while.
 func (g *Gateway) watchLag(ctx context.Context) error {
 	var configLag, targetsLag time.Time
-	var told toldRevisions
+	var sent sentRevisions
 	for g.Clock.Sleep(ctx, lagInterval) == nil {
-		g.tellReaders(&told)
+		g.notifyReaders(&sent)
 		newest := g.heard.newest()
 		revision, _ := g.listed.Revision()
 		configLag = g.checkLag(newest.config > g.configVersion(), configLag, g.configs, g.configsUp)
@@ -135,7 +135,7 @@
 	for _, m := range g.newest(has, known) {
 		c, err := g.fetchCopy(ctx, m.PeerAddress, prefix)
 		if err == nil && (c.Revision > revision || prefix == g.Settings.ConfigPrefix) {
-			g.upstreamOf(prefix).from(&m)
+			g.upstreamOf(prefix).setSource(&m)
 			return c, true
 		}
 		g.Log.Debug().Err(err).Str("peer", m.Name).Str("prefix", prefix).Msg("peer has no newer copy")
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -15,22 +15,22 @@
 const (
 	// revisionsMethod is the name of the handler that takes what other readers of the store have.
 	revisionsMethod = "revisions"
-	// tellTime is how long a change is told for, once in lagInterval, as datagrams may be lost.
-	tellTime = 300 * time.Millisecond
+	// resendTime is how long a change is sent for, once in lagInterval, as datagrams may be lost.
+	resendTime = 300 * time.Millisecond
 )
 
-// toldRevisions are what this gateway last told the other readers of the store.
-type toldRevisions struct {
+// sentRevisions are what this gateway last sent the other readers of the store.
+type sentRevisions struct {
 	config uint64
 	// missedConfig and missedTargets are the last changes that no watch had brought.
 	missedConfig, missedTargets storer.Point
 	at                          time.Time
-	// unwatched is that there were such among what is told since at.
+	// unwatched is that there were such among what is sent since at.
 	unwatched bool
 }
 
-// readers returns the other gateways that read the store itself: the first level, and the holder of the duty.
-func (g *Gateway) readers() []cataloger.Member {
+// storeReaders returns the other gateways that read the store itself: the first level, and the holder of the duty.
+func (g *Gateway) storeReaders() []cataloger.Member {
 	levels, _ := watchLevels(candidates(g.all()), g.Settings.Name)
 	var out []cataloger.Member
 	for i, level := range levels {
@@ -43,22 +43,22 @@
 	return out
 }
 
-// tellReaders tells the other readers of the store of a new configuration, and of any change that no watch has brought: their
+// notifyReaders tells the other readers of the store of a new configuration, and of any change that no watch has brought: their
 // watches may have missed it too, and all others follow them. Updates alone would take seconds to reach them in a large fleet.
-func (g *Gateway) tellReaders(told *toldRevisions) {
+func (g *Gateway) notifyReaders(sent *sentRevisions) {
 	now := g.Clock.Now()
-	news := toldRevisions{config: g.configVersion(), missedConfig: g.configs.Missed(), missedTargets: g.listed.Missed(), at: now}
-	news.unwatched = news.missedConfig != told.missedConfig || news.missedTargets != told.missedTargets
-	if news.config > told.config || news.unwatched {
-		*told = news
+	update := sentRevisions{config: g.configVersion(), missedConfig: g.configs.Missed(), missedTargets: g.listed.Missed(), at: now}
+	update.unwatched = update.missedConfig != sent.missedConfig || update.missedTargets != sent.missedTargets
+	if update.config > sent.config || update.unwatched {
+		*sent = update
 	}
-	if now.Sub(told.at) > tellTime || !g.configsUp.readsStore() {
+	if now.Sub(sent.at) > resendTime || !g.configsUp.readsStore() {
 		return
 	}
 	message := &peerv1.GatewayRevisions{
-		Epoch: g.epoch, ConfigVersion: told.config, TargetsRevision: uint64(g.listed.Changed()), Unwatched: told.unwatched,
+		Epoch: g.epoch, ConfigVersion: sent.config, TargetsRevision: uint64(g.listed.Changed()), Unwatched: sent.unwatched,
 	}
-	for _, m := range g.readers() {
+	for _, m := range g.storeReaders() {
 		if err := g.poster.Notify(m.PeerAddress, revisionsMethod, message); err != nil {
 			g.Log.Debug().Err(err).Str("peer", m.Name).Msg("revisions not sent")
 		}
@@ -71,10 +71,10 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return nil, errors.Wrap(err, "decode revisions")
 	}
-	if g.replaced(peer, m.GetEpoch()) {
+	if g.superseded(peer, m.GetEpoch()) {
 		return nil, nil
 	}
-	g.takeRevisions(peer, revisions{config: m.GetConfigVersion(), targets: storer.Point(m.GetTargetsRevision())})
+	g.noteRevisions(peer, revisions{config: m.GetConfigVersion(), targets: storer.Point(m.GetTargetsRevision())})
 	if !m.GetUnwatched() {
 		return nil, nil
 	}
@@ -87,15 +87,15 @@
 	return nil, nil
 }
 
-// replaced tells whether a later process has the name of the one that started at epoch.
-func (g *Gateway) replaced(peer string, epoch uint64) bool {
+// superseded tells whether a later process has the name of the one that started at epoch.
+func (g *Gateway) superseded(peer string, epoch uint64) bool {
 	others := g.others()
 	i := named(others, peer)
 	return i >= 0 && others[i].Epoch > epoch
 }
 
-// takeRevisions takes in what a peer has.
-func (g *Gateway) takeRevisions(peer string, r revisions) {
+// noteRevisions takes in what a peer has.
+func (g *Gateway) noteRevisions(peer string, r revisions) {
 	if g.heard.note(peer, r, g.Clock.Now()) && r.config > g.configVersion() {
 		g.Log.Info().Uint64("version", r.config).Str("peer", peer).Msg("heard of a newer configuration")
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -95,10 +95,10 @@
 func (g *Gateway) receive(peer string, n *peerv1.GatewayUpdate) (urgent bool) {
 	now := g.Clock.Now()
 	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
-	if g.replaced(peer, n.GetEpoch()) {
+	if g.superseded(peer, n.GetEpoch()) {
 		return false
 	}
-	g.takeRevisions(peer, revisions{config: n.GetConfigVersion(), targets: storer.Point(n.GetTargetsRevision())})
+	g.noteRevisions(peer, revisions{config: n.GetConfigVersion(), targets: storer.Point(n.GetTargetsRevision())})
 	if len(n.GetLoads()) > 0 || g.gossiper.Mesh() {
 		loads := map[uint32]float64{}
 		for key, tokens := range n.GetLoads() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -48,8 +48,8 @@
 // sourceStore is the source of what the store itself has answered.
 const sourceStore = "store"
 
-// from notes where the next objects come from.
-func (u *upstream) from(peer *cataloger.Member) {
+// setSource notes where the next objects come from.
+func (u *upstream) setSource(peer *cataloger.Member) {
 	if peer == nil {
 		u.source.Store(sourceStore)
 		return
@@ -57,8 +57,8 @@
 	u.source.Store(peer.Name)
 }
 
-// origin returns where the last objects came from.
-func (u *upstream) origin() string {
+// sourceName returns where the last objects came from.
+func (u *upstream) sourceName() string {
 	name, _ := u.source.Load().(string)
 	return name
 }
@@ -71,7 +71,7 @@
 }
 
 // readsStore tells whether the last objects came from the store itself.
-func (u *upstream) readsStore() bool { return u.origin() == sourceStore }
+func (u *upstream) readsStore() bool { return u.sourceName() == sourceStore }
 
 // watcher returns the peer to follow; nil where this daemon watches the store itself. A peer is followed for as long as it can be:
 // each change of peer reads the whole list anew. One of the own data centre is taken where there is one.
@@ -141,7 +141,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.peer = u.watcher()
-	u.from(u.peer)
+	u.setSource(u.peer)
 	if u.peer == nil {
 		return u.direct.List(ctx, prefix)
 	}
