Blame no peer for a call that a gateway gave up itself

What clients could see: changes late on gateways that read the store themselves although they should follow others (CONFIG).

Cause: a follower that is asked to read anew cancels its call to the peer that it follows, and took the canceled call for one that the peer had not answered: the peer was passed over for 5 s. After a drill, which had all read anew, all gateways went through all their peers within a second and then read the store, where nobody tells them of changes that watches miss.

Change: a call that ended as its own context did blames nobody; a drill has only those read anew that read the store.

--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -8,7 +8,7 @@
 )
 
 // EraRose takes in that the store came back from an older copy: what this daemon wrote there since is gone. The lease is over until
-// it is taken anew, the address is written again, and everything is read again.
+// it is taken anew, the address is written again, and what is read from the store is read again.
 func (g *Gateway) EraRose(era uint64) {
 	for {
 		known := g.era.Load()
@@ -22,7 +22,13 @@
 	g.eras.Add(1)
 	g.Log.Warn().Uint64("era", era).Msg("store is in a new era")
 	g.duty.leaser.EraRose(era)
-	g.readAnew()
+	// The others follow those that read the store.
+	if g.configsUp.readsStore() {
+		g.configs.Nudge()
+	}
+	if g.listedUp.readsStore() {
+		g.listed.Nudge()
+	}
 }
 
 // compareConfigs orders two documents of the configuration by the version inside them, which the operator raises with each change.
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/rattantray/rattantray/internal/follower"
 	"github.com/rattantray/rattantray/internal/storer"
@@ -93,3 +97,123 @@
 		})
 	}
 }
+
+// TestFleetDrillsAgainstAnOracle has the store come back from older copies at any moment, also twice in a row, beside changes, targets
+// that come and go, gateways that are cut off from the store, and watches that go silent. The oracle knows what the operator and the
+// targets have written: no gateway goes back behind what it had in force, none uses a target again that it knew to be gone, and all
+// agree with the store 2 s after the last is written again.
+func TestFleetDrillsAgainstAnOracle(t *testing.T) {
+	const n, agreed = 12, 2 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"change", "come", "go", "drill", "two drills", "cut", "join", "silence", "wait"}), 3, 14).Draw(rt, "steps")
+		var numbers []int
+		for range steps {
+			numbers = append(numbers, rapid.IntRange(0, 11).Draw(rt, "number"))
+		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newSpreadFleet(t, n)
+			version := uint64(1)
+			f.acknowledge(version)
+			owned, joins := map[string]bool{}, map[int]func(){}
+			time.Sleep(6 * time.Second)
+			// had are the targets that a gateway has used since they came, and removed those of them that it knew to be gone. One that
+			// it had never heard of may come to it by the copy.
+			had, removed := make([]map[string]bool, n), make([]map[string]bool, n)
+			for i := range removed {
+				had[i], removed[i] = map[string]bool{}, map[string]bool{}
+			}
+			look := func(when string) {
+				synctest.Wait()
+				for i, g := range f.all {
+					for k := range 4 {
+						name := fmt.Sprint("target-", k)
+						v, _ := g.targets.Get(name)
+						switch {
+						case v.Usable():
+							require.False(t, removed[i][name] && !owned[name], "%s is back on gateway %d after %s of %v", name, i, when, steps)
+							had[i][name], removed[i][name] = true, false
+						case !owned[name]:
+							removed[i][name] = had[i][name]
+						}
+					}
+				}
+			}
+			rewrite := func() {
+				for _, name := range slices.Sorted(maps.Keys(owned)) {
+					f.writeTarget(name)
+				}
+				objects, _, err := f.platform.Store().List(t.Context(), "servers/")
+				require.NoError(t, err)
+				for _, o := range objects {
+					if name := strings.TrimPrefix(o.Key, "servers/"); !owned[name] {
+						f.removeTarget(name)
+					}
+				}
+				f.acknowledge(version)
+			}
+			for i, step := range steps {
+				k := numbers[i]
+				name := fmt.Sprint("target-", k%4)
+				switch step {
+				case "change":
+					version++
+					f.acknowledge(version)
+				case "come":
+					// A target that was gone comes back as another one.
+					if !owned[name] {
+						for j := range removed {
+							had[j][name], removed[j][name] = false, false
+						}
+					}
+					owned[name] = true
+					f.writeTarget(name)
+				case "go":
+					if owned[name] {
+						delete(owned, name)
+						f.removeTarget(name)
+					}
+				case "drill", "two drills":
+					look("before a drill")
+					require.NoError(t, f.platform.Restore(time.Duration(k)*time.Second))
+					if step == "two drills" {
+						require.NoError(t, f.platform.Restore(time.Second))
+					}
+					time.Sleep(300 * time.Millisecond)
+					look(step)
+					rewrite()
+				case "cut":
+					if joins[k] == nil && len(joins) < n/2 {
+						joins[k] = f.cut(k)
+					}
+				case "join":
+					if joins[k] != nil {
+						joins[k]()
+						delete(joins, k)
+					}
+				case "silence":
+					f.silence()
+				case "wait":
+					time.Sleep(time.Duration(k) * 400 * time.Millisecond)
+				}
+				look(step)
+			}
+			for _, join := range joins {
+				join()
+			}
+			time.Sleep(follower.ReturnTime + time.Second)
+			rewrite()
+			version++
+			f.acknowledge(version)
+			time.Sleep(agreed)
+			require.Zero(t, f.behind(version), "after %v", steps)
+			time.Sleep(follower.ReturnTime + 8*time.Second)
+			for i, g := range f.all {
+				for k := range 4 {
+					name := fmt.Sprint("target-", k)
+					v, _ := g.targets.Get(name)
+					require.Equal(t, owned[name], v.Usable(), "%s on gateway %d after %v", name, i, steps)
+				}
+			}
+		})
+	})
+}
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -41,12 +41,14 @@
 	mu sync.Mutex
 	// silent is closed as the watches of the store that began before hear nothing any more.
 	silent chan struct{}
+	// cuts are closed as gateways are cut off from the store, by their names.
+	cuts map[string]chan struct{}
 }
 
 // newSpreadFleet starts n gateways and waits until they have settled.
 func newSpreadFleet(t *testing.T, n int) *spreadFleet {
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{})}
+	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cuts: map[string]chan struct{}{}}
 	for i := range n {
 		f.start(i, true)
 	}
@@ -75,7 +77,7 @@
 		Seeds: []string{peerAddress(0), peerAddress(1), peerAddress(2)}, ConfigPrefix: "config/", TargetsPrefix: "servers/",
 		FirstStart: first, Grace: 8 * time.Second,
 	}, timer.System{}, zerolog.Nop())
-	g.Adapter.Store = f.store()
+	g.Adapter.Store = f.store(g.Settings.Name)
 	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
 		version, err := strconv.ParseUint(string(value), 10, 64)
 		return matcher.Document{Version: version}, err
@@ -89,11 +91,67 @@
 	return g
 }
 
-// store returns the store with watches that can go silent.
-func (f *spreadFleet) store() storer.Store {
+// cut cuts a gateway off from the store until the returned function is called.
+func (f *spreadFleet) cut(i int) (end func()) {
+	name := f.all[i].Settings.Name
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.cutOf(name))
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.cuts, name)
+	}
+}
+
+// cutOf returns what is closed while a gateway is cut off from the store; the caller holds mu.
+func (f *spreadFleet) cutOf(name string) chan struct{} {
+	if f.cuts[name] == nil {
+		f.cuts[name] = make(chan struct{})
+	}
+	return f.cuts[name]
+}
+
+// reaches returns what is closed once a gateway is cut off from the store, or an error where it is.
+func (f *spreadFleet) reaches(name string) (chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.cutOf(name)
+	select {
+	case <-c:
+		return nil, storer.ErrUnavailable
+	default:
+		return c, nil
+	}
+}
+
+// store returns the store as a gateway sees it: it can be cut off, and its watches can go silent.
+func (f *spreadFleet) store(name string) storer.Store {
 	store := f.platform.Store()
-	watch := store.Watch
+	get, list, put, watch := store.Get, store.List, store.Put, store.Watch
+	store.Get = func(ctx context.Context, key string) (storer.Object, error) {
+		if _, err := f.reaches(name); err != nil {
+			return storer.Object{}, err
+		}
+		return get(ctx, key)
+	}
+	store.List = func(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
+		if _, err := f.reaches(name); err != nil {
+			return nil, 0, err
+		}
+		return list(ctx, prefix)
+	}
+	store.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
+		if _, err := f.reaches(name); err != nil {
+			return 0, err
+		}
+		return put(ctx, key, value, expected)
+	}
 	store.Watch = func(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
+		cut, err := f.reaches(name)
+		if err != nil {
+			return err
+		}
 		f.mu.Lock()
 		silent := f.silent
 		f.mu.Unlock()
@@ -104,6 +162,10 @@
 		select {
 		case err := <-ended:
 			return err
+		case <-cut:
+			stop()
+			<-ended
+			return storer.ErrUnavailable
 		case <-silent:
 			stop()
 			<-ended
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -145,11 +145,11 @@
 	if u.peer == nil {
 		return u.direct.List(ctx, prefix)
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timed, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	message, err := u.gateway.fetch(ctx, u.peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
+	message, err := u.gateway.fetch(timed, u.peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
 	if err != nil {
-		return nil, 0, u.moved(err)
+		return nil, 0, u.failed(ctx, err)
 	}
 	u.cursor, u.epoch = message.GetCursor(), message.GetEpoch()
 	var out []storer.Object
@@ -159,8 +159,11 @@
 	return out, storer.Point(message.GetRevision()), nil
 }
 
-// moved passes the watcher over that failed; the caller holds mu.
-func (u *upstream) moved(err error) error {
+// failed passes the watcher over that did not answer, unless this daemon itself gave the call up; the caller holds mu.
+func (u *upstream) failed(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	u.bad[u.peer.Name] = u.gateway.Clock.Now().Add(badPeerTime)
 	u.gateway.Log.Info().Str("peer", u.peer.Name).Str("prefix", u.prefix).Err(err).Msg("watcher does not answer")
 	return errors.Mark(err, follower.ErrMoved)
@@ -217,18 +220,18 @@
 
 // next waits for the next changes of a watcher.
 func (u *upstream) next(ctx context.Context, peer *cataloger.Member) (*peerv1.GatewayObjects, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerWait+askTimeout)
+	timed, cancel := context.WithTimeout(ctx, peerWait+askTimeout)
 	defer cancel()
 	u.mu.Lock()
 	cursor, epoch := u.cursor, u.epoch
 	u.mu.Unlock()
-	message, err := u.gateway.fetch(ctx, peer.PeerAddress, changesPath, url.Values{
+	message, err := u.gateway.fetch(timed, peer.PeerAddress, changesPath, url.Values{
 		"prefix": {u.prefix}, "cursor": {strconv.FormatUint(cursor, 10)}, "epoch": {strconv.FormatUint(epoch, 10)},
 	})
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if err != nil {
-		return nil, u.moved(err)
+		return nil, u.failed(ctx, err)
 	}
 	u.cursor = message.GetCursor()
 	return message, nil
