Defer entries that a copy names only soon after the restore

A target that was dropped before a drill and is written again later than 6 s after it, under the same incarnation, waited for a minute, as the timer that applies what was deferred had run already. TestFleetDrillsAgainstAnOracle found it (a target not used on gateway 5 after two drills); TestTargetThatComesBackLongAfterADrill failed before.

--- a/internal/follower/era.go
+++ b/internal/follower/era.go
@@ -67,10 +67,12 @@
 	f.tombstones[o.Key] = tombstone{object: o, at: now}
 }
 
-// deleted tells whether an object of a later era says no more than what was dropped in an earlier one; the caller holds mu.
+// deleted tells whether an object that comes soon after a restore, in a later era, says no more than what was dropped in an earlier
+// one; the caller holds mu.
 func (f *Follower) deleted(o storer.Object) bool {
 	t, ok := f.tombstones[o.Key]
-	if !ok || f.Clock.Now().Sub(t.at) > tombstoneTime || o.Version.Era() <= t.object.Version.Era() {
+	now := f.Clock.Now()
+	if !ok || now.Sub(t.at) > tombstoneTime || now.Sub(f.restored) >= deferTime || o.Version.Era() <= t.object.Version.Era() {
 		return false
 	}
 	return f.Compare != nil && f.Compare(t.object, o) >= 0
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -216,6 +216,24 @@
 	}
 }
 
+// TestTargetThatComesBackLongAfterADrill guards against an entry that waits for ever, as it was dropped before a drill and is written
+// again after the time in which a copy may name it.
+func TestTargetThatComesBackLongAfterADrill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrill(t, func(f *Follower) { f.Compare = compareValues })
+		d.put(t, "servers/a", "1")
+		time.Sleep(10 * time.Second)
+		d.remove(t, "servers/a")
+		time.Sleep(time.Second)
+		require.NoError(t, d.platform.Restore(0))
+		time.Sleep(deferTime + time.Second)
+		require.Empty(t, d.known())
+		d.put(t, "servers/a", "1")
+		time.Sleep(time.Second)
+		require.Equal(t, map[string]string{"servers/a": "1"}, d.known())
+	})
+}
+
 // TestRevisionsThatAreGivenOutAgain guards against a watch that goes on in a new era from a revision of the one before, and so
 // misses what was written under the numbers in between.
 func TestRevisionsThatAreGivenOutAgain(t *testing.T) {
