--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -279,6 +279,13 @@
 	g.avoid[name] = true
 }
 
+// hasStarted reports whether the current send has delivered an event.
+func (g *generation) hasStarted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.started
+}
+
 func (g *generation) firstTarget() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -334,7 +341,8 @@
 // handleBrokenStream handles a stream that broke before its end.
 func (g *generation) handleBrokenStream(ctx context.Context, err error) (sendResult, *refuser.Refusal) {
 	g.events.prepareResume()
-	g.relayer.Log.Info().Str("request", g.request.ID).Str("last", g.events.last).Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
+	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", g.firstTarget()).Str("last", g.events.last).Bool("begun", g.hasStarted()).
+		Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
 	g.avoid[g.firstTarget()] = true
 	return sendRetry, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -112,7 +112,8 @@
 // logSent logs one send.
 func (r *Relayer) logSent(call Call, sendNumber int) {
 	r.Log.Info().Str("request", call.Request.ID).Str("target", call.Target.Name).Int("sending", sendNumber).Dur("left", call.Remaining).
-		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Str("path", pathText(call.Path)).Msg("request sent")
+		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Strs("parts", call.Request.PromptParts).
+		Str("path", pathText(call.Path)).Msg("request sent")
 }
 
 // pathText returns the targets of a path with their layers.
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -38,6 +38,10 @@
 	PromptTokens float64
 	MaxTokens    float64
 	HintTokens   float64
+	// Model is the model that a generation names; it may be empty.
+	Model string
+	// PromptParts are the IDs of the parts of a generation's prompt, in order. Requests share parts, except for the last one.
+	PromptParts []string
 	// ResumeAfter is the id of the last event that the client has; empty for a new stream.
 	ResumeAfter string
 }
