--- /dev/null
+++ b/internal/relayer/crash_test.go
@@ -0,0 +1,172 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	// deadlyPart crashes each target that begins to answer a request with it.
+	deadlyPart = "deadly"
+	// restartTime is how long a crashed target of a crashFleet is away.
+	restartTime = 3 * time.Second
+	// answerDelay is the time to the first event of a crashFleet, and answerTime that to its last one.
+	answerDelay = 100 * time.Millisecond
+	answerTime  = 600 * time.Millisecond
+)
+
+// crashFleet is a fleet of pipelines whose first targets crash on some requests.
+type crashFleet struct {
+	relayer *Relayer
+
+	mu sync.Mutex
+	// crashed is closed once the current incarnation of a target crashes.
+	crashed map[string]chan struct{}
+	down    map[string]bool
+	// deadly counts the sends of requests with deadlyPart, and crashes the targets that ended.
+	deadly  int
+	crashes int
+}
+
+// newCrashFleet returns a fleet of n first targets and as many second ones.
+func newCrashFleet(n int) *crashFleet {
+	f := &crashFleet{relayer: newTestRelayer(&fakeBackend{}), crashed: map[string]chan struct{}{}, down: map[string]bool{}}
+	f.relayer.Backend.Send = f.send
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		f.relayer.Targets.Remove(name)
+	}
+	for i := range n {
+		f.start(i, 1)
+		putTarget(f.relayer, fmt.Sprint("last-", i), cataloger.StateLive, 5, 10)
+	}
+	return f
+}
+
+func (f *crashFleet) start(i int, incarnation uint64) {
+	name := fmt.Sprint("first-", i)
+	f.mu.Lock()
+	f.crashed[name], f.down[name] = make(chan struct{}), false
+	f.mu.Unlock()
+	putIncarnation(f.relayer, name, incarnation, cataloger.StateLive, 0, 5)
+}
+
+// crash ends a target with all its requests until it restarts.
+func (f *crashFleet) crash(target cataloger.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[target.Name] {
+		return
+	}
+	f.down[target.Name] = true
+	f.crashes++
+	close(f.crashed[target.Name])
+	var i int
+	_, _ = fmt.Sscanf(target.Name, "first-%d", &i)
+	time.AfterFunc(restartTime, func() { f.start(i, target.Incarnation+1) })
+}
+
+func (f *crashFleet) send(ctx context.Context, call Call) (*Reply, error) {
+	f.mu.Lock()
+	crashed, down := f.crashed[call.Target.Name], f.down[call.Target.Name]
+	kills := false
+	for _, part := range call.Request.PromptParts {
+		kills = kills || part == deadlyPart
+	}
+	if kills && !down {
+		f.deadly++
+	}
+	f.mu.Unlock()
+	if down {
+		return nil, fmt.Errorf("%w: %w", exchanger.ErrNotSent, syscall.ECONNREFUSED)
+	}
+	reader, writer := io.Pipe()
+	go f.answer(ctx, call, writer, crashed, kills)
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: reader, Signed: true}, nil
+}
+
+// answer writes an answer of three events that continues after the last one delivered, unless its target crashes before.
+func (f *crashFleet) answer(ctx context.Context, call Call, w *io.PipeWriter, crashed chan struct{}, kills bool) {
+	next := 1
+	if _, err := fmt.Sscanf(call.ResumeAfter, "%d", &next); err == nil {
+		next++
+	}
+	for delay := answerDelay; next <= 3; next, delay = next+1, (answerTime-answerDelay)/2 {
+		select {
+		case <-time.After(delay):
+		case <-crashed:
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		case <-ctx.Done():
+			_ = w.CloseWithError(context.Cause(ctx))
+			return
+		}
+		if kills {
+			f.crash(call.Target)
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		_, _ = io.WriteString(w, eventRange(next, next))
+	}
+	_ = w.Close()
+}
+
+// play sends a sound request each 50 ms, with one of parts as its first part, and one with the deadly part each second. It
+// returns how many sound ones were not served at the first try.
+func (f *crashFleet) play(seconds int, deadly bool, parts int) (failed int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	request := func(i int, parts ...string) {
+		req := stream(true)
+		req.ID, req.PromptParts = fmt.Sprint("r", i), append(parts, fmt.Sprint("own-", i))
+		wg.Go(func() {
+			_, refusal, aborted := serve(f.relayer, req)
+			mu.Lock()
+			defer mu.Unlock()
+			if (refusal != nil || aborted) && len(parts) == 1 {
+				failed++
+			}
+		})
+	}
+	for i := range 20 * seconds {
+		request(2*i, fmt.Sprint("shared-", i%parts))
+		if deadly && i%20 == 10 {
+			request(2*i+1, "shared-0", deadlyPart)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	return failed
+}
+
+// TestRequestThatCrashesTargetsIsQuarantined guards against a request that is sent on, and repeated, after requests like it
+// have crashed their targets one after the other.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(4)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = f.relayer.Watch(ctx) }()
+		failed := f.play(30, true, 8)
+		require.LessOrEqual(t, f.crashes, 5, "crashes for one part")
+		require.LessOrEqual(t, f.deadly, 5+3, "sends of requests that crash targets")
+		require.Less(t, failed, 12, "of 600 sound requests, 2%% may fail")
+		req := stream(true)
+		req.PromptParts = []string{"shared-0", deadlyPart, "own"}
+		_, refusal, _ := serve(f.relayer, req)
+		require.Equal(t, refuser.FactNotRun, refusal.Fact)
+		require.Positive(t, refusal.RetryAfter)
+	})
+}
