Treat a target that refuses connections after one broke as crashed

Cause: a broken connection said nothing about its target, and a target that ended counted as one the request ran on until the list dropped it, 2.7 s later. Now one check a target asks whether its address refuses connections; if so, the target is lost at once, peers are told, and the send does not count. A target that only reset a connection, or cannot be reached, is treated as before, after 50 ms at most. Test: TestStreamSurvivesTwoCrashes; before, a stream ended after two broken sends whatever became of their targets (case 'breaks twice').

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -204,13 +205,7 @@
 		}
 		_ = c.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
-	defer cancel()
-	dial := e.Dial
-	if dial == nil {
-		dial = DialTCP
-	}
-	nc, err := dial(ctx, address)
+	nc, err := e.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -219,6 +214,26 @@
 	return c, nil
 }
 
+// dial opens a connection within DialTimeout.
+func (e *Exchanger) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	if e.Dial != nil {
+		return e.Dial(ctx, address)
+	}
+	return DialTCP(ctx, address)
+}
+
+// Refuses reports whether an address refuses connections, as no process listens there. It opens a connection and closes it.
+func (e *Exchanger) Refuses(ctx context.Context, address string) bool {
+	c, err := e.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
+
 // Read reads from the body; io.EOF means that the body is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -215,3 +215,15 @@
 	require.Equal(t, "ok", body)
 	require.Equal(t, int64(2), conns)
 }
+
+// TestRefuses: only an address at which no process listens refuses connections.
+func TestRefuses(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var e Exchanger
+	require.False(t, e.Refuses(t.Context(), l.Addr().String()))
+	require.NoError(t, l.Close())
+	require.True(t, e.Refuses(t.Context(), l.Addr().String()))
+	e.Dial = func(context.Context, string) (net.Conn, error) { return nil, context.DeadlineExceeded }
+	require.False(t, e.Refuses(t.Context(), l.Addr().String()), "silence is no refusal")
+}
--- /dev/null
+++ b/internal/relayer/crash.go
@@ -0,0 +1,88 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+const (
+	// crashCheckWait is how long a request waits to learn whether its target crashed, before it is sent elsewhere.
+	crashCheckWait = 50 * time.Millisecond
+	// crashCheckInterval is how long the result that a target runs holds.
+	crashCheckInterval = 250 * time.Millisecond
+	// maxCrashChecks bounds the results that are kept.
+	maxCrashChecks = 1024
+)
+
+// crashCheck is a check whether a target has crashed.
+type crashCheck struct {
+	incarnation uint64
+	startedAt   time.Time
+	// done is closed once crashed is known.
+	done    chan struct{}
+	crashed bool
+}
+
+// result returns whether the target crashed; known is false while the check runs.
+func (c *crashCheck) result() (crashed, known bool) {
+	select {
+	case <-c.done:
+		return c.crashed, true
+	default:
+		return false, false
+	}
+}
+
+// checkCrash returns the check whether a target whose connection broke has crashed, and starts it if there is no recent one.
+// A target that crashed refuses connections, while one that only reset some still accepts them, and one that can't be reached
+// does not answer.
+func (r *Relayer) checkCrash(t cataloger.Target) *crashCheck {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if c := r.crashChecks[t.Name]; c != nil && c.incarnation == t.Incarnation {
+		if crashed, known := c.result(); !known || crashed || now.Sub(c.startedAt) < crashCheckInterval {
+			return c
+		}
+	}
+	if len(r.crashChecks) >= maxCrashChecks {
+		clear(r.crashChecks)
+	}
+	c := &crashCheck{incarnation: t.Incarnation, startedAt: now, done: make(chan struct{})}
+	r.crashChecks[t.Name] = c
+	go func() {
+		defer close(c.done)
+		c.crashed = r.Backend.Refuses(context.Background(), t)
+		if c.crashed {
+			r.markLost(t, "it refuses connections after one broke")
+		}
+	}()
+	return c
+}
+
+// hasCrashed reports whether a target is known to have crashed.
+func (r *Relayer) hasCrashed(t cataloger.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.crashChecks[t.Name]
+	if c == nil || c.incarnation != t.Incarnation {
+		return false
+	}
+	crashed, _ := c.result()
+	return crashed
+}
+
+// handleBrokenConnection checks whether a target has crashed whose connection broke, and waits for the result for up to
+// crashCheckWait.
+func (r *Relayer) handleBrokenConnection(t cataloger.Target) {
+	check := r.checkCrash(t)
+	expired := make(chan struct{})
+	stop := r.Clock.AfterFunc(crashCheckWait, func() { close(expired) })
+	defer stop()
+	select {
+	case <-check.done:
+	case <-expired:
+	}
+}
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -44,7 +44,7 @@
 // newCrashFleet returns a fleet of n first targets and as many second ones.
 func newCrashFleet(n int) *crashFleet {
 	f := &crashFleet{relayer: newTestRelayer(&fakeBackend{}), crashed: map[string]chan struct{}{}, down: map[string]bool{}}
-	f.relayer.Backend.Send = f.send
+	f.relayer.Backend.Send, f.relayer.Backend.Refuses = f.send, f.refuses
 	for _, name := range []string{"a1", "a2", "b1", "b2"} {
 		f.relayer.Targets.Remove(name)
 	}
@@ -78,6 +78,12 @@
 	time.AfterFunc(restartTime, func() { f.start(i, target.Incarnation+1) })
 }
 
+func (f *crashFleet) refuses(_ context.Context, t cataloger.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down[t.Name]
+}
+
 func (f *crashFleet) send(ctx context.Context, call Call) (*Reply, error) {
 	f.mu.Lock()
 	crashed, down := f.crashed[call.Target.Name], f.down[call.Target.Name]
@@ -170,3 +176,56 @@
 		require.Positive(t, refusal.RetryAfter)
 	})
 }
+
+// TestStreamSurvivesTwoCrashes guards against a stream that ends although a target which crashed is not one of those that it
+// may run on, and against new requests to a target that refuses connections.
+func TestStreamSurvivesTwoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{
+			{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, body: eventRange(3, 3), err: errCut}, {status: 200, body: eventRange(4, 5)},
+		}, down: map[string]bool{"a1": true, "b1": true, "c1": true}}
+		r := newTestRelayer(f)
+		putTarget(r, "c1", cataloger.StateLive, 0, 5)
+		putTarget(r, "c2", cataloger.StateLive, 5, 10)
+		var lost []string
+		r.OnTargetLost = func(t cataloger.Target) { lost = append(lost, t.Name) }
+		w, refusal, aborted := serve(r, stream(true))
+		require.Nil(t, refusal)
+		require.False(t, aborted)
+		require.Equal(t, eventRange(1, 5), w.Body.String())
+		require.Equal(t, []string{f.calls[0].Target.Name, f.calls[1].Target.Name}, lost)
+		for _, name := range lost {
+			v, _ := r.Targets.Get(name)
+			require.True(t, v.Unreachable, "no request goes there")
+		}
+	})
+}
+
+// TestCrashCheckDoesNotDelayRepeats: a target that can't be reached gives no answer to the check, and the stream continues
+// elsewhere meanwhile.
+func TestCrashCheckDoesNotDelayRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, body: eventRange(3, 3)}}}
+		r := newTestRelayer(f)
+		checks := 0
+		r.Backend.Refuses = func(context.Context, cataloger.Target) bool {
+			checks++
+			time.Sleep(exchanger.DialTimeout)
+			return false
+		}
+		began := time.Now()
+		w, refusal, _ := serve(r, stream(true))
+		require.Nil(t, refusal)
+		require.Equal(t, eventRange(1, 3), w.Body.String())
+		require.Equal(t, crashCheckWait, time.Since(began))
+		for range 10 {
+			r.checkCrash(f.calls[0].Target)
+		}
+		time.Sleep(exchanger.DialTimeout)
+		require.Equal(t, 1, checks, "one check of a target at a time")
+		r.checkCrash(f.calls[0].Target)
+		synctest.Wait()
+		require.Equal(t, 2, checks)
+		time.Sleep(exchanger.DialTimeout)
+	})
+}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -146,13 +146,14 @@
 	}
 }
 
-// countSend counts a send that has ended, and whether it may have run on its first stage.
+// countSend counts a send that has ended, and whether it may have run on a first stage that is still there.
 func (g *generation) countSend(first cataloger.Target, ran bool) {
 	v, ok := g.relayer.Targets.Get(first.Name)
+	isThere := ok && v.Incarnation == first.Incarnation && !g.relayer.hasCrashed(first)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sends++
-	if ran && ok && v.Incarnation == first.Incarnation {
+	if ran && isThere {
 		g.runs++
 	}
 }
@@ -192,8 +193,9 @@
 	r.logSent(call, g.sends+1)
 	reply, err := r.Backend.Send(ctx, call)
 	if err != nil {
+		refusal := g.handleSendError(ctx, first.Target, err)
 		g.countSend(first.Target, !errors.Is(err, exchanger.ErrNotSent))
-		return g.handleSendError(ctx, first.Target, err)
+		return sendRetry, refusal
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun {
@@ -201,15 +203,15 @@
 		return sendRetry, g.handleRefusal(first.Target, reply)
 	}
 	g.mayHaveRun = true
-	result, refusal := g.handleReply(ctx, reply)
+	result, refusal := g.handleReply(ctx, first.Target, reply)
 	g.countSend(first.Target, true)
 	return result, refusal
 }
 
 // handleReply handles the answer of a target that ran the request.
-func (g *generation) handleReply(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
+func (g *generation) handleReply(ctx context.Context, first cataloger.Target, reply *Reply) (sendResult, *refuser.Refusal) {
 	if reply.IsSignedSuccess() {
-		return g.relay(ctx, reply)
+		return g.relay(ctx, first, reply)
 	}
 	return g.handleFailure(reply)
 }
@@ -218,13 +220,16 @@
 func (r *Relayer) servesWholeModel(req *Request) bool { return req.Service.Engine.Layers == 0 }
 
 // handleSendError handles a send that brought no answer.
-func (g *generation) handleSendError(ctx context.Context, first cataloger.Target, err error) (sendResult, *refuser.Refusal) {
+func (g *generation) handleSendError(ctx context.Context, first cataloger.Target, err error) *refuser.Refusal {
 	if errors.Is(err, exchanger.ErrNotSent) {
 		if ctx.Err() == nil {
 			g.relayer.recordFailure(first, err.Error())
 			g.avoid[first.Name] = true
 		}
-		return sendRetry, refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
+		return refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
+	}
+	if ctx.Err() == nil {
+		g.relayer.handleBrokenConnection(first)
 	}
 	g.mayHaveRun = true
 	g.avoid[first.Name] = true
@@ -232,7 +237,7 @@
 		g.relayer.Targets.RecordAnswer(first.Name, false)
 	}
 	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Err(err).Msg("no answer")
-	return sendRetry, refuser.New(refuser.StreamLost, "no answer from %s: %s", first.Name, err)
+	return refuser.New(refuser.StreamLost, "no answer from %s: %s", first.Name, err)
 }
 
 // handleRefusal handles a target's proof that it did not run the request.
@@ -293,7 +298,7 @@
 }
 
 // relay forwards the events of an answer as they arrive.
-func (g *generation) relay(ctx context.Context, reply *Reply) (sendResult, *refuser.Refusal) {
+func (g *generation) relay(ctx context.Context, first cataloger.Target, reply *Reply) (sendResult, *refuser.Refusal) {
 	flusher := http.NewResponseController(g.w)
 	buffer := make([]byte, readBuffer)
 	for {
@@ -316,12 +321,15 @@
 		}
 		switch {
 		case !intact:
-			return g.handleBrokenStream(ctx, errors.New("events are missing, or too long"))
+			return g.handleBrokenStream(ctx, first, errors.New("events are missing, or too long"))
 		case errors.Is(err, io.EOF) && !g.events.inEvent():
 			g.writeHead(reply)
 			return sendDone, nil
 		case err != nil:
-			return g.handleBrokenStream(ctx, err)
+			if ctx.Err() == nil {
+				g.relayer.handleBrokenConnection(first)
+			}
+			return g.handleBrokenStream(ctx, first, err)
 		}
 	}
 }
@@ -339,11 +347,11 @@
 }
 
 // handleBrokenStream handles a stream that broke before its end.
-func (g *generation) handleBrokenStream(ctx context.Context, err error) (sendResult, *refuser.Refusal) {
+func (g *generation) handleBrokenStream(ctx context.Context, first cataloger.Target, err error) (sendResult, *refuser.Refusal) {
 	g.events.prepareResume()
-	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", g.firstTarget()).Str("last", g.events.last).Bool("begun", g.hasStarted()).
-		Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
-	g.avoid[g.firstTarget()] = true
+	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Str("last", g.events.last).Bool("begun", g.hasStarted()).
+		Bool("crashed", g.relayer.hasCrashed(first)).Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
+	g.avoid[first.Name] = true
 	return sendRetry, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -50,6 +50,7 @@
 	rationers      map[string]*rationer.Rationer
 	streams        map[*generation]struct{}
 	lastQueried    map[string]time.Time
+	crashChecks    map[string]*crashCheck
 	returnDetector returnDetector
 	// typicalFirstWait is the typical wait for a first event, in nanoseconds.
 	typicalFirstWait atomic.Int64
@@ -74,6 +75,7 @@
 		rationers:       map[string]*rationer.Rationer{},
 		streams:         map[*generation]struct{}{},
 		lastQueried:     map[string]time.Time{},
+		crashChecks:     map[string]*crashCheck{},
 	}
 	r.typicalFirstWait.Store(int64(maxFirstEventTimeout / firstEventTimeoutFactor))
 	return r
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -53,6 +53,8 @@
 	heed func(cataloger.Target, Notice)
 	// stalled is what reports contain.
 	stalled []StalledRequest
+	// down holds the targets that refuse connections.
+	down map[string]bool
 }
 
 func (f *fakeBackend) send(ctx context.Context, call Call) (*Reply, error) {
@@ -102,6 +104,11 @@
 			f.repaths = append(f.repaths, path)
 			return RepathDone, "", nil
 		},
+		Refuses: func(_ context.Context, t cataloger.Target) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.down[t.Name]
+		},
 		Report: func(context.Context, cataloger.Target) (Report, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -148,6 +148,8 @@
 	// Repath asks the first stage of a request in progress to continue over another path with the same first stage;
 	// address names the stage that refused.
 	Repath func(ctx context.Context, first cataloger.Target, requestID string, path []cataloger.Stage) (result RepathResult, address string, err error)
+	// Refuses reports whether the address of a target refuses connections, as no process listens there.
+	Refuses func(ctx context.Context, target cataloger.Target) bool
 	// Report asks a target for its state.
 	Report func(ctx context.Context, target cataloger.Target) (Report, error)
 }
