Quarantine the parts of prompts under which targets crash

Cause: nothing connected the loss of a target with the request that it was about to answer. The request was repeated on the next target, and the next one with the part was sent like any other. The class of fault: a failure that the request carries with it was taken for a failure of the target, and the remedy for the latter, another target, spread it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,6 +248,8 @@
 	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
 	r.OnTargetLost = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
 	r.OnTargetLeaving = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
+	r.OnEvidence = g.gossiper.NotifyUrgent
+	r.Quarantiner.Log, r.Quarantiner.TrialRank = g.Log, g.trialRank
 
 	g.orderer.Log = g.Log
 	g.orderer.Services = func() []matcher.Service {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -40,6 +40,7 @@
 	for _, p := range latest(g.targets.Paces(), func(p assessor.Pace) time.Time { return p.At }) {
 		n.Paces = append(n.Paces, &peerv1.TargetPace{Target: p.Target, Pace: float32(p.Pace), AgeMs: ageMS(now, p.At)})
 	}
+	n.Evidence = g.evidence(now)
 	if !all {
 		return n
 	}
@@ -94,7 +95,7 @@
 }
 
 // handleUpdate applies the update of another daemon, unless a later process has taken its name. It reports whether the
-// update marks a target lost or leaving that was not so before.
+// update marks a target lost or leaving that was not so before, or holds new evidence of a crash.
 func (g *Gateway) handleUpdate(peer string, n *peerv1.GatewayUpdate) (urgent bool) {
 	now := g.Clock.Now()
 	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
@@ -124,6 +125,9 @@
 	for _, p := range n.GetPaces() {
 		g.targets.SetPace(p.GetTarget(), float64(p.GetPace()), since(p.GetAgeMs()))
 	}
+	for _, e := range n.GetEvidence() {
+		urgent = g.relayer.Quarantiner.Merge(decodeEvidence(now, e)) || urgent
+	}
 	for _, p := range n.GetOrders() {
 		g.orderer.MergePending(orderer.Pending{
 			Target: p.GetTarget(), Incarnation: p.GetIncarnation(), First: p.GetFirstLayer(), End: p.GetEndLayer(),
--- /dev/null
+++ b/internal/quarantiner/doc.go
@@ -0,0 +1,2 @@
+// Package quarantiner decides from crashes of targets which requests must not be sent to targets for a while.
+package quarantiner
--- /dev/null
+++ b/internal/quarantiner/quarantiner.go
@@ -0,0 +1,422 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// minCrashes is the number of separate crashes after which a key that was never answered is quarantined, and
+	// minAnsweredCrashes that of one which was answered before them. minRequests is the number of requests in them, unless
+	// no other key was at all of these crashes: a request and its repeat may both meet targets that another one crashes.
+	minCrashes         = 2
+	minAnsweredCrashes = 4
+	minRequests        = 2
+	// jointCrashWindow is the time within which crashes of several targets count as one: they have a common cause, such as
+	// a rack.
+	jointCrashWindow = 50 * time.Millisecond
+	// suspicionRetention is how long crashes count for a key that is not quarantined.
+	suspicionRetention = 10 * time.Minute
+	// quarantineRetention is how long a quarantine that has ended is remembered, so that the next one is longer.
+	quarantineRetention = 48 * time.Hour
+	// clearedRetention is how long a key that was proved harmless is reported to other daemons.
+	clearedRetention = 10 * time.Second
+	// trialTimeout is the time after which a trial without an outcome may be repeated, and trialStagger the time between the
+	// daemons that may make it, as requests with the key may not come to the first one.
+	trialTimeout = 10 * time.Second
+	trialStagger = time.Second
+	// skewTolerance is the difference up to which the times that two daemons name for one event are the same.
+	skewTolerance = 500 * time.Millisecond
+	// These bound the memory: keys with crashes, targets that crashed with a key, requests with it at one crash, and keys that
+	// were answered.
+	maxSuspects = 512
+	maxTargets  = 6
+	maxRequests = 2
+	maxAnswered = 8192
+)
+
+// quarantineTimes are the durations of a quarantine after the least number of crashes and after each further one.
+var quarantineTimes = []time.Duration{30 * time.Second, 5 * time.Minute, 30 * time.Minute, 24 * time.Hour}
+
+// Verdict says how a request may be sent.
+type Verdict int
+
+const (
+	// Clear means that the request may be sent.
+	Clear Verdict = iota
+	// Suspect means that the request may be sent once, but not repeated: it may be the one that crashes targets.
+	Suspect
+	// Quarantined means that the request must not be sent.
+	Quarantined
+)
+
+// Decision says how a request may be sent.
+type Decision struct {
+	Verdict Verdict
+	// Wait is the time until a quarantined request may be sent again.
+	Wait time.Duration
+	// Trial is true for the request that is admitted to end a quarantine.
+	Trial bool
+	// Index is the position of the key that is quarantined among the keys of the request.
+	Index int
+}
+
+// suspect is a key with crashes.
+type suspect struct {
+	evidence Evidence
+	// changedAt is when the evidence last changed.
+	changedAt time.Time
+	// crashes are the separate crashes that count against the key, and countedAt the time of the last one.
+	crashes   int
+	countedAt time.Time
+	// reported is the largest number of crashes that other daemons were told of without delay.
+	reported int
+	// quarantined is true once the crashes are enough for a quarantine.
+	quarantined bool
+}
+
+// takeNews reports whether other daemons must be told of the crashes without delay, once for each number of crashes.
+func (s *suspect) takeNews() bool {
+	if s == nil || s.crashes <= s.reported {
+		return false
+	}
+	s.reported = s.crashes
+	return true
+}
+
+// Quarantiner tracks keys with crashes; set its exported fields before use. It is safe for concurrent use.
+type Quarantiner struct {
+	Now func() time.Time
+	// TrialRank returns the position of this daemon among those that may make a trial for a key; nil means that it is first.
+	TrialRank func(k Key) int
+	Log       zerolog.Logger
+
+	mu       sync.Mutex
+	suspects map[Key]*suspect
+	answered answeredTimes
+}
+
+// New returns a quarantiner without evidence.
+func New(now func() time.Time) *Quarantiner {
+	return &Quarantiner{Now: now, Log: zerolog.Nop(), suspects: map[Key]*suspect{}}
+}
+
+// Admit decides how a request with keys may be sent. It admits one request as a trial after the end of a quarantine.
+func (q *Quarantiner) Admit(keys []Key) Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now, verdict := q.Now(), Clear
+	var trials []*suspect
+	for i, k := range keys {
+		s := q.suspects[k]
+		if s == nil {
+			continue
+		}
+		if s.quarantined {
+			if wait := q.untilTrial(s, now); wait > 0 {
+				return Decision{Verdict: Quarantined, Wait: wait, Index: i}
+			}
+			trials = append(trials, s)
+		}
+		verdict = max(verdict, s.verdict(now))
+	}
+	for _, s := range trials {
+		s.evidence.TrialAt, s.changedAt = now, now
+		q.Log.Info().Uint64("key", uint64(s.evidence.Key)).Int("crashes", s.crashes).Msg("trial of a quarantined request")
+	}
+	return Decision{Verdict: verdict, Trial: len(trials) > 0}
+}
+
+// MayRepeat reports whether a request with keys may be sent a second time after a crash.
+func (q *Quarantiner) MayRepeat(keys []Key) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	return !slices.ContainsFunc(keys, func(k Key) bool {
+		s := q.suspects[k]
+		return s != nil && s.verdict(now) != Clear
+	})
+}
+
+// IsQuarantined reports whether a request with keys must not be sent now.
+func (q *Quarantiner) IsQuarantined(keys []Key) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	return slices.ContainsFunc(keys, func(k Key) bool {
+		s := q.suspects[k]
+		return s != nil && s.quarantined && q.untilTrial(s, now) > 0
+	})
+}
+
+// verdict returns how a request with the key may be sent, apart from the time of a quarantine.
+func (s *suspect) verdict(now time.Time) Verdict {
+	switch {
+	case s.quarantined, s.crashes > 0 && s.evidence.AnsweredAt.IsZero() && now.Sub(s.countedAt) < suspicionRetention:
+		return Suspect
+	}
+	return Clear
+}
+
+// untilTrial returns the time until this daemon may send a request with a quarantined key.
+func (q *Quarantiner) untilTrial(s *suspect, now time.Time) time.Duration {
+	from := s.countedAt.Add(s.quarantineTime())
+	if now.Before(from) {
+		return from.Sub(now)
+	}
+	if q.TrialRank != nil {
+		from = from.Add(time.Duration(q.TrialRank(s.evidence.Key)) * trialStagger)
+	}
+	if !s.evidence.TrialAt.IsZero() {
+		if again := s.evidence.TrialAt.Add(trialTimeout); again.After(from) {
+			from = again
+		}
+	}
+	return max(from.Sub(now), 0)
+}
+
+func (s *suspect) quarantineTime() time.Duration {
+	n := s.crashes - s.evidence.needed()
+	return quarantineTimes[min(max(n, 0), len(quarantineTimes)-1)]
+}
+
+// needed returns the number of separate crashes after which the key is quarantined.
+func (e Evidence) needed() int {
+	if e.AnsweredAt.IsZero() {
+		return minCrashes
+	}
+	return minAnsweredCrashes
+}
+
+// RecordAnswered records that a request with keys was answered, which proves all of them harmless.
+func (q *Quarantiner) RecordAnswered(keys []Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now, changed := q.Now(), false
+	for _, k := range keys {
+		q.answered.set(k, now)
+		if s := q.suspects[k]; s != nil && len(s.evidence.unanswered()) > 0 {
+			s.evidence.AnsweredAt, s.changedAt, changed = now, now, true
+		}
+	}
+	if changed {
+		q.assess(now)
+	}
+}
+
+// RecordCrash records the crash of a target while it ran a request with keys that had not been answered, the keys in the
+// order in which fewer and fewer requests share them. It reports whether other daemons must be told without delay.
+func (q *Quarantiner) RecordCrash(keys []Key, target, request uint32) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	for depth, k := range keys {
+		q.addCrash(k, Crash{Target: target, Request: request, Depth: uint32(depth), At: now}, now)
+	}
+	q.assess(now)
+	news := false
+	for _, k := range keys {
+		news = q.suspects[k].takeNews() || news
+	}
+	return news
+}
+
+// addCrash adds a crash to the evidence against a key; the caller holds mu.
+func (q *Quarantiner) addCrash(k Key, c Crash, now time.Time) {
+	s := q.suspects[k]
+	if s == nil {
+		s = &suspect{evidence: Evidence{Key: k}}
+	}
+	evidence, added := s.evidence.addCrash(c)
+	if !added {
+		return
+	}
+	if answered := q.answered.get(k); answered.After(evidence.AnsweredAt) {
+		evidence.AnsweredAt = answered
+	}
+	s.evidence, s.changedAt = evidence, now
+	q.suspects[k] = s
+}
+
+// Merge adds the evidence of another daemon and reports whether further daemons must be told of it without delay.
+func (q *Quarantiner) Merge(e Evidence) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	s := q.suspects[e.Key]
+	if s == nil && len(e.unanswered()) == 0 {
+		// A key that was proved harmless is of no interest to daemons that did not suspect it.
+		return false
+	}
+	for _, c := range e.Crashes {
+		q.addCrash(e.Key, c, now)
+	}
+	s = q.suspects[e.Key]
+	if len(s.evidence.unanswered()) > 0 && later(s.evidence.AnsweredAt, e.AnsweredAt) {
+		s.evidence.AnsweredAt, s.changedAt = e.AnsweredAt, now
+		q.answered.set(e.Key, e.AnsweredAt)
+	}
+	if later(s.evidence.TrialAt, e.TrialAt) {
+		s.evidence.TrialAt, s.changedAt = e.TrialAt, now
+	}
+	if s.changedAt.Equal(now) {
+		q.assess(now)
+	}
+	return q.suspects[e.Key].takeNews()
+}
+
+// later reports whether the time that another daemon names is later than the known one, and not the same event.
+func later(known, named time.Time) bool {
+	return !named.IsZero() && (known.IsZero() || named.Sub(known) > skewTolerance)
+}
+
+// Evidence returns what other daemons must know, quarantined keys first, then those with the most crashes and those that
+// changed last, up to n.
+func (q *Quarantiner) Evidence(n int) []Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	var found []*suspect
+	for _, s := range q.suspects {
+		if !s.expired(now) {
+			found = append(found, s)
+		}
+	}
+	slices.SortFunc(found, func(a, b *suspect) int {
+		if a.quarantined != b.quarantined {
+			if a.quarantined {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), b.changedAt.Compare(a.changedAt), cmp.Compare(a.evidence.Key, b.evidence.Key))
+	})
+	var out []Evidence
+	for _, s := range found[:min(n, len(found))] {
+		out = append(out, s.evidence)
+	}
+	return out
+}
+
+// Quarantines returns the number of keys that are quarantined now.
+func (q *Quarantiner) Quarantines() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now, n := q.Now(), 0
+	for _, s := range q.suspects {
+		if s.quarantined && q.untilTrial(s, now) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// assess decides anew which keys are quarantined, after a change of the evidence; the caller holds mu.
+func (q *Quarantiner) assess(now time.Time) {
+	// A crash counts against the deepest quarantined key of its request only: it explains the crash, and the keys before it
+	// are shared with requests that are harmless.
+	type cause struct{ target, request uint32 }
+	explained := map[cause]uint32{}
+	all := q.deepestFirst()
+	for _, s := range all {
+		var counted []Crash
+		for _, c := range s.evidence.unanswered() {
+			if depth, ok := explained[cause{c.Target, c.Request}]; !ok || depth <= c.Depth {
+				counted = append(counted, c)
+			}
+		}
+		separate, requests := count(counted)
+		quarantined := separate >= s.evidence.needed() && (requests >= minRequests || !hasRival(s, counted, all))
+		s.crashes, s.countedAt = separate, time.Time{}
+		if len(counted) > 0 {
+			s.countedAt = counted[len(counted)-1].At
+		} else {
+			s.reported = 0
+		}
+		if quarantined {
+			for _, c := range counted {
+				explained[cause{c.Target, c.Request}] = c.Depth
+			}
+		}
+		if quarantined != s.quarantined {
+			q.Log.Warn().Uint64("key", uint64(s.evidence.Key)).Bool("quarantined", quarantined).Int("crashes", separate).
+				Int("requests", requests).Msg("quarantine changed")
+		}
+		s.quarantined = quarantined
+	}
+	q.prune(now)
+}
+
+// hasRival reports whether another key, of other requests and as little proved harmless, was at all crashes that count
+// against a key.
+func hasRival(s *suspect, counted []Crash, all []*suspect) bool {
+	return slices.ContainsFunc(all, func(o *suspect) bool {
+		if o == s || o.evidence.needed() > s.evidence.needed() {
+			return false
+		}
+		others := o.evidence.unanswered()
+		return !slices.ContainsFunc(counted, func(c Crash) bool {
+			return !slices.ContainsFunc(others, func(other Crash) bool { return other.Target == c.Target && other.Request != c.Request })
+		})
+	})
+}
+
+// deepestFirst returns the suspects in an order in which the keys that explain a crash come before those that they excuse.
+func (q *Quarantiner) deepestFirst() []*suspect {
+	depth := func(s *suspect) uint32 {
+		deepest := uint32(0)
+		for _, c := range s.evidence.Crashes {
+			deepest = max(deepest, c.Depth)
+		}
+		return deepest
+	}
+	all := make([]*suspect, 0, len(q.suspects))
+	for _, s := range q.suspects {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(depth(b), depth(a)), cmp.Compare(a.evidence.Key, b.evidence.Key))
+	})
+	return all
+}
+
+// prune drops evidence that no longer counts, and the oldest beyond maxSuspects, quarantined keys last.
+func (q *Quarantiner) prune(now time.Time) {
+	for k, s := range q.suspects {
+		if s.expired(now) {
+			delete(q.suspects, k)
+		}
+	}
+	for len(q.suspects) > maxSuspects {
+		var oldest *suspect
+		for _, s := range q.suspects {
+			if oldest == nil || s.isDroppedBefore(oldest) {
+				oldest = s
+			}
+		}
+		delete(q.suspects, oldest.evidence.Key)
+	}
+}
+
+// expired reports whether the evidence no longer counts. The crashes themselves decide, so that it does not return from
+// daemons that drop it later.
+func (s *suspect) expired(now time.Time) bool {
+	switch {
+	case s.quarantined:
+		return now.Sub(s.countedAt) > s.quarantineTime()+quarantineRetention
+	case len(s.evidence.unanswered()) == 0:
+		return now.Sub(s.changedAt) > clearedRetention
+	}
+	return now.Sub(s.evidence.lastCrash()) > suspicionRetention
+}
+
+func (s *suspect) isDroppedBefore(o *suspect) bool {
+	if s.quarantined != o.quarantined {
+		return o.quarantined
+	}
+	return cmp.Or(s.evidence.lastCrash().Compare(o.evidence.lastCrash()), cmp.Compare(s.evidence.Key, o.evidence.Key)) < 0
+}
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 )
 
 const (
@@ -74,15 +75,33 @@
 	return crashed
 }
 
-// handleBrokenConnection checks whether a target has crashed whose connection broke, and waits for the result for up to
-// crashCheckWait.
-func (r *Relayer) handleBrokenConnection(t cataloger.Target) {
+// handleBrokenConnection checks whether a target whose connection broke has crashed, and waits for the result for up to
+// crashCheckWait. It records the crash against keys, those of a request that the target had not answered.
+func (r *Relayer) handleBrokenConnection(t cataloger.Target, keys []quarantiner.Key, request uint32) {
 	check := r.checkCrash(t)
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		<-check.done
+		if check.crashed {
+			r.recordCrash(t, keys, request)
+		}
+	}()
 	expired := make(chan struct{})
 	stop := r.Clock.AfterFunc(crashCheckWait, func() { close(expired) })
 	defer stop()
 	select {
-	case <-check.done:
+	case <-recorded:
 	case <-expired:
 	}
 }
+
+// recordCrash records that a target crashed with a request that it had not answered, unless it was leaving.
+func (r *Relayer) recordCrash(t cataloger.Target, keys []quarantiner.Key, request uint32) {
+	if v, ok := r.Targets.Get(t.Name); ok && v.Incarnation == t.Incarnation && v.SinceLeaving > 0 {
+		return
+	}
+	if r.Quarantiner.RecordCrash(keys, quarantiner.TargetID(t.Name, t.Incarnation), request) {
+		r.OnEvidence()
+	}
+}
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -129,32 +130,36 @@
 	_ = w.Close()
 }
 
-// play sends a sound request each 50 ms, with one of parts as its first part, and one with the deadly part each second. It
-// returns how many sound ones were not served at the first try.
-func (f *crashFleet) play(seconds int, deadly bool, parts int) (failed int) {
+// play sends a sound request each 50 ms, with one of parts as its first part, and calls each before it with its number. It
+// returns how many of the sound requests were not served at the first try, and how many of them were quarantined.
+func (f *crashFleet) play(seconds, parts int, each func(i int)) (failed, quarantined int) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	request := func(i int, parts ...string) {
-		req := stream(true)
-		req.ID, req.PromptParts = fmt.Sprint("r", i), append(parts, fmt.Sprint("own-", i))
+	for i := range 20 * seconds {
+		each(i)
 		wg.Go(func() {
-			_, refusal, aborted := serve(f.relayer, req)
+			refusal, aborted := f.request(i, fmt.Sprint("shared-", i%parts))
 			mu.Lock()
 			defer mu.Unlock()
-			if (refusal != nil || aborted) && len(parts) == 1 {
+			if refusal != nil || aborted {
 				failed++
 			}
+			if refusal != nil && refusal.Code == refuser.Quarantined {
+				quarantined++
+			}
 		})
-	}
-	for i := range 20 * seconds {
-		request(2*i, fmt.Sprint("shared-", i%parts))
-		if deadly && i%20 == 10 {
-			request(2*i+1, "shared-0", deadlyPart)
-		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	wg.Wait()
-	return failed
+	return failed, quarantined
+}
+
+// request sends a request whose prompt has parts and one of its own.
+func (f *crashFleet) request(i int, parts ...string) (refusal *refuser.Refusal, aborted bool) {
+	req := stream(true)
+	req.ID, req.PromptParts = fmt.Sprint(parts, i), append(parts, fmt.Sprint("own-", parts, i))
+	_, refusal, aborted = serve(f.relayer, req)
+	return refusal, aborted
 }
 
 // TestRequestThatCrashesTargetsIsQuarantined guards against a request that is sent on, and repeated, after requests like it
@@ -165,18 +170,84 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = f.relayer.Watch(ctx) }()
-		failed := f.play(30, true, 8)
+		failed, quarantined := f.play(30, 8, func(i int) {
+			if i%20 == 10 {
+				go func() { _, _ = f.request(i, "shared-0", deadlyPart) }()
+			}
+		})
 		require.LessOrEqual(t, f.crashes, 5, "crashes for one part")
 		require.LessOrEqual(t, f.deadly, 5+3, "sends of requests that crash targets")
 		require.Less(t, failed, 12, "of 600 sound requests, 2%% may fail")
-		req := stream(true)
-		req.PromptParts = []string{"shared-0", deadlyPart, "own"}
-		_, refusal, _ := serve(f.relayer, req)
+		require.Zero(t, quarantined, "of the sound requests")
+		refusal, _ := f.request(1000, "shared-0", deadlyPart)
+		require.Equal(t, refuser.Quarantined, refusal.Code)
+		require.Contains(t, refusal.Message, deadlyPart)
 		require.Equal(t, refuser.FactNotRun, refusal.Fact)
 		require.Positive(t, refusal.RetryAfter)
 	})
 }
 
+// TestCrashesForOtherReasonsQuarantineNobody guards against sound requests that are refused since they were on targets which
+// crashed for another reason: single ones, the same one over and over, and several together as a rack does.
+func TestCrashesForOtherReasonsQuarantineNobody(t *testing.T) {
+	for _, parts := range []int{1, 8, 60, 600} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newCrashFleet(8)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = f.relayer.Watch(ctx) }()
+			crash := func(n int) {
+				if v, ok := f.relayer.Targets.Get(fmt.Sprint("first-", n)); ok {
+					f.crash(v.Target)
+				}
+			}
+			failed, quarantined := f.play(60, parts, func(i int) {
+				switch {
+				case i%20 == 5:
+					crash(i / 20 % 8)
+				case i%100 == 50:
+					for n := range 4 {
+						crash(n)
+					}
+				case i > 600 && i%70 == 0:
+					crash(7)
+				}
+			})
+			require.Greater(t, f.crashes, 60)
+			require.Zero(t, quarantined, "with %d shared parts", parts)
+			if parts < 600 {
+				// Requests with parts that nobody has answered yet are not repeated after a crash.
+				require.Less(t, failed, 60, "of 1,200 requests, with %d shared parts", parts)
+			}
+		})
+	}
+}
+
+// TestRequestsInProgressAreQuarantined: a request that has not begun when others like it have crashed their targets is ended
+// before it crashes its own.
+func TestRequestsInProgressAreQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{hang: true}}}
+		r := newTestRelayer(f)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Watch(ctx) }()
+		req := stream(true)
+		req.PromptParts = []string{deadlyPart, "own"}
+		began := time.Now()
+		go func() {
+			for i := range uint32(2) {
+				time.Sleep(time.Second)
+				r.Quarantiner.RecordCrash(req.keys(), i, i)
+			}
+		}()
+		_, refusal, _ := serve(r, req)
+		require.Equal(t, refuser.FactMayHaveRun, refusal.Fact)
+		require.Len(t, f.calls, 1)
+		require.LessOrEqual(t, time.Since(began), 2*time.Second+2*watchInterval)
+	})
+}
+
 // TestStreamSurvivesTwoCrashes guards against a stream that ends although a target which crashed is not one of those that it
 // may run on, and against new requests to a target that refuses connections.
 func TestStreamSurvivesTwoCrashes(t *testing.T) {
@@ -207,9 +278,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeBackend{scripts: []script{{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, body: eventRange(3, 3)}}}
 		r := newTestRelayer(f)
-		checks := 0
+		var checks atomic.Int64
 		r.Backend.Refuses = func(context.Context, cataloger.Target) bool {
-			checks++
+			checks.Add(1)
 			time.Sleep(exchanger.DialTimeout)
 			return false
 		}
@@ -222,10 +293,10 @@
 			r.checkCrash(f.calls[0].Target)
 		}
 		time.Sleep(exchanger.DialTimeout)
-		require.Equal(t, 1, checks, "one check of a target at a time")
+		require.EqualValues(t, 1, checks.Load(), "one check of a target at a time")
 		r.checkCrash(f.calls[0].Target)
 		synctest.Wait()
-		require.Equal(t, 2, checks)
+		require.EqualValues(t, 2, checks.Load())
 		time.Sleep(exchanger.DialTimeout)
 	})
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -26,12 +27,17 @@
 	pathWait = 1500 * time.Millisecond
 	// noPathRetry is the minimum retry delay if nobody holds some layers: about the time of a load.
 	noPathRetry = time.Second
+	// provingTime is how long an answer continues after its first event until its request counts as harmless to targets.
+	provingTime = 250 * time.Millisecond
 	readBuffer  = 16 << 10
 )
 
 // errRequestLost ends a send that its first target seems to have lost.
 var errRequestLost = errors.New("the target does not begin")
 
+// errQuarantined ends a send that would crash its target.
+var errQuarantined = errors.New("requests like this one crash targets")
+
 // errMoved ends a send so that its stream continues on another pipeline.
 var errMoved = errors.New("stream is moved to another pipeline")
 
@@ -40,7 +46,9 @@
 	relayer *Relayer
 	request *Request
 	w       http.ResponseWriter
-	events  events
+	// keys identify the parts of the prompt that may crash targets.
+	keys   []quarantiner.Key
+	events events
 	// headWritten is true once the head of the answer was written.
 	headWritten bool
 	// mayHaveRun is true once the request may have run on some target.
@@ -58,6 +66,12 @@
 	deliveredAt time.Time
 	meanGap     time.Duration
 	started     bool
+	// firstEventAt is when the current send delivered its first event, and harmless is true once a send has proved that the
+	// request does not crash targets.
+	firstEventAt time.Time
+	harmless     bool
+	// trial is true if the current send was admitted to end a quarantine.
+	trial bool
 	// sendStarted is when the current send began.
 	sendStarted time.Time
 	// retryPrepaid is true if the next send was already taken out of the budget.
@@ -86,7 +100,7 @@
 // generate relays a request over pipelines until its answer is complete.
 func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
 	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
-	g := &generation{relayer: r, request: req, w: w, avoid: map[string]bool{}}
+	g := &generation{relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
 	refusal := jitterRetryAfter(g.run(ctx))
@@ -112,6 +126,9 @@
 func (g *generation) run(ctx context.Context) *refuser.Refusal {
 	r, req := g.relayer, g.request
 	for repeat := false; ; repeat = true {
+		if refusal := g.admit(); refusal != nil {
+			return g.finalRefusal(ctx, refusal)
+		}
 		path, ok := g.findPath(ctx)
 		if !ok {
 			return g.finalRefusal(ctx, refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(req.demand())).WithRetryAfter(max(r.Chooser.RetryAfter(req.demand()), noPathRetry)))
@@ -131,6 +148,21 @@
 	}
 }
 
+// admit returns a refusal if the request must not be sent, as requests like it crash targets.
+func (g *generation) admit() *refuser.Refusal {
+	d := g.relayer.Quarantiner.Admit(g.keys)
+	g.mu.Lock()
+	g.trial = d.Trial
+	g.mu.Unlock()
+	if d.Trial {
+		g.relayer.OnEvidence()
+	}
+	if d.Verdict != quarantiner.Quarantined {
+		return nil
+	}
+	return refuser.New(refuser.Quarantined, "requests with part %s in their prompts crash targets", g.request.PromptParts[d.Index]).WithRetryAfter(d.Wait)
+}
+
 // findPath returns a path; a stream that has begun waits for one up to pathWait.
 func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
 	r, demand := g.relayer, g.request.demand()
@@ -160,7 +192,13 @@
 
 // maySend reports whether the request may be sent again after the given number of sends that may have run.
 func (g *generation) maySend(runs int) bool {
-	return g.sends < maxSends && runs < max(g.request.Route.MaxAttempts, 1) && (!g.mayHaveRun || g.request.Route.Resumable)
+	return g.sends < maxSends && runs < max(g.request.Route.MaxAttempts, 1) && (!g.mayHaveRun || g.mayRepeat())
+}
+
+// mayRepeat reports whether a request that may have run may be sent again: a stream that may be resumed and is not suspected
+// to crash its targets.
+func (g *generation) mayRepeat() bool {
+	return g.request.Route.Resumable && g.relayer.Quarantiner.MayRepeat(g.keys)
 }
 
 // finalRefusal returns the refusal that ends the request.
@@ -229,11 +267,11 @@
 		return refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
 	}
 	if ctx.Err() == nil {
-		g.relayer.handleBrokenConnection(first)
+		g.handleBrokenConnection(first)
 	}
 	g.mayHaveRun = true
 	g.avoid[first.Name] = true
-	if !errors.Is(err, context.Canceled) && !errors.Is(err, errMoved) && !errors.Is(err, errRequestLost) {
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, errMoved) && !errors.Is(err, errRequestLost) && !errors.Is(err, errQuarantined) {
 		g.relayer.Targets.RecordAnswer(first.Name, false)
 	}
 	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Err(err).Msg("no answer")
@@ -324,10 +362,11 @@
 			return g.handleBrokenStream(ctx, first, errors.New("events are missing, or too long"))
 		case errors.Is(err, io.EOF) && !g.events.inEvent():
 			g.writeHead(reply)
+			g.relayer.Quarantiner.RecordAnswered(g.keys)
 			return sendDone, nil
 		case err != nil:
 			if ctx.Err() == nil {
-				g.relayer.handleBrokenConnection(first)
+				g.handleBrokenConnection(first)
 			}
 			return g.handleBrokenStream(ctx, first, err)
 		}
@@ -346,6 +385,18 @@
 	g.w.WriteHeader(reply.Status)
 }
 
+// handleBrokenConnection checks whether the first target has crashed, which counts against the request unless the target had
+// answered it.
+func (g *generation) handleBrokenConnection(first cataloger.Target) {
+	keys := g.keys
+	g.mu.Lock()
+	if g.harmless {
+		keys = nil
+	}
+	g.mu.Unlock()
+	g.relayer.handleBrokenConnection(first, keys, g.request.content())
+}
+
 // handleBrokenStream handles a stream that broke before its end.
 func (g *generation) handleBrokenStream(ctx context.Context, first cataloger.Target, err error) (sendResult, *refuser.Refusal) {
 	g.events.prepareResume()
@@ -371,9 +422,12 @@
 
 // movable reports whether the generation may abandon its current send for another one.
 func (g *generation) movable() bool {
+	if !g.mayRepeat() {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.request.Route.Resumable && g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
+	return g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
 }
 
 // register adds the generation to the streams that the watchdog checks.
@@ -422,6 +476,11 @@
 		g.relayer.recordFirstWait(now.Sub(g.lastProgress))
 		g.relayer.Targets.RecordAccepted(g.path)
 		g.relayer.Targets.RecordAnswer(g.path[0].Target, true)
+		g.firstEventAt = now
+	}
+	if !g.harmless && now.Sub(g.firstEventAt) >= provingTime {
+		g.harmless = true
+		g.relayer.Quarantiner.RecordAnswered(g.keys)
 	}
 	g.started = true
 	g.lastProgress = now
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/internal/rationer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -27,6 +28,8 @@
 type Relayer struct {
 	Backend Backend
 	Targets *assessor.Assessor
+	// Quarantiner tracks the requests that crash targets.
+	Quarantiner *quarantiner.Quarantiner
 	// Chooser chooses the paths of generations.
 	Chooser *chooser.Chooser
 	// Balancer spreads the requests of plain services.
@@ -41,8 +44,10 @@
 	OnTargetLost func(target cataloger.Target)
 	// OnTargetLeaving is called with each target that announced to this daemon that it leaves.
 	OnTargetLeaving func(target cataloger.Target)
-	Clock           timer.Clock
-	Log             zerolog.Logger
+	// OnEvidence is called when this daemon has evidence against a request that other daemons do not have yet.
+	OnEvidence func()
+	Clock      timer.Clock
+	Log        zerolog.Logger
 	// Meter counts requests by workspace and service.
 	Meter *meter.Meter
 
@@ -64,6 +69,7 @@
 func New(targets *assessor.Assessor, clock timer.Clock) *Relayer {
 	r := &Relayer{
 		Targets:         targets,
+		Quarantiner:     quarantiner.New(clock.Now),
 		Chooser:         chooser.New(targets, clock.Now),
 		Clock:           clock,
 		Meter:           meter.New(),
@@ -71,6 +77,7 @@
 		Sharers:         func() int { return 1 },
 		OnTargetLost:    func(cataloger.Target) {},
 		OnTargetLeaving: func(cataloger.Target) {},
+		OnEvidence:      func() {},
 		Balancer:        forwarder.NewBalancer(&forwarder.Forwarder{Clock: clock}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rationers:       map[string]*rationer.Rationer{},
 		streams:         map[*generation]struct{}{},
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -9,6 +9,7 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 )
 
 // Request is a request of a client that the configuration allows.
@@ -56,6 +57,24 @@
 	return chooser.Demand{Service: r.Service.Name, Engine: e, Tokens: tokens, PrefillTokens: read, Precedence: r.Precedence}
 }
 
+// keys returns what may crash the targets of a generation: all parts of its prompt but the last, which no other request has.
+func (r *Request) keys() []quarantiner.Key {
+	var keys []quarantiner.Key
+	for _, part := range r.PromptParts[:max(len(r.PromptParts)-1, 0)] {
+		keys = append(keys, quarantiner.PartKey(r.Model, part))
+	}
+	return keys
+}
+
+// content identifies what a client asks for: the part of the prompt that no other request has, as clients that come back
+// after a failure use a new ID.
+func (r *Request) content() uint32 {
+	if n := len(r.PromptParts); n > 0 {
+		return quarantiner.RequestID(r.PromptParts[n-1])
+	}
+	return quarantiner.RequestID(r.ID)
+}
+
 // Call is one send of a request to a target.
 type Call struct {
 	Request *Request
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -107,6 +107,9 @@
 	}
 	r.querySlowStage(ctx, generations, now)
 	for i, g := range generations {
+		if g.endQuarantined() {
+			continue
+		}
 		if r.resendLostRequest(g, streams[i], generations, now) {
 			continue
 		}
@@ -186,6 +189,19 @@
 	return false
 }
 
+// endQuarantined ends a send that has not begun and would crash its target, as requests like it have crashed theirs since it
+// was sent.
+func (g *generation) endQuarantined() bool {
+	g.mu.Lock()
+	waiting, cancel := !g.started && !g.harmless && !g.trial, g.cancel
+	g.mu.Unlock()
+	if !waiting || !g.relayer.Quarantiner.IsQuarantined(g.keys) {
+		return false
+	}
+	cancel(errQuarantined)
+	return true
+}
+
 // startedAfter reports whether the generation was sent to the first target after a time and has begun there.
 func (g *generation) startedAfter(first string, sentAt time.Time) bool {
 	g.mu.Lock()
--- a/pkg/refuser/code.go
+++ b/pkg/refuser/code.go
@@ -49,6 +49,7 @@
 	NoTarget            Code = 302
 	Draining            Code = 303
 	NotReady            Code = 304
+	Quarantined         Code = 305
 	TargetFailed        Code = 401
 	TargetRefused       Code = 402
 	AnswerInvalid       Code = 403
@@ -111,6 +112,7 @@
 	{NoTarget, "no-target", "No target serves the service.", FactNotRun, true, connect.CodeUnavailable},
 	{Draining, "draining", "The entry is shutting down; use another entry.", FactNotRun, true, connect.CodeUnavailable},
 	{NotReady, "not-ready", "The entry has no configuration yet; use another entry.", FactNotRun, true, connect.CodeUnavailable},
+	{Quarantined, "quarantined", "Requests like this one have crashed their targets; for now none is sent.", FactNotRun, true, connect.CodeUnavailable},
 	{TargetFailed, "target-failed", "The target failed while the request ran.", FactMayHaveRun, false, connect.CodeUnavailable},
 	{TargetRefused, "target-refused", "The target refused the request before it ran.", FactNotRun, true, connect.CodeUnavailable},
 	{AnswerInvalid, "answer-invalid", "The answer failed the checks of its receipts and positions.", FactMayHaveRun, false, connect.CodeDataLoss},
