Blame a part for a crash only if no other can be to blame

Cause: two crashes with two requests were enough, however many other parts were at the same crashes; with nothing known to be answered, a crash under load has dozens of them. And a request counted as unanswered until 250 ms after its first event, which made the sound ones many. Now a part is quarantined only if no other one was at all its crashes with as many requests, a quarantined part explains its crashes for all others, and the second event of an answer proves its request harmless. Test: new rows of TestVerdicts, which fail before.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -11,11 +11,9 @@
 
 const (
 	// minCrashes is the number of separate crashes after which a key that was never answered is quarantined, and
-	// minAnsweredCrashes that of one which was answered before them. minRequests is the number of requests in them, unless
-	// no other key was at all of these crashes: a request and its repeat may both meet targets that another one crashes.
+	// minAnsweredCrashes that of one which was answered before them.
 	minCrashes         = 2
 	minAnsweredCrashes = 4
-	minRequests        = 2
 	// jointCrashWindow is the time within which crashes of several targets count as one: they have a common cause, such as
 	// a rack.
 	jointCrashWindow = 50 * time.Millisecond
@@ -317,69 +315,79 @@
 
 // assess decides anew which keys are quarantined, after a change of the evidence; the caller holds mu.
 func (q *Quarantiner) assess(now time.Time) {
-	// A crash counts against the deepest quarantined key of its request only: it explains the crash, and the keys before it
-	// are shared with requests that are harmless.
-	type cause struct{ target, request uint32 }
-	explained := map[cause]uint32{}
-	all := q.deepestFirst()
+	// A quarantined key explains the crashes that it was at, which then do not count against other keys.
+	explained := map[uint32]bool{}
+	all := q.mostSpecificFirst()
 	for _, s := range all {
-		var counted []Crash
-		for _, c := range s.evidence.unanswered() {
-			if depth, ok := explained[cause{c.Target, c.Request}]; !ok || depth <= c.Depth {
-				counted = append(counted, c)
-			}
-		}
+		counted := slices.DeleteFunc(slices.Clone(s.evidence.unanswered()), func(c Crash) bool { return explained[c.Target] })
 		separate, requests := count(counted)
-		quarantined := separate >= s.evidence.needed() && (requests >= minRequests || !hasRival(s, counted, all))
-		s.crashes, s.countedAt = separate, time.Time{}
-		if len(counted) > 0 {
-			s.countedAt = counted[len(counted)-1].At
-		} else {
-			s.reported = 0
-		}
+		quarantined := separate >= s.evidence.needed() && !hasRival(s, counted, all)
 		if quarantined {
 			for _, c := range counted {
-				explained[cause{c.Target, c.Request}] = c.Depth
+				explained[c.Target] = true
 			}
 		}
 		if quarantined != s.quarantined {
 			q.Log.Warn().Uint64("key", uint64(s.evidence.Key)).Bool("quarantined", quarantined).Int("crashes", separate).
 				Int("requests", requests).Msg("quarantine changed")
 		}
-		s.quarantined = quarantined
+		s.quarantined, s.crashes, s.countedAt = quarantined, separate, time.Time{}
+		if len(counted) > 0 {
+			s.countedAt = counted[len(counted)-1].At
+		} else {
+			s.reported = 0
+		}
 	}
 	q.prune(now)
 }
 
-// hasRival reports whether another key, of other requests and as little proved harmless, was at all crashes that count
-// against a key.
+// hasRival reports whether another key, as little proved harmless, was at all crashes that count against a key, with other
+// requests and as many of them.
 func hasRival(s *suspect, counted []Crash, all []*suspect) bool {
+	_, requests := count(counted)
 	return slices.ContainsFunc(all, func(o *suspect) bool {
 		if o == s || o.evidence.needed() > s.evidence.needed() {
 			return false
 		}
-		others := o.evidence.unanswered()
-		return !slices.ContainsFunc(counted, func(c Crash) bool {
-			return !slices.ContainsFunc(others, func(other Crash) bool { return other.Target == c.Target && other.Request != c.Request })
-		})
+		var shared []Crash
+		for _, c := range counted {
+			found := false
+			for _, other := range o.evidence.unanswered() {
+				if other.Target == c.Target && other.Request != c.Request {
+					shared, found = append(shared, other), true
+				}
+			}
+			if !found {
+				return false
+			}
+		}
+		_, others := count(shared)
+		return others >= requests
 	})
 }
 
-// deepestFirst returns the suspects in an order in which the keys that explain a crash come before those that they excuse.
-func (q *Quarantiner) deepestFirst() []*suspect {
-	depth := func(s *suspect) uint32 {
-		deepest := uint32(0)
-		for _, c := range s.evidence.Crashes {
-			deepest = max(deepest, c.Depth)
-		}
-		return deepest
+// mostSpecificFirst returns the suspects in an order in which keys that fewer requests share come first, and of those the ones
+// with more crashes.
+func (q *Quarantiner) mostSpecificFirst() []*suspect {
+	type rank struct {
+		depth             uint32
+		crashes, requests int
 	}
+	ranks := map[*suspect]rank{}
 	all := make([]*suspect, 0, len(q.suspects))
 	for _, s := range q.suspects {
+		var r rank
+		for _, c := range s.evidence.Crashes {
+			r.depth = max(r.depth, c.Depth)
+		}
+		r.crashes, r.requests = count(s.evidence.unanswered())
+		ranks[s] = r
 		all = append(all, s)
 	}
 	slices.SortFunc(all, func(a, b *suspect) int {
-		return cmp.Or(cmp.Compare(depth(b), depth(a)), cmp.Compare(a.evidence.Key, b.evidence.Key))
+		x, y := ranks[a], ranks[b]
+		return cmp.Or(cmp.Compare(y.depth, x.depth), cmp.Compare(y.crashes, x.crashes), cmp.Compare(y.requests, x.requests),
+			cmp.Compare(a.evidence.Key, b.evidence.Key))
 	})
 	return all
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -66,6 +66,29 @@
 			c.advance(second(1))
 			q.RecordCrash([]Key{first, deadly}, 2, 1)
 		}, []Key{deadly}, Quarantined},
+		{"two crashes, and other requests with another key at both", func(q *Quarantiner, c *testClock) {
+			for i := range uint32(2) {
+				q.RecordCrash([]Key{deadly}, i, i)
+				q.RecordCrash([]Key{other}, i, 10+i)
+				c.advance(second(1))
+			}
+		}, []Key{deadly}, Suspect},
+		{"two crashes of two requests, and another request at both", func(q *Quarantiner, c *testClock) {
+			for i := range uint32(2) {
+				q.RecordCrash([]Key{deadly}, i, i)
+				q.RecordCrash([]Key{other}, i, 10)
+				c.advance(second(1))
+			}
+		}, []Key{deadly}, Quarantined},
+		{"a key at some crashes of a quarantined one", func(q *Quarantiner, c *testClock) {
+			for i := range uint32(3) {
+				q.RecordCrash([]Key{deadly}, i, i)
+				if i > 0 {
+					q.RecordCrash([]Key{other}, i, 10+i)
+				}
+				c.advance(second(1))
+			}
+		}, []Key{other}, Clear},
 		{"two crashes of one request, and another one at both", func(q *Quarantiner, c *testClock) {
 			q.RecordCrash([]Key{deadly}, 1, 1)
 			q.RecordCrash([]Key{other}, 1, 2)
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -27,8 +27,6 @@
 	pathWait = 1500 * time.Millisecond
 	// noPathRetry is the minimum retry delay if nobody holds some layers: about the time of a load.
 	noPathRetry = time.Second
-	// provingTime is how long an answer continues after its first event until its request counts as harmless to targets.
-	provingTime = 250 * time.Millisecond
 	readBuffer  = 16 << 10
 )
 
@@ -66,10 +64,8 @@
 	deliveredAt time.Time
 	meanGap     time.Duration
 	started     bool
-	// firstEventAt is when the current send delivered its first event, and harmless is true once a send has proved that the
-	// request does not crash targets.
-	firstEventAt time.Time
-	harmless     bool
+	// harmless is true once a send has proved that the request does not crash targets: its answer went on after it began.
+	harmless bool
 	// trial is true if the current send was admitted to end a quarantine.
 	trial bool
 	// sendStarted is when the current send began.
@@ -476,9 +472,7 @@
 		g.relayer.recordFirstWait(now.Sub(g.lastProgress))
 		g.relayer.Targets.RecordAccepted(g.path)
 		g.relayer.Targets.RecordAnswer(g.path[0].Target, true)
-		g.firstEventAt = now
-	}
-	if !g.harmless && now.Sub(g.firstEventAt) >= provingTime {
+	} else if !g.harmless {
 		g.harmless = true
 		g.relayer.Quarantiner.RecordAnswered(g.keys)
 	}
