Do not quarantine a part that was at few of the crashes

Cause: two crashes were enough however many others happened meanwhile, which the part has nothing to do with. Now a part must have been at more than half of the crashes from its first to its last that no other part explains, or at two more than needed. Gateways tell each other of the last 12 targets that crashed. Test: TestCrashesForOtherReasonsQuarantineNobody, 25 of 25 runs; rows of TestVerdicts; TestDaemonsAgree with the rule in its oracle, 10,000 checks.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// maxEvidence bounds the keys with evidence in one update, and maxEvidenceCrashes their crashes: about half a kilobyte.
+	// maxEvidence bounds the keys with evidence in one update, maxEvidenceCrashes their crashes, and maxCrashes the targets
+	// that crashed: about half a kilobyte together.
 	maxEvidence        = 12
 	maxEvidenceCrashes = 24
+	maxCrashes         = 12
 )
 
 // evidence returns the evidence that an update carries.
@@ -28,6 +30,24 @@
 	return out
 }
 
+// addEvidence adds what is known of crashes to an update.
+func (g *Gateway) addEvidence(n *peerv1.GatewayUpdate, now time.Time) {
+	n.Evidence = g.evidence(now)
+	for _, c := range g.relayer.Quarantiner.Crashes(maxCrashes) {
+		n.Crashes = append(n.Crashes, encodeCrash(now, c))
+	}
+}
+
+// mergeEvidence takes over what an update says of crashes, and reports whether others must be told without delay.
+func (g *Gateway) mergeEvidence(n *peerv1.GatewayUpdate, now time.Time) (urgent bool) {
+	q := g.relayer.Quarantiner
+	q.MergeCrashes(decodeCrashes(now, n.GetCrashes()))
+	for _, e := range n.GetEvidence() {
+		urgent = q.Merge(decodeEvidence(now, e)) || urgent
+	}
+	return urgent
+}
+
 // trialRank returns the position of this daemon among those that may send a request to end the quarantine of a key.
 func (g *Gateway) trialRank(k quarantiner.Key) int {
 	members := candidates(g.allMembers())
@@ -42,24 +62,34 @@
 func encodeEvidence(now time.Time, e quarantiner.Evidence) *peerv1.CrashEvidence {
 	m := &peerv1.CrashEvidence{Key: uint64(e.Key), AnsweredAgeMs: optionalAge(now, e.AnsweredAt), TrialAgeMs: optionalAge(now, e.TrialAt)}
 	for _, c := range e.Crashes {
-		m.Crashes = append(m.Crashes, &peerv1.TargetCrash{Target: c.Target, Request: c.Request, Depth: c.Depth, AgeMs: ageMS(now, c.At)})
+		m.Crashes = append(m.Crashes, encodeCrash(now, c))
 	}
 	return m
 }
 
+func encodeCrash(now time.Time, c quarantiner.Crash) *peerv1.TargetCrash {
+	return &peerv1.TargetCrash{Target: c.Target, Request: c.Request, Depth: c.Depth, AgeMs: ageMS(now, c.At)}
+}
+
+func decodeCrashes(now time.Time, messages []*peerv1.TargetCrash) []quarantiner.Crash {
+	var out []quarantiner.Crash
+	for _, m := range messages {
+		at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
+		out = append(out, quarantiner.Crash{Target: m.GetTarget(), Request: m.GetRequest(), Depth: m.GetDepth(), At: at})
+	}
+	return out
+}
+
 // decodeEvidence returns the evidence in a message.
 func decodeEvidence(now time.Time, m *peerv1.CrashEvidence) quarantiner.Evidence {
 	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
-	e := quarantiner.Evidence{Key: quarantiner.Key(m.GetKey())}
+	e := quarantiner.Evidence{Key: quarantiner.Key(m.GetKey()), Crashes: decodeCrashes(now, m.GetCrashes())}
 	if m.AnsweredAgeMs != nil {
 		e.AnsweredAt = since(m.GetAnsweredAgeMs())
 	}
 	if m.TrialAgeMs != nil {
 		e.TrialAt = since(m.GetTrialAgeMs())
 	}
-	for _, c := range m.GetCrashes() {
-		e.Crashes = append(e.Crashes, quarantiner.Crash{Target: c.GetTarget(), Request: c.GetRequest(), Depth: c.GetDepth(), At: since(c.GetAgeMs())})
-	}
 	return e
 }
 
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -40,7 +40,7 @@
 	for _, p := range latest(g.targets.Paces(), func(p assessor.Pace) time.Time { return p.At }) {
 		n.Paces = append(n.Paces, &peerv1.TargetPace{Target: p.Target, Pace: float32(p.Pace), AgeMs: ageMS(now, p.At)})
 	}
-	n.Evidence = g.evidence(now)
+	g.addEvidence(n, now)
 	if !all {
 		return n
 	}
@@ -125,9 +125,7 @@
 	for _, p := range n.GetPaces() {
 		g.targets.SetPace(p.GetTarget(), float64(p.GetPace()), since(p.GetAgeMs()))
 	}
-	for _, e := range n.GetEvidence() {
-		urgent = g.relayer.Quarantiner.Merge(decodeEvidence(now, e)) || urgent
-	}
+	urgent = g.mergeEvidence(n, now) || urgent
 	for _, p := range n.GetOrders() {
 		g.orderer.MergePending(orderer.Pending{
 			Target: p.GetTarget(), Incarnation: p.GetIncarnation(), First: p.GetFirstLayer(), End: p.GetEndLayer(),
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 	// minAnsweredCrashes that of one which was answered before them.
 	minCrashes         = 2
 	minAnsweredCrashes = 4
+	// certainCrashes is the number of further crashes after which it does not matter how many others there were meanwhile.
+	certainCrashes = 2
 	// jointCrashWindow is the time within which crashes of several targets count as one: they have a common cause, such as
 	// a rack.
 	jointCrashWindow = 50 * time.Millisecond
@@ -29,9 +32,10 @@
 	trialStagger = time.Second
 	// skewTolerance is the difference up to which the times that two daemons name for one event are the same.
 	skewTolerance = 500 * time.Millisecond
-	// These bound the memory: keys with crashes, targets that crashed with a key, requests with it at one crash, and keys that
-	// were answered.
+	// These bound the memory: keys with crashes, targets that crashed, those of them with one key, requests with it at one
+	// crash, and keys that were answered.
 	maxSuspects = 512
+	maxCrashed  = 1024
 	maxTargets  = 6
 	maxRequests = 2
 	maxAnswered = 8192
@@ -96,11 +100,13 @@
 	mu       sync.Mutex
 	suspects map[Key]*suspect
 	answered answeredTimes
+	// crashed holds when targets crashed, whatever they ran.
+	crashed map[uint32]time.Time
 }
 
 // New returns a quarantiner without evidence.
 func New(now func() time.Time) *Quarantiner {
-	return &Quarantiner{Now: now, Log: zerolog.Nop(), suspects: map[Key]*suspect{}}
+	return &Quarantiner{Now: now, Log: zerolog.Nop(), suspects: map[Key]*suspect{}, crashed: map[uint32]time.Time{}}
 }
 
 // Admit decides how a request with keys may be sent. It admits one request as a trial after the end of a quarantine.
@@ -212,6 +218,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Now()
+	q.recordTarget(target, now, now)
 	for depth, k := range keys {
 		q.addCrash(k, Crash{Target: target, Request: request, Depth: uint32(depth), At: now}, now)
 	}
@@ -223,6 +230,20 @@
 	return news
 }
 
+// recordTarget records that a target crashed; the caller holds mu.
+func (q *Quarantiner) recordTarget(target uint32, at, now time.Time) {
+	if _, ok := q.crashed[target]; ok || now.Sub(at) >= suspicionRetention {
+		return
+	}
+	if len(q.crashed) >= maxCrashed {
+		maps.DeleteFunc(q.crashed, func(_ uint32, at time.Time) bool { return now.Sub(at) > suspicionRetention })
+	}
+	if len(q.crashed) >= maxCrashed {
+		clear(q.crashed)
+	}
+	q.crashed[target] = at
+}
+
 // addCrash adds a crash to the evidence against a key; the caller holds mu.
 func (q *Quarantiner) addCrash(k Key, c Crash, now time.Time) {
 	s := q.suspects[k]
@@ -245,6 +266,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Now()
+	for _, c := range e.Crashes {
+		q.recordTarget(c.Target, c.At, now)
+	}
 	s := q.suspects[e.Key]
 	if s == nil && len(e.unanswered()) == 0 {
 		// A key that was proved harmless is of no interest to daemons that did not suspect it.
@@ -313,34 +337,97 @@
 	return n
 }
 
+// Crashes returns the last n targets that crashed, the latest first.
+func (q *Quarantiner) Crashes(n int) []Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	var out []Crash
+	for target, at := range q.crashed {
+		if now.Sub(at) < suspicionRetention {
+			out = append(out, Crash{Target: target, At: at})
+		}
+	}
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Target, b.Target)) })
+	return out[:min(n, len(out))]
+}
+
+// MergeCrashes adds targets that another daemon knows to have crashed.
+func (q *Quarantiner) MergeCrashes(crashes []Crash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now, known := q.Now(), len(q.crashed)
+	for _, c := range crashes {
+		q.recordTarget(c.Target, c.At, now)
+	}
+	if len(q.crashed) != known {
+		q.assess(now)
+	}
+}
+
 // assess decides anew which keys are quarantined, after a change of the evidence; the caller holds mu.
 func (q *Quarantiner) assess(now time.Time) {
-	// A quarantined key explains the crashes that it was at, which then do not count against other keys.
-	explained := map[uint32]bool{}
 	all := q.mostSpecificFirst()
+	was := map[Key]bool{}
 	for _, s := range all {
-		counted := slices.DeleteFunc(slices.Clone(s.evidence.unanswered()), func(c Crash) bool { return explained[c.Target] })
-		separate, requests := count(counted)
-		quarantined := separate >= s.evidence.needed() && !hasRival(s, counted, all)
-		if quarantined {
-			for _, c := range counted {
-				explained[c.Target] = true
-			}
-		}
-		if quarantined != s.quarantined {
-			q.Log.Warn().Uint64("key", uint64(s.evidence.Key)).Bool("quarantined", quarantined).Int("crashes", separate).
-				Int("requests", requests).Msg("quarantine changed")
+		was[s.evidence.Key] = s.quarantined
+		s.quarantined = false
+	}
+	// A quarantined key explains the crashes that it was at, which then do not count against other keys. That may leave
+	// another key as the only one to blame for the rest.
+	explained := map[uint32]Key{}
+	for changed := true; changed; {
+		changed = false
+		for _, s := range all {
+			changed = q.assessKey(s, all, explained) || changed
 		}
-		s.quarantined, s.crashes, s.countedAt = quarantined, separate, time.Time{}
-		if len(counted) > 0 {
-			s.countedAt = counted[len(counted)-1].At
-		} else {
-			s.reported = 0
+	}
+	for _, s := range all {
+		if s.quarantined != was[s.evidence.Key] {
+			q.Log.Warn().Uint64("key", uint64(s.evidence.Key)).Bool("quarantined", s.quarantined).Int("crashes", s.crashes).Msg("quarantine changed")
 		}
 	}
 	q.prune(now)
 }
 
+// assessKey decides whether a key is quarantined and reports whether it is now and was not before. It adds the crashes of a
+// quarantined key to those that are explained.
+func (q *Quarantiner) assessKey(s *suspect, all []*suspect, explained map[uint32]Key) bool {
+	counted := slices.DeleteFunc(slices.Clone(s.evidence.unanswered()), func(c Crash) bool {
+		by, ok := explained[c.Target]
+		return ok && by != s.evidence.Key
+	})
+	s.crashes, _ = count(counted)
+	s.countedAt = time.Time{}
+	if len(counted) == 0 {
+		s.reported = 0
+		return false
+	}
+	s.countedAt = counted[len(counted)-1].At
+	if s.quarantined || s.crashes < s.evidence.needed() || hasRival(s, counted, all) ||
+		s.crashes < s.evidence.needed()+certainCrashes && 2*s.crashes <= q.countCrashes(counted, explained) {
+		return false
+	}
+	s.quarantined = true
+	for _, c := range counted {
+		explained[c.Target] = s.evidence.Key
+	}
+	return true
+}
+
+// countCrashes returns the number of separate crashes from the first to the last of some, without those that are explained.
+func (q *Quarantiner) countCrashes(span []Crash, explained map[uint32]Key) int {
+	var all []Crash
+	for target, at := range q.crashed {
+		if _, ok := explained[target]; !ok && !at.Before(span[0].At) && !at.After(span[len(span)-1].At) {
+			all = append(all, Crash{Target: target, At: at})
+		}
+	}
+	slices.SortFunc(all, func(a, b Crash) int { return a.At.Compare(b.At) })
+	separate, _ := count(all)
+	return separate
+}
+
 // hasRival reports whether another key, as little proved harmless, was at all crashes that count against a key, with other
 // requests and as many of them.
 func hasRival(s *suspect, counted []Crash, all []*suspect) bool {
