Quarantine a request to a plain service that crashes its instances

What callers saw: a request that crashes its instance was repeated on the next one, and again each time its client came back; three instances are down within a second or two, with all other requests to the service. Cause: as for generations, nothing connected the crash with the request. Test: TestPlainRequestThatCrashesTargetsIsQuarantined; before, the second try of the client was sent again (attempts-exhausted after crashes in place of quarantined).

--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -152,7 +152,7 @@
 		a.mayHaveRun = true
 	}
 	switch {
-	case err.Code == refuser.Canceled || err.Code == refuser.UnknownMethod || err.Code == refuser.MalformedRequest:
+	case err.Code == refuser.Canceled || err.Code == refuser.UnknownMethod || err.Code == refuser.MalformedRequest || err.Code == refuser.Quarantined:
 		return err.WithFact(a.fact())
 	case a.mayHaveRun && !a.request.Idempotent:
 		return err
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -302,3 +304,58 @@
 		time.Sleep(exchanger.DialTimeout)
 	})
 }
+
+// TestPlainRequestThatCrashesTargetsIsQuarantined guards against a request to a plain service that its client sends again and
+// again, and that crashes one instance after the other.
+func TestPlainRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		sends, down := 0, map[string]bool{}
+		isDown := func(t cataloger.Target) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return down[t.Name]
+		}
+		r := newTestRelayer(&fakeBackend{})
+		r.Backend.Refuses = func(_ context.Context, t cataloger.Target) bool { return isDown(t) }
+		r.Backend.Send = func(_ context.Context, call Call) (*Reply, error) {
+			if isDown(call.Target) {
+				return nil, fmt.Errorf("%w: %w", exchanger.ErrNotSent, syscall.ECONNREFUSED)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if call.Request.URI != "/deadly" {
+				return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Signed: true}, nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sends++
+			down[call.Target.Name] = true
+			time.AfterFunc(restartTime, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				down[call.Target.Name] = false
+				restarted := call.Target
+				restarted.Incarnation++
+				r.Targets.Put(restarted)
+			})
+			return nil, io.ErrUnexpectedEOF
+		}
+		served := 0
+		for i := range 20 {
+			req := plain(matcher.KindIdempotent)
+			req.ID, req.URI = fmt.Sprint("r", i), "/deadly"
+			_, refusal, _ := serve(r, req)
+			if i > 0 {
+				require.Equal(t, refuser.Quarantined, refusal.Code)
+				require.Equal(t, refuser.FactNotRun, refusal.Fact)
+				require.Positive(t, refusal.RetryAfter)
+			}
+			time.Sleep(time.Second)
+			if _, refusal, _ := serve(r, plain(matcher.KindIdempotent)); refusal == nil {
+				served++
+			}
+		}
+		require.Equal(t, 2, sends)
+		require.Greater(t, served, 12, "all once the instances are back")
+	})
+}
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -12,6 +12,7 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
 	"github.com/rattantray/rattantray/internal/forwarder"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -30,6 +31,8 @@
 	// comes.
 	failure *bufferedReply
 	reply   *bufferedReply
+	// keys identify the request and its repeats.
+	keys []quarantiner.Key
 	// targets are the names of the targets that were tried.
 	targets []string
 }
@@ -46,7 +49,7 @@
 
 // forward relays a request to one of the targets of a plain service.
 func (r *Relayer) forward(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
-	call := &plainCall{relayer: r, request: req}
+	call := &plainCall{relayer: r, request: req, keys: []quarantiner.Key{quarantiner.RequestKey(req.Service.Name, req.Method, req.URI, req.Body)}}
 	refusal := jitterRetryAfter(call.run(ctx, w))
 	r.logEnd(req, refusal, notMeasured, func(e *zerolog.Event) { e.Strs("targets", call.targets) })
 	return refusal
@@ -55,6 +58,9 @@
 // run makes attempts until an answer can be forwarded.
 func (c *plainCall) run(ctx context.Context, w http.ResponseWriter) *refuser.Refusal {
 	r, req, call := c.relayer, c.request, c
+	if d := r.Quarantiner.Admit(c.keys); d.Verdict == quarantiner.Quarantined {
+		return quarantinedRequest().WithRetryAfter(d.Wait)
+	}
 	_, err := r.Balancer.Run(ctx, func() []cataloger.Target { return r.pickableInstances(req.Service.Name) }, forwarder.Request{
 		Workspace:  req.Workspace,
 		Service:    req.Service.Name,
@@ -81,6 +87,11 @@
 	return refusal
 }
 
+// quarantinedRequest returns the refusal of a request whose repeats crash targets.
+func quarantinedRequest() *refuser.Refusal {
+	return refuser.New(refuser.Quarantined, "this request has crashed its targets").WithFact(refuser.FactNotRun)
+}
+
 // pickableInstances returns the targets of a service for the balancer; lost and paused ones are suspect.
 func (r *Relayer) pickableInstances(service string) []cataloger.Target {
 	var out []cataloger.Target
@@ -97,6 +108,9 @@
 
 // attempt sends the request to one target and reads its answer, up to maxBufferedBytes.
 func (c *plainCall) attempt(ctx context.Context, t cataloger.Target, fr forwarder.Request) (forwarder.Answer, error) {
+	if len(c.targets) > 0 && c.relayer.Quarantiner.IsQuarantined(c.keys) {
+		return forwarder.Answer{}, quarantinedRequest()
+	}
 	c.targets = append(c.targets, t.Name)
 	now := c.relayer.Clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -110,6 +124,9 @@
 	reply, err := c.relayer.Backend.Send(ctx, call)
 	if err != nil {
 		defer end()
+		if ctx.Err() == nil && !errors.Is(err, exchanger.ErrNotSent) {
+			c.handleBrokenConnection(t)
+		}
 		return forwarder.Answer{}, sendFailure(ctx, err)
 	}
 	buffered, err := c.readReply(t, reply)
@@ -140,6 +157,11 @@
 		return nil, mayHaveRun("answer of %s is not signed", t.Name)
 	}
 	buffered, err := bufferReply(reply)
+	if err != nil {
+		c.handleBrokenConnection(t)
+	} else if !c.relayer.Quarantiner.MayRepeat(c.keys) {
+		c.relayer.Quarantiner.RecordAnswered(c.keys)
+	}
 	switch {
 	case err != nil:
 		return nil, mayHaveRun("answer of %s: %s", t.Name, err)
@@ -152,6 +174,12 @@
 	return buffered, nil
 }
 
+// handleBrokenConnection checks whether a target has crashed that did not answer. The request is the same at each crash, so the
+// crashes count as those of different ones.
+func (c *plainCall) handleBrokenConnection(t cataloger.Target) {
+	c.relayer.handleBrokenConnection(t, c.keys, quarantiner.TargetID(t.Name, t.Incarnation))
+}
+
 // sendFailure returns the refusal for a send that brought no answer.
 func sendFailure(ctx context.Context, err error) error {
 	if errors.Is(err, exchanger.ErrNotSent) {
