Do not replace a stage under a request that may have crashed it

A replaced stage is one more target for a request; while its part is suspected and it has not begun, a lost stage ends it in place of being replaced. Test: TestStageLostUnderLoad, a suspect beside the sound request; without the change its stage is replaced.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -197,6 +197,14 @@
 	return g.request.Route.Resumable && g.relayer.Quarantiner.MayRepeat(g.keys)
 }
 
+// isSuspect reports whether the request may be one that crashes its targets.
+func (g *generation) isSuspect() bool {
+	g.mu.Lock()
+	harmless := g.harmless
+	g.mu.Unlock()
+	return !harmless && !g.relayer.Quarantiner.MayRepeat(g.keys)
+}
+
 // finalRefusal returns the refusal that ends the request.
 func (g *generation) finalRefusal(ctx context.Context, refusal *refuser.Refusal) *refuser.Refusal {
 	fact := refuser.FactNotRun
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -255,8 +255,14 @@
 	})
 }
 
-// TestStageLostUnderLoad: the first target reports that a request waits for a silent stage, which must be replaced.
+// TestStageLostUnderLoad: the first target reports that a request waits for a silent stage, which must be replaced, unless the
+// request may have crashed it.
 func TestStageLostUnderLoad(t *testing.T) {
+	t.Run("sound request", func(t *testing.T) { testStageLost(t, false) })
+	t.Run("suspect", func(t *testing.T) { testStageLost(t, true) })
+}
+
+func testStageLost(t *testing.T, suspect bool) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeBackend{scripts: []script{{hang: true}}}
 		r := newTestRelayer(f)
@@ -264,6 +270,10 @@
 		defer cancel()
 		go func() { _ = r.Watch(ctx) }()
 		req := stream(false)
+		req.PromptParts = []string{"shared", "own"}
+		if suspect {
+			r.Quarantiner.RecordCrash(req.keys(), 1, 1)
+		}
 		go func() {
 			defer func() { _ = recover() }()
 			r.Serve(ctx, httptest.NewRecorder(), req)
@@ -276,6 +286,10 @@
 		time.Sleep(maxFirstEventTimeout + repairer.MinQueryInterval + 2*watchInterval)
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if suspect {
+			require.Empty(t, f.repaths)
+			return
+		}
 		require.NotEmpty(t, f.repaths)
 		path := f.repaths[0]
 		require.Equal(t, f.calls[0].Path[0], path[0], "the first stage stays")
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -304,6 +304,9 @@
 
 // repair moves a generation off stages, one repair at a time.
 func (r *Relayer) repair(ctx context.Context, g *generation, toReplace map[string]bool) {
+	if g.isSuspect() {
+		return
+	}
 	g.mu.Lock()
 	path, skip, cancel := g.path, g.repairing || r.Clock.Now().Before(g.repairAt), g.cancel
 	g.repairing = g.repairing || !skip
