Quarantine a prompt that crashes engines of the own interface

What callers saw: a prompt that crashes its engine was sent on to the next engine, up to max-attempts times, and again with each try of its client: 12 engines in four tries. Cause: the dispatcher takes every broken stream for a failure of its engine. Now an engine that broke the stream before the first token and answers no health check counts against the prompt; after two such crashes the prompt is refused (305), in progress as may-have-run, anew as not-run. Routers do not share this. Test: TestRequestThatCrashesEnginesIsQuarantined, 12 engines before, at most 5 wanted; another prompt is served.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/verifier"
@@ -45,6 +46,8 @@
 	Adopt func(selector.Request, cataloger.Route) *selector.Permit
 	// Substitute returns the route with the lost target's stages moved to other targets, and its permit; false if there is none.
 	Substitute func(req selector.Request, route cataloger.Route, lost string) (cataloger.Route, *selector.Permit, bool)
+	// Quarantiner tracks the prompts that crash engines.
+	Quarantiner *quarantiner.Quarantiner
 	// Engine returns the engine at an address.
 	Engine func(address string) *engineer.Engine
 	// Isolated reports whether this daemon tracks other daemons but receives nothing from them; nil means never.
@@ -88,6 +91,7 @@
 		MaxStall: DefaultMaxStall, MinStall: DefaultMinStall, FirstTokenStall: DefaultFirstTokenStall,
 		ResumeTimeout: DefaultResumeTimeout, ExportTimeout: DefaultExportTimeout, ImportTimeout: DefaultImportTimeout,
 		HealthCheckTimeout: DefaultHealthCheckTimeout, CancelTimeout: DefaultCancelTimeout, RecoveryTimeout: DefaultRecoveryTimeout,
+		Quarantiner: quarantiner.New(clock.Now),
 		budgets:     newBudgets(),
 		gapRegistry: newGapRegistry(),
 		counts:      newCounters(registry),
@@ -128,6 +132,10 @@
 		delivered: slices.Clip(job.Delivered),
 		prefixes:  engineer.Prefixes(job.Model, job.Version, job.Adapter, job.Prompt),
 		modelGaps: d.gapRegistry.get(job.Model, job.Version),
+		keys:      []quarantiner.Key{quarantiner.RequestKey(job.Service, job.Model, job.Version, job.Prompt)},
+	}
+	if err := r.admit(); err != nil {
+		return err
 	}
 	return r.run(ctx)
 }
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/engineer"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/verifier"
 	commonv1 "github.com/rattantray/rattantray/pkg/api/rattantray/v1"
@@ -26,6 +27,8 @@
 	delivered [][]byte
 	prefixes  []uint64
 	modelGaps *modelGaps
+	// keys identify the prompt, whatever the id of the request.
+	keys []quarantiner.Key
 	// avoid lists the targets that failed this job.
 	avoid []string
 	// failures counts the failed attempts in a row since the last new token.
@@ -97,6 +100,7 @@
 	f, err := r.streamAttempt(ctx, p)
 	if f == nil && err == nil {
 		p.permit.Done()
+		r.recordAnswered()
 		return nil, nil
 	}
 	if err != nil {
@@ -173,6 +177,7 @@
 		return plan{}, r.finalRefusal(refuser.StreamLost, f)
 	}
 	r.attributeFailure(ctx, p, f)
+	r.recordCrash(ctx, p, f)
 	if err := r.checkRetry(f); err != nil {
 		r.abandon(p)
 		return plan{}, err
@@ -198,8 +203,11 @@
 	return r.pickRoute(ctx)
 }
 
-// checkRetry returns the final refusal if the job has no attempts or retry budget left.
+// checkRetry returns the final refusal if the job has no attempts or retry budget left, or crashes its engines.
 func (r *run) checkRetry(f *failure) error {
+	if r.d.Quarantiner.IsQuarantined(r.keys) {
+		return r.finalRefusal(refuser.Quarantined, f)
+	}
 	if r.failures >= r.job.MaxAttempts || !r.hasAttemptNumbers() {
 		r.d.counts.exhausted.Inc(1)
 		return r.finalRefusal(refuser.AttemptsExhausted, f)
