Let suspected requests crash one target together, and end them at once

Now requests with a suspected part share their first target, on all gateways; sends end as soon as there is new evidence; updates carry what changed first, then others at random. Ruled out: one suspected request at a time. It refuses sound requests for half a second after a start (TestCrashesForOtherReasonsQuarantineNobody). Test: TestSuspectsShareATarget, TestAllEvidenceIsToldInTime.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -45,6 +45,9 @@
 	for _, e := range n.GetEvidence() {
 		urgent = q.Merge(decodeEvidence(now, e)) || urgent
 	}
+	if urgent {
+		g.relayer.EndQuarantined()
+	}
 	return urgent
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	quarantineRetention = 48 * time.Hour
 	// clearedRetention is how long a key that was proved harmless is reported to other daemons.
 	clearedRetention = 10 * time.Second
+	// recentChange is how long evidence that changed goes before other evidence in updates.
+	recentChange = time.Second
 	// trialTimeout is the time after which a trial without an outcome may be repeated, and trialStagger the time between the
 	// daemons that may make it, as requests with the key may not come to the first one.
 	trialTimeout = 10 * time.Second
@@ -50,7 +53,7 @@
 const (
 	// Clear means that the request may be sent.
 	Clear Verdict = iota
-	// Suspect means that the request may be sent once, but not repeated: it may be the one that crashes targets.
+	// Suspect means that the request may be sent once, but not repeated: it may crash its target.
 	Suspect
 	// Quarantined means that the request must not be sent.
 	Quarantined
@@ -63,7 +66,7 @@
 	Wait time.Duration
 	// Trial is true for the request that is admitted to end a quarantine.
 	Trial bool
-	// Index is the position of the key that is quarantined among the keys of the request.
+	// Index is the position of the key that is quarantined or suspected among the keys of the request.
 	Index int
 }
 
@@ -113,8 +116,29 @@
 func (q *Quarantiner) Admit(keys []Key) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now, verdict := q.Now(), Clear
-	var trials []*suspect
+	now := q.Now()
+	d := q.check(keys, now)
+	if d.Verdict != Suspect {
+		return d
+	}
+	for _, k := range keys {
+		if s := q.suspects[k]; s != nil && s.quarantined {
+			d.Trial, s.evidence.TrialAt, s.changedAt = true, now, now
+			q.Log.Info().Uint64("key", uint64(k)).Int("crashes", s.crashes).Msg("trial of a quarantined request")
+		}
+	}
+	return d
+}
+
+// Check decides how a request with keys may be sent once more after it was admitted.
+func (q *Quarantiner) Check(keys []Key) Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.check(keys, q.Now())
+}
+
+func (q *Quarantiner) check(keys []Key, now time.Time) Decision {
+	d := Decision{}
 	for i, k := range keys {
 		s := q.suspects[k]
 		if s == nil {
@@ -124,15 +148,12 @@
 			if wait := q.untilTrial(s, now); wait > 0 {
 				return Decision{Verdict: Quarantined, Wait: wait, Index: i}
 			}
-			trials = append(trials, s)
 		}
-		verdict = max(verdict, s.verdict(now))
-	}
-	for _, s := range trials {
-		s.evidence.TrialAt, s.changedAt = now, now
-		q.Log.Info().Uint64("key", uint64(s.evidence.Key)).Int("crashes", s.crashes).Msg("trial of a quarantined request")
+		if s.verdict(now) != Clear {
+			d = Decision{Verdict: Suspect, Index: i}
+		}
 	}
-	return Decision{Verdict: verdict, Trial: len(trials) > 0}
+	return d
 }
 
 // MayRepeat reports whether a request with keys may be sent a second time after a crash.
@@ -147,15 +168,7 @@
 }
 
 // IsQuarantined reports whether a request with keys must not be sent now.
-func (q *Quarantiner) IsQuarantined(keys []Key) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.Now()
-	return slices.ContainsFunc(keys, func(k Key) bool {
-		s := q.suspects[k]
-		return s != nil && s.quarantined && q.untilTrial(s, now) > 0
-	})
-}
+func (q *Quarantiner) IsQuarantined(keys []Key) bool { return q.Check(keys).Verdict == Quarantined }
 
 // verdict returns how a request with the key may be sent, apart from the time of a quarantine.
 func (s *suspect) verdict(now time.Time) Verdict {
@@ -296,8 +309,8 @@
 	return !named.IsZero() && (known.IsZero() || named.Sub(known) > skewTolerance)
 }
 
-// Evidence returns what other daemons must know, quarantined keys first, then those with the most crashes and those that
-// changed last, up to n.
+// Evidence returns what other daemons must know, up to n keys: the quarantined ones first, then those that changed within
+// recentChange, the latest first, then any others, so that in time all are told.
 func (q *Quarantiner) Evidence(n int) []Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -308,14 +321,21 @@
 			found = append(found, s)
 		}
 	}
-	slices.SortFunc(found, func(a, b *suspect) int {
-		if a.quarantined != b.quarantined {
-			if a.quarantined {
-				return -1
-			}
+	rank := func(s *suspect) int {
+		switch {
+		case s.quarantined:
+			return 0
+		case now.Sub(s.changedAt) < recentChange:
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), b.changedAt.Compare(a.changedAt), cmp.Compare(a.evidence.Key, b.evidence.Key))
+		return 2
+	}
+	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	slices.SortStableFunc(found, func(a, b *suspect) int {
+		if r := cmp.Compare(rank(a), rank(b)); r != 0 || rank(a) != 1 {
+			return r
+		}
+		return b.changedAt.Compare(a.changedAt)
 	})
 	var out []Evidence
 	for _, s := range found[:min(n, len(found))] {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -23,7 +23,7 @@
 }
 
 func verdict(q *Quarantiner, keys ...Key) Verdict {
-	return q.Admit(keys).Verdict
+	return q.Check(keys).Verdict
 }
 
 // exchange gives each quarantiner the evidence of the others.
@@ -215,7 +215,7 @@
 		require.Equal(t, Quarantined, verdict(q, deadly))
 		c.advance(1)
 		require.Equal(t, Quarantined, verdict(other, deadly), "the other daemon comes later")
-		require.Equal(t, Suspect, verdict(q, deadly), "the trial")
+		require.Equal(t, Decision{Verdict: Suspect, Trial: true, Index: 1}, q.Admit([]Key{1, deadly}))
 		require.Equal(t, Quarantined, verdict(q, deadly), "one trial at a time")
 		exchange(q, other)
 		c.advance(2 * time.Second)
@@ -258,6 +258,29 @@
 	require.Equal(t, deadly, q.Evidence(3)[0].Key)
 }
 
+// TestAllEvidenceIsToldInTime guards against a daemon that never hears that a key was answered, as others with crashes always go
+// before it in bounded updates.
+func TestAllEvidenceIsToldInTime(t *testing.T) {
+	const keys, perUpdate = 60, 4
+	q, c := newTest()
+	for i := range Key(keys) {
+		for target := range uint32(2) {
+			q.RecordCrash([]Key{i}, target, uint32(i))
+		}
+	}
+	c.advance(2 * recentChange)
+	q.RecordAnswered([]Key{7})
+	require.Equal(t, Key(7), q.Evidence(perUpdate)[0].Key, "what has just changed goes first")
+	c.advance(2 * recentChange)
+	told := map[Key]bool{}
+	for range 30 * keys / perUpdate {
+		for _, e := range q.Evidence(perUpdate) {
+			told[e.Key] = true
+		}
+	}
+	require.Len(t, told, keys)
+}
+
 // TestEvidenceDoesNotCirculateForever: daemons that drop evidence at different times must not give it back to each other.
 func TestEvidenceDoesNotCirculateForever(t *testing.T) {
 	a, c := newTest()
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -103,5 +103,13 @@
 	}
 	if r.Quarantiner.RecordCrash(keys, quarantiner.TargetID(t.Name, t.Incarnation), request) {
 		r.OnEvidence()
+		r.EndQuarantined()
+	}
+}
+
+// EndQuarantined ends the sends that would crash their targets; call it once there is new evidence.
+func (r *Relayer) EndQuarantined() {
+	for _, g := range r.inProgress() {
+		g.endQuarantined()
 	}
 }
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -18,6 +18,7 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
 	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -227,6 +228,21 @@
 	}
 }
 
+// TestSuspectsShareATarget guards against several requests that each crash a target of their own before the first crash is
+// understood.
+func TestSuspectsShareATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(8)
+		f.relayer.Quarantiner.RecordCrash([]quarantiner.Key{quarantiner.PartKey("", deadlyPart)}, 1, 1)
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Go(func() { _, _ = f.request(i, deadlyPart) })
+		}
+		wg.Wait()
+		require.Equal(t, 1, f.crashes)
+	})
+}
+
 // TestRequestsInProgressAreQuarantined: a request that has not begun when others like it have crashed their targets is ended
 // before it crashes its own.
 func TestRequestsInProgressAreQuarantined(t *testing.T) {
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/exchanger"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -45,8 +49,10 @@
 	request *Request
 	w       http.ResponseWriter
 	// keys identify the parts of the prompt that may crash targets.
-	keys   []quarantiner.Key
-	events events
+	keys []quarantiner.Key
+	// suspected is the key that may crash the target of the next send; nil if none is suspected.
+	suspected *quarantiner.Key
+	events    events
 	// headWritten is true once the head of the answer was written.
 	headWritten bool
 	// mayHaveRun is true once the request may have run on some target.
@@ -122,7 +128,7 @@
 func (g *generation) run(ctx context.Context) *refuser.Refusal {
 	r, req := g.relayer, g.request
 	for repeat := false; ; repeat = true {
-		if refusal := g.admit(); refusal != nil {
+		if refusal := g.admit(repeat); refusal != nil {
 			return g.finalRefusal(ctx, refusal)
 		}
 		path, ok := g.findPath(ctx)
@@ -144,12 +150,20 @@
 	}
 }
 
-// admit returns a refusal if the request must not be sent, as requests like it crash targets.
-func (g *generation) admit() *refuser.Refusal {
-	d := g.relayer.Quarantiner.Admit(g.keys)
+// admit returns a refusal if the request must not be sent, or not be sent again, as requests like it crash targets.
+func (g *generation) admit(repeat bool) *refuser.Refusal {
+	q := g.relayer.Quarantiner
+	d := q.Check(g.keys)
+	if !repeat {
+		d = q.Admit(g.keys)
+	}
 	g.mu.Lock()
 	g.trial = d.Trial
 	g.mu.Unlock()
+	g.suspected = nil
+	if d.Verdict == quarantiner.Suspect {
+		g.suspected = &g.keys[d.Index]
+	}
 	if d.Trial {
 		g.relayer.OnEvidence()
 	}
@@ -163,6 +177,9 @@
 func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
 	r, demand := g.relayer, g.request.demand()
 	demand.Precedence.Begun = g.headWritten
+	if path, ok := g.findSharedPath(demand); ok {
+		return path, true
+	}
 	for waited := time.Duration(0); ; waited += pathRetryInterval {
 		if path, ok := r.Chooser.Path(demand, g.avoid); ok {
 			return path, true
@@ -174,6 +191,39 @@
 	}
 }
 
+// findSharedPath returns a path for a suspected request whose first target is the same for all requests with its key, on every
+// daemon, so that several of them crash one target only.
+func (g *generation) findSharedPath(demand chooser.Demand) ([]cataloger.Stage, bool) {
+	if g.suspected == nil || g.headWritten {
+		return nil, false
+	}
+	var first []string
+	for _, v := range g.relayer.Targets.Service(demand.Service) {
+		if from, end, _ := v.ReadyLayers(); from == 0 && end > 0 && v.Usable() && !g.avoid[v.Name] {
+			first = append(first, v.Name)
+		}
+	}
+	chosen := rendezvous(first, *g.suspected)
+	avoid := maps.Clone(g.avoid)
+	for _, name := range first {
+		if name != chosen {
+			avoid[name] = true
+		}
+	}
+	return g.relayer.Chooser.Path(demand, avoid)
+}
+
+// rendezvous returns the name that all daemons choose for a key.
+func rendezvous(names []string, k quarantiner.Key) string {
+	best, bestScore := "", uint64(0)
+	for _, name := range names {
+		if score := xxhash.Sum64String(name + "/" + strconv.FormatUint(uint64(k), 16)); best == "" || score > bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
 // countSend counts a send that has ended, and whether it may have run on a first stage that is still there.
 func (g *generation) countSend(first cataloger.Target, ran bool) {
 	v, ok := g.relayer.Targets.Get(first.Name)
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -108,6 +108,7 @@
 	r.querySlowStage(ctx, generations, now)
 	for i, g := range generations {
 		if g.endQuarantined() {
+			// Its quarantine may have begun without new evidence, as another request was answered.
 			continue
 		}
 		if r.resendLostRequest(g, streams[i], generations, now) {
