--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -186,6 +186,8 @@
 		return fmt.Sprintf("%s in version %.0f of the configuration, in force on %s since %s", why, version, end.Node, timeText(state.config))
 	case "not-ready":
 		return fmt.Sprintf("%s had just started and knew no configuration", end.Node)
+	case "quarantined":
+		return fmt.Sprintf("%s; %s", why, retryText(end))
 	case "no-pipeline", "no-target":
 		return fmt.Sprintf("%s; %s", why, retryText(end)) + unavailableTargetsText(lines, state)
 	case "deadline-exceeded":
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -39,6 +39,8 @@
 			"no route for h/x in version 7 of the configuration, in force on a-1 since 00:00:01.000"},
 		{"a gateway without a configuration", `{"node":"a-1","request":"r1","code":"not-ready","time":500,"message":"request refused"}`,
 			"a-1 had just started and knew no configuration"},
+		{"quarantined", `{"node":"a-1","request":"r1","code":"quarantined","why":"requests with part 5c1e07a2 in their prompts crash targets","retry-after":30000,"time":2500,"message":"request ended"}`,
+			"requests with part 5c1e07a2 in their prompts crash targets; told to come back in 30000 ms"},
 		{"refused with a time to come back", `{"node":"a-1","request":"r1","code":"no-pipeline","why":"layers 5 to 10 are held by no target","retry-after":1000,"time":2500,"message":"request ended"}`,
 			"layers 5 to 10 are held by no target; told to come back in 1000 ms"},
 		{"deadline passed without an event", sent + `{"node":"a-1","request":"r1","code":"deadline-exceeded","time":2500,"message":"request ended"}`,
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -231,9 +231,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Now()
-	q.recordTarget(target, now, now)
+	changed := q.recordTarget(target, now, now)
 	for depth, k := range keys {
-		q.addCrash(k, Crash{Target: target, Request: request, Depth: uint32(depth), At: now}, now)
+		changed = q.addCrash(k, Crash{Target: target, Request: request, Depth: uint32(depth), At: now}, now) || changed
+	}
+	if !changed {
+		return false
 	}
 	q.assess(now)
 	news := false
@@ -243,10 +246,10 @@
 	return news
 }
 
-// recordTarget records that a target crashed; the caller holds mu.
-func (q *Quarantiner) recordTarget(target uint32, at, now time.Time) {
+// recordTarget records that a target crashed and reports whether this is new; the caller holds mu.
+func (q *Quarantiner) recordTarget(target uint32, at, now time.Time) bool {
 	if _, ok := q.crashed[target]; ok || now.Sub(at) >= suspicionRetention {
-		return
+		return false
 	}
 	if len(q.crashed) >= maxCrashed {
 		maps.DeleteFunc(q.crashed, func(_ uint32, at time.Time) bool { return now.Sub(at) > suspicionRetention })
@@ -255,32 +258,34 @@
 		clear(q.crashed)
 	}
 	q.crashed[target] = at
+	return true
 }
 
-// addCrash adds a crash to the evidence against a key; the caller holds mu.
-func (q *Quarantiner) addCrash(k Key, c Crash, now time.Time) {
+// addCrash adds a crash to the evidence against a key and reports whether it is new; the caller holds mu.
+func (q *Quarantiner) addCrash(k Key, c Crash, now time.Time) bool {
 	s := q.suspects[k]
 	if s == nil {
 		s = &suspect{evidence: Evidence{Key: k}}
 	}
 	evidence, added := s.evidence.addCrash(c)
 	if !added {
-		return
+		return false
 	}
 	if answered := q.answered.get(k); answered.After(evidence.AnsweredAt) {
 		evidence.AnsweredAt = answered
 	}
 	s.evidence, s.changedAt = evidence, now
 	q.suspects[k] = s
+	return true
 }
 
 // Merge adds the evidence of another daemon and reports whether further daemons must be told of it without delay.
 func (q *Quarantiner) Merge(e Evidence) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.Now()
+	now, changed := q.Now(), false
 	for _, c := range e.Crashes {
-		q.recordTarget(c.Target, c.At, now)
+		changed = q.recordTarget(c.Target, c.At, now) || changed
 	}
 	s := q.suspects[e.Key]
 	if s == nil && len(e.unanswered()) == 0 {
@@ -288,17 +293,17 @@
 		return false
 	}
 	for _, c := range e.Crashes {
-		q.addCrash(e.Key, c, now)
+		changed = q.addCrash(e.Key, c, now) || changed
 	}
 	s = q.suspects[e.Key]
 	if len(s.evidence.unanswered()) > 0 && later(s.evidence.AnsweredAt, e.AnsweredAt) {
-		s.evidence.AnsweredAt, s.changedAt = e.AnsweredAt, now
+		s.evidence.AnsweredAt, s.changedAt, changed = e.AnsweredAt, now, true
 		q.answered.set(e.Key, e.AnsweredAt)
 	}
 	if later(s.evidence.TrialAt, e.TrialAt) {
 		s.evidence.TrialAt, s.changedAt = e.TrialAt, now
 	}
-	if s.changedAt.Equal(now) {
+	if changed {
 		q.assess(now)
 	}
 	return q.suspects[e.Key].takeNews()
@@ -376,11 +381,11 @@
 func (q *Quarantiner) MergeCrashes(crashes []Crash) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now, known := q.Now(), len(q.crashed)
+	now, changed := q.Now(), false
 	for _, c := range crashes {
-		q.recordTarget(c.Target, c.At, now)
+		changed = q.recordTarget(c.Target, c.At, now) || changed
 	}
-	if len(q.crashed) != known {
+	if changed {
 		q.assess(now)
 	}
 }
