Blame the part that fewest requests share

Cause: the first part counted as a rival of the deadly one, but not the other way round, as the deadly part was only in requests that have both. Now a part that more requests share is no rival of a deeper one. Test: row 'a deadly part, and its first part in other requests at the same crashes' of TestVerdicts, which fails before.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -453,8 +453,9 @@
 	return separate
 }
 
-// hasRival reports whether another key, as little proved harmless, was at all crashes that count against a key, with other
-// requests and as many of them.
+// hasRival reports whether another key, as little proved harmless and shared by as few, was at all crashes that count against a
+// key, with other requests and as many of them. A key that more requests share is blamed later, if crashes go on without this
+// one: a quarantine of it would refuse more sound requests.
 func hasRival(s *suspect, counted []Crash, all []*suspect) bool {
 	_, requests := count(counted)
 	return slices.ContainsFunc(all, func(o *suspect) bool {
@@ -465,7 +466,7 @@
 		for _, c := range counted {
 			found := false
 			for _, other := range o.evidence.unanswered() {
-				if other.Target == c.Target && other.Request != c.Request {
+				if other.Target == c.Target && other.Request != c.Request && other.Depth >= c.Depth {
 					shared, found = append(shared, other), true
 				}
 			}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -83,6 +83,20 @@
 				c.advance(second(1))
 			}
 		}, []Key{deadly}, Quarantined},
+		{"a deadly part, and its first part in other requests at the same crashes", func(q *Quarantiner, c *testClock) {
+			for i := range uint32(2) {
+				q.RecordCrash([]Key{first, deadly}, i, i)
+				q.RecordCrash([]Key{first}, i, 10+i)
+				c.advance(second(1))
+			}
+		}, []Key{first, other}, Clear},
+		{"the deadly part itself, with its first part in other requests at the same crashes", func(q *Quarantiner, c *testClock) {
+			for i := range uint32(2) {
+				q.RecordCrash([]Key{first, deadly}, i, i)
+				q.RecordCrash([]Key{first}, i, 10+i)
+				c.advance(second(1))
+			}
+		}, []Key{first, deadly}, Quarantined},
 		{"a key at some crashes of a quarantined one", func(q *Quarantiner, c *testClock) {
 			for i := range uint32(3) {
 				q.RecordCrash([]Key{deadly}, i, i)
