Decode the limit that a target names and log when it begins and ends

The logs could not tell a limit that nobody reads from one that is read and ignored. Gateways decode it from every answer but act on nothing yet.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/internal/rationer"
+	"github.com/rattantray/rattantray/internal/throttler"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
@@ -30,6 +31,8 @@
 	Targets *assessor.Assessor
 	// Quarantiner tracks the requests that crash targets.
 	Quarantiner *quarantiner.Quarantiner
+	// Throttler keeps the limits that targets name.
+	Throttler *throttler.Throttler
 	// Chooser chooses the paths of generations.
 	Chooser *chooser.Chooser
 	// Balancer spreads the requests of plain services.
@@ -70,6 +73,7 @@
 	r := &Relayer{
 		Targets:         targets,
 		Quarantiner:     quarantiner.New(clock.Now),
+		Throttler:       throttler.New(clock.Now),
 		Chooser:         chooser.New(targets, clock.Now),
 		Clock:           clock,
 		Meter:           meter.New(),
@@ -201,12 +205,26 @@
 		r.Targets.RecordPause(t.Name, t.Incarnation, n.Pause)
 		r.Log.Info().Str("target", t.Name).Dur("pause", n.Pause).Msg("target asks for a pause")
 	}
+	if !n.InvalidLimit {
+		r.recordLimit(t, n.Limit)
+	}
 	if n.Leaving && r.Targets.RecordDeparture(t.Name, t.Incarnation, r.Clock.Now()) {
 		r.Log.Info().Str("target", t.Name).Str("address", t.Address).Msg("target says that it leaves")
 		r.OnTargetLeaving(t)
 	}
 }
 
+// recordLimit records the limit that an answer of a target named.
+func (r *Relayer) recordLimit(t cataloger.Target, limit throttler.Limit) {
+	switch r.Throttler.Observe(throttler.Target{Name: t.Name, Incarnation: t.Incarnation}, limit) {
+	case throttler.ChangeBegan:
+		r.Log.Info().Str("target", t.Name).Float64("rate", limit.Rate).Msg("target limits its requests")
+	case throttler.ChangeEnded:
+		r.Log.Info().Str("target", t.Name).Msg("target no longer limits its requests")
+	case throttler.ChangeRate, throttler.ChangeNone:
+	}
+}
+
 // markLost records that a target does not answer.
 func (r *Relayer) markLost(t cataloger.Target, why string) {
 	if r.Targets.Suspect(t.Name, t.Incarnation, r.Clock.Now()) {
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -10,6 +10,7 @@
 	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/quarantiner"
+	"github.com/rattantray/rattantray/internal/throttler"
 )
 
 // Request is a request of a client that the configuration allows.
@@ -96,6 +97,10 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this daemon; 0 means no pause.
 	Pause time.Duration
+	// Limit is the rate of requests that the target accepts from all daemons together.
+	Limit throttler.Limit
+	// InvalidLimit means that the target named a limit that could not be parsed, so that Limit says nothing.
+	InvalidLimit bool
 }
 
 // Reply is a target's answer.
