--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/relayer"
+	"github.com/rattantray/rattantray/internal/throttler"
+	"github.com/rattantray/rattantray/pkg/refuser"
+)
+
+const (
+	// limitContact is how long after a target first named a limit the fleet must keep it, and limitWindow the span of time in
+	// which requests are counted.
+	limitContact = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	// limitAnswerTime is how long a target of a limitFleet works on a request.
+	limitAnswerTime = 30 * time.Millisecond
+)
+
+// allowedRequests returns how many requests the deployments allow in a limitWindow.
+func allowedRequests(rate float64) int { return int(1.5*rate*limitWindow.Seconds()) + 5 }
+
+// limitFleet is a fleet whose targets name limits.
+type limitFleet struct {
+	*spreadFleet
+	names []string
+
+	mu sync.Mutex
+	// limits are the limits that targets name, arrivals the times of the requests that reached them.
+	limits   map[string]throttler.Limit
+	arrivals map[string][]time.Time
+	refusals []*refuser.Refusal
+	served   int
+	// longestRefusal is the longest time that a request took to be refused.
+	longestRefusal time.Duration
+}
+
+// newLimitFleet returns a fleet of n gateways in front of a number of targets.
+func newLimitFleet(t *testing.T, n, targets int) *limitFleet {
+	f := &limitFleet{spreadFleet: newSpreadFleet(t, n), limits: map[string]throttler.Limit{}, arrivals: map[string][]time.Time{}}
+	f.writeConfig(1)
+	for i := range targets {
+		name := fmt.Sprint("target-", i)
+		f.names = append(f.names, name)
+		_, err := f.platform.Store().Put(t.Context(), "servers/"+name, []byte(name+":80"), 0)
+		require.NoError(t, err)
+	}
+	for _, g := range f.all {
+		f.connect(g)
+	}
+	time.Sleep(12 * time.Second)
+	return f
+}
+
+// connect lets a gateway send to the targets.
+func (f *limitFleet) connect(g *Gateway) {
+	g.relayer.Backend.Send = func(ctx context.Context, call relayer.Call) (*relayer.Reply, error) {
+		f.mu.Lock()
+		f.arrivals[call.Target.Name] = append(f.arrivals[call.Target.Name], time.Now())
+		limit := f.limits[call.Target.Name]
+		f.mu.Unlock()
+		time.Sleep(limitAnswerTime)
+		g.relayer.HandleNotice(call.Target, relayer.Notice{Limit: limit})
+		return &relayer.Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Signed: true}, nil
+	}
+	g.relayer.Backend.Report = func(_ context.Context, target cataloger.Target) (relayer.Report, error) {
+		f.mu.Lock()
+		limit := f.limits[target.Name]
+		f.mu.Unlock()
+		g.relayer.HandleNotice(target, relayer.Notice{Limit: limit})
+		return relayer.Report{}, nil
+	}
+}
+
+// setLimits changes the limits that targets name.
+func (f *limitFleet) setLimits(limits map[string]throttler.Limit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits = limits
+}
+
+// load sends requests for a time through gateways, to each the given number a second, spread unevenly over time.
+func (f *limitFleet) load(gateways []*Gateway, perSecond float64, duration time.Duration) {
+	var wg sync.WaitGroup
+	for i, g := range gateways {
+		wg.Go(func() {
+			interval := time.Duration(float64(time.Second) / perSecond)
+			time.Sleep(interval * time.Duration(i) / time.Duration(len(gateways)))
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
+				wg.Go(func() { f.request(g) })
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (f *limitFleet) request(g *Gateway) {
+	began := time.Now()
+	refusal := g.relayer.Serve(f.t.Context(), httptest.NewRecorder(), &relayer.Request{
+		ID: "r", Method: http.MethodGet, URI: "/", Header: http.Header{}, Arrived: began, Deadline: began.Add(2 * time.Second),
+		Route: &matcher.Route{Name: "status", Kind: matcher.KindIdempotent, MaxAttempts: 2}, Service: &matcher.Service{Name: "llm"},
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if refusal == nil {
+		f.served++
+		return
+	}
+	f.refusals = append(f.refusals, refusal)
+	f.longestRefusal = max(f.longestRefusal, time.Since(began))
+}
+
+// busiest returns the most requests that reached a target within limitWindow from a time on.
+func (f *limitFleet) busiest(target string, since time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := slices.DeleteFunc(slices.Clone(f.arrivals[target]), func(t time.Time) bool { return t.Before(since) })
+	slices.SortFunc(at, time.Time.Compare)
+	most, first := 0, 0
+	for i, t := range at {
+		for t.Sub(at[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestTargetsGetNoMoreRequestsThanTheyAccept guards against a fleet whose gateways each send a target as much as they like, although it
+// names the rate that it accepts from all of them together.
+func TestTargetsGetNoMoreRequestsThanTheyAccept(t *testing.T) {
+	for _, n := range []int{4, 31, 118} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			if n > 4 && raced {
+				t.Skip("CI plays larger fleets without the race detector")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitFleet(t, n, 8)
+				perGateway := 120 / float64(n)
+				f.load(f.all, perGateway, 2*time.Second)
+				f.setLimits(map[string]throttler.Limit{
+					"target-0": {Rate: 2, Set: true}, "target-1": {Rate: 7.5, Set: true}, "target-2": {Rate: 0.4, Set: true}, "target-3": {Set: true},
+				})
+				named := time.Now()
+				f.load(f.all, perGateway, 12*time.Second)
+				for name, limit := range f.limits {
+					require.LessOrEqual(t, f.busiest(name, named.Add(limitContact)), allowedRequests(limit.Rate), "%s, %v a second", name, limit.Rate)
+				}
+				require.Empty(t, f.refusals, "the other targets have room")
+			})
+		})
+	}
+}
