Ask the owner of a target's limit before each request

Cause: no gateway used the limit that targets name. Class: a bound on all gateways together that each would have to keep alone. Change: a gateway, chosen by rendezvous of the target's incarnation, keeps one token bucket for it. Before each send (first, repeat, resumed, moved; plain services too) the sender asks it for permits. A target at its limit is no first stage until the owner's wait is over, and costs more the nearer it is. Limits travel with updates; they end with an answer that names none, with the incarnation, or with a report after 5 s without any answer. Why it works: the sum is counted in one place, so nothing is divided by a number of gateways that nobody knows exactly. A new owner starts with an empty bucket; without an owner's answer gateways use 0.4 of the limit together. Before: TestTargetsGetNoMoreRequestsThanTheyAccept, 61 requests in 4 s where 17 are allowed (4 gateways), 67 of 50 (31), 66 of 5 (118). After: it passes.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/pathfinder"
 	"github.com/rattantray/rattantray/internal/placer"
+	"github.com/rattantray/rattantray/internal/throttler"
 )
 
 const (
@@ -33,6 +35,9 @@
 	// faultCost is the cost per token of a first stage on a target that fails every request sent to it first: a request that
 	// is lost there costs half a second and a retry.
 	faultCost = 50 * time.Millisecond
+	// limitCost is the cost per token of a first stage on a target whose limit of requests is used up, so that others are chosen
+	// before the limit refuses requests.
+	limitCost = 20 * time.Millisecond
 	// memoryFillWeight scales how much the cost of a layer grows as the memory of its target fills. The growth is small at
 	// first, since targets batch.
 	memoryFillWeight = 4
@@ -79,6 +84,8 @@
 
 	// HasFleetLoads reports whether the tracked loads of targets include those of the other daemons.
 	HasFleetLoads func() bool
+	// Limits returns the use of the limits of targets, by the name of the target.
+	Limits func() map[string]throttler.State
 	// Draw returns a sample of the exponential distribution with mean 1.
 	Draw func() float64
 
@@ -87,7 +94,10 @@
 
 // New returns a chooser for a single daemon over the tracked targets.
 func New(targets *assessor.Assessor, now func() time.Time) *Chooser {
-	return &Chooser{Targets: targets, Now: now, Daemons: func() int { return 1 }, HasFleetLoads: func() bool { return true }, Draw: rand.ExpFloat64}
+	return &Chooser{
+		Targets: targets, Now: now, Daemons: func() int { return 1 }, HasFleetLoads: func() bool { return true },
+		Limits: func() map[string]throttler.State { return nil }, Draw: rand.ExpFloat64,
+	}
 }
 
 // candidates returns the targets that can run a part of a generation, with their memory for requests.
@@ -121,10 +131,11 @@
 func (c *Chooser) holders(views []assessor.View, d Demand, avoid map[string]bool, load loadFunc) map[string][]pathfinder.Holder {
 	candidates := c.candidates(views, d, avoid, load)
 	layerCost := c.layerCosts(candidates)
+	limits := c.Limits()
 	out := map[string][]pathfinder.Holder{}
 	for _, cand := range candidates {
 		first, end, version := cand.view.ReadyLayers()
-		entryCost := cand.view.Faults * faultCost.Seconds()
+		entryCost := cand.view.Faults*faultCost.Seconds() + limitEntryCost(limits[cand.view.Name])
 		if c.DataCentre != "" && cand.view.DataCentre != c.DataCentre {
 			entryCost += remoteEntryCost.Seconds()
 		}
@@ -140,6 +151,15 @@
 	return out
 }
 
+// limitEntryCost returns the cost per token, in seconds, of a first stage on a target with a limit. It is infinite while the limit is
+// used up; the target can still run other stages, whose requests it gets from other targets.
+func limitEntryCost(s throttler.State) float64 {
+	if s.Wait > 0 {
+		return math.Inf(1)
+	}
+	return s.Fill * s.Fill * limitCost.Seconds()
+}
+
 // Path returns the cheapest path for a generation. It returns false if no path has the capacity, or if the prompt would wait for
 // the pipes between data centres until the client has left.
 func (c *Chooser) Path(d Demand, avoid map[string]bool) ([]cataloger.Stage, bool) {
@@ -161,7 +181,7 @@
 	*buffer = c.Targets.AppendService((*buffer)[:0], d.Service)
 	views := *buffer
 	if e.Layers == 0 {
-		return leastLoadedTarget(views, avoid)
+		return leastLoadedTarget(views, avoid, c.Limits())
 	}
 	path, ok := c.cheapestOver(e, c.holders(views, d, avoid, c.loadEstimate(views, d)))
 	if !ok && !c.HasFleetLoads() {
@@ -177,7 +197,7 @@
 	bestCost := 0.0
 	for _, versionHolders := range holders {
 		p := pathfinder.Problem{End: e.Layers, Holders: versionHolders, CrossingCost: c.crossingCosts(e), MaxStages: maxStages}
-		if stages, cost, ok := p.Find(); ok && (best == nil || cost < bestCost) {
+		if stages, cost, ok := p.Find(); ok && !math.IsInf(cost, 1) && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
 		}
 	}
@@ -201,11 +221,15 @@
 			return v.Usable() && !v.Refusing && d.fits(v.TokenLayers, placer.MemoryOf(e, v.Kind).TokenLayers(end-first), end-first)
 		}},
 	}
+	limits := c.Limits()
 	for _, check := range checks {
 		if first, end, ok := firstUncovered(views, e.Layers, check.ok); ok {
 			return fmt.Sprintf("layers %d to %d are %s", first, end, check.what)
 		}
 	}
+	if _, _, ok := firstUncovered(views, 1, func(v assessor.View) bool { return v.Usable() && !v.Refusing && limits[v.Name].Wait == 0 }); ok {
+		return "the first layer is held only by targets at their limits of requests"
+	}
 	if path, ok := c.cheapestPath(d, nil); ok {
 		return fmt.Sprintf("a prompt would wait for %s for the pipes between data centres", c.transferWait(d, nil, path).Round(time.Millisecond))
 	}
@@ -218,22 +242,48 @@
 	return !missing
 }
 
-// RetryAfter returns how long it takes until there may be a path again: until enough pauses of targets have ended for all layers
-// to be held, or until the pipes between data centres have drained. It returns 0 if neither is what is missing.
+// WaitForTarget returns the time until a usable target of a service may get a request, if all are paused or at their limits. It
+// returns 0 if one may get it now, or if none is usable.
+func (c *Chooser) WaitForTarget(service string) time.Duration {
+	limits := c.Limits()
+	var shortest time.Duration
+	for _, v := range c.Targets.Service(service) {
+		if !v.Usable() {
+			continue
+		}
+		wait := max(v.Paused, limits[v.Name].Wait)
+		if wait == 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+// RetryAfter returns how long it takes until there may be a path again: until enough pauses and waits for limits of targets have ended
+// for all layers to be held, or until the pipes between data centres have drained. It returns 0 if neither is what is missing.
 func (c *Chooser) RetryAfter(d Demand) time.Duration {
 	if d.Engine.Layers == 0 {
-		return c.Targets.PauseRemaining(d.Service)
+		return c.WaitForTarget(d.Service)
+	}
+	views, limits := c.Targets.Service(d.Service), c.Limits()
+	wait := func(v assessor.View) time.Duration {
+		if first, _, _ := v.ReadyLayers(); first == 0 {
+			return max(v.Paused, limits[v.Name].Wait)
+		}
+		return v.Paused
 	}
-	views := c.Targets.Service(d.Service)
 	var pauses []time.Duration
 	for _, v := range views {
-		if v.Usable() && v.Paused > 0 {
-			pauses = append(pauses, v.Paused)
+		if v.Usable() && wait(v) > 0 {
+			pauses = append(pauses, wait(v))
 		}
 	}
 	slices.Sort(pauses)
 	for _, pause := range append([]time.Duration{0}, pauses...) {
-		available := func(v assessor.View) bool { return v.Usable() && v.Paused <= pause }
+		available := func(v assessor.View) bool { return v.Usable() && wait(v) <= pause }
 		if _, _, missing := firstUncovered(views, d.Engine.Layers, available); !missing {
 			return max(pause, c.timeToDrain(d))
 		}
@@ -273,10 +323,10 @@
 
 // leastLoadedTarget returns the target with the least load as a path of one stage, for a service whose targets each hold the
 // full model.
-func leastLoadedTarget(views []assessor.View, avoid map[string]bool) ([]cataloger.Stage, bool) {
+func leastLoadedTarget(views []assessor.View, avoid map[string]bool, limits map[string]throttler.State) ([]cataloger.Stage, bool) {
 	best := -1
 	for i, v := range views {
-		if v.Usable() && !v.Refusing && !avoid[v.Name] && (best < 0 || v.TokenLayers < views[best].TokenLayers) {
+		if v.Usable() && !v.Refusing && !avoid[v.Name] && limits[v.Name].Wait == 0 && (best < 0 || v.TokenLayers < views[best].TokenLayers) {
 			best = i
 		}
 	}
--- a/internal/chooser/precedence.go
+++ b/internal/chooser/precedence.go
@@ -16,6 +16,10 @@
 	largeRequestFactor = 2
 	// maxLargeRequestShare bounds that capacity, as a share of a target's memory for requests.
 	maxLargeRequestShare = 0.05
+	// limitRankReserve is the share of the burst of a target with a limit that each rank leaves to the ranks before it, and
+	// limitReturnReserve what new clients leave to those that return.
+	limitRankReserve   = 0.2
+	limitReturnReserve = 0.1
 )
 
 // Precedence orders generations for scarce memory; its zero value is the highest precedence of a new client.
@@ -45,6 +49,21 @@
 	return share
 }
 
+// LimitReserve returns the share of the burst that a target with a limit of requests keeps for requests before this one, in [0,1).
+func (s Precedence) LimitReserve() float64 {
+	if s.Begun {
+		return 0
+	}
+	reserve := 0.0
+	if !s.Returning {
+		reserve += limitReturnReserve
+	}
+	if s.Draw < 1-unrankedShare {
+		reserve += limitRankReserve * float64(min(s.Rank, maxRanks))
+	}
+	return reserve
+}
+
 // fits reports whether a target admits the generation on a number of layers, given the used part and the capacity of its memory
 // for requests, both in tokens times layers.
 func (d Demand) fits(used, capacity float64, layers uint32) bool {
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -22,6 +22,9 @@
 	MaxAttempts int
 	// Budget is the share of requests that may be retried; 0 is the default.
 	Budget float64
+	// Permit, if not nil, reports whether an attempt may be sent to an instance now; another instance is picked if not. The
+	// instance must then not be offered again until it may.
+	Permit func(ctx context.Context, target cataloger.Target) bool
 	// Spend, if not nil, replaces the balancer's own budget; it reports whether one more attempt is allowed.
 	Spend func() bool
 }
@@ -103,6 +106,13 @@
 		if !ok {
 			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(breaker.MinOpen)
 		}
+		if policy.Permit != nil && !policy.Permit(ctx, target) {
+			b.abandon(target.Name)
+			if ctx.Err() != nil {
+				return Answer{}, run.refusal(refuser.Canceled, "before an attempt on %s", target.Name)
+			}
+			continue
+		}
 		answer, err := b.attempt(ctx, target, run.nextRequest(b.Clock.Now()), attempt)
 		if err == nil {
 			return answer, nil
@@ -222,6 +232,13 @@
 	return best
 }
 
+// abandon ends an attempt that was picked and not made.
+func (b *Balancer) abandon(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(name).Abandon()
+}
+
 func (b *Balancer) attempt(ctx context.Context, target cataloger.Target, r Request, run Attempt) (Answer, error) {
 	began := b.Clock.Now()
 	answer, err := run(ctx, target, r)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,7 +248,11 @@
 	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
 	r.OnTargetLost = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
 	r.OnTargetLeaving = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
-	r.OnEvidence = g.gossiper.NotifyUrgent
+	r.OnEvidence, r.OnLimit = g.gossiper.NotifyUrgent, g.gossiper.NotifyUrgent
+	r.Throttler.Self, r.Throttler.Owner, r.Throttler.Send = g.Settings.Name, g.limitOwner, g.sendPermitRequest
+	r.Throttler.Daemons = func() int { return g.fleetSize.Max(g.Clock.Now()) }
+	g.poster.Handle(permitRequestMethod, g.handlePermitRequest)
+	g.poster.Handle(permitReplyMethod, g.handlePermitReply)
 	r.Quarantiner.Log, r.Quarantiner.TrialRank = g.Log, g.trialRank
 
 	g.orderer.Log = g.Log
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -40,6 +40,9 @@
 	for _, p := range latest(g.targets.Paces(), func(p assessor.Pace) time.Time { return p.At }) {
 		n.Paces = append(n.Paces, &peerv1.TargetPace{Target: p.Target, Pace: float32(p.Pace), AgeMs: ageMS(now, p.At)})
 	}
+	for _, l := range g.relayer.Throttler.News(maxEntries) {
+		n.Limits = append(n.Limits, encodeLimit(now, l))
+	}
 	g.addEvidence(n, now)
 	if !all {
 		return n
@@ -125,6 +128,7 @@
 	for _, p := range n.GetPaces() {
 		g.targets.SetPace(p.GetTarget(), float64(p.GetPace()), since(p.GetAgeMs()))
 	}
+	urgent = g.mergeLimits(now, peer, n.GetLimits()) || urgent
 	urgent = g.mergeEvidence(n, now) || urgent
 	for _, p := range n.GetOrders() {
 		g.orderer.MergePending(orderer.Pending{
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -70,6 +70,7 @@
 		Idempotent: req.Route.Repeatable(),
 	}, forwarder.Policy{
 		MaxAttempts: max(req.Route.MaxAttempts, 1),
+		Permit:      func(ctx context.Context, t cataloger.Target) bool { return r.permit(ctx, req, t) },
 		Spend:       func() bool { return r.spendRetry(req) },
 	}, call.attempt)
 	switch {
@@ -81,7 +82,7 @@
 		return r.expiryRefusal(req, refuser.From(err).Fact)
 	}
 	refusal := refuser.From(err)
-	if back := r.Targets.PauseRemaining(req.Service.Name); back > 0 && refusal.Fact == refuser.FactNotRun {
+	if back := r.Chooser.WaitForTarget(req.Service.Name); back > 0 && refusal.Fact == refuser.FactNotRun {
 		return refusal.WithRetryAfter(back)
 	}
 	return refusal
@@ -92,12 +93,13 @@
 	return refuser.New(refuser.Quarantined, "this request has crashed its targets").WithFact(refuser.FactNotRun)
 }
 
-// pickableInstances returns the targets of a service for the balancer; lost and paused ones are suspect.
+// pickableInstances returns the targets of a service for the balancer; lost and paused ones and those at their limits are suspect.
 func (r *Relayer) pickableInstances(service string) []cataloger.Target {
 	var out []cataloger.Target
+	limits := r.Throttler.States()
 	for _, v := range r.Targets.Service(service) {
 		t := v.Target
-		if v.Unreachable || v.Paused > 0 {
+		if v.Unreachable || v.Paused > 0 || limits[v.Name].Wait > 0 {
 			t = t.WithState(cataloger.StateSuspect)
 		}
 		// Incarnations with the same name share nothing, not even their breakers.
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -31,7 +30,9 @@
 	pathWait = 1500 * time.Millisecond
 	// noPathRetry is the minimum retry delay if nobody holds some layers: about the time of a load.
 	noPathRetry = time.Second
-	readBuffer  = 16 << 10
+	// maxPermitTries bounds the targets that are tried before a request is refused because they are at their limits.
+	maxPermitTries = 8
+	readBuffer     = 16 << 10
 )
 
 // errRequestLost ends a send that its first target seems to have lost.
@@ -101,7 +102,6 @@
 
 // generate relays a request over pipelines until its answer is complete.
 func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
-	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
 	g := &generation{relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
@@ -126,14 +126,13 @@
 
 // run sends the request until its answer is complete or its refusal final.
 func (g *generation) run(ctx context.Context) *refuser.Refusal {
-	r, req := g.relayer, g.request
 	for repeat := false; ; repeat = true {
 		if refusal := g.admit(repeat); refusal != nil {
 			return g.finalRefusal(ctx, refusal)
 		}
-		path, ok := g.findPath(ctx)
-		if !ok {
-			return g.finalRefusal(ctx, refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(req.demand())).WithRetryAfter(max(r.Chooser.RetryAfter(req.demand()), noPathRetry)))
+		path, refusal := g.findPermittedPath(ctx)
+		if refusal != nil {
+			return g.finalRefusal(ctx, refusal)
 		}
 		// The budget counts sends, so nothing is taken out before there is a path.
 		if repeat && !g.prepayRetry() {
@@ -173,6 +172,30 @@
 	return refuser.New(refuser.Quarantined, "requests with part %s in their prompts crash targets", g.request.PromptParts[d.Index]).WithRetryAfter(d.Wait)
 }
 
+// findPermittedPath returns a path whose first target may get the request now. A target at its limit is not chosen again until it may
+// get requests, so the number of tries is bounded by that of the targets.
+func (g *generation) findPermittedPath(ctx context.Context) ([]cataloger.Stage, *refuser.Refusal) {
+	r, demand := g.relayer, g.request.demand()
+	for range maxPermitTries {
+		path, ok := g.findPath(ctx)
+		if !ok {
+			wait := max(r.Chooser.RetryAfter(demand), noPathRetry)
+			return nil, refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(demand)).WithRetryAfter(wait)
+		}
+		first, ok := r.Targets.Get(path[0].Target)
+		if !ok {
+			continue
+		}
+		if r.permit(ctx, g.request, first.Target) {
+			return path, nil
+		}
+		if r.expired(ctx, g.request) {
+			break
+		}
+	}
+	return nil, refuser.New(refuser.TargetsAtLimit, "the targets get as many requests as they accept").WithRetryAfter(max(r.Chooser.RetryAfter(demand), noPathRetry))
+}
+
 // findPath returns a path; a stream that has begun waits for one up to pathWait.
 func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
 	r, demand := g.relayer, g.request.demand()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -49,8 +49,10 @@
 	OnTargetLeaving func(target cataloger.Target)
 	// OnEvidence is called when this daemon has evidence against a request that other daemons do not have yet.
 	OnEvidence func()
-	Clock      timer.Clock
-	Log        zerolog.Logger
+	// OnLimit is called when a target has told this daemon that it limits its requests.
+	OnLimit func()
+	Clock   timer.Clock
+	Log     zerolog.Logger
 	// Meter counts requests by workspace and service.
 	Meter *meter.Meter
 
@@ -73,7 +75,7 @@
 	r := &Relayer{
 		Targets:         targets,
 		Quarantiner:     quarantiner.New(clock.Now),
-		Throttler:       throttler.New(clock.Now),
+		Throttler:       throttler.New(clock),
 		Chooser:         chooser.New(targets, clock.Now),
 		Clock:           clock,
 		Meter:           meter.New(),
@@ -82,12 +84,14 @@
 		OnTargetLost:    func(cataloger.Target) {},
 		OnTargetLeaving: func(cataloger.Target) {},
 		OnEvidence:      func() {},
+		OnLimit:         func() {},
 		Balancer:        forwarder.NewBalancer(&forwarder.Forwarder{Clock: clock}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rationers:       map[string]*rationer.Rationer{},
 		streams:         map[*generation]struct{}{},
 		lastQueried:     map[string]time.Time{},
 		crashChecks:     map[string]*crashCheck{},
 	}
+	r.Chooser.Limits = r.Throttler.States
 	r.typicalFirstWait.Store(int64(maxFirstEventTimeout / firstEventTimeoutFactor))
 	return r
 }
@@ -99,6 +103,7 @@
 		return refusal
 	}
 	r.rationer(req.Service.Name).RecordRequest(r.Clock.Now())
+	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	if req.Service.Engine != nil && req.Route.Kind == matcher.KindStreaming {
@@ -214,17 +219,6 @@
 	}
 }
 
-// recordLimit records the limit that an answer of a target named.
-func (r *Relayer) recordLimit(t cataloger.Target, limit throttler.Limit) {
-	switch r.Throttler.Observe(throttler.Target{Name: t.Name, Incarnation: t.Incarnation}, limit) {
-	case throttler.ChangeBegan:
-		r.Log.Info().Str("target", t.Name).Float64("rate", limit.Rate).Msg("target limits its requests")
-	case throttler.ChangeEnded:
-		r.Log.Info().Str("target", t.Name).Msg("target no longer limits its requests")
-	case throttler.ChangeRate, throttler.ChangeNone:
-	}
-}
-
 // markLost records that a target does not answer.
 func (r *Relayer) markLost(t cataloger.Target, why string) {
 	if r.Targets.Suspect(t.Name, t.Incarnation, r.Clock.Now()) {
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -13,6 +13,8 @@
 const (
 	// watchInterval is the time between two checks of the streams in progress.
 	watchInterval = 50 * time.Millisecond
+	// limitInterval is the time between two checks of the limits of targets.
+	limitInterval = time.Second
 	// A stream that has begun is checked after a silence of minPatience, or of gapPatienceFactor of its mean gaps if
 	// longer.
 	minPatience       = 250 * time.Millisecond
@@ -45,8 +47,13 @@
 
 // Watch checks the streams in progress until ctx is done, and replaces lost and leaving stages.
 func (r *Relayer) Watch(ctx context.Context) error {
+	var limitsCheckedAt time.Time
 	for r.Clock.Sleep(ctx, watchInterval) == nil {
 		r.checkStreams(ctx)
+		if now := r.Clock.Now(); now.Sub(limitsCheckedAt) >= limitInterval {
+			limitsCheckedAt = now
+			r.checkLimits(ctx)
+		}
 	}
 	return nil
 }
--- a/pkg/refuser/code.go
+++ b/pkg/refuser/code.go
@@ -50,6 +50,7 @@
 	Draining            Code = 303
 	NotReady            Code = 304
 	Quarantined         Code = 305
+	TargetsAtLimit      Code = 306
 	TargetFailed        Code = 401
 	TargetRefused       Code = 402
 	AnswerInvalid       Code = 403
@@ -113,6 +114,7 @@
 	{Draining, "draining", "The entry is shutting down; use another entry.", FactNotRun, true, connect.CodeUnavailable},
 	{NotReady, "not-ready", "The entry has no configuration yet; use another entry.", FactNotRun, true, connect.CodeUnavailable},
 	{Quarantined, "quarantined", "Requests like this one have crashed their targets; for now none is sent.", FactNotRun, true, connect.CodeUnavailable},
+	{TargetsAtLimit, "targets-at-limit", "All targets that could take the request get as many requests as they accept.", FactNotRun, true, connect.CodeUnavailable},
 	{TargetFailed, "target-failed", "The target failed while the request ran.", FactMayHaveRun, false, connect.CodeUnavailable},
 	{TargetRefused, "target-refused", "The target refused the request before it ran.", FactNotRun, true, connect.CodeUnavailable},
 	{AnswerInvalid, "answer-invalid", "The answer failed the checks of its receipts and positions.", FactMayHaveRun, false, connect.CodeDataLoss},
