Bound the targets that one request asks for permits

Cause: a plain request, or a generation, asked each target at its limit in turn. Change: three targets with limits are asked, then only those without one are used; updates carry 12 limits in place of 24, as requests for permits carry them too. A first try that refused after three targets was dropped: TestTargetsGetNoMoreRequestsThanTheyAccept showed requests refused although other targets had room.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -255,3 +255,51 @@
 		}
 	})
 }
+
+// TestCostOfPermits: what permits cost a gateway depends on its requests, not on how many gateways or targets there are, and stays
+// within the budget for control at the design size's 9.3 requests a second for each gateway, all of them to targets at their limits.
+func TestCostOfPermits(t *testing.T) {
+	const (
+		budget   = 9_000
+		duration = 10 * time.Second
+	)
+	if raced {
+		t.Skip("CI plays larger fleets without the race detector")
+	}
+	for _, n := range []int{31, 118} {
+		synctest.Test(t, func(t *testing.T) {
+			// As at the design size, 3,300 targets before 400 gateways, which accept half of the requests.
+			const targetsPerGateway, rate = 8, 0.58
+			f := newLimitFleet(t, n, targetsPerGateway*n)
+			limits := map[string]throttler.Limit{}
+			for _, name := range f.names {
+				limits[name] = throttler.Limit{Rate: rate, Set: true}
+			}
+			bytes := func() map[string]int {
+				f.hub.mu.Lock()
+				defer f.hub.mu.Unlock()
+				out := f.hub.bytes
+				f.hub.bytes = map[string]int{}
+				return out
+			}
+			bytes()
+			f.load(f.all, 9.3, duration)
+			before := 0
+			for _, b := range bytes() {
+				before += b
+			}
+			f.setLimits(limits)
+			f.load(f.all, 9.3, 3*time.Second)
+			bytes()
+			f.load(f.all, 9.3, duration)
+			sum, busiest := 0, 0
+			for _, b := range bytes() {
+				sum, busiest = sum+b, max(busiest, b)
+			}
+			seconds := duration.Seconds()
+			t.Logf("%d gateways: %.0f bytes/s sent on the mean without limits, %.0f with, the busiest %.0f", n,
+				float64(before)/float64(n)/seconds, float64(sum)/float64(n)/seconds, float64(busiest)/seconds)
+			require.Less(t, float64(busiest)/seconds, float64(budget))
+		})
+	}
+}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -65,6 +65,7 @@
 		return float64(version)
 	})
 	m.RegisterGauge("targets-lost", func() float64 { return float64(len(g.targets.Suspicions())) })
+	m.RegisterGauge("targets-limited", func() float64 { return float64(len(g.relayer.Throttler.States())) })
 	m.RegisterGauge("quarantines", func() float64 { return float64(g.relayer.Quarantiner.Quarantines()) })
 	m.RegisterGauge("peers-alive", func() float64 { return float64(len(g.others())) })
 	m.RegisterGauge("store-eras", func() float64 { return float64(g.eraCount.Load()) })
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -19,6 +19,8 @@
 	maxLoads = 48
 	// maxEntries bounds the targets of each kind in one update, the latest first: under a kilobyte together.
 	maxEntries = 24
+	// maxUpdateLimits bounds the limits of targets in one update: some 300 bytes. Requests for permits carry them too.
+	maxUpdateLimits = 12
 	// successorCount is how many daemons receive the orders that are not listed yet, as they may have to give the next
 	// ones.
 	successorCount = 3
@@ -40,7 +42,7 @@
 	for _, p := range latest(g.targets.Paces(), func(p assessor.Pace) time.Time { return p.At }) {
 		n.Paces = append(n.Paces, &peerv1.TargetPace{Target: p.Target, Pace: float32(p.Pace), AgeMs: ageMS(now, p.At)})
 	}
-	for _, l := range g.relayer.Throttler.News(maxEntries) {
+	for _, l := range g.relayer.Throttler.News(maxUpdateLimits) {
 		n.Limits = append(n.Limits, encodeLimit(now, l))
 	}
 	g.addEvidence(n, now)
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	keys []quarantiner.Key
 	// targets are the names of the targets that were tried.
 	targets []string
+	// notPermitted counts the targets that were at their limits since the last attempt.
+	notPermitted int
 }
 
 // bufferedReply is a reply whose body was read up to maxBufferedBytes.
@@ -61,7 +64,7 @@
 	if d := r.Quarantiner.Admit(c.keys); d.Verdict == quarantiner.Quarantined {
 		return quarantinedRequest().WithRetryAfter(d.Wait)
 	}
-	_, err := r.Balancer.Run(ctx, func() []cataloger.Target { return r.pickableInstances(req.Service.Name) }, forwarder.Request{
+	_, err := r.Balancer.Run(ctx, c.instances, forwarder.Request{
 		Workspace:  req.Workspace,
 		Service:    req.Service.Name,
 		Route:      req.Route.Name,
@@ -70,7 +73,7 @@
 		Idempotent: req.Route.Repeatable(),
 	}, forwarder.Policy{
 		MaxAttempts: max(req.Route.MaxAttempts, 1),
-		Permit:      func(ctx context.Context, t cataloger.Target) bool { return r.permit(ctx, req, t) },
+		Permit:      c.permit,
 		Spend:       func() bool { return r.spendRetry(req) },
 	}, call.attempt)
 	switch {
@@ -82,6 +85,9 @@
 		return r.expiryRefusal(req, refuser.From(err).Fact)
 	}
 	refusal := refuser.From(err)
+	if refusal.Code == refuser.NoTarget && c.notPermitted > 0 {
+		refusal = refuser.New(refuser.TargetsAtLimit, "the instances get as many requests as they accept").WithFact(refusal.Fact).WithRetryAfter(refusal.RetryAfter)
+	}
 	if back := r.Chooser.WaitForTarget(req.Service.Name); back > 0 && refusal.Fact == refuser.FactNotRun {
 		return refusal.WithRetryAfter(back)
 	}
@@ -93,6 +99,28 @@
 	return refuser.New(refuser.Quarantined, "this request has crashed its targets").WithFact(refuser.FactNotRun)
 }
 
+// instances returns the targets for the next attempt. Once maxPermitTries of them were at their limits, it offers only those
+// without one.
+func (c *plainCall) instances() []cataloger.Target {
+	r := c.relayer
+	out := r.pickableInstances(c.request.Service.Name)
+	if c.notPermitted < maxPermitTries {
+		return out
+	}
+	limits := r.Throttler.States()
+	return slices.DeleteFunc(out, func(t cataloger.Target) bool { _, limited := limits[t.Name]; return limited })
+}
+
+// permit reports whether an attempt may be sent to a target.
+func (c *plainCall) permit(ctx context.Context, t cataloger.Target) bool {
+	if !c.relayer.permit(ctx, c.request, t) {
+		c.notPermitted++
+		return false
+	}
+	c.notPermitted = 0
+	return true
+}
+
 // pickableInstances returns the targets of a service for the balancer; lost and paused ones and those at their limits are suspect.
 func (r *Relayer) pickableInstances(service string) []cataloger.Target {
 	var out []cataloger.Target
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -30,8 +30,8 @@
 	pathWait = 1500 * time.Millisecond
 	// noPathRetry is the minimum retry delay if nobody holds some layers: about the time of a load.
 	noPathRetry = time.Second
-	// maxPermitTries bounds the targets that are tried before a request is refused because they are at their limits.
-	maxPermitTries = 8
+	// maxPermitTries bounds the targets with limits that are asked for before only those without one are used.
+	maxPermitTries = 3
 	readBuffer     = 16 << 10
 )
 
@@ -172,11 +172,16 @@
 	return refuser.New(refuser.Quarantined, "requests with part %s in their prompts crash targets", g.request.PromptParts[d.Index]).WithRetryAfter(d.Wait)
 }
 
-// findPermittedPath returns a path whose first target may get the request now. A target at its limit is not chosen again until it may
-// get requests, so the number of tries is bounded by that of the targets.
+// findPermittedPath returns a path whose first target may get the request now. After maxPermitTries it uses only targets without a
+// limit.
 func (g *generation) findPermittedPath(ctx context.Context) ([]cataloger.Stage, *refuser.Refusal) {
 	r, demand := g.relayer, g.request.demand()
-	for range maxPermitTries {
+	for try := range maxPermitTries + 1 {
+		if try == maxPermitTries {
+			for name := range r.Throttler.States() {
+				g.avoid[name] = true
+			}
+		}
 		path, ok := g.findPath(ctx)
 		if !ok {
 			wait := max(r.Chooser.RetryAfter(demand), noPathRetry)
