--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -16,8 +16,8 @@
 
 const (
 	// permitRequestMethod and permitReplyMethod are the names of the peer handlers for permits.
-	permitRequestMethod = "permit-request"
-	permitReplyMethod   = "permit-reply"
+	permitRequestMethod = "permit"
+	permitReplyMethod   = "permits"
 )
 
 // limitOwner returns the daemon that owns the limit of a target.
@@ -50,7 +50,10 @@
 		Number: m.GetNumber(), News: decodeLimit(now, m.GetLimit()), Wanted: int(m.GetWanted()), Reserve: float64(m.GetReserve()),
 	})
 	reply := &peerv1.PermitReply{
-		Number: a.Number, Limit: encodeLimit(now, a.News), Permits: uint32(a.Permits), WaitMs: uint32(a.Wait.Milliseconds()), Fill: float32(a.Fill),
+		Number: a.Number, Permits: uint32(a.Permits), WaitMs: uint32(a.Wait.Milliseconds()), Fill: float32(a.Fill),
+	}
+	if a.News != (throttler.News{}) {
+		reply.Limit = encodeLimit(now, a.News)
 	}
 	return nil, g.poster.Notify(others[i].PeerAddress, permitReplyMethod, reply)
 }
@@ -61,10 +64,13 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return nil, errors.Wrap(err, "decode permits")
 	}
-	g.relayer.Throttler.HandleAnswer(throttler.Answer{
-		Number: m.GetNumber(), News: decodeLimit(g.Clock.Now(), m.GetLimit()), Permits: int(m.GetPermits()),
-		Wait: time.Duration(m.GetWaitMs()) * time.Millisecond, Fill: float64(m.GetFill()),
-	})
+	a := throttler.Answer{
+		Number: m.GetNumber(), Permits: int(m.GetPermits()), Wait: time.Duration(m.GetWaitMs()) * time.Millisecond, Fill: float64(m.GetFill()),
+	}
+	if m.Limit != nil {
+		a.News = decodeLimit(g.Clock.Now(), m.GetLimit())
+	}
+	g.relayer.Throttler.HandleAnswer(a)
 	return nil, nil
 }
 
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -34,7 +34,7 @@
 // Answer is the owner's answer to an Ask.
 type Answer struct {
 	Number uint64
-	// News is what the owner knows of the limit.
+	// News is what the owner knows of the limit; the zero value if that is no later than what the ask said.
 	News    News
 	Permits int
 	// Wait is the time after which it makes sense to ask again.
@@ -139,7 +139,9 @@
 	case !ok:
 		return h.useFallback(now, limit, t.Daemons())
 	}
-	t.merge(answer.News)
+	if answer.News != (News{}) {
+		t.merge(answer.News)
+	}
 	return h.apply(now, grant{permits: answer.Permits, wait: answer.Wait, fill: answer.Fill})
 }
 
@@ -183,10 +185,13 @@
 	defer t.mu.Unlock()
 	t.merge(a.News)
 	target := a.News.Target
-	answer := Answer{Number: a.Number, News: t.limits[target.Name]}
-	limit := t.limits.get(target)
+	answer := Answer{Number: a.Number}
+	known, limit := t.limits[target.Name], t.limits.get(target)
+	if known != a.News {
+		answer.News = known
+	}
 	switch {
-	case answer.News.Target != target:
+	case known.Target != target:
 		// The daemon that asks does not know yet that the target has restarted.
 		answer.Wait = minWait
 	case !limit.Set:
