--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -61,6 +61,8 @@
 	// suspicion.
 	unansweredAt time.Time
 	clearedAt    time.Time
+	// answeredAt is when the target last answered this daemon as the first stage.
+	answeredAt time.Time
 	// pace is the pace that the target reported at pacedAt; 1 is its usual pace and a larger value is slower.
 	pace    float64
 	pacedAt time.Time
@@ -89,6 +91,8 @@
 	Pace float64
 	// Faults is the recent share of failures among the requests sent to the target as the first stage.
 	Faults float64
+	// SinceAnswer is how long ago the target last answered this daemon as the first stage; 0 if it never did.
+	SinceAnswer time.Duration
 	// SinceLeaving is how long ago the target began to leave; 0 if it does not leave.
 	SinceLeaving time.Duration
 	// SinceUnload is how long ago the target last unloaded layers; 0 if it has unloaded none.
@@ -267,6 +271,9 @@
 	v.Paused = max(r.pausedUntil.Sub(now), 0)
 	v.Refusing = now.Before(r.refusedUntil) || v.Paused > 0
 	v.Faults = r.currentFaults(now)
+	if !r.answeredAt.IsZero() {
+		v.SinceAnswer = max(now.Sub(r.answeredAt), 1)
+	}
 	if !r.leavingAt.IsZero() {
 		v.SinceLeaving = max(now.Sub(r.leavingAt), 1)
 	}
--- a/internal/assessor/suspicion.go
+++ b/internal/assessor/suspicion.go
@@ -45,6 +45,7 @@
 	r.faults = r.currentFaults(now)
 	r.faultsAt = now
 	if healthy {
+		r.answeredAt = now
 		r.faults -= r.faults * successGain
 	} else {
 		r.faults += (1 - r.faults) * faultGain
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -117,7 +117,8 @@
 	}
 	for _, d := range n.GetDoubts() {
 		if g.targets.Suspect(d.GetTarget(), d.GetIncarnation(), since(d.GetAgeMs())) {
-			g.Log.Info().Str("target", d.GetTarget()).Str("peer", peer).Msg("target believed lost by a peer")
+			v, _ := g.targets.Get(d.GetTarget())
+			g.Log.Info().Str("target", d.GetTarget()).Str("peer", peer).Dur("answered-here", v.SinceAnswer).Msg("target believed lost by a peer")
 			urgent = true
 		}
 	}
