Reach targets through a peer where a gateway has lost its own links

Cause: a gateway knew targets by its own connections only, and took its own lost links for lost targets: it waited for them, refused what it could have passed on, and told the others, which avoided sound targets for a moment. Class: one process takes its lost link for the fault of the other end. A link over which a peer reaches the target and this gateway does not is lost: idle connections are closed, silent sends that may be repeated go on through a peer. Why it works: a target that a peer reaches is not lost, so evidence comes from two sides. Requests, attempts, limits and budgets stay with the gateway that has the request; the peer carries bytes, so at most once holds as on any connection, and there are no chains. Ruled out: leaving the cut gateway out of address lookups (clients keep an answer for seconds; 18 of 31 gateways are cut), passing whole requests on (two gateways would decide about one request).

--- a/internal/exchanger/dial.go
+++ b/internal/exchanger/dial.go
@@ -20,6 +20,11 @@
 
 // DialTCP opens a TCP connection that detects a silent peer.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return DialTCPFrom(ctx, nil, address)
+}
+
+// DialTCPFrom is like DialTCP, from a local IP address; nil means any.
+func DialTCPFrom(ctx context.Context, local net.IP, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -33,6 +38,9 @@
 			return option
 		},
 	}
+	if local != nil {
+		d.LocalAddr = &net.TCPAddr{IP: local}
+	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -57,6 +57,8 @@
 	// NoReuse keeps the connection from being used again. It is for answers that do not name their request, as a late
 	// copy of one could be taken for the answer to the next request.
 	NoReuse bool
+	// Fresh opens a new connection, as an open one may be silent without a trace.
+	Fresh bool
 }
 
 // Answer is an answer whose body is still to be read; Close ends its exchange.
@@ -121,7 +123,7 @@
 
 // Do sends a request and returns its answer; an error that is ErrNotSent proves that nothing was sent.
 func (e *Exchanger) Do(ctx context.Context, call Call) (*Answer, error) {
-	c, err := e.connect(ctx, call.Address)
+	c, err := e.connect(ctx, call)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -197,15 +199,11 @@
 }
 
 // connect returns a usable idle connection, or a new one.
-func (e *Exchanger) connect(ctx context.Context, address string) (*conn, error) {
-	now := e.now()
-	for c := e.idle.take(address, now); c != nil; c = e.idle.take(address, now) {
-		if c.isUsable() {
-			return c, nil
-		}
-		_ = c.Close()
+func (e *Exchanger) connect(ctx context.Context, call Call) (*conn, error) {
+	if c := e.takeIdle(call); c != nil {
+		return c, nil
 	}
-	nc, err := e.dial(ctx, address)
+	nc, err := e.dial(ctx, call.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -214,6 +212,21 @@
 	return c, nil
 }
 
+// takeIdle returns a usable idle connection, or nil if there is none.
+func (e *Exchanger) takeIdle(call Call) *conn {
+	if call.Fresh {
+		return nil
+	}
+	now := e.now()
+	for c := e.idle.take(call.Address, now); c != nil; c = e.idle.take(call.Address, now) {
+		if c.isUsable() {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
 // dial opens a connection within DialTimeout.
 func (e *Exchanger) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
@@ -246,7 +259,8 @@
 // Close ends the exchange; the connection is kept if the answer is complete and nothing else may follow on it.
 func (a *Answer) Close() error {
 	notCanceled := a.stop == nil || a.stop()
-	if !a.complete || !a.reusable || !notCanceled || a.conn.reader.Buffered() > 0 {
+	_, singleUse := a.conn.Conn.(interface{ SingleUse() })
+	if singleUse || !a.complete || !a.reusable || !notCanceled || a.conn.reader.Buffered() > 0 {
 		return a.conn.Close()
 	}
 	now := a.exchanger.now()
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -254,7 +254,7 @@
 	switch refusal.Code {
 	case refuser.TargetRefused:
 		state.Pause(now, max(refusal.RetryAfter, refusalPause))
-	case refuser.Canceled, refuser.UnknownMethod, refuser.MalformedRequest:
+	case refuser.Canceled, refuser.UnknownMethod, refuser.MalformedRequest, refuser.LinkLost:
 		state.Abandon()
 	default:
 		b.recordAttempt(state, r, now, began, true)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/tracker"
+	"github.com/rattantray/rattantray/internal/tunneler"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -116,8 +117,11 @@
 	targetUpstream *upstream
 	auditor        *auditor.Auditor
 	duty           duty
-	client         *http.Server
-	leaving        atomic.Bool
+	// links opens connections to targets, and door carries those of other daemons.
+	links   *tunneler.Dialer
+	door    *tunneler.Door
+	client  *http.Server
+	leaving atomic.Bool
 	// departures records the departures of all daemons, including this one.
 	departures     departures
 	activeRequests atomic.Int64
@@ -135,9 +139,13 @@
 	g.targets = assessor.New(clock.Now)
 	g.relayer = relayer.New(g.targets, clock)
 	g.orderer = orderer.New(g.targets, clock)
+	g.links = tunneler.NewDialer(clock)
 	return g
 }
 
+// Links returns the links to targets, through which the adapter must open its connections.
+func (g *Gateway) Links() *tunneler.Dialer { return g.links }
+
 // Relayer returns the relayer of the requests that Matcher allows.
 func (g *Gateway) Relayer() *relayer.Relayer { return g.relayer }
 
@@ -255,6 +263,9 @@
 	g.poster.Handle(permitReplyMethod, g.handlePermitReply)
 	r.Quarantiner.Log, r.Quarantiner.TrialRank = g.Log, g.trialRank
 
+	g.prepareLinks()
+	r.LinkLostSince = g.links.LostSince
+
 	g.orderer.Log = g.Log
 	g.orderer.Services = func() []matcher.Service {
 		if m := g.config.Load(); m != nil {
@@ -317,6 +328,7 @@
 		{Name: "leaser", Run: g.duty.leaser.Run},
 		{Name: "duty", Needs: []string{"leaser", "gossiper"}, Run: g.runDuty},
 		{Name: "orderer", Needs: []string{"duty", "config", "targets"}, Run: g.orderer.Run},
+		{Name: "links", Needs: []string{"members"}, Run: g.links.Run},
 		{Name: "watchdog", Needs: []string{"targets"}, Run: g.relayer.Watch},
 		{Name: "ready", Run: serve(g.Settings.ReadyListen, newServer(g.Adapter.Ready))},
 		{Name: "resolve", Needs: []string{"members"}, Run: serve(g.Settings.ResolveListen, newServer(g.Adapter.Resolve))},
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -35,10 +35,17 @@
 	_ = g.Clock.Sleep(ctx, lingerTime)
 	g.serveUntilReplaced(ctx, now.Add(remaining))
 	err := g.awaitRequests(ctx)
+	g.awaitTunnels(ctx)
 	g.Log.Info().Int64("requests", g.activeRequests.Load()).Err(err).Msg("gateway drained")
 	return err
 }
 
+// awaitTunnels returns once no other daemon's requests pass this one.
+func (g *Gateway) awaitTunnels(ctx context.Context) {
+	for g.door.Active() > 0 && g.Clock.Sleep(ctx, standInInterval) == nil {
+	}
+}
+
 // awaitRequests returns once the last request is answered. While no daemon accepts requests, it does not wait for idle
 // connections: the sooner this daemon restarts, the better.
 func (g *Gateway) awaitRequests(ctx context.Context) error {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -18,6 +18,8 @@
 	traitReachesStore
 	// traitHoldsDuty marks the daemon that holds the lease for placing layers.
 	traitHoldsDuty
+	// traitCutOff marks a daemon that has lost its own links to the targets.
+	traitCutOff
 )
 
 const (
@@ -97,7 +99,7 @@
 func (g *Gateway) traits() uint32 {
 	var traits uint32
 	for trait, is := range map[uint32]bool{
-		traitReady: g.Ready(), traitReachesStore: g.reachesStore(), traitHoldsDuty: g.duty.valid(),
+		traitReady: g.Ready(), traitReachesStore: g.reachesStore(), traitHoldsDuty: g.duty.valid(), traitCutOff: g.links.CutOff(),
 	} {
 		if is {
 			traits |= trait
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/follower"
 	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/tunneler"
 )
 
 const (
@@ -73,6 +74,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+objectsPath, g.serveObjects)
 	mux.HandleFunc("GET "+changesPath, g.serveChanges)
+	mux.Handle("GET "+tunneler.Path, g.door)
 	return mux
 }
 
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -65,6 +65,8 @@
 		return float64(version)
 	})
 	m.RegisterGauge("targets-lost", func() float64 { return float64(len(g.targets.Suspicions())) })
+	m.RegisterGauge("cut-off", func() float64 { return boolToFloat(g.links.CutOff()) })
+	m.RegisterGauge("tunnels", func() float64 { return float64(g.door.Active()) })
 	m.RegisterGauge("targets-limited", func() float64 { return float64(len(g.relayer.Throttler.States())) })
 	m.RegisterGauge("quarantines", func() float64 { return float64(g.relayer.Quarantiner.Quarantines()) })
 	m.RegisterGauge("peers-alive", func() float64 { return float64(len(g.others())) })
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -115,6 +115,10 @@
 		}
 		g.targets.SetPeerLoads(peer, loads)
 	}
+	if g.isCutOff(peer) {
+		// It can't tell lost targets from its own lost links.
+		n.Doubts, n.Evidence, n.Crashes = nil, nil, nil
+	}
 	for _, d := range n.GetDoubts() {
 		if g.targets.Suspect(d.GetTarget(), d.GetIncarnation(), since(d.GetAgeMs())) {
 			v, _ := g.targets.Get(d.GetTarget())
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -151,6 +151,10 @@
 	}
 	call := Call{Request: c.request, Target: t, Remaining: c.request.Deadline.Sub(now)}
 	c.relayer.logSent(call, len(c.targets))
+	if fr.Idempotent {
+		endTracking := c.relayer.trackSend(&plainSend{address: t.Address, began: now, cancel: cancel})
+		defer endTracking()
+	}
 	reply, err := c.relayer.Backend.Send(ctx, call)
 	if err != nil {
 		defer end()
@@ -215,6 +219,9 @@
 	if errors.Is(err, exchanger.ErrNotSent) {
 		return refuser.New(refuser.TargetFailed, "not sent: %s", err).WithFact(refuser.FactNotRun)
 	}
+	if errors.Is(err, errLinkLost) {
+		return refuser.New(refuser.LinkLost, "no answer: %s", err).WithFact(refuser.FactMayHaveRun)
+	}
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return refuser.New(refuser.Canceled, "the client went away").WithFact(refuser.FactMayHaveRun)
 	}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -44,6 +44,9 @@
 // errMoved ends a send so that its stream continues on another pipeline.
 var errMoved = errors.New("stream is moved to another pipeline")
 
+// errLinkLost ends a send over a link of this daemon that is lost, so that its request continues over another daemon.
+var errLinkLost = errors.New("link to the target is lost")
+
 // generation is a request to model engines, across all its sends.
 type generation struct {
 	relayer *Relayer
@@ -352,7 +355,11 @@
 		g.handleBrokenConnection(first)
 	}
 	g.mayHaveRun = true
-	g.avoid[first.Name] = true
+	g.avoidAfter(ctx, first)
+	if errors.Is(err, errLinkLost) {
+		g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Err(err).Msg("no answer")
+		return refuser.New(refuser.LinkLost, "no answer from %s: %s", first.Name, err)
+	}
 	if !errors.Is(err, context.Canceled) && !errors.Is(err, errMoved) && !errors.Is(err, errRequestLost) && !errors.Is(err, errQuarantined) {
 		g.relayer.Targets.RecordAnswer(first.Name, false)
 	}
@@ -360,6 +367,13 @@
 	return refuser.New(refuser.StreamLost, "no answer from %s: %s", first.Name, err)
 }
 
+// avoidAfter avoids the first target of a send that failed, unless only the link to it was lost.
+func (g *generation) avoidAfter(ctx context.Context, first cataloger.Target) {
+	if !errors.Is(context.Cause(ctx), errLinkLost) {
+		g.avoid[first.Name] = true
+	}
+}
+
 // handleRefusal handles a target's proof that it did not run the request.
 func (g *generation) handleRefusal(first cataloger.Target, reply *Reply) *refuser.Refusal {
 	r := g.relayer
@@ -484,7 +498,7 @@
 	g.events.prepareResume()
 	g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Str("last", g.events.last).Bool("begun", g.hasStarted()).
 		Bool("crashed", g.relayer.hasCrashed(first)).Err(err).AnErr("cause", context.Cause(ctx)).Msg("stream broke")
-	g.avoid[first.Name] = true
+	g.avoidAfter(ctx, first)
 	return sendRetry, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -41,6 +41,9 @@
 	Budget rationer.Budget
 	// DrainTime is how long targets serve after they were listed as leaving.
 	DrainTime time.Duration
+	// LinkLostSince returns when this daemon lost its link to the address of a target that other daemons reach, and whether it
+	// has.
+	LinkLostSince func(address string) (time.Time, bool)
 	// Sharers returns how many daemons share the budget.
 	Sharers func() int
 	// OnTargetLost is called with each target that this daemon found not to answer.
@@ -59,6 +62,7 @@
 	mu             sync.Mutex
 	rationers      map[string]*rationer.Rationer
 	streams        map[*generation]struct{}
+	plainSends     map[*plainSend]struct{}
 	lastQueried    map[string]time.Time
 	crashChecks    map[string]*crashCheck
 	returnDetector returnDetector
@@ -80,6 +84,7 @@
 		Clock:           clock,
 		Meter:           meter.New(),
 		Log:             zerolog.Nop(),
+		LinkLostSince:   func(string) (time.Time, bool) { return time.Time{}, false },
 		Sharers:         func() int { return 1 },
 		OnTargetLost:    func(cataloger.Target) {},
 		OnTargetLeaving: func(cataloger.Target) {},
@@ -88,6 +93,7 @@
 		Balancer:        forwarder.NewBalancer(&forwarder.Forwarder{Clock: clock}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rationers:       map[string]*rationer.Rationer{},
 		streams:         map[*generation]struct{}{},
+		plainSends:      map[*plainSend]struct{}{},
 		lastQueried:     map[string]time.Time{},
 		crashChecks:     map[string]*crashCheck{},
 	}
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -50,6 +50,7 @@
 	var limitsCheckedAt time.Time
 	for r.Clock.Sleep(ctx, watchInterval) == nil {
 		r.checkStreams(ctx)
+		r.checkPlainSends()
 		if now := r.Clock.Now(); now.Sub(limitsCheckedAt) >= limitInterval {
 			limitsCheckedAt = now
 			r.checkLimits(ctx)
@@ -118,7 +119,7 @@
 			// Its quarantine may have begun without new evidence, as another request was answered.
 			continue
 		}
-		if r.resendLostRequest(g, streams[i], generations, now) {
+		if r.leaveLostLink(g, streams[i], now) || r.resendLostRequest(g, streams[i], generations, now) {
 			continue
 		}
 		if toReplace := r.stagesToReplace(g, streams[i], now); len(toReplace) > 0 {
--- /dev/null
+++ b/internal/tunneler/doc.go
@@ -0,0 +1,2 @@
+// Package tunneler opens connections to targets, through another daemon where this daemon's own link to a target is lost.
+package tunneler
--- a/pkg/refuser/code.go
+++ b/pkg/refuser/code.go
@@ -57,6 +57,7 @@
 	StreamLost          Code = 404
 	Canceled            Code = 405
 	AttemptsExhausted   Code = 406
+	LinkLost            Code = 407
 	StoreUnavailable    Code = 501
 	OutcomeUncertain    Code = 502
 	AlreadyRan          Code = 503
@@ -121,6 +122,7 @@
 	{StreamLost, "stream-lost", "The answer's stream broke and can be continued with the resume token.", FactMayHaveRun, false, connect.CodeUnavailable},
 	{Canceled, "canceled", "The caller cancelled the request.", FactMayHaveRun, false, connect.CodeCanceled},
 	{AttemptsExhausted, "attempts-exhausted", "Every attempt that the service allows failed.", FactMayHaveRun, false, connect.CodeUnavailable},
+	{LinkLost, "link-lost", "The entry lost its connection to the target while the request ran; other entries reach it.", FactMayHaveRun, false, connect.CodeUnavailable},
 	{StoreUnavailable, "store-unavailable", "The store is down and a claim cannot be recorded.", FactNotRun, true, connect.CodeUnavailable},
 	{OutcomeUncertain, "outcome-uncertain", "The request was claimed and its outcome is not known.", FactMayHaveRun, false, connect.CodeAborted},
 	{AlreadyRan, "already-ran", "The request ran earlier and its answer is not kept.", FactRan, false, connect.CodeAlreadyExists},
