Check the links to targets when all streams are silent at once

What callers saw: streams in progress at the cut paused for over half a second, or ended. Cause: a lost link was noticed by the next connection that had to be opened, 0.2 to 0.5 s after the cut, and silent sends were ended at the watchdog's next round. Change: when all streams of a gateway, four at least over two first targets, are silent for three typical gaps, up to three links are checked directly and through peers at once. When a link is lost, its silent sends go on at once. Why: streams over different first targets have only the gateway's links in common. TestStreamsContinueWhenAllLinksAreLost fails without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,7 +264,7 @@
 	r.Quarantiner.Log, r.Quarantiner.TrialRank = g.Log, g.trialRank
 
 	g.prepareLinks()
-	r.LinkLostSince = g.links.LostSince
+	r.LinkLostSince, r.CheckLink = g.links.LostSince, g.links.Check
 
 	g.orderer.Log = g.Log
 	g.orderer.Services = func() []matcher.Service {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -17,6 +17,11 @@
 		return exchanger.DialTCPFrom(ctx, local, address)
 	}}
 	g.links.Log, g.links.Peers, g.links.Detour = g.Log, g.tunnelPeers, client.Detour
+	closeIdle := g.links.OnLost
+	g.links.OnLost = func(address string) {
+		closeIdle(address)
+		g.relayer.LeaveLostLinks()
+	}
 	g.door = &tunneler.Door{
 		Dial: g.links.DialDirect, Allows: g.allowsTunnel, Log: g.Log,
 		Closed: func() bool { return g.leaving.Load() || g.links.CutOff() },
--- /dev/null
+++ b/internal/relayer/links_test.go
@@ -0,0 +1,174 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
+)
+
+// lostLinkFleet is a relayer whose connections that are open at a moment go silent for good.
+type lostLinkFleet struct {
+	relayer *Relayer
+
+	mu sync.Mutex
+	// cutAt is when connections go silent; zero if they don't. lostAt is when this is known.
+	cutAt, lostAt time.Time
+	checked       map[string]bool
+	calls         []Call
+}
+
+func newLostLinkFleet(t *testing.T) *lostLinkFleet {
+	f := &lostLinkFleet{relayer: newTestRelayer(&fakeBackend{}), checked: map[string]bool{}}
+	r := f.relayer
+	r.Backend.Send = f.send
+	r.LinkLostSince = func(string) (time.Time, bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.lostAt, !f.lostAt.IsZero()
+	}
+	r.CheckLink = func(_ context.Context, address string) {
+		f.mu.Lock()
+		f.checked[address] = true
+		lost := !f.cutAt.IsZero() && f.lostAt.IsZero()
+		if lost {
+			f.lostAt = time.Now()
+		}
+		f.mu.Unlock()
+		if lost {
+			r.LeaveLostLinks()
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_ = r.Watch(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-watched
+	})
+	return f
+}
+
+// send streams an event each 20 ms over a connection that goes silent if it was opened before the cut.
+func (f *lostLinkFleet) send(ctx context.Context, call Call) (*Reply, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, call)
+	f.mu.Unlock()
+	next := 1
+	if call.ResumeAfter != "" {
+		_, _ = fmt.Sscan(call.ResumeAfter, &next)
+		next++
+	}
+	body := &slowEvents{fleet: f, ctx: ctx, next: next, opened: time.Now()}
+	if call.Request.Service.Engine == nil {
+		time.Sleep(20 * time.Millisecond)
+		if body.isSilent() {
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody, Signed: true}, nil
+	}
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: body, Signed: true}, nil
+}
+
+// slowEvents is a body of 60 events.
+type slowEvents struct {
+	fleet  *lostLinkFleet
+	ctx    context.Context
+	next   int
+	opened time.Time
+}
+
+func (s *slowEvents) isSilent() bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return !s.fleet.cutAt.IsZero() && s.opened.Before(s.fleet.cutAt) && !time.Now().Before(s.fleet.cutAt)
+}
+
+func (s *slowEvents) Read(p []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	if s.isSilent() {
+		<-s.ctx.Done()
+		return 0, context.Cause(s.ctx)
+	}
+	if s.next > 60 {
+		return strings.NewReader("").Read(p)
+	}
+	n := copy(p, eventRange(s.next, s.next))
+	s.next++
+	return n, nil
+}
+
+func (s *slowEvents) Close() error { return nil }
+
+// TestStreamsContinueWhenAllLinksAreLost guards against streams that hang on connections of a gateway which is cut off from all targets:
+// when all are silent at once, it checks its links, and they continue from the same event without a pause that clients notice.
+func TestStreamsContinueWhenAllLinksAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLostLinkFleet(t)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 2500 * time.Microsecond)
+				w, refusal, aborted := serve(f.relayer, stream(true))
+				require.Nil(t, refusal)
+				require.False(t, aborted)
+				require.Equal(t, eventRange(1, 60), w.Body.String(), "each event once, in order")
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.mu.Lock()
+		require.Empty(t, f.checked, "while streams proceed")
+		f.cutAt = time.Now()
+		f.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		f.mu.Lock()
+		require.NotZero(t, f.checked)
+		require.LessOrEqual(t, len(f.checked), maxLinkChecks)
+		require.Len(t, f.calls, 16, "each stream was sent once more")
+		f.mu.Unlock()
+		wg.Wait()
+	})
+}
+
+// TestLostLinkIsNoFaultOfAPlainService: a request that may be repeated continues over a peer, and the instance is used on; one that may
+// not waits for its answer.
+func TestLostLinkIsNoFaultOfAPlainService(t *testing.T) {
+	for _, kind := range []matcher.Kind{matcher.KindIdempotent, matcher.KindNonIdempotent} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newLostLinkFleet(t)
+			f.relayer.Targets.Put(cataloger.Target{Name: "p2", Service: "gone", Address: "p2:80", State: cataloger.StateLive, Incarnation: 1})
+			f.cutAt = time.Now().Add(10 * time.Millisecond)
+			time.AfterFunc(50*time.Millisecond, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.lostAt = time.Now()
+			})
+			began := time.Now()
+			w := httptest.NewRecorder()
+			refusal := f.relayer.Serve(t.Context(), w, plain(kind))
+			if kind == matcher.KindNonIdempotent {
+				require.NotNil(t, refusal, "it may have run")
+				require.Len(t, f.calls, 1)
+				return
+			}
+			require.Nil(t, refusal)
+			require.Less(t, time.Since(began), 300*time.Millisecond)
+			require.Len(t, f.calls, 2)
+			require.Equal(t, "p1", f.calls[1].Target.Name, "the only instance, which is sound")
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,8 @@
 	// LinkLostSince returns when this daemon lost its link to the address of a target that other daemons reach, and whether it
 	// has.
 	LinkLostSince func(address string) (time.Time, bool)
+	// CheckLink finds out whether this daemon's link to the address of a target is lost.
+	CheckLink func(ctx context.Context, address string)
 	// Sharers returns how many daemons share the budget.
 	Sharers func() int
 	// OnTargetLost is called with each target that this daemon found not to answer.
@@ -59,10 +61,12 @@
 	// Meter counts requests by workspace and service.
 	Meter *meter.Meter
 
-	mu             sync.Mutex
-	rationers      map[string]*rationer.Rationer
-	streams        map[*generation]struct{}
-	plainSends     map[*plainSend]struct{}
+	mu         sync.Mutex
+	rationers  map[string]*rationer.Rationer
+	streams    map[*generation]struct{}
+	plainSends map[*plainSend]struct{}
+	// linksCheckedAt is when links were last checked; only Watch uses it.
+	linksCheckedAt time.Time
 	lastQueried    map[string]time.Time
 	crashChecks    map[string]*crashCheck
 	returnDetector returnDetector
@@ -85,6 +89,7 @@
 		Meter:           meter.New(),
 		Log:             zerolog.Nop(),
 		LinkLostSince:   func(string) (time.Time, bool) { return time.Time{}, false },
+		CheckLink:       func(context.Context, string) {},
 		Sharers:         func() int { return 1 },
 		OnTargetLost:    func(cataloger.Target) {},
 		OnTargetLeaving: func(cataloger.Target) {},
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -107,6 +107,7 @@
 	for i, g := range generations {
 		streams[i] = g.stream()
 	}
+	r.checkLinks(ctx, generations, now)
 	r.clearSuspicions(streams)
 	for _, first := range repairer.StagesToQuery(now, streams) {
 		if v, ok := r.Targets.Get(first.Target); ok && !v.Unreachable && r.mayQuery(first.Target, now) {
--- a/internal/tunneler/dialer.go
+++ b/internal/tunneler/dialer.go
@@ -29,6 +29,8 @@
 	// ProbeInterval is the time between two attempts to open a direct connection over a lost link.
 	ProbeInterval = 300 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
+	// checkGrace is how much longer than that of a peer a direct connection may take to open when a link is checked.
+	checkGrace = 20 * time.Millisecond
 )
 
 // Peer is a daemon that may reach targets which this one does not.
@@ -131,6 +133,49 @@
 	return c, err
 }
 
+// Check finds out whether the link to a target is lost, by opening a connection directly and through peers at once.
+func (d *Dialer) Check(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	peers := d.order(d.Clock.Now())
+	opened, reached := make(chan bool, 1), make(chan Peer, len(peers))
+	go func() {
+		c, err := d.DialDirect(ctx, address)
+		if err == nil {
+			_ = c.Close()
+		}
+		opened <- err == nil
+	}()
+	for _, p := range peers {
+		go func() {
+			if c, err := d.Detour(ctx, p, address); err == nil {
+				_ = c.Close()
+				reached <- p
+			}
+		}()
+	}
+	var by *Peer
+	grace := make(chan struct{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case open := <-opened:
+			if open {
+				return
+			}
+		case p := <-reached:
+			if by == nil {
+				by = &p
+				defer d.Clock.AfterFunc(checkGrace, func() { close(grace) })()
+			}
+		case <-grace:
+			d.recordDetour(*by, address)
+			return
+		}
+	}
+}
+
 // order returns the peers to ask, in order: one in the same data centre first, others at random, as a whole data centre may be cut
 // off; those that lately did not reach a target last.
 func (d *Dialer) order(now time.Time) []Peer {
