Keep the load of sends whose end the targets do not hear

Cause: a send that is ended over a lost link goes on at its targets, which do not hear of it, while the gateway counted its memory as free. All resent streams then chose the same cheap paths. Change: the reservation of such a send is kept for 2 s. TestLoadOfUnheardEndsIsKept fails without it. What still ends is streams without a repeat left in the budget.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -80,6 +80,8 @@
 	trial bool
 	// sendStarted is when the current send began.
 	sendStarted time.Time
+	// linkLost is true if the current send was ended because its link is lost.
+	linkLost bool
 	// retryPrepaid is true if the next send was already taken out of the budget.
 	retryPrepaid bool
 	// firstEventTime is the time to the first event, longestGap the longest gap after it.
@@ -547,6 +549,11 @@
 	r.mu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.linkLost {
+		g.linkLost = false
+		r.Clock.AfterFunc(unheardEndTime, g.release)
+		return
+	}
 	g.release()
 }
 
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -20,6 +20,9 @@
 	linkCheckInterval = 250 * time.Millisecond
 )
 
+// unheardEndTime is how long targets go on with a send whose end they do not hear over a lost link: about the time of an answer.
+const unheardEndTime = 2 * time.Second
+
 // plainSendPatience is how long a send to a plain service may be silent on a lost link: open connections may outlive the link.
 const plainSendPatience = 150 * time.Millisecond
 
@@ -126,6 +129,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.linkLost = true
 	g.cancel(errLinkLost)
 	return true
 }
--- a/internal/relayer/links_test.go
+++ b/internal/relayer/links_test.go
@@ -144,6 +144,35 @@
 	})
 }
 
+// TestLoadOfUnheardEndsIsKept guards against streams that are sent again to targets whose memory the sends before still hold, as their
+// end did not reach the targets over a lost link.
+func TestLoadOfUnheardEndsIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLostLinkFleet(t)
+		load := func() float64 {
+			sum := 0.0
+			for _, v := range f.relayer.Targets.Service("llm") {
+				sum += v.TokenLayers
+			}
+			return sum
+		}
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() { _, _, _ = serve(f.relayer, stream(true)) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		before := load()
+		f.mu.Lock()
+		f.cutAt, f.lostAt = time.Now(), time.Now()
+		f.mu.Unlock()
+		time.Sleep(400 * time.Millisecond)
+		require.InDelta(t, 2*before, load(), 1)
+		wg.Wait()
+		time.Sleep(unheardEndTime)
+		require.Zero(t, load())
+	})
+}
+
 // TestLostLinkIsNoFaultOfAPlainService: a request that may be repeated continues over a peer, and the instance is used on; one that may
 // not waits for its answer.
 func TestLostLinkIsNoFaultOfAPlainService(t *testing.T) {
