Let a test's target reset only what has been read

The test of a tunnel whose target resets its connection waited 20 ms for the door to read; on a busy machine the reset could drop the bytes before.

--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -331,10 +331,14 @@
 		serve func(net.Conn)
 		err   error
 	}{
-		"closes": {func(c net.Conn) { _, _ = io.WriteString(c, "whole"); _ = c.Close() }, nil},
+		"closes": {func(c net.Conn) {
+			_, _ = io.WriteString(c, "whole")
+			_, _ = io.ReadFull(c, make([]byte, len("read")))
+			_ = c.Close()
+		}, nil},
 		"resets": {func(c net.Conn) {
 			_, _ = io.WriteString(c, "whole")
-			time.Sleep(20 * time.Millisecond)
+			_, _ = io.ReadFull(c, make([]byte, len("read")))
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}, io.ErrUnexpectedEOF},
@@ -344,9 +348,15 @@
 			_, client, peer, address := newDoor(t, test.serve)
 			c, err := client.Detour(t.Context(), peer, address)
 			require.NoError(t, err)
-			got, err := io.ReadAll(c)
-			require.ErrorIs(t, err, test.err)
+			got := make([]byte, len("whole"))
+			_, err = io.ReadFull(c, got)
+			require.NoError(t, err)
 			require.Equal(t, "whole", string(got))
+			_, err = io.WriteString(c, "read")
+			require.NoError(t, err)
+			rest, err := io.ReadAll(c)
+			require.ErrorIs(t, err, test.err)
+			require.Empty(t, rest)
 		})
 	}
 }
