Give admission a document before it is in force

error: unknown-service (103, not-run): no service "renewal-assistant"

Callers saw such refusals, which tell them not to come back, for a service or workspace that is in force, in the first moments after its document.

The class of fault: two copies of one thing, of which a request uses both, that are not replaced together.

Change: the configurer gives the next documents to admission before it publishes them. For a service that goes away, the request is refused as unknown a moment early, which is true. The router's own list of documents in force becomes Configurer.Documents.

Ruled out: load of the machine (the window is there in virtual time), a document that went out of force (the message is the admitter's, which the receiver asks only after it has found the document).

Looked for elsewhere: weights of a new model follow later and are refused as no-pipeline, which tells the caller to come back; dev waits for them.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -52,6 +52,9 @@
 	// MaxAge is the time after which a daemon that could not confirm that its configuration is complete is no longer
 	// ready; 0 is no limit.
 	MaxAge time.Duration
+	// Prepare is called with the next documents in force before Lookup, Documents and Services return them; it must not block and
+	// may be nil.
+	Prepare func([]*documenter.Document)
 	// Changed is called after the documents in force changed; it may be nil.
 	Changed func()
 
@@ -81,6 +84,17 @@
 	completeAt time.Time
 }
 
+// documents returns the documents in force, sorted by name.
+func (v *view) documents() []*documenter.Document {
+	var documents []*documenter.Document
+	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
+		if d := v.entries[name].document; d != nil {
+			documents = append(documents, d)
+		}
+	}
+	return documents
+}
+
 // New returns a configurer without documents.
 func New(self cataloger.Member) *Configurer {
 	c := &Configurer{
@@ -104,15 +118,15 @@
 	return e.document, e.inForce, e.document != nil
 }
 
+// Documents returns the documents in force, sorted by name.
+func (c *Configurer) Documents() []*documenter.Document { return c.view.Load().documents() }
+
 // Services returns the sorted names of the services in force.
 func (c *Configurer) Services() []string {
 	var names []string
-	for name, e := range c.view.Load().entries {
-		if e.document != nil {
-			names = append(names, name)
-		}
+	for _, d := range c.Documents() {
+		names = append(names, d.Name)
 	}
-	slices.Sort(names)
 	return names
 }
 
@@ -216,6 +230,9 @@
 		v.entries = maps.Clone(m.set.entries)
 		c.gauge("config-version", int64(newestVersion(v.entries)))
 		c.gauge("config-services", int64(len(v.entries)))
+		if c.Prepare != nil {
+			c.Prepare(v.documents())
+		}
 	}
 	c.view.Store(v)
 	if old.digest != v.digest && c.Changed != nil {
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -43,9 +43,8 @@
 	}, nil
 }
 
-// configureAdmission applies the documents in force.
-func (r *Router) configureAdmission() {
-	documents := r.documentsInForce()
+// configureAdmission applies the next documents in force.
+func (r *Router) configureAdmission(documents []*documenter.Document) {
 	r.limits.Configure(documents)
 	r.admitter.Configure(documents)
 }
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -23,7 +23,7 @@
 // workspace is accepted, as the query names no service.
 func (r *Router) authorizeOutcome(header http.Header, workspace string) error {
 	var digests []documenter.TokenDigest
-	for _, d := range r.documentsInForce() {
+	for _, d := range r.config.Documents() {
 		if w, ok := d.Workspace(workspace); ok {
 			digests = append(digests, w.TokenSHA256...)
 		}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -23,6 +23,7 @@
 	r.config.Log = r.Log
 	r.config.Metrics = r.meter.Registry
 	r.config.MaxAge = r.Settings.ConfigMaxAge
+	r.config.Prepare = r.configureAdmission
 	r.config.Changed = func() {
 		// A full ring already signals a change.
 		_ = r.configChanged.Offer(struct{}{})
--- a/internal/router/journal.go
+++ b/internal/router/journal.go
@@ -57,7 +57,7 @@
 
 // servedInBoundMode reports whether a service in bound mode serves a workspace.
 func (r *Router) servedInBoundMode(workspace cataloger.Workspace) bool {
-	for _, d := range r.documentsInForce() {
+	for _, d := range r.config.Documents() {
 		if d.AtMostOnce.Mode != documenter.ModeBound {
 			continue
 		}
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -82,7 +82,7 @@
 	return nil
 }
 
-// runSelection applies changes of the fleet and of the documents to the selector and the admitter.
+// runSelection applies changes of the fleet and of the documents to the selector and the capacities of admission.
 //
 // The states of targets are applied immediately. On a large fleet, the weights take a second or more to compute, so they
 // are computed at intervals that bound their share of a core.
@@ -91,7 +91,6 @@
 	defer stop()
 	ticker := time.NewTicker(weightInterval)
 	defer ticker.Stop()
-	r.configureAdmission()
 	r.indexInstances(r.tracker.Fleet())
 	changed := true
 	nextIfChanged, nextIfStable := time.Time{}, time.Time{}
@@ -115,7 +114,6 @@
 			r.indexInstances(fleet)
 		case <-r.configChanged.Values():
 			changed = true
-			r.configureAdmission()
 		}
 		// Changes come in bursts; one pass handles the whole burst.
 		if err := r.Clock.Sleep(ctx, batchInterval); err != nil {
@@ -126,7 +124,7 @@
 
 // updateSelection computes the weights and everything else that depends on both the documents and the fleet.
 func (r *Router) updateSelection() {
-	documents := r.documentsInForce()
+	documents := r.config.Documents()
 	fleet := r.tracker.Fleet()
 	held := heldVersions(fleet)
 	models := modelVersions(documents, held)
@@ -136,16 +134,6 @@
 	r.setCapacities(documents, fleet)
 }
 
-func (r *Router) documentsInForce() []*documenter.Document {
-	var documents []*documenter.Document
-	for _, name := range r.config.Services() {
-		if d, _, ok := r.config.Lookup(name); ok {
-			documents = append(documents, d)
-		}
-	}
-	return documents
-}
-
 func selectorModel(d *documenter.Document) selector.Model {
 	return selector.Model{
 		Name:            d.Model.Name,
