Do not take a dropped target back from a peer that is ahead

What callers saw: nothing on record; a gateway may send requests to a target that was removed, for up to 2.5 s.

Cause: a gateway that was cut off from the store hears of a removal only by a list, after the store is back, and keeps the target for 2.5 s in case it reappears. To those that follow it, the target is listed at a revision that is later than theirs. A gateway that had dropped the target long before and then changes to this peer took it for a new one: it compared the revision of the source only, not what it had dropped itself. Class: knowledge that a peer holds on suspicion, taken for a fact as its source is ahead.

Change: an object that is the one dropped in its era, or an earlier value of it, is not accepted, from whatever source. An entry that is written again has a later revision, so targets that come back are taken as before. Copies of a restored store are deferred as before.

Ruled out: a lagging source (refused by its revision before), restored copies (their entries have a later era).

--- a/internal/follower/era.go
+++ b/internal/follower/era.go
@@ -67,12 +67,24 @@
 	f.tombstones[o.Key] = tombstone{object: o, at: now}
 }
 
+// tombstone returns the tombstone of an object that was dropped recently; the caller holds mu.
+func (f *Follower) tombstone(key string) (tombstone, bool) {
+	t, ok := f.tombstones[key]
+	return t, ok && f.Clock.Now().Sub(t.at) <= tombstoneTTL
+}
+
+// wasDropped reports whether an object is the one that was dropped in its era or a later one, or an earlier value of it; the
+// caller holds mu.
+func (f *Follower) wasDropped(o storer.Object) bool {
+	t, ok := f.tombstone(o.Key)
+	return ok && o.Version.Era() <= t.object.Version.Era() && !replaces(t.object, o, f.Compare)
+}
+
 // coveredByTombstone reports whether an object that arrives soon after a restore is no newer, by Compare, than the one that was
 // dropped in an earlier era; the caller holds mu.
 func (f *Follower) coveredByTombstone(o storer.Object) bool {
-	t, ok := f.tombstones[o.Key]
-	now := f.Clock.Now()
-	if !ok || now.Sub(t.at) > tombstoneTTL || now.Sub(f.restoredAt) >= deferTime || o.Version.Era() <= t.object.Version.Era() {
+	t, ok := f.tombstone(o.Key)
+	if !ok || f.Clock.Now().Sub(f.restoredAt) >= deferTime || o.Version.Era() <= t.object.Version.Era() {
 		return false
 	}
 	return f.Compare != nil && f.Compare(t.object, o) >= 0
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -92,6 +92,38 @@
 	require.Len(t, c.Objects, 2, "an object that was created again is present")
 }
 
+// TestPeerAheadRestoresNoDroppedObject guards against a removed target that is used again, as a peer that is ahead still keeps
+// it for a while in case it reappears.
+func TestPeerAheadRestoresNoDroppedObject(t *testing.T) {
+	cases := []struct {
+		name                               string
+		droppedEra, offeredEra, offeredRev uint64
+		value                              string
+		accepted                           bool
+	}{
+		{"the dropped object", 0, 0, 3, "1", false},
+		{"the dropped object, a store that was restored since", 1, 0, 3, "1", false},
+		{"created again", 0, 0, 8, "1", true},
+		{"a later value of an earlier era", 1, 0, 3, "2", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := New(storer.Store{}, "servers/", timer.System{})
+			f.Apply = func(storer.Object, bool) {}
+			f.Compare = compareValues
+			a := storer.Object{Key: "servers/a", Value: []byte("1"), Version: point(t, c.droppedEra, 3)}
+			f.reconcile([]storer.Object{a}, point(t, c.droppedEra, 5))
+			f.applyEvent(storer.Event{Object: storer.Object{Key: a.Key}, Deleted: true, Revision: point(t, c.droppedEra, 7)})
+			offered := storer.Object{Key: a.Key, Value: []byte(c.value), Version: point(t, c.offeredEra, c.offeredRev)}
+			for _, source := range []storer.Point{point(t, 1, 9), point(t, 2, 1)} {
+				f.reconcile([]storer.Object{offered}, source)
+				s, _ := f.Snapshot()
+				require.Equal(t, c.accepted, len(s.Objects) == 1, "from a source at %s", source)
+			}
+		})
+	}
+}
+
 // drill is a follower of a platform whose store the test restores from older copies.
 type drill struct {
 	platform *platformfaker.Platform
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -306,6 +306,9 @@
 	case !ok && f.synced && source < f.revision && o.Version <= f.revision:
 		// The source lags: the object has been dropped since.
 		return
+	case !ok && f.wasDropped(o):
+		// A peer keeps an object for a while that may reappear.
+		return
 	case !ok && f.coveredByTombstone(o):
 		f.deferred[o.Key] = o
 		return
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -106,117 +106,143 @@
 	if raced {
 		t.Skip("CI plays larger fleets without the race detector")
 	}
-	const n, agreeTime = 12, 2 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"change", "come", "go", "drill", "two drills", "cut", "join", "silence", "wait"}), 3, 14).Draw(rt, "steps")
 		var numbers []int
 		for range steps {
-			numbers = append(numbers, rapid.IntRange(0, 11).Draw(rt, "number"))
+			numbers = append(numbers, rapid.IntRange(0, drillFleet-1).Draw(rt, "number"))
 		}
-		synctest.Test(t, func(t *testing.T) {
-			f := newSpreadFleet(t, n)
-			version := uint64(1)
-			f.writeConfig(version)
-			owned, joins := map[string]bool{}, map[int]func(){}
-			time.Sleep(6 * time.Second)
-			// used holds the targets that a gateway has used since they came, and removed those of them that it then
-			// removed. A gateway may still learn of other removed targets from the copy.
-			used, removed := make([]map[string]bool, n), make([]map[string]bool, n)
-			for i := range removed {
-				used[i], removed[i] = map[string]bool{}, map[string]bool{}
-			}
-			checkTargets := func(when string) {
-				synctest.Wait()
-				for i, g := range f.all {
-					for k := range 4 {
-						name := fmt.Sprint("target-", k)
-						v, _ := g.targets.Get(name)
-						switch {
-						case v.Usable():
-							require.False(t, removed[i][name] && !owned[name], "%s is used again by gateway %d after %s of %v", name, i, when, steps)
-							used[i][name], removed[i][name] = true, false
-						case !owned[name]:
-							removed[i][name] = used[i][name]
-						}
+		playDrills(t, steps, numbers)
+	})
+}
+
+// TestPeerAheadBringsNoRemovedTargetBack guards against a removed target that is used again after a change of the peer that a
+// gateway follows: the new one, which had been cut off from the store, keeps the target in case it reappears.
+func TestPeerAheadBringsNoRemovedTargetBack(t *testing.T) {
+	if raced {
+		t.Skip("CI plays larger fleets without the race detector")
+	}
+	steps := []string{"come", "change", "cut", "cut", "join", "change", "wait", "change", "go", "cut", "two drills", "go", "wait", "silence"}
+	rapid.Check(t, func(rt *rapid.T) {
+		var numbers []int
+		for range steps {
+			numbers = append(numbers, rapid.IntRange(0, drillFleet-1).Draw(rt, "number"))
+		}
+		// The target that comes is the one that goes.
+		numbers[8] = numbers[0]
+		playDrills(t, steps, numbers)
+	})
+}
+
+// drillFleet is the number of gateways in the tests of drills.
+const drillFleet = 12
+
+// playDrills plays steps with a fleet and checks it against an oracle; the number of a step selects its target, gateway or time.
+func playDrills(t *testing.T, steps []string, numbers []int) {
+	const agreeTime = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newSpreadFleet(t, drillFleet)
+		version := uint64(1)
+		f.writeConfig(version)
+		owned, joins := map[string]bool{}, map[int]func(){}
+		time.Sleep(6 * time.Second)
+		// used holds the targets that a gateway has used since they came, and removed those of them that it then
+		// removed. A gateway may still learn of other removed targets from the copy.
+		used, removed := make([]map[string]bool, drillFleet), make([]map[string]bool, drillFleet)
+		for i := range removed {
+			used[i], removed[i] = map[string]bool{}, map[string]bool{}
+		}
+		checkTargets := func(when string) {
+			synctest.Wait()
+			for i, g := range f.all {
+				for k := range 4 {
+					name := fmt.Sprint("target-", k)
+					v, _ := g.targets.Get(name)
+					switch {
+					case v.Usable():
+						require.False(t, removed[i][name] && !owned[name], "%s is used again by gateway %d after %s of %v", name, i, when, steps)
+						used[i][name], removed[i][name] = true, false
+					case !owned[name]:
+						removed[i][name] = used[i][name]
 					}
 				}
 			}
-			rewrite := func() {
-				for _, name := range slices.Sorted(maps.Keys(owned)) {
-					f.writeTarget(name)
-				}
-				objects, _, err := f.platform.Store().List(t.Context(), "servers/")
-				require.NoError(t, err)
-				for _, o := range objects {
-					if name := strings.TrimPrefix(o.Key, "servers/"); !owned[name] {
-						f.removeTarget(name)
-					}
+		}
+		rewrite := func() {
+			for _, name := range slices.Sorted(maps.Keys(owned)) {
+				f.writeTarget(name)
+			}
+			objects, _, err := f.platform.Store().List(t.Context(), "servers/")
+			require.NoError(t, err)
+			for _, o := range objects {
+				if name := strings.TrimPrefix(o.Key, "servers/"); !owned[name] {
+					f.removeTarget(name)
 				}
-				f.writeConfig(version)
 			}
-			for i, step := range steps {
-				k := numbers[i]
-				name := fmt.Sprint("target-", k%4)
-				switch step {
-				case "change":
-					version++
-					f.writeConfig(version)
-				case "come":
-					// A target that returns counts as a new one.
-					if !owned[name] {
-						for j := range removed {
-							used[j][name], removed[j][name] = false, false
-						}
-					}
-					owned[name] = true
-					f.writeTarget(name)
-				case "go":
-					if owned[name] {
-						delete(owned, name)
-						f.removeTarget(name)
-					}
-				case "drill", "two drills":
-					checkTargets("before a drill")
-					require.NoError(t, f.platform.Restore(time.Duration(k)*time.Second))
-					if step == "two drills" {
-						require.NoError(t, f.platform.Restore(time.Second))
-					}
-					time.Sleep(300 * time.Millisecond)
-					checkTargets(step)
-					rewrite()
-				case "cut":
-					if joins[k] == nil && len(joins) < n/2 {
-						joins[k] = f.cut(k)
-					}
-				case "join":
-					if joins[k] != nil {
-						joins[k]()
-						delete(joins, k)
+			f.writeConfig(version)
+		}
+		for i, step := range steps {
+			k := numbers[i]
+			name := fmt.Sprint("target-", k%4)
+			switch step {
+			case "change":
+				version++
+				f.writeConfig(version)
+			case "come":
+				// A target that returns counts as a new one.
+				if !owned[name] {
+					for j := range removed {
+						used[j][name], removed[j][name] = false, false
 					}
-				case "silence":
-					f.silenceWatches()
-				case "wait":
-					time.Sleep(time.Duration(k) * 400 * time.Millisecond)
 				}
+				owned[name] = true
+				f.writeTarget(name)
+			case "go":
+				if owned[name] {
+					delete(owned, name)
+					f.removeTarget(name)
+				}
+			case "drill", "two drills":
+				checkTargets("before a drill")
+				require.NoError(t, f.platform.Restore(time.Duration(k)*time.Second))
+				if step == "two drills" {
+					require.NoError(t, f.platform.Restore(time.Second))
+				}
+				time.Sleep(300 * time.Millisecond)
 				checkTargets(step)
-			}
-			for _, join := range joins {
-				join()
-			}
-			time.Sleep(follower.ReturnWindow + time.Second)
-			rewrite()
-			version++
-			f.writeConfig(version)
-			time.Sleep(agreeTime)
-			require.Zero(t, f.behind(version), "after %v", steps)
-			time.Sleep(follower.ReturnWindow + 8*time.Second)
-			for i, g := range f.all {
-				for k := range 4 {
-					name := fmt.Sprint("target-", k)
-					v, _ := g.targets.Get(name)
-					require.Equal(t, owned[name], v.Usable(), "%s on gateway %d after %v", name, i, steps)
+				rewrite()
+			case "cut":
+				if joins[k] == nil && len(joins) < drillFleet/2 {
+					joins[k] = f.cut(k)
 				}
+			case "join":
+				if joins[k] != nil {
+					joins[k]()
+					delete(joins, k)
+				}
+			case "silence":
+				f.silenceWatches()
+			case "wait":
+				time.Sleep(time.Duration(k) * 400 * time.Millisecond)
 			}
-		})
+			checkTargets(step)
+		}
+		for _, join := range joins {
+			join()
+		}
+		time.Sleep(follower.ReturnWindow + time.Second)
+		rewrite()
+		version++
+		f.writeConfig(version)
+		time.Sleep(agreeTime)
+		require.Zero(t, f.behind(version), "after %v", steps)
+		time.Sleep(follower.ReturnWindow + 8*time.Second)
+		for i, g := range f.all {
+			for k := range 4 {
+				name := fmt.Sprint("target-", k)
+				v, _ := g.targets.Get(name)
+				require.Equal(t, owned[name], v.Usable(), "%s on gateway %d after %v", name, i, steps)
+			}
+		}
 	})
 }
