Do not hold the lock of an upstream while it lists

A gateway that lags gives up the peer that it follows (avoidPeer) in the same loop that announces its revisions to others. The list of a slow peer held the lock that avoidPeer needs, for up to a second, so that a gateway which is slow to hear of a configuration was also slow to pass it on, and its targets were not looked after meanwhile. Class: a lock held over a call.

The lock now covers the choice of the peer and the cursor only.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -144,15 +144,18 @@
 func (u *upstream) list(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
 	u.gateway.waitUntilSettled(ctx)
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.peer = u.chooseWatcher()
-	u.setSource(u.peer)
-	if u.peer == nil {
+	peer := u.peer
+	u.mu.Unlock()
+	u.setSource(peer)
+	if peer == nil {
 		return u.store.List(ctx, prefix)
 	}
 	timed, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	message, err := u.gateway.fetch(timed, u.peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
+	message, err := u.gateway.fetch(timed, peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if err != nil {
 		return nil, 0, u.handleFailure(ctx, err)
 	}
