Compress what gateways send to their followers

A configuration of 250 routes takes 0.3 to 0.6 s. Hops take 0.15 to 0.35 s or 0.6 to 1.0 s: the latter are those of gateways with several followers.

Cause: some 0.3 MB go to each of up to eight followers over a link of 20 Mbit/s, one after the other, 0.12 s each, over three to five levels. Large objects near the store's bound of 1 MiB would not arrive at all, as eight copies take 3.4 s and a call 1 s at most. Class: a bound on time that depends on bytes over the narrowest link.

Change: answers to peers of 4 KiB and more are compressed, once for all followers that get the same changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,8 @@
 	Log      zerolog.Logger
 
 	// fetch requests objects or changes from a peer.
-	fetch func(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error)
+	fetch      func(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error)
+	compressor compressor
 
 	epoch         uint64
 	config        atomic.Pointer[matcher.Matcher]
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,7 +105,7 @@
 	for _, o := range c.Objects {
 		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: uint64(o.Version)})
 	}
-	g.writeObjects(w, message, c)
+	g.writeObjects(w, r, message, c)
 }
 
 func (g *Gateway) serveChanges(w http.ResponseWriter, r *http.Request) {
@@ -124,10 +125,11 @@
 		o := change.Object
 		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: uint64(o.Version), Deleted: change.Deleted})
 	}
-	g.writeObjects(w, message, c)
+	g.writeObjects(w, r, message, c)
 }
 
-func (g *Gateway) writeObjects(w http.ResponseWriter, message *peerv1.GatewayObjects, c follower.Snapshot) {
+// writeObjects writes an answer to a peer, compressed if that is worth it: a large configuration goes to several peers at once.
+func (g *Gateway) writeObjects(w http.ResponseWriter, r *http.Request, message *peerv1.GatewayObjects, c follower.Snapshot) {
 	message.Revision, message.Cursor, message.Epoch = uint64(c.Revision), c.Cursor, g.epoch
 	data, err := proto.Marshal(message)
 	if err != nil {
@@ -135,5 +137,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/protobuf")
+	if len(data) >= minCompressBytes && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		if data, err = g.compressor.compress(data); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+	}
 	_, _ = w.Write(data)
 }
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"compress/gzip"
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -43,12 +46,16 @@
 	silent chan struct{}
 	// cuts holds by name the channels that are closed when gateways are cut off from the store.
 	cuts map[string]chan struct{}
+	// linkRate is the rate at which each gateway sends to peers, in bytes a second; 0 is unlimited. linkFreeAt is, by address, when
+	// all that it is to send has left.
+	linkRate   float64
+	linkFreeAt map[string]time.Time
 }
 
 // newSpreadFleet starts n gateways.
 func newSpreadFleet(t *testing.T, n int) *spreadFleet {
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cuts: map[string]chan struct{}{}}
+	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cuts: map[string]chan struct{}{}, linkFreeAt: map[string]time.Time{}}
 	for i := range n {
 		f.start(i, true)
 	}
@@ -79,7 +86,8 @@
 	}, timer.System{}, zerolog.Nop())
 	g.Adapter.Store = f.store(g.Settings.Name)
 	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
-		version, err := strconv.ParseUint(string(value), 10, 64)
+		number, _, _ := strings.Cut(string(value), "\n")
+		version, err := strconv.ParseUint(number, 10, 64)
 		return matcher.Document{Version: version}, err
 	}
 	g.Adapter.DecodeTarget = func(key string, value []byte) (cataloger.Target, error) {
@@ -198,24 +206,66 @@
 		}
 		recorder := httptest.NewRecorder()
 		target := url.URL{Path: path, RawQuery: query.Encode()}
-		g.peerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target.String(), nil).WithContext(ctx))
+		req := httptest.NewRequest(http.MethodGet, target.String(), nil).WithContext(ctx)
+		req.Header.Set("Accept-Encoding", "gzip")
+		g.peerHandler().ServeHTTP(recorder, req)
 		if recorder.Code != http.StatusOK {
 			return nil, errors.Newf("%s answered %d", address, recorder.Code)
 		}
-		message := &peerv1.GatewayObjects{}
-		return message, proto.Unmarshal(recorder.Body.Bytes(), message)
+		if err := f.transmit(ctx, address, recorder.Body.Len()); err != nil {
+			return nil, err
+		}
+		return decodeAnswer(recorder)
 	}
 	return nil, errors.Newf("no gateway listens on %s", address)
 }
 
+// transmit waits until a gateway has sent a number of bytes over its link.
+func (f *spreadFleet) transmit(ctx context.Context, address string, bytes int) error {
+	if f.linkRate == 0 {
+		return nil
+	}
+	now := time.Now()
+	f.mu.Lock()
+	end := f.linkFreeAt[address]
+	if end.Before(now) {
+		end = now
+	}
+	end = end.Add(time.Duration(float64(bytes) / f.linkRate * float64(time.Second)))
+	f.linkFreeAt[address] = end
+	f.mu.Unlock()
+	return timer.System{}.Sleep(ctx, end.Sub(now))
+}
+
+// decodeAnswer decodes what a peer answered as an HTTP client does.
+func decodeAnswer(recorder *httptest.ResponseRecorder) (*peerv1.GatewayObjects, error) {
+	var body io.Reader = recorder.Body
+	if recorder.Header().Get("Content-Encoding") == "gzip" {
+		r, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, err
+		}
+		body = r
+	}
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	message := &peerv1.GatewayObjects{}
+	return message, proto.Unmarshal(data, message)
+}
+
 // writeConfig writes a version of the configuration to the store.
-func (f *spreadFleet) writeConfig(version uint64) {
+func (f *spreadFleet) writeConfig(version uint64) { f.writePaddedConfig(version, "") }
+
+// writePaddedConfig writes a version of the configuration with some text that gateways pass on.
+func (f *spreadFleet) writePaddedConfig(version uint64, text string) {
 	store := f.platform.Store()
 	var revision storer.Point
 	if o, err := store.Get(f.t.Context(), testConfigKey); err == nil {
 		revision = o.Version
 	}
-	_, err := store.Put(f.t.Context(), testConfigKey, []byte(strconv.FormatUint(version, 10)), revision)
+	_, err := store.Put(f.t.Context(), testConfigKey, []byte(strconv.FormatUint(version, 10)+"\n"+text), revision)
 	require.NoError(f.t, err)
 }
 
@@ -270,6 +320,36 @@
 	}
 }
 
+// TestLargeConfigIsInForceInTime guards against gateways that refuse requests on new routes seconds after the acknowledgement,
+// because each gateway with a narrow link sends a large configuration to several others one after the other.
+func TestLargeConfigIsInForceInTime(t *testing.T) {
+	// A deployment's gateways have links of 20 Mbit/s, and its store holds objects of 1 MiB at most.
+	const linkRate, maxBytes = 20e6 / 8, 1 << 20
+	random := rand.New(rand.NewPCG(1, 2))
+	var routes strings.Builder
+	for routes.Len() < maxBytes-512 {
+		fmt.Fprintf(&routes, `{"name":"r-%07x","host":"h-%05x.example","path_prefix":"/%07x/","service":"s-%06x","kind":"idempotent","timeout_ms":20000,`+
+			`"target_latency_ms":500,"priority":1,"max_attempts":3}`+"\n", random.Uint32()>>4, random.Uint32()>>12, random.Uint32()>>4, random.Uint32()>>8)
+	}
+	for n, bound := range map[int]time.Duration{31: 3 * time.Second, 81: 3 * time.Second, 118: 4 * time.Second} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			if n > 31 && raced {
+				t.Skip("CI plays larger fleets without the race detector")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newSpreadFleet(t, n)
+				f.writeConfig(1)
+				time.Sleep(12 * time.Second)
+				require.Zero(t, f.behind(1), "the fleet has started")
+				f.linkRate = linkRate
+				f.writePaddedConfig(2, routes.String())
+				time.Sleep(bound)
+				require.Zero(t, f.behind(2), "in force on all within %s", bound)
+			})
+		})
+	}
+}
+
 // TestUnwatchedTargetRemovalIsAppliedInTime guards against gateways that send requests to a target whose entry was
 // removed while the watches of the store were silent: an object missing from a list is a change too, and must be
 // announced.
