--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -3,18 +3,14 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
-	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/exchanger"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -24,15 +20,9 @@
 	// maxSends bounds the sends of one generation. Those that did not run, and those to targets that are gone, do not
 	// count toward the attempts that its route allows.
 	maxSends = 4
-	// pathRetryInterval is the time between two searches for a path for a stream that has begun.
-	pathRetryInterval = 50 * time.Millisecond
-	// pathWait is how long a stream that has begun waits for a path; clients time out on silence soon after.
-	pathWait = 1500 * time.Millisecond
 	// noPathRetry is the minimum retry delay if nobody holds some layers: about the time of a load.
 	noPathRetry = time.Second
-	// maxPermitTries bounds the targets with limits that are asked for before only those without one are used.
-	maxPermitTries = 3
-	readBuffer     = 16 << 10
+	readBuffer  = 16 << 10
 )
 
 // errRequestLost ends a send that its first target seems to have lost.
@@ -177,86 +167,6 @@
 	return refuser.New(refuser.Quarantined, "requests with part %s in their prompts crash targets", g.request.PromptParts[d.Index]).WithRetryAfter(d.Wait)
 }
 
-// findPermittedPath returns a path whose first target may get the request now. After maxPermitTries it uses only targets without a
-// limit.
-func (g *generation) findPermittedPath(ctx context.Context) ([]cataloger.Stage, *refuser.Refusal) {
-	r, demand := g.relayer, g.request.demand()
-	for try := range maxPermitTries + 1 {
-		if try == maxPermitTries {
-			for name := range r.Throttler.States() {
-				g.avoid[name] = true
-			}
-		}
-		path, ok := g.findPath(ctx)
-		if !ok {
-			wait := max(r.Chooser.RetryAfter(demand), noPathRetry)
-			return nil, refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(demand)).WithRetryAfter(wait)
-		}
-		first, ok := r.Targets.Get(path[0].Target)
-		if !ok {
-			continue
-		}
-		if r.permit(ctx, g.request, first.Target) {
-			return path, nil
-		}
-		if r.expired(ctx, g.request) {
-			break
-		}
-	}
-	return nil, refuser.New(refuser.TargetsAtLimit, "the targets get as many requests as they accept").WithRetryAfter(max(r.Chooser.RetryAfter(demand), noPathRetry))
-}
-
-// findPath returns a path; a stream that has begun waits for one up to pathWait.
-func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
-	r, demand := g.relayer, g.request.demand()
-	demand.Precedence.Begun = g.headWritten
-	if path, ok := g.findSharedPath(demand); ok {
-		return path, true
-	}
-	for waited := time.Duration(0); ; waited += pathRetryInterval {
-		if path, ok := r.Chooser.Path(demand, g.avoid); ok {
-			return path, true
-		}
-		if !g.headWritten || waited >= pathWait || r.Clock.Sleep(ctx, pathRetryInterval) != nil {
-			return nil, false
-		}
-		clear(g.avoid)
-	}
-}
-
-// findSharedPath returns a path for a suspected request whose first target is the same for all requests with its key, on every
-// daemon, so that several of them crash one target only.
-func (g *generation) findSharedPath(demand chooser.Demand) ([]cataloger.Stage, bool) {
-	if g.suspected == nil || g.headWritten {
-		return nil, false
-	}
-	var first []string
-	for _, v := range g.relayer.Targets.Service(demand.Service) {
-		if from, end, _ := v.ReadyLayers(); from == 0 && end > 0 && v.Usable() && !g.avoid[v.Name] {
-			first = append(first, v.Name)
-		}
-	}
-	chosen := rendezvous(first, *g.suspected)
-	avoid := maps.Clone(g.avoid)
-	for _, name := range first {
-		if name != chosen {
-			avoid[name] = true
-		}
-	}
-	return g.relayer.Chooser.Path(demand, avoid)
-}
-
-// rendezvous returns the name that all daemons choose for a key.
-func rendezvous(names []string, k quarantiner.Key) string {
-	best, bestScore := "", uint64(0)
-	for _, name := range names {
-		if score := xxhash.Sum64String(name + "/" + strconv.FormatUint(uint64(k), 16)); best == "" || score > bestScore {
-			best, bestScore = name, score
-		}
-	}
-	return best
-}
-
 // countSend counts a send that has ended, and whether it may have run on a first stage that is still there.
 func (g *generation) countSend(first cataloger.Target, ran bool) {
 	v, ok := g.relayer.Targets.Get(first.Name)
