--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -45,13 +45,19 @@
 	}
 }
 
+// linkLostDuring reports whether the link to an address was lost after a send over it began.
+func (r *Relayer) linkLostDuring(address string, began time.Time) bool {
+	lostAt, lost := r.LinkLostSince(address)
+	return lost && began.Before(lostAt)
+}
+
 // checkPlainSends ends the sends to plain services over links that were lost after they began.
 func (r *Relayer) checkPlainSends() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	for s := range r.plainSends {
-		if lostAt, lost := r.LinkLostSince(s.address); lost && s.began.Before(lostAt) && now.Sub(s.began) > plainSendPatience {
+		if now.Sub(s.began) > plainSendPatience && r.linkLostDuring(s.address, s.began) {
 			s.cancel(errLinkLost)
 		}
 	}
@@ -116,7 +122,6 @@
 	if !ok {
 		return false
 	}
-	lostAt, lost := r.LinkLostSince(v.Address)
 	g.mu.Lock()
 	began, started := g.sendStarted, g.started
 	g.mu.Unlock()
@@ -124,7 +129,7 @@
 	if started {
 		patience = min(patience, r.linkSilence())
 	}
-	if now.Sub(s.Last) < patience || !lost || !began.Before(lostAt) || !g.movable() || !g.prepayRetry() {
+	if now.Sub(s.Last) < patience || !r.linkLostDuring(v.Address, began) || !g.movable() || !g.prepayRetry() {
 		return false
 	}
 	g.mu.Lock()
