List again once a source that was behind has caught up

What callers saw: nothing on record; a gateway may send requests to a target that is gone for as long as it follows the same source.

Cause: a gateway that knows more than the source to which it changes keeps the newer objects, as the source's list does not cover them. If such an object is gone by the time the source catches up, and the source lists too, it never had the object, and its changes do not name it. Nothing is wrong with either list; the fault is that the decision to keep was never looked at again. Class: a decision that waits for news that need not come.

Change: a list that lacks an object as its source is behind is repeated when the source has reached the object's revision. Where a source only lags by a moment it lists all objects that still exist, so nothing is repeated.

Evidence: TestObjectThatTheSourceNeverHadIsRemoved failed before; it asks for exactly one more list. Tests of follower pass.

--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -124,6 +124,47 @@
 	}
 }
 
+// TestObjectThatTheSourceNeverHadIsRemoved guards against a removed target that is used for good: a source that is behind has not
+// heard of it yet, and by the time it has caught up the target is gone, so that no event names it.
+func TestObjectThatTheSourceNeverHadIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := storer.Object{Key: "servers/a", Value: []byte("1"), Version: point(t, 1, 50)}
+		b := storer.Object{Key: "servers/b", Value: []byte("1"), Version: point(t, 0, 7)}
+		lists := []Snapshot{
+			{Objects: []storer.Object{a, b}, Revision: point(t, 1, 50)},
+			// The next source is in the era before.
+			{Objects: []storer.Object{b}, Revision: point(t, 0, 60)},
+			{Objects: []storer.Object{b}, Revision: point(t, 1, 55)},
+		}
+		listed := 0
+		store := storer.Store{
+			List: func(context.Context, string) ([]storer.Object, storer.Point, error) {
+				s := lists[min(listed, len(lists)-1)]
+				listed++
+				return s.Objects, s.Revision, nil
+			},
+			Watch: func(ctx context.Context, _ string, _ storer.Point, emit func(storer.Event) error) error {
+				if listed == 1 {
+					return ErrSourceChanged
+				}
+				time.Sleep(time.Second)
+				if err := emit(storer.Event{Revision: point(t, 1, 55)}); err != nil {
+					return err
+				}
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		}
+		_, applied := followStore(t, store, func(f *Follower) { f.Compare = compareValues })
+		time.Sleep(500 * time.Millisecond)
+		require.Len(t, applied(), 2, "a source that is behind removes nothing newer")
+		time.Sleep(time.Second)
+		require.Equal(t, map[string]string{"servers/b": "1"}, applied(), "it has caught up")
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 3, listed, "one list is enough")
+	})
+}
+
 // drill is a follower of a platform whose store the test restores from older copies.
 type drill struct {
 	platform *platformfaker.Platform
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,6 +64,8 @@
 	// revision of the last change that such a list returned.
 	missedChanges bool
 	lastMissed    storer.Point
+	// newestUnlisted is the revision of the newest object that the last list lacked as its source is behind; 0 if there is none.
+	newestUnlisted storer.Point
 	// synced is true once a complete list was read.
 	synced bool
 	// failing is true from a failure of the store until its next answer, which arrives at recoveredAt.
@@ -254,8 +256,15 @@
 		f.ObserveRevision(o.Version)
 		f.applyObject(o, revision)
 	}
+	f.newestUnlisted = 0
 	for key, o := range f.objects {
-		if listed[key] || !f.covers(revision, o) {
+		if listed[key] {
+			continue
+		}
+		if o.Version > revision {
+			f.newestUnlisted = max(f.newestUnlisted, o.Version)
+		}
+		if !f.covers(revision, o) {
 			continue
 		}
 		if !f.lapsed[key] {
@@ -294,6 +303,11 @@
 		f.remove(e.Object.Key)
 	}
 	f.revision = max(f.revision, e.Revision)
+	if f.newestUnlisted != 0 && e.Revision >= f.newestUnlisted {
+		// The source has caught up. Its changes do not name what had come and gone before it did.
+		f.newestUnlisted = 0
+		f.RequestList()
+	}
 }
 
 // applyObject applies an object from a source that is complete up to a point, unless the current one is newer; the caller holds mu.
