Lock the rate of the links that a test of gateways sets

Cause: the field became part of what the test changes while the fleet runs, and stayed outside of the lock that guards the rest. Change: limitLinks sets it under the lock, and transmit reads it there. No check or bound changed.

--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -220,13 +220,21 @@
 	return nil, errors.Newf("no gateway listens on %s", address)
 }
 
+// limitLinks limits the rate at which each gateway sends to peers, in bytes a second.
+func (f *spreadFleet) limitLinks(rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.linkRate = rate
+}
+
 // transmit waits until a gateway has sent a number of bytes over its link.
 func (f *spreadFleet) transmit(ctx context.Context, address string, bytes int) error {
+	now := time.Now()
+	f.mu.Lock()
 	if f.linkRate == 0 {
+		f.mu.Unlock()
 		return nil
 	}
-	now := time.Now()
-	f.mu.Lock()
 	end := f.linkFreeAt[address]
 	if end.Before(now) {
 		end = now
@@ -341,7 +349,7 @@
 				f.writeConfig(1)
 				time.Sleep(12 * time.Second)
 				require.Zero(t, f.behind(1), "the fleet has started")
-				f.linkRate = linkRate
+				f.limitLinks(linkRate)
 				f.writePaddedConfig(2, routes.String())
 				time.Sleep(bound)
 				require.Zero(t, f.behind(2), "in force on all within %s", bound)
