Relay urgent updates to neighbors, so that no gateway is left out

For callers that means: a request that crashes targets may be sent by one more gateway, and a target that leaves may get requests from one, until a round happens to reach it.

Cause: each gateway relays an urgent change to six peers at random. Then a gateway is left out with a probability of e^-6, which is one of 400 in each change, and 0.3 of 118. The class of fault: what has to reach all is left to chance.

Change: two of the six (and of the twelve that are told first) are the neighbors in the ring of names. By induction over the ring everyone is reached while no message is lost, at the same number of messages.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -239,6 +239,7 @@
 	g.poster.Log = g.Log
 	g.tracker = g.newTracker()
 	g.gossiper = &gossiper.Gossiper{
+		Self:  g.Settings.Name,
 		Peers: g.others, FullUpdatePeers: g.successors, Update: g.buildUpdate, Receive: g.handleUpdate, Send: g.poster.Notify, Clock: g.Clock, Log: g.Log,
 	}
 	g.poster.Handle(gossiper.Method, g.gossiper.Handle)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,8 +1,10 @@
 package gossiper
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,14 +29,16 @@
 	// fanOut is how many randomly chosen peers a round notifies in a larger fleet; urgent updates do not wait for rounds.
 	fanOut = 1
 	// urgentFanOut is how many peers are notified immediately of an urgent change, and relayFanOut how many each peer that
-	// did not have it yet relays it to.
+	// did not have it yet relays it to: its neighbors, so that no peer is left out, and random ones, so that it takes few hops.
 	urgentFanOut = 12
 	relayFanOut  = 6
 )
 
 // Gossiper sends updates to peers; set its exported fields before Run.
 type Gossiper struct {
-	// Peers returns the live peers; FullUpdatePeers those among them that get a full update in each round, however large the
+	// Self is the name of this daemon.
+	Self string
+	// Peers returns the live peers, sorted by name; FullUpdatePeers those among them that get a full update in each round, however large the
 	// fleet is.
 	Peers           func() []cataloger.Member
 	FullUpdatePeers func() []cataloger.Member
@@ -59,13 +63,13 @@
 	return nil
 }
 
-// sendRound sends a full update to the next peers of a small fleet; in a larger one it notifies random peers.
+// sendRound sends a full update to the next peers of a small fleet; in a larger one it notifies a random peer.
 func (g *Gossiper) sendRound() {
 	if peers := g.Peers(); len(peers) <= MeshSize {
 		g.sendTo(g.nextPeers(peers), true)
 		return
 	}
-	g.notify(fanOut)
+	g.notify(func(peers []cataloger.Member) []cataloger.Member { return sample(peers, fanOut) })
 }
 
 // nextPeers returns the next up to meshFanOut peers of a small fleet.
@@ -79,15 +83,17 @@
 }
 
 // NotifyUrgent sends an update immediately: to all peers of a small fleet, else to FullUpdatePeers and urgentFanOut
-// random peers.
-func (g *Gossiper) NotifyUrgent() { g.notify(urgentFanOut) }
+// others.
+func (g *Gossiper) NotifyUrgent() {
+	g.notify(func(peers []cataloger.Member) []cataloger.Member { return g.relays(peers, urgentFanOut) })
+}
 
 // Mesh reports whether the fleet is so small that every peer gets full updates.
 func (g *Gossiper) Mesh() bool { return len(g.Peers()) <= MeshSize }
 
-// notify sends a full update to all peers of a small fleet; in a larger one to FullUpdatePeers, and an update to n random
-// peers.
-func (g *Gossiper) notify(n int) {
+// notify sends a full update to all peers of a small fleet; in a larger one to FullUpdatePeers, and an update to those that choose
+// returns.
+func (g *Gossiper) notify(choose func(peers []cataloger.Member) []cataloger.Member) {
 	peers := g.Peers()
 	if len(peers) <= MeshSize {
 		g.sendTo(peers, true)
@@ -96,7 +102,20 @@
 	if fullPeers := g.FullUpdatePeers(); len(fullPeers) > 0 {
 		g.sendTo(fullPeers, true)
 	}
-	g.sendTo(sample(peers, n), false)
+	g.sendTo(choose(peers), false)
+}
+
+// relays returns n of the peers of a fleet larger than MeshSize: the two neighbors of this daemon in the ring of names, and others at
+// random.
+func (g *Gossiper) relays(peers []cataloger.Member, n int) []cataloger.Member {
+	next, _ := slices.BinarySearchFunc(peers, g.Self, func(m cataloger.Member, name string) int { return cmp.Compare(m.Name, name) })
+	ring := func(i int) cataloger.Member { return peers[(next+i)%len(peers)] }
+	last := len(peers) - 1
+	out := []cataloger.Member{ring(0), ring(last)}
+	for _, i := range rand.Perm(last - 1)[:n-2] {
+		out = append(out, ring(1+i))
+	}
+	return out
 }
 
 // sample returns up to n of the peers at random.
@@ -127,8 +146,11 @@
 	if err := proto.Unmarshal(body, u); err != nil {
 		return nil, errors.Wrap(err, "decode gossip update")
 	}
-	if g.Receive(peer, u) && !g.Mesh() {
-		g.sendTo(sample(g.Peers(), relayFanOut), false)
+	if !g.Receive(peer, u) {
+		return nil, nil
+	}
+	if peers := g.Peers(); len(peers) > MeshSize {
+		g.sendTo(g.relays(peers, relayFanOut), false)
 	}
 	return nil, nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -86,6 +89,57 @@
 	require.False(t, out[2].full)
 }
 
+// TestUrgentUpdateReachesAllDaemons guards against a daemon that learns of a crash or a departure in a later round only, as none of
+// those that relay it chose that daemon. No message is lost here.
+func TestUrgentUpdateReachesAllDaemons(t *testing.T) {
+	for _, n := range []int{MeshSize + 2, 31, 118, 400} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			for range 50 {
+				require.Equal(t, n, spreadUrgently(t, n))
+			}
+		})
+	}
+}
+
+// spreadUrgently returns how many of n daemons know an urgent change after all relaying, without a round.
+func spreadUrgently(t *testing.T, n int) int {
+	body, err := proto.Marshal(&peerv1.GatewayUpdate{})
+	require.NoError(t, err)
+	var all []cataloger.Member
+	for i := range n {
+		name := fmt.Sprintf("front-%03d", i)
+		all = append(all, cataloger.Member{Name: name, PeerAddress: name})
+	}
+	daemons, known := map[string]*Gossiper{}, map[string]bool{}
+	var inFlight []string
+	for i, m := range all {
+		var ignored []sent
+		g := newTestGossiper(0, &ignored)
+		g.Self = m.Name
+		g.Peers = func() []cataloger.Member { return slices.Concat(all[:i], all[i+1:]) }
+		g.Receive = func(string, *peerv1.GatewayUpdate) bool {
+			isNew := !known[m.Name]
+			known[m.Name] = true
+			return isNew
+		}
+		g.Send = func(address, _ string, _ proto.Message) error {
+			inFlight = append(inFlight, address)
+			return nil
+		}
+		daemons[m.Name] = g
+	}
+	first := all[rand.IntN(n)].Name
+	known[first] = true
+	daemons[first].NotifyUrgent()
+	for len(inFlight) > 0 {
+		to := inFlight[0]
+		inFlight = inFlight[1:]
+		_, err := daemons[to].Handle(t.Context(), first, body)
+		require.NoError(t, err)
+	}
+	return len(known)
+}
+
 // Each daemon relays an urgent update only if it did not have it yet, and only in large fleets, where not all peers were
 // notified.
 func TestUrgentUpdatesAreRelayedOnce(t *testing.T) {
