Relay the trial of a quarantine, so that the fleet makes one

Cause: a trial went out with the next update to 12 of 30 gateways and was not relayed, as Quarantiner.Merge reported only crashes as urgent. The gateway next in rank waits one second, and might not have heard of it. The class of fault is news that each daemon must know within a bound, but that is only told at random: crashes, departures and limits were relayed already. Looked for elsewhere: a request to a plain service that was admitted as a trial was not reported at all; both kinds of requests now ask Relayer.admit.

A trial is news only within trialTimeout, so that a daemon which has just started does not relay old ones, and once for each daemon, as a trial within skewTolerance is the same one: no storm.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -283,7 +283,7 @@
 func (q *Quarantiner) Merge(e Evidence) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now, changed := q.Now(), false
+	now, changed, trial := q.Now(), false, false
 	for _, c := range e.Crashes {
 		changed = q.recordTarget(c.Target, c.At, now) || changed
 	}
@@ -301,12 +301,13 @@
 		q.answered.set(e.Key, e.AnsweredAt)
 	}
 	if later(s.evidence.TrialAt, e.TrialAt) {
-		s.evidence.TrialAt, s.changedAt = e.TrialAt, now
+		// The daemon next in rank makes a trial of its own if it does not hear of this one within trialStagger.
+		s.evidence.TrialAt, s.changedAt, trial = e.TrialAt, now, now.Sub(e.TrialAt) < trialTimeout
 	}
 	if changed {
 		q.assess(now)
 	}
-	return q.suspects[e.Key].takeNews()
+	return q.suspects[e.Key].takeNews() || trial
 }
 
 // later reports whether the time that another daemon names is later than the known one, and not the same event.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -448,3 +448,23 @@
 		}
 	})
 }
+
+// TestTrialIsNews guards against a second trial of one quarantine, by a daemon that has not heard of the first one: each daemon
+// relays a trial without delay, once.
+func TestTrialIsNews(t *testing.T) {
+	const deadly Key = 7
+	q, c := newTest()
+	other := New(c.Now)
+	q.RecordCrash([]Key{deadly}, 1, 1)
+	c.advance(time.Second)
+	q.RecordCrash([]Key{deadly}, 2, 2)
+	exchange(q, other)
+	c.advance(quarantineTimes[0])
+	require.True(t, q.Admit([]Key{deadly}).Trial)
+	trial := q.Evidence(1)[0]
+	require.True(t, other.Merge(trial))
+	// Datagrams take some time, which the receiver does not know.
+	trial.TrialAt = trial.TrialAt.Add(20 * time.Millisecond)
+	require.False(t, other.Merge(trial), "the same trial from another daemon")
+	require.False(t, q.Merge(trial), "its own trial")
+}
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// admit decides how a request with keys may be sent, and tells other daemons of a trial.
+func (r *Relayer) admit(keys []quarantiner.Key) quarantiner.Decision {
+	d := r.Quarantiner.Admit(keys)
+	if d.Trial {
+		r.OnEvidence()
+	}
+	return d
+}
+
 // recordCrash records that a target crashed with a request that it had not answered, unless it was leaving.
 func (r *Relayer) recordCrash(t cataloger.Target, keys []quarantiner.Key, request uint32) {
 	if v, ok := r.Targets.Get(t.Name); ok && v.Incarnation == t.Incarnation && v.SinceLeaving > 0 {
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -375,3 +375,37 @@
 		require.Greater(t, served, 12, "all once the instances are back")
 	})
 }
+
+// TestTrialIsReported guards against a trial of one quarantine by each daemon, as a daemon that makes one does not tell the
+// others.
+func TestTrialIsReported(t *testing.T) {
+	deadlyStream := stream(true)
+	deadlyStream.PromptParts = []string{deadlyPart, "session"}
+	for name, req := range map[string]*Request{"generation": deadlyStream, "plain service": plain(matcher.KindIdempotent)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelayer(&fakeBackend{})
+				sends, reports := 0, 0
+				r.Backend.Send = func(context.Context, Call) (*Reply, error) { sends++; return nil, exchanger.ErrNotSent }
+				r.OnEvidence = func() { reports++ }
+				keys := req.keys()
+				if len(keys) == 0 {
+					keys = []quarantiner.Key{quarantiner.RequestKey(req.Service.Name, req.Method, req.URI, req.Body)}
+				}
+				r.Quarantiner.RecordCrash(keys, 1, 1)
+				time.Sleep(time.Second)
+				r.Quarantiner.RecordCrash(keys, 2, 2)
+				req.Arrived, req.Deadline = time.Now(), time.Now().Add(time.Second)
+				_, refusal, _ := serve(r, req)
+				require.Equal(t, refuser.Quarantined, refusal.Code)
+				require.Zero(t, sends)
+				require.Zero(t, reports)
+				time.Sleep(2 * refusal.RetryAfter)
+				req.Arrived, req.Deadline = time.Now(), time.Now().Add(time.Second)
+				serve(r, req)
+				require.Equal(t, 1, sends)
+				require.Equal(t, 1, reports)
+			})
+		})
+	}
+}
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -61,7 +61,7 @@
 // run makes attempts until an answer can be forwarded.
 func (c *plainCall) run(ctx context.Context, w http.ResponseWriter) *refuser.Refusal {
 	r, req, call := c.relayer, c.request, c
-	if d := r.Quarantiner.Admit(c.keys); d.Verdict == quarantiner.Quarantined {
+	if d := r.admit(c.keys); d.Verdict == quarantiner.Quarantined {
 		return quarantinedRequest().WithRetryAfter(d.Wait)
 	}
 	_, err := r.Balancer.Run(ctx, c.instances, forwarder.Request{
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -146,10 +146,9 @@
 
 // admit returns a refusal if the request must not be sent, or not be sent again, as requests like it crash targets.
 func (g *generation) admit(repeat bool) *refuser.Refusal {
-	q := g.relayer.Quarantiner
-	d := q.Check(g.keys)
+	d := g.relayer.Quarantiner.Check(g.keys)
 	if !repeat {
-		d = q.Admit(g.keys)
+		d = g.relayer.admit(g.keys)
 	}
 	g.mu.Lock()
 	g.trial = d.Trial
@@ -158,9 +157,6 @@
 	if d.Verdict == quarantiner.Suspect {
 		g.suspected = &g.keys[d.Index]
 	}
-	if d.Trial {
-		g.relayer.OnEvidence()
-	}
 	if d.Verdict != quarantiner.Quarantined {
 		return nil
 	}
