Continue with another version when later stages lack the removed one

Cause: the last chains of the old version are removed within the time that a daemon needs to hear of it. Router.generate goes on with another version only if nothing may have run, and a refusal by a stage behind the first one leaves that open. The class of fault is a safety condition taken for the reason: whether anything ran does not say whether a chain is left, and attempts of a generation are fenced, so that a next one is always safe.

The refusal itself says that the stage is not held. A request whose attempts or retry budget end with it continues with a version that can run; failures of other kinds end as before (table of TestRemovedVersionIsReplaced, whose case "not held by later stages" failed before: expected true, actual false).

Ruled out: lost streams (the logs show six refusals and nothing else).

--- a/internal/engineer/failure.go
+++ b/internal/engineer/failure.go
@@ -18,6 +18,12 @@
 	return ""
 }
 
+// IsNotHeld reports whether err is an engine's refusal of a stage whose layers or KV cache it does not hold.
+func IsNotHeld(err error) bool {
+	var ce *connect.Error
+	return errors.As(err, &ce) && ce.Code() == connect.CodeFailedPrecondition && FailedTarget(ce) != ""
+}
+
 // WithFailedTarget returns err as a connect error of this engine that names target as the failed stage, unless err already
 // names one.
 func WithFailedTarget(err error, target string) error {
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/dispatcher"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/receiver"
 	"github.com/rattantray/rattantray/internal/selector"
 	"github.com/rattantray/rattantray/internal/tokener"
@@ -84,13 +85,14 @@
 	return stages
 }
 
-// noChainLeft reports whether a request was refused because no chain of its version is left to run it.
+// noChainLeft reports whether a request was refused because no chain of its version is left to run it. The fleet as this daemon
+// knows it may still list one.
 func noChainLeft(refusal *refuser.Refusal) bool {
 	switch refusal.Code {
 	case refuser.NoPipeline:
 		return true
 	case refuser.AttemptsExhausted, refuser.RetryBudgetSpent:
-		return refusal.Fact == refuser.FactNotRun
+		return refusal.Fact == refuser.FactNotRun || engineer.IsNotHeld(refusal)
 	}
 	return false
 }
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -1,13 +1,18 @@
 package router
 
 import (
+	"io"
 	"testing"
 
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/documenter"
+	"github.com/rattantray/rattantray/internal/engineer"
 	"github.com/rattantray/rattantray/internal/selector"
+	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
 func TestPickVersion(t *testing.T) {
@@ -50,6 +55,30 @@
 	require.Equal(t, "v1", got[1].Version)
 }
 
+// TestRemovedVersionIsReplaced guards against requests that fail in a rollout, as all engines have removed the version that this
+// daemon still lists, and a stage behind the first one refused it.
+func TestRemovedVersionIsReplaced(t *testing.T) {
+	refusedBy := func(code connect.Code) error {
+		return engineer.WithFailedTarget(connect.NewError(code, errors.New("refused")), "engine-8")
+	}
+	notHeld := refusedBy(connect.CodeFailedPrecondition)
+	for name, c := range map[string]struct {
+		refusal *refuser.Refusal
+		want    bool
+	}{
+		"no chain is listed":              {refuser.New(refuser.NoPipeline, ""), true},
+		"refused by first stages":         {refuser.New(refuser.AttemptsExhausted, "").WithFact(refuser.FactNotRun), true},
+		"not held by later stages":        {refuser.New(refuser.AttemptsExhausted, "").WithFact(refuser.FactMayHaveRun).WithCause(notHeld), true},
+		"not held, no retry is left":      {refuser.New(refuser.RetryBudgetSpent, "").WithFact(refuser.FactMayHaveRun).WithCause(notHeld), true},
+		"later stages are full":           {refuser.New(refuser.AttemptsExhausted, "").WithFact(refuser.FactMayHaveRun).WithCause(refusedBy(connect.CodeResourceExhausted)), false},
+		"streams broke":                   {refuser.New(refuser.AttemptsExhausted, "").WithFact(refuser.FactMayHaveRun).WithCause(io.EOF), false},
+		"the deadline passed":             {refuser.New(refuser.DeadlineExceeded, "").WithCause(notHeld), false},
+		"a precondition of another party": {refuser.New(refuser.AttemptsExhausted, "").WithFact(refuser.FactMayHaveRun).WithCause(connect.NewError(connect.CodeFailedPrecondition, nil)), false},
+	} {
+		require.Equal(t, c.want, noChainLeft(c.refusal), name)
+	}
+}
+
 func TestAssignedModel(t *testing.T) {
 	models := []string{"a", "b", "c"}
 	require.Equal(t, "x", assignedModel(cataloger.Target{Name: "t", Holdings: []cataloger.Holding{{Model: "x"}}}, models))
