--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -42,9 +42,7 @@
 				t.Skip("CI plays larger fleets without the race detector")
 			}
 			synctest.Test(t, func(t *testing.T) {
-				f := newSpreadFleet(t, n)
-				f.writeConfig(1)
-				time.Sleep(12 * time.Second)
+				f := newServingFleet(t, n)
 				end := f.cut(0)
 				defer end()
 				f.recordCrash(0, deadly, 1)
@@ -74,9 +72,7 @@
 func TestOneTrialForAFleet(t *testing.T) {
 	const deadly quarantiner.Key = 1
 	synctest.Test(t, func(t *testing.T) {
-		f := newSpreadFleet(t, 31)
-		f.writeConfig(1)
-		time.Sleep(12 * time.Second)
+		f := newServingFleet(t, 31)
 		f.recordCrash(0, deadly, 1)
 		time.Sleep(time.Second)
 		f.recordCrash(1, deadly, 2)
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -63,7 +63,7 @@
 	for _, g := range f.all {
 		f.connect(g)
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(fleetStartTime)
 	return f
 }
 
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -52,6 +52,9 @@
 	linkFreeAt map[string]time.Time
 }
 
+// fleetStartTime is how long a fleet of any size takes to start.
+const fleetStartTime = 12 * time.Second
+
 // newSpreadFleet starts n gateways.
 func newSpreadFleet(t *testing.T, n int) *spreadFleet {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -66,6 +69,15 @@
 	return f
 }
 
+// newServingFleet starts n gateways and returns once all have the first configuration in force.
+func newServingFleet(t *testing.T, n int) *spreadFleet {
+	f := newSpreadFleet(t, n)
+	f.writeConfig(1)
+	time.Sleep(fleetStartTime)
+	require.Zero(t, f.behind(1), "the fleet has started")
+	return f
+}
+
 // start starts gateway i; first means that the whole fleet starts.
 func (f *spreadFleet) start(i int, first bool) *Gateway {
 	g := f.add(i, first)
@@ -312,10 +324,7 @@
 				t.Skip("CI plays larger fleets without the race detector")
 			}
 			synctest.Test(t, func(t *testing.T) {
-				f := newSpreadFleet(t, n)
-				f.writeConfig(1)
-				time.Sleep(12 * time.Second)
-				require.Zero(t, f.behind(1), "the fleet has started")
+				f := newServingFleet(t, n)
 				for version := uint64(2); version <= 3+uint64(400/n)/4; version++ {
 					f.silenceWatches()
 					f.writeConfig(version)
@@ -345,10 +354,7 @@
 				t.Skip("CI plays larger fleets without the race detector")
 			}
 			synctest.Test(t, func(t *testing.T) {
-				f := newSpreadFleet(t, n)
-				f.writeConfig(1)
-				time.Sleep(12 * time.Second)
-				require.Zero(t, f.behind(1), "the fleet has started")
+				f := newServingFleet(t, n)
 				f.limitLinks(linkRate)
 				f.writePaddedConfig(2, routes.String())
 				time.Sleep(bound)
@@ -372,7 +378,7 @@
 				require.NoError(t, err)
 				_, err = store.Put(t.Context(), "servers/stays", []byte("10.9.0.2:80"), 0)
 				require.NoError(t, err)
-				time.Sleep(12 * time.Second)
+				time.Sleep(fleetStartTime)
 				require.Equal(t, n, f.listing("gone"), "the fleet has started")
 				f.silenceWatches()
 				_, err = store.Delete(t.Context(), "servers/gone", revision)
