--- a/internal/router/rollout_test.go
+++ b/internal/router/rollout_test.go
@@ -84,3 +84,44 @@
 		t.Logf("the bound rose from %d to %.0f in %s", fleetBound-chainRate, w.versionBound("v1"), time.Since(begun))
 	})
 }
+
+// TestNewPlannerKnowsTheLoad guards against a planner that lets the bound fall below the load, as it has just taken the duty over
+// from a daemon that was stopped and has no reports of the load yet.
+func TestNewPlannerKnowsTheLoad(t *testing.T) {
+	skipUnderRace(t)
+	inWorld(t, 4, withMemory(fourChains(), 5), func(w *world) {
+		w.apply(placedDocument)
+		l := w.newLoad(16, 20*time.Second)
+		l.start(3, 0)
+		time.Sleep(15 * time.Second)
+		first, before := w.planner(nil)
+		require.GreaterOrEqual(t, before, fleetBound/3.0)
+		first.stop()
+		for range 2000 {
+			time.Sleep(10 * time.Millisecond)
+			if _, offered := w.planner(first); offered >= 0 {
+				require.GreaterOrEqual(t, offered, fleetBound/3.0, "the first plan of the next planner")
+				break
+			}
+		}
+		l.finish()
+	})
+}
+
+// planner returns the daemon that plans the model, other than a given one, and the load that it last planned for; the load is
+// negative if there is none.
+func (w *world) planner(other *daemon) (*daemon, float64) {
+	for _, d := range w.routers {
+		if d == other {
+			continue
+		}
+		p := d.router.placement.progress
+		p.mu.Lock()
+		m := p.models["m"]
+		p.mu.Unlock()
+		if m != nil {
+			return d, m.offered
+		}
+	}
+	return nil, -1
+}
