--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/chooser"
@@ -301,7 +303,7 @@
 	streaming, cancel := g.started && !g.repairing, g.cancel
 	g.mu.Unlock()
 	if streaming && g.movable() && g.prepayRetry() {
-		cancel(errMoved)
+		cancel(errors.Wrap(errMoved, "first target leaves"))
 	}
 }
 
@@ -329,7 +331,7 @@
 	case chooser.RepairReplace:
 		go r.repath(ctx, g, path, next, cancel)
 	case chooser.RepairMove:
-		cancel(errMoved)
+		cancel(errors.Wrap(errMoved, "new stages are behind a full pipe"))
 	case chooser.RepairWait:
 		g.endRepair(nil)
 	case chooser.RepairNone:
@@ -345,7 +347,7 @@
 		lost = lost || !ok || v.Unreachable
 	}
 	if lost && g.movable() && g.prepayRetry() {
-		cancel(errMoved)
+		cancel(errors.Wrap(errMoved, "no target holds the layers of a lost stage"))
 		return
 	}
 	g.endRepair(nil)
@@ -355,7 +357,7 @@
 func (r *Relayer) repath(ctx context.Context, g *generation, old, next []cataloger.Stage, cancel context.CancelCauseFunc) {
 	first, ok := r.Targets.Get(old[0].Target)
 	if !ok {
-		cancel(errMoved)
+		cancel(errors.Wrap(errMoved, "first target has left"))
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, repathTimeout)
@@ -374,7 +376,7 @@
 	case RepathUnknown:
 		// Whatever path the target follows now, all parts of it hold their layers.
 		if g.movable() && g.prepayRetry() {
-			cancel(errMoved)
+			cancel(errors.Wrap(errMoved, "order to replace stages was not answered"))
 			return
 		}
 		g.endRepair(nil)
