--- a/internal/relayer/links_test.go
+++ b/internal/relayer/links_test.go
@@ -67,12 +67,13 @@
 	f.mu.Lock()
 	f.calls = append(f.calls, call)
 	f.mu.Unlock()
-	next := 1
-	if call.ResumeAfter != "" {
-		_, _ = fmt.Sscan(call.ResumeAfter, &next)
-		next++
+	body := newTimedEvents(ctx, call.ResumeAfter)
+	opened := time.Now()
+	body.isSilent = func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !f.cutAt.IsZero() && opened.Before(f.cutAt) && !time.Now().Before(f.cutAt)
 	}
-	body := &slowEvents{fleet: f, ctx: ctx, next: next, opened: time.Now()}
 	if call.Request.Service.Engine == nil {
 		time.Sleep(20 * time.Millisecond)
 		if body.isSilent() {
@@ -84,35 +85,41 @@
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: body, Signed: true}, nil
 }
 
-// slowEvents is a body of 60 events.
-type slowEvents struct {
-	fleet  *lostLinkFleet
-	ctx    context.Context
-	next   int
-	opened time.Time
+// timedEvents is a body of 60 events, one each 20 ms.
+type timedEvents struct {
+	ctx  context.Context
+	next int
+	// isSilent reports whether nothing arrives any more.
+	isSilent func() bool
 }
 
-func (s *slowEvents) isSilent() bool {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	return !s.fleet.cutAt.IsZero() && s.opened.Before(s.fleet.cutAt) && !time.Now().Before(s.fleet.cutAt)
+// newTimedEvents returns the events after the one with an id.
+func newTimedEvents(ctx context.Context, resumeAfter string) *timedEvents {
+	next := 1
+	if resumeAfter != "" {
+		_, _ = fmt.Sscan(resumeAfter, &next)
+		next++
+	}
+	return &timedEvents{ctx: ctx, next: next, isSilent: func() bool { return false }}
 }
 
-func (s *slowEvents) Read(p []byte) (int, error) {
+func (e *timedEvents) Read(p []byte) (int, error) {
 	time.Sleep(20 * time.Millisecond)
-	if s.isSilent() {
-		<-s.ctx.Done()
-		return 0, context.Cause(s.ctx)
+	if e.isSilent() {
+		<-e.ctx.Done()
+	}
+	if e.ctx.Err() != nil {
+		return 0, context.Cause(e.ctx)
 	}
-	if s.next > 60 {
+	if e.next > 60 {
 		return strings.NewReader("").Read(p)
 	}
-	n := copy(p, eventRange(s.next, s.next))
-	s.next++
+	n := copy(p, eventRange(e.next, e.next))
+	e.next++
 	return n, nil
 }
 
-func (s *slowEvents) Close() error { return nil }
+func (e *timedEvents) Close() error { return nil }
 
 // TestStreamsContinueWhenAllLinksAreLost guards against streams that hang on connections of a gateway which is cut off from all targets:
 // when all are silent at once, it checks its links, and they continue from the same event without a pause that clients notice.
