Hand streams over before their current send ends

Cause: a move ended the current send and then sent the stream elsewhere. Where the next target refused (503) and no repeat was left, the answer was closed, though the target that was left still served. What works was given up before its replacement was known to work.

The next send is now made beside the current one, which ends once a target there has begun to answer. A refusal leaves the stream where it is. If the current send ends first, the stream continues with the send under way. This holds for all moves: a first target that leaves, a stage behind a full pipe, a lost stage, an unanswered order.

TestStreamsLeaveTheFirstTargetUnderLoad lets targets accept the streams, as a move now needs that; its bounds are as they were.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -39,6 +39,8 @@
 
 // generation is a request to model engines, across all its sends.
 type generation struct {
+	// ctx is that of the request.
+	ctx     context.Context
 	relayer *Relayer
 	request *Request
 	w       http.ResponseWriter
@@ -49,17 +51,24 @@
 	events    events
 	// headWritten is true once the head of the answer was written.
 	headWritten bool
+
+	// mu guards what the watchdog and handovers read and change.
+	mu sync.Mutex
 	// mayHaveRun is true once the request may have run on some target.
 	mayHaveRun bool
-	// sends counts all sends, and runs those that may have run on a target that is still there.
+	// sends counts all sends that have ended, and runs those that may have run on a target that is still there.
 	sends int
 	runs  int
 	avoid map[string]bool
-
-	// mu guards what the watchdog reads and changes.
-	mu           sync.Mutex
+	// current is the send in progress, and successor the one that is to take over from it; nil if there is none.
+	current   *leg
+	successor *leg
+	// handOverAt is when the next handover may be tried.
+	handOverAt   time.Time
 	path         []cataloger.Stage
 	lastProgress time.Time
+	// lastEvent is the id of the last event that was delivered.
+	lastEvent string
 	// deliveredAt is when the last event was delivered.
 	deliveredAt time.Time
 	meanGap     time.Duration
@@ -97,7 +106,7 @@
 
 // generate relays a request over pipelines until its answer is complete.
 func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
-	g := &generation{relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}}
+	g := &generation{ctx: ctx, relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}, lastEvent: req.ResumeAfter}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
 	refusal := jitterRetryAfter(g.run(ctx))
@@ -115,35 +124,57 @@
 
 // describe adds the outcome of the generation to its last log line.
 func (g *generation) describe(e *zerolog.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	e.Int("sends", g.sends).Int("runs", g.runs).Int("repaths", g.repaths).Str("last", g.events.last).Dur("first", g.firstEventTime).
 		Dur("longest-gap", g.longestGap).Int("stages", len(g.path))
 }
 
 // run sends the request until its answer is complete or its refusal final.
 func (g *generation) run(ctx context.Context) *refuser.Refusal {
+	defer g.dropSuccessor()
 	for repeat := false; ; repeat = true {
-		if refusal := g.admit(repeat); refusal != nil {
-			return g.finalRefusal(ctx, refusal)
-		}
-		path, refusal := g.findPermittedPath(ctx)
-		if refusal != nil {
-			return g.finalRefusal(ctx, refusal)
-		}
-		// The budget counts sends, so nothing is taken out before there is a path.
-		if repeat && !g.prepayRetry() {
-			return g.finalRefusal(ctx, refuser.New(refuser.RetryBudgetSpent, "no repeat is left").WithRetryAfter(noPathRetry))
-		}
-		g.consumePrepaid()
-		result, refusal := g.send(ctx, path)
+		result, refusal := g.sendNext(ctx, repeat)
 		if result == sendDone {
 			return refusal
 		}
-		if !g.maySend(g.runs) {
+		if !g.maySend() {
 			return g.finalRefusal(ctx, refusal)
 		}
 	}
 }
 
+// sendNext continues with the successor of the last send, if there is one, or sends the request over a new path.
+func (g *generation) sendNext(ctx context.Context, repeat bool) (sendResult, *refuser.Refusal) {
+	if l := g.takeSuccessor(); l != nil {
+		g.register(l)
+		<-l.done
+		return g.follow(l)
+	}
+	if refusal := g.admit(repeat); refusal != nil {
+		return sendDone, g.finalRefusal(ctx, refusal)
+	}
+	path, refusal := g.findPermittedPath(ctx)
+	if refusal != nil {
+		return sendDone, g.finalRefusal(ctx, refusal)
+	}
+	// The budget counts sends, so nothing is taken out before there is a path.
+	if repeat && !g.prepayRetry() {
+		return sendDone, g.finalRefusal(ctx, refuser.New(refuser.RetryBudgetSpent, "no repeat is left").WithRetryAfter(noPathRetry))
+	}
+	g.consumePrepaid()
+	g.mu.Lock()
+	number := g.sends + 1
+	g.mu.Unlock()
+	l := g.open(ctx, path, g.events.last, number)
+	if l == nil {
+		return sendRetry, refuser.New(refuser.NoTarget, "%s has just left", path[0].Target).WithRetryAfter(noPathRetry)
+	}
+	g.register(l)
+	g.relayer.exchange(l)
+	return g.follow(l)
+}
+
 // admit returns a refusal if the request must not be sent, or not be sent again, as requests like it crash targets.
 func (g *generation) admit(repeat bool) *refuser.Refusal {
 	d := g.relayer.Quarantiner.Check(g.keys)
@@ -175,9 +206,12 @@
 	}
 }
 
-// maySend reports whether the request may be sent again after the given number of sends that may have run.
-func (g *generation) maySend(runs int) bool {
-	return g.sends < maxSends && runs < max(g.request.Route.MaxAttempts, 1) && (!g.mayHaveRun || g.mayRepeat())
+// maySend reports whether the request may be sent again.
+func (g *generation) maySend() bool {
+	g.mu.Lock()
+	mayHaveRun, sendsLeft := g.mayHaveRun, g.sends < maxSends && g.runs < max(g.request.Route.MaxAttempts, 1)
+	g.mu.Unlock()
+	return sendsLeft && (!mayHaveRun || g.mayRepeat())
 }
 
 // mayRepeat reports whether a request that may have run may be sent again: a stream that may be resumed and is not suspected
@@ -197,46 +231,59 @@
 // finalRefusal returns the refusal that ends the request.
 func (g *generation) finalRefusal(ctx context.Context, refusal *refuser.Refusal) *refuser.Refusal {
 	fact := refuser.FactNotRun
+	g.mu.Lock()
 	if g.mayHaveRun {
 		fact = refuser.FactMayHaveRun
 	}
+	g.mu.Unlock()
 	if g.relayer.expired(ctx, g.request) {
 		refusal = g.relayer.expiryRefusal(g.request, fact)
 	}
 	return refusal.WithFact(fact)
 }
 
-// send sends the request over a path and relays the answer.
-func (g *generation) send(ctx context.Context, path []cataloger.Stage) (sendResult, *refuser.Refusal) {
-	r := g.relayer
-	first, ok := r.Targets.Get(path[0].Target)
-	if !ok {
-		return sendRetry, refuser.New(refuser.NoTarget, "%s has just left", path[0].Target).WithRetryAfter(noPathRetry)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	g.register(path, cancel)
+// follow relays the answer to a send.
+func (g *generation) follow(l *leg) (sendResult, *refuser.Refusal) {
+	defer l.cancel(nil)
 	defer g.unregister()
-	call := Call{Request: g.request, Target: first.Target, Path: path, Remaining: g.request.Deadline.Sub(r.Clock.Now()), ResumeAfter: g.events.last}
-	if r.servesWholeModel(g.request) {
-		call.Path = nil
-	}
-	r.logSent(call, g.sends+1)
-	reply, err := r.Backend.Send(ctx, call)
-	if err != nil {
-		refusal := g.handleSendError(ctx, first.Target, err)
-		g.countSend(first.Target, !errors.Is(err, exchanger.ErrNotSent))
+	if l.reply != nil {
+		defer func() { _ = l.reply.Body.Close() }()
+	}
+	if refusal := g.handleNoAnswer(l); refusal != nil {
 		return sendRetry, refusal
 	}
-	defer func() { _ = reply.Body.Close() }()
-	if reply.NotRun {
-		g.countSend(first.Target, false)
-		return sendRetry, g.handleRefusal(first.Target, reply)
+	result, refusal := g.handleReply(l.ctx, l.first, l.reply)
+	g.countSend(l.first, true)
+	return result, refusal
+}
+
+// handleNoAnswer returns a refusal if a send brought no answer of a target that ran the request.
+func (g *generation) handleNoAnswer(l *leg) *refuser.Refusal {
+	if l.err != nil {
+		refusal := g.handleSendError(l.ctx, l.first, l.err)
+		g.countSend(l.first, !errors.Is(l.err, exchanger.ErrNotSent))
+		return refusal
+	}
+	if l.reply.NotRun {
+		g.countSend(l.first, false)
+		return g.handleRefusal(l.first, l.reply)
 	}
+	g.recordRun()
+	return nil
+}
+
+// recordRun records that the request may have run.
+func (g *generation) recordRun() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.mayHaveRun = true
-	result, refusal := g.handleReply(ctx, first.Target, reply)
-	g.countSend(first.Target, true)
-	return result, refusal
+}
+
+// avoidTarget keeps further sends from a target.
+func (g *generation) avoidTarget(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.avoid[name] = true
 }
 
 // handleReply handles the answer of a target that ran the request.
@@ -255,14 +302,14 @@
 	if errors.Is(err, exchanger.ErrNotSent) {
 		if ctx.Err() == nil {
 			g.relayer.recordFailure(first, err.Error())
-			g.avoid[first.Name] = true
+			g.avoidTarget(first.Name)
 		}
 		return refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
 	}
 	if ctx.Err() == nil {
 		g.handleBrokenConnection(first)
 	}
-	g.mayHaveRun = true
+	g.recordRun()
 	g.avoidAfter(ctx, first)
 	if errors.Is(err, errLinkLost) {
 		g.relayer.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Err(err).Msg("no answer")
@@ -278,7 +325,7 @@
 // avoidAfter avoids the first target of a send that failed, unless only the link to it was lost.
 func (g *generation) avoidAfter(ctx context.Context, first cataloger.Target) {
 	if !errors.Is(context.Cause(ctx), errLinkLost) {
-		g.avoid[first.Name] = true
+		g.avoidTarget(first.Name)
 	}
 }
 
@@ -295,7 +342,7 @@
 		r.Targets.RecordRefusal(name)
 	}
 	r.Targets.RecordAnswer(name, name != first.Name)
-	g.avoid[name] = true
+	g.avoidTarget(name)
 	r.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Str("at", name).Int("status", reply.Status).Msg("refused by target")
 	return refuser.New(refuser.TargetRefused, "%s refused with %d", name, reply.Status).WithRetryAfter(noPathRetry)
 }
@@ -323,7 +370,7 @@
 func (g *generation) blameFirstTarget() {
 	name := g.firstTarget()
 	g.relayer.Targets.RecordAnswer(name, false)
-	g.avoid[name] = true
+	g.avoidTarget(name)
 }
 
 // hasStarted reports whether the current send has delivered an event.
@@ -434,15 +481,14 @@
 	return g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
 }
 
-// register adds the generation to the streams that the watchdog checks.
-func (g *generation) register(path []cataloger.Stage, cancel context.CancelCauseFunc) {
+// register makes a send the current one, which the watchdog checks.
+func (g *generation) register(l *leg) {
 	r := g.relayer
 	g.mu.Lock()
-	g.path, g.lastProgress, g.started, g.repairing, g.cancel = path, r.Clock.Now(), false, false, cancel
-	g.sendStarted = g.lastProgress
-	g.release = r.Targets.Reserve(path, g.request.demand().Tokens)
+	g.current, g.path, g.lastProgress, g.started, g.repairing, g.cancel = l, l.path, l.sentAt, false, false, l.cancel
+	g.sendStarted = l.sentAt
+	g.release = l.release
 	g.mu.Unlock()
-	r.Chooser.RecordCrossings(g.request.demand(), nil, path)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.streams[g] = struct{}{}
@@ -455,6 +501,7 @@
 	r.mu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.current = nil
 	if g.linkLost {
 		g.linkLost = false
 		r.Clock.AfterFunc(unheardEndTime, g.release)
@@ -490,5 +537,5 @@
 		g.relayer.Quarantiner.RecordAnswered(g.keys)
 	}
 	g.started = true
-	g.lastProgress = now
+	g.lastProgress, g.lastEvent = now, g.events.last
 }
--- a/internal/relayer/leave_test.go
+++ b/internal/relayer/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,19 +16,20 @@
 )
 
 // addStreams registers streams that pass a1 and a2 and counts those that are moved to another pipeline.
-func addStreams(r *Relayer, n int, resumable bool, moved *int) {
+func addStreams(r *Relayer, n int, resumable bool, moved *atomic.Int64) {
 	path, _ := r.Chooser.Path(stream(true).demand(), map[string]bool{"b1": true, "b2": true})
 	for i := range n {
 		req := stream(resumable)
 		req.ID = fmt.Sprint("r", i)
-		g := &generation{relayer: r, request: req, started: true, lastProgress: time.Now(), release: func() {}}
-		g.path = path
+		g := &generation{relayer: r, request: req, avoid: map[string]bool{}, started: true, lastProgress: time.Now(), release: func() {}}
+		first, _ := r.Targets.Get(path[0].Target)
+		g.ctx, g.path = context.Background(), path
 		g.cancel = func(cause error) {
 			if errors.Is(cause, errMoved) {
-				*moved++
-				g.repairing = true
+				moved.Add(1)
 			}
 		}
+		g.current = &leg{ctx: g.ctx, cancel: g.cancel, first: first.Target, path: path, release: g.release}
 		r.mu.Lock()
 		r.streams[g] = struct{}{}
 		r.mu.Unlock()
@@ -73,8 +75,7 @@
 				f := &fakeBackend{}
 				r := newTestRelayer(f)
 				r.DrainTime = 2 * time.Second
-				moved := 0
-				addStreams(r, streams, false, &moved)
+				addStreams(r, streams, false, new(atomic.Int64))
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go func() { _ = r.Watch(ctx) }()
@@ -106,24 +107,25 @@
 func TestStreamsLeaveTheFirstTargetUnderLoad(t *testing.T) {
 	for _, resumable := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			r := newTestRelayer(&fakeBackend{})
+			r := newTestRelayer(&fakeBackend{scripts: []script{{status: 200, body: eventRange(1, 1)}}})
 			r.DrainTime = 2 * time.Second
 			r.Budget = rationer.Budget{Extra: 1000, Window: 10 * time.Second}
-			moved := 0
+			var moved atomic.Int64
 			addStreams(r, 100, resumable, &moved)
 			putTarget(r, "a1", cataloger.StateLeaving, 0, 5)
 			maxPerCheck := 0
 			for range int((r.DrainTime+leavingMargin)/watchInterval) + 1 {
 				time.Sleep(watchInterval)
-				before := moved
+				before := moved.Load()
 				r.checkStreams(t.Context())
-				maxPerCheck = max(maxPerCheck, moved-before)
+				synctest.Wait()
+				maxPerCheck = max(maxPerCheck, int(moved.Load()-before))
 			}
 			want := 0
 			if resumable {
 				want = 100
 			}
-			require.Equal(t, want, moved)
+			require.EqualValues(t, want, moved.Load())
 			require.LessOrEqual(t, maxPerCheck, 100/8)
 		})
 	}
--- a/internal/relayer/links_test.go
+++ b/internal/relayer/links_test.go
@@ -91,6 +91,8 @@
 	next int
 	// isSilent reports whether nothing arrives any more.
 	isSilent func() bool
+	// breaks reports whether the connection is broken.
+	breaks func() bool
 }
 
 // newTimedEvents returns the events after the one with an id.
@@ -100,7 +102,7 @@
 		_, _ = fmt.Sscan(resumeAfter, &next)
 		next++
 	}
-	return &timedEvents{ctx: ctx, next: next, isSilent: func() bool { return false }}
+	return &timedEvents{ctx: ctx, next: next, isSilent: func() bool { return false }, breaks: func() bool { return false }}
 }
 
 func (e *timedEvents) Read(p []byte) (int, error) {
@@ -111,6 +113,9 @@
 	if e.ctx.Err() != nil {
 		return 0, context.Cause(e.ctx)
 	}
+	if e.breaks() {
+		return 0, errCut
+	}
 	if e.next > 60 {
 		return strings.NewReader("").Read(p)
 	}
--- a/internal/relayer/path.go
+++ b/internal/relayer/path.go
@@ -30,7 +30,7 @@
 	for try := range maxPermitTries + 1 {
 		if try == maxPermitTries {
 			for name := range r.Throttler.States() {
-				g.avoid[name] = true
+				g.avoidTarget(name)
 			}
 		}
 		path, ok := g.findPath(ctx)
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/chooser"
@@ -299,11 +297,8 @@
 	if !ok || v.Unreachable || !r.shouldLeave(s, v) {
 		return
 	}
-	g.mu.Lock()
-	streaming, cancel := g.started && !g.repairing, g.cancel
-	g.mu.Unlock()
-	if streaming && g.movable() && g.prepayRetry() {
-		cancel(errors.Wrap(errMoved, "first target leaves"))
+	if g.hasStarted() && g.beginRepair() {
+		r.move(g, "first target leaves")
 	}
 }
 
@@ -319,45 +314,44 @@
 	if g.isSuspect() {
 		return
 	}
-	g.mu.Lock()
-	path, skip, cancel := g.path, g.repairing || r.Clock.Now().Before(g.repairAt), g.cancel
-	g.repairing = g.repairing || !skip
-	g.mu.Unlock()
-	if skip {
+	if !g.beginRepair() {
 		return
 	}
-	next, how := r.Chooser.Repair(g.request.demand(), path, toReplace, func() bool { return g.movable() && g.prepayRetry() })
+	g.mu.Lock()
+	path := g.path
+	g.mu.Unlock()
+	next, how := r.Chooser.Repair(g.request.demand(), path, toReplace, g.mayHandOver)
 	switch how {
 	case chooser.RepairReplace:
-		go r.repath(ctx, g, path, next, cancel)
+		go r.repath(ctx, g, path, next)
 	case chooser.RepairMove:
-		cancel(errors.Wrap(errMoved, "new stages are behind a full pipe"))
+		go r.handOver(g, "new stages are behind a full pipe")
 	case chooser.RepairWait:
 		g.endRepair(nil)
 	case chooser.RepairNone:
-		r.abandon(g, cancel, toReplace)
+		r.abandon(g, toReplace)
 	}
 }
 
-// abandon ends a send whose stages can't be replaced, so that it continues over another pipeline where allowed.
-func (r *Relayer) abandon(g *generation, cancel context.CancelCauseFunc, toReplace map[string]bool) {
+// abandon moves a stream whose stages can't be replaced to another pipeline, if one of them is lost.
+func (r *Relayer) abandon(g *generation, toReplace map[string]bool) {
 	lost := false
 	for name := range toReplace {
 		v, ok := r.Targets.Get(name)
 		lost = lost || !ok || v.Unreachable
 	}
-	if lost && g.movable() && g.prepayRetry() {
-		cancel(errors.Wrap(errMoved, "no target holds the layers of a lost stage"))
+	if !lost {
+		g.endRepair(nil)
 		return
 	}
-	g.endRepair(nil)
+	r.move(g, "no target holds the layers of a lost stage")
 }
 
 // repath orders the first stage to continue over another path.
-func (r *Relayer) repath(ctx context.Context, g *generation, old, next []cataloger.Stage, cancel context.CancelCauseFunc) {
+func (r *Relayer) repath(ctx context.Context, g *generation, old, next []cataloger.Stage) {
 	first, ok := r.Targets.Get(old[0].Target)
 	if !ok {
-		cancel(errors.Wrap(errMoved, "first target has left"))
+		r.move(g, "first target has left")
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, repathTimeout)
@@ -375,16 +369,23 @@
 		g.endRepair(nil)
 	case RepathUnknown:
 		// Whatever path the target follows now, all parts of it hold their layers.
-		if g.movable() && g.prepayRetry() {
-			cancel(errors.Wrap(errMoved, "order to replace stages was not answered"))
-			return
-		}
-		g.endRepair(nil)
+		r.move(g, "order to replace stages was not answered")
 	default:
 		g.endRepair(nil)
 	}
 }
 
+// beginRepair begins a repair, one at a time.
+func (g *generation) beginRepair() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.repairing || g.relayer.Clock.Now().Before(g.repairAt) {
+		return false
+	}
+	g.repairing = true
+	return true
+}
+
 // endRepair ends a repair; a new path replaces the old one.
 func (g *generation) endRepair(path []cataloger.Stage) {
 	g.mu.Lock()
