End a stream's send once the next one is not refused, not once it is answered

Cause: the sends overlapped until the next one had begun to answer. Both advance at the same speed, so the new one repeats what the old one delivered meanwhile, and nobody watched it.

The current send now ends when its successor was not refused for 50 ms; from then on the watchdog checks the successor like any send. Memory is reserved for one of the two. A failed successor is counted and avoided before its crash check, orders name the send that they are for, a silent stream is tried again at once, and refusals do not use up its sends. No request is sent again once it has expired.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -39,8 +40,6 @@
 
 // generation is a request to model engines, across all its sends.
 type generation struct {
-	// ctx is that of the request.
-	ctx     context.Context
 	relayer *Relayer
 	request *Request
 	w       http.ResponseWriter
@@ -56,7 +55,7 @@
 	mu sync.Mutex
 	// mayHaveRun is true once the request may have run on some target.
 	mayHaveRun bool
-	// sends counts all sends that have ended, and runs those that may have run on a target that is still there.
+	// sends counts the sends before the current one, and runs those that may have run on a target that is still there.
 	sends int
 	runs  int
 	avoid map[string]bool
@@ -106,7 +105,7 @@
 
 // generate relays a request over pipelines until its answer is complete.
 func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
-	g := &generation{ctx: ctx, relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}, lastEvent: req.ResumeAfter}
+	g := &generation{relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}, lastEvent: req.ResumeAfter}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
 	refusal := jitterRetryAfter(g.run(ctx))
@@ -138,7 +137,7 @@
 		if result == sendDone {
 			return refusal
 		}
-		if !g.maySend() {
+		if !g.maySend() || g.relayer.expired(ctx, g.request) {
 			return g.finalRefusal(ctx, refusal)
 		}
 	}
@@ -286,6 +285,13 @@
 	g.avoid[name] = true
 }
 
+// avoided returns the targets that further sends avoid.
+func (g *generation) avoided() map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.avoid)
+}
+
 // handleReply handles the answer of a target that ran the request.
 func (g *generation) handleReply(ctx context.Context, first cataloger.Target, reply *Reply) (sendResult, *refuser.Refusal) {
 	if reply.IsSignedSuccess() {
@@ -373,13 +379,6 @@
 	g.avoidTarget(name)
 }
 
-// hasStarted reports whether the current send has delivered an event.
-func (g *generation) hasStarted() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.started
-}
-
 func (g *generation) firstTarget() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -456,86 +455,3 @@
 	g.avoidAfter(ctx, first)
 	return sendRetry, refuser.New(refuser.StreamLost, "stream broke after %q: %s", g.events.last, err)
 }
-
-// prepayRetry takes the next send out of the budget, once; a send is abandoned only if that succeeds.
-func (g *generation) prepayRetry() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.retryPrepaid = g.retryPrepaid || g.relayer.spendRetry(g.request)
-	return g.retryPrepaid
-}
-
-func (g *generation) consumePrepaid() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.retryPrepaid = false
-}
-
-// movable reports whether the generation may abandon its current send for another one.
-func (g *generation) movable() bool {
-	if !g.mayRepeat() {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
-}
-
-// register makes a send the current one, which the watchdog checks.
-func (g *generation) register(l *leg) {
-	r := g.relayer
-	g.mu.Lock()
-	g.current, g.path, g.lastProgress, g.started, g.repairing, g.cancel = l, l.path, l.sentAt, false, false, l.cancel
-	g.sendStarted = l.sentAt
-	g.release = l.release
-	g.mu.Unlock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.streams[g] = struct{}{}
-}
-
-func (g *generation) unregister() {
-	r := g.relayer
-	r.mu.Lock()
-	delete(r.streams, g)
-	r.mu.Unlock()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.current = nil
-	if g.linkLost {
-		g.linkLost = false
-		r.Clock.AfterFunc(unheardEndTime, g.release)
-		return
-	}
-	g.release()
-}
-
-// recordProgress records that events have arrived.
-func (g *generation) recordProgress() {
-	now := g.relayer.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.started {
-		g.meanGap += (now.Sub(g.lastProgress) - g.meanGap) / 8
-		g.relayer.recordGap(now.Sub(g.lastProgress))
-	}
-	workspace, service := string(g.request.Workspace), g.request.Service.Name
-	if g.firstEventTime == 0 {
-		g.firstEventTime = now.Sub(g.request.Arrived)
-	} else {
-		gap := now.Sub(g.deliveredAt)
-		g.longestGap = max(g.longestGap, gap)
-		g.relayer.Meter.ObserveTokenGap(workspace, service, gap)
-	}
-	g.deliveredAt = now
-	if !g.started {
-		g.relayer.recordFirstWait(now.Sub(g.lastProgress))
-		g.relayer.Targets.RecordAccepted(g.path)
-		g.relayer.Targets.RecordAnswer(g.path[0].Target, true)
-	} else if !g.harmless {
-		g.harmless = true
-		g.relayer.Quarantiner.RecordAnswered(g.keys)
-	}
-	g.started = true
-	g.lastProgress, g.lastEvent = now, g.events.last
-}
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -8,13 +8,21 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/exchanger"
 )
 
-// handoverRetryInterval is the minimum time between two attempts to hand a stream over, within which targets without room may get some.
-const handoverRetryInterval = 500 * time.Millisecond
+const (
+	// refusalWait is the time within which a target that has no room refuses a request: many round trips.
+	refusalWait = 50 * time.Millisecond
+	// handoverRetryInterval is the minimum time between two attempts to hand a stream over, within which targets without room may get
+	// some.
+	handoverRetryInterval = 500 * time.Millisecond
+)
 
 // leg is one send of a generation over one path.
 type leg struct {
+	// parent is the context of the request.
+	parent context.Context
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	first  cataloger.Target
@@ -39,7 +47,7 @@
 		return nil
 	}
 	now, demand := r.Clock.Now(), g.request.demand()
-	l := &leg{first: first.Target, path: path, sentAt: now, number: number, release: r.Targets.Reserve(path, demand.Tokens), done: make(chan struct{})}
+	l := &leg{parent: ctx, first: first.Target, path: path, sentAt: now, number: number, release: r.Targets.Reserve(path, demand.Tokens), done: make(chan struct{})}
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
 	l.call = Call{Request: g.request, Target: first.Target, Path: path, Remaining: g.request.Deadline.Sub(now), ResumeAfter: after}
 	if r.servesWholeModel(g.request) {
@@ -56,8 +64,15 @@
 	l.reply, l.err = r.Backend.Send(l.ctx, l.call)
 }
 
-// accepted reports whether a target has begun to answer.
-func (l *leg) accepted() bool { return l.err == nil && !l.reply.NotRun && l.reply.IsSignedSuccess() }
+// refused reports whether it is known that no target answers the request over the leg.
+func (l *leg) refused() bool {
+	select {
+	case <-l.done:
+		return l.err != nil || l.reply.NotRun || !l.reply.IsSignedSuccess()
+	default:
+		return false
+	}
+}
 
 // abort ends a leg that was not sent, or whose answer is not needed.
 func (l *leg) abort() {
@@ -89,60 +104,74 @@
 	}()
 }
 
-// mayHandOver reports whether the stream may be handed over now, and takes the send out of the budget.
-func (g *generation) mayHandOver() bool {
+// move moves the rest of a stream from its current send to another pipeline. The generation must be marked as repairing, and the new
+// send be taken out of the budget.
+func (r *Relayer) move(g *generation, current *leg, why string) {
+	cause := errors.Wrap(errMoved, why)
 	g.mu.Lock()
-	early := g.relayer.Clock.Now().Before(g.handOverAt)
+	_, isNumber := parseNumber(g.lastEvent)
+	// Of events without numbers, those that both sends deliver could not be told apart.
+	mayOverlap := isNumber || g.lastEvent == ""
 	g.mu.Unlock()
-	return !early && g.movable() && g.prepayRetry()
-}
-
-// move hands a stream over if it may be sent again. The generation must be marked as repairing.
-func (r *Relayer) move(g *generation, why string) {
-	if !g.mayHandOver() {
-		g.endRepair(nil)
+	if !mayOverlap {
+		current.cancel(cause)
 		return
 	}
-	go r.handOver(g, why)
+	go r.handOver(g, current, cause)
 }
 
-// handOver sends the request over another pipeline and ends the current send once a target there has begun to answer: until then, the
-// stream may still be served where it is. The send must be taken out of the budget, and the generation be marked as repairing.
-func (r *Relayer) handOver(g *generation, why string) {
-	cause := errors.Wrap(errMoved, why)
-	g.mu.Lock()
-	current, after := g.current, g.lastEvent
-	g.mu.Unlock()
-	if current == nil {
+// handOver sends a request over another pipeline while its stream continues, and ends the current send if no target refuses: a refusal
+// then leaves the stream where it is still served.
+func (r *Relayer) handOver(g *generation, current *leg, cause error) {
+	// Targets are to have room for the stream once, not for both of its sends.
+	g.yieldMemory(current)
+	l := g.openSuccessor(current)
+	if l == nil {
+		g.reclaimMemory(current)
+		g.endHandOver(current)
 		return
 	}
-	if _, ok := parseNumber(after); after != "" && !ok {
-		// Events that both sends deliver could not be told apart.
+	go r.exchange(l)
+	expired := make(chan struct{})
+	stop := r.Clock.AfterFunc(refusalWait, func() { close(expired) })
+	defer stop()
+	select {
+	case <-l.done:
+	case <-expired:
+	}
+	if !l.refused() {
 		current.cancel(cause)
 		return
 	}
-	l := g.openSuccessor(current, after)
-	if l == nil {
-		g.endHandOver()
-		return
+	if g.rejectSuccessor(l) {
+		g.reclaimMemory(current)
+		g.endHandOver(current)
 	}
-	r.exchange(l)
-	switch {
-	case !g.owns(l):
-		// The current send has ended, and the generation continues with l.
-	case l.accepted():
-		current.cancel(cause)
-	default:
-		g.rejectSuccessor(l)
-		g.endHandOver()
+}
+
+// yieldMemory returns the memory that is reserved for a send.
+func (g *generation) yieldMemory(current *leg) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current == current {
+		g.release()
 	}
 }
 
-// openSuccessor prepares the send that is to take over from the current one, or returns nil if it has ended or there is no path.
-func (g *generation) openSuccessor(current *leg, after string) *leg {
+// reclaimMemory reserves memory for a send again, if it is still the current one.
+func (g *generation) reclaimMemory(current *leg) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current == current {
+		g.release = g.relayer.Targets.Reserve(g.path, g.request.demand().Tokens)
+	}
+}
+
+// openSuccessor prepares the send that is to take over from the current one, or returns nil if that has ended or there is no path.
+func (g *generation) openSuccessor(current *leg) *leg {
 	r, demand := g.relayer, g.request.demand()
 	g.mu.Lock()
-	avoid, number := maps.Clone(g.avoid), g.sends+2
+	avoid, after, number := maps.Clone(g.avoid), g.lastEvent, g.sends+2
 	g.mu.Unlock()
 	avoid[current.first.Name] = true
 	demand.Precedence.Begun = true
@@ -158,13 +187,13 @@
 	if !ok || !r.permit(current.ctx, g.request, first.Target) {
 		return nil
 	}
-	l := g.open(g.ctx, path, after, number)
+	l := g.open(current.parent, path, after, number)
 	if l == nil {
 		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.current != current {
+	if g.current != current || !g.retryPrepaid {
 		l.abort()
 		return nil
 	}
@@ -172,33 +201,46 @@
 	return l
 }
 
-// owns reports whether a leg is still the successor of the current send.
-func (g *generation) owns(l *leg) bool {
+// rejectSuccessor records a successor that was refused, and returns false if the generation has continued with it meanwhile. One that
+// did not run does not use up a send of the stream, which may need them once its target has ended.
+func (g *generation) rejectSuccessor(l *leg) bool {
+	ran := !errors.Is(l.err, exchanger.ErrNotSent) && (l.reply == nil || !l.reply.NotRun)
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.successor == l
-}
-
-// rejectSuccessor records a send that did not take over, unless the generation has continued with it meanwhile.
-func (g *generation) rejectSuccessor(l *leg) {
-	if g.takeSuccessor() == nil {
-		return
+	if g.successor != l {
+		g.mu.Unlock()
+		return false
 	}
-	defer l.abort()
-	if l.reply != nil {
-		defer func() { _ = l.reply.Body.Close() }()
+	g.successor = nil
+	g.avoid[l.first.Name] = true
+	if ran {
+		g.mayHaveRun = true
+		g.sends++
+		g.runs++
 	}
-	if g.handleNoAnswer(l) == nil {
+	g.mu.Unlock()
+	defer l.abort()
+	switch {
+	case l.err != nil:
+		g.handleSendError(l.ctx, l.first, l.err)
+	case l.reply.NotRun:
+		g.handleRefusal(l.first, l.reply)
+	default:
 		g.relayer.Targets.RecordAnswer(l.first.Name, false)
-		g.avoidTarget(l.first.Name)
-		g.countSend(l.first, true)
 	}
+	if l.reply != nil {
+		_ = l.reply.Body.Close()
+	}
+	return true
 }
 
-// endHandOver ends an attempt to hand the stream over that failed.
-func (g *generation) endHandOver() {
+// endHandOver ends an attempt to hand the stream over that failed. The next one waits, unless the stream is silent.
+func (g *generation) endHandOver(current *leg) {
+	now, s := g.relayer.Clock.Now(), g.stream()
+	g.endRepair(current, nil)
 	g.mu.Lock()
-	g.handOverAt = g.relayer.Clock.Now().Add(handoverRetryInterval)
-	g.mu.Unlock()
-	g.endRepair(nil)
+	defer g.mu.Unlock()
+	g.handOverAt = now.Add(handoverRetryInterval)
+	if now.Sub(s.Last) > s.Patience/2 {
+		g.handOverAt, g.repairAt = now, now
+	}
 }
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -15,28 +15,46 @@
 	"github.com/rattantray/rattantray/internal/rationer"
 )
 
-// fullFleet is a relayer with one stream, whose other targets refuse it until they have room.
-type fullFleet struct {
+// answer defines how a target of a handoverFleet answers one send.
+type answer struct {
+	// refuses means that the target has no room.
+	refuses bool
+	// err breaks the connection before the head.
+	err error
+	// hangs means that no answer comes.
+	hangs bool
+	// headAfter is how long the head takes.
+	headAfter time.Duration
+	// lastEvent is the last event that arrives before the stream falls silent, or breaks if breaks is true; 0 means that all arrive.
+	lastEvent int
+	breaks    bool
+}
+
+// handoverFleet is a relayer with one stream of 60 events, one each 20 ms, whose sends are answered in order.
+type handoverFleet struct {
 	relayer *Relayer
 	request *Request
+	answers []answer
 
-	mu sync.Mutex
-	// hasRoom is true once targets accept the stream a second time.
-	hasRoom bool
-	// acceptAfter is how long a target takes to begin to answer a second send.
-	acceptAfter time.Duration
-	// breakAt is when the first send breaks off; zero if it does not.
-	breakAt time.Time
-	calls   []Call
-	// ended holds when each send was ended by the relayer, by call.
-	ended map[int]time.Time
+	mu     sync.Mutex
+	calls  []Call
+	sentAt []time.Time
+	// endedAt holds when the relayer ended each send that was accepted, by call.
+	endedAt map[int]time.Time
 }
 
-func newFullFleet(t *testing.T, extra float64) *fullFleet {
-	f := &fullFleet{relayer: newTestRelayer(&fakeBackend{}), request: stream(true), ended: map[int]time.Time{}}
+// newHandoverFleet returns a fleet with spare pipelines whose budget allows a number of repeats.
+func newHandoverFleet(t *testing.T, repeats float64, answers ...answer) *handoverFleet {
+	f := &handoverFleet{relayer: newTestRelayer(&fakeBackend{}), request: stream(true), answers: answers, endedAt: map[int]time.Time{}}
+	for _, name := range []string{"c", "d", "e"} {
+		putTarget(f.relayer, name+"1", cataloger.StateLive, 0, 5)
+		putTarget(f.relayer, name+"2", cataloger.StateLive, 5, 10)
+	}
+	f.request.Route.MaxAttempts = 4
 	f.relayer.Backend.Send = f.send
 	f.relayer.DrainTime = 200 * time.Millisecond
-	f.relayer.Budget = rationer.Budget{Extra: extra, Window: 10 * time.Second}
+	// Three quarters of the budget are used.
+	f.relayer.Budget = rationer.Budget{Extra: repeats / 0.75, Window: 10 * time.Second}
 	ctx, cancel := context.WithCancel(t.Context())
 	watched := make(chan struct{})
 	go func() {
@@ -50,126 +68,174 @@
 	return f
 }
 
-// send streams an event each 20 ms; all targets but the first refuse while they have no room.
-func (f *fullFleet) send(ctx context.Context, call Call) (*Reply, error) {
+func (f *handoverFleet) send(ctx context.Context, call Call) (*Reply, error) {
 	f.mu.Lock()
 	n := len(f.calls)
-	f.calls = append(f.calls, call)
-	refuses, wait := n > 0 && !f.hasRoom, time.Duration(0)
-	if n > 0 {
-		wait = f.acceptAfter
-	}
+	f.calls, f.sentAt = append(f.calls, call), append(f.sentAt, time.Now())
+	a := f.answers[min(n, len(f.answers)-1)]
 	f.mu.Unlock()
-	if refuses {
+	switch {
+	case a.refuses:
 		return &Reply{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+	case a.err != nil:
+		return nil, a.err
 	}
 	context.AfterFunc(ctx, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.ended[n] = time.Now()
+		f.endedAt[n] = time.Now()
 	})
-	if err := f.relayer.Clock.Sleep(ctx, wait); err != nil {
+	if a.hangs {
+		<-ctx.Done()
+	}
+	if err := f.relayer.Clock.Sleep(ctx, a.headAfter); err != nil {
 		return nil, context.Cause(ctx)
 	}
 	body := newTimedEvents(ctx, call.ResumeAfter)
-	if n == 0 {
-		body.breaks = func() bool {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			return !f.breakAt.IsZero() && !time.Now().Before(f.breakAt)
-		}
-	}
+	ended := func() bool { return a.lastEvent > 0 && body.next > a.lastEvent }
+	body.isSilent = func() bool { return ended() && !a.breaks }
+	body.breaks = func() bool { return ended() && a.breaks }
 	return &Reply{Status: http.StatusOK, Header: http.Header{"Signature": {call.Target.Name}}, Body: body, Signed: true}, nil
 }
 
-// leave makes the target of a stage of the stream leave.
-func (f *fullFleet) leave(stage int) {
+// call returns the call of a send.
+func (f *handoverFleet) call(n int) Call {
 	f.mu.Lock()
-	path := f.calls[0].Path
-	f.mu.Unlock()
-	first, end := uint32(5*stage), uint32(5*stage+5)
-	putTarget(f.relayer, path[stage].Target, cataloger.StateLeaving, first, end)
+	defer f.mu.Unlock()
+	return f.calls[n]
+}
+
+// leave makes the target of a stage of the first send leave after 100 ms.
+func (f *handoverFleet) leave(stage int) {
+	time.AfterFunc(100*time.Millisecond, func() {
+		putTarget(f.relayer, f.call(0).Path[stage].Target, cataloger.StateLeaving, uint32(5*stage), uint32(5*stage+5))
+	})
+}
+
+// requireWholeAnswer serves the stream and requires each event once, the head of the first target, and all memory returned.
+func (f *handoverFleet) requireWholeAnswer(t *testing.T) {
+	w, refusal, aborted := serve(f.relayer, f.request)
+	require.False(t, aborted, "the answer was closed in the middle")
+	require.Nil(t, refusal)
+	require.Equal(t, eventRange(1, 60), w.Body.String(), "each event once, in order")
+	require.Equal(t, f.calls[0].Target.Name, w.Header().Get("Signature"))
+	synctest.Wait()
+	load := 0.0
+	for _, v := range f.relayer.Targets.Service("llm") {
+		load += v.TokenLayers
+	}
+	require.Zero(t, load)
 }
 
 // TestStreamIsKeptWhereItsMoveIsRefused guards against streams that are closed in the middle as they leave a target which still serves
 // them, when the next target refuses and no repeat is left.
 func TestStreamIsKeptWhereItsMoveIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFullFleet(t, 2)
-		time.AfterFunc(100*time.Millisecond, func() { f.leave(0) })
-		w, refusal, aborted := serve(f.relayer, f.request)
-		require.False(t, aborted, "the answer was closed in the middle")
-		require.Nil(t, refusal)
-		require.Equal(t, eventRange(1, 60), w.Body.String())
+		f := newHandoverFleet(t, 1, answer{}, answer{refuses: true})
+		f.leave(0)
+		f.requireWholeAnswer(t)
 		require.Len(t, f.calls, 2, "the budget allows one repeat")
 	})
 }
 
-// TestStreamIsHandedOver: a stream continues on another pipeline once that has begun to answer, also where its first attempt to move is
-// refused, or its first target is gone by then.
+// TestStreamIsHandedOver guards against a move that ends a send before the next one is accepted, whatever happens to either of them.
 func TestStreamIsHandedOver(t *testing.T) {
 	cases := []struct {
 		name    string
-		change  func(f *fullFleet)
+		answers []answer
 		calls   int
-		accepts bool
+		// overlaps means that the first send ends only once the second one was not refused.
+		overlaps bool
 	}{
-		{"at the first attempt", func(f *fullFleet) { f.hasRoom = true }, 2, true},
-		{"after a refusal", func(f *fullFleet) {
-			time.AfterFunc(600*time.Millisecond, func() {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				f.hasRoom = true
-			})
-		}, 3, true},
-		{"the old send breaks off first", func(f *fullFleet) {
-			f.hasRoom, f.acceptAfter, f.breakAt = true, 300*time.Millisecond, time.Now().Add(850*time.Millisecond)
-		}, 2, true},
-		{"the old send completes first", func(f *fullFleet) { f.hasRoom, f.acceptAfter = true, 2*time.Second }, 2, false},
+		{"at the first attempt", []answer{{}, {headAfter: 20 * time.Millisecond}}, 2, true},
+		{"to a target that begins late", []answer{{}, {headAfter: 200 * time.Millisecond}}, 2, true},
+		{"after a refusal", []answer{{}, {refuses: true}, {}}, 3, false},
+		{"after a connection that broke", []answer{{}, {err: errCut}, {}}, 3, false},
+		{"while the old send breaks", []answer{{lastEvent: 29, breaks: true}, {headAfter: 200 * time.Millisecond}}, 2, false},
+		{"to a target that hangs, and from there to another one", []answer{{}, {hangs: true}, {}}, 3, true},
+		{"after refusals until the old send breaks", []answer{
+			{lastEvent: 59, breaks: true}, {refuses: true}, {refuses: true}, {},
+		}, 4, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFullFleet(t, 100)
-				c.change(f)
-				time.AfterFunc(100*time.Millisecond, func() { f.leave(0) })
-				w, refusal, aborted := serve(f.relayer, f.request)
-				require.False(t, aborted)
-				require.Nil(t, refusal)
-				require.Equal(t, eventRange(1, 60), w.Body.String(), "each event once, in order")
-				synctest.Wait()
-				require.Len(t, f.calls, c.calls)
-				require.Len(t, f.ended, len(f.calls)-(c.calls-2), "each send that was accepted has ended")
-				require.Equal(t, f.calls[0].Target.Name, w.Header().Get("Signature"), "the head is that of the first target")
-				last := f.calls[c.calls-1]
-				if c.accepts {
-					require.NotEqual(t, f.calls[0].Target.Name, last.Target.Name)
-					require.NotEmpty(t, last.ResumeAfter)
+				f := newHandoverFleet(t, 100, c.answers...)
+				f.leave(0)
+				if c.answers[1].hangs {
+					time.AfterFunc(time.Second, func() { f.relayer.Targets.Suspect(f.call(1).Target.Name, 1, time.Now()) })
 				}
-				load := 0.0
-				for _, v := range f.relayer.Targets.Service("llm") {
-					load += v.TokenLayers
+				f.requireWholeAnswer(t)
+				require.Len(t, f.calls, c.calls)
+				if c.overlaps {
+					overlap := f.endedAt[0].Sub(f.sentAt[1])
+					require.Positive(t, overlap)
+					require.LessOrEqual(t, overlap, refusalWait)
 				}
-				require.Zero(t, load, "all memory was returned")
 			})
 		})
 	}
 }
 
-// TestHandoverEndsWithItsClient: neither send outlives the client.
+// TestSilentStreamDoesNotWaitForItsMove guards against streams whose first target is lost and that wait as long after a refusal as those
+// that are still served.
+func TestSilentStreamDoesNotWaitForItsMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHandoverFleet(t, 100, answer{lastEvent: 20}, answer{refuses: true}, answer{refuses: true}, answer{})
+		time.AfterFunc(time.Second, func() { f.relayer.Targets.Suspect(f.call(0).Target.Name, 1, time.Now()) })
+		f.requireWholeAnswer(t)
+		require.Len(t, f.calls, 4)
+		require.LessOrEqual(t, f.sentAt[3].Sub(f.sentAt[1]), 3*watchInterval)
+	})
+}
+
+// TestFailedHandoverCountsAtOnce guards against more runs than the route allows, when the current send breaks while that of a failed
+// handover is still checked for a crash.
+func TestFailedHandoverCountsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHandoverFleet(t, 100, answer{lastEvent: 28, breaks: true}, answer{err: errCut}, answer{})
+		f.request.Route.MaxAttempts = 2
+		f.relayer.Backend.Refuses = func(ctx context.Context, target cataloger.Target) bool {
+			if target.Name != f.call(0).Target.Name {
+				_ = f.relayer.Clock.Sleep(ctx, 300*time.Millisecond)
+			}
+			return false
+		}
+		f.leave(0)
+		_, _, aborted := serve(f.relayer, f.request)
+		require.True(t, aborted)
+		require.Len(t, f.calls, 2)
+		time.Sleep(time.Second)
+	})
+}
+
+// TestLateOrderDoesNotMoveTheNextSend guards against a sound send that is moved as an order for the send before it gets no answer.
+func TestLateOrderDoesNotMoveTheNextSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHandoverFleet(t, 100, answer{lastEvent: 32, breaks: true}, answer{})
+		f.relayer.Backend.Repath = func(ctx context.Context, _ cataloger.Target, _ string, _ []cataloger.Stage) (RepathResult, string, error) {
+			<-ctx.Done()
+			return RepathUnknown, "", ctx.Err()
+		}
+		f.leave(1)
+		f.requireWholeAnswer(t)
+		require.Len(t, f.calls, 2)
+	})
+}
+
+// TestHandoverEndsWithItsClient guards against sends that outlive the client.
 func TestHandoverEndsWithItsClient(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFullFleet(t, 100)
-		f.hasRoom, f.acceptAfter = true, 2*time.Second
-		time.AfterFunc(100*time.Millisecond, func() { f.leave(0) })
+		f := newHandoverFleet(t, 100, answer{}, answer{headAfter: 2 * time.Second})
+		f.leave(0)
 		ctx, cancel := context.WithCancel(t.Context())
-		time.AfterFunc(900*time.Millisecond, cancel)
+		time.AfterFunc(570*time.Millisecond, cancel)
 		func() {
 			defer func() { _ = recover() }()
 			f.relayer.Serve(ctx, httptest.NewRecorder(), f.request)
 		}()
 		synctest.Wait()
 		require.Len(t, f.calls, 2)
-		require.Len(t, f.ended, 2)
+		require.Len(t, f.endedAt, 2)
 	})
 }
--- a/internal/relayer/leave_test.go
+++ b/internal/relayer/leave_test.go
@@ -23,13 +23,13 @@
 		req.ID = fmt.Sprint("r", i)
 		g := &generation{relayer: r, request: req, avoid: map[string]bool{}, started: true, lastProgress: time.Now(), release: func() {}}
 		first, _ := r.Targets.Get(path[0].Target)
-		g.ctx, g.path = context.Background(), path
+		g.path = path
 		g.cancel = func(cause error) {
 			if errors.Is(cause, errMoved) {
 				moved.Add(1)
 			}
 		}
-		g.current = &leg{ctx: g.ctx, cancel: g.cancel, first: first.Target, path: path, release: g.release}
+		g.current = &leg{parent: context.Background(), ctx: context.Background(), cancel: g.cancel, first: first.Target, path: path, release: g.release}
 		r.mu.Lock()
 		r.streams[g] = struct{}{}
 		r.mu.Unlock()
--- a/internal/relayer/path.go
+++ b/internal/relayer/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strconv"
 	"time"
 
@@ -60,13 +59,15 @@
 		return path, true
 	}
 	for waited := time.Duration(0); ; waited += pathRetryInterval {
-		if path, ok := r.Chooser.Path(demand, g.avoid); ok {
+		if path, ok := r.Chooser.Path(demand, g.avoided()); ok {
 			return path, true
 		}
 		if !g.headWritten || waited >= pathWait || r.Clock.Sleep(ctx, pathRetryInterval) != nil {
 			return nil, false
 		}
+		g.mu.Lock()
 		clear(g.avoid)
+		g.mu.Unlock()
 	}
 }
 
@@ -77,13 +78,13 @@
 		return nil, false
 	}
 	var first []string
+	avoid := g.avoided()
 	for _, v := range g.relayer.Targets.Service(demand.Service) {
-		if from, end, _ := v.ReadyLayers(); from == 0 && end > 0 && v.Usable() && !g.avoid[v.Name] {
+		if from, end, _ := v.ReadyLayers(); from == 0 && end > 0 && v.Usable() && !avoid[v.Name] {
 			first = append(first, v.Name)
 		}
 	}
 	chosen := rendezvous(first, *g.suspected)
-	avoid := maps.Clone(g.avoid)
 	for _, name := range first {
 		if name != chosen {
 			avoid[name] = true
--- /dev/null
+++ b/internal/relayer/progress.go
@@ -0,0 +1,91 @@
+package relayer
+
+// prepayRetry takes the next send out of the budget, once; a send is abandoned only if that succeeds.
+func (g *generation) prepayRetry() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryPrepaid = g.retryPrepaid || g.relayer.spendRetry(g.request)
+	return g.retryPrepaid
+}
+
+func (g *generation) consumePrepaid() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryPrepaid = false
+}
+
+// movable reports whether the generation may abandon its current send for another one.
+func (g *generation) movable() bool {
+	if !g.mayRepeat() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
+}
+
+// register makes a send the current one, which the watchdog checks.
+func (g *generation) register(l *leg) {
+	r := g.relayer
+	g.mu.Lock()
+	g.current, g.path, g.lastProgress, g.started, g.repairing, g.cancel = l, l.path, l.sentAt, false, false, l.cancel
+	g.sendStarted = l.sentAt
+	g.release = l.release
+	g.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.streams[g] = struct{}{}
+}
+
+func (g *generation) unregister() {
+	r := g.relayer
+	r.mu.Lock()
+	delete(r.streams, g)
+	r.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.current = nil
+	if g.linkLost {
+		g.linkLost = false
+		r.Clock.AfterFunc(unheardEndTime, g.release)
+		return
+	}
+	g.release()
+}
+
+// recordProgress records that events have arrived.
+func (g *generation) recordProgress() {
+	now := g.relayer.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.started {
+		g.meanGap += (now.Sub(g.lastProgress) - g.meanGap) / 8
+		g.relayer.recordGap(now.Sub(g.lastProgress))
+	}
+	workspace, service := string(g.request.Workspace), g.request.Service.Name
+	if g.firstEventTime == 0 {
+		g.firstEventTime = now.Sub(g.request.Arrived)
+	} else {
+		gap := now.Sub(g.deliveredAt)
+		g.longestGap = max(g.longestGap, gap)
+		g.relayer.Meter.ObserveTokenGap(workspace, service, gap)
+	}
+	g.deliveredAt = now
+	if !g.started {
+		g.relayer.recordFirstWait(now.Sub(g.lastProgress))
+		g.relayer.Targets.RecordAccepted(g.path)
+		g.relayer.Targets.RecordAnswer(g.path[0].Target, true)
+	} else if !g.harmless {
+		g.harmless = true
+		g.relayer.Quarantiner.RecordAnswered(g.keys)
+	}
+	g.started = true
+	g.lastProgress, g.lastEvent = now, g.events.last
+}
+
+// hasStarted reports whether the current send has delivered an event.
+func (g *generation) hasStarted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.started
+}
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -297,8 +297,11 @@
 	if !ok || v.Unreachable || !r.shouldLeave(s, v) {
 		return
 	}
-	if g.hasStarted() && g.beginRepair() {
-		r.move(g, "first target leaves")
+	if !g.hasStarted() || !g.mayHandOver() {
+		return
+	}
+	if current, begun := g.beginRepair(); begun {
+		r.move(g, current, "first target leaves")
 	}
 }
 
@@ -314,44 +317,50 @@
 	if g.isSuspect() {
 		return
 	}
-	if !g.beginRepair() {
+	current, ok := g.beginRepair()
+	if !ok {
 		return
 	}
 	g.mu.Lock()
 	path := g.path
 	g.mu.Unlock()
-	next, how := r.Chooser.Repair(g.request.demand(), path, toReplace, g.mayHandOver)
-	switch how {
-	case chooser.RepairReplace:
-		go r.repath(ctx, g, path, next)
-	case chooser.RepairMove:
-		go r.handOver(g, "new stages are behind a full pipe")
-	case chooser.RepairWait:
-		g.endRepair(nil)
-	case chooser.RepairNone:
-		r.abandon(g, toReplace)
+	next, how := r.Chooser.Repair(g.request.demand(), path, toReplace, func() bool { return g.movable() && g.prepayRetry() })
+	switch {
+	case how == chooser.RepairReplace:
+		go r.repath(ctx, g, current, next)
+	case how == chooser.RepairMove:
+		r.moveOrStay(g, current, "new stages are behind a full pipe")
+	case how == chooser.RepairNone && r.anyLost(toReplace):
+		r.moveOrStay(g, current, "no target holds the layers of a lost stage")
+	default:
+		g.endRepair(current, nil)
 	}
 }
 
-// abandon moves a stream whose stages can't be replaced to another pipeline, if one of them is lost.
-func (r *Relayer) abandon(g *generation, toReplace map[string]bool) {
-	lost := false
-	for name := range toReplace {
-		v, ok := r.Targets.Get(name)
-		lost = lost || !ok || v.Unreachable
-	}
-	if !lost {
-		g.endRepair(nil)
+// moveOrStay moves a stream to another pipeline, or ends its repair if it may not be sent again now.
+func (r *Relayer) moveOrStay(g *generation, current *leg, why string) {
+	if g.mayHandOver() {
+		r.move(g, current, why)
 		return
 	}
-	r.move(g, "no target holds the layers of a lost stage")
+	g.endRepair(current, nil)
+}
+
+// anyLost reports whether any of the targets is gone, or does not answer.
+func (r *Relayer) anyLost(targets map[string]bool) bool {
+	for name := range targets {
+		if v, ok := r.Targets.Get(name); !ok || v.Unreachable {
+			return true
+		}
+	}
+	return false
 }
 
 // repath orders the first stage to continue over another path.
-func (r *Relayer) repath(ctx context.Context, g *generation, old, next []cataloger.Stage) {
-	first, ok := r.Targets.Get(old[0].Target)
+func (r *Relayer) repath(ctx context.Context, g *generation, current *leg, next []cataloger.Stage) {
+	first, ok := r.Targets.Get(current.first.Name)
 	if !ok {
-		r.move(g, "first target has left")
+		r.moveOrStay(g, current, "first target has left")
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, repathTimeout)
@@ -361,35 +370,46 @@
 		Str("path", pathText(next)).Msg("stages replaced")
 	switch result {
 	case RepathDone:
-		g.endRepair(next)
+		g.endRepair(current, next)
 	case RepathRefused:
 		if v, ok := r.Targets.ByAddress(address); ok {
 			r.Targets.RecordRefusal(v.Name)
 		}
-		g.endRepair(nil)
+		g.endRepair(current, nil)
 	case RepathUnknown:
 		// Whatever path the target follows now, all parts of it hold their layers.
-		r.move(g, "order to replace stages was not answered")
+		r.moveOrStay(g, current, "order to replace stages was not answered")
 	default:
-		g.endRepair(nil)
+		g.endRepair(current, nil)
 	}
 }
 
-// beginRepair begins a repair, one at a time.
-func (g *generation) beginRepair() bool {
+// beginRepair begins a repair of the current send, one at a time.
+func (g *generation) beginRepair() (*leg, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.repairing || g.relayer.Clock.Now().Before(g.repairAt) {
-		return false
+	if g.current == nil || g.repairing || g.relayer.Clock.Now().Before(g.repairAt) {
+		return nil, false
 	}
 	g.repairing = true
-	return true
+	return g.current, true
 }
 
-// endRepair ends a repair; a new path replaces the old one.
-func (g *generation) endRepair(path []cataloger.Stage) {
+// mayHandOver reports whether the stream may be moved to another pipeline now, and takes the send out of the budget.
+func (g *generation) mayHandOver() bool {
+	g.mu.Lock()
+	early := g.relayer.Clock.Now().Before(g.handOverAt)
+	g.mu.Unlock()
+	return !early && g.movable() && g.prepayRetry()
+}
+
+// endRepair ends a repair of a send, if it is still the current one; a new path replaces the old one.
+func (g *generation) endRepair(current *leg, path []cataloger.Stage) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.current != current {
+		return
+	}
 	g.repairing = false
 	if path == nil {
 		g.repairAt = g.relayer.Clock.Now().Add(repairer.RetryInterval)
