--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -221,9 +221,9 @@
 	defer l.abort()
 	switch {
 	case l.err != nil:
-		g.handleSendError(l.ctx, l.first, l.err)
+		_ = g.handleSendError(l.ctx, l.first, l.err)
 	case l.reply.NotRun:
-		g.handleRefusal(l.first, l.reply)
+		_ = g.handleRefusal(l.first, l.reply)
 	default:
 		g.relayer.Targets.RecordAnswer(l.first.Name, false)
 	}
