Refuse requests that a shutdown would leave without an answer

What callers saw: their connection was closed without an answer or a refusal, after their request had been read completely, if it still waited for a target at the end of the daemon's grace: for a way to a target that its gateway no longer reached, or for a silent one. All gateways ended at that time, so that no peer offered a way.

Cause: a daemon that ends waits for its requests until the grace is nearly over, and then closes their connections, whether or not their answers have begun.

Change: 200 ms before that, Relayer.RefuseUnanswered ends the requests whose answer has not begun; they are refused as "draining", with the truth about whether they may have run. Answers that have begun go on until the end as before.

--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -21,6 +21,8 @@
 	idleTime = 400 * time.Millisecond
 	// stopMargin is reserved from the time that the platform grants between its signal and the kill.
 	stopMargin = 300 * time.Millisecond
+	// refusalMargin is reserved before connections are closed, for refusals of the requests that have no answer by then.
+	refusalMargin = 200 * time.Millisecond
 )
 
 // drain announces that this daemon leaves, keeps serving for a while, and returns once the last request is answered.
@@ -28,6 +30,7 @@
 	now, remaining := g.Clock.Now(), g.Settings.Grace-stopMargin
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
+	defer g.Clock.AfterFunc(remaining-refusalMargin, g.relayer.RefuseUnanswered)()
 	g.leaving.Store(true)
 	g.departures.Record(g.Settings.Name, g.epoch, true, now)
 	g.tracker.Leave(ctx)
--- a/internal/relayer/closing.go
+++ b/internal/relayer/closing.go
@@ -1,8 +1,12 @@
 package relayer
 
 import (
+	"context"
+	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/pkg/refuser"
@@ -34,3 +38,39 @@
 	r.logEnd(req, refusal, notMeasured, func(*zerolog.Event) {})
 	return refusal
 }
+
+// errDaemonEnds ends the requests that have no answer when the daemon ends.
+var errDaemonEnds = errors.New("the daemon ends")
+
+// RefuseUnanswered refuses the requests whose answer has not begun, as their connections would be closed without one soon. Answers
+// that have begun go on.
+func (r *Relayer) RefuseUnanswered() { r.endNow() }
+
+// withEnd returns a context that is done once the daemon ends while an answer has not begun; stop releases it.
+func (r *Relayer) withEnd(ctx context.Context, answer *answerWriter) (_ context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := context.AfterFunc(r.end, func() {
+		if !answer.begun.Load() {
+			cancel(errDaemonEnds)
+		}
+	})
+	return ctx, func() {
+		release()
+		cancel(nil)
+	}
+}
+
+// answerWriter writes an answer and records that it has begun.
+type answerWriter struct {
+	http.ResponseWriter
+	begun atomic.Bool
+}
+
+// WriteHeader writes the head of the answer.
+func (a *answerWriter) WriteHeader(status int) {
+	a.begun.Store(true)
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (a *answerWriter) Unwrap() http.ResponseWriter { return a.ResponseWriter }
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -82,7 +82,7 @@
 	case call.failure != nil && !r.expired(ctx, req):
 		return call.failure.write(w)
 	case r.expired(ctx, req):
-		return r.expiryRefusal(req, refuser.From(err).Fact)
+		return r.expiryRefusal(ctx, req, refuser.From(err).Fact)
 	}
 	refusal := refuser.From(err)
 	if refusal.Code == refuser.NoTarget && c.notPermitted > 0 {
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -236,7 +236,7 @@
 	}
 	g.mu.Unlock()
 	if g.relayer.expired(ctx, g.request) {
-		refusal = g.relayer.expiryRefusal(g.request, fact)
+		refusal = g.relayer.expiryRefusal(ctx, g.request, fact)
 	}
 	return refusal.WithFact(fact)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rattantray/rattantray/internal/assessor"
@@ -76,6 +77,9 @@
 	typicalGapNanos atomic.Int64
 	// closing is set once the daemon ends without another daemon to replace it.
 	closing atomic.Pointer[Closing]
+	// end is done once requests without an answer are refused, as the daemon ends.
+	end    context.Context
+	endNow context.CancelFunc
 }
 
 // New returns a relayer without requests that uses the state of targets.
@@ -102,6 +106,7 @@
 		lastQueried:     map[string]time.Time{},
 		crashChecks:     map[string]*crashCheck{},
 	}
+	r.end, r.endNow = context.WithCancel(context.Background())
 	r.Chooser.Limits = r.Throttler.States
 	r.typicalFirstWait.Store(int64(maxFirstEventTimeout / firstEventTimeoutFactor))
 	return r
@@ -117,6 +122,10 @@
 	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	answer := &answerWriter{ResponseWriter: w}
+	ctx, stop := r.withEnd(ctx, answer)
+	defer stop()
+	w = answer
 	if req.Service.Engine != nil && req.Route.Kind == matcher.KindStreaming {
 		return r.generate(ctx, w, req)
 	}
@@ -195,13 +204,16 @@
 	return r.rationer(req.Service.Name).AllowRetry(r.Clock.Now(), r.Sharers())
 }
 
-// expired reports whether the request can't be answered any more: its deadline has passed, or its client disconnected.
+// expired reports whether the request can't be answered any more: its deadline has passed, its client disconnected, or the daemon ends.
 func (r *Relayer) expired(ctx context.Context, req *Request) bool {
 	return ctx.Err() != nil || !r.Clock.Now().Before(req.Deadline)
 }
 
 // expiryRefusal returns the refusal of an expired request.
-func (r *Relayer) expiryRefusal(req *Request, fact refuser.Fact) *refuser.Refusal {
+func (r *Relayer) expiryRefusal(ctx context.Context, req *Request, fact refuser.Fact) *refuser.Refusal {
+	if errors.Is(context.Cause(ctx), errDaemonEnds) {
+		return refuser.New(refuser.Draining, "this daemon ends").WithFact(fact).WithRetryAfter(minRetryAfter)
+	}
 	if r.Clock.Now().Before(req.Deadline) {
 		return refuser.New(refuser.Canceled, "the client went away").WithFact(fact)
 	}
