--- a/internal/relayer/closing_test.go
+++ b/internal/relayer/closing_test.go
@@ -38,7 +38,7 @@
 // TestAnswersThatHaveBegunGoOnAtTheEnd: the requests without an answer are refused while a stream is written.
 func TestAnswersThatHaveBegunGoOnAtTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFullFleet(t, 100)
+		f := newHandoverFleet(t, 100, answer{})
 		time.AfterFunc(100*time.Millisecond, f.relayer.RefuseUnanswered)
 		w, refusal, aborted := serve(f.relayer, f.request)
 		require.False(t, aborted)
