Do not take an answer without a name on a used connection

A target that wrote an earlier refusal once more on a kept connection was believed if the refusal named no request: clients were told that a request did not run which the target ran, or the request went to a second target.

Copies that name their request were already skipped. An answer without X-Rattantray-Request-Id was accepted as the target's proof that the request did not run, also on a connection that had carried other requests. It is now accepted only as the first answer on a connection, which is not used again afterwards. On others the request fails as one that may have run.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -39,6 +39,8 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrUnnamed means that an answer names no request and came on a connection that has carried others.
+	ErrUnnamed = errors.New("the answer names no request")
 	// ErrHeadTooLong means that more than MaxHeadBytes arrived without an answer.
 	ErrHeadTooLong = errors.Newf("over %d bytes and no answer", MaxHeadBytes)
 )
@@ -54,6 +56,9 @@
 	Body   []byte
 	// Matches reports whether an answer belongs to this request; nil accepts every answer.
 	Matches func(http.Header) bool
+	// Names reports whether an answer names its request; nil means that all do. An answer that names none is only accepted as the
+	// first on a connection, which is then not used again: on others it may be a copy of an earlier answer.
+	Names func(http.Header) bool
 	// NoReuse keeps the connection from being used again. It is for answers that do not name their request, as a late
 	// copy of one could be taken for the answer to the next request.
 	NoReuse bool
@@ -97,6 +102,8 @@
 	expires time.Time
 	// remaining is how many bytes may still be read, or noReadLimit.
 	remaining int
+	// reused is true once the connection has carried a request before the current one.
+	reused bool
 }
 
 // Read reads up to the remaining limit, and returns ErrHeadTooLong once it is used up.
@@ -153,11 +160,15 @@
 		}
 		c.remaining = noReadLimit
 		if call.Matches == nil || call.Matches(resp.Header) {
+			named := call.Names == nil || call.Names(resp.Header)
+			if !named && (c.reused || foreign > 0) {
+				return nil, ErrUnnamed
+			}
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: unframed(resp),
 				body: resp.Body, conn: c, exchanger: e,
 				// A connection that brought the answer to another request may bring more.
-				reusable: foreign == 0 && !call.NoReuse && !resp.Close && !unframed(resp),
+				reusable: foreign == 0 && named && !call.NoReuse && !resp.Close && !unframed(resp),
 			}, nil
 		}
 		discarded, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes+1))
@@ -220,6 +231,7 @@
 	now := e.now()
 	for c := e.idle.take(call.Address, now); c != nil; c = e.idle.take(call.Address, now) {
 		if c.isUsable() {
+			c.reused = true
 			return c
 		}
 		_ = c.Close()
