--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -141,6 +141,7 @@
 	if len(c.targets) > 0 && c.relayer.Quarantiner.IsQuarantined(c.keys) {
 		return forwarder.Answer{}, quarantinedRequest()
 	}
+	repeated := slices.Contains(c.targets, t.Name)
 	c.targets = append(c.targets, t.Name)
 	now := c.relayer.Clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -149,7 +150,7 @@
 		stopTimer()
 		cancel(nil)
 	}
-	call := Call{Request: c.request, Target: t, Remaining: c.request.Deadline.Sub(now)}
+	call := Call{Request: c.request, Target: t, Remaining: c.request.Deadline.Sub(now), Repeated: repeated}
 	c.relayer.logSent(call, len(c.targets))
 	if fr.Idempotent {
 		endTracking := c.relayer.trackSend(&plainSend{address: t.Address, began: now, cancel: cancel})
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -59,6 +59,8 @@
 	sends int
 	runs  int
 	avoid map[string]bool
+	// sentTo names the first targets of all sends.
+	sentTo []string
 	// current is the send in progress, and successor the one that is to take over from it; nil if there is none.
 	current   *leg
 	successor *leg
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,7 @@
 	l := &leg{parent: ctx, first: first.Target, path: path, sentAt: now, number: number, release: r.Targets.Reserve(path, demand.Tokens), done: make(chan struct{})}
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
 	l.call = Call{Request: g.request, Target: first.Target, Path: path, Remaining: g.request.Deadline.Sub(now), ResumeAfter: after}
+	l.call.Repeated = g.recordFirst(first.Name)
 	if r.servesWholeModel(g.request) {
 		l.call.Path = nil
 	}
@@ -57,6 +59,14 @@
 	return l
 }
 
+// recordFirst records the first target of a send, and reports whether an earlier send went there.
+func (g *generation) recordFirst(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer func() { g.sentTo = append(g.sentTo, name) }()
+	return slices.Contains(g.sentTo, name)
+}
+
 // exchange sends the request over a leg and waits for the head of its answer.
 func (r *Relayer) exchange(l *leg) {
 	defer close(l.done)
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -86,6 +86,8 @@
 	Remaining time.Duration
 	// ResumeAfter is the id of the last event that was delivered.
 	ResumeAfter string
+	// Repeated means that the request was sent to this target before, so that copies of an earlier answer to it may still arrive.
+	Repeated bool
 }
 
 // Body is the body of an answer; reading it to io.EOF without another error proves that it is complete.
