Pass on nothing but events in a stream that has begun

A stream broke off, and the next target answered with a signed 200 that held something else: clients got an error page, a JSON error, an error event without an id or the head of an HTTP answer in the middle of their stream, and some streams ended as if they were complete.

Answers with an error status, unsigned ones and refusals were already kept out of the stream, which is then broken off. But in a signed 200 everything up to a blank line was passed on as an event, whatever its type and its lines. A continuation must now have the media type of the answer; it must begin with an event with an id, comments aside; and all lines must be comments or fields with names in lower case, as the targets' are. After a number, an id that is none, or that is too large, now breaks the stream as a gap does. A handover ends the current send only for a target that continues the stream.

--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -19,6 +19,9 @@
 	// idle is the number of bytes received since the last event with an id.
 	idle    int
 	pending []byte
+	// repeating is true once the current send had an event with an id, and continued once it had a new one.
+	repeating bool
+	continued bool
 }
 
 // parse adds bytes of the stream and returns the complete events to deliver now, and false if events are missing or too
@@ -48,23 +51,32 @@
 
 // accept decides whether an event is delivered, and whether the stream is still intact.
 func (e *events) accept(event []byte) (deliver, intact bool) {
+	if !isEvent(event) {
+		return false, false
+	}
 	id, ok := eventID(event)
 	if !ok {
 		e.idle += len(event)
+		if e.resumed && !e.continued && !isComment(event) {
+			// It is delivered already, or it is an error in place of a continuation.
+			return false, e.repeating
+		}
 		return true, true
 	}
-	e.idle = 0
+	e.idle, e.repeating = 0, true
 	previous, okLast := parseNumber(e.last)
 	current, okNow := parseNumber(id)
-	if okLast && okNow && (e.resumed || e.acceptedCount > 0) {
-		if current <= previous {
+	if okLast && (e.resumed || e.acceptedCount > 0) {
+		switch {
+		case !okNow:
+			return false, false
+		case current <= previous:
 			return false, e.resumed
-		}
-		if current != previous+1 {
+		case current != previous+1:
 			return false, false
 		}
 	}
-	e.last = id
+	e.last, e.continued = id, true
 	e.acceptedCount++
 	return true, true
 }
@@ -73,7 +85,7 @@
 func (e *events) prepareResume() {
 	e.pending = e.pending[:0]
 	e.idle = 0
-	e.resumed = true
+	e.resumed, e.repeating, e.continued = true, false, false
 }
 
 // inEvent reports whether the stream has ended in the middle of an event.
@@ -109,3 +121,27 @@
 	}
 	return "", false
 }
+
+// isEvent reports whether all lines of an event are comments or fields with names in lower case. Heads of HTTP answers and error pages
+// are not.
+func isEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		for _, c := range name {
+			if (c < 'a' || c > 'z') && c != '-' && c != '_' {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// isComment reports whether an event consists of comments only.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +60,8 @@
 	sends int
 	runs  int
 	avoid map[string]bool
+	// mediaType is that of the answer; nil until its head was written.
+	mediaType *string
 	// sentTo names the first targets of all sends.
 	sentTo []string
 	// current is the send in progress, and successor the one that is to take over from it; nil if there is none.
@@ -296,12 +299,28 @@
 
 // handleReply handles the answer of a target that ran the request.
 func (g *generation) handleReply(ctx context.Context, first cataloger.Target, reply *Reply) (sendResult, *refuser.Refusal) {
-	if reply.IsSignedSuccess() {
+	if g.continues(reply) {
 		return g.relay(ctx, first, reply)
 	}
 	return g.handleFailure(reply)
 }
 
+// continues reports whether a reply is a success of the same type as the answer, if that has begun.
+func (g *generation) continues(reply *Reply) bool {
+	if !reply.IsSignedSuccess() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mediaType == nil || *g.mediaType == mediaType(reply.Header)
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // servesWholeModel reports whether each target holds the whole model, so that no path is named.
 func (r *Relayer) servesWholeModel(req *Request) bool { return req.Service.Engine.Layers == 0 }
 
@@ -359,7 +378,7 @@
 func (g *generation) handleFailure(reply *Reply) (sendResult, *refuser.Refusal) {
 	g.blameFirstTarget()
 	if reply.Status < http.StatusMultipleChoices || g.headWritten {
-		return sendRetry, mayHaveRun("answer %d is not signed", reply.Status)
+		return sendRetry, mayHaveRun("answer %d is not signed, or does not continue the stream", reply.Status)
 	}
 	buffered, err := bufferReply(reply)
 	switch {
@@ -432,6 +451,10 @@
 		return
 	}
 	g.headWritten = true
+	name := mediaType(reply.Header)
+	g.mu.Lock()
+	g.mediaType = &name
+	g.mu.Unlock()
 	copyHeader(g.w, reply.Header)
 	g.w.Header().Del("Content-Length")
 	g.w.WriteHeader(reply.Status)
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -74,11 +74,11 @@
 	l.reply, l.err = r.Backend.Send(l.ctx, l.call)
 }
 
-// refused reports whether it is known that no target answers the request over the leg.
-func (l *leg) refused() bool {
+// refused reports whether it is known that no target continues the stream over the leg.
+func (g *generation) refused(l *leg) bool {
 	select {
 	case <-l.done:
-		return l.err != nil || l.reply.NotRun || !l.reply.IsSignedSuccess()
+		return l.err != nil || l.reply.NotRun || !g.continues(l.reply)
 	default:
 		return false
 	}
@@ -149,7 +149,7 @@
 	case <-l.done:
 	case <-expired:
 	}
-	if !l.refused() {
+	if !g.refused(l) {
 		current.cancel(cause)
 		return
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -33,6 +33,8 @@
 	// unsigned answers carry no signature.
 	unsigned bool
 	body     string
+	// mediaType is the answer's Content-Type.
+	mediaType string
 	// err ends the body in place of its end; before the head where there is no status.
 	err error
 	// notice is what the target announces about itself beside its answer.
@@ -82,8 +84,12 @@
 		body, closer = io.MultiReader(body, s.endless), s.endless
 		context.AfterFunc(ctx, func() { _ = closer.Close() })
 	}
+	header := http.Header{"Signature": {call.Target.Name}}
+	if s.mediaType != "" {
+		header.Set("Content-Type", s.mediaType)
+	}
 	return &Reply{
-		Status: s.status, Header: http.Header{"Signature": {call.Target.Name}}, Body: struct {
+		Status: s.status, Header: header, Body: struct {
 			io.Reader
 			io.Closer
 		}{body, closer},
