Do not take an empty answer that ends with its connection for the end of a stream

The next target of a stream that had broken off sent an answer without a length or chunks, and closed the connection without an event: the client's stream ended as if it were complete.

Streams may end with their connection, so the end of one that has brought events is taken as it was. An answer without any event and without a frame proves nothing and now counts as a break: a stream that may be resumed goes on elsewhere, another is broken off.

Without the change, the case "without a frame" of TestErrorsAfterAStreamHasBegun and that of TestErrorsInPlaceOfAHandover fail; TestStreams has two streams that end with their connection and are complete.

--- a/internal/relayer/foreign_test.go
+++ b/internal/relayer/foreign_test.go
@@ -46,6 +46,8 @@
 	{"200 with a head in an event", script{status: 200, body: eventRange(3, 3) + "id: 4\n" + errorHead}, eventRange(3, 3)},
 	{"200 with a head in a line", script{status: 200, body: eventRange(3, 3) + "id: 4\ndata: pie" + errorHead}, eventRange(3, 3)},
 	{"200 with a head at the end", script{status: 200, body: eventRange(3, 3) + strings.TrimSpace(errorHead)}, eventRange(3, 3)},
+	{"200 without a frame", script{status: 200, unframed: true}, ""},
+	{"200 without a frame, with a head", script{status: 200, unframed: true, body: errorHead}, ""},
 	{"200 that breaks off in an event", script{status: 200, body: "id: 3\ndata: pi"}, ""},
 }
 
@@ -89,7 +91,7 @@
 					a := c.answer
 					// The event after the last one that was delivered is the third in the table.
 					body := strings.NewReplacer(eventRange(3, 3), "", eventRange(4, 4), "").Replace(a.body)
-					reply := &Reply{Status: a.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), NotRun: a.notRun, Signed: !a.unsigned}
+					reply := &Reply{Status: a.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), NotRun: a.notRun, Signed: !a.unsigned, Unframed: a.unframed}
 					if a.mediaType != "" {
 						reply.Header.Set("Content-Type", a.mediaType)
 					}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -431,7 +431,7 @@
 		switch {
 		case !intact:
 			return g.handleBrokenStream(ctx, first, errors.New("events are missing, or too long"))
-		case errors.Is(err, io.EOF) && !g.events.inEvent():
+		case errors.Is(err, io.EOF) && !g.events.inEvent() && (!reply.Unframed || g.hasStarted() || g.events.repeating):
 			g.writeHead(reply)
 			g.relayer.Quarantiner.RecordAnswered(g.keys)
 			return sendDone, nil
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -33,8 +33,9 @@
 	// unsigned answers carry no signature.
 	unsigned bool
 	body     string
-	// mediaType is the answer's Content-Type.
+	// mediaType is the answer's Content-Type, and unframed bodies end with their connection.
 	mediaType string
+	unframed  bool
 	// err ends the body in place of its end; before the head where there is no status.
 	err error
 	// notice is what the target announces about itself beside its answer.
@@ -89,7 +90,7 @@
 		header.Set("Content-Type", s.mediaType)
 	}
 	return &Reply{
-		Status: s.status, Header: header, Body: struct {
+		Status: s.status, Header: header, Unframed: s.unframed, Body: struct {
 			io.Reader
 			io.Closer
 		}{body, closer},
@@ -214,6 +215,10 @@
 		{"an event is missing after the move", []script{
 			{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, body: eventRange(4, 5)},
 		}, true, eventRange(1, 2), true, 0, 0, 2},
+		{"ends with its connection", []script{{status: 200, unframed: true, body: eventRange(1, 3)}}, false, eventRange(1, 3), false, 0, 0, 1},
+		{"continues to the end of a connection", []script{
+			{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, unframed: true, body: eventRange(3, 4)},
+		}, true, eventRange(1, 4), false, 0, 0, 2},
 		{"ends in the middle of an event", []script{{status: 200, body: eventRange(1, 1) + "id: 2\n"}}, false, eventRange(1, 1), true, 0, 0, 1},
 		{"may not be resumed", []script{{status: 200, body: eventRange(1, 2), err: errCut}}, false, eventRange(1, 2), true, 0, 0, 1},
 		{"may not be resumed and has not begun", []script{{err: errCut}}, false, "", false, refuser.StreamLost, refuser.FactMayHaveRun, 1},
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -121,6 +121,8 @@
 	Signed bool
 	// Encoded means that the body was encoded on the way and is not the target's own.
 	Encoded bool
+	// Unframed means that the body ends with its connection.
+	Unframed bool
 }
 
 // IsSignedSuccess reports whether the answer may be forwarded as a success.
