Take nothing down before a new planner has heard of the load

Callers saw nothing yet: the fault was known from TestNewPlannerKnowsTheLoad. A planner that takes over from a stopped one made its first plan for a load of 0 and could let the bound fall below what is offered, until the first reports came (2 s, 10 s in large fleets).

Cause: daemons report to the planner that they know, and a new planner took the absence of reports for the absence of load.

A planner now takes down nothing that lowers the bound until two intervals of reports and the 5 s of their averages have passed since the model was assigned to it. Until then the status names the whole bound as the load that is kept, and says that the load is not known yet. Loads that lower nothing go on. Nothing that daemons send changes, so old builds report to a new planner, and new ones to an old one, as before.

The test is as it was. TestNewPlannerDropsNothingUnheard and TestUnknownLoadKeepsTheBound hold the rule without the order of goroutines.

--- a/internal/planner/guard.go
+++ b/internal/planner/guard.go
@@ -55,12 +55,19 @@
 
 // boundAcceptable reports whether the bound may change from before to after.
 func (t *transition) boundAcceptable(after, before float64) bool {
-	return after > 0 && after >= t.s.OfferedLoad*(1+loadMargin) || after >= before*(1-boundSlack)
+	if after >= before*(1-boundSlack) {
+		return true
+	}
+	return !t.s.LoadUnknown && after > 0 && after >= t.s.OfferedLoad*(1+loadMargin)
 }
 
 func (t *transition) recordBlocked(st step, before, after float64) {
-	t.blocked = fmt.Sprintf("a change on %s would take the bound from %.0f to %.0f tokens a second, and %.0f are offered",
-		t.s.Targets[st.target].Name, before, after, t.s.OfferedLoad)
+	offered := fmt.Sprintf("%.0f are offered", t.s.OfferedLoad)
+	if t.s.LoadUnknown {
+		offered = "the offered load is not known yet"
+	}
+	t.blocked = fmt.Sprintf("a change on %s would take the bound from %.0f to %.0f tokens a second, and %s",
+		t.s.Targets[st.target].Name, before, after, offered)
 }
 
 // boundLoss returns by how much a step's drops lower the bound if links are free.
--- a/internal/planner/plan_test.go
+++ b/internal/planner/plan_test.go
@@ -69,6 +69,22 @@
 	require.Contains(t, p.Plan(s).BlockedReason, "tokens a second")
 }
 
+// TestUnknownLoadKeepsTheBound guards against a rollout that takes a bound down for a load that is not known yet.
+func TestUnknownLoadKeepsTheBound(t *testing.T) {
+	s, before := applyUntilStable(t, fleet(40, 3, 1))
+	s.Model.Version = "v2"
+	s.LoadUnknown = true
+	p := New()
+	for range 40 {
+		placement := p.Plan(s)
+		require.GreaterOrEqual(t, placement.Bound, before.Bound*(1-1e-6))
+		s = apply(t, s, placement.Changes, always)
+	}
+	require.Contains(t, p.Plan(s).BlockedReason, "the offered load is not known yet")
+	s.LoadUnknown = false
+	require.NotEmpty(t, p.Plan(s).Changes)
+}
+
 func TestRollingVersionChangeKeepsTheOfferedLoad(t *testing.T) {
 	for _, part := range []float64{0.5, 0.8, 0.9} {
 		s, before := applyUntilStable(t, fleet(40, 3, 1))
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -38,6 +38,8 @@
 	PromptRatio float64
 	// OfferedLoad is the load in generated tokens per second; no change may lower the bound below it.
 	OfferedLoad float64
+	// LoadUnknown states that the load may be greater than OfferedLoad; no change may lower the bound at all.
+	LoadUnknown bool
 	Pace        Pace
 }
 
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -26,6 +26,8 @@
 	minDemandSpacing = 25 * time.Millisecond
 	// demandLifetimeIntervals is the number of intervals after which a report expires.
 	demandLifetimeIntervals = 5
+	// loadKnownIntervals is the number of intervals in which a new planner hears from every daemon, though a report is lost.
+	loadKnownIntervals = 2
 	// minReportedDemand is the rate, in tokens a second, below which a daemon does not report.
 	minReportedDemand = 0.01
 )
@@ -168,3 +170,9 @@
 func (p *placement) offeredLoad(model string) float64 {
 	return p.demands.total(model, demandLifetimeIntervals*p.demandInterval())
 }
+
+// loadKnownAfter returns the time after which the planner of a model knows its load: the daemons have reported to it, and their
+// rates include the requests that an entry which has just left served before.
+func (p *placement) loadKnownAfter() time.Duration {
+	return demandWindow + loadKnownIntervals*p.demandInterval()
+}
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -136,16 +136,18 @@
 func (p *placement) startPlanning(ctx context.Context, model string) *planningTask {
 	ctx, stop := context.WithCancel(ctx)
 	task := &planningTask{stop: stop, done: make(chan struct{})}
+	assignedAt := p.router.Clock.Now()
 	go func() {
 		defer close(task.done)
 		defer stop()
-		p.planUnderLease(ctx, model)
+		p.planUnderLease(ctx, model, assignedAt)
 	}()
 	return task
 }
 
-// planUnderLease acquires the lease of a model and plans the model until the lease is lost or ctx is done.
-func (p *placement) planUnderLease(ctx context.Context, name string) {
+// planUnderLease acquires the lease of a model, which was assigned to this daemon at a time, and plans the model until the lease
+// is lost or ctx is done.
+func (p *placement) planUnderLease(ctx context.Context, name string, assignedAt time.Time) {
 	r := p.router
 	lease, err := r.leases.Acquire(ctx, dutyPlacement+"/"+name)
 	if err != nil {
@@ -167,10 +169,10 @@
 	}()
 	r.Log.Info().Str("model", name).Uint64("fencing", lease.Fencing()).Msg("placement started")
 	defer p.progress.forget(name)
-	_ = p.newCommander(name, lease).Run(ctx)
+	_ = p.newCommander(name, assignedAt, lease).Run(ctx)
 }
 
-func (p *placement) newCommander(name string, lease *leaser.Lease) *commander.Commander {
+func (p *placement) newCommander(name string, assignedAt time.Time, lease *leaser.Lease) *commander.Commander {
 	r := p.router
 	store := r.storeLimiter.Store(storer.ClassOther)
 	modelPlanner := planner.New()
@@ -183,7 +185,7 @@
 		Model:         name,
 		Targets:       func() []cataloger.Target { return p.assignedTargets(name) },
 		Plan: func(_ context.Context, targets []cataloger.Target) (planner.Placement, error) {
-			return p.computePlan(modelPlanner, name, targets), nil
+			return p.computePlan(modelPlanner, name, assignedAt, targets), nil
 		},
 		SendOrder: func(ctx context.Context, address string, o *enginev1.OrderRequest) (*enginev1.OrderResponse, error) {
 			return p.orderPool.Get(address).Order(ctx, o)
@@ -240,7 +242,7 @@
 	return models[tracker.Rank(candidates, t.Name, 1)[0]]
 }
 
-func (p *placement) computePlan(modelPlanner *planner.Planner, name string, targets []cataloger.Target) planner.Placement {
+func (p *placement) computePlan(modelPlanner *planner.Planner, name string, assignedAt time.Time, targets []cataloger.Target) planner.Placement {
 	wanted, ok := p.assignedModels()[name]
 	if !ok {
 		return planner.Placement{}
@@ -248,6 +250,8 @@
 	model := wanted.Model
 	linkSpeeds := p.router.selector.Speeds()
 	offered := p.offeredLoad(name) * offeredMargin
+	now := p.router.Clock.Now()
+	loadUnknown := now.Sub(assignedAt) < p.loadKnownAfter()
 	placed := modelPlanner.Plan(planner.State{
 		Model: planner.Model{
 			Name:            model.Name,
@@ -261,8 +265,13 @@
 		Bandwidth:    linkSpeeds.Bandwidth,
 		LinksVersion: linkSpeeds.Version,
 		OfferedLoad:  offered,
+		LoadUnknown:  loadUnknown,
 	})
-	p.progress.recordPlan(name, model.Version, offered, p.router.Clock.Now(), placed)
+	if loadUnknown {
+		// The plan keeps all of the bound.
+		offered = max(offered, placed.Bound)
+	}
+	p.progress.recordPlan(name, model.Version, offered, now, placed)
 	p.router.meter.SetGauge("placement-bound-"+name, placed.Bound)
 	return placed
 }
--- a/internal/router/rollout_test.go
+++ b/internal/router/rollout_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattantray/rattantray/internal/planner"
 	"github.com/rattantray/rattantray/internal/selector"
 )
 
@@ -108,6 +109,31 @@
 	})
 }
 
+// TestNewPlannerDropsNothingUnheard guards against a planner that takes down what serves an unknown load: it has the duty, a new
+// version is wanted, and no daemon has reported to it yet.
+func TestNewPlannerDropsNothingUnheard(t *testing.T) {
+	skipUnderRace(t)
+	inWorld(t, 4, withMemory(fourChains(), 5), func(w *world) {
+		w.apply(placedDocument)
+		time.Sleep(15 * time.Second)
+		holder, _ := w.planner(nil)
+		w.apply(strings.Replace(placedDocument, "version: v1", "version: v2", 1))
+		r := holder.router
+		unheard := &placement{router: r, demands: newDemandTracker(r.Clock), progress: newProgress()}
+		plan := func(assignedAt time.Time) planner.Placement {
+			return unheard.computePlan(planner.New(), "m", assignedAt, unheard.assignedTargets("m"))
+		}
+		now := r.Clock.Now()
+		placed := plan(now)
+		require.Empty(t, placed.Changes)
+		require.Contains(t, placed.BlockedReason, "not known yet")
+		require.Positive(t, placed.Bound)
+		require.InDelta(t, placed.Bound, unheard.progress.report("m", now).Offered, flowTolerance, "the load that is kept")
+		require.NotEmpty(t, plan(now.Add(-unheard.loadKnownAfter())).Changes, "an idle fleet is rolled out")
+		require.Greater(t, unheard.loadKnownAfter(), 2*unheard.demandInterval())
+	})
+}
+
 // planner returns the daemon that plans the model, other than a given one, and the load that it last planned for; the load is
 // negative if there is none.
 func (w *world) planner(other *daemon) (*daemon, float64) {
