End a stream's old attempt only once the new one answers

Cause: the old attempt was cancelled as soon as the KV cache had been pulled, before an engine had taken the new attempt. Where that was refused or broke, the stream needed a retry, and without one it ended as retry-budget-spent.

The old attempt and its permit now end once the new one has delivered a token. Where it fails before, the stream goes back without a retry: it resumes the old attempt, or, if a stage has taken the new one and thereby fenced the old one, runs a third attempt on the old route with the KV cache that is still there. It may move again after 500 ms. dispatcher.move-failed counts these. Attempt numbers and messages to engines keep their meaning.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -51,6 +51,7 @@
 			}
 			tokens++
 			r.recordResumed(p)
+			r.endLeft(p)
 		}
 		if f := r.moveIfNeeded(ctx, now, *p); f != nil {
 			return f, nil
@@ -122,7 +123,7 @@
 // firstTokenTimeout returns how long to wait for the first token of an attempt.
 func (r *run) firstTokenTimeout(p *plan) time.Duration {
 	switch {
-	case p.resume && r.takenOver():
+	case p.resume && (r.takenOver() || p.kept):
 		// The held stream may be between two tokens like any other stream.
 		return r.modelGaps.minStall(r.d.Clock.Now(), r.d.MinStall)
 	case p.resume:
@@ -156,6 +157,7 @@
 	if !r.job.Deadline.IsZero() {
 		req.Timeout = durationpb.New(r.job.Deadline.Sub(r.d.Clock.Now()))
 	}
+	r.lastAttempt = max(r.lastAttempt, r.attempt)
 	r.checker.BeginAttempt(r.attempt, req.Route)
 	if r.job.OnAttempt != nil {
 		r.job.OnAttempt(r.attempt)
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -15,6 +15,7 @@
 	prefilled   metrics.Counter
 	slowStreams metrics.Counter
 	moved       metrics.Counter
+	kept        metrics.Counter
 	broken      metrics.Counter
 	stalled     metrics.Counter
 	invalid     metrics.Counter
@@ -39,6 +40,7 @@
 		prefilled:   count("dispatcher.recovered.prefill"),
 		slowStreams: count("dispatcher.slow"),
 		moved:       count("dispatcher.moved"),
+		kept:        count("dispatcher.move-failed"),
 		broken:      count("dispatcher.failed.broken"),
 		stalled:     count("dispatcher.failed.stalled"),
 		invalid:     count("dispatcher.failed.invalid"),
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -22,6 +22,8 @@
 	minGapsForSlow = 8
 	// minGapsForLink is how many it must have observed before a degraded link is considered.
 	minGapsForLink = 2
+	// moveRetryInterval is how long a stream stays where it is after a move that failed.
+	moveRetryInterval = 500 * time.Millisecond
 	// maxSlowMoves limits the moves of one job off slow targets.
 	maxSlowMoves = 2
 )
@@ -29,7 +31,7 @@
 // moveIfNeeded moves the stream off a leaving or slow target if the target's stages can move elsewhere with their KV cache.
 // It returns nil if the stream stays where it is.
 func (r *run) moveIfNeeded(ctx context.Context, now time.Time, p plan) *failure {
-	if r.d.Substitute == nil || now.Sub(r.moveCheckedAt) < moveCheckInterval {
+	if r.d.Substitute == nil || now.Before(r.moveNotBefore) || now.Sub(r.moveCheckedAt) < moveCheckInterval {
 		return nil
 	}
 	r.moveCheckedAt = now
--- a/internal/dispatcher/replace.go
+++ b/internal/dispatcher/replace.go
@@ -32,14 +32,17 @@
 		permit.Done()
 		return plan{}, false
 	}
-	r.abandon(old)
-	r.advanceAttempt(f)
+	next := plan{route: route, permit: permit, imported: true}
 	if f.kind == failedMove {
+		// The old attempt serves on until the new one does.
+		next.left = &leftAttempt{route: old.route, permit: old.permit, attempt: r.attempt}
 		r.d.counts.moved.Inc(1)
 	} else {
+		r.abandon(old)
 		r.d.counts.imported.Inc(1)
 	}
-	return plan{route: route, permit: permit, imported: true}, true
+	r.advanceAttempt(f)
+	return next, true
 }
 
 // exportKV freezes the KV cache of the lost target, which is possible only while the target still answers.
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -19,14 +19,16 @@
 
 // run is the state of one job over all its attempts.
 type run struct {
-	d         *Dispatcher
-	job       Job
-	emit      func(Part) error
-	checker   *verifier.Checker
-	attempt   uint32
-	delivered [][]byte
-	prefixes  []uint64
-	modelGaps *modelGaps
+	d       *Dispatcher
+	job     Job
+	emit    func(Part) error
+	checker *verifier.Checker
+	attempt uint32
+	// lastAttempt is the greatest number of an attempt that was begun; attempt is lower while a stream is kept on its old one.
+	lastAttempt uint32
+	delivered   [][]byte
+	prefixes    []uint64
+	modelGaps   *modelGaps
 	// keys identify the prompt, whatever the id of the request.
 	keys []quarantiner.Key
 	// avoid lists the targets that failed this job.
@@ -42,6 +44,8 @@
 	receipt *commonv1.Receipt
 	// moveCheckedAt is when the stream last checked whether it should move.
 	moveCheckedAt time.Time
+	// moveNotBefore is when the stream may move again after a move that failed.
+	moveNotBefore time.Time
 	slowMoves     int
 }
 
@@ -53,6 +57,10 @@
 	imported bool
 	// resume is true if the engine may still hold the stream of the current attempt.
 	resume bool
+	// left is the attempt that the stream moves off, until the new one delivers a token; nil if there is none.
+	left *leftAttempt
+	// kept is true where a move failed and the stream goes on with what it was about to leave.
+	kept bool
 }
 
 func (r *run) fact() refuser.Fact {
@@ -99,6 +107,7 @@
 	r.d.counts.attempts.Inc(1)
 	f, err := r.streamAttempt(ctx, p)
 	if f == nil && err == nil {
+		r.endLeft(p)
 		p.permit.Done()
 		r.recordAnswered()
 		return nil, nil
@@ -162,7 +171,10 @@
 	r.recordFailure(f)
 	if f.resumable && !p.resume {
 		r.d.Log.Debug().Str("request-id", r.job.RequestID).Uint32("attempt", r.attempt).Msg("attempt will be resumed")
-		return plan{route: p.route, permit: p.permit, resume: true}, nil
+		return plan{route: p.route, permit: p.permit, resume: true, left: p.left}, nil
+	}
+	if next, ok := r.keepLeft(ctx, p, f); ok {
+		return next, nil
 	}
 	if r.takenOver() {
 		return r.replaceHeldStream(ctx, p, f)
@@ -243,8 +255,9 @@
 	return p, err
 }
 
-// abandon releases the permit of an attempt and cancels it on every stage.
+// abandon releases the permit of an attempt and cancels it on every stage, and so the attempt that its stream moves off.
 func (r *run) abandon(p plan) {
+	r.endLeft(&p)
 	p.permit.Done()
 	r.cancelAttempts(p.route, r.attempt)
 }
@@ -259,8 +272,11 @@
 	}
 }
 
-// nextAttempt returns the number of the next attempt, which is greater than any that another entry may have used.
-func (r *run) nextAttempt() uint32 { return max(r.attempt+1, r.job.FirstAttempt) }
+// nextAttempt returns the number of the next attempt, which is greater than any that was begun here or that another entry may
+// have used.
+func (r *run) nextAttempt() uint32 {
+	return max(r.attempt+1, r.lastAttempt+1, r.job.FirstAttempt)
+}
 
 // hasAttemptNumbers reports whether the number of the next attempt stays below the job's EndAttempt, even if
 // a fenced attempt skips numbers.
--- a/internal/verifier/checker.go
+++ b/internal/verifier/checker.go
@@ -76,7 +76,7 @@
 }
 
 // BeginAttempt sets the attempt whose parts are delivered and the route, the stages that must have run; nil accepts any
-// route. Attempt numbers must increase.
+// route. Attempt numbers must increase, except that a stream may go back to an attempt if no part of a later one was delivered.
 func (c *Checker) BeginAttempt(attempt uint32, route []*enginev1.Stage) {
 	c.attempt = attempt
 	c.route = route
