Count the tokens of answers in progress as load

Callers whose answers take long could see a rollout take down what serves them: the planner lets the bound fall to the load that daemons report, and an answer counted only once it was complete. With answers of 20 s the load was 0 until the first ended, and then a peak that fades within seconds.

Each token now counts as it is delivered. Reports keep their form.

--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -18,15 +18,14 @@
 //
 // If the last chain of the version that it began on is removed, it continues with a version that can still run.
 func (r *Router) generate(ctx context.Context, g receiver.Generation, emit func(receiver.Token) error) error {
-	tokens, attempt := 0, uint32(0)
-	defer func() { r.placement.demands.recordDelivered(g.Model.Name, tokens) }()
+	attempt := uint32(0)
 	version := r.chooseVersion(g)
 	for {
 		job := newJob(g, version)
 		job.Held = r.heldStream(g, version)
 		job.OnAttempt = func(attempt uint32) { g.FirstAttempt = attempt + 1 }
 		err := r.dispatcher.Run(ctx, job, func(p dispatcher.Part) error {
-			tokens++
+			r.placement.demands.recordDelivered(g.Model.Name, 1)
 			g.Delivered = append(g.Delivered, p.Data)
 			token := receiver.Token{Attempt: p.Attempt, Position: p.Position, Data: p.Data, Last: p.Last, Receipt: p.Receipt}
 			if p.Attempt != attempt {
--- a/internal/router/rollout_test.go
+++ b/internal/router/rollout_test.go
@@ -109,6 +109,24 @@
 	})
 }
 
+// TestPlannerCountsAnswersInProgress guards against a planner that lets the bound fall below the load, as long answers count only
+// once they are complete.
+func TestPlannerCountsAnswersInProgress(t *testing.T) {
+	skipUnderRace(t)
+	inWorld(t, 4, withMemory(fourChains(), 5), func(w *world) {
+		w.apply(placedDocument)
+		time.Sleep(15 * time.Second)
+		l := w.newLoad(500, 30*time.Second)
+		l.start(3, 0)
+		time.Sleep(12 * time.Second)
+		require.Zero(t, l.audit().answered, "answers in progress")
+		_, offered := w.planner(nil)
+		delivered := l.rate(6*time.Second, 12*time.Second)
+		require.GreaterOrEqual(t, offered, delivered, "%.0f tokens a second are delivered", delivered)
+		l.finish()
+	})
+}
+
 // TestNewPlannerDropsNothingUnheard guards against a planner that takes down what serves an unknown load: it has the duty, a new
 // version is wanted, and no daemon has reported to it yet.
 func TestNewPlannerDropsNothingUnheard(t *testing.T) {
