Log the key of the request as a whole with each send

The logs named the parts of a prompt, but not whether two attempts with different IDs were the same request with the same caller and body. TestContentIsTheSameForRepeatsOnly has the fields of the key.

--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -468,3 +468,24 @@
 	require.False(t, other.Merge(trial), "the same trial from another daemon")
 	require.False(t, q.Merge(trial), "its own trial")
 }
+
+// TestContentIsTheSameForRepeatsOnly guards against requests that are blamed for others, of another caller or with another path,
+// prompt or body, and against repeats that are not recognized.
+func TestContentIsTheSameForRepeatsOnly(t *testing.T) {
+	body := []byte("body")
+	key := ContentKey("caller", "host", "POST", "/a", "m", []string{"1", "2"}, body)
+	require.Equal(t, key, ContentKey("caller", "host", "POST", "/a", "m", []string{"1", "2"}, slices.Clone(body)))
+	for _, other := range []Key{
+		ContentKey("other", "host", "POST", "/a", "m", []string{"1", "2"}, body),
+		ContentKey("caller", "other", "POST", "/a", "m", []string{"1", "2"}, body),
+		ContentKey("caller", "host", "PUT", "/a", "m", []string{"1", "2"}, body),
+		ContentKey("caller", "host", "POST", "/b", "m", []string{"1", "2"}, body),
+		ContentKey("caller", "host", "POST", "/a", "n", []string{"1", "2"}, body),
+		ContentKey("caller", "host", "POST", "/a", "m", []string{"1", "3"}, body),
+		ContentKey("caller", "host", "POST", "/a", "m", []string{"12"}, body),
+		ContentKey("caller", "host", "POST", "/a", "m", nil, []byte("1:11:2body")),
+		ContentKey("caller", "host", "POST", "/a", "m", []string{"1", "2"}, nil),
+	} {
+		require.NotEqual(t, key, other)
+	}
+}
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -34,6 +34,8 @@
 	reply   *bufferedReply
 	// keys identify the request and its repeats.
 	keys []quarantiner.Key
+	// content is the key of the request as a whole.
+	content quarantiner.Key
 	// targets are the names of the targets that were tried.
 	targets []string
 	// notPermitted counts the targets that were at their limits since the last attempt.
@@ -52,7 +54,7 @@
 
 // forward relays a request to one of the targets of a plain service.
 func (r *Relayer) forward(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
-	call := &plainCall{relayer: r, request: req, keys: []quarantiner.Key{quarantiner.RequestKey(req.Service.Name, req.Method, req.URI, req.Body)}}
+	call := &plainCall{relayer: r, request: req, content: req.contentKey(), keys: []quarantiner.Key{quarantiner.RequestKey(req.Service.Name, req.Method, req.URI, req.Body)}}
 	refusal := jitterRetryAfter(call.run(ctx, w))
 	r.logEnd(req, refusal, notMeasured, func(e *zerolog.Event) { e.Strs("targets", call.targets) })
 	return refusal
@@ -150,7 +152,7 @@
 		stopTimer()
 		cancel(nil)
 	}
-	call := Call{Request: c.request, Target: t, Remaining: c.request.Deadline.Sub(now), Repeated: repeated}
+	call := Call{Request: c.request, Content: c.content, Target: t, Remaining: c.request.Deadline.Sub(now), Repeated: repeated}
 	c.relayer.logSent(call, len(c.targets))
 	if fr.Idempotent {
 		endTracking := c.relayer.trackSend(&plainSend{address: t.Address, began: now, cancel: cancel})
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -46,6 +46,8 @@
 	w       http.ResponseWriter
 	// keys identify the parts of the prompt that may crash targets.
 	keys []quarantiner.Key
+	// content is the key of the request as a whole.
+	content quarantiner.Key
 	// suspected is the key that may crash the target of the next send; nil if none is suspected.
 	suspected *quarantiner.Key
 	events    events
@@ -110,7 +112,7 @@
 
 // generate relays a request over pipelines until its answer is complete.
 func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, req *Request) *refuser.Refusal {
-	g := &generation{relayer: r, request: req, w: w, keys: req.keys(), avoid: map[string]bool{}, lastEvent: req.ResumeAfter}
+	g := &generation{relayer: r, request: req, w: w, keys: req.keys(), content: req.contentKey(), avoid: map[string]bool{}, lastEvent: req.ResumeAfter}
 	g.events.last = req.ResumeAfter
 	g.events.resumed = req.ResumeAfter != ""
 	refusal := jitterRetryAfter(g.run(ctx))
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -50,7 +50,7 @@
 	now, demand := r.Clock.Now(), g.request.demand()
 	l := &leg{parent: ctx, first: first.Target, path: path, sentAt: now, number: number, release: r.Targets.Reserve(path, demand.Tokens), done: make(chan struct{})}
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
-	l.call = Call{Request: g.request, Target: first.Target, Path: path, Remaining: g.request.Deadline.Sub(now), ResumeAfter: after}
+	l.call = Call{Request: g.request, Content: g.content, Target: first.Target, Path: path, Remaining: g.request.Deadline.Sub(now), ResumeAfter: after}
 	l.call.Repeated = g.recordFirst(first.Name)
 	if r.servesWholeModel(g.request) {
 		l.call.Path = nil
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -150,7 +150,7 @@
 // logSent logs one send.
 func (r *Relayer) logSent(call Call, sendNumber int) {
 	r.Log.Info().Str("request", call.Request.ID).Str("target", call.Target.Name).Int("sending", sendNumber).Dur("left", call.Remaining).
-		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Strs("parts", call.Request.PromptParts).
+		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Strs("parts", call.Request.PromptParts).Uint64("content", uint64(call.Content)).
 		Str("path", pathText(call.Path)).Msg("request sent")
 }
 
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -67,6 +67,11 @@
 	return keys
 }
 
+// contentKey returns the key of the request as a whole, which its repeats have as well.
+func (r *Request) contentKey() quarantiner.Key {
+	return quarantiner.ContentKey(string(r.Workspace), r.Host, r.Method, r.URI, r.Model, r.PromptParts, r.Body)
+}
+
 // content identifies what a client asks for: the part of the prompt that no other request has, as clients that come back
 // after a failure use a new ID.
 func (r *Request) content() uint32 {
@@ -79,6 +84,8 @@
 // Call is one send of a request to a target.
 type Call struct {
 	Request *Request
+	// Content is the key of the request as a whole.
+	Content quarantiner.Key
 	Target  cataloger.Target
 	// Path names the stages of a pipeline, the target's first; empty if the target serves alone.
 	Path []cataloger.Stage
