--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -25,6 +25,8 @@
 const (
 	// deadlyPart crashes each target that begins to answer a request with it.
 	deadlyPart = "deadly"
+	// deadlyBody is the body of a request that crashes each target which begins to answer it.
+	deadlyBody = "deadly body"
 	// restartTime is how long a crashed target of a crashFleet is away.
 	restartTime = 3 * time.Second
 	// answerDelay is the time to the first event of a crashFleet, and answerTime that to its last one.
@@ -40,7 +42,7 @@
 	// crashed is closed once the current incarnation of a target crashes.
 	crashed map[string]chan struct{}
 	down    map[string]bool
-	// deadly counts the sends of requests with deadlyPart, and crashes the targets that ended.
+	// deadly counts the sends of requests with deadlyPart or deadlyBody, and crashes the targets that ended.
 	deadly  int
 	crashes int
 }
@@ -91,7 +93,7 @@
 func (f *crashFleet) send(ctx context.Context, call Call) (*Reply, error) {
 	f.mu.Lock()
 	crashed, down := f.crashed[call.Target.Name], f.down[call.Target.Name]
-	kills := false
+	kills := string(call.Request.Body) == deadlyBody
 	for _, part := range call.Request.PromptParts {
 		kills = kills || part == deadlyPart
 	}
