Quarantine requests that crash their targets as a whole

Cause: the evidence knew only the parts of a prompt that requests share. Sound requests answered those all the time, which cleared them, so nothing was left at the next attempt. After four crashes the shared part was quarantined at times, and sound requests with it.

Each stream now has a key as a whole too, which is blamed before its parts and explains its crashes. A part that was answered is not blamed for them; one that was never answered is, for 5 s if all its crashes are those of one request. A request that is suspected as a whole only is repeated once, on a target that depends on its key, so that the sound ones of a crash do not go to the next target together; moves and replaced stages are left out for it. Two events in one read prove a request harmless, as two reads did.

--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/hex"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -119,3 +120,22 @@
 		require.Equal(t, e, decodeEvidence(now, m))
 	}
 }
+
+// TestEvidenceOfOtherBuilds guards against evidence that a build from before requests were known as a whole does not read, or that
+// is not read from one: the bytes are those that build 3cae3b7 wrote.
+func TestEvidenceOfOtherBuilds(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	part := quarantiner.Evidence{Key: quarantiner.PartKey("m", "part"), Crashes: []quarantiner.Crash{{Target: 1, Request: 2, Depth: 1, At: now.Add(-time.Second)}}}
+	content := quarantiner.Evidence{Key: 1 << 60, Crashes: []quarantiner.Crash{{Target: 1, Request: 2, Depth: 1<<16 + 1, At: now}}, TrialAt: now}
+	for written, e := range map[string]quarantiner.Evidence{
+		"097e297b6901e3334f120f0d010000001502000000180120e807":   part,
+		"090000000000000010120e0d010000001502000000188180042000": content,
+	} {
+		data, err := proto.Marshal(encodeEvidence(now, e))
+		require.NoError(t, err)
+		require.Equal(t, written, hex.EncodeToString(data))
+		m := &peerv1.CrashEvidence{}
+		require.NoError(t, proto.Unmarshal(data, m))
+		require.Equal(t, e, decodeEvidence(now, m))
+	}
+}
--- a/internal/quarantiner/assessment.go
+++ b/internal/quarantiner/assessment.go
@@ -34,11 +34,13 @@
 // assessKey decides whether a key is quarantined and reports whether it is now and was not before. It adds the crashes of a
 // quarantined key to those that are explained.
 func (q *Quarantiner) assessKey(s *suspect, all []*suspect, explained map[uint32]Key) bool {
-	counted := slices.DeleteFunc(slices.Clone(s.evidence.unanswered()), func(c Crash) bool {
+	counted := q.countedCrashes(s, explained)
+	var requests int
+	s.crashes, requests = count(counted)
+	s.doubtful = requests == 1 && slices.ContainsFunc(counted, func(c Crash) bool {
 		by, ok := explained[c.Target]
 		return ok && by != s.evidence.Key
 	})
-	s.crashes, _ = count(counted)
 	s.countedAt = time.Time{}
 	if len(counted) == 0 {
 		s.reported = 0
@@ -51,11 +53,25 @@
 	}
 	s.quarantined = true
 	for _, c := range counted {
-		explained[c.Target] = s.evidence.Key
+		if _, ok := explained[c.Target]; !ok {
+			explained[c.Target] = s.evidence.Key
+		}
 	}
 	return true
 }
 
+// countedCrashes returns the crashes that count against a key: those that no other key explains. A request as a whole does not
+// explain the crashes of a part of it that was never answered.
+func (q *Quarantiner) countedCrashes(s *suspect, explained map[uint32]Key) []Crash {
+	return slices.DeleteFunc(slices.Clone(s.evidence.unanswered()), func(c Crash) bool {
+		by, ok := explained[c.Target]
+		if !ok || by == s.evidence.Key {
+			return false
+		}
+		return !s.evidence.AnsweredAt.IsZero() || !q.suspects[by].evidence.contains(s.evidence)
+	})
+}
+
 // countCrashes returns the number of separate crashes from the first to the last of some, without those that are explained.
 func (q *Quarantiner) countCrashes(span []Crash, explained map[uint32]Key) int {
 	var all []Crash
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -14,11 +14,24 @@
 	// Target identifies the incarnation that crashed, and Request the request.
 	Target  uint32
 	Request uint32
-	// Depth is the position of the key among the keys of the request; the deeper, the fewer requests share it.
+	// Depth is the position of the key among the keys of the request; the deeper, the fewer requests share it. For the request
+	// as a whole it is contentDepth, or begunDepth if the target had begun its answer.
 	Depth uint32
 	At    time.Time
 }
 
+// contentDepth is the depth of a request as a whole, below all its parts, and begunDepth that of one whose answer had begun,
+// which is the more likely one to have crashed its target. Both are depths to daemons that do not know requests as a whole.
+const (
+	contentDepth = 1 << 16
+	begunDepth   = contentDepth + 1
+)
+
+// isWhole reports whether the key is that of a request as a whole, not of a part that several requests share.
+func (e Evidence) isWhole() bool {
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Depth >= contentDepth })
+}
+
 // TargetID returns the identifier of an incarnation of a target in a Crash.
 func TargetID(name string, incarnation uint64) uint32 {
 	return uint32(xxhash.Sum64String(name + "/" + strconv.FormatUint(incarnation, 10)))
@@ -86,6 +99,22 @@
 	return first[0].Target, true
 }
 
+// contains reports whether the evidence is that of a request as a whole which has the part of some other evidence.
+func (e Evidence) contains(part Evidence) bool {
+	return e.isWhole() && slices.ContainsFunc(part.Crashes, func(c Crash) bool {
+		return slices.ContainsFunc(e.Crashes, func(o Crash) bool { return o.Target == c.Target && o.Request == c.Request })
+	})
+}
+
+// targets returns the number of targets that crashed since the last answer.
+func (e Evidence) targets() int {
+	targets := map[uint32]bool{}
+	for _, c := range e.unanswered() {
+		targets[c.Target] = true
+	}
+	return len(targets)
+}
+
 // lastCrash returns the time of the last crash, or the zero time.
 func (e Evidence) lastCrash() time.Time {
 	if len(e.Crashes) == 0 {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -16,6 +16,8 @@
 	// minAnsweredCrashes that of one which was answered before them.
 	minCrashes         = 2
 	minAnsweredCrashes = 4
+	// maxContentCrashes is the number of separate crashes of a request as a whole after which it is not tried again.
+	maxContentCrashes = 6
 	// certainCrashes is the number of further crashes after which it does not matter how many others there were meanwhile.
 	certainCrashes = 2
 	// jointCrashWindow is the time within which crashes of several targets count as one: they have a common cause, such as
@@ -47,6 +49,10 @@
 // quarantineTimes are the durations of a quarantine after the least number of crashes and after each further one.
 var quarantineTimes = []time.Duration{30 * time.Second, 5 * time.Minute, 30 * time.Minute, 24 * time.Hour}
 
+// doubtTime is the duration of the quarantine of a part that was never answered, while it may as well be the whole request that
+// crashes targets: long enough for targets to restart.
+const doubtTime = 5 * time.Second
+
 // Verdict says how a request may be sent.
 type Verdict int
 
@@ -126,21 +132,22 @@
 				return Decision{Verdict: Quarantined, Wait: wait, Index: i}
 			}
 		}
-		if s.verdict(now) != Clear {
+		if s.verdict(now) != Clear && (d.Verdict == Clear || !s.evidence.isWhole()) {
 			d = Decision{Verdict: Suspect, Index: i}
 		}
 	}
 	return d
 }
 
-// MayRepeat reports whether a request with keys may be sent a second time after a crash.
+// MayRepeat reports whether a request with keys may be sent a second time after a crash. One that is only suspected as a whole
+// may be, after its first crash: most requests that a target had not answered are not to blame.
 func (q *Quarantiner) MayRepeat(keys []Key) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Now()
 	return !slices.ContainsFunc(keys, func(k Key) bool {
 		s := q.suspects[k]
-		return s != nil && s.verdict(now) != Clear
+		return s != nil && s.verdict(now) != Clear && (!s.evidence.isWhole() || s.evidence.targets() > 1)
 	})
 }
 
@@ -150,6 +157,9 @@
 // untilTrial returns the time until this daemon may send a request with a quarantined key.
 func (q *Quarantiner) untilTrial(s *suspect, now time.Time) time.Duration {
 	from := s.countedAt.Add(s.quarantineTime())
+	if s.evidence.isWhole() && s.crashes >= maxContentCrashes {
+		from = from.Add(quarantineRetention)
+	}
 	if now.Before(from) {
 		return from.Sub(now)
 	}
@@ -176,9 +186,29 @@
 func (q *Quarantiner) RecordAnswered(keys []Key) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now, changed := q.Now(), false
+	now := q.Now()
 	for _, k := range keys {
 		q.answered.set(k, now)
+	}
+	q.clear(keys, now)
+}
+
+// RecordContentAnswered is RecordAnswered for a request whose last key is that of the request as a whole. Answered requests are
+// not remembered by that key unless they are suspected, as there is one for each.
+func (q *Quarantiner) RecordContentAnswered(keys []Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	for _, k := range keys[:len(keys)-1] {
+		q.answered.set(k, now)
+	}
+	q.clear(keys, now)
+}
+
+// clear records that keys with crashes are harmless; the caller holds mu.
+func (q *Quarantiner) clear(keys []Key, now time.Time) {
+	changed := false
+	for _, k := range keys {
 		if s := q.suspects[k]; s != nil && len(s.evidence.unanswered()) > 0 {
 			s.evidence.AnsweredAt, s.changedAt, changed = now, now, true
 		}
@@ -191,12 +221,30 @@
 // RecordCrash records the crash of a target while it ran a request with keys that had not been answered, the keys in the
 // order in which fewer and fewer requests share them. It reports whether other daemons must be told without delay.
 func (q *Quarantiner) RecordCrash(keys []Key, target, request uint32) bool {
+	return q.recordCrash(keys, target, request, func(i int) uint32 { return uint32(i) })
+}
+
+// RecordContentCrash is RecordCrash for a request whose last key is that of the request as a whole; begun is true if the target
+// had begun its answer, without an event yet.
+func (q *Quarantiner) RecordContentCrash(keys []Key, target, request uint32, begun bool) bool {
+	return q.recordCrash(keys, target, request, func(i int) uint32 {
+		switch {
+		case i < len(keys)-1:
+			return uint32(i)
+		case begun:
+			return begunDepth
+		}
+		return contentDepth
+	})
+}
+
+func (q *Quarantiner) recordCrash(keys []Key, target, request uint32, depth func(i int) uint32) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Now()
 	changed := q.recordTarget(target, now, now)
-	for depth, k := range keys {
-		changed = q.addCrash(k, Crash{Target: target, Request: request, Depth: uint32(depth), At: now}, now) || changed
+	for i, k := range keys {
+		changed = q.addCrash(k, Crash{Target: target, Request: request, Depth: depth(i), At: now}, now) || changed
 	}
 	if !changed {
 		return false
@@ -279,7 +327,7 @@
 }
 
 // Evidence returns what other daemons must know, up to n keys: the quarantined ones first, then those that changed within
-// recentChange, the latest first, then any others, so that in time all are told.
+// recentChange, those with the most crashes and the latest first, then any others, so that in time all are told.
 func (q *Quarantiner) Evidence(n int) []Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -304,7 +352,7 @@
 		if r := cmp.Compare(rank(a), rank(b)); r != 0 || rank(a) != 1 {
 			return r
 		}
-		return b.changedAt.Compare(a.changedAt)
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), b.changedAt.Compare(a.changedAt))
 	})
 	var out []Evidence
 	for _, s := range found[:min(n, len(found))] {
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -15,6 +15,8 @@
 	countedAt time.Time
 	// reported is the largest number of crashes that other daemons were told of without delay.
 	reported int
+	// doubtful is true for a part whose crashes are all those of one request that is blamed as a whole.
+	doubtful bool
 	// quarantined is true once the crashes are enough for a quarantine.
 	quarantined bool
 }
@@ -38,6 +40,9 @@
 }
 
 func (s *suspect) quarantineTime() time.Duration {
+	if s.doubtful {
+		return doubtTime
+	}
 	n := s.crashes - s.evidence.needed()
 	return quarantineTimes[min(max(n, 0), len(quarantineTimes)-1)]
 }
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -76,15 +76,15 @@
 }
 
 // handleBrokenConnection checks whether a target whose connection broke has crashed, and waits for the result for up to
-// crashCheckWait. It records the crash against keys, those of a request that the target had not answered.
-func (r *Relayer) handleBrokenConnection(t cataloger.Target, keys []quarantiner.Key, request uint32) {
+// crashCheckWait. It calls record with the incarnation that crashed.
+func (r *Relayer) handleBrokenConnection(t cataloger.Target, record func(target uint32) (urgent bool)) {
 	check := r.checkCrash(t)
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
 		<-check.done
 		if check.crashed {
-			r.recordCrash(t, keys, request)
+			r.recordCrash(t, record)
 		}
 	}()
 	expired := make(chan struct{})
@@ -105,12 +105,12 @@
 	return d
 }
 
-// recordCrash records that a target crashed with a request that it had not answered, unless it was leaving.
-func (r *Relayer) recordCrash(t cataloger.Target, keys []quarantiner.Key, request uint32) {
+// recordCrash records the crash of a target, unless it was leaving, and tells other daemons if that is urgent.
+func (r *Relayer) recordCrash(t cataloger.Target, record func(target uint32) (urgent bool)) {
 	if v, ok := r.Targets.Get(t.Name); ok && v.Incarnation == t.Incarnation && v.SinceLeaving > 0 {
 		return
 	}
-	if r.Quarantiner.RecordCrash(keys, quarantiner.TargetID(t.Name, t.Incarnation), request) {
+	if record(quarantiner.TargetID(t.Name, t.Incarnation)) {
 		r.OnEvidence()
 		r.EndQuarantined()
 	}
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -214,7 +214,7 @@
 // handleBrokenConnection checks whether a target has crashed that did not answer. The request is the same at each crash, so the
 // crashes count as those of different ones.
 func (c *plainCall) handleBrokenConnection(t cataloger.Target) {
-	c.relayer.handleBrokenConnection(t, c.keys, quarantiner.TargetID(t.Name, t.Incarnation))
+	c.relayer.handleBrokenConnection(t, func(target uint32) bool { return c.relayer.Quarantiner.RecordCrash(c.keys, target, target) })
 }
 
 // sendFailure returns the refusal for a send that brought no answer.
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -44,7 +44,7 @@
 	relayer *Relayer
 	request *Request
 	w       http.ResponseWriter
-	// keys identify the parts of the prompt that may crash targets.
+	// keys identify what may crash targets: the parts of the prompt, and last the request as a whole.
 	keys []quarantiner.Key
 	// content is the key of the request as a whole.
 	content quarantiner.Key
@@ -197,6 +197,9 @@
 	if d.Verdict != quarantiner.Quarantined {
 		return nil
 	}
+	if d.Index == len(g.keys)-1 {
+		return quarantinedRequest().WithRetryAfter(d.Wait)
+	}
 	return refuser.New(refuser.Quarantined, "requests with part %s in their prompts crash targets", g.request.PromptParts[d.Index]).WithRetryAfter(d.Wait)
 }
 
@@ -231,7 +234,7 @@
 	g.mu.Lock()
 	harmless := g.harmless
 	g.mu.Unlock()
-	return !harmless && !g.relayer.Quarantiner.MayRepeat(g.keys)
+	return !harmless && g.relayer.Quarantiner.Check(g.keys).Verdict != quarantiner.Clear
 }
 
 // finalRefusal returns the refusal that ends the request.
@@ -336,7 +339,7 @@
 		return refuser.New(refuser.NoPipeline, "%s: %s", first.Name, err).WithRetryAfter(noPathRetry)
 	}
 	if ctx.Err() == nil {
-		g.handleBrokenConnection(first)
+		g.handleBrokenConnection(first, false)
 	}
 	g.recordRun()
 	g.avoidAfter(ctx, first)
@@ -420,7 +423,7 @@
 			// In a stream whose events have ids, bytes without one are not progress: a stalled stream may still send
 			// comments.
 			if g.events.acceptedCount > before || g.events.acceptedCount == 0 {
-				g.recordProgress()
+				g.recordProgress(g.events.acceptedCount - before)
 			}
 			g.writeHead(reply)
 			if _, err := g.w.Write(out); err != nil {
@@ -435,11 +438,11 @@
 			return g.handleBrokenStream(ctx, first, errors.New("events are missing, or too long"))
 		case errors.Is(err, io.EOF) && !g.events.inEvent() && (!reply.Unframed || g.hasStarted() || g.events.repeating):
 			g.writeHead(reply)
-			g.relayer.Quarantiner.RecordAnswered(g.keys)
+			g.relayer.Quarantiner.RecordContentAnswered(g.keys)
 			return sendDone, nil
 		case err != nil:
 			if ctx.Err() == nil {
-				g.handleBrokenConnection(first)
+				g.handleBrokenConnection(first, true)
 			}
 			return g.handleBrokenStream(ctx, first, err)
 		}
@@ -463,15 +466,20 @@
 }
 
 // handleBrokenConnection checks whether the first target has crashed, which counts against the request unless the target had
-// answered it.
-func (g *generation) handleBrokenConnection(first cataloger.Target) {
-	keys := g.keys
+// answered it; begun is true if the head of an answer has arrived.
+func (g *generation) handleBrokenConnection(first cataloger.Target, begun bool) {
+	g.relayer.handleBrokenConnection(first, func(target uint32) bool { return g.recordCrash(target, begun) })
+}
+
+// recordCrash records the crash of the first target, and reports whether other daemons must be told without delay.
+func (g *generation) recordCrash(target uint32, begun bool) (urgent bool) {
 	g.mu.Lock()
-	if g.harmless {
-		keys = nil
-	}
+	harmless := g.harmless
 	g.mu.Unlock()
-	g.relayer.handleBrokenConnection(first, keys, g.request.content())
+	if harmless {
+		return g.relayer.Quarantiner.RecordCrash(nil, target, 0)
+	}
+	return g.relayer.Quarantiner.RecordContentCrash(g.keys, target, g.request.content(), begun)
 }
 
 // handleBrokenStream handles a stream that broke before its end.
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -16,7 +16,7 @@
 
 // movable reports whether the generation may abandon its current send for another one.
 func (g *generation) movable() bool {
-	if !g.mayRepeat() {
+	if !g.mayRepeat() || g.isSuspect() {
 		return false
 	}
 	g.mu.Lock()
@@ -53,8 +53,8 @@
 	g.release()
 }
 
-// recordProgress records that events have arrived.
-func (g *generation) recordProgress() {
+// recordProgress records that events have arrived, n of them with ids.
+func (g *generation) recordProgress(n int) {
 	now := g.relayer.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -75,9 +75,10 @@
 		g.relayer.recordFirstWait(now.Sub(g.lastProgress))
 		g.relayer.Targets.RecordAccepted(g.path)
 		g.relayer.Targets.RecordAnswer(g.path[0].Target, true)
-	} else if !g.harmless {
+	}
+	if (g.started || n > 1) && !g.harmless {
 		g.harmless = true
-		g.relayer.Quarantiner.RecordAnswered(g.keys)
+		g.relayer.Quarantiner.RecordContentAnswered(g.keys)
 	}
 	g.started = true
 	g.lastProgress, g.lastEvent = now, g.events.last
--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -46,3 +48,50 @@
 		})
 	}
 }
+
+// TestRepeatsOfSuspectsAreApart guards against requests that were on a target which crashed and are sent again together, so that the
+// one to blame takes the same others with it and none can be told apart.
+func TestRepeatsOfSuspectsAreApart(t *testing.T) {
+	const targets, requests = 8, 40
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(targets)
+		var mu sync.Mutex
+		var refused atomic.Int64
+		sent := map[string]map[string]bool{}
+		send := f.relayer.Backend.Send
+		f.relayer.Backend.Send = func(ctx context.Context, call Call) (*Reply, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			body := string(call.Request.Body)
+			if sent[body] == nil {
+				sent[body] = map[string]bool{}
+			}
+			sent[body][call.Target.Name] = true
+			return send(ctx, call)
+		}
+		var wg sync.WaitGroup
+		for id := range 2 * requests {
+			req := stream(true)
+			req.ID, req.Body = fmt.Sprint("r", id), fmt.Append(nil, "body ", id%requests)
+			f.relayer.Quarantiner.RecordContentCrash(req.keys(), 1, req.content(), true)
+			wg.Go(func() {
+				if _, refusal, _ := serve(f.relayer, req); refusal != nil {
+					refused.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		require.Zero(t, refused.Load())
+		require.Len(t, sent, requests)
+		together := map[string]int{}
+		for body, names := range sent {
+			require.Len(t, names, 1, "attempts of one request, %s, share a target", body)
+			for name := range names {
+				together[name]++
+			}
+		}
+		for name, n := range together {
+			require.LessOrEqual(t, n, 2*requests/targets, name)
+		}
+	})
+}
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -58,13 +58,17 @@
 	return chooser.Demand{Service: r.Service.Name, Engine: e, Tokens: tokens, PrefillTokens: read, Precedence: r.Precedence}
 }
 
-// keys returns what may crash the targets of a generation: all parts of its prompt but the last, which no other request has.
+// keys returns what may crash the targets of a generation: all parts of its prompt but the last, which no other request has, and
+// the request as a whole.
 func (r *Request) keys() []quarantiner.Key {
+	if r.Service.Engine == nil {
+		return nil
+	}
 	var keys []quarantiner.Key
 	for _, part := range r.PromptParts[:max(len(r.PromptParts)-1, 0)] {
 		keys = append(keys, quarantiner.PartKey(r.Model, part))
 	}
-	return keys
+	return append(keys, r.contentKey())
 }
 
 // contentKey returns the key of the request as a whole, which its repeats have as well.
@@ -72,13 +76,13 @@
 	return quarantiner.ContentKey(string(r.Workspace), r.Host, r.Method, r.URI, r.Model, r.PromptParts, r.Body)
 }
 
-// content identifies what a client asks for: the part of the prompt that no other request has, as clients that come back
-// after a failure use a new ID.
+// content identifies what a client asks for in a crash: the part of the prompt that no other request has, as clients that come
+// back after a failure use a new ID.
 func (r *Request) content() uint32 {
 	if n := len(r.PromptParts); n > 0 {
 		return quarantiner.RequestID(r.PromptParts[n-1])
 	}
-	return quarantiner.RequestID(r.ID)
+	return uint32(r.contentKey())
 }
 
 // Call is one send of a request to a target.
