Find out whether a target crashed before its streams are moved

A stream that had not begun was moved by the watchdog off a target that had just been reported lost, before its own connection broke: a request that had crashed the target was sent to the next one before anything was known against it.

TestStreamsOfACrashedTargetAreNotMovedUnchecked fails without that (two sends in place of one).

--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// awaitsCrashCheck reports whether it is still to be found out, for up to crashCheckWait, whether the lost first target of a stream
+// has crashed that it had not answered. If it has, that is recorded against the stream, whose connection may break later.
+func (r *Relayer) awaitsCrashCheck(g *generation, lost map[string]bool, now time.Time) bool {
+	g.mu.Lock()
+	l, harmless := g.current, g.harmless
+	g.mu.Unlock()
+	if l == nil || harmless || !lost[l.first.Name] {
+		return false
+	}
+	check := r.checkCrash(l.first)
+	crashed, known := check.result()
+	if crashed {
+		r.recordCrash(l.first, func(target uint32) bool { return g.recordCrash(target, l.hasBegun()) })
+	}
+	return !known && now.Sub(check.startedAt) < crashCheckWait
+}
+
 // EndQuarantined ends the sends that would crash their targets; call it once there is new evidence.
 func (r *Relayer) EndQuarantined() {
 	for _, g := range r.inProgress() {
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// hasBegun reports whether the head of an answer has arrived.
+func (l *leg) hasBegun() bool {
+	select {
+	case <-l.done:
+		return l.reply != nil
+	default:
+		return false
+	}
+}
+
 // abort ends a leg that was not sent, or whose answer is not needed.
 func (l *leg) abort() {
 	l.cancel(nil)
--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
 
@@ -95,3 +99,29 @@
 		}
 	})
 }
+
+// TestStreamsOfACrashedTargetAreNotMovedUnchecked guards against a request that crashed its target and is moved to another one by
+// the watchdog, before its own connection breaks, as another daemon has reported the target lost.
+func TestStreamsOfACrashedTargetAreNotMovedUnchecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{hang: true}}}
+		r := newTestRelayer(f)
+		r.Backend.Refuses = func(context.Context, cataloger.Target) bool { return true }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Watch(ctx) }()
+		req := stream(true)
+		req.PromptParts = []string{"shared", "own"}
+		r.Quarantiner.RecordAnswered(req.keys()[:1])
+		go func() {
+			defer func() { _ = recover() }()
+			r.Serve(ctx, httptest.NewRecorder(), req)
+		}()
+		time.Sleep(maxFirstEventTimeout)
+		first := f.calls[0].Target
+		r.Targets.Suspect(first.Name, first.Incarnation, time.Now())
+		time.Sleep(10 * watchInterval)
+		require.Len(t, f.calls, 1)
+		require.Equal(t, quarantiner.Suspect, r.Quarantiner.Check(req.keys()).Verdict)
+	})
+}
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -314,7 +314,7 @@
 
 // repair moves a generation off stages, one repair at a time.
 func (r *Relayer) repair(ctx context.Context, g *generation, toReplace map[string]bool) {
-	if g.isSuspect() {
+	if r.awaitsCrashCheck(g, toReplace, r.Clock.Now()) || g.isSuspect() {
 		return
 	}
 	current, ok := g.beginRepair()
