Wait for the relayer before a test reads what it sent

The race detector reported TestStreamsOfACrashedTargetAreNotMovedUnchecked, which read the calls of its target without an order to the relayer's goroutine. Its assertions are as they were.

--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -118,9 +118,11 @@
 			r.Serve(ctx, httptest.NewRecorder(), req)
 		}()
 		time.Sleep(maxFirstEventTimeout)
+		synctest.Wait()
 		first := f.calls[0].Target
 		r.Targets.Suspect(first.Name, first.Incarnation, time.Now())
 		time.Sleep(10 * watchInterval)
+		synctest.Wait()
 		require.Len(t, f.calls, 1)
 		require.Equal(t, quarantiner.Suspect, r.Quarantiner.Check(req.keys()).Verdict)
 	})
