Show streams that a rollout breaks as it unloads their layers, in a test that fails

The planner orders a range to be unloaded with streams on it, and nothing moves them off before. Fake engines let such streams run to their end; the engine API does not promise it.

CutOnUnload makes a fake engine end them; it is off elsewhere.

--- a/internal/enginefaker/config.go
+++ b/internal/enginefaker/config.go
@@ -43,6 +43,8 @@
 	LayerBytes uint64
 	// PullRate is in bytes of weights a second; 0 is unlimited.
 	PullRate float64
+	// CutOnUnload makes the engine end what runs on a range as it unloads it; otherwise that runs to its end.
+	CutOnUnload bool
 	// KeepFor is how long a stream and its KV cache outlive their caller.
 	KeepFor time.Duration
 	// LoadLag is the maximum age of load reports.
--- a/internal/enginefaker/stage.go
+++ b/internal/enginefaker/stage.go
@@ -66,6 +66,9 @@
 	if s.e.isFenced(s.key, s.req.Attempt) {
 		return nil, s.e.refusalError(connect.CodeAborted, "fenced", "attempt %d is fenced", s.req.Attempt)
 	}
+	if s.e.cfg.CutOnUnload && !s.e.holds(s.req, s.run.FirstLayer, s.run.EndLayer) {
+		return nil, s.e.failureError(connect.CodeUnavailable, "the layers were unloaded")
+	}
 	begin := s.e.cfg.Clock.Now()
 	if err := s.applyFaults(ctx); err != nil {
 		return nil, err
--- a/internal/router/rollout_test.go
+++ b/internal/router/rollout_test.go
@@ -67,6 +67,32 @@
 	})
 }
 
+// TestUnloadCutsNoStream guards against answers that a rollout breaks in the middle, as it unloads what they still run on.
+func TestUnloadCutsNoStream(t *testing.T) {
+	skipUnderRace(t)
+	specs := withMemory(fourChains(), 5)
+	for i := range specs {
+		specs[i].cutOnUnload = true
+	}
+	inWorld(t, 4, specs, func(w *world) {
+		w.apply(placedDocument)
+		l := w.newLoad(16, 20*time.Second)
+		l.versions = []string{"v1", "v2"}
+		l.start(3, 0)
+		time.Sleep(10 * time.Second)
+		w.apply(strings.Replace(placedDocument, "version: v1", "version: v2", 1))
+		for begun := time.Now(); w.versionBound("v2") == 0; time.Sleep(time.Second) {
+			require.Less(t, time.Since(begun), 3*time.Minute)
+		}
+		l.finish()
+		broken := int64(0)
+		for _, d := range w.routers {
+			broken += d.router.meter.Counter("dispatcher.failed.broken").Count()
+		}
+		require.Zero(t, broken, "streams that an unload broke")
+	})
+}
+
 func TestJoiningEngineIsUsed(t *testing.T) {
 	specs := fourChains()
 	// The last two engines start without layers.
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -65,6 +65,8 @@
 	// memory and pullRate are in bytes and bytes a second; 0 is unlimited.
 	memory   uint64
 	pullRate float64
+	// cutOnUnload ends what runs on layers as they are unloaded.
+	cutOnUnload bool
 }
 
 func (s engineSpec) holdings() []cataloger.Holding {
@@ -171,6 +173,7 @@
 			Clock:       timer.System{},
 			Client:      client,
 			KeepFor:     20 * time.Second,
+			CutOnUnload: s.cutOnUnload,
 		})
 		w.engines = append(w.engines, e)
 		w.serve(ip, ip+":7400", e.Handler())
