Count crashes of targets that had just begun the same request apart

Attempts of one deadly request through two gateways crash two targets within 20 ms. That counted as one crash, as of a rack, so the request was sent to a third target; and streams with one event, at both crashes, were rivals to it.

Two targets that had just begun the same request (a head, and no event) are now two crashes whatever the time between them, and a request that got an event is no rival to one that got none.

--- a/internal/quarantiner/content_test.go
+++ b/internal/quarantiner/content_test.go
@@ -32,8 +32,14 @@
 			q.RecordAnswered([]Key{part})
 			c.advance(second(1))
 			q.RecordContentCrash(keys, 1, 7, true)
-			q.RecordContentCrash(keys, 2, 7, true)
+			q.RecordContentCrash(keys, 2, 7, false)
 		}, Suspect, Clear, Clear, false},
+		{"two targets that crash together as they begin it", func(q *Quarantiner, c *testClock) {
+			q.RecordAnswered([]Key{part})
+			c.advance(second(1))
+			q.RecordContentCrash(keys, 1, 7, true)
+			q.RecordContentCrash(keys, 2, 7, true)
+		}, Quarantined, Clear, Clear, false},
 		{"two crashes, and answers to its part between them", func(q *Quarantiner, c *testClock) {
 			for target := range uint32(2) {
 				q.RecordContentCrash(keys, target, 7, true)
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -15,13 +15,13 @@
 	Target  uint32
 	Request uint32
 	// Depth is the position of the key among the keys of the request; the deeper, the fewer requests share it. For the request
-	// as a whole it is contentDepth, or begunDepth if the target had begun its answer.
+	// as a whole it is contentDepth, or begunDepth if the target had begun its answer and sent no event of it.
 	Depth uint32
 	At    time.Time
 }
 
-// contentDepth is the depth of a request as a whole, below all its parts, and begunDepth that of one whose answer had begun,
-// which is the more likely one to have crashed its target. Both are depths to daemons that do not know requests as a whole.
+// contentDepth is the depth of a request as a whole, below all its parts, and begunDepth that of one that the target had just
+// begun, which is the more likely one to have crashed it. Both are depths to daemons that do not know requests as a whole.
 const (
 	contentDepth = 1 << 16
 	begunDepth   = contentDepth + 1
@@ -134,9 +134,11 @@
 	return e.Crashes[first:]
 }
 
-// count returns the number of separate crashes and of the requests in them.
+// count returns the number of separate crashes and of the requests in them. A request that several targets had just begun, whatever
+// the time between their crashes, is what they have in common.
 func count(crashes []Crash) (separate, requests int) {
 	var last time.Time
+	begun := false
 	targets, ids := map[uint32]bool{}, map[uint32]bool{}
 	for _, c := range crashes {
 		ids[c.Request] = true
@@ -144,9 +146,9 @@
 			continue
 		}
 		targets[c.Target] = true
-		if separate == 0 || c.At.Sub(last) >= jointCrashWindow {
+		if separate == 0 || c.At.Sub(last) >= jointCrashWindow || begun && c.Depth == begunDepth {
 			separate++
-			last = c.At
+			last, begun = c.At, c.Depth == begunDepth
 		}
 	}
 	return separate, len(ids)
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -120,7 +120,7 @@
 // has crashed that it had not answered. If it has, that is recorded against the stream, whose connection may break later.
 func (r *Relayer) awaitsCrashCheck(g *generation, lost map[string]bool, now time.Time) bool {
 	g.mu.Lock()
-	l, harmless := g.current, g.harmless
+	l, harmless, started := g.current, g.harmless, g.started
 	g.mu.Unlock()
 	if l == nil || harmless || !lost[l.first.Name] {
 		return false
@@ -128,7 +128,7 @@
 	check := r.checkCrash(l.first)
 	crashed, known := check.result()
 	if crashed {
-		r.recordCrash(l.first, func(target uint32) bool { return g.recordCrash(target, l.hasBegun()) })
+		r.recordCrash(l.first, func(target uint32) bool { return g.recordCrash(target, l.hasBegun() && !started) })
 	}
 	return !known && now.Sub(check.startedAt) < crashCheckWait
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -442,7 +442,7 @@
 			return sendDone, nil
 		case err != nil:
 			if ctx.Err() == nil {
-				g.handleBrokenConnection(first, true)
+				g.handleBrokenConnection(first, !g.hasStarted())
 			}
 			return g.handleBrokenStream(ctx, first, err)
 		}
@@ -466,7 +466,7 @@
 }
 
 // handleBrokenConnection checks whether the first target has crashed, which counts against the request unless the target had
-// answered it; begun is true if the head of an answer has arrived.
+// answered it; begun is true if the head of an answer has arrived, and no event.
 func (g *generation) handleBrokenConnection(first cataloger.Target, begun bool) {
 	g.relayer.handleBrokenConnection(first, func(target uint32) bool { return g.recordCrash(target, begun) })
 }
