Spend no repeat on a request that has ended

What callers saw: while many targets leave and all are full, streams were cut off and requests refused because "no repeat is left", although most of the repeats had gone to requests whose clients had left.

Cause: when a stream broke, or an attempt of a plain request failed, because its client had left or its deadline had passed, one more send was taken out of the budget, and only the send itself found that the request had ended.

TestNoRepeatIsSpentOnARequestThatHasEnded fails before (all three cases).

Change: the stream and the balancer check whether the request has ended before they take a repeat out of the budget.

--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -120,6 +120,9 @@
 		if final := run.recordFailure(target.Name, refuser.From(err)); final != nil {
 			return Answer{}, final
 		}
+		if ctx.Err() != nil {
+			return Answer{}, run.refusal(refuser.Canceled, "after: %s", err)
+		}
 		if !spend() {
 			return Answer{}, run.refusal(refuser.RetryBudgetSpent, "after: %s", err)
 		}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -144,7 +144,7 @@
 		if result == sendDone {
 			return refusal
 		}
-		if !g.maySend() || g.relayer.expired(ctx, g.request) {
+		if g.relayer.expired(ctx, g.request) || !g.maySend() {
 			return g.finalRefusal(ctx, refusal)
 		}
 	}
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/rationer"
 )
 
@@ -239,3 +240,52 @@
 		require.Len(t, f.endedAt, 2)
 	})
 }
+
+// TestNoRepeatIsSpentOnARequestThatHasEnded guards against streams that are cut off because the budget was spent on requests whose clients
+// had left or whose deadline had passed.
+func TestNoRepeatIsSpentOnARequestThatHasEnded(t *testing.T) {
+	const (
+		repeats = 3
+		end     = 300 * time.Millisecond
+	)
+	cases := []struct {
+		name    string
+		request func() *Request
+		leaves  bool
+	}{
+		{"a stream whose client leaves", func() *Request { return stream(true) }, true},
+		{"a stream whose deadline passes", func() *Request { return stream(true) }, false},
+		{"a plain request whose client leaves", func() *Request { return plain(matcher.KindIdempotent) }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHandoverFleet(t, repeats, answer{})
+				f.request = c.request()
+				before := budgetLeft(newHandoverFleet(t, repeats, answer{}).relayer, f.request)
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				if c.leaves {
+					time.AfterFunc(end, leave)
+				} else {
+					f.request.Deadline = time.Now().Add(end)
+				}
+				func() {
+					defer func() { _ = recover() }()
+					f.relayer.Serve(ctx, httptest.NewRecorder(), f.request)
+				}()
+				require.Len(t, f.calls, 1)
+				require.Equal(t, before, budgetLeft(f.relayer, f.request))
+			})
+		})
+	}
+}
+
+// budgetLeft spends the rest of the budget of a relayer, and returns how much was left.
+func budgetLeft(r *Relayer, req *Request) int {
+	left := 0
+	for r.spendRetry(req) {
+		left++
+	}
+	return left
+}
