Move sound requests off a silent target, though they were at another crash

Review showed: a request that was unanswered at one crash, as all streams of the crashed target are, was no longer moved off a target that falls silent, nor were its lost stages replaced.

A single crash now keeps a request in place only while its current target is known to have crashed; a second one does in any case. TestSuspectLeavesASilentTarget fails without that ("no answer in time").

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -229,12 +229,19 @@
 	return g.request.Route.Resumable && g.relayer.Quarantiner.MayRepeat(g.keys)
 }
 
-// isSuspect reports whether the request may be one that crashes its targets.
+// isSuspect reports whether the request must stay where it is, as it may be one that crashes its targets. A single crash elsewhere
+// is no reason: most of the requests that a target had not answered are sound.
 func (g *generation) isSuspect() bool {
 	g.mu.Lock()
-	harmless := g.harmless
+	harmless, current := g.harmless, g.current
 	g.mu.Unlock()
-	return !harmless && g.relayer.Quarantiner.Check(g.keys).Verdict != quarantiner.Clear
+	if harmless {
+		return false
+	}
+	if !g.relayer.Quarantiner.MayRepeat(g.keys) {
+		return true
+	}
+	return current != nil && g.relayer.hasCrashed(current.first) && g.relayer.Quarantiner.Check(g.keys).Verdict != quarantiner.Clear
 }
 
 // finalRefusal returns the refusal that ends the request.
--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -127,3 +127,32 @@
 		require.Equal(t, quarantiner.Suspect, r.Quarantiner.Check(req.keys()).Verdict)
 	})
 }
+
+// TestSuspectLeavesASilentTarget guards against sound requests that wait until their deadline on a target that is silent, as they were at
+// the crash of another one.
+func TestSuspectLeavesASilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeBackend{scripts: []script{{hang: true}, {status: 200, body: eventRange(1, 3)}}}
+		r := newTestRelayer(f)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Watch(ctx) }()
+		req := stream(true)
+		req.PromptParts = []string{"shared", "own"}
+		r.Quarantiner.RecordContentCrash(req.keys(), 99, req.content(), false)
+		time.Sleep(time.Second)
+		r.Quarantiner.RecordAnswered(req.keys()[:1])
+		req.Arrived, req.Deadline = time.Now(), time.Now().Add(20*time.Second)
+		time.AfterFunc(maxFirstEventTimeout, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			r.Targets.Suspect(f.calls[0].Target.Name, 1, time.Now())
+		})
+		began := time.Now()
+		_, refusal, aborted := serve(r, req)
+		require.Nil(t, refusal)
+		require.False(t, aborted)
+		require.Less(t, time.Since(began), 2*maxFirstEventTimeout)
+		require.Len(t, f.calls, 2)
+	})
+}
