Blame a part that was at all crashes of a request as a whole first

A part that several requests had at all crashes of a whole request, and that is as little proved harmless, is its rival now. TestSoundRequestDoesNotExplainThePart fails without that.

--- a/internal/quarantiner/assessment.go
+++ b/internal/quarantiner/assessment.go
@@ -87,13 +87,17 @@
 
 // hasRival reports whether another key, as little proved harmless and shared by as few, was at all crashes that count against a
 // key, with other requests and as many of them. A key that more requests share is blamed later, if crashes go on without this
-// one: a quarantine of it would refuse more sound requests.
+// one: a quarantine of it would refuse more sound requests. A part that several requests had at all crashes of a request as a
+// whole is blamed before that.
 func hasRival(s *suspect, counted []Crash, all []*suspect) bool {
 	_, requests := count(counted)
 	return slices.ContainsFunc(all, func(o *suspect) bool {
 		if o == s || o.evidence.needed() > s.evidence.needed() {
 			return false
 		}
+		if s.evidence.isWhole() && !o.evidence.isWhole() {
+			return isSharedAtAll(o, counted)
+		}
 		var shared []Crash
 		for _, c := range counted {
 			found := false
@@ -111,6 +115,23 @@
 	})
 }
 
+// isSharedAtAll reports whether a part was at all of some crashes, in several requests.
+func isSharedAtAll(part *suspect, crashes []Crash) bool {
+	requests := map[uint32]bool{}
+	for _, c := range crashes {
+		found := false
+		for _, o := range part.evidence.unanswered() {
+			if o.Target == c.Target {
+				found, requests[o.Request] = true, true
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return len(requests) > 1
+}
+
 // mostSpecificFirst returns the suspects in an order in which keys that fewer requests share come first, and of those the ones
 // with more crashes.
 func (q *Quarantiner) mostSpecificFirst() []*suspect {
--- a/internal/quarantiner/content_test.go
+++ b/internal/quarantiner/content_test.go
@@ -186,3 +186,19 @@
 	require.Len(t, q.answered.current, 1)
 	require.Empty(t, q.answered.previous)
 }
+
+// TestSoundRequestDoesNotExplainThePart guards against a deadly part that is never quarantined, as a sound request without it was at two of
+// its crashes each time and is blamed as a whole.
+func TestSoundRequestDoesNotExplainThePart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New(func() time.Time { return now })
+	const shared, part = Key(500), Key(66)
+	for i := range minCrashes {
+		now = now.Add(time.Second)
+		q.RecordContentCrash([]Key{shared, 1000}, uint32(i+1), 1000, false)
+		q.RecordContentCrash([]Key{part, Key(2000 + i)}, uint32(i+1), uint32(2000+i), false)
+		q.RecordAnswered([]Key{shared})
+	}
+	require.Equal(t, Quarantined, q.Check([]Key{part}).Verdict)
+	require.NotEqual(t, Quarantined, q.Check([]Key{shared, 1000}).Verdict)
+}
