Quarantine requests that crash their targets together

Requests as a whole are no longer rivals after a further crash, and one that was at more crashes than a quarantine needs is not cleared as another one explains them. The short quarantine of parts in doubt is for parts only.

TestRequestsAtTheSameCrashesAreQuarantined fails without that (8 crashes and no end).

--- a/internal/quarantiner/assessment.go
+++ b/internal/quarantiner/assessment.go
@@ -37,7 +37,7 @@
 	counted := q.countedCrashes(s, explained)
 	var requests int
 	s.crashes, requests = count(counted)
-	s.doubtful = requests == 1 && slices.ContainsFunc(counted, func(c Crash) bool {
+	s.doubtful = !s.evidence.isWhole() && requests == 1 && slices.ContainsFunc(counted, func(c Crash) bool {
 		by, ok := explained[c.Target]
 		return ok && by != s.evidence.Key
 	})
@@ -61,13 +61,19 @@
 }
 
 // countedCrashes returns the crashes that count against a key: those that no other key explains. A request as a whole does not
-// explain the crashes of a part of it that was never answered.
+// explain the crashes of a part of it that was never answered, nor those of another request that was at more crashes than a quarantine needs: both may be to blame.
 func (q *Quarantiner) countedCrashes(s *suspect, explained map[uint32]Key) []Crash {
-	return slices.DeleteFunc(slices.Clone(s.evidence.unanswered()), func(c Crash) bool {
+	unanswered := s.evidence.unanswered()
+	separate, _ := count(unanswered)
+	isCertain := s.evidence.isWhole() && separate > s.evidence.needed()
+	return slices.DeleteFunc(slices.Clone(unanswered), func(c Crash) bool {
 		by, ok := explained[c.Target]
 		if !ok || by == s.evidence.Key {
 			return false
 		}
+		if isCertain && q.suspects[by].evidence.isWhole() {
+			return false
+		}
 		return !s.evidence.AnsweredAt.IsZero() || !q.suspects[by].evidence.contains(s.evidence)
 	})
 }
@@ -88,7 +94,7 @@
 // hasRival reports whether another key, as little proved harmless and shared by as few, was at all crashes that count against a
 // key, with other requests and as many of them. A key that more requests share is blamed later, if crashes go on without this
 // one: a quarantine of it would refuse more sound requests. A part that several requests had at all crashes of a request as a
-// whole is blamed before that.
+// whole is blamed before that. Another request as a whole is no rival any more after a further crash: both may be to blame.
 func hasRival(s *suspect, counted []Crash, all []*suspect) bool {
 	_, requests := count(counted)
 	return slices.ContainsFunc(all, func(o *suspect) bool {
@@ -98,6 +104,9 @@
 		if s.evidence.isWhole() && !o.evidence.isWhole() {
 			return isSharedAtAll(o, counted)
 		}
+		if s.evidence.isWhole() && s.crashes > s.evidence.needed() {
+			return false
+		}
 		var shared []Crash
 		for _, c := range counted {
 			found := false
--- a/internal/quarantiner/content_test.go
+++ b/internal/quarantiner/content_test.go
@@ -202,3 +202,27 @@
 	require.Equal(t, Quarantined, q.Check([]Key{part}).Verdict)
 	require.NotEqual(t, Quarantined, q.Check([]Key{shared, 1000}).Verdict)
 }
+
+// TestRequestsAtTheSameCrashesAreQuarantined guards against requests that crash their targets and are never quarantined, as they come
+// together each time and either could be the one to blame.
+func TestRequestsAtTheSameCrashesAreQuarantined(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New(func() time.Time { return now })
+	const shared, first, second = Key(1), Key(100), Key(200)
+	crashes := 0
+	for ; crashes < 10; crashes++ {
+		sent := 0
+		for i, k := range []Key{first, second} {
+			if q.Check([]Key{shared, k}).Verdict != Quarantined {
+				q.RecordContentCrash([]Key{shared, k}, uint32(crashes+1), uint32(7+i), false)
+				sent++
+			}
+		}
+		if sent == 0 {
+			break
+		}
+		q.RecordAnswered([]Key{shared})
+		now = now.Add(5 * time.Second)
+	}
+	require.Equal(t, 3, crashes, "of both together")
+}
