Tell and keep evidence against requests that nobody answered before that of sound ones

Every second update has keys without an answer first, and the bound on memory drops answered keys and whole requests of a single crash first. Both tests fail without that.

--- a/internal/quarantiner/content_test.go
+++ b/internal/quarantiner/content_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -226,3 +227,37 @@
 	}
 	require.Equal(t, 3, crashes, "of both together")
 }
+
+// TestEvidenceWithoutAnAnswerIsToldSoon guards against a request that crashes a target through each gateway, as updates are full of the
+// sound ones of its first crash.
+func TestEvidenceWithoutAnAnswerIsToldSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New(func() time.Time { return now })
+	for i := range 300 {
+		q.RecordContentCrash([]Key{Key(1000 + i)}, 1, uint32(i+1), false)
+	}
+	for i := range 299 {
+		q.RecordContentAnswered([]Key{Key(1000 + i)})
+	}
+	now = now.Add(2 * recentChange)
+	told := 0
+	for range 200 {
+		if slices.ContainsFunc(q.Evidence(12), func(e Evidence) bool { return e.Key == 1299 }) {
+			told++
+		}
+	}
+	require.Greater(t, told, 50, "half of the updates")
+}
+
+// TestPartsOutlastRequestsOfOneCrash guards against evidence against a part that is dropped for hundreds of requests that were at one crash.
+func TestPartsOutlastRequestsOfOneCrash(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New(func() time.Time { return now })
+	const part = Key(66)
+	q.RecordContentCrash([]Key{part, 67}, 1, 1, false)
+	now = now.Add(time.Second)
+	for i := range maxSuspects + 1 {
+		q.RecordContentCrash([]Key{Key(1000 + i)}, 2, uint32(i+10), false)
+	}
+	require.Equal(t, Suspect, q.Check([]Key{part}).Verdict)
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -327,7 +327,8 @@
 }
 
 // Evidence returns what other daemons must know, up to n keys: the quarantined ones first, then those that changed within
-// recentChange, those with the most crashes and the latest first, then any others, so that in time all are told.
+// recentChange, those with the most crashes and the latest first, then any others, in every second update those without an answer
+// first, so that in time all are told.
 func (q *Quarantiner) Evidence(n int) []Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -338,12 +339,15 @@
 			found = append(found, s)
 		}
 	}
+	unansweredFirst := rand.IntN(2) == 0
 	rank := func(s *suspect) int {
 		switch {
 		case s.quarantined:
 			return 0
 		case now.Sub(s.changedAt) < recentChange:
 			return 1
+		case unansweredFirst && len(s.evidence.unanswered()) == 0:
+			return 3
 		}
 		return 2
 	}
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -59,9 +59,17 @@
 	return now.Sub(s.evidence.lastCrash()) > suspicionRetention
 }
 
+// isWeak reports whether little speaks against the key: it was answered, or is that of one of the many requests at a single crash.
+func (s *suspect) isWeak() bool {
+	return len(s.evidence.unanswered()) == 0 || s.evidence.isWhole() && s.evidence.targets() < 2
+}
+
 func (s *suspect) isDroppedBefore(o *suspect) bool {
 	if s.quarantined != o.quarantined {
 		return o.quarantined
 	}
+	if s.isWeak() != o.isWeak() {
+		return s.isWeak()
+	}
 	return cmp.Or(s.evidence.lastCrash().Compare(o.evidence.lastCrash()), cmp.Compare(s.evidence.Key, o.evidence.Key)) < 0
 }
