Take only whole answers for proof that a request crashes no target

An answer that ends with its connection proves a request harmless by its second event, and one of a plain service only as a signed success. Both cases of TestAnswersThatProveNothing fail without that.

--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -196,7 +196,7 @@
 	buffered, err := bufferReply(reply)
 	if err != nil {
 		c.handleBrokenConnection(t)
-	} else if !c.relayer.Quarantiner.MayRepeat(c.keys) {
+	} else if reply.IsSignedSuccess() && !c.relayer.Quarantiner.MayRepeat(c.keys) {
 		c.relayer.Quarantiner.RecordAnswered(c.keys)
 	}
 	switch {
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -445,7 +445,10 @@
 			return g.handleBrokenStream(ctx, first, errors.New("events are missing, or too long"))
 		case errors.Is(err, io.EOF) && !g.events.inEvent() && (!reply.Unframed || g.hasStarted() || g.events.repeating):
 			g.writeHead(reply)
-			g.relayer.Quarantiner.RecordContentAnswered(g.keys)
+			if !reply.Unframed {
+				// A target that crashed may have ended the others; more than one event proves them harmless.
+				g.relayer.Quarantiner.RecordContentAnswered(g.keys)
+			}
 			return sendDone, nil
 		case err != nil:
 			if ctx.Err() == nil {
--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
@@ -156,3 +157,23 @@
 		require.Len(t, f.calls, 2)
 	})
 }
+
+// TestAnswersThatProveNothing guards against a request that crashes its targets and is taken for harmless, as a target crashed after its
+// first event of an answer that ends with its connection, or answered with a failure.
+func TestAnswersThatProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelayer(&fakeBackend{scripts: []script{{status: 200, unframed: true, body: eventRange(1, 1)}}})
+		req := stream(true)
+		r.Quarantiner.RecordContentCrash(req.keys(), 99, req.content(), false)
+		_, _, _ = serve(r, req)
+		require.Equal(t, quarantiner.Suspect, r.Quarantiner.Check(req.keys()).Verdict)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelayer(&fakeBackend{scripts: []script{{status: 500, body: "in trouble"}}})
+		req := plain(matcher.KindNonIdempotent)
+		keys := []quarantiner.Key{quarantiner.RequestKey(req.Service.Name, req.Method, req.URI, req.Body)}
+		r.Quarantiner.RecordCrash(keys, 1, 1)
+		_, _, _ = serve(r, req)
+		require.Equal(t, quarantiner.Suspect, r.Quarantiner.Check(keys).Verdict)
+	})
+}
