Continue a stream whose target begins it with a retry field

Review showed: a target that begins each stream with a retry field could never take over a stream that had broken off: the field was taken for an error in place of a continuation.

The new case of TestStreams ended in the middle before.

--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -59,7 +59,7 @@
 		e.idle += len(event)
 		if e.resumed && !e.continued && !isComment(event) {
 			// It is delivered already, or it is an error in place of a continuation.
-			return false, e.repeating
+			return false, e.repeating || isRetry(event)
 		}
 		return true, true
 	}
@@ -136,6 +136,17 @@
 	return true
 }
 
+// isRetry reports whether an event consists of comments and the time after which clients reconnect, which targets send at the
+// beginning of any stream.
+func isRetry(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
+			return false
+		}
+	}
+	return true
+}
+
 // isComment reports whether an event consists of comments only.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -215,6 +215,9 @@
 		{"an event is missing after the move", []script{
 			{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, body: eventRange(4, 5)},
 		}, true, eventRange(1, 2), true, 0, 0, 2},
+		{"continues after a field that each stream begins with", []script{
+			{status: 200, body: "retry: 500\n\n" + eventRange(1, 2), err: errCut}, {status: 200, body: "retry: 500\n\n: again\n\n" + eventRange(3, 4)},
+		}, true, "retry: 500\n\n" + eventRange(1, 2) + ": again\n\n" + eventRange(3, 4), false, 0, 0, 2},
 		{"ends with its connection", []script{{status: 200, unframed: true, body: eventRange(1, 3)}}, false, eventRange(1, 3), false, 0, 0, 1},
 		{"continues to the end of a connection", []script{
 			{status: 200, body: eventRange(1, 2), err: errCut}, {status: 200, unframed: true, body: eventRange(3, 4)},
