Tell other gateways of a crash once, not once for each of its streams

Evidence is collected for 5 ms before it is told. TestEvidenceOfOneCrashIsToldAtOnce: 65 reports before, one now.

--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -13,6 +13,8 @@
 	crashCheckWait = 50 * time.Millisecond
 	// crashCheckInterval is how long the result that a target runs holds.
 	crashCheckInterval = 250 * time.Millisecond
+	// evidenceDelay is how long evidence is collected before other daemons are told of it, as a crash ends many streams at once.
+	evidenceDelay = 5 * time.Millisecond
 	// maxCrashChecks bounds the results that are kept.
 	maxCrashChecks = 1024
 )
@@ -110,10 +112,14 @@
 	if v, ok := r.Targets.Get(t.Name); ok && v.Incarnation == t.Incarnation && v.SinceLeaving > 0 {
 		return
 	}
-	if record(quarantiner.TargetID(t.Name, t.Incarnation)) {
+	if !record(quarantiner.TargetID(t.Name, t.Incarnation)) || r.reporting.Swap(true) {
+		return
+	}
+	r.Clock.AfterFunc(evidenceDelay, func() {
+		r.reporting.Store(false)
 		r.OnEvidence()
 		r.EndQuarantined()
-	}
+	})
 }
 
 // awaitsCrashCheck reports whether it is still to be found out, for up to crashCheckWait, whether the lost first target of a stream
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -71,6 +71,8 @@
 	lastQueried    map[string]time.Time
 	crashChecks    map[string]*crashCheck
 	returnDetector returnDetector
+	// reporting is true while evidence of crashes is collected.
+	reporting atomic.Bool
 	// typicalFirstWait is the typical wait for a first event, in nanoseconds.
 	typicalFirstWait atomic.Int64
 	// typicalGapNanos is the typical time between two events, in nanoseconds.
--- a/internal/relayer/repeat_test.go
+++ b/internal/relayer/repeat_test.go
@@ -177,3 +177,21 @@
 		require.Equal(t, quarantiner.Suspect, r.Quarantiner.Check(keys).Verdict)
 	})
 }
+
+// TestEvidenceOfOneCrashIsToldAtOnce guards against a message to other daemons for each of the streams that a crash ends.
+func TestEvidenceOfOneCrashIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelayer(&fakeBackend{})
+		reports := 0
+		r.OnEvidence = func() { reports++ }
+		first, _ := r.Targets.Get("a1")
+		for i := range 65 {
+			r.recordCrash(first.Target, func(target uint32) bool {
+				return r.Quarantiner.RecordContentCrash([]quarantiner.Key{quarantiner.Key(i)}, target, uint32(i), false)
+			})
+		}
+		time.Sleep(evidenceDelay)
+		synctest.Wait()
+		require.Equal(t, 1, reports)
+	})
+}
