Bound the attempts to move a silent stream, and move one attempt at a time

After four failed handovers a silent stream waits 500 ms like any other, and a stream with an attempt to leave is not moved. No test shows the second: its window was not reached in one.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -31,7 +31,7 @@
 // moveIfNeeded moves the stream off a leaving or slow target if the target's stages can move elsewhere with their KV cache.
 // It returns nil if the stream stays where it is.
 func (r *run) moveIfNeeded(ctx context.Context, now time.Time, p plan) *failure {
-	if r.d.Substitute == nil || now.Before(r.moveNotBefore) || now.Sub(r.moveCheckedAt) < moveCheckInterval {
+	if r.d.Substitute == nil || p.left != nil || now.Before(r.moveNotBefore) || now.Sub(r.moveCheckedAt) < moveCheckInterval {
 		return nil
 	}
 	r.moveCheckedAt = now
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -69,10 +69,11 @@
 	// current is the send in progress, and successor the one that is to take over from it; nil if there is none.
 	current   *leg
 	successor *leg
-	// handOverAt is when the next handover may be tried.
-	handOverAt   time.Time
-	path         []cataloger.Stage
-	lastProgress time.Time
+	// failedHandovers counts the handovers that failed, and handOverAt is when the next one may be tried.
+	failedHandovers int
+	handOverAt      time.Time
+	path            []cataloger.Stage
+	lastProgress    time.Time
 	// lastEvent is the id of the last event that was delivered.
 	lastEvent string
 	// deliveredAt is when the last event was delivered.
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -253,14 +253,14 @@
 	return true
 }
 
-// endHandOver ends an attempt to hand the stream over that failed. The next one waits, unless the stream is silent.
+// endHandOver ends an attempt to hand the stream over that failed. The next one waits, unless the stream is silent and few have failed.
 func (g *generation) endHandOver(current *leg) {
 	now, s := g.relayer.Clock.Now(), g.stream()
 	g.endRepair(current, nil)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.handOverAt = now.Add(handoverRetryInterval)
-	if now.Sub(s.Last) > s.Patience/2 {
+	if g.failedHandovers++; g.failedHandovers < maxSends && now.Sub(s.Last) > s.Patience/2 {
 		g.handOverAt, g.repairAt = now, now
 	}
 }
