Keep a stream where it is until its next target has begun to answer

Cause: a send that was not refused within 50 ms counted as accepted. The 88 refusals that the 50 ms were taken from are of a small site.

Events that are delivered for the second time count as progress, and a send that takes over is watched from then on, not from when it was sent.

--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -19,6 +19,8 @@
 	// idle is the number of bytes received since the last event with an id.
 	idle    int
 	pending []byte
+	// repeatedCount is the number of events that were delivered before.
+	repeatedCount int
 	// repeating is true once the current send had an event with an id, and continued once it had a new one.
 	repeating bool
 	continued bool
@@ -71,6 +73,7 @@
 		case !okNow:
 			return false, false
 		case current <= previous:
+			e.repeatedCount++
 			return false, e.resumed
 		case current != previous+1:
 			return false, false
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -425,8 +425,11 @@
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := reply.Body.Read(buffer)
-		before := g.events.acceptedCount
+		before, repeated := g.events.acceptedCount, g.events.repeatedCount
 		out, intact := g.events.parse(buffer[:n])
+		if g.events.repeatedCount > repeated {
+			g.recordRepeat()
+		}
 		if len(out) > 0 {
 			// In a stream whose events have ids, bytes without one are not progress: a stalled stream may still send
 			// comments.
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// refusalWait is the time within which a target that has no room refuses a request: many round trips.
-	refusalWait = 50 * time.Millisecond
+	// handoverTimeout is how long the next target of a stream may take to begin: targets without room refuse at once, or only after
+	// a request has waited there. What the current send delivers meanwhile is repeated, so that the stream pauses about as long, and
+	// clients leave after two seconds.
+	handoverTimeout = time.Second
 	// handoverRetryInterval is the minimum time between two attempts to hand a stream over, within which targets without room may get
 	// some.
 	handoverRetryInterval = 500 * time.Millisecond
@@ -76,9 +78,14 @@
 
 // refused reports whether it is known that no target continues the stream over the leg.
 func (g *generation) refused(l *leg) bool {
+	return l.isDone() && (l.err != nil || l.reply.NotRun || !g.continues(l.reply))
+}
+
+// isDone reports whether a leg is answered or refused.
+func (l *leg) isDone() bool {
 	select {
 	case <-l.done:
-		return l.err != nil || l.reply.NotRun || !g.continues(l.reply)
+		return true
 	default:
 		return false
 	}
@@ -86,12 +93,7 @@
 
 // hasBegun reports whether the head of an answer has arrived.
 func (l *leg) hasBegun() bool {
-	select {
-	case <-l.done:
-		return l.reply != nil
-	default:
-		return false
-	}
+	return l.isDone() && l.reply != nil
 }
 
 // abort ends a leg that was not sent, or whose answer is not needed.
@@ -111,10 +113,13 @@
 
 // dropSuccessor ends the send that was to take over, as the answer is complete or has failed.
 func (g *generation) dropSuccessor() {
-	l := g.takeSuccessor()
-	if l == nil {
-		return
+	if l := g.takeSuccessor(); l != nil {
+		l.drop()
 	}
+}
+
+// drop ends a leg that was sent.
+func (l *leg) drop() {
 	l.abort()
 	go func() {
 		<-l.done
@@ -140,8 +145,8 @@
 	go r.handOver(g, current, cause)
 }
 
-// handOver sends a request over another pipeline while its stream continues, and ends the current send if no target refuses: a refusal
-// then leaves the stream where it is still served.
+// handOver sends a request over another pipeline while its stream continues, and ends the current send once a target there has begun to
+// answer: a refusal, however late, leaves the stream where it is still served.
 func (r *Relayer) handOver(g *generation, current *leg, cause error) {
 	// Targets are to have room for the stream once, not for both of its sends.
 	g.yieldMemory(current)
@@ -152,14 +157,9 @@
 		return
 	}
 	go r.exchange(l)
-	expired := make(chan struct{})
-	stop := r.Clock.AfterFunc(refusalWait, func() { close(expired) })
-	defer stop()
-	select {
-	case <-l.done:
-	case <-expired:
-	}
-	if !g.refused(l) {
+	r.awaitAnswer(l, handoverTimeout)
+	if l.isDone() && !g.refused(l) || !l.isDone() && g.isSilent() {
+		// A silent stream has nothing to lose.
 		current.cancel(cause)
 		return
 	}
@@ -169,6 +169,23 @@
 	}
 }
 
+// awaitAnswer waits until a leg is answered or refused, up to a time.
+func (r *Relayer) awaitAnswer(l *leg, d time.Duration) {
+	expired := make(chan struct{})
+	stop := r.Clock.AfterFunc(d, func() { close(expired) })
+	defer stop()
+	select {
+	case <-l.done:
+	case <-expired:
+	}
+}
+
+// isSilent reports whether the current send has delivered nothing for half of its patience.
+func (g *generation) isSilent() bool {
+	s := g.stream()
+	return g.relayer.Clock.Now().Sub(s.Last) > s.Patience/2
+}
+
 // yieldMemory returns the memory that is reserved for a send.
 func (g *generation) yieldMemory(current *leg) {
 	g.mu.Lock()
@@ -221,16 +238,17 @@
 	return l
 }
 
-// rejectSuccessor records a successor that was refused, and returns false if the generation has continued with it meanwhile. One that
-// did not run does not use up a send of the stream, which may need them once its target has ended.
+// rejectSuccessor records a successor that was refused or does not begin, and returns false if the generation has continued with it
+// meanwhile. One that did not run does not use up a send of the stream, which may need them once its target has ended.
 func (g *generation) rejectSuccessor(l *leg) bool {
-	ran := !errors.Is(l.err, exchanger.ErrNotSent) && (l.reply == nil || !l.reply.NotRun)
 	g.mu.Lock()
 	if g.successor != l {
 		g.mu.Unlock()
 		return false
 	}
 	g.successor = nil
+	isDone := l.isDone()
+	ran := !isDone || !errors.Is(l.err, exchanger.ErrNotSent) && (l.reply == nil || !l.reply.NotRun)
 	g.avoid[l.first.Name] = true
 	if ran {
 		g.mayHaveRun = true
@@ -238,6 +256,10 @@
 		g.runs++
 	}
 	g.mu.Unlock()
+	if !isDone {
+		l.drop()
+		return true
+	}
 	defer l.abort()
 	switch {
 	case l.err != nil:
@@ -255,12 +277,12 @@
 
 // endHandOver ends an attempt to hand the stream over that failed. The next one waits, unless the stream is silent and few have failed.
 func (g *generation) endHandOver(current *leg) {
-	now, s := g.relayer.Clock.Now(), g.stream()
+	now, silent := g.relayer.Clock.Now(), g.isSilent()
 	g.endRepair(current, nil)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.handOverAt = now.Add(handoverRetryInterval)
-	if g.failedHandovers++; g.failedHandovers < maxSends && now.Sub(s.Last) > s.Patience/2 {
+	if g.failedHandovers++; g.failedHandovers < maxSends && silent {
 		g.handOverAt, g.repairAt = now, now
 	}
 }
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -30,6 +30,9 @@
 	g.mu.Lock()
 	g.current, g.path, g.lastProgress, g.started, g.repairing, g.cancel = l, l.path, l.sentAt, false, false, l.cancel
 	g.sendStarted = l.sentAt
+	if l.hasBegun() {
+		g.lastProgress = r.Clock.Now()
+	}
 	g.release = l.release
 	g.mu.Unlock()
 	r.mu.Lock()
@@ -53,6 +56,13 @@
 	g.release()
 }
 
+// recordRepeat records that events have arrived that were delivered before, by a send that the stream has left.
+func (g *generation) recordRepeat() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastProgress = g.relayer.Clock.Now()
+}
+
 // recordProgress records that events have arrived, n of them with ids.
 func (g *generation) recordProgress(n int) {
 	now := g.relayer.Clock.Now()
