--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -88,6 +88,7 @@
 			if err == io.EOF {
 				_ = to.(*net.TCPConn).CloseWrite()
 			} else {
+				_ = to.(*net.TCPConn).SetLinger(0)
 				_ = to.Close()
 			}
 			return
