--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 }
 
 var cases = map[string]func(p *play) (broken bool, err error){
-	"silent-leave":  silentLeave,
-	"silent-config": silentConfig,
+	"silent-leave":       silentLeave,
+	"silent-config":      silentConfig,
+	"leaving-while-full": leavingWhileFull,
 }
 
 func main() { os.Exit(playCase()) }
