--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,7 @@
 }
 
 var cases = map[string]func(p *play) (broken bool, err error){
-	"silent-leave":       silentLeave,
+	"leaving-after-cut":  leavingAfterCut,
 	"silent-config":      silentConfig,
 	"leaving-while-full": leavingWhileFull,
 }
