--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -34,6 +34,9 @@
 	frontPort, readyPort, directoryPort, controlPort, firstPeerPort, metricsPort = 7801, 7802, 7803, 7804, 7810, 9464
 )
 
+// descriptors is how many descriptors a process may have, as on the machine of mittelland-b.
+const descriptors = 4200
+
 func (d *daemon) front() string     { return fmt.Sprintf("%s:%d", d.ip, frontPort) }
 func (d *daemon) ready() string     { return fmt.Sprintf("%s:%d", d.ip, readyPort) }
 func (d *daemon) directory() string { return fmt.Sprintf("%s:%d", d.ip, directoryPort) }
@@ -82,7 +85,7 @@
 cpu_share = 0.8
 cores = 1
 memory_mb = 544
-file_descriptors = 8400
+file_descriptors = %d
 link_mbps = 2000.0
 disk_mb = 0
 [fault_tolerance]
@@ -120,7 +123,7 @@
 history_s = 20
 value_bytes = 1048576
 min_ttl_ms = 1000
-`, d.name, d.ip, firstPeerPort, firstPeerPort+15, strings.Join(seeds, ","), d.front(), d.ready(), d.ip, controlPort, d.directory(), grace, stores[i])
+`, d.name, d.ip, firstPeerPort, firstPeerPort+15, strings.Join(seeds, ","), d.front(), d.ready(), d.ip, controlPort, d.directory(), descriptors, grace, stores[i])
 		if err := os.WriteFile(d.file, []byte(text), 0o644); err != nil {
 			return nil, err
 		}
@@ -159,7 +162,8 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(filepath.Join(root, "target/rattantray"), "gateway", "start", "--metrics-port", fmt.Sprint(metricsPort))
+	// The platform limits the descriptors of a process.
+	cmd := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q gateway start --metrics-port %d", descriptors, filepath.Join(root, "target/rattantray"), metricsPort))
 	cmd.Dir, cmd.Stdout, cmd.Stderr = root, log, log
 	cmd.Env = append(os.Environ(), "RATTANTRAY_BOOT="+d.file)
 	if err := cmd.Start(); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"leaving-after-cut":  leavingAfterCut,
 	"silent-config":      silentConfig,
 	"leaving-while-full": leavingWhileFull,
+	"idle-channels":      idleChannels,
 }
 
 func main() { os.Exit(playCase()) }
