Take only a failed list for an outage of the store, not a watch that is cut off

Cause: any failed call counted as an outage, also a waiting watch that the store cut off, which it may at any time. For 2.5 s after the next answer removed targets were kept in case they reappear, those too whose removal arrived as an event. The pause between retries was never reset, so single cuts added up to 1 s.

Change: a watch that ends is followed by a list at once, and only a list that fails is an outage. The return window and the pause between retries together fit into the 3 s after which a machine is in touch.

--- a/internal/follower/era.go
+++ b/internal/follower/era.go
@@ -40,9 +40,8 @@
 		return
 	}
 	f.Log.Warn().Str("prefix", f.Prefix).Stringer("revision", f.revision).Stringer("now", p).Msg("store came back from an older copy")
-	f.recoveredAt = f.Clock.Now()
-	f.restoredAt = f.recoveredAt
-	f.Clock.AfterFunc(ReturnWindow, f.dropLapsed)
+	f.restoredAt = f.Clock.Now()
+	f.returnUntil = f.restoredAt.Add(ReturnWindow)
 	f.Clock.AfterFunc(deferTime, f.applyDeferred)
 	f.revision = p
 	f.OnNewEra(p.Era())
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,10 +16,13 @@
 
 const (
 	// ReturnWindow is how long after the end of a store outage lapsed objects may reappear.
-	ReturnWindow = 2500 * time.Millisecond
-	// initialBackoff and maxBackoff bound the time between retries while the store is unavailable.
+	ReturnWindow = 2300 * time.Millisecond
+	// initialBackoff and maxBackoff bound the time between retries while the store is unavailable. The end of an outage is noticed
+	// up to maxBackoff late, which adds to ReturnWindow.
 	initialBackoff = 100 * time.Millisecond
-	maxBackoff     = time.Second
+	maxBackoff     = 700 * time.Millisecond
+	// minOutage is the shortest outage in which an object can lapse, as its owner misses several renewals by then.
+	minOutage = time.Second
 	// minListInterval is the minimum time between two lists requested by RequestList.
 	minListInterval = 400 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 	// Compare orders two values of an object by their content: it is negative if a is the earlier one and 0 if neither is. It
 	// decides between values of two eras, whose revisions can't be compared; if it is nil, the later era wins.
 	Compare func(a, b storer.Object) int
+	// MaxRemovalDelay bounds how long a removal that arrives while the store is available is held back in case the object reappears.
+	MaxRemovalDelay time.Duration
 	// KeepMissing keeps objects that are missing from a list of a new era.
 	KeepMissing bool
 	// OnNewEra is called when an answer or a peer shows a later era than before.
@@ -68,13 +73,17 @@
 	newestUnlisted storer.Point
 	// synced is true once a complete list was read.
 	synced bool
-	// failing is true from a failure of the store until its next answer, which arrives at recoveredAt.
-	failing     bool
-	recoveredAt time.Time
+	// failing is true from a failed list until the next answer of the store.
+	failing bool
+	// watchEnded is true if the watch before the current list ended by itself.
+	watchEnded bool
+	// answeredAt is when the store last answered, and returnUntil is the end of the time in which lapsed objects may reappear.
+	answeredAt, returnUntil time.Time
 	// restoredAt is when the store was last found to be restored from an older copy.
 	restoredAt time.Time
-	// lapsed are objects that the store no longer has and that may reappear soon.
-	lapsed map[string]bool
+	// lapsed holds the objects that the store no longer has and that may reappear until a given time. The time is zero while the
+	// store is unavailable.
+	lapsed map[string]time.Time
 	// tombstones are of objects dropped recently; deferred are dropped objects that a restored store lists again.
 	tombstones    map[string]tombstone
 	deferred      map[string]storer.Object
@@ -86,8 +95,8 @@
 func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
 	return &Follower{
 		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), ObserveRevision: func(storer.Point) {}, OnNewEra: func(uint64) {},
-		Behind:  func() bool { return false },
-		objects: map[string]storer.Object{}, lapsed: map[string]bool{}, tombstones: map[string]tombstone{}, deferred: map[string]storer.Object{},
+		Behind: func() bool { return false }, MaxRemovalDelay: ReturnWindow,
+		objects: map[string]storer.Object{}, lapsed: map[string]time.Time{}, tombstones: map[string]tombstone{}, deferred: map[string]storer.Object{},
 		listRequested: make(chan struct{}, 1), feed: newFeed(),
 	}
 }
@@ -140,43 +149,58 @@
 	}
 }
 
-// Run lists and watches the prefix until ctx is done, and returns nil.
+// Run lists and watches the prefix until ctx is done, and returns nil. A watch that ends is no outage by itself, as the store may cut
+// it off at any time: the next list shows whether the store is available.
 func (f *Follower) Run(ctx context.Context) error {
 	backoff := initialBackoff
 	for ctx.Err() == nil {
-		err := f.listAndWatch(ctx)
+		objects, revision, err := f.Store.List(ctx, f.Prefix)
+		listed := err == nil
+		if listed {
+			f.reconcile(objects, revision)
+			began := f.Clock.Now()
+			err = f.watch(ctx, revision)
+			if f.Clock.Now().Sub(began) >= maxBackoff {
+				backoff = 0
+			}
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
-		if errors.Is(err, storer.ErrCompacted) || errors.Is(err, errListRequested) || errors.Is(err, ErrSourceChanged) {
+		requested := errors.Is(err, storer.ErrCompacted) || errors.Is(err, errListRequested) || errors.Is(err, ErrSourceChanged)
+		f.setWatchEnded(listed && !requested)
+		switch {
+		case requested:
 			backoff = initialBackoff
 			_ = f.Clock.Sleep(ctx, initialBackoff)
 			continue
+		case listed:
+			f.Log.Info().Err(err).Str("prefix", f.Prefix).Msg("watch ended, reading all objects again")
+		default:
+			f.recordFailure(err)
+			f.syncFromPeer(ctx)
 		}
-		f.recordFailure(err)
-		f.syncFromPeer(ctx)
-		_ = f.Clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
-		backoff = min(2*backoff, maxBackoff)
-		if !f.Failing() {
-			backoff = initialBackoff
+		if backoff > 0 {
+			_ = f.Clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 		}
+		backoff = min(max(2*backoff, initialBackoff), maxBackoff)
 	}
 	return nil
 }
 
+func (f *Follower) setWatchEnded(ended bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchEnded = ended
+}
+
 var errListRequested = errors.New("a new list was requested")
 
 // ErrSourceChanged is returned by a Store that switches to another source; it does not count as an outage.
 var ErrSourceChanged = errors.New("the source of objects has changed")
 
-// listAndWatch lists the objects and then watches them until the watch ends.
-func (f *Follower) listAndWatch(ctx context.Context) error {
-	objects, revision, err := f.Store.List(ctx, f.Prefix)
-	if err != nil {
-		return err
-	}
-	f.recordSuccess()
-	f.reconcile(objects, revision)
+// watch watches the objects from a revision until the watch ends.
+func (f *Follower) watch(ctx context.Context, revision storer.Point) error {
 	if f.Behind() {
 		f.syncFromPeer(ctx)
 	}
@@ -184,8 +208,7 @@
 	defer cancel()
 	listRequested := make(chan struct{})
 	go f.awaitListRequest(ctx, cancel, listRequested)
-	err = f.Store.Watch(ctx, f.Prefix, revision, func(e storer.Event) error {
-		f.recordSuccess()
+	err := f.Store.Watch(ctx, f.Prefix, revision, func(e storer.Event) error {
 		f.applyEvent(e)
 		return nil
 	})
@@ -210,7 +233,7 @@
 	}
 }
 
-// Failing reports whether the last call to the store failed.
+// Failing reports whether the last list failed.
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -224,31 +247,37 @@
 		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Stringer("revision", f.revision).Msg("store lost, going on with what is known")
 	}
 	f.failing = true
+	for key := range f.lapsed {
+		f.lapsed[key] = time.Time{}
+	}
 }
 
-// recordSuccess records that the store has answered.
-func (f *Follower) recordSuccess() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// recordAnswer records that the store has answered; the caller holds mu.
+func (f *Follower) recordAnswer() {
+	f.answeredAt = f.Clock.Now()
 	if !f.failing {
 		return
 	}
 	f.failing = false
-	f.recoveredAt = f.Clock.Now()
+	f.returnUntil = f.answeredAt.Add(ReturnWindow)
 	f.Log.Info().Str("prefix", f.Prefix).Msg("store is back")
-	f.Clock.AfterFunc(ReturnWindow, f.dropLapsed)
 }
 
-// settling reports whether lapsed objects may still reappear.
-func (f *Follower) settling() bool {
-	return f.failing || !f.recoveredAt.IsZero() && f.Clock.Now().Sub(f.recoveredAt) < ReturnWindow
-}
+// returnTime returns how long lapsed objects may still reappear after an outage, or 0 if there was none lately; the caller holds mu.
+func (f *Follower) returnTime() time.Duration { return max(f.returnUntil.Sub(f.Clock.Now()), 0) }
 
 // reconcile applies a complete list.
 func (f *Follower) reconcile(objects []storer.Object, revision storer.Point) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// An outage that begins and ends while a watch waits shows in no failed call.
+	mayHaveLapsed := f.watchEnded && f.Clock.Now().Sub(f.answeredAt) >= minOutage
+	f.recordAnswer()
 	f.observeEra(revision)
+	hold := f.returnTime()
+	if hold == 0 && mayHaveLapsed {
+		hold = min(ReturnWindow, f.MaxRemovalDelay)
+	}
 	listed := make(map[string]bool, len(objects))
 	before := f.lastChange
 	for _, o := range objects {
@@ -267,11 +296,11 @@
 		if !f.covers(revision, o) {
 			continue
 		}
-		if !f.lapsed[key] {
+		if _, lapsed := f.lapsed[key]; !lapsed {
 			// The list does not show when the object was removed.
 			f.lastChange = max(f.lastChange, revision)
 		}
-		f.remove(key)
+		f.remove(key, hold)
 	}
 	for key := range f.deferred {
 		if !listed[key] {
@@ -289,6 +318,7 @@
 func (f *Follower) applyEvent(e storer.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordAnswer()
 	f.observeEra(e.Revision)
 	if e.Object.Key != "" {
 		f.lastChange = max(f.lastChange, e.Revision)
@@ -300,7 +330,7 @@
 		f.applyObject(e.Object, e.Revision)
 	case f.objects[e.Object.Key].Version <= e.Revision:
 		delete(f.deferred, e.Object.Key)
-		f.remove(e.Object.Key)
+		f.remove(e.Object.Key, min(f.returnTime(), f.MaxRemovalDelay))
 	}
 	f.revision = max(f.revision, e.Revision)
 	if f.newestUnlisted != 0 && e.Revision >= f.newestUnlisted {
@@ -345,16 +375,21 @@
 	return o.Version <= source && (!f.KeepMissing || o.Version.Era() >= source.Era())
 }
 
-// remove drops an object, or marks it as lapsed while it may reappear; the caller holds mu.
-func (f *Follower) remove(key string) {
+// remove drops an object, or marks it as lapsed if it may reappear for the time given by hold; the caller holds mu.
+func (f *Follower) remove(key string, hold time.Duration) {
 	if _, ok := f.objects[key]; !ok {
 		return
 	}
-	if f.settling() {
-		f.lapsed[key] = true
+	if hold <= 0 {
+		f.drop(key)
+		return
+	}
+	until := f.Clock.Now().Add(hold)
+	if earlier := f.lapsed[key]; !earlier.IsZero() && earlier.Before(until) {
 		return
 	}
-	f.drop(key)
+	f.lapsed[key] = until
+	f.Clock.AfterFunc(hold, f.dropLapsed)
 }
 
 func (f *Follower) drop(key string) {
@@ -367,15 +402,15 @@
 	f.Apply(deleted, true)
 }
 
-// dropLapsed drops the lapsed objects, unless the store has failed again in the meantime.
+// dropLapsed drops the lapsed objects that did not reappear in time.
 func (f *Follower) dropLapsed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.settling() {
-		return
-	}
-	for key := range f.lapsed {
-		f.drop(key)
+	now := f.Clock.Now()
+	for key, until := range f.lapsed {
+		if !until.IsZero() && !now.Before(until) {
+			f.drop(key)
+		}
 	}
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -230,3 +230,81 @@
 		require.Equal(t, map[string]string{"servers/a": "2"}, applied())
 	})
 }
+
+// TestRemovalIsHeldBackOnlyAfterAnOutage guards against removed targets that are used on, and against targets that are dropped though
+// they lapsed only while the store was away: what tells the two apart is how the removal arrives, and what failed before it.
+func TestRemovalIsHeldBackOnlyAfterAnOutage(t *testing.T) {
+	const maxDelay = 1500 * time.Millisecond
+	cut := func(s *fakeStore) { s.events <- storer.Event{} }
+	outage := func(d time.Duration) func(*fakeStore) {
+		return func(s *fakeStore) {
+			s.setError(storer.ErrUnavailable)
+			time.Sleep(d)
+			s.setError(nil)
+		}
+	}
+	cases := []struct {
+		name string
+		// quiet is how long the watch waits without an answer before fault.
+		quiet time.Duration
+		fault func(*fakeStore)
+		// removedBefore removes the object before the store answers again, so that a list shows it; otherwise an event does.
+		removedBefore bool
+		// keptFor is how long the object is used on after the next answer, and bound when it must be gone.
+		keptFor, bound time.Duration
+	}{
+		{"event", time.Minute, func(*fakeStore) {}, false, 0, 0},
+		{"event after a cut", time.Minute, cut, false, 0, initialBackoff},
+		{"event after an outage", time.Minute, outage(5 * time.Second), false, maxDelay - time.Second, maxBackoff + maxDelay},
+		{"list after a cut", minOutage / 2, cut, true, 0, initialBackoff},
+		{"list after a cut that may hide an outage", 5 * time.Second, cut, true, maxDelay - time.Millisecond, initialBackoff + maxDelay},
+		{"list after an outage", time.Minute, outage(5 * time.Second), true, 2 * time.Second, maxBackoff + ReturnWindow},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.set("servers/a", "1")
+				_, applied := followStore(t, s.store(), func(f *Follower) { f.MaxRemovalDelay = maxDelay })
+				time.Sleep(c.quiet)
+				require.Len(t, applied(), 1)
+				if c.removedBefore {
+					s.remove("servers/a")
+				}
+				c.fault(s)
+				answers := time.Now()
+				if !c.removedBefore {
+					synctest.Wait()
+					s.events <- s.remove("servers/a")
+				}
+				if c.keptFor > 0 {
+					time.Sleep(c.keptFor)
+					synctest.Wait()
+					require.Len(t, applied(), 1, "it may reappear")
+				}
+				time.Sleep(c.bound - time.Since(answers))
+				synctest.Wait()
+				require.Empty(t, applied())
+			})
+		})
+	}
+}
+
+// TestRequestedListEndsDoubtAboutARemoval guards against a target that is used on as its watch was silent before it was cut off, though
+// another daemon's write has since shown that the store was available and changes were missed.
+func TestRequestedListEndsDoubtAboutARemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.set("servers/a", "1")
+		f, applied := follow(t, s)
+		time.Sleep(5 * time.Second)
+		s.remove("servers/a")
+		s.events <- storer.Event{}
+		synctest.Wait()
+		require.Len(t, applied(), 1)
+		f.MarkMissedChanges()
+		time.Sleep(minListInterval + initialBackoff)
+		synctest.Wait()
+		require.Empty(t, applied())
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,9 @@
 	// and these writes reveal missed changes; together with the auditor's grace and a list call, this stays under the
 	// two seconds that a configuration change may take.
 	leaseDuration = 2 * time.Second
+	// removalSpread is reserved from the time that a removed target serves on, for the removal to reach the daemons that follow
+	// this one and for requests that are being sent.
+	removalSpread = 500 * time.Millisecond
 	// peersPrefix is the key prefix under which daemons store their peer addresses for daemons that start later.
 	peersPrefix = "gateways/"
 	stopTimeout = 30 * time.Second
@@ -234,6 +237,7 @@
 	g.targetFollower.ObserveRevision = g.auditor.RecordChange
 	g.targetFollower.Log, g.targetFollower.Apply, g.targetFollower.FetchFromPeer = g.Log, g.applyTarget, g.fetchNewerCopy
 	g.targetFollower.Compare, g.targetFollower.OnNewEra = g.compareTargets, g.HandleNewEra
+	g.targetFollower.MaxRemovalDelay = max(g.Settings.DrainTime-removalSpread, 0)
 
 	g.poster = poster.New(g.Settings.Name, conn, g.Clock)
 	g.poster.Log = g.Log
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -42,10 +42,16 @@
 	wg       sync.WaitGroup
 
 	mu sync.Mutex
-	// silent is closed to stop delivery to the store watches that began before.
-	silent chan struct{}
+	// silent is closed to stop delivery to the store watches that began before, and cutOff to cut these off.
+	silent, cutOff chan struct{}
+	// silentOnes holds by name the channels that are closed to stop delivery to the watches of single gateways.
+	silentOnes map[string]chan struct{}
 	// cuts holds by name the channels that are closed when gateways are cut off from the store.
 	cuts map[string]chan struct{}
+	// silentPeers is closed to stop the answers to all requests that peers have made before.
+	silentPeers chan struct{}
+	// configApply is the setting of all gateways.
+	configApply time.Duration
 	// linkRate is the rate at which each gateway sends to peers, in bytes a second; 0 is unlimited. linkFreeAt is, by address, when
 	// all that it is to send has left.
 	linkRate   float64
@@ -58,7 +64,7 @@
 // newSpreadFleet starts n gateways.
 func newSpreadFleet(t *testing.T, n int) *spreadFleet {
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cuts: map[string]chan struct{}{}, linkFreeAt: map[string]time.Time{}}
+	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cutOff: make(chan struct{}), silentOnes: map[string]chan struct{}{}, silentPeers: make(chan struct{}), configApply: applyBounds[n], cuts: map[string]chan struct{}{}, linkFreeAt: map[string]time.Time{}}
 	for i := range n {
 		f.start(i, true)
 	}
@@ -94,7 +100,7 @@
 	g := New(Settings{
 		Name: fmt.Sprintf("front-%03d", i), ClientListen: fmt.Sprint("client-", i), PeerListen: peerAddress(i), DataCentre: fmt.Sprint("dc-", i%3),
 		Seeds: []string{peerAddress(0), peerAddress(1), peerAddress(2)}, ConfigPrefix: "config/", TargetsPrefix: "servers/",
-		FirstStart: first, Grace: 8 * time.Second,
+		FirstStart: first, Grace: 8 * time.Second, DrainTime: drainTime,
 	}, timer.System{}, zerolog.Nop())
 	g.Adapter.Store = f.store(g.Settings.Name)
 	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
@@ -175,7 +181,11 @@
 			return err
 		}
 		f.mu.Lock()
-		silent := f.silent
+		silent, cutOff := f.silent, f.cutOff
+		if f.silentOnes[name] == nil {
+			f.silentOnes[name] = make(chan struct{})
+		}
+		silentOne := f.silentOnes[name]
 		f.mu.Unlock()
 		watchCtx, stop := context.WithCancel(ctx)
 		defer stop()
@@ -188,12 +198,17 @@
 			stop()
 			<-ended
 			return storer.ErrUnavailable
-		case <-silent:
+		case <-cutOff:
 			stop()
 			<-ended
-			<-ctx.Done()
-			return ctx.Err()
+			return storer.ErrUnavailable
+		case <-silent:
+		case <-silentOne:
 		}
+		stop()
+		<-ended
+		<-ctx.Done()
+		return ctx.Err()
 	}
 	return store
 }
@@ -207,8 +222,57 @@
 	synctest.Wait()
 }
 
-// fetch calls the peer handler of a gateway in place of its HTTP server.
+// silenceWatchesOf stops delivery to the current watches of a gateway.
+func (f *spreadFleet) silenceWatchesOf(g *Gateway) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.silentOnes[g.Settings.Name])
+	delete(f.silentOnes, g.Settings.Name)
+}
+
+// cutWatches cuts off all current watches; the store answers all other calls.
+func (f *spreadFleet) cutWatches() {
+	f.mu.Lock()
+	close(f.cutOff)
+	f.cutOff = make(chan struct{})
+	f.mu.Unlock()
+	synctest.Wait()
+}
+
+// silencePeers stops the answers to all current requests between gateways; later ones are answered.
+func (f *spreadFleet) silencePeers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.silentPeers)
+	f.silentPeers = make(chan struct{})
+}
+
+// fetch makes a request to a peer. If the connection goes silent, it returns when ctx is done.
 func (f *spreadFleet) fetch(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error) {
+	f.mu.Lock()
+	silent := f.silentPeers
+	f.mu.Unlock()
+	type answer struct {
+		message *peerv1.GatewayObjects
+		err     error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		message, err := f.fetchFrom(ctx, address, path, query)
+		answers <- answer{message, err}
+	}()
+	select {
+	case a := <-answers:
+		return a.message, a.err
+	case <-silent:
+		<-ctx.Done()
+		<-answers
+		return nil, ctx.Err()
+	}
+}
+
+// fetchFrom calls the peer handler of a gateway in place of its HTTP server.
+func (f *spreadFleet) fetchFrom(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error) {
 	f.mu.Lock()
 	all := f.all
 	f.mu.Unlock()
@@ -311,9 +375,12 @@
 	return n
 }
 
+// drainTime is how long a target serves after its removal: that of the deployments with 4 gateways.
+const drainTime = 2 * time.Second
+
 // applyBounds maps the size of the fleet to how long a change may take: the bounds of the deployments with 4, 31 and 118
-// gateways, and that of the design size.
-var applyBounds = map[int]time.Duration{4: 2 * time.Second, 31: 3 * time.Second, 118: 4 * time.Second, 400: 7 * time.Second}
+// gateways, and that of the design size. The bound of 4 is also that of 8, of which some follow others.
+var applyBounds = map[int]time.Duration{4: 2 * time.Second, 8: 2 * time.Second, 31: 3 * time.Second, 118: 4 * time.Second, 400: 7 * time.Second}
 
 // TestUnwatchedConfigChangeIsInForceInTime guards against gateways that still accept a withdrawn key seconds after the
 // acknowledgement, because the watches of the store went silent and only one gateway learned of the change.
