--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,8 +27,12 @@
 	maxCopyBytes = 32 << 20
 )
 
-// peerClient keeps a connection to each watcher that this daemon follows.
-var peerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
+// peerClient keeps a connection to each watcher that this daemon follows. copyClient opens a connection for each copy, as the one
+// that is kept may have gone silent.
+var (
+	peerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
+	copyClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+)
 
 // fetchObjects requests objects or changes from a peer.
 func fetchObjects(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error) {
@@ -37,7 +41,11 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := peerClient.Do(req)
+	client := peerClient
+	if path == objectsPath {
+		client = copyClient
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/netfaker/conn.go
+++ b/internal/netfaker/conn.go
@@ -71,6 +71,7 @@
 	queue        []segment
 	writerClosed bool
 	readerClosed bool
+	silent       bool
 	err          error
 	deadline     time.Time
 }
@@ -114,9 +115,9 @@
 			return 0, opError("read", net.ErrClosed)
 		case !p.deadline.IsZero() && !now.Before(p.deadline):
 			return 0, opError("read", os.ErrDeadlineExceeded)
-		case len(p.queue) > 0 && !now.Before(p.queue[0].due) && !p.net.isBlocked(p.from, p.to):
+		case len(p.queue) > 0 && !now.Before(p.queue[0].due) && !p.silent && !p.net.isBlocked(p.from, p.to):
 			return p.consume(b), nil
-		case len(p.queue) == 0 && p.writerClosed && !p.net.isBlocked(p.from, p.to):
+		case len(p.queue) == 0 && p.writerClosed && !p.silent && !p.net.isBlocked(p.from, p.to):
 			return 0, io.EOF
 		}
 		p.ready.Wait()
@@ -155,6 +156,13 @@
 	p.ready.Broadcast()
 }
 
+// silence holds back all data for good.
+func (p *pipe) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+}
+
 func (p *pipe) fail(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/netfaker/network.go
+++ b/internal/netfaker/network.go
@@ -183,6 +183,17 @@
 	}
 }
 
+// Silence makes the open connections of a host silent for good, without a reset; later ones work.
+func (n *Network) Silence(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.in.to == ip || c.in.from == ip {
+			c.in.silence()
+		}
+	}
+}
+
 // Partition blocks both directions between two groups of hosts; heal ends it.
 func (n *Network) Partition(a, b []string) (heal func()) {
 	forEachPair := func(f func(from, to string)) {
