Announce a new configuration to the next level of gateways as well

Cause: a follower learned of a change only over the connection to its source and by updates to one random peer in 250 ms, and left the source 0.8 s after that, whatever the bound of the deployment.

Change: each gateway announces a new configuration by datagram to up to eight gateways of the next level; the time after which a follower leaves its source is derived from config_apply_ms, between 0.4 and 0.8 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,9 @@
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
 	// DrainTime is how long targets serve after they were listed as leaving.
-	DrainTime   time.Duration
+	DrainTime time.Duration
+	// ConfigApply is how long a change of the configuration may take until it is in force everywhere; 0 is unknown.
+	ConfigApply time.Duration
 	RetryBudget rationer.Budget
 	// ConfigPrefix and TargetsPrefix are the keys of the store that hold the configuration and the targets.
 	ConfigPrefix  string
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -21,12 +21,23 @@
 	// lagTolerance is how long a change that a peer already has may take to arrive through a watch of the store, which
 	// batches changes for as long.
 	lagTolerance = 400 * time.Millisecond
-	// peerLagTolerance is the tolerance for changes that arrive through peers. A reader of the store that has missed a
+	// maxPeerLagTolerance is the tolerance for changes that arrive through peers. A reader of the store that has missed a
 	// change needs lagTolerance to notice and a list call to catch up; leaving it sooner would only lead to another peer
 	// that lags.
-	peerLagTolerance = 2 * lagTolerance
+	maxPeerLagTolerance = 2 * lagTolerance
+	// repairTime is how long a change that no watch delivers takes apart from the tolerance: until the next write of the
+	// lease holder, the auditor's grace, the announcements to the readers of the store and from them, and three lists.
+	repairTime = 1600 * time.Millisecond
 )
 
+// peerLagTolerance returns the tolerance for changes that arrive through peers, within which a change is still in force in time.
+func (s Settings) peerLagTolerance() time.Duration {
+	if s.ConfigApply == 0 {
+		return maxPeerLagTolerance
+	}
+	return min(max(s.ConfigApply-repairTime, lagTolerance), maxPeerLagTolerance)
+}
+
 // revisions holds the versions that a daemon has in force.
 type revisions struct {
 	// config is the version inside the document.
@@ -111,7 +122,7 @@
 	now := g.Clock.Now()
 	tolerance := lagTolerance
 	if !u.readsStore() {
-		tolerance = peerLagTolerance
+		tolerance = g.Settings.peerLagTolerance()
 	}
 	switch {
 	case !lagging:
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,9 +44,21 @@
 	return out
 }
 
-// announceRevisions announces to the other readers of the store a new configuration, and any change that no watch
-// delivered: their watches may have missed it too, and all other daemons follow them. Updates alone would take seconds
-// to reach them in a large fleet.
+// successorsInLevels returns the daemons of the next level that hear from this one of a new configuration. They may follow another
+// daemon; the announcement tells them when the connection to it has gone silent.
+func (g *Gateway) successorsInLevels() []cataloger.Member {
+	levels, ownLevel := watchLevels(candidates(g.allMembers()), g.Settings.Name)
+	if ownLevel+1 >= len(levels) {
+		return nil
+	}
+	next := levels[ownLevel+1]
+	first := min(memberIndex(levels[ownLevel], g.Settings.Name)*followersPerWatcher, len(next))
+	return next[first:min(first+followersPerWatcher, len(next))]
+}
+
+// announceRevisions announces to the other readers of the store and to the next level a new configuration, and any
+// change that no watch delivered: their watches may have missed it too, and all other daemons follow them. Updates alone
+// would take seconds to reach them in a large fleet.
 func (g *Gateway) announceRevisions(sent *sentRevisions) {
 	now := g.Clock.Now()
 	update := sentRevisions{config: g.configVersion(), missedConfig: g.configFollower.LastMissedChange(), missedTargets: g.targetFollower.LastMissedChange(), at: now}
@@ -53,13 +66,17 @@
 	if update.config > sent.config || update.unwatched {
 		*sent = update
 	}
-	if now.Sub(sent.at) > resendTime || !g.configUpstream.readsStore() {
+	if now.Sub(sent.at) > resendTime {
 		return
 	}
+	recipients := g.successorsInLevels()
+	if g.configUpstream.readsStore() {
+		recipients = slices.Concat(recipients, g.storeReaders())
+	}
 	message := &peerv1.GatewayRevisions{
 		Epoch: g.epoch, ConfigVersion: sent.config, TargetsRevision: uint64(g.targetFollower.LastChange()), Unwatched: sent.unwatched,
 	}
-	for _, m := range g.storeReaders() {
+	for _, m := range recipients {
 		if err := g.poster.Notify(m.PeerAddress, revisionsMethod, message); err != nil {
 			g.Log.Debug().Err(err).Str("peer", m.Name).Msg("failed to send revisions")
 		}
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -100,7 +100,7 @@
 	g := New(Settings{
 		Name: fmt.Sprintf("front-%03d", i), ClientListen: fmt.Sprint("client-", i), PeerListen: peerAddress(i), DataCentre: fmt.Sprint("dc-", i%3),
 		Seeds: []string{peerAddress(0), peerAddress(1), peerAddress(2)}, ConfigPrefix: "config/", TargetsPrefix: "servers/",
-		FirstStart: first, Grace: 8 * time.Second, DrainTime: drainTime,
+		FirstStart: first, Grace: 8 * time.Second, DrainTime: drainTime, ConfigApply: f.configApply,
 	}, timer.System{}, zerolog.Nop())
 	g.Adapter.Store = f.store(g.Settings.Name)
 	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
