Show that a head that stops in the middle is no answer

Another operator's report: a target stopped in the middle of the head of its answer and closed, and clients got a success with an empty or short body. TestHeadThatStopsIsNoAnswer plays each prefix of four heads: all are errors. It cannot happen here; nothing was changed.

--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// TestHeadThatStopsIsNoAnswer guards against a client that gets a success with an empty or short body, as a target stopped in the middle
+// of the head of its answer and closed.
+func TestHeadThatStopsIsNoAnswer(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 25\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+	} {
+		for n := 1; n < len(answer); n++ {
+			address, _ := target(t, []string{answer[:n], ""})
+			_, err := do(t, &Exchanger{}, address)
+			require.Error(t, err, "%q", answer[:n])
+			require.NotErrorIs(t, err, ErrNotSent, "%q", answer[:n])
+		}
+	}
+}
+
 func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
