Keep a paused stream where it is until its next target has answered

Cause: a stream that had delivered nothing for half of its patience, some 0.13 to 0.5 s, just as its next target had not answered for a second, was taken off its current one. If the next one then refused and no repeat was left, the answer was closed.

Evidence: in the claim's log the stream breaks exactly 1.00 s after the second send, with the cause `stream is moved`, and is refused 0.22 s later.

Change: a stream whose stages are all there stays until the next send has begun to answer or it goes on; only one with a lost stage is taken off at once.

--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -158,8 +158,12 @@
 	}
 	go r.exchange(l)
 	r.awaitAnswer(l, handoverTimeout)
+	for !l.isDone() && g.isSilent() && g.isSound(current) {
+		// Targets pause. The stream goes on where it is, or over the next send, whichever has an event first.
+		r.awaitAnswer(l, watchInterval)
+	}
 	if l.isDone() && !g.refused(l) || !l.isDone() && g.isSilent() {
-		// A silent stream has nothing to lose.
+		// A stream that has lost its targets has nothing to lose.
 		current.cancel(cause)
 		return
 	}
@@ -186,6 +190,17 @@
 	return g.relayer.Clock.Now().Sub(s.Last) > s.Patience/2
 }
 
+// isSound reports whether a send is still the current one, and no stage of it is lost.
+func (g *generation) isSound(current *leg) bool {
+	g.mu.Lock()
+	isCurrent, path := g.current == current, g.path
+	g.mu.Unlock()
+	return isCurrent && !slices.ContainsFunc(path, func(s cataloger.Stage) bool {
+		v, ok := g.relayer.Targets.Get(s.Target)
+		return !ok || v.Unreachable
+	})
+}
+
 // yieldMemory returns the memory that is reserved for a send.
 func (g *generation) yieldMemory(current *leg) {
 	g.mu.Lock()
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -26,6 +27,9 @@
 	hangs bool
 	// headAfter is how long the head takes.
 	headAfter time.Duration
+	// pauseAfter is the event after which the stream pauses for the time given by pause; 0 means that it does not.
+	pauseAfter int
+	pause      time.Duration
 	// lastEvent is the last event that arrives before the stream falls silent, or breaks if breaks is true; 0 means that all arrive.
 	lastEvent int
 	breaks    bool
@@ -97,7 +101,12 @@
 	}
 	body := newTimedEvents(ctx, call.ResumeAfter)
 	ended := func() bool { return a.lastEvent > 0 && body.next > a.lastEvent }
-	body.isSilent = func() bool { return ended() && !a.breaks }
+	body.isSilent = func() bool {
+		if a.pauseAfter > 0 && body.next == a.pauseAfter+1 {
+			time.Sleep(a.pause)
+		}
+		return ended() && !a.breaks
+	}
 	body.breaks = func() bool { return ended() && a.breaks }
 	return &Reply{Status: http.StatusOK, Header: http.Header{"Signature": {call.Target.Name}}, Body: body, Signed: true}, nil
 }
@@ -144,6 +153,25 @@
 	}
 }
 
+// TestPausedStreamIsKeptWhereItsMoveIsRefused guards against streams that are closed in the middle as they leave a target which still
+// serves them, when they pause just as the next target, which refuses after a while, has not answered for handoverTimeout.
+func TestPausedStreamIsKeptWhereItsMoveIsRefused(t *testing.T) {
+	for _, pause := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond, 1900 * time.Millisecond} {
+		for _, refusedAfter := range []time.Duration{1100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+			// The first event after which the stream pauses; it is left after some 0.3 s.
+			for _, pauseAfter := range []int{20, 30, 40, 55} {
+				t.Run(fmt.Sprint(pause, " ", refusedAfter, " ", pauseAfter), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newHandoverFleet(t, 1, answer{pauseAfter: pauseAfter, pause: pause}, answer{refuses: true, headAfter: refusedAfter})
+						f.leave(0)
+						f.requireWholeAnswer(t)
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestStreamIsHandedOver guards against a move that ends a send before the next one is accepted, whatever happens to either of them.
 func TestStreamIsHandedOver(t *testing.T) {
 	cases := []struct {
