Decide in one step whether a send has begun and is taken for lost

Cause: the watchdog looked whether a send had begun and ended it in two steps. An event that arrived between them was delivered, so that the answer had begun, and it was closed if no other target accepted the rest. The same holds for sends that are ended as quarantined.

Change: both are one step under the lock of the generation; an event is delivered, and the send goes on, or it is dropped together with the send.

--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -80,6 +80,8 @@
 	deliveredAt time.Time
 	meanGap     time.Duration
 	started     bool
+	// abandoned is true if the current send was ended before it began, and accepting while bytes of it are accepted.
+	abandoned, accepting bool
 	// harmless is true once a send has proved that the request does not crash targets: its answer went on after it began.
 	harmless bool
 	// trial is true if the current send was admitted to end a quarantine.
@@ -425,6 +427,9 @@
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := reply.Body.Read(buffer)
+		if !g.beginAccept() {
+			return g.handleBrokenStream(ctx, first, context.Cause(ctx))
+		}
 		before, repeated := g.events.acceptedCount, g.events.repeatedCount
 		out, intact := g.events.parse(buffer[:n])
 		if g.events.repeatedCount > repeated {
@@ -436,6 +441,7 @@
 			if g.events.acceptedCount > before || g.events.acceptedCount == 0 {
 				g.recordProgress(g.events.acceptedCount - before)
 			}
+			g.endAccept()
 			g.writeHead(reply)
 			if _, err := g.w.Write(out); err != nil {
 				return sendDone, nil
@@ -444,6 +450,7 @@
 				return sendDone, nil
 			}
 		}
+		g.endAccept()
 		switch {
 		case !intact:
 			return g.handleBrokenStream(ctx, first, errors.New("events are missing, or too long"))
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -24,12 +24,39 @@
 	return g.sends+1 < maxSends && g.runs+1 < max(g.request.Route.MaxAttempts, 1)
 }
 
+// abandon ends the current send, unless it has begun, and reports whether it did. An event that arrives at the same time is delivered
+// or dropped together with the send.
+func (g *generation) abandon(cause error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.started || g.accepting || g.current == nil {
+		return false
+	}
+	g.abandoned = true
+	g.cancel(cause)
+	return true
+}
+
+// beginAccept reports whether bytes that have arrived may be accepted; until endAccept, the send is not abandoned.
+func (g *generation) beginAccept() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.accepting = !g.abandoned
+	return g.accepting
+}
+
+func (g *generation) endAccept() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.accepting = false
+}
+
 // register makes a send the current one, which the watchdog checks.
 func (g *generation) register(l *leg) {
 	r := g.relayer
 	g.mu.Lock()
 	g.current, g.path, g.lastProgress, g.started, g.repairing, g.cancel = l, l.path, l.sentAt, false, false, l.cancel
-	g.sendStarted = l.sentAt
+	g.sendStarted, g.abandoned = l.sentAt, false
 	if l.hasBegun() {
 		g.lastProgress = r.Clock.Now()
 	}
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -180,7 +180,7 @@
 // target received later has.
 func (r *Relayer) resendLostRequest(g *generation, s repairer.Stream, generations []*generation, now time.Time) bool {
 	g.mu.Lock()
-	waiting, sendStarted, cancel := !g.started && !g.repairing, g.sendStarted, g.cancel
+	waiting, sendStarted := !g.started && !g.repairing, g.sendStarted
 	g.mu.Unlock()
 	if !waiting || now.Sub(s.Last) < lostRequestPatience*s.Patience || !g.movable() {
 		return false
@@ -192,8 +192,10 @@
 		if !g.prepayRetry() {
 			return false
 		}
+		if !g.abandon(errRequestLost) {
+			return false
+		}
 		r.Targets.RecordAnswer(s.Path[0].Target, false)
-		cancel(errRequestLost)
 		return true
 	}
 	return false
@@ -203,13 +205,9 @@
 // was sent.
 func (g *generation) endQuarantined() bool {
 	g.mu.Lock()
-	waiting, cancel := !g.started && !g.harmless && !g.trial, g.cancel
+	waiting := !g.started && !g.harmless && !g.trial
 	g.mu.Unlock()
-	if !waiting || !g.relayer.Quarantiner.IsQuarantined(g.keys) {
-		return false
-	}
-	cancel(errQuarantined)
-	return true
+	return waiting && g.relayer.Quarantiner.IsQuarantined(g.keys) && g.abandon(errQuarantined)
 }
 
 // startedAfter reports whether the generation was sent to the first target after a time and has begun there.
