Drop held objects at the end of the return window whatever the next list shows

Callers would see requests to a target that has left: its removal was held back, the store failed again, and the next list was older than the removal, so that nothing dropped it.

Test: TestLapsedObjectIsDroppedThoughTheNextListLags fails before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -261,6 +261,10 @@
 	f.failing = false
 	f.returnUntil = f.answeredAt.Add(ReturnWindow)
 	f.Log.Info().Str("prefix", f.Prefix).Msg("store is back")
+	for key := range f.lapsed {
+		f.lapsed[key] = f.returnUntil
+	}
+	f.Clock.AfterFunc(ReturnWindow, f.dropLapsed)
 }
 
 // returnTime returns how long lapsed objects may still reappear after an outage, or 0 if there was none lately; the caller holds mu.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -308,3 +308,30 @@
 		require.Empty(t, applied())
 	})
 }
+
+// TestLapsedObjectIsDroppedThoughTheNextListLags guards against a removed target that is used for good: it was held back as the store
+// failed again, and the next list is older than the removal.
+func TestLapsedObjectIsDroppedThoughTheNextListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.set("servers/a", "1")
+		_, applied := follow(t, s)
+		time.Sleep(time.Second)
+		s.setError(storer.ErrUnavailable)
+		time.Sleep(time.Second)
+		s.setError(nil)
+		time.Sleep(maxBackoff)
+		s.events <- s.remove("servers/a")
+		synctest.Wait()
+		require.Len(t, applied(), 1, "it may reappear")
+		s.setError(storer.ErrUnavailable)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.revision = 0
+		s.mu.Unlock()
+		s.setError(nil)
+		time.Sleep(maxBackoff + ReturnWindow)
+		synctest.Wait()
+		require.Empty(t, applied())
+	})
+}
