Close connections that clients leave idle for longer than configured

Cause: idle_timeout_ms was decoded and not used. Idle connections stayed for five minutes and used up the descriptors.

Change: a connection is closed once it has been idle for as long as the configuration in force when it became idle allows, those of health checks and address lookups too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -338,11 +338,11 @@
 		{Name: "orderer", Needs: []string{"duty", "config", "targets"}, Run: g.orderer.Run},
 		{Name: "links", Needs: []string{"members"}, Run: g.links.Run},
 		{Name: "watchdog", Needs: []string{"targets"}, Run: g.relayer.Watch},
-		{Name: "ready", Run: serve(g.Settings.ReadyListen, newServer(g.Adapter.Ready))},
-		{Name: "resolve", Needs: []string{"members"}, Run: serve(g.Settings.ResolveListen, newServer(g.Adapter.Resolve))},
+		{Name: "ready", Run: g.serveClients(g.Settings.ReadyListen, newServer(g.Adapter.Ready))},
+		{Name: "resolve", Needs: []string{"members"}, Run: g.serveClients(g.Settings.ResolveListen, newServer(g.Adapter.Resolve))},
 		{
 			Name: "client", Needs: []string{"config", "targets", "watchdog", "ready", "resolve", "peers"},
-			Run: serve(g.Settings.ClientListen, g.client), Stop: g.drain,
+			Run: g.serveClients(g.Settings.ClientListen, g.client), Stop: g.drain,
 		},
 	}
 }
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -12,7 +12,8 @@
 const (
 	// headerTimeout bounds reading the header of a request; it is over what any configuration asks for.
 	headerTimeout = 20 * time.Second
-	// idleTimeout is how long a connection without requests is kept; it is over what any configuration asks for.
+	// idleTimeout is how long a connection without requests is kept before a configuration is known, and between daemons. It is
+	// longer than headerTimeout, by which idle connections are told from others.
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes is over what any configuration allows; the handler checks the limit in force.
 	maxHeaderBytes = 256 << 10
@@ -25,13 +26,71 @@
 	}
 }
 
-// serve returns a service that serves HTTP on an address.
+// idleLimiter is a listener whose connections may be idle for a limited time.
+type idleLimiter struct {
+	net.Listener
+	// limit returns the limit for a connection that becomes idle now; 0 is none.
+	limit func() time.Duration
+}
+
+// Accept implements net.Listener.
+func (l idleLimiter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &limitedConn{Conn: c, limit: l.limit}, nil
+}
+
+// limitedConn is a connection of an idleLimiter.
+type limitedConn struct {
+	net.Conn
+	limit func() time.Duration
+}
+
+// SetReadDeadline implements net.Conn. The server sets a deadline beyond headerTimeout only while a connection is idle.
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	if now, limit := time.Now(), c.limit(); limit > 0 && t.Sub(now) > headerTimeout {
+		t = now.Add(min(limit, t.Sub(now)))
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the sending side, as the server does after an error.
+func (c *limitedConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// idleLimit returns how long clients may leave a connection idle, or 0 before a configuration is known.
+func (g *Gateway) idleLimit() time.Duration {
+	m := g.config.Load()
+	if m == nil {
+		return 0
+	}
+	return m.Limits().IdleTimeout
+}
+
+// serve returns a service that serves HTTP to other daemons on an address.
 func serve(address string, server *http.Server) func(ctx context.Context) error {
+	return serveWithLimit(address, server, func() time.Duration { return 0 })
+}
+
+// serveClients returns a service that serves HTTP to clients on an address.
+func (g *Gateway) serveClients(address string, server *http.Server) func(ctx context.Context) error {
+	return serveWithLimit(address, server, g.idleLimit)
+}
+
+// serveWithLimit returns a service that serves HTTP on an address and limits how long connections may be idle.
+func serveWithLimit(address string, server *http.Server, limit func() time.Duration) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
-		l, err := net.Listen("tcp", address)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		l := idleLimiter{Listener: listener, limit: limit}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
