--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -158,15 +158,22 @@
 func TestPausedStreamIsKeptWhereItsMoveIsRefused(t *testing.T) {
 	for _, pause := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond, 1900 * time.Millisecond} {
 		for _, refusedAfter := range []time.Duration{1100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
-			// The first event after which the stream pauses; it is left after some 0.3 s.
+			// The event after which the stream pauses; it is left after some 0.3 s, or as it pauses if its target vanishes.
 			for _, pauseAfter := range []int{20, 30, 40, 55} {
-				t.Run(fmt.Sprint(pause, " ", refusedAfter, " ", pauseAfter), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						f := newHandoverFleet(t, 1, answer{pauseAfter: pauseAfter, pause: pause}, answer{refuses: true, headAfter: refusedAfter})
-						f.leave(0)
-						f.requireWholeAnswer(t)
+				for _, vanishes := range []bool{false, true} {
+					t.Run(fmt.Sprint(pause, " ", refusedAfter, " ", pauseAfter, " ", vanishes), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							f := newHandoverFleet(t, 1, answer{pauseAfter: pauseAfter, pause: pause}, answer{refuses: true, headAfter: refusedAfter})
+							if vanishes {
+								f.relayer.DrainTime = 2 * time.Second
+								time.AfterFunc(100*time.Millisecond, func() { f.relayer.Targets.Remove(f.call(0).Target.Name) })
+							} else {
+								f.leave(0)
+							}
+							f.requireWholeAnswer(t)
+						})
 					})
-				})
+				}
 			}
 		}
 	}
