Share loads over the fleet and admit streams by urgency where they compete

Targets preempted 1,301 requests and rejected 3,306 of 16,508 arrivals; paths then crossed data centres (0.4 a request), pipes filled, and goodput fell from 1,149 to 422 and 579 requests on time in windows of 2 s. The priority of nearly all workspaces is the same, so that the routes' priorities decided nothing.

Change: package tallier sums the loads of targets over the fleet through a collector in each data centre; the chooser takes the sum for loads, extrapolates what grows, counts no more streams at a target than keep their objective for pauses, and gives each gateway a part of each pipe for new streams. Package ranker measures what share of the demand is more urgent; a stream leaves room for it. Urgency is the workspace's priority, then the route's. On where the streams of a service have routes of different priorities, or its kinds differ by eight in speed (loads only).

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -36,6 +36,8 @@
 	removedRetention = 15 * time.Second
 	// peerLoadSumAge is the maximum age of the sum of the peers' loads while none of them changes.
 	peerLoadSumAge = 250 * time.Millisecond
+	// fleetLoadSumAge is the same while the loads grow from one report to the next.
+	fleetLoadSumAge = 25 * time.Millisecond
 	// peerLoadRetention is how long the load that another daemon reported counts.
 	peerLoadRetention = 2 * time.Second
 )
--- a/internal/assessor/loads.go
+++ b/internal/assessor/loads.go
@@ -10,10 +10,19 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+const (
+	// fleetPeer is the name under which the loads of all other daemons together are kept.
+	fleetPeer = ""
+	// tallyLag is about how old the loads of all other daemons are when they arrive.
+	tallyLag = 150 * time.Millisecond
+)
+
 // peerLoad is the load of targets from another daemon.
 type peerLoad struct {
 	at          time.Time
 	tokenLayers map[uint32]float64
+	// growth is how much the load of a target grew per second lately; only what SetFleetLoads stores has it.
+	growth map[uint32]float64
 }
 
 // LoadKey returns the key under which daemons report the load of a target to each other.
@@ -21,7 +30,11 @@
 
 // peerLoads returns the sum of the recent loads of all peers by LoadKey; the caller holds mu.
 func (a *Assessor) peerLoads(now time.Time) map[uint32]float64 {
-	if !a.summedAt.IsZero() && now.Sub(a.summedAt) < peerLoadSumAge {
+	maxAge := peerLoadSumAge
+	if _, ok := a.peers[fleetPeer]; ok {
+		maxAge = fleetLoadSumAge
+	}
+	if !a.summedAt.IsZero() && now.Sub(a.summedAt) < maxAge {
 		return a.sums
 	}
 	a.sums, a.summedAt = map[uint32]float64{}, now
@@ -29,8 +42,9 @@
 		if now.Sub(p.at) >= peerLoadRetention {
 			continue
 		}
+		age := (now.Sub(p.at) + tallyLag).Seconds()
 		for key, n := range p.tokenLayers {
-			a.sums[key] += n
+			a.sums[key] += n + max(p.growth[key]*age, 0)
 		}
 	}
 	return a.sums
@@ -76,6 +90,19 @@
 	return out
 }
 
+// ServiceLoads returns the tokens times layers in progress on this daemon at the targets of a service, by target.
+func (a *Assessor) ServiceLoads(service string) map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]float64{}
+	for _, r := range a.listed(service) {
+		if r.tokenLayers > 0 {
+			out[r.target.Name] = r.tokenLayers
+		}
+	}
+	return out
+}
+
 // SetPeerLoads stores the load of targets from another daemon, in tokens times layers by LoadKey; nil removes the daemon.
 func (a *Assessor) SetPeerLoads(peer string, loads map[uint32]float64) {
 	a.mu.Lock()
@@ -87,3 +114,20 @@
 	}
 	a.peers[peer] = peerLoad{at: a.Now(), tokenLayers: maps.Clone(loads)}
 }
+
+// SetFleetLoads stores the load of targets from all other daemons together, as it was some time ago. Until the next one is known, loads
+// that grew lately are taken to grow on, as otherwise all daemons would fill the same targets at a time.
+func (a *Assessor) SetFleetLoads(loads map[uint32]float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	growth := map[uint32]float64{}
+	if last, ok := a.peers[fleetPeer]; ok && now.Sub(last.at) < peerLoadRetention && now.After(last.at) {
+		for key, load := range loads {
+			rate := (load - last.tokenLayers[key]) / now.Sub(last.at).Seconds()
+			growth[key] = (rate + last.growth[key]) / 2
+		}
+	}
+	a.summedAt = time.Time{}
+	a.peers[fleetPeer] = peerLoad{at: now, tokenLayers: maps.Clone(loads), growth: growth}
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -53,6 +53,10 @@
 	Tokens float64
 	// PrefillTokens is the number of tokens that its first path prefills at the start.
 	PrefillTokens float64
+	// GapObjective is the maximum pause between two events of a stream that is on time; 0 is none.
+	GapObjective time.Duration
+	// SharesLoads means that the daemons share their loads of the service's targets.
+	SharesLoads bool
 	// Precedence decides how much of a target's memory the generation may fill when memory is scarce.
 	Precedence Precedence
 }
@@ -84,6 +88,10 @@
 
 	// HasFleetLoads reports whether the tracked loads of targets include those of the other daemons.
 	HasFleetLoads func() bool
+	// HasTally reports whether they do for services whose loads are shared.
+	HasTally func() bool
+	// AnswerTime returns the typical time of an answer.
+	AnswerTime func() time.Duration
 	// Limits returns the use of the limits of targets, by the name of the target.
 	Limits func() map[string]throttler.State
 	// Draw returns a sample of the exponential distribution with mean 1.
@@ -96,10 +104,16 @@
 func New(targets *assessor.Assessor, now func() time.Time) *Chooser {
 	return &Chooser{
 		Targets: targets, Now: now, Daemons: func() int { return 1 }, HasFleetLoads: func() bool { return true },
+		HasTally: func() bool { return false }, AnswerTime: func() time.Duration { return 0 },
 		Limits: func() map[string]throttler.State { return nil }, Draw: rand.ExpFloat64,
 	}
 }
 
+// knowsLoads reports whether the tracked loads are those of the full fleet.
+func (c *Chooser) knowsLoads(d Demand) bool {
+	return c.HasFleetLoads() || d.SharesLoads && c.HasTally()
+}
+
 // candidates returns the targets that can run a part of a generation, with their memory for requests.
 func (c *Chooser) candidates(views []assessor.View, d Demand, avoid map[string]bool, load loadFunc) []candidate {
 	e := d.Engine
@@ -118,6 +132,7 @@
 		}
 		capacity := m.TokenLayers(end - first)
 		used := load(v, capacity, end-first)
+		capacity = min(capacity, d.paceCapacity(v, capacity, end-first))
 		if !d.fits(used, capacity, end-first) {
 			continue
 		}
@@ -183,20 +198,21 @@
 	if e.Layers == 0 {
 		return leastLoadedTarget(views, avoid, c.Limits())
 	}
-	path, ok := c.cheapestOver(e, c.holders(views, d, avoid, c.loadEstimate(views, d)))
-	if !ok && !c.HasFleetLoads() {
+	path, ok := c.cheapestOver(d, c.holders(views, d, avoid, c.loadEstimate(views, d)))
+	if !ok && !c.knowsLoads(d) {
 		// Estimated loads only steer requests towards other targets. They refuse none: a target itself knows whether it is full.
-		path, ok = c.cheapestOver(e, c.holders(views, d, avoid, trackedLoad))
+		path, ok = c.cheapestOver(d, c.holders(views, d, avoid, trackedLoad))
 	}
 	return path, ok
 }
 
 // cheapestOver returns the cheapest path whose holders all have the same version of the weights.
-func (c *Chooser) cheapestOver(e *matcher.Engine, holders map[string][]pathfinder.Holder) ([]cataloger.Stage, bool) {
+func (c *Chooser) cheapestOver(d Demand, holders map[string][]pathfinder.Holder) ([]cataloger.Stage, bool) {
+	e := d.Engine
 	var best []cataloger.Stage
 	bestCost := 0.0
 	for _, versionHolders := range holders {
-		p := pathfinder.Problem{End: e.Layers, Holders: versionHolders, CrossingCost: c.crossingCosts(e), MaxStages: maxStages}
+		p := pathfinder.Problem{End: e.Layers, Holders: versionHolders, CrossingCost: c.crossingCosts(d), MaxStages: maxStages}
 		if stages, cost, ok := p.Find(); ok && !math.IsInf(cost, 1) && (best == nil || cost < bestCost) {
 			best, bestCost = stages, cost
 		}
@@ -361,7 +377,7 @@
 			continue
 		}
 		p := pathfinder.Problem{
-			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: c.crossingCosts(e),
+			First: s.FirstLayer, End: s.EndLayer, Holders: spare, CrossingCost: c.crossingCosts(d),
 			PreviousDataCentre: c.dataCentreOf(path[i-1]),
 		}
 		if i+1 < len(path) {
--- a/internal/chooser/load.go
+++ b/internal/chooser/load.go
@@ -24,7 +24,7 @@
 // target, shrunk towards the load that would fill all targets equally.
 func (c *Chooser) loadEstimate(views []assessor.View, d Demand) loadFunc {
 	daemons := float64(max(c.Daemons(), 1))
-	if c.HasFleetLoads() || daemons == 1 {
+	if c.knowsLoads(d) || daemons == 1 {
 		return trackedLoad
 	}
 	var totalUsed, totalCapacity float64
--- a/internal/chooser/pipes_test.go
+++ b/internal/chooser/pipes_test.go
@@ -77,9 +77,9 @@
 func TestSlowPipesCostMore(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c, d := newCrossingChooser(12, &now)
-	slow := c.crossingCosts(d.Engine)("a", "b")
+	slow := c.crossingCosts(d)("a", "b")
 	d.Engine.PipeBytesPerSecond *= 30
-	fast := c.crossingCosts(d.Engine)("a", "b")
+	fast := c.crossingCosts(d)("a", "b")
 	require.Greater(t, slow, 2*fast)
 	require.InDelta(t, idleCrossingCost.Seconds(), fast, idleCrossingCost.Seconds()/5)
 }
--- a/internal/chooser/precedence.go
+++ b/internal/chooser/precedence.go
@@ -4,13 +4,8 @@
 	// maxFillShare is the maximum share of a target's memory for requests that is used; the rest allows for the lag of the loads
 	// that other daemons report.
 	maxFillShare = 0.97
-	// rankReserve is the share that each rank leaves to the ranks before it, for up to maxRanks ranks.
-	rankReserve = 0.03
-	maxRanks    = 3
-	// returnReserve is the share that new clients leave to those of their rank that return after a refusal.
-	returnReserve = 0.01
-	// unrankedShare is the share of requests whose rank is ignored, so that no rank is starved by those before it.
-	unrankedShare = 0.25
+	// maxRanks bounds the ranks that leave room to the ranks before them.
+	maxRanks = 3
 	// largeRequestFactor is the size of a large request, in requests of usual size. Any request is admitted only where a large
 	// one would fit too: if each needed capacity for itself only, small ones would fill every gap and large ones would starve.
 	largeRequestFactor = 2
@@ -22,6 +17,28 @@
 	limitReturnReserve = 0.1
 )
 
+// reserves are the shares of a target's memory that a generation which has not begun leaves to others.
+type reserves struct {
+	// begun is left to streams that have begun.
+	begun float64
+	// rank is what each rank leaves to the ranks before it, for up to maxRanks ranks.
+	rank float64
+	// ahead is left to all ranks before while these are the whole demand, and less as they are less of it.
+	ahead float64
+	// returning is what new clients leave to those of their rank that return after a refusal.
+	returning float64
+	// unranked is the share of requests whose rank is ignored, so that no rank is starved by those before it.
+	unranked float64
+}
+
+var (
+	// ordinaryReserves hold where all streams of a service have the same priority.
+	ordinaryReserves = reserves{rank: 0.03, returning: 0.01, unranked: 0.25}
+	// contendedReserves hold where streams compete by priority. Targets drop streams when memory runs out, and the ranks ahead need room
+	// until all daemons know that they take it.
+	contendedReserves = reserves{begun: 0.05, ahead: 0.3, returning: 0.02, unranked: 0.05}
+)
+
 // Precedence orders generations for scarce memory; its zero value is the highest precedence of a new client.
 type Precedence struct {
 	// Rank is the number of ranks that go before the rank of the generation.
@@ -30,21 +47,34 @@
 	Returning bool
 	// Begun is true for a stream that has delivered events; it goes before all others.
 	Begun bool
+	// Ahead is the share of the recent demand that is of ranks before that of the generation, in [0,1]; known where ranks compete.
+	Ahead float64
+	// Contended is true if generations of different ranks compete for the memory of the service.
+	Contended bool
 	// Draw is uniform in [0,1).
 	Draw float64
 }
 
+// reserves returns what the generation leaves to others.
+func (s Precedence) reserves() reserves {
+	if s.Contended {
+		return contendedReserves
+	}
+	return ordinaryReserves
+}
+
 // maxFill returns the share of a target's memory for requests up to which the generation is admitted.
 func (s Precedence) maxFill() float64 {
 	if s.Begun {
 		return maxFillShare
 	}
-	share := maxFillShare
+	kept := s.reserves()
+	share := maxFillShare - kept.begun
 	if !s.Returning {
-		share -= returnReserve
+		share -= kept.returning
 	}
-	if s.Draw < 1-unrankedShare {
-		share -= rankReserve * float64(min(s.Rank, maxRanks))
+	if s.Draw < 1-kept.unranked {
+		share -= kept.rank*float64(min(s.Rank, maxRanks)) + kept.ahead*s.Ahead
 	}
 	return share
 }
@@ -58,7 +88,7 @@
 	if !s.Returning {
 		reserve += limitReturnReserve
 	}
-	if s.Draw < 1-unrankedShare {
+	if s.Draw < 1-s.reserves().unranked {
 		reserve += limitRankReserve * float64(min(s.Rank, maxRanks))
 	}
 	return reserve
--- a/internal/chooser/precedence_test.go
+++ b/internal/chooser/precedence_test.go
@@ -14,15 +14,19 @@
 func TestMaxFillFollowsPrecedence(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rank, draw := rapid.IntRange(0, 6).Draw(rt, "rank"), rapid.Float64Range(0, 0.999).Draw(rt, "draw")
-		initial := Precedence{Rank: rank, Draw: draw}
+		initial := Precedence{
+			Rank: rank, Draw: draw, Contended: rapid.Bool().Draw(rt, "contended"), Ahead: rapid.Float64Range(0, 1).Draw(rt, "ahead"),
+		}
 		returning, begun, below := initial, initial, initial
 		returning.Returning = true
 		begun.Begun = true
 		below.Rank += rapid.IntRange(0, 3).Draw(rt, "below")
+		below.Ahead = rapid.Float64Range(below.Ahead, 1).Draw(rt, "ahead of below")
 		require.Less(rt, initial.maxFill(), returning.maxFill())
 		require.LessOrEqual(rt, returning.maxFill(), begun.maxFill())
 		require.LessOrEqual(rt, below.maxFill(), initial.maxFill())
-		require.Greater(rt, below.maxFill(), maxFillShare-rankReserve*maxRanks-2*returnReserve)
+		kept := initial.reserves()
+		require.Greater(rt, below.maxFill(), maxFillShare-kept.begun-kept.ahead-kept.rank*maxRanks-2*kept.returning)
 	})
 }
 
--- a/internal/chooser/repair_test.go
+++ b/internal/chooser/repair_test.go
@@ -141,7 +141,7 @@
 	require.Equal(t, 60*2*16*time.Millisecond+16*time.Millisecond, c.transferWait(d, nil, pathOf(head, otherTail)))
 	require.Equal(t, 16*time.Millisecond, c.transferWait(d, nil, pathOf(otherHead, tail)))
 	require.Equal(t, 16*time.Millisecond, c.transferWait(d, nil, pathOf(head, thirdTail)))
-	cost := c.crossingCosts(testEngine())
+	cost := c.crossingCosts(Demand{Engine: testEngine()})
 	require.Greater(t, cost("a", "b"), idleCrossingCost.Seconds())
 	require.InDelta(t, idleCrossingCost.Seconds(), cost("b", "a"), 1e-9)
 	c.Targets.Suspect(tail.name, 1, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/relayer"
 	"github.com/rattantray/rattantray/internal/storer"
+	"github.com/rattantray/rattantray/internal/tallier"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/internal/tracker"
 	"github.com/rattantray/rattantray/internal/tunneler"
@@ -109,6 +110,7 @@
 	orderer       *orderer.Orderer
 	gossiper      *gossiper.Gossiper
 	poster        *poster.Poster
+	tallier       *tallier.Tallier
 	tracker       *tracker.Tracker
 	members       atomic.Pointer[membership]
 	started       time.Time
@@ -261,6 +263,7 @@
 	r.Sharers = func() int { return g.fleetSize.Max(g.Clock.Now()) }
 	r.Chooser.Daemons = func() int { return len(g.others()) + 1 }
 	r.Chooser.HasFleetLoads = g.gossiper.Mesh
+	g.prepareTallier()
 	r.Chooser.DataCentre = cataloger.DataCentre(g.Settings.DataCentre)
 	r.OnTargetLost = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
 	r.OnTargetLeaving = func(cataloger.Target) { g.gossiper.NotifyUrgent() }
@@ -328,6 +331,7 @@
 		{Name: "tracker", Needs: []string{"poster"}, Run: g.tracker.Run},
 		{Name: "members", Needs: []string{"tracker"}, Run: g.watchMembers},
 		{Name: "gossiper", Needs: []string{"members"}, Run: g.gossiper.Run},
+		{Name: "tallier", Needs: []string{"members"}, Run: g.tallier.Run},
 		{Name: "register", Needs: []string{"members"}, Run: g.register},
 		{Name: "lag", Needs: []string{"config", "targets", "gossiper"}, Run: g.watchLag},
 		{Name: "peers", Run: serve(g.Settings.PeerListen, newServer(g.peerHandler()))},
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -149,6 +149,7 @@
 // removePeer removes the load and the revisions of a daemon that is gone.
 func (g *Gateway) removePeer(name string) {
 	g.targets.SetPeerLoads(name, nil)
+	g.tallier.Forget(name)
 	g.peerRevisions.forget(name)
 	g.Log.Info().Str("peer", name).Msg("peer gone")
 }
--- a/internal/matcher/document.go
+++ b/internal/matcher/document.go
@@ -1,6 +1,7 @@
 package matcher
 
 import (
+	"math"
 	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
@@ -81,6 +82,8 @@
 	SequenceTime time.Duration
 	// ContextTime is the time that 1,000 tokens of context add to a step.
 	ContextTime time.Duration
+	// StepsPerPass is the number of token steps that a target runs before it sends on what they give; an event holds as many tokens.
+	StepsPerPass int
 	// PrefillRate is in tokens a second over all layers at factor 1.
 	PrefillRate float64
 	// ActivationBytes is the size of one token on a link.
@@ -95,6 +98,20 @@
 	Kinds       map[string]Accelerator
 }
 
+// PaceSpread returns how many times faster the fastest kind of accelerator is than the slowest; 1 if they are alike or unknown.
+func (e *Engine) PaceSpread() float64 {
+	fastest, slowest := math.Inf(1), 0.0
+	for _, k := range e.Kinds {
+		if k.Pace > 0 {
+			fastest, slowest = min(fastest, k.Pace), max(slowest, k.Pace)
+		}
+	}
+	if slowest == 0 {
+		return 1
+	}
+	return slowest / fastest
+}
+
 // Service is a set of interchangeable targets.
 type Service struct {
 	Name       string
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -9,6 +9,9 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+// minPaceSpread is how many times faster the fastest kind of accelerator of a service is than the slowest where they differ much.
+const minPaceSpread = 8
+
 // Matcher looks up requests in one document. It is immutable, so that a request sees one version throughout.
 type Matcher struct {
 	document   Document
@@ -17,6 +20,9 @@
 	workspaces map[string]*Workspace
 	// priorities holds the distinct priorities of the requests for each service, the highest first.
 	priorities map[string][]int
+	// contended holds the services whose streams have routes of different priorities, and urgencies what their streams can have.
+	contended map[string]bool
+	urgencies map[string][]urgency
 }
 
 // New returns a matcher for a document, which must not change afterwards.
@@ -27,6 +33,8 @@
 		services:   map[string]*Service{},
 		workspaces: map[string]*Workspace{},
 		priorities: map[string][]int{},
+		contended:  map[string]bool{},
+		urgencies:  map[string][]urgency{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -45,9 +53,52 @@
 		}
 	}
 	m.collectPriorities()
+	m.findContended()
 	return m
 }
 
+// findContended finds the services whose streams have routes of different priorities, and what urgencies these streams can have.
+func (m *Matcher) findContended() {
+	routes := map[string][]int{}
+	for i := range m.document.Routes {
+		r := &m.document.Routes[i]
+		if r.Kind != KindStreaming {
+			continue
+		}
+		for _, s := range r.Shares {
+			routes[s.Service] = append(routes[s.Service], r.Priority)
+		}
+	}
+	for service, priorities := range routes {
+		slices.Sort(priorities)
+		priorities = slices.Compact(priorities)
+		if len(priorities) == 1 {
+			continue
+		}
+		m.contended[service] = true
+		for _, route := range priorities {
+			m.urgencies[service] = append(m.urgencies[service], urgency{route, route})
+			for i := range m.document.Workspaces {
+				if p := m.document.Workspaces[i].Priority; p != nil {
+					m.urgencies[service] = append(m.urgencies[service], urgency{*p, route})
+				}
+			}
+		}
+		slices.SortFunc(m.urgencies[service], compareUrgencies)
+		m.urgencies[service] = slices.Compact(m.urgencies[service])
+	}
+}
+
+// Contended reports whether the streams of a service compete for room by the priorities of their routes.
+func (m *Matcher) Contended(service string) bool { return m.contended[service] }
+
+// SharesLoads reports whether the daemons share what they have in progress at the targets of a service: where its streams compete by
+// priority, or where its targets differ much in speed.
+func (m *Matcher) SharesLoads(service string) bool {
+	s, ok := m.services[service]
+	return ok && s.Engine != nil && (m.contended[service] || s.Engine.PaceSpread() >= minPaceSpread)
+}
+
 // collectPriorities collects the priorities that requests for each service can have.
 func (m *Matcher) collectPriorities() {
 	var workspacePriorities []int
@@ -117,6 +168,21 @@
 	return i
 }
 
+// urgency orders the streams of a service whose routes have different priorities: by the priority that the request has by its workspace,
+// then by that of its route.
+type urgency struct{ priority, route int }
+
+// Urgency returns the number of urgencies that the streams of a contended service can have before that of a request with a priority on
+// a route.
+func (m *Matcher) Urgency(service string, priority int, r *Route) int {
+	i, _ := slices.BinarySearchFunc(m.urgencies[service], urgency{priority, r.Priority}, compareUrgencies)
+	return i
+}
+
+func compareUrgencies(a, b urgency) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.route, b.route))
+}
+
 // Priority returns the priority of a workspace's requests on a route, 0 the highest.
 func (m *Matcher) Priority(r *Route, workspace cataloger.Workspace) int {
 	for i := range m.document.Workspaces {
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
 func testDocument() Document {
@@ -88,3 +90,47 @@
 	_, ok = m.PickService(&Route{}, 0.5)
 	require.False(t, ok)
 }
+
+// Streams of one service whose routes have different priorities compete by their workspace's priority, then by their route's.
+func TestUrgency(t *testing.T) {
+	d := testDocument()
+	d.Routes = []Route{
+		{Name: "book", Host: "h", PathPrefix: "/b/", Kind: KindStreaming, Priority: 0, Shares: []Share{{Service: "llm"}}},
+		{Name: "sum", Host: "h", PathPrefix: "/s/", Kind: KindStreaming, Priority: 2, Shares: []Share{{Service: "llm"}}},
+		{Name: "look", Host: "h", PathPrefix: "/l/", Kind: KindIdempotent, Priority: 1, Shares: []Share{{Service: "app"}}},
+	}
+	d.Services = []Service{{Name: "llm", Engine: &Engine{}}, {Name: "app"}}
+	later := 1
+	d.Workspaces = append(d.Workspaces, Workspace{Name: "night", Keys: []string{"k4"}, Priority: &later})
+	m := New(d)
+	require.True(t, m.Contended("llm"))
+	require.False(t, m.Contended("app"))
+	last := -1
+	for _, c := range []struct {
+		workspace string
+		route     int
+	}{{"counter", 0}, {"counter", 1}, {"night", 0}, {"night", 1}} {
+		r := &d.Routes[c.route]
+		urgency := m.Urgency("llm", m.Priority(r, cataloger.Workspace(c.workspace)), r)
+		require.Greater(t, urgency, last, "%s of %s", r.Name, c.workspace)
+		last = urgency
+	}
+	require.False(t, New(testDocument()).Contended("llm"))
+}
+
+// Loads are shared where streams compete, or where the targets of a service differ much in speed.
+func TestSharesLoads(t *testing.T) {
+	kinds := func(paces ...float64) *Engine {
+		e := &Engine{Kinds: map[string]Accelerator{}}
+		for i, pace := range paces {
+			e.Kinds[string(rune('a'+i))] = Accelerator{Pace: pace}
+		}
+		return e
+	}
+	m := New(Document{Services: []Service{{Name: "even", Engine: kinds(3, 16)}, {Name: "uneven", Engine: kinds(1.4, 3, 16)}, {Name: "none", Engine: kinds()}, {Name: "app"}}})
+	require.False(t, m.SharesLoads("even"))
+	require.True(t, m.SharesLoads("uneven"))
+	require.False(t, m.SharesLoads("none"))
+	require.False(t, m.SharesLoads("app"))
+	require.False(t, m.SharesLoads("gone"))
+}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -123,6 +123,9 @@
 	if first == 0 {
 		first = notMeasured
 	}
+	if refusal == nil {
+		r.recordAnswerTime(r.Clock.Now().Sub(req.Arrived))
+	}
 	r.logEnd(req, refusal, first, g.describe)
 	if refusal != nil && g.headWritten {
 		// The answer has begun and must not look complete.
--- a/internal/relayer/path.go
+++ b/internal/relayer/path.go
@@ -34,7 +34,7 @@
 		}
 		path, ok := g.findPath(ctx)
 		if !ok {
-			wait := max(r.Chooser.RetryAfter(demand), noPathRetry)
+			wait := max(r.Chooser.RetryAfter(demand), r.Chooser.TimeToRoom(demand), noPathRetry)
 			return nil, refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(demand)).WithRetryAfter(wait)
 		}
 		first, ok := r.Targets.Get(path[0].Target)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/quarantiner"
+	"github.com/rattantray/rattantray/internal/ranker"
 	"github.com/rattantray/rattantray/internal/rationer"
 	"github.com/rattantray/rattantray/internal/throttler"
 	"github.com/rattantray/rattantray/internal/timer"
@@ -71,12 +72,16 @@
 	lastQueried    map[string]time.Time
 	crashChecks    map[string]*crashCheck
 	returnDetector returnDetector
+	// ranker measures the demand by rank for services whose ranks compete.
+	ranker ranker.Ranker
 	// reporting is true while evidence of crashes is collected.
 	reporting atomic.Bool
 	// typicalFirstWait is the typical wait for a first event, in nanoseconds.
 	typicalFirstWait atomic.Int64
 	// typicalGapNanos is the typical time between two events, in nanoseconds.
 	typicalGapNanos atomic.Int64
+	// typicalAnswerNanos is the typical time of an answer, in nanoseconds; 0 before the first one.
+	typicalAnswerNanos atomic.Int64
 	// closing is set once the daemon ends without another daemon to replace it.
 	closing atomic.Pointer[Closing]
 	// end is done once requests without an answer are refused, as the daemon ends.
@@ -109,7 +114,7 @@
 		crashChecks:     map[string]*crashCheck{},
 	}
 	r.end, r.endNow = context.WithCancel(context.Background())
-	r.Chooser.Limits = r.Throttler.States
+	r.Chooser.Limits, r.Chooser.AnswerTime = r.Throttler.States, r.typicalAnswerTime
 	r.typicalFirstWait.Store(int64(maxFirstEventTimeout / firstEventTimeoutFactor))
 	return r
 }
@@ -122,6 +127,9 @@
 	}
 	r.rationer(req.Service.Name).RecordRequest(r.Clock.Now())
 	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
+	if req.Precedence.Contended {
+		req.Precedence.Ahead = r.ranker.Record(req.Service.Name, req.Precedence.Rank, req.demand().Tokens, r.Clock.Now())
+	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	answer := &answerWriter{ResponseWriter: w}
@@ -152,7 +160,7 @@
 // logSent logs one send.
 func (r *Relayer) logSent(call Call, sendNumber int) {
 	r.Log.Info().Str("request", call.Request.ID).Str("target", call.Target.Name).Int("sending", sendNumber).Dur("left", call.Remaining).
-		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Strs("parts", call.Request.PromptParts).Uint64("content", uint64(call.Content)).
+		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Int("rank", call.Request.Precedence.Rank).Strs("parts", call.Request.PromptParts).Uint64("content", uint64(call.Content)).
 		Str("path", pathText(call.Path)).Msg("request sent")
 }
 
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -28,7 +28,9 @@
 	Service   *matcher.Service
 	// Priority is 0 for the most urgent requests.
 	Priority int
-	// Precedence is the claim of a generation on scarce memory; all but its rank is computed here.
+	// SharesLoads means that the daemons share their loads of the service's targets.
+	SharesLoads bool
+	// Precedence is the claim of a generation on scarce memory; all but its rank, and whether ranks compete, is computed here.
 	Precedence chooser.Precedence
 	// ConfigVersion is that of the configuration that allowed the request.
 	ConfigVersion uint64
@@ -52,10 +54,16 @@
 func (r *Request) demand() chooser.Demand {
 	e := r.Service.Engine
 	read, tokens := chooser.EstimateTokens(e, r.PromptTokens, r.MaxTokens, r.HintTokens)
+	if r.SharesLoads {
+		tokens = chooser.MeanTokens(read, tokens)
+	}
 	if r.ResumeAfter != "" {
 		read = tokens
 	}
-	return chooser.Demand{Service: r.Service.Name, Engine: e, Tokens: tokens, PrefillTokens: read, Precedence: r.Precedence}
+	return chooser.Demand{
+		Service: r.Service.Name, Engine: e, Tokens: tokens, PrefillTokens: read, Precedence: r.Precedence,
+		SharesLoads: r.SharesLoads, GapObjective: r.Route.GapObjective,
+	}
 }
 
 // keys returns what may crash the targets of a generation: all parts of its prompt but the last, which no other request has, and
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -34,6 +34,8 @@
 	// past in it.
 	minTypicalGap    = 20 * time.Millisecond
 	typicalGapWeight = 512
+	// initialAnswerTime is assumed for the time of an answer before any has ended.
+	initialAnswerTime = 4 * time.Second
 	// lostRequestPatience is how many times its patience a request waits that its first target seems to have lost.
 	lostRequestPatience = 2
 	// repathTimeout bounds an order to replace a stage.
@@ -176,6 +178,20 @@
 	r.typicalGapNanos.Store(typical + (int64(min(d, minPatience))-typical)/typicalGapWeight)
 }
 
+// typicalAnswerTime returns the typical time of an answer.
+func (r *Relayer) typicalAnswerTime() time.Duration {
+	if typical := r.typicalAnswerNanos.Load(); typical > 0 {
+		return time.Duration(typical)
+	}
+	return initialAnswerTime
+}
+
+// recordAnswerTime updates the typical time of an answer.
+func (r *Relayer) recordAnswerTime(d time.Duration) {
+	typical := int64(r.typicalAnswerTime())
+	r.typicalAnswerNanos.Store(typical + (int64(d)-typical)/32)
+}
+
 // resendLostRequest ends a send whose first target seems to have lost the request: it has not begun, while one that the
 // target received later has.
 func (r *Relayer) resendLostRequest(g *generation, s repairer.Stream, generations []*generation, now time.Time) bool {
