--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -132,7 +132,7 @@
 		}
 		capacity := m.TokenLayers(end - first)
 		used := load(v, capacity, end-first)
-		capacity = min(capacity, d.paceCapacity(v, capacity, end-first))
+		capacity = d.paceCapacity(v, capacity, end-first)
 		if !d.fits(used, capacity, end-first) {
 			continue
 		}
@@ -225,6 +225,8 @@
 func (c *Chooser) NoPathReason(d Demand) string {
 	e := d.Engine
 	views := c.Targets.Service(d.Service)
+	mostUrgent := d
+	mostUrgent.Precedence.Ahead = 0
 	checks := []struct {
 		what string
 		ok   func(assessor.View) bool
@@ -234,7 +236,11 @@
 		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refusing }},
 		{"held only by targets without memory for it", func(v assessor.View) bool {
 			first, end, _ := v.ReadyLayers()
-			return v.Usable() && !v.Refusing && d.fits(v.TokenLayers, placer.MemoryOf(e, v.Kind).TokenLayers(end-first), end-first)
+			return v.Usable() && !v.Refusing && mostUrgent.fits(v.TokenLayers, d.room(&v, end-first), end-first)
+		}},
+		{"held only by targets whose room is left to more urgent requests", func(v assessor.View) bool {
+			first, end, _ := v.ReadyLayers()
+			return v.Usable() && !v.Refusing && d.fits(v.TokenLayers, d.room(&v, end-first), end-first)
 		}},
 	}
 	limits := c.Limits()
--- a/internal/chooser/room.go
+++ b/internal/chooser/room.go
@@ -43,12 +43,17 @@
 		return memory
 	}
 	streams := (step - e.StepTime.Seconds()) / perStream
-	return max(streams*tokensPerStream*float64(layers), minPaceShare*memory)
+	return min(max(streams*tokensPerStream*float64(layers), minPaceShare*memory), memory)
 }
 
-// scarcestFill returns the used share of the memory of all holders of a layer, for the layer whose holders have least room. It is 1
+// room returns the memory of a target that holds a number of layers which its requests may use, in tokens times layers.
+func (d Demand) room(v *assessor.View, layers uint32) float64 {
+	return d.paceCapacity(v, placer.MemoryOf(d.Engine, v.Kind).TokenLayers(layers), layers)
+}
+
+// Fill returns the used share of the memory of all holders of a layer, for the layer whose holders have least room. It is 1
 // if no usable target holds some layer.
-func (c *Chooser) scarcestFill(d Demand) float64 {
+func (c *Chooser) Fill(d Demand) float64 {
 	e, views := d.Engine, c.Targets.Service(d.Service)
 	load := c.loadEstimate(views, d)
 	used, capacity := make([]float64, e.Layers), make([]float64, e.Layers)
@@ -58,9 +63,8 @@
 		if !v.Usable() || end <= first {
 			continue
 		}
-		room := placer.MemoryOf(e, v.Kind).TokenLayers(end - first)
+		room := d.room(v, end-first)
 		taken := load(v, room, end-first)
-		room = min(room, d.paceCapacity(v, room, end-first))
 		for l := first; l < min(end, e.Layers); l++ {
 			used[l] += taken / float64(end-first)
 			capacity[l] += room / float64(end-first)
@@ -82,7 +86,7 @@
 	if !d.Precedence.Contended || d.Engine.Layers == 0 {
 		return 0
 	}
-	fill := c.scarcestFill(d)
+	fill := c.Fill(d)
 	excess := 0.0
 	if fill > 0 {
 		excess = max(fill-d.Precedence.maxFill(), 0) / fill
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -127,6 +127,8 @@
 	m.RegisterGauge("cut-off", func() float64 { return boolToFloat(g.links.CutOff()) })
 	m.RegisterGauge("tunnels", func() float64 { return float64(g.door.Active()) })
 	m.RegisterGauge("targets-limited", func() float64 { return float64(len(g.relayer.Throttler.States())) })
+	m.RegisterGauge("loads-summed", func() float64 { return float64(g.tallier.Summed()) })
+	m.RegisterGauge("room-used", g.roomUsed)
 	m.RegisterGauge("quarantines", func() float64 { return float64(g.relayer.Quarantiner.Quarantines()) })
 	m.RegisterGauge("peers-alive", func() float64 { return float64(len(g.others())) })
 	m.RegisterGauge("store-eras", func() float64 { return float64(g.eraCount.Load()) })
--- a/internal/gateway/tally.go
+++ b/internal/gateway/tally.go
@@ -9,6 +9,7 @@
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/tallier"
 )
 
@@ -122,3 +123,17 @@
 	g.tallier.Handle(others[i], r)
 	return nil, nil
 }
+
+// roomUsed returns the used share of the room for streams of the service that has least of it, among those whose loads are shared.
+func (g *Gateway) roomUsed() float64 {
+	m, used := g.config.Load(), 0.0
+	if m == nil {
+		return 0
+	}
+	for _, s := range m.Services() {
+		if m.SharesLoads(s.Name) {
+			used = max(used, g.relayer.Chooser.Fill(chooser.Demand{Service: s.Name, Engine: s.Engine, SharesLoads: true}))
+		}
+	}
+	return used
+}
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -15,6 +15,10 @@
 const (
 	// Interval is the time between two reports of a daemon, and between two sums of a collector.
 	Interval = 150 * time.Millisecond
+	// maxCollectorBytes bounds what a collector receives from its data centre, in bytes a second: reports of many daemons on many
+	// targets are sent less often. keyBytes is the size of a key with its count.
+	maxCollectorBytes = 128 << 10
+	keyBytes          = 7
 	// retention is how long a report or a sum counts without a newer one: longer than it takes until a collector that is gone is
 	// replaced by another.
 	retention = 2 * time.Second
@@ -97,11 +101,26 @@
 	}
 }
 
-// Run reports and sums every Interval until ctx is done.
+// interval returns the time until the next round: Interval, or as long as the collector needs for all reports.
+func (t *Tallier) interval() time.Duration {
+	near := 0
+	for _, m := range t.Members() {
+		if m.DataCentre == t.DataCentre {
+			near++
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	bytes := near * len(t.last) * keyBytes
+	return max(Interval, time.Duration(float64(bytes)/maxCollectorBytes*float64(time.Second)))
+}
+
+// Run reports and sums, at most every Interval, until ctx is done.
 func (t *Tallier) Run(ctx context.Context) error {
-	for t.Clock.Sleep(ctx, Interval) == nil {
-		if t.Enabled() {
+	for pause := Interval; t.Clock.Sleep(ctx, pause) == nil; {
+		if pause = Interval; t.Enabled() {
 			t.round()
+			pause = t.interval()
 		}
 	}
 	return nil
--- a/internal/tallier/tallier_test.go
+++ b/internal/tallier/tallier_test.go
@@ -119,6 +119,9 @@
 			require.Equal(t, 10, f.sent[m.Name])
 		}
 		require.LessOrEqual(t, f.keys, MaxKeys)
+		interval := f.talliers["g000"].interval()
+		require.LessOrEqual(t, float64(31*MaxKeys*keyBytes)/interval.Seconds(), maxCollectorBytes+1.0)
+		require.Less(t, interval, retention/2)
 	})
 }
 
