Let a workspace that surges leave room to the others

Cause: a workspace at many times its share, or whose clients repeat at once, took room from all others of its rank.

Change: ranker.Shares compares a workspace's part of the demand at all gateways with what is usual for it; requests beyond twice that leave 0.15 of the room. The demand travels with the loads of the fleet.

--- a/internal/chooser/precedence.go
+++ b/internal/chooser/precedence.go
@@ -25,6 +25,8 @@
 	rank float64
 	// ahead is left to all ranks before while these are the whole demand, and less as they are less of it.
 	ahead float64
+	// beyond is what requests beyond the usual share of their workspace leave to all others.
+	beyond float64
 	// returning is what new clients leave to those of their rank that return after a refusal.
 	returning float64
 	// unranked is the share of requests whose rank is ignored, so that no rank is starved by those before it.
@@ -33,10 +35,10 @@
 
 var (
 	// ordinaryReserves hold where all streams of a service have the same priority.
-	ordinaryReserves = reserves{rank: 0.03, returning: 0.01, unranked: 0.25}
+	ordinaryReserves = reserves{rank: 0.03, beyond: 0.15, returning: 0.01, unranked: 0.25}
 	// contendedReserves hold where streams compete by priority. Targets drop streams when memory runs out, and the ranks ahead need room
 	// until all daemons know that they take it.
-	contendedReserves = reserves{begun: 0.05, ahead: 0.3, returning: 0.02, unranked: 0.05}
+	contendedReserves = reserves{begun: 0.05, ahead: 0.3, beyond: 0.15, returning: 0.02, unranked: 0.05}
 )
 
 // Precedence orders generations for scarce memory; its zero value is the highest precedence of a new client.
@@ -49,6 +51,8 @@
 	Begun bool
 	// Ahead is the share of the recent demand that is of ranks before that of the generation, in [0,1]; known where ranks compete.
 	Ahead float64
+	// Beyond is true for a request beyond the usual share of its workspace.
+	Beyond bool
 	// Contended is true if generations of different ranks compete for the memory of the service.
 	Contended bool
 	// Draw is uniform in [0,1).
@@ -73,6 +77,9 @@
 	if !s.Returning {
 		share -= kept.returning
 	}
+	if s.Beyond {
+		share -= kept.beyond
+	}
 	if s.Draw < 1-kept.unranked {
 		share -= kept.rank*float64(min(s.Rank, maxRanks)) + kept.ahead*s.Ahead
 	}
--- a/internal/chooser/precedence_test.go
+++ b/internal/chooser/precedence_test.go
@@ -22,6 +22,9 @@
 		begun.Begun = true
 		below.Rank += rapid.IntRange(0, 3).Draw(rt, "below")
 		below.Ahead = rapid.Float64Range(below.Ahead, 1).Draw(rt, "ahead of below")
+		surging := initial
+		surging.Beyond = true
+		require.Less(rt, surging.maxFill(), initial.maxFill())
 		require.Less(rt, initial.maxFill(), returning.maxFill())
 		require.LessOrEqual(rt, returning.maxFill(), begun.maxFill())
 		require.LessOrEqual(rt, below.maxFill(), initial.maxFill())
--- a/internal/gateway/tally.go
+++ b/internal/gateway/tally.go
@@ -18,6 +18,8 @@
 	tallyMethod = "tally"
 	// loadUnit is the unit of the loads in a tally, in tokens times layers.
 	loadUnit = 1000
+	// demandUnit is the unit of the demand of workspaces in a tally, in tokens a second.
+	demandUnit = 50
 )
 
 var tallyScopes = map[tallier.Scope]peerv1.TallyScope{
@@ -51,8 +53,8 @@
 	return false
 }
 
-// ownLoads returns what this daemon has in progress at the targets of services whose loads are shared, and what it sends between
-// data centres.
+// ownLoads returns what this daemon has in progress at the targets of services whose loads are shared, what it sends between data
+// centres, and what workspaces ask of it.
 func (g *Gateway) ownLoads() tallier.Counts {
 	out := tallier.Counts{}
 	m := g.config.Load()
@@ -74,15 +76,21 @@
 			out[key] += n
 		}
 	}
+	for key, rate := range g.relayer.Shares.Rates(g.Clock.Now()) {
+		if n := uint32(rate/demandUnit + 0.5); n > 0 {
+			out[key] += n
+		}
+	}
 	return out
 }
 
 // applyFleetLoads takes over the sums over all other daemons.
 func (g *Gateway) applyFleetLoads(others tallier.Counts) {
-	loads := make(map[uint32]float64, len(others))
+	loads, demand := make(map[uint32]float64, len(others)), make(map[uint32]float64, len(others))
 	for key, n := range others {
-		loads[key] = float64(n) * loadUnit
+		loads[key], demand[key] = float64(n)*loadUnit, float64(n)*demandUnit
 	}
+	g.relayer.Shares.SetOthers(demand, g.Clock.Now())
 	g.targets.SetFleetLoads(loads)
 	g.relayer.Chooser.SetOtherCrossingRates(loads)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -74,6 +74,8 @@
 	returnDetector returnDetector
 	// ranker measures the demand by rank for services whose ranks compete.
 	ranker ranker.Ranker
+	// Shares tells requests beyond the usual share of their workspace, for services whose loads are shared.
+	Shares ranker.Shares
 	// reporting is true while evidence of crashes is collected.
 	reporting atomic.Bool
 	// typicalFirstWait is the typical wait for a first event, in nanoseconds.
@@ -127,6 +129,9 @@
 	}
 	r.rationer(req.Service.Name).RecordRequest(r.Clock.Now())
 	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
+	if req.SharesLoads {
+		req.Precedence.Beyond = r.isBeyondShare(req)
+	}
 	if req.Precedence.Contended {
 		req.Precedence.Ahead = r.ranker.Record(req.Service.Name, req.Precedence.Rank, req.demand().Tokens, r.Clock.Now())
 	}
@@ -142,6 +147,13 @@
 	return r.forward(ctx, w, req)
 }
 
+// isBeyondShare records the demand of a request, and reports whether it counts as beyond the usual share of its workspace.
+func (r *Relayer) isBeyondShare(req *Request) bool {
+	now, workspace := r.Clock.Now(), string(req.Workspace)
+	r.Shares.Record(req.Service.Name, workspace, req.demand().Tokens, now)
+	return rand.Float64() < r.Shares.Beyond(req.Service.Name, workspace, now)
+}
+
 // jitterRetryAfter adds up to half of the retry delay, so that clients refused together do not return together.
 func jitterRetryAfter(refusal *refuser.Refusal) *refuser.Refusal {
 	if refusal == nil || refusal.RetryAfter <= 0 {
