Bound the memory of bodies and the connections of clients

Cause: each body was read whole, with no bound over all connections, and a body that stopped kept its memory for good. Connections had no bound below the descriptors, heads one of 256 KiB each, and header_timeout_ms was not in force.

Change: bodies draw on a budget of a fifth of the machine's memory as their bytes come; when it is short, bodies without progress give way, by bytes and time (shedder.Budget, decided without network or clock). A body without progress for 10 s is answered 408; one over the limit 413 (400 before, where it was chunked) without reading on. Heads count by text and lines, and end at the limits in force. Each listener has a share of the descriptors; over it, the connection that is idle for longest goes (shedder.Connections). A client that does not read its answer for 30 s is cut off. Bodies over 64 KiB are no longer copied for each send.

TestIdleConnectionsAreClosed uses the new listener type; its checks are the same.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -149,7 +149,7 @@
 }
 
 func (e *Exchanger) exchange(c *conn, call Call) (*Answer, error) {
-	if _, err := c.Write(encode(call)); err != nil {
+	if err := send(c, call); err != nil {
 		return nil, errors.Wrap(err, "send")
 	}
 	for foreign := 0; ; foreign++ {
@@ -195,17 +195,33 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// encode returns the bytes of a request.
-func encode(call Call) []byte {
+// maxJoinedBytes is the size up to which a body is copied, to be sent together with its head.
+const maxJoinedBytes = 64 << 10
+
+// send writes a request.
+func send(c *conn, call Call) error {
+	head := encodeHead(call)
+	if len(call.Body) <= maxJoinedBytes {
+		_, err := c.Write(append(head, call.Body...))
+		return err
+	}
+	if _, err := c.Write(head); err != nil {
+		return err
+	}
+	_, err := c.Write(call.Body)
+	return err
+}
+
+// encodeHead returns the bytes of the head of a request.
+func encodeHead(call Call) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(call.Body))
+	b.Grow(1024 + min(len(call.Body), maxJoinedBytes))
 	b.WriteString(call.Method + " " + call.URI + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	_ = call.Header.Write(&b)
 	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(call.Body)
 	return b.Bytes()
 }
 
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -42,6 +42,7 @@
 	msgStoreLost        = "store lost, going on with what is known"
 	msgStoreRecovered   = "store is back"
 	msgNewEra           = "store is in a new era"
+	msgOverLimits       = "clients are over the limits"
 	msgGatewayLeaves    = "gateway leaves"
 	msgGatewayStarts    = "gateway starts"
 )
@@ -89,6 +90,7 @@
 	store   Line
 	era     Line
 	leaving Line
+	limits  Line
 	targets map[string]Line
 }
 
@@ -108,6 +110,8 @@
 		case msgGatewayStarts:
 			// A new process starts without the state of the one before.
 			s = daemonState{targets: map[string]Line{}}
+		case msgOverLimits:
+			s.limits = l
 		case msgGatewayLeaves:
 			s.leaving = l
 		case msgTargetListed, msgTargetRemoved, msgTargetLost, msgTargetLostByPeer, msgTargetRecovered:
@@ -120,7 +124,7 @@
 // relevantLines returns the lines that matter for a request: those on the daemon itself, and on the targets that the request names.
 func (s daemonState) relevantLines(lines []Line) []Line {
 	var out []Line
-	for _, l := range []Line{s.config, s.store, s.era, s.leaving} {
+	for _, l := range []Line{s.config, s.store, s.era, s.leaving, s.limits} {
 		if l.Message != "" {
 			out = append(out, l)
 		}
@@ -186,6 +190,8 @@
 		return fmt.Sprintf("%s in version %.0f of the configuration, in force on %s since %s", why, version, end.Node, timeText(state.config))
 	case "not-ready":
 		return fmt.Sprintf("%s had just started and knew no configuration", end.Node)
+	case "memory-short", "body-timed-out", "payload-too-large":
+		return fmt.Sprintf("%s: %s; it was refused before its body was read", code, why)
 	case "quarantined":
 		return fmt.Sprintf("%s; %s", why, retryText(end))
 	case "no-pipeline", "no-target":
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/rattantray/rattantray/internal/rationer"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/relayer"
+	"github.com/rattantray/rattantray/internal/shedder"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tallier"
 	"github.com/rattantray/rattantray/internal/timer"
@@ -46,6 +47,8 @@
 	// peersPrefix is the key prefix under which daemons store their peer addresses for daemons that start later.
 	peersPrefix = "gateways/"
 	stopTimeout = 30 * time.Second
+	// bodyMemoryShare is the share of the machine's memory for requests that are read.
+	bodyMemoryShare = 5
 )
 
 // Settings holds the settings of one gateway.
@@ -76,6 +79,9 @@
 	// ConfigPrefix and TargetsPrefix are the keys of the store that hold the configuration and the targets.
 	ConfigPrefix  string
 	TargetsPrefix string
+	// Memory is the memory of the machine in bytes, and Descriptors how many a process may open; 0 is unknown, without limits.
+	Memory      int64
+	Descriptors int
 }
 
 // Adapter translates between the gateway and the platform that it runs on.
@@ -133,6 +139,11 @@
 	// departures records the departures of all daemons, including this one.
 	departures     departures
 	activeRequests atomic.Int64
+	// bodies shares memory among requests that are read, and connections bound those of each listener.
+	bodies      shedder.Budget
+	connections []*shedder.Connections
+	// shedBodies and shedConnections count what clients lost to the limits; shedLogged is when they were last logged.
+	shedBodies, shedConnections, shedLogged atomic.Int64
 	// era is the latest store era that was noticed, and eraCount how often it rose.
 	era      atomic.Uint64
 	eraCount atomic.Int64
@@ -148,6 +159,7 @@
 	g.relayer = relayer.New(g.targets, clock)
 	g.orderer = orderer.New(g.targets, clock)
 	g.links = tunneler.NewDialer(clock)
+	g.bodies.Limit, g.bodies.OnShed = s.Memory/bodyMemoryShare, g.recordShedBody
 	return g
 }
 
@@ -334,19 +346,22 @@
 		{Name: "tallier", Needs: []string{"members"}, Run: g.tallier.Run},
 		{Name: "register", Needs: []string{"members"}, Run: g.register},
 		{Name: "lag", Needs: []string{"config", "targets", "gossiper"}, Run: g.watchLag},
-		{Name: "peers", Run: serve(g.Settings.PeerListen, newServer(g.peerHandler()))},
-		{Name: "control", Run: g.serveOptional(g.Settings.ControlListen, g.peerHandler())},
-		{Name: "metrics", Run: g.serveOptional(g.Settings.MetricsListen, g.metricsHandler())},
+		{Name: "peers", Run: serve(g.Settings.PeerListen, newServer(withoutBody(g.peerHandler())), g.newLimits(peerShare, true))},
+		{Name: "control", Run: serveOptional(g.Settings.ControlListen, newServer(withoutBody(g.peerHandler())), g.newLimits(controlShare, true))},
+		{Name: "metrics", Run: serveOptional(g.Settings.MetricsListen, newServer(withoutBody(g.metricsHandler())), g.newLimits(0, true))},
 		{Name: "leaser", Run: g.duty.leaser.Run},
 		{Name: "duty", Needs: []string{"leaser", "gossiper"}, Run: g.runDuty},
 		{Name: "orderer", Needs: []string{"duty", "config", "targets"}, Run: g.orderer.Run},
 		{Name: "links", Needs: []string{"members"}, Run: g.links.Run},
 		{Name: "watchdog", Needs: []string{"targets"}, Run: g.relayer.Watch},
-		{Name: "ready", Run: g.serveClients(g.Settings.ReadyListen, newServer(g.Adapter.Ready))},
-		{Name: "resolve", Needs: []string{"members"}, Run: g.serveClients(g.Settings.ResolveListen, newServer(g.Adapter.Resolve))},
+		{Name: "ready", Run: serve(g.Settings.ReadyListen, newServer(withoutBody(g.Adapter.Ready)), g.newLimits(readyShare, false))},
+		{
+			Name: "resolve", Needs: []string{"members"},
+			Run: serve(g.Settings.ResolveListen, newServer(withoutBody(g.Adapter.Resolve)), g.newLimits(resolveShare, false)),
+		},
 		{
 			Name: "client", Needs: []string{"config", "targets", "watchdog", "ready", "resolve", "peers"},
-			Run: g.serveClients(g.Settings.ClientListen, g.client), Stop: g.drain,
+			Run: serve(g.Settings.ClientListen, g.client, g.newLimits(clientShare, false)), Stop: g.drain,
 		},
 	}
 }
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/shedder"
 )
 
 const (
@@ -17,80 +20,103 @@
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes is over what any configuration allows; the handler checks the limit in force.
 	maxHeaderBytes = 256 << 10
+	// maxPeerHeadBytes is over what peers send.
+	maxPeerHeadBytes = 16 << 10
 )
 
 // newServer returns a server with the limits that hold for all configurations.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handleLimited(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConn, ConnState: trackState,
 	}
 }
 
-// idleLimiter is a listener whose connections may be idle for a limited time.
-type idleLimiter struct {
-	net.Listener
-	// limit returns the limit for a connection that becomes idle now; 0 is none.
-	limit func() time.Duration
-}
+// idleLimit returns how long clients may leave a connection idle, or 0 before a configuration is known.
+func (g *Gateway) idleLimit() time.Duration { return g.configLimits().IdleTimeout }
 
-// Accept implements net.Listener.
-func (l idleLimiter) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// configLimits returns the limits of the configuration in force, or none before a configuration is known.
+func (g *Gateway) configLimits() matcher.Limits {
+	m := g.config.Load()
+	if m == nil {
+		return matcher.Limits{}
 	}
-	return &limitedConn{Conn: c, limit: l.limit}, nil
+	return m.Limits()
 }
 
-// limitedConn is a connection of an idleLimiter.
-type limitedConn struct {
-	net.Conn
-	limit func() time.Duration
-}
+// Shares of the descriptors for sockets that connections of each kind may take. The rest is for targets, tunnels and the store.
+const (
+	clientShare  = 0.4
+	resolveShare = 0.08
+	readyShare   = 0.02
+	peerShare    = 0.06
+	controlShare = 0.04
+	// minConnections is the least bound of a kind.
+	minConnections = 8
+	// fileDescriptors are the descriptors that sockets cannot use.
+	fileDescriptors = 200
+)
 
-// SetReadDeadline implements net.Conn. The server sets a deadline beyond headerTimeout only while a connection is idle.
-func (c *limitedConn) SetReadDeadline(t time.Time) error {
-	if now, limit := time.Now(), c.limit(); limit > 0 && t.Sub(now) > headerTimeout {
-		t = now.Add(min(limit, t.Sub(now)))
+// newLimits returns the limits of a listener whose connections may take a share of the descriptors. Listeners for peers limit only
+// these and the memory of heads.
+func (g *Gateway) newLimits(share float64, forPeers bool) clientLimits {
+	limits := clientLimits{
+		idle: g.idleLimit, head: func() time.Duration { return g.configLimits().HeaderTimeout },
+		headBytes:   func() int64 { return g.configLimits().MaxHeaderBytes },
+		connections: &shedder.Connections{OnShed: g.recordShedConnection}, budget: &g.bodies,
+		onHeadTooLong: g.recordShedConnection,
+	}
+	if sockets := g.Settings.Descriptors - fileDescriptors; g.Settings.Descriptors > 0 {
+		limits.connections.Limit = max(int(share*float64(sockets)), minConnections)
 	}
-	return c.Conn.SetReadDeadline(t)
+	if forPeers {
+		limits.idle, limits.head = func() time.Duration { return 0 }, func() time.Duration { return 0 }
+		limits.headBytes = func() int64 { return maxPeerHeadBytes }
+	}
+	g.connections = append(g.connections, limits.connections)
+	return limits
 }
 
-// CloseWrite closes the sending side, as the server does after an error.
-func (c *limitedConn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return w.CloseWrite()
-	}
-	return nil
+// recordShedConnection counts a connection of a client that is closed to keep a limit, and logs the count at intervals.
+func (g *Gateway) recordShedConnection() {
+	g.shedConnections.Add(1)
+	g.logShed()
 }
 
-// idleLimit returns how long clients may leave a connection idle, or 0 before a configuration is known.
-func (g *Gateway) idleLimit() time.Duration {
-	m := g.config.Load()
-	if m == nil {
-		return 0
-	}
-	return m.Limits().IdleTimeout
+// recordShedBody counts a body that is given up as the memory for bodies is short, and logs the count at intervals.
+func (g *Gateway) recordShedBody(int64) {
+	g.shedBodies.Add(1)
+	g.logShed()
 }
 
-// serve returns a service that serves HTTP to other daemons on an address.
-func serve(address string, server *http.Server) func(ctx context.Context) error {
-	return serveWithLimit(address, server, func() time.Duration { return 0 })
+// shedLogInterval is the least time between two log lines on what clients lost to the limits.
+const shedLogInterval = time.Second
+
+func (g *Gateway) logShed() {
+	now, last := g.Clock.Now().UnixNano(), g.shedLogged.Load()
+	if now-last < int64(shedLogInterval) || !g.shedLogged.CompareAndSwap(last, now) {
+		return
+	}
+	g.Log.Warn().Int64("bodies", g.shedBodies.Load()).Int64("connections", g.shedConnections.Load()).Msg("clients are over the limits")
 }
 
-// serveClients returns a service that serves HTTP to clients on an address.
-func (g *Gateway) serveClients(address string, server *http.Server) func(ctx context.Context) error {
-	return serveWithLimit(address, server, g.idleLimit)
+// openConnections returns the number of open connections of clients and peers.
+func (g *Gateway) openConnections() int {
+	n := 0
+	for _, c := range g.connections {
+		n += c.Open()
+	}
+	return n
 }
 
-// serveWithLimit returns a service that serves HTTP on an address and limits how long connections may be idle.
-func serveWithLimit(address string, server *http.Server, limit func() time.Duration) func(ctx context.Context) error {
+// serve returns a service that serves HTTP on an address to clients or peers with limits.
+func serve(address string, server *http.Server, limits clientLimits) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		l := idleLimiter{Listener: listener, limit: limit}
+		l := limitedListener{Listener: listener, limits: limits}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -103,9 +129,9 @@
 }
 
 // serveOptional is like serve, for an address that may be empty.
-func (g *Gateway) serveOptional(address string, handler http.Handler) func(ctx context.Context) error {
+func serveOptional(address string, server *http.Server, limits clientLimits) func(ctx context.Context) error {
 	if address != "" {
-		return serve(address, newServer(handler))
+		return serve(address, server, limits)
 	}
 	return func(ctx context.Context) error {
 		<-ctx.Done()
@@ -135,6 +161,10 @@
 	m.RegisterGauge("store-failing", func() float64 { return boolToFloat(g.targetFollower.Failing()) })
 	m.RegisterGauge("duty-held", func() float64 { return boolToFloat(g.holdsDuty()) })
 	m.RegisterGauge("orders-pending", func() float64 { return float64(len(g.orderer.Pending())) })
+	m.RegisterGauge("body-bytes", func() float64 { return float64(g.bodies.Used()) })
+	m.RegisterGauge("connections-open", func() float64 { return float64(g.openConnections()) })
+	m.RegisterGauge("bodies-shed", func() float64 { return float64(g.shedBodies.Load()) })
+	m.RegisterGauge("connections-shed", func() float64 { return float64(g.shedConnections.Load()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m)
 	return mux
--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -37,7 +37,7 @@
 				server := newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Minute) }))
 				served := make(chan struct{})
 				go func() {
-					_ = server.Serve(idleLimiter{Listener: listener, limit: g.idleLimit})
+					_ = server.Serve(limitedListener{Listener: listener, limits: g.newLimits(clientShare, false)})
 					close(served)
 				}()
 				client, far := net.Pipe()
--- a/pkg/refuser/code.go
+++ b/pkg/refuser/code.go
@@ -39,12 +39,14 @@
 	RequestIDReused     Code = 108
 	SequenceInvalid     Code = 109
 	Unauthenticated     Code = 110
+	BodyTimedOut        Code = 111
 	RateLimited         Code = 201
 	QueueFull           Code = 202
 	DeadlineTooShort    Code = 203
 	DeadlineExceeded    Code = 204
 	ConcurrencyLimited  Code = 205
 	RetryBudgetSpent    Code = 206
+	MemoryShort         Code = 207
 	NoPipeline          Code = 301
 	NoTarget            Code = 302
 	Draining            Code = 303
@@ -104,12 +106,14 @@
 	{RequestIDReused, "request-id-reused", "The request id was used with another payload.", FactNotRun, false, connect.CodeAlreadyExists},
 	{SequenceInvalid, "sequence-invalid", "The sequence number was used before under this ordering key.", FactNotRun, false, connect.CodeInvalidArgument},
 	{Unauthenticated, "unauthenticated", "The caller or peer did not prove who it is.", FactNotRun, false, connect.CodeUnauthenticated},
+	{BodyTimedOut, "body-timed-out", "The body of the request made no progress.", FactNotRun, true, connect.CodeDeadlineExceeded},
 	{RateLimited, "rate-limited", "The workspace is over its rate.", FactNotRun, true, connect.CodeResourceExhausted},
 	{QueueFull, "queue-full", "The queue of the workspace is full.", FactNotRun, true, connect.CodeResourceExhausted},
 	{DeadlineTooShort, "deadline-too-short", "The request cannot be finished before its deadline.", FactNotRun, true, connect.CodeResourceExhausted},
 	{DeadlineExceeded, "deadline-exceeded", "The deadline passed.", FactNotRun, false, connect.CodeDeadlineExceeded},
 	{ConcurrencyLimited, "concurrency-limited", "The workspace has too many requests in progress.", FactNotRun, true, connect.CodeResourceExhausted},
 	{RetryBudgetSpent, "retry-budget-spent", "An attempt failed and the retry budget is spent.", FactNotRun, true, connect.CodeUnavailable},
+	{MemoryShort, "memory-short", "The entry has no memory left for the body of the request; use another entry.", FactNotRun, true, connect.CodeResourceExhausted},
 	{NoPipeline, "no-pipeline", "No chain of targets covers the layers of the model.", FactNotRun, true, connect.CodeUnavailable},
 	{NoTarget, "no-target", "No target serves the service.", FactNotRun, true, connect.CodeUnavailable},
 	{Draining, "draining", "The entry is shutting down; use another entry.", FactNotRun, true, connect.CodeUnavailable},
