Order the layers of a large fleet that starts in portions

Loads share the bandwidth of the store of weights. The successors of the duty were sent all pending orders in one datagram, 120 KB at 3,000 (worked out from 40 bytes an order).

A fleet of more than 256 targets now has at most 256 pending orders while it starts and at most 64 new ones a check; once it is in use it has as many as may load at full speed, as before. Smaller fleets get the same orders as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -284,6 +284,7 @@
 		}
 		return nil
 	}
+	g.orderer.FirstStart = g.Settings.FirstStart
 	g.orderer.HoldsDuty, g.orderer.Place, g.orderer.Report = g.holdsDuty, g.Adapter.Place, g.Adapter.Backend.Report
 
 	l := leaser.New(cataloger.Member{Name: g.Settings.Name, Epoch: g.epoch})
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -33,6 +33,11 @@
 	// while some layers are held nowhere, as nothing is served then.
 	moveDelay       = 1500 * time.Millisecond
 	urgentMoveDelay = 300 * time.Millisecond
+	// maxStartOrders is the maximum number of pending orders while a large fleet, one of more targets than this, starts. Loads share
+	// the bandwidth of the store of weights: if all ran at once, none would end before most of that time has passed.
+	maxStartOrders = 256
+	// maxOrdersAtOnce bounds the orders of one check of a large fleet, as each needs a connection.
+	maxOrdersAtOnce = 64
 	// retryDelay is the time after a failed order until the target may receive another one.
 	retryDelay = 500 * time.Millisecond
 )
@@ -85,6 +90,8 @@
 	Services func() []matcher.Service
 	// HoldsDuty reports whether this daemon holds the duty at this moment.
 	HoldsDuty func() bool
+	// FirstStart is true if the whole fleet starts for the first time, before any request.
+	FirstStart bool
 	// Place sends an order to a target.
 	Place func(ctx context.Context, target cataloger.Target, p Placement) (Result, error)
 	// Report asks a target for its state.
@@ -100,6 +107,8 @@
 	lastChanged map[string]time.Time
 	// gaps is when each gap in the placement of each service was first found.
 	gaps map[string]map[placer.Gap]time.Time
+	// used is true once this daemon has sent a request to any target; only Run uses it.
+	used bool
 }
 
 // New returns an orderer that has issued no orders.
@@ -147,14 +156,11 @@
 func (o *Orderer) reconcile(ctx context.Context, s matcher.Service) {
 	views := o.Targets.Service(s.Name)
 	now := o.Clock.Now()
+	o.used = o.used || slices.ContainsFunc(views, func(v assessor.View) bool { return v.Requests > 0 })
 	o.removeFinished(views, now)
 	if !o.HoldsDuty() || !o.settled(s.Name, views, now) {
 		return
 	}
-	byName := map[string]assessor.View{}
-	for _, v := range views {
-		byName[v.Name] = v
-	}
 	problem := o.buildProblem(s.Engine, views)
 	o.recordGaps(s.Name, problem, now)
 	problem.KeepHeld = true
@@ -167,8 +173,15 @@
 		}
 		moves = o.overdueMoves(s.Name, problem, now, wait)
 	}
+	if len(moves) == 0 {
+		return
+	}
+	targets := make(map[string]cataloger.Target, len(views))
+	for _, v := range views {
+		targets[v.Name] = v.Target
+	}
 	for _, m := range moves {
-		o.issueOrder(ctx, s.Engine, byName[m.Target].Target, m)
+		o.issueOrder(ctx, s.Engine, targets[m.Target], m)
 	}
 }
 
@@ -234,16 +247,27 @@
 	}
 }
 
-// maxNewOrders returns how many orders may be issued now; 0 is no limit.
+// maxNewOrders returns how many orders may be issued now; 0 is no limit. Loads before the first request are fast, so more of them
+// may run then.
 func (o *Orderer) maxNewOrders(e *matcher.Engine, views []assessor.View) int {
-	for _, v := range views {
-		if first, end, _ := v.ReadyLayers(); end > first && e.MaxConcurrentLoads > 0 {
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			return max(e.MaxConcurrentLoads-len(o.pending), 1)
-		}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	limit, large := e.MaxConcurrentLoads, len(views) > maxStartOrders
+	holds := slices.ContainsFunc(views, func(v assessor.View) bool {
+		first, end, _ := v.ReadyLayers()
+		return end > first
+	})
+	switch {
+	case large && (limit == 0 || o.FirstStart && !o.used):
+		limit = maxStartOrders
+	case !large && !holds || limit == 0:
+		return 0
+	}
+	limit = max(limit-len(o.pending), 1)
+	if large {
+		limit = min(limit, maxOrdersAtOnce)
 	}
-	return 0
+	return limit
 }
 
 // buildProblem returns the current placement, with pending orders counted as done.
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -79,6 +79,11 @@
 
 func start(t *testing.T, e *fakeFleet) *Orderer {
 	o := New(e.targets, timer.System{})
+	run(t, e, o)
+	return o
+}
+
+func run(t *testing.T, e *fakeFleet, o *Orderer) {
 	o.Services = func() []matcher.Service { return []matcher.Service{{Name: "llm", Engine: testEngine}} }
 	o.HoldsDuty, o.Place, o.Report = func() bool { return true }, e.place, e.report
 	ctx, cancel := context.WithCancel(t.Context())
@@ -91,7 +96,6 @@
 		cancel()
 		<-done
 	})
-	return o
 }
 
 func newFakeFleet(names ...string) *fakeFleet {
@@ -238,3 +242,44 @@
 		require.Equal(t, []string{"b-spare 0-6"}, e.orders())
 	})
 }
+
+// TestLargeFleetStartsInPortions: the loads of thousands of targets at once would all end late.
+func TestLargeFleetStartsInPortions(t *testing.T) {
+	newLargeFleet := func() *fakeFleet {
+		e := newFakeFleet()
+		for i := range 2 * maxStartOrders {
+			e.put(fmt.Sprintf("t%04d", i), 0, 0)
+		}
+		e.unlisted = true
+		return e
+	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newLargeFleet()
+		o := New(e.targets, timer.System{})
+		o.FirstStart = true
+		run(t, e, o)
+		time.Sleep(settleTime + 2*reconcileInterval)
+		require.LessOrEqual(t, len(e.orders()), 2*maxOrdersAtOnce, "connections are opened in portions")
+		time.Sleep(time.Second)
+		require.InDelta(t, maxStartOrders, len(e.orders()), 10, "no more than these are pending")
+		require.Len(t, o.Pending(), len(e.orders()))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		e := newLargeFleet()
+		e.targets.Reserve([]cataloger.Stage{{Target: "t0000", EndLayer: 6}}, 10)
+		o := New(e.targets, timer.System{})
+		o.FirstStart = true
+		run(t, e, o)
+		time.Sleep(settleTime + 4*reconcileInterval)
+		require.InDelta(t, testEngine.MaxConcurrentLoads, len(e.orders()), 4, "loads of a fleet in use are slow")
+	})
+	synctest.Test(t, func(t *testing.T) {
+		e := newLargeFleet()
+		for i := range maxStartOrders + 1 {
+			e.targets.Remove(fmt.Sprintf("t%04d", i))
+		}
+		start(t, e)
+		time.Sleep(settleTime + 2*reconcileInterval)
+		require.Len(t, e.orders(), maxStartOrders-1, "a small fleet gets all orders together")
+	})
+}
