Count as lag only a revision that does not arrive in time

A daemon listed all targets again once peers had been ahead of it for 0.8 s. While thousands of targets start or load, peers are always ahead by some changes, so that daemons that kept up read the whole list over and over, which slowed the lists of all.

Each announced revision that is missing has its own time now; a list is requested when the oldest one is over the tolerance, as before for a single change.

--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -105,36 +105,49 @@
 // watchLag announces this gateway's revisions to the other readers of the store, and makes a follower list again once a
 // peer has been ahead for a while.
 func (g *Gateway) watchLag(ctx context.Context) error {
-	var configLag, targetsLag time.Time
+	var missingConfigs, missingTargets missingRevisions
 	var sent sentRevisions
 	for g.Clock.Sleep(ctx, lagInterval) == nil {
 		g.announceRevisions(&sent)
 		newest := g.peerRevisions.newest()
 		revision, _ := g.targetFollower.Revision()
-		configLag = g.checkLag(newest.config > g.configVersion(), configLag, g.configFollower, g.configUpstream)
-		targetsLag = g.checkLag(newest.targets > revision, targetsLag, g.targetFollower, g.targetUpstream)
+		missingConfigs = g.checkLag(missingConfigs.update(newest.config, g.configVersion(), g.Clock.Now()), g.configFollower, g.configUpstream)
+		missingTargets = g.checkLag(missingTargets.update(uint64(newest.targets), uint64(revision), g.Clock.Now()), g.targetFollower, g.targetUpstream)
 	}
 	return nil
 }
 
-// checkLag returns since when a follower has been lagging, or zero if it is not.
-func (g *Gateway) checkLag(lagging bool, since time.Time, f *follower.Follower, u *upstream) time.Time {
-	now := g.Clock.Now()
+// missingRevisions holds revisions that peers have announced and this daemon lacks, in order, with the time of each announcement.
+type missingRevisions []missingRevision
+
+type missingRevision struct {
+	revision uint64
+	since    time.Time
+}
+
+// update returns the missing revisions, given the newest one of any peer and this daemon's own. One that is reached is no longer missing,
+// even if peers are ahead again: while changes follow each other closely, they always are.
+func (m missingRevisions) update(newest, own uint64, now time.Time) missingRevisions {
+	m = slices.DeleteFunc(m, func(r missingRevision) bool { return r.revision <= own || r.revision > newest })
+	if newest > own && (len(m) == 0 || m[len(m)-1].revision < newest) {
+		m = append(m, missingRevision{newest, now})
+	}
+	return m
+}
+
+// checkLag makes a follower list again from another source if a revision has been missing for too long. It returns the revisions that are
+// still missing.
+func (g *Gateway) checkLag(missing missingRevisions, f *follower.Follower, u *upstream) missingRevisions {
 	tolerance := lagTolerance
 	if !u.readsStore() {
 		tolerance = g.Settings.peerLagTolerance()
 	}
-	switch {
-	case !lagging:
-		return time.Time{}
-	case since.IsZero():
-		return now
-	case now.Sub(since) >= tolerance:
-		u.avoidPeer()
-		f.RequestList()
-		return now
+	if len(missing) == 0 || g.Clock.Now().Sub(missing[0].since) < tolerance {
+		return missing
 	}
-	return since
+	u.avoidPeer()
+	f.RequestList()
+	return nil
 }
 
 // fetchNewerCopy fetches a copy that is newer than a revision from a peer.
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -44,3 +44,24 @@
 	g.removePeer("e")
 	require.Equal(t, uint64(8), g.peerRevisions.newest().config, "of the remaining peers")
 }
+
+// TestSteadyChangesAreNoLag: while thousands of targets start, peers are always ahead by some changes; only one that does not arrive in
+// time is missing.
+func TestSteadyChangesAreNoLag(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var missing missingRevisions
+	for tick := range uint64(100) {
+		missing = missing.update(200+20*tick, 140+20*tick, now)
+		require.LessOrEqual(t, len(missing), 3)
+		require.LessOrEqual(t, now.Sub(missing[0].since), 200*time.Millisecond)
+		now = now.Add(lagInterval)
+	}
+	since := missing[0].since
+	for range 4 {
+		missing = missing.update(5000, missing[0].revision-1, now)
+		now = now.Add(lagInterval)
+	}
+	require.Equal(t, since, missing[0].since, "the oldest missing one counts")
+	require.Empty(t, missing.update(10, 5, now)[1:], "those of a peer that is gone do not")
+	require.Empty(t, missing.update(5000, 5000, now))
+}
