Fetch the changes of large lists in batches

Each change of a target was an answer to each of up to eight followers, on three levels: 3,000 targets that start and load are some 6,000 changes, 48,000 answers of one daemon on a fifth of a core.

Followers of a list of more than 512 objects now request changes at most every 100 ms. Smaller lists and the configuration are followed as before.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -25,6 +25,10 @@
 	followersPerWatcher = 8
 	// peerWait is how long a watcher holds a request open while nothing changes.
 	peerWait = 3 * time.Second
+	// batchInterval is the minimum time between two requests for the changes of a large list, one of more than largeList objects.
+	// While thousands of targets start, each daemon would otherwise answer each of its followers for each change.
+	batchInterval = 100 * time.Millisecond
+	largeList     = 512
 	// avoidTime is how long a watcher that did not answer is avoided.
 	avoidTime = 5 * time.Second
 )
@@ -42,6 +46,8 @@
 	peer   *cataloger.Member
 	cursor uint64
 	epoch  uint64
+	// large is true if the last list of the peer was large.
+	large bool
 	// source names the source of the last objects: sourceStore or a peer.
 	source atomic.Value
 }
@@ -159,7 +165,7 @@
 	if err != nil {
 		return nil, 0, u.handleFailure(ctx, err)
 	}
-	u.cursor, u.epoch = message.GetCursor(), message.GetEpoch()
+	u.cursor, u.epoch, u.large = message.GetCursor(), message.GetEpoch(), len(message.GetItems()) > largeList
 	var out []storer.Object
 	for _, o := range message.GetItems() {
 		out = append(out, decodeObject(o))
@@ -210,8 +216,11 @@
 			return err
 		}
 		u.mu.Lock()
-		chosen := u.chooseWatcher()
+		chosen, large := u.chooseWatcher(), u.large
 		u.mu.Unlock()
+		if large && u.gateway.Clock.Sleep(ctx, batchInterval) != nil {
+			return ctx.Err()
+		}
 		if chosen == nil || chosen.Name != peer.Name {
 			return follower.ErrSourceChanged
 		}
