Look at the targets only on the daemon that places layers

Each daemon copied the state of all targets every 150 ms, 5.6 ms at 3,000 targets on a busy machine, to see which pending orders had ended; only the holder of the duty has use for the rest. Pending orders are now looked up by their target, and one whose target is gone ends in time too. BenchmarkReconcile measures the check of the holder: 0.26 to 0.96 ms at 230 targets, 4.3 to 5.6 at 3,000 and 16 to 19 at 10,000 (x86-64, load average 33 on 7 cores).

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -154,11 +154,14 @@
 
 // reconcile compares the listed layers of a service with its placement and issues the orders that are due.
 func (o *Orderer) reconcile(ctx context.Context, s matcher.Service) {
-	views := o.Targets.Service(s.Name)
 	now := o.Clock.Now()
+	o.removeFinished(now)
+	if !o.HoldsDuty() {
+		return
+	}
+	views := o.Targets.Service(s.Name)
 	o.used = o.used || slices.ContainsFunc(views, func(v assessor.View) bool { return v.Requests > 0 })
-	o.removeFinished(views, now)
-	if !o.HoldsDuty() || !o.settled(s.Name, views, now) {
+	if !o.settled(s.Name, views, now) {
 		return
 	}
 	problem := o.buildProblem(s.Engine, views)
@@ -232,17 +235,14 @@
 }
 
 // removeFinished removes pending orders that the list shows, that failed, or whose target has restarted.
-func (o *Orderer) removeFinished(views []assessor.View, now time.Time) {
+func (o *Orderer) removeFinished(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, v := range views {
-		p, ok := o.pending[v.Name]
-		if !ok {
-			continue
-		}
+	for name, p := range o.pending {
+		v, ok := o.Targets.Get(name)
 		first, end, _ := v.ReadyLayers()
-		if p.Incarnation != v.Incarnation || now.After(p.Until) || first == p.First && end == p.End {
-			delete(o.pending, v.Name)
+		if now.After(p.Until) || ok && (p.Incarnation != v.Incarnation || first == p.First && end == p.End) {
+			delete(o.pending, name)
 		}
 	}
 }
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -283,3 +283,20 @@
 		require.Len(t, e.orders(), maxStartOrders-1, "a small fleet gets all orders together")
 	})
 }
+
+// BenchmarkReconcile measures a check of a placement without moves.
+func BenchmarkReconcile(b *testing.B) {
+	for _, n := range []int{230, 1000, 3000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := newFakeFleet()
+			for i := range n {
+				e.putAt(fmt.Sprintf("t%05d", i), cataloger.DataCentre(fmt.Sprint(i%3)), uint32(i%2*6), uint32(i%2*6+6))
+			}
+			o := New(e.targets, timer.System{})
+			o.HoldsDuty = func() bool { return true }
+			for b.Loop() {
+				o.reconcile(b.Context(), matcher.Service{Name: "llm", Engine: testEngine})
+			}
+		})
+	}
+}
