Choose a path among 512 targets of a larger fleet

A choice looked at all targets that are listed, and sorted them anew after each change of any. It now draws 512 of those that hold layers, one from each run of names, and looks at all only if these make no path. The sorted lists are kept while targets change without joining, leaving, or getting or losing all layers. Fleets of at most 512 targets choose as before.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -117,8 +118,13 @@
 	// sums are the loads of all peers together, as of summedAt; a zero summedAt means out of date.
 	sums     map[uint32]float64
 	summedAt time.Time
-	// services holds the listed targets of each service, sorted by name; nil means out of date.
-	services map[string][]*targetRecord
+	// services holds the listed targets of each service; nil means out of date.
+	services map[string]serviceTargets
+}
+
+// serviceTargets holds the listed targets of a service, sorted by name, and those among them that hold layers.
+type serviceTargets struct {
+	all, holding []*targetRecord
 }
 
 // New returns an assessor without targets.
@@ -135,13 +141,16 @@
 	if !ok || r.target.Incarnation != t.Incarnation {
 		r = &targetRecord{pace: 1, loadKey: LoadKey(t.Name)}
 		a.records[t.Name] = r
+		a.services = nil
 	}
 	if t.State == cataloger.StateLive {
 		r.leavingAt = time.Time{}
 	}
+	if !r.removedAt.IsZero() || r.target.Service != t.Service || holdsLayers(r.target) != holdsLayers(t) {
+		a.services = nil
+	}
 	r.removedAt = time.Time{}
 	r.refusedUntil = time.Time{}
-	a.services = nil
 	if r.target.Address != t.Address {
 		if a.byAddress[r.target.Address] == t.Name {
 			delete(a.byAddress, r.target.Address)
@@ -177,6 +186,12 @@
 	a.byAddress[t.Address] = t.Name
 }
 
+// holdsLayers reports whether a target holds layers that are ready.
+func holdsLayers(t cataloger.Target) bool {
+	first, end, _ := t.ReadyLayers()
+	return end > first
+}
+
 // unloadsLayers reports whether a target no longer holds all the layers that it held before.
 func unloadsLayers(before, after cataloger.Target) bool {
 	first, end, _ := before.ReadyLayers()
@@ -243,7 +258,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
-	records := a.listed(service)
+	records := a.listed(service).all
 	out = slices.Grow(out, len(records))
 	for _, r := range records {
 		out = append(out, a.view(r, now))
@@ -251,17 +266,41 @@
 	return out
 }
 
-// listed returns the listed targets of a service, sorted by name; the caller holds mu.
-func (a *Assessor) listed(service string) []*targetRecord {
+// AppendHolding appends n of the listed targets of a service that hold layers to out, sorted by name. It takes one at random from each
+// of n runs of names of equal length. It appends nothing if there are at most n such targets.
+func (a *Assessor) AppendHolding(out []View, service string, n int) []View {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	records := a.listed(service).holding
+	if len(records) <= n {
+		return out
+	}
+	for i := range n {
+		first, end := i*len(records)/n, (i+1)*len(records)/n
+		out = append(out, a.view(records[first+rand.IntN(end-first)], now))
+	}
+	return out
+}
+
+// listed returns the listed targets of a service; the caller holds mu.
+func (a *Assessor) listed(service string) serviceTargets {
 	if a.services == nil {
-		a.services = map[string][]*targetRecord{}
+		a.services = map[string]serviceTargets{}
+		all := make([]*targetRecord, 0, len(a.records))
 		for _, r := range a.records {
 			if r.removedAt.IsZero() {
-				a.services[r.target.Service] = append(a.services[r.target.Service], r)
+				all = append(all, r)
 			}
 		}
-		for _, list := range a.services {
-			slices.SortFunc(list, func(x, y *targetRecord) int { return cmp.Compare(x.target.Name, y.target.Name) })
+		slices.SortFunc(all, func(x, y *targetRecord) int { return cmp.Compare(x.target.Name, y.target.Name) })
+		for _, r := range all {
+			list := a.services[r.target.Service]
+			list.all = append(list.all, r)
+			if holdsLayers(r.target) {
+				list.holding = append(list.holding, r)
+			}
+			a.services[r.target.Service] = list
 		}
 	}
 	return a.services[service]
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -1,6 +1,7 @@
 package assessor
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -254,3 +255,38 @@
 		require.Empty(t, at(a, "10.0.0.1:80"))
 	}
 }
+
+// TestHoldingTargetsAreDrawnFromAll: in a large fleet, a choice looks at some of the targets that hold layers.
+func TestHoldingTargetsAreDrawnFromAll(t *testing.T) {
+	a := New(time.Now)
+	put := func(i int, end uint32) {
+		a.Put(cataloger.Target{
+			Name: fmt.Sprintf("t%03d", i), Service: "llm", State: cataloger.StateLive, Incarnation: 1,
+			Holdings: []cataloger.Holding{{FirstLayer: 0, EndLayer: end, Ready: true}},
+		})
+	}
+	for i := range 40 {
+		put(i, uint32(i%2))
+	}
+	require.Empty(t, a.AppendHolding(nil, "llm", 20), "all of them are read with Service")
+	seen := map[string]bool{}
+	for range 200 {
+		drawn := a.AppendHolding(nil, "llm", 7)
+		require.Len(t, drawn, 7)
+		for i, v := range drawn {
+			require.True(t, i == 0 || v.Name > drawn[i-1].Name, "sorted, and none twice")
+			seen[v.Name] = true
+		}
+	}
+	require.Len(t, seen, 20)
+	put(0, 3)
+	put(1, 0)
+	a.Remove("t003")
+	for range 200 {
+		for _, v := range a.AppendHolding(nil, "llm", 18) {
+			require.NotContains(t, []string{"t001", "t003"}, v.Name)
+		}
+	}
+	require.Len(t, a.AppendHolding(nil, "llm", 18), 18)
+	require.Len(t, a.Service("llm"), 39)
+}
--- a/internal/assessor/departures.go
+++ b/internal/assessor/departures.go
@@ -117,7 +117,7 @@
 	defer a.mu.Unlock()
 	now := a.Now()
 	var shortest time.Duration
-	for _, r := range a.listed(service) {
+	for _, r := range a.listed(service).all {
 		v := a.view(r, now)
 		if !v.Usable() {
 			continue
--- a/internal/assessor/loads.go
+++ b/internal/assessor/loads.go
@@ -95,7 +95,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := map[string]float64{}
-	for _, r := range a.listed(service) {
+	for _, r := range a.listed(service).all {
 		if r.tokenLayers > 0 {
 			out[r.target.Name] = r.tokenLayers
 		}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -41,6 +41,9 @@
 	// memoryFillWeight scales how much the cost of a layer grows as the memory of its target fills. The growth is small at
 	// first, since targets batch.
 	memoryFillWeight = 4
+	// maxCandidates is how many targets, drawn at random, are candidates for a path in a larger fleet. All of them are if these make
+	// no path.
+	maxCandidates = 512
 	// hintMargin scales the hinted length of an answer, in case the answer is longer.
 	hintMargin = 1.25
 )
@@ -193,6 +196,11 @@
 	e := d.Engine
 	buffer := viewBuffers.Get().(*[]assessor.View)
 	defer viewBuffers.Put(buffer)
+	if *buffer = c.Targets.AppendHolding((*buffer)[:0], d.Service, maxCandidates); len(*buffer) > 0 {
+		if path, ok := c.cheapestOver(d, c.holders(*buffer, d, avoid, c.loadEstimate(*buffer, d))); ok {
+			return path, true
+		}
+	}
 	*buffer = c.Targets.AppendService((*buffer)[:0], d.Service)
 	views := *buffer
 	if e.Layers == 0 {
