Compare the members of a large fleet by name once

Each change of the members looked up each of them in the list of the others, which grows with the square of the fleet: 300 changes while 300 gateways start. The lookup of addresses made a map of all members for each client.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,21 +188,25 @@
 // EntryAddresses returns the addresses that clients may connect to. If all daemons leave, it returns the address of the
 // last one to leave, which stands in.
 func (g *Gateway) EntryAddresses() []string {
-	var ready, leaving []string
-	addresses := map[string]string{}
+	var ready []string
+	var leaving []cataloger.Member
 	for _, m := range g.allMembers() {
-		addresses[m.Name] = m.Address
 		switch {
 		case acceptsRequests(m):
 			ready = append(ready, m.Address)
 		case m.State == cataloger.StateLeaving:
-			leaving = append(leaving, m.Name)
+			leaving = append(leaving, m)
 		}
 	}
 	if len(ready) > 0 || len(leaving) == 0 {
 		return ready
 	}
-	return []string{addresses[g.departures.LastToLeave(leaving)]}
+	var names []string
+	for _, m := range leaving {
+		names = append(names, m.Name)
+	}
+	last := g.departures.LastToLeave(names)
+	return []string{leaving[memberIndex(leaving, last)].Address}
 }
 
 // Run serves until ctx is done, and then shuts down without interrupting requests.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -151,15 +151,16 @@
 		g.departures.Record(m.Name, m.Epoch, m.State == cataloger.StateLeaving, now)
 		others = append(others, m)
 	}
-	before, lastJoin := g.others(), g.members.Load().lastJoin
+	before, lastJoin := epochs(g.others()), g.members.Load().lastJoin
 	for _, m := range others {
-		if i := memberIndex(before, m.Name); i < 0 || before[i].Epoch != m.Epoch {
+		if epoch, ok := before[m.Name]; !ok || epoch != m.Epoch {
 			lastJoin = now
 			g.Log.Info().Str("peer", m.Name).Uint64("epoch", m.Epoch).Str("address", m.PeerAddress).Msg("peer joins")
 		}
 	}
-	for _, m := range before {
-		if i := memberIndex(others, m.Name); i < 0 || others[i].Epoch != m.Epoch {
+	after := epochs(others)
+	for _, m := range g.others() {
+		if epoch, ok := after[m.Name]; !ok || epoch != m.Epoch {
 			g.removePeer(m.Name)
 		}
 	}
@@ -167,6 +168,15 @@
 	g.fleetSize.Record(now, len(others)+1)
 }
 
+// epochs returns the epochs of members by their names.
+func epochs(ms []cataloger.Member) map[string]uint64 {
+	out := make(map[string]uint64, len(ms))
+	for _, m := range ms {
+		out[m.Name] = m.Epoch
+	}
+	return out
+}
+
 // memberIndex returns the index of a member, or -1.
 func memberIndex(ms []cataloger.Member, name string) int {
 	return slices.IndexFunc(ms, func(m cataloger.Member) bool { return m.Name == name })
