Compress equal lists of targets for followers once

The objects of a list were in random order, so that the compressed form that a daemon keeps never matched and each follower cost a compression of its own. They are sorted by key now.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -109,6 +110,8 @@
 		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
 		return
 	}
+	// In this order, lists that are equal are compressed once.
+	slices.SortFunc(c.Objects, func(a, b storer.Object) int { return strings.Compare(a.Key, b.Key) })
 	message := &peerv1.GatewayObjects{}
 	for _, o := range c.Objects {
 		message.Items = append(message.Items, &peerv1.GatewayObject{Key: o.Key, Value: o.Value, Version: uint64(o.Version)})
