--- a/internal/chooser/layercost_test.go
+++ b/internal/chooser/layercost_test.go
@@ -223,3 +223,29 @@
 	require.True(t, ok)
 	return &v
 }
+
+// A large fleet has one holder of some layers, which a sample of its targets mostly lacks.
+func TestLargeFleetFindsTheOnlyHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := assessor.New(func() time.Time { return now })
+	for i := range 3 * maxCandidates {
+		first := uint32(i%3) * 10
+		if i == maxCandidates {
+			first = 30
+		}
+		a.Put(cataloger.Target{
+			Name: fmt.Sprintf("t%04d", i), Service: "llm", Address: fmt.Sprint(i), State: cataloger.StateLive, Kind: "slow", Incarnation: 1,
+			Holdings: []cataloger.Holding{{Version: "1", FirstLayer: first, EndLayer: first + 10, Ready: true}},
+		})
+	}
+	c := New(a, func() time.Time { return now })
+	c.Daemons, c.HasFleetLoads = func() int { return 118 }, func() bool { return false }
+	first := map[string]bool{}
+	for range 20 {
+		path, ok := c.Path(Demand{Service: "llm", Engine: fleetEngine(), Tokens: 840, PrefillTokens: 700}, nil)
+		require.True(t, ok)
+		require.Equal(t, fmt.Sprintf("t%04d", maxCandidates), path[3].Target)
+		first[path[0].Target] = true
+	}
+	require.Greater(t, len(first), 5, "requests are spread over the targets")
+}
