--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	// memoryFillWeight scales how much the cost of a layer grows as the memory of its target fills. The growth is small at
 	// first, since targets batch.
 	memoryFillWeight = 4
+	// maxCandidates is how many targets, drawn at random, are candidates for a path in a larger fleet. All of them are if these make
+	// no path.
+	maxCandidates = 512
 	// hintMargin scales the hinted length of an answer, in case the answer is longer.
 	hintMargin = 1.25
 )
@@ -193,6 +197,11 @@
 	e := d.Engine
 	buffer := viewBuffers.Get().(*[]assessor.View)
 	defer viewBuffers.Put(buffer)
+	if *buffer = c.Targets.AppendHolding((*buffer)[:0], d.Service, maxCandidates); len(*buffer) > 0 {
+		if path, ok := c.cheapestOver(d, c.holders(*buffer, d, avoid, c.loadEstimate(*buffer, d))); ok {
+			return path, true
+		}
+	}
 	*buffer = c.Targets.AppendService((*buffer)[:0], d.Service)
 	views := *buffer
 	if e.Layers == 0 {
@@ -304,13 +313,17 @@
 		}
 	}
 	slices.Sort(pauses)
-	for _, pause := range append([]time.Duration{0}, pauses...) {
-		available := func(v assessor.View) bool { return v.Usable() && wait(v) <= pause }
-		if _, _, missing := firstUncovered(views, d.Engine.Layers, available); !missing {
-			return max(pause, c.timeToDrain(d))
-		}
+	pauses = append([]time.Duration{0}, pauses...)
+	// The longer the pause, the more targets are available.
+	enough := sort.Search(len(pauses), func(i int) bool {
+		available := func(v assessor.View) bool { return v.Usable() && wait(v) <= pauses[i] }
+		_, _, missing := firstUncovered(views, d.Engine.Layers, available)
+		return !missing
+	})
+	if enough == len(pauses) {
+		return 0
 	}
-	return 0
+	return max(pauses[enough], c.timeToDrain(d))
 }
 
 // timeToDrain returns how long it takes until the wait for the pipes on the cheapest path is short enough for a client.
