--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -251,6 +251,13 @@
 	return out
 }
 
+// Listed returns the number of listed targets of a service.
+func (a *Assessor) Listed(service string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.listed(service))
+}
+
 // listed returns the listed targets of a service, sorted by name; the caller holds mu.
 func (a *Assessor) listed(service string) []*targetRecord {
 	if a.services == nil {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -11,6 +11,7 @@
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/pacer"
 	"github.com/rattantray/rattantray/internal/pathfinder"
 	"github.com/rattantray/rattantray/internal/placer"
 	"github.com/rattantray/rattantray/internal/throttler"
@@ -41,6 +42,9 @@
 	// memoryFillWeight scales how much the cost of a layer grows as the memory of its target fills. The growth is small at
 	// first, since targets batch.
 	memoryFillWeight = 4
+	// heldBackFactor scales the cost of a layer on a target that is held back, so that it is used only where others have hardly any
+	// room.
+	heldBackFactor = 10
 	// hintMargin scales the hinted length of an answer, in case the answer is longer.
 	hintMargin = 1.25
 )
@@ -94,6 +98,8 @@
 	AnswerTime func() time.Duration
 	// Limits returns the use of the limits of targets, by the name of the target.
 	Limits func() map[string]throttler.State
+	// Pace returns the targets of a service that have started or come back and are not open to new requests.
+	Pace func(service string) map[string]pacer.Verdict
 	// Draw returns a sample of the exponential distribution with mean 1.
 	Draw func() float64
 
@@ -106,6 +112,7 @@
 		Targets: targets, Now: now, Daemons: func() int { return 1 }, HasFleetLoads: func() bool { return true },
 		HasTally: func() bool { return false }, AnswerTime: func() time.Duration { return 0 },
 		Limits: func() map[string]throttler.State { return nil }, Draw: rand.ExpFloat64,
+		Pace: func(string) map[string]pacer.Verdict { return nil },
 	}
 }
 
@@ -118,11 +125,12 @@
 func (c *Chooser) candidates(views []assessor.View, d Demand, avoid map[string]bool, load loadFunc) []candidate {
 	e := d.Engine
 	memory := map[string]placer.Memory{}
+	pace := c.paceFor(d)
 	out := make([]candidate, 0, len(views))
 	for i := range views {
 		v := &views[i]
 		first, end, _ := v.ReadyLayers()
-		if !v.Usable() || v.Refusing || avoid[v.Name] || end <= first {
+		if !v.Usable() || v.Refusing || avoid[v.Name] || end <= first || pace[v.Name] == pacer.Full {
 			continue
 		}
 		m, ok := memory[v.Kind]
@@ -137,11 +145,22 @@
 			continue
 		}
 		step := e.StepTime.Seconds() + e.SequenceTime.Seconds()*float64(v.Requests)
-		out = append(out, candidate{view: v, capacity: capacity, used: used, cost: step * max(e.Kinds[v.Kind].Pace, 0.01) / float64(max(e.Layers, 1))})
+		cand := candidate{view: v, capacity: capacity, used: used, cost: step * max(e.Kinds[v.Kind].Pace, 0.01) / float64(max(e.Layers, 1))}
+		cand.heldBack = pace[v.Name] == pacer.HeldBack
+		out = append(out, cand)
 	}
 	return out
 }
 
+// paceFor returns the targets that are not open to a generation as they have started or come back. Streams that have begun go before all
+// others, so that all are open to these.
+func (c *Chooser) paceFor(d Demand) map[string]pacer.Verdict {
+	if d.Precedence.Begun {
+		return nil
+	}
+	return c.Pace(d.Service)
+}
+
 // holders returns the targets that can run a part of a generation, keyed by the version of their weights.
 func (c *Chooser) holders(views []assessor.View, d Demand, avoid map[string]bool, load loadFunc) map[string][]pathfinder.Holder {
 	candidates := c.candidates(views, d, avoid, load)
@@ -158,9 +177,13 @@
 			out[version] = make([]pathfinder.Holder, 0, len(candidates))
 		}
 		fill := (cand.used + d.Tokens*float64(end-first)) / cand.capacity
+		cost := layerCost(cand) * (1 + memoryFillWeight*fill*fill*fill*fill)
+		if cand.heldBack {
+			cost *= heldBackFactor
+		}
 		out[version] = append(out[version], pathfinder.Holder{
 			Target: cand.view.Name, Address: cand.view.Address, DataCentre: cand.view.DataCentre, First: first, End: end,
-			LayerCost: layerCost(cand) * (1 + memoryFillWeight*fill*fill*fill*fill), HopCost: hopCost.Seconds(), EntryCost: entryCost,
+			LayerCost: cost, HopCost: hopCost.Seconds(), EntryCost: entryCost,
 		})
 	}
 	return out
@@ -224,9 +247,10 @@
 // no target has the memory for.
 func (c *Chooser) NoPathReason(d Demand) string {
 	e := d.Engine
-	views := c.Targets.Service(d.Service)
+	views, pace := c.Targets.Service(d.Service), c.paceFor(d)
 	mostUrgent := d
 	mostUrgent.Precedence.Ahead = 0
+	accepts := func(v assessor.View) bool { return v.Usable() && !v.Refusing && pace[v.Name] != pacer.Full }
 	checks := []struct {
 		what string
 		ok   func(assessor.View) bool
@@ -234,13 +258,14 @@
 		{"held by no target", func(assessor.View) bool { return true }},
 		{"held only by targets that leave or do not answer", assessor.View.Usable},
 		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refusing }},
+		{"held only by targets that have just started or come back and get no more for now", accepts},
 		{"held only by targets without memory for it", func(v assessor.View) bool {
 			first, end, _ := v.ReadyLayers()
-			return v.Usable() && !v.Refusing && mostUrgent.fits(v.TokenLayers, d.room(&v, end-first), end-first)
+			return accepts(v) && mostUrgent.fits(v.TokenLayers, d.room(&v, end-first), end-first)
 		}},
 		{"held only by targets whose room is left to more urgent requests", func(v assessor.View) bool {
 			first, end, _ := v.ReadyLayers()
-			return v.Usable() && !v.Refusing && d.fits(v.TokenLayers, d.room(&v, end-first), end-first)
+			return accepts(v) && d.fits(v.TokenLayers, d.room(&v, end-first), end-first)
 		}},
 	}
 	limits := c.Limits()
--- a/internal/chooser/layercost.go
+++ b/internal/chooser/layercost.go
@@ -35,6 +35,8 @@
 	used     float64
 	// cost is the time of a layer at the pace of the target's kind, in seconds a token.
 	cost float64
+	// heldBack is true for a target that has started or come back, and gets no more for now than others have no room for.
+	heldBack bool
 }
 
 // tokenCapacity returns how many tokens of requests fit into the memory of the target.
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -39,6 +39,8 @@
 	msgTargetLost       = "target believed lost"
 	msgTargetLostByPeer = "target believed lost by a peer"
 	msgTargetRecovered  = "target answers after all"
+	msgTargetPaced      = "target is paced"
+	msgTargetCaughtUp   = "target is no longer paced"
 	msgStoreLost        = "store lost, going on with what is known"
 	msgStoreRecovered   = "store is back"
 	msgNewEra           = "store is in a new era"
@@ -90,10 +92,12 @@
 	era     Line
 	leaving Line
 	targets map[string]Line
+	// paced holds the targets that were paced, as they had started or come back.
+	paced map[string]Line
 }
 
 func newDaemonState(lines []Line, end Line) daemonState {
-	s := daemonState{targets: map[string]Line{}}
+	s := daemonState{targets: map[string]Line{}, paced: map[string]Line{}}
 	for _, l := range lines {
 		if l.Node != end.Node || l.Time.After(end.Time) {
 			continue
@@ -107,11 +111,15 @@
 			s.era = l
 		case msgGatewayStarts:
 			// A new process starts without the state of the one before.
-			s = daemonState{targets: map[string]Line{}}
+			s = daemonState{targets: map[string]Line{}, paced: map[string]Line{}}
 		case msgGatewayLeaves:
 			s.leaving = l
 		case msgTargetListed, msgTargetRemoved, msgTargetLost, msgTargetLostByPeer, msgTargetRecovered:
 			s.targets[l.text("target")] = l
+		case msgTargetPaced:
+			s.paced[l.text("target")] = l
+		case msgTargetCaughtUp:
+			delete(s.paced, l.text("target"))
 		}
 	}
 	return s
@@ -129,6 +137,9 @@
 		if l, ok := s.targets[name]; ok {
 			out = append(out, l)
 		}
+		if l, ok := s.paced[name]; ok {
+			out = append(out, l)
+		}
 	}
 	return out
 }
@@ -179,7 +190,7 @@
 	why := end.text("why")
 	switch code := end.text("code"); code {
 	case "":
-		return fmt.Sprintf("served by %s in %.0f ms", end.Node, end.number("took"))
+		return fmt.Sprintf("served by %s in %.0f ms", end.Node, end.number("took")) + pacedTargetsText(lines)
 	case "unauthenticated":
 		return fmt.Sprintf("its key is not in version %.0f of the configuration, in force on %s since %s", version, end.Node, timeText(state.config))
 	case "unknown-service":
@@ -189,7 +200,7 @@
 	case "quarantined":
 		return fmt.Sprintf("%s; %s", why, retryText(end))
 	case "no-pipeline", "no-target":
-		return fmt.Sprintf("%s; %s", why, retryText(end)) + unavailableTargetsText(lines, state)
+		return fmt.Sprintf("%s; %s", why, retryText(end)) + unavailableTargetsText(lines, state) + pacedTargetsText(lines)
 	case "deadline-exceeded":
 		return "its time was up: " + progress(lines, end) + unavailableTargetsText(lines, state)
 	case "canceled":
@@ -237,6 +248,20 @@
 		end.text("last"), end.number("longest-gap"), sends, sent.text("target"), repaths)
 }
 
+// pacedTargetsText names the pace of other targets as a reason why a request was placed where it was.
+func pacedTargetsText(lines []Line) string {
+	paced := 0.0
+	for _, l := range lines {
+		if l.Message == msgSent {
+			paced = max(paced, l.number("paced"))
+		}
+	}
+	if paced == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %.0f targets that had started or come back were paced when it was placed", paced)
+}
+
 func unavailableTargetsText(lines []Line, state daemonState) string {
 	names := state.unavailable(targetsOf(lines))
 	if len(names) == 0 {
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -33,6 +33,9 @@
 		cause string
 	}{
 		{"served", sent + `{"node":"a-1","request":"r1","took":512.4,"time":2500,"message":"request ended"}`, "served by a-1 in 512 ms"},
+		{"served while a target was paced", `{"node":"a-1","request":"r1","target":"i-1","path":"i-1=0-5","paced":3,"time":1500,"message":"request sent"}
+{"node":"a-1","request":"r1","took":512.4,"time":2500,"message":"request ended"}`,
+			"served by a-1 in 512 ms; 3 targets that had started or come back were paced when it was placed"},
 		{"a key that was withdrawn", `{"node":"a-1","request":"r1","config":7,"code":"unauthenticated","time":2500,"message":"request refused"}`,
 			"its key is not in version 7 of the configuration, in force on a-1 since 00:00:01.000"},
 		{"a route that was removed", `{"node":"a-1","request":"r1","config":7,"code":"unknown-service","why":"no route for h/x","time":2500,"message":"request refused"}`,
@@ -91,6 +94,22 @@
 	require.Empty(t, x.DaemonState)
 }
 
+// TestPacedTargetsOfARequestAreListed checks that the pace of a target of the request is listed until it ends.
+func TestPacedTargetsOfARequestAreListed(t *testing.T) {
+	lines := `{"node":"a-1","target":"i-1","reason":"started","time":1400,"message":"target is paced"}
+{"node":"a-1","target":"i-2","reason":"started","time":1400,"message":"target is paced"}
+{"node":"a-1","target":"i-2","time":1450,"message":"target is no longer paced"}
+{"node":"a-1","request":"r1","target":"i-1","path":"i-1=0-5 i-2=5-10","paced":1,"time":1500,"message":"request sent"}
+{"node":"a-1","request":"r1","took":300,"time":1800,"message":"request ended"}`
+	var paced []any
+	for _, e := range explain(t, lines).DaemonState {
+		if e.Message == msgTargetPaced {
+			paced = append(paced, e.Fields["target"])
+		}
+	}
+	require.Equal(t, []any{"i-1"}, paced)
+}
+
 func TestUnknownRequest(t *testing.T) {
 	lines, _, err := Read(strings.NewReader(stateLines))
 	require.NoError(t, err)
--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -25,6 +25,8 @@
 	// Permit, if not nil, reports whether an attempt may be sent to an instance now; another instance is picked if not. The
 	// instance must then not be offered again until it may.
 	Permit func(ctx context.Context, target cataloger.Target) bool
+	// HeldBack, if not nil, returns the names of instances that get an attempt only if no other may be tried.
+	HeldBack func() []string
 	// Spend, if not nil, replaces the balancer's own budget; it reports whether one more attempt is allowed.
 	Spend func() bool
 }
@@ -102,7 +104,7 @@
 	}
 	run := attempts{request: r, policy: policy}
 	for {
-		target, ok := b.pick(targets(), run.tried)
+		target, ok := b.pick(targets(), run.unpreferred())
 		if !ok {
 			return Answer{}, run.refusal(refuser.NoTarget, "no instance of %s takes requests", r.Service).WithRetryAfter(breaker.MinOpen)
 		}
@@ -145,6 +147,14 @@
 	mayHaveRun bool
 }
 
+// unpreferred returns the instances that get an attempt only if no other may be tried.
+func (a *attempts) unpreferred() []string {
+	if a.policy.HeldBack == nil {
+		return a.tried
+	}
+	return slices.Concat(a.tried, a.policy.HeldBack())
+}
+
 // nextRequest returns the request of the next attempt; an attempt that may be repeated gets half of the remaining time and
 // leaves the rest to the others.
 func (a *attempts) nextRequest(now time.Time) Request {
@@ -188,28 +198,28 @@
 	return refuser.New(code, format, args...).WithFact(a.fact())
 }
 
-// pick returns the live target with the lowest cost for a request and prefers targets that were not tried.
-func (b *Balancer) pick(targets []cataloger.Target, tried []string) (cataloger.Target, bool) {
+// pick returns the live target with the lowest cost for a request and prefers targets that are not in unpreferred.
+func (b *Balancer) pick(targets []cataloger.Target, unpreferred []string) (cataloger.Target, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
-	var untried, alreadyTried []cataloger.Target
+	var preferred, others []cataloger.Target
 	for _, t := range targets {
 		switch {
 		case t.State != cataloger.StateLive || !b.state(t.Name).Allows(now):
-		case slices.Contains(tried, t.Name):
-			alreadyTried = append(alreadyTried, t)
+		case slices.Contains(unpreferred, t.Name):
+			others = append(others, t)
 		default:
-			untried = append(untried, t)
+			preferred = append(preferred, t)
 		}
 	}
-	if len(untried) == 0 {
-		untried = alreadyTried
+	if len(preferred) == 0 {
+		preferred = others
 	}
-	if len(untried) == 0 {
+	if len(preferred) == 0 {
 		return cataloger.Target{}, false
 	}
-	best := b.cheapest(untried, now)
+	best := b.cheapest(preferred, now)
 	b.state(best.Name).Start()
 	return best, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -272,6 +272,7 @@
 	r.Throttler.Daemons = func() int { return g.fleetSize.Max(g.Clock.Now()) }
 	g.poster.Handle(permitRequestMethod, g.handlePermitRequest)
 	g.poster.Handle(permitReplyMethod, g.handlePermitReply)
+	g.preparePacer()
 	r.Quarantiner.Log, r.Quarantiner.TrialRank = g.Log, g.trialRank
 
 	g.prepareLinks()
@@ -379,6 +380,7 @@
 	name := strings.TrimPrefix(o.Key, g.Settings.TargetsPrefix)
 	if deleted {
 		g.targets.Remove(name)
+		g.relayer.Pacer.Forget(name)
 		g.Log.Info().Str("target", name).Msg("target removed")
 		return
 	}
@@ -388,7 +390,9 @@
 		g.Log.Warn().Str("target", name).Err(err).Msg("entry names no usable target")
 		return
 	}
+	before, known := g.targets.Get(name)
 	g.targets.Put(t)
+	g.updatePace(before.Target, known, t)
 	first, end, _ := t.ReadyLayers()
 	g.Log.Info().Str("target", name).Str("address", t.Address).Str("state", string(t.State)).Uint64("incarnation", t.Incarnation).
 		Uint32("first", first).Uint32("end", end).Msg("target listed")
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -129,6 +129,7 @@
 	m.RegisterGauge("targets-limited", func() float64 { return float64(len(g.relayer.Throttler.States())) })
 	m.RegisterGauge("loads-summed", func() float64 { return float64(g.tallier.Summed()) })
 	m.RegisterGauge("room-used", g.roomUsed)
+	m.RegisterGauge("targets-paced", func() float64 { return float64(g.relayer.Pacer.Paced()) })
 	m.RegisterGauge("quarantines", func() float64 { return float64(g.relayer.Quarantiner.Quarantines()) })
 	m.RegisterGauge("peers-alive", func() float64 { return float64(len(g.others())) })
 	m.RegisterGauge("store-eras", func() float64 { return float64(g.eraCount.Load()) })
--- a/internal/gateway/tally.go
+++ b/internal/gateway/tally.go
@@ -81,6 +81,9 @@
 			out[key] += n
 		}
 	}
+	for key, n := range g.relayer.Pacer.Own() {
+		out[key] += n
+	}
 	return out
 }
 
@@ -93,6 +96,7 @@
 	g.relayer.Shares.SetOthers(demand, g.Clock.Now())
 	g.targets.SetFleetLoads(loads)
 	g.relayer.Chooser.SetOtherCrossingRates(loads)
+	g.relayer.Pacer.Apply(others)
 }
 
 func (g *Gateway) sendTally(to cataloger.Member, r tallier.Report) {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -10,6 +10,7 @@
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/orderer"
+	"github.com/rattantray/rattantray/internal/pacer"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tracker"
 )
@@ -123,6 +124,7 @@
 		if g.targets.Suspect(d.GetTarget(), d.GetIncarnation(), since(d.GetAgeMs())) {
 			v, _ := g.targets.Get(d.GetTarget())
 			g.Log.Info().Str("target", d.GetTarget()).Str("peer", peer).Dur("answered-here", v.SinceAnswer).Msg("target believed lost by a peer")
+			g.relayer.Pacer.Begin(v.Target, pacer.ReasonSuspected)
 			urgent = true
 		}
 	}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
@@ -123,6 +124,21 @@
 // Version returns the version of the document.
 func (m *Matcher) Version() uint64 { return m.document.Version }
 
+// Objective returns the shortest latency objective of the streams of a service; 0 if there is none.
+func (m *Matcher) Objective(service string) time.Duration {
+	var out time.Duration
+	for i := range m.document.Routes {
+		r := &m.document.Routes[i]
+		if r.Kind != KindStreaming || r.Objective == 0 || out > 0 && r.Objective >= out {
+			continue
+		}
+		if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+			out = r.Objective
+		}
+	}
+	return out
+}
+
 // Limits returns the limits on clients.
 func (m *Matcher) Limits() Limits { return m.document.Limits }
 
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +23,8 @@
 	// another target can be tried: eighty times the answers of the deployments. A longer signed success is forwarded as
 	// it arrives.
 	maxBufferedBytes = 64 << 10
+	// answersPerObjective is how many answers of an instance that works as usual fit into the objective of a route.
+	answersPerObjective = 4
 )
 
 // plainCall is a request to a plain service, across its attempts.
@@ -76,6 +79,7 @@
 	}, forwarder.Policy{
 		MaxAttempts: max(req.Route.MaxAttempts, 1),
 		Permit:      c.permit,
+		HeldBack:    func() []string { return slices.Collect(maps.Keys(r.Pacer.Verdicts(req.Service.Name))) },
 		Spend:       func() bool { return r.spendRetry(req) },
 	}, call.attempt)
 	switch {
@@ -154,11 +158,16 @@
 	}
 	call := Call{Request: c.request, Content: c.content, Target: t, Remaining: c.request.Deadline.Sub(now), Repeated: repeated}
 	c.relayer.logSent(call, len(c.targets))
+	pacing := c.relayer.Pacer.Send([]string{t.Name}, c.request.Route.Objective/answersPerObjective)
+	defer pacing.Close()
 	if fr.Idempotent {
 		endTracking := c.relayer.trackSend(&plainSend{address: t.Address, began: now, cancel: cancel})
 		defer endTracking()
 	}
 	reply, err := c.relayer.Backend.Send(ctx, call)
+	if errors.Is(err, exchanger.ErrNotSent) && ctx.Err() == nil || err == nil && reply.NotRun {
+		pacing.RecordTrouble(t.Name)
+	}
 	if err != nil {
 		defer end()
 		if ctx.Err() == nil && !errors.Is(err, exchanger.ErrNotSent) {
@@ -181,6 +190,7 @@
 	if err != nil {
 		return forwarder.Answer{}, err
 	}
+	pacing.RecordAnswer()
 	c.reply = buffered
 	return forwarder.Answer{Status: reply.Status, Target: t.Name}, nil
 }
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -282,13 +282,16 @@
 // handleNoAnswer returns a refusal if a send brought no answer of a target that ran the request.
 func (g *generation) handleNoAnswer(l *leg) *refuser.Refusal {
 	if l.err != nil {
+		if errors.Is(l.err, exchanger.ErrNotSent) && l.ctx.Err() == nil {
+			l.pacing.RecordTrouble(l.first.Name)
+		}
 		refusal := g.handleSendError(l.ctx, l.first, l.err)
 		g.countSend(l.first, !errors.Is(l.err, exchanger.ErrNotSent))
 		return refusal
 	}
 	if l.reply.NotRun {
 		g.countSend(l.first, false)
-		return g.handleRefusal(l.first, l.reply)
+		return g.handleRefusal(l)
 	}
 	g.recordRun()
 	return nil
@@ -375,8 +378,8 @@
 }
 
 // handleRefusal handles a target's proof that it did not run the request.
-func (g *generation) handleRefusal(first cataloger.Target, reply *Reply) *refuser.Refusal {
-	r := g.relayer
+func (g *generation) handleRefusal(l *leg) *refuser.Refusal {
+	r, first, reply := g.relayer, l.first, l.reply
 	name := first.Name
 	if at, ok := r.Targets.ByAddress(reply.Blamed); ok {
 		name = at.Name
@@ -387,6 +390,7 @@
 		r.Targets.RecordRefusal(name)
 	}
 	r.Targets.RecordAnswer(name, name != first.Name)
+	l.pacing.RecordTrouble(name)
 	g.avoidTarget(name)
 	r.Log.Info().Str("request", g.request.ID).Str("target", first.Name).Str("at", name).Int("status", reply.Status).Msg("refused by target")
 	return refuser.New(refuser.TargetRefused, "%s refused with %d", name, reply.Status).WithRetryAfter(noPathRetry)
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/internal/pacer"
 )
 
 const (
@@ -36,6 +37,8 @@
 	number int
 	// release returns the memory that is reserved on the stages.
 	release func()
+	// pacing is the wait for a first event at targets that are paced; nil if there are none.
+	pacing *pacer.Sending
 	// done is closed once reply or err is set.
 	done  chan struct{}
 	reply *Reply
@@ -50,7 +53,12 @@
 		return nil
 	}
 	now, demand := r.Clock.Now(), g.request.demand()
-	l := &leg{parent: ctx, first: first.Target, path: path, sentAt: now, number: number, release: r.Targets.Reserve(path, demand.Tokens), done: make(chan struct{})}
+	l := &leg{parent: ctx, first: first.Target, path: path, sentAt: now, number: number, pacing: r.Pacer.Send(pathTargets(path), time.Duration(r.typicalFirstWait.Load())), done: make(chan struct{})}
+	release := r.Targets.Reserve(path, demand.Tokens)
+	l.release = func() {
+		release()
+		l.pacing.Close()
+	}
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
 	l.call = Call{Request: g.request, Content: g.content, Target: first.Target, Path: path, Remaining: g.request.Deadline.Sub(now), ResumeAfter: after}
 	l.call.Repeated = g.recordFirst(first.Name)
@@ -61,6 +69,15 @@
 	return l
 }
 
+// pathTargets returns the names of the targets of a path.
+func pathTargets(path []cataloger.Stage) []string {
+	out := make([]string, len(path))
+	for i, s := range path {
+		out[i] = s.Target
+	}
+	return out
+}
+
 // recordFirst records the first target of a send, and reports whether an earlier send went there.
 func (g *generation) recordFirst(name string) bool {
 	g.mu.Lock()
@@ -280,7 +297,7 @@
 	case l.err != nil:
 		_ = g.handleSendError(l.ctx, l.first, l.err)
 	case l.reply.NotRun:
-		_ = g.handleRefusal(l.first, l.reply)
+		_ = g.handleRefusal(l)
 	default:
 		g.relayer.Targets.RecordAnswer(l.first.Name, false)
 	}
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -111,6 +111,7 @@
 	if !g.started {
 		g.relayer.recordFirstWait(now.Sub(g.lastProgress))
 		g.relayer.Targets.RecordAccepted(g.path)
+		g.current.pacing.RecordAnswer()
 		g.relayer.Targets.RecordAnswer(g.path[0].Target, true)
 	}
 	if (g.started || n > 1) && !g.harmless {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"github.com/rattantray/rattantray/internal/forwarder"
 	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/meter"
+	"github.com/rattantray/rattantray/internal/pacer"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/internal/ranker"
 	"github.com/rattantray/rattantray/internal/rationer"
@@ -37,6 +38,8 @@
 	Throttler *throttler.Throttler
 	// Chooser chooses the paths of generations.
 	Chooser *chooser.Chooser
+	// Pacer bounds what targets get that have started or come back.
+	Pacer *pacer.Pacer
 	// Balancer spreads the requests of plain services.
 	Balancer *forwarder.Balancer
 	// Budget bounds the retries of each service across all daemons.
@@ -97,6 +100,7 @@
 		Targets:         targets,
 		Quarantiner:     quarantiner.New(clock.Now),
 		Throttler:       throttler.New(clock),
+		Pacer:           pacer.New(clock.Now),
 		Chooser:         chooser.New(targets, clock.Now),
 		Clock:           clock,
 		Meter:           meter.New(),
@@ -117,6 +121,12 @@
 	}
 	r.end, r.endNow = context.WithCancel(context.Background())
 	r.Chooser.Limits, r.Chooser.AnswerTime = r.Throttler.States, r.typicalAnswerTime
+	r.Chooser.Pace = r.Pacer.Verdicts
+	r.Pacer.Listed = targets.Listed
+	r.Pacer.Usable = func(target string) bool {
+		v, ok := targets.Get(target)
+		return ok && v.Usable() && !v.Refusing
+	}
 	r.typicalFirstWait.Store(int64(maxFirstEventTimeout / firstEventTimeoutFactor))
 	return r
 }
@@ -128,6 +138,7 @@
 		return refusal
 	}
 	r.rationer(req.Service.Name).RecordRequest(r.Clock.Now())
+	r.Pacer.RecordRequest(req.Service.Name)
 	req.Precedence.Draw, req.Precedence.Returning = rand.Float64(), r.returnDetector.isReturning(req.Route.Name, req.Deadline.Sub(req.Arrived))
 	if req.SharesLoads {
 		req.Precedence.Beyond = r.isBeyondShare(req)
@@ -173,7 +184,7 @@
 func (r *Relayer) logSent(call Call, sendNumber int) {
 	r.Log.Info().Str("request", call.Request.ID).Str("target", call.Target.Name).Int("sending", sendNumber).Dur("left", call.Remaining).
 		Str("after", call.ResumeAfter).Float64("prompt", call.Request.PromptTokens).Int("rank", call.Request.Precedence.Rank).Strs("parts", call.Request.PromptParts).Uint64("content", uint64(call.Content)).
-		Str("path", pathText(call.Path)).Msg("request sent")
+		Str("path", pathText(call.Path)).Int("paced", r.Pacer.Paced()).Msg("request sent")
 }
 
 // pathText returns the targets of a path with their layers.
@@ -268,6 +279,7 @@
 func (r *Relayer) markLost(t cataloger.Target, why string) {
 	if r.Targets.Suspect(t.Name, t.Incarnation, r.Clock.Now()) {
 		r.Log.Warn().Str("target", t.Name).Str("address", t.Address).Str("why", why).Msg("target believed lost")
+		r.Pacer.Begin(t, pacer.ReasonSuspected)
 		r.OnTargetLost(t)
 	}
 }
