--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -283,6 +283,13 @@
 	return out
 }
 
+// Listed returns the number of listed targets of a service.
+func (a *Assessor) Listed(service string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.listed(service).all)
+}
+
 // listed returns the listed targets of a service; the caller holds mu.
 func (a *Assessor) listed(service string) serviceTargets {
 	if a.services == nil {
