Decide on a request without sending it

Cause: nothing could tell where a request would go without sending one.

No decision on a request changes.

--- a/internal/forwarder/balancer.go
+++ b/internal/forwarder/balancer.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -216,12 +215,7 @@
 
 // cheapest returns a random one of the targets whose cost is within costTolerance of the lowest; the caller holds mu.
 func (b *Balancer) cheapest(targets []cataloger.Target, now time.Time) cataloger.Target {
-	costs, minCost := make([]float64, len(targets)), math.Inf(1)
-	for i, t := range targets {
-		state := b.state(t.Name)
-		costs[i] = state.performance.Cost(now, state.Outstanding())
-		minCost = min(minCost, costs[i])
-	}
+	costs, minCost := b.costs(targets, now)
 	var best cataloger.Target
 	ties := 0
 	for i, t := range targets {
--- /dev/null
+++ b/internal/forwarder/preference.go
@@ -0,0 +1,77 @@
+package forwarder
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rattantray/rattantray/internal/cataloger"
+)
+
+// Preference is the standing of an instance for the next request.
+type Preference struct {
+	Target cataloger.Target
+	// Cost is that of the next attempt; 1 is an idle instance that answers as usual.
+	Cost float64
+	// Outstanding is the number of requests in progress.
+	Outstanding int
+	// Allowed is true if the instance may get an attempt, and Preferred if it is one of those that are drawn from.
+	Allowed, Preferred bool
+	// Open is true while its breaker keeps attempts from the instance.
+	Open bool
+}
+
+// Preferences returns the standing of instances for the next request, the best first, and changes nothing.
+func (b *Balancer) Preferences(targets []cataloger.Target) []Preference {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	var out []Preference
+	var allowed []cataloger.Target
+	for _, t := range targets {
+		state := b.peek(t.Name)
+		p := Preference{Target: t, Outstanding: state.Outstanding(), Cost: state.performance.Cost(now, state.Outstanding()), Open: !state.Allows(now)}
+		if p.Allowed = t.State == cataloger.StateLive && !p.Open; p.Allowed {
+			allowed = append(allowed, t)
+		}
+		out = append(out, p)
+	}
+	_, lowest := b.costs(allowed, now)
+	for i := range out {
+		out[i].Preferred = out[i].Allowed && out[i].Cost <= costTolerance*lowest
+	}
+	slices.SortStableFunc(out, func(x, y Preference) int {
+		if x.Allowed != y.Allowed {
+			return cmp.Compare(boolToInt(y.Allowed), boolToInt(x.Allowed))
+		}
+		return cmp.Or(cmp.Compare(x.Cost, y.Cost), cmp.Compare(x.Target.Name, y.Target.Name))
+	})
+	return out
+}
+
+// costs returns the costs of targets and the lowest of them; the caller holds mu.
+func (b *Balancer) costs(targets []cataloger.Target, now time.Time) (costs []float64, lowest float64) {
+	costs, lowest = make([]float64, len(targets)), math.Inf(1)
+	for i, t := range targets {
+		state := b.peek(t.Name)
+		costs[i] = state.performance.Cost(now, state.Outstanding())
+		lowest = min(lowest, costs[i])
+	}
+	return costs, lowest
+}
+
+// peek returns the state of an instance, which is that of a new one if there is none; the caller holds mu.
+func (b *Balancer) peek(name string) *instanceState {
+	if state, ok := b.instances[name]; ok {
+		return state
+	}
+	return &instanceState{}
+}
+
+func boolToInt(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -162,6 +162,11 @@
 	return w.Name, true
 }
 
+// HasWorkspace reports whether there is a workspace of a name.
+func (m *Matcher) HasWorkspace(name cataloger.Workspace) bool {
+	return slices.ContainsFunc(m.document.Workspaces, func(w Workspace) bool { return w.Name == name })
+}
+
 // Rank returns the number of priorities among the requests for a service that are higher than the given one.
 func (m *Matcher) Rank(service string, priority int) int {
 	i, _ := slices.BinarySearch(m.priorities[service], priority)
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -39,10 +39,7 @@
 		d = &demand{updatedAt: now}
 		r.services[service] = d
 	}
-	d.decay(now)
-	rank = min(max(rank, 0), maxRank)
-	d.byRank[rank] += max(amount, 0)
-	return d.ahead(rank)
+	return d.add(rank, amount, now)
 }
 
 func (d *demand) decay(now time.Time) {
--- a/internal/relayer/closing.go
+++ b/internal/relayer/closing.go
@@ -29,14 +29,21 @@
 
 // refuseIfClosing returns a refusal if the daemon is closing and the request may outlast it.
 func (r *Relayer) refuseIfClosing(req *Request) *refuser.Refusal {
+	refusal := jitterRetryAfter(r.closingRefusal(req))
+	if refusal != nil {
+		r.logEnd(req, refusal, notMeasured, func(*zerolog.Event) {})
+	}
+	return refusal
+}
+
+// closingRefusal returns the refusal of a request that may outlast a closing daemon, or nil.
+func (r *Relayer) closingRefusal(req *Request) *refuser.Refusal {
 	c := r.closing.Load()
 	if c == nil || !req.Deadline.After(c.EndsAt) {
 		return nil
 	}
 	retryAfter := max(c.ReplacedAt.Sub(r.Clock.Now()), minRetryAfter)
-	refusal := jitterRetryAfter(refuser.New(refuser.Draining, "this daemon ends, and no other takes requests yet").WithFact(refuser.FactNotRun).WithRetryAfter(retryAfter))
-	r.logEnd(req, refusal, notMeasured, func(*zerolog.Event) {})
-	return refusal
+	return refuser.New(refuser.Draining, "this daemon ends, and no other takes requests yet").WithFact(refuser.FactNotRun).WithRetryAfter(retryAfter)
 }
 
 // errDaemonEnds ends the requests that have no answer when the daemon ends.
--- a/internal/relayer/path.go
+++ b/internal/relayer/path.go
@@ -34,8 +34,7 @@
 		}
 		path, ok := g.findPath(ctx)
 		if !ok {
-			wait := max(r.Chooser.RetryAfter(demand), r.Chooser.TimeToRoom(demand), noPathRetry)
-			return nil, refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(demand)).WithRetryAfter(wait)
+			return nil, r.refuseWithoutPath(demand)
 		}
 		first, ok := r.Targets.Get(path[0].Target)
 		if !ok {
@@ -51,6 +50,12 @@
 	return nil, refuser.New(refuser.TargetsAtLimit, "the targets get as many requests as they accept").WithRetryAfter(max(r.Chooser.RetryAfter(demand), noPathRetry))
 }
 
+// refuseWithoutPath returns the refusal of a generation for which there is no path.
+func (r *Relayer) refuseWithoutPath(demand chooser.Demand) *refuser.Refusal {
+	wait := max(r.Chooser.RetryAfter(demand), r.Chooser.TimeToRoom(demand), noPathRetry)
+	return refuser.New(refuser.NoPipeline, "%s", r.Chooser.NoPathReason(demand)).WithRetryAfter(wait)
+}
+
 // findPath returns a path; a stream that has begun waits for one up to pathWait.
 func (g *generation) findPath(ctx context.Context) ([]cataloger.Stage, bool) {
 	r, demand := g.relayer, g.request.demand()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,7 +17,6 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/forwarder"
-	"github.com/rattantray/rattantray/internal/matcher"
 	"github.com/rattantray/rattantray/internal/meter"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/internal/ranker"
@@ -141,7 +140,7 @@
 	ctx, stop := r.withEnd(ctx, answer)
 	defer stop()
 	w = answer
-	if req.Service.Engine != nil && req.Route.Kind == matcher.KindStreaming {
+	if req.IsGeneration() {
 		return r.generate(ctx, w, req)
 	}
 	return r.forward(ctx, w, req)
