--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattantray/rattantray/internal/matcher"
+	"github.com/rattantray/rattantray/internal/previewer"
 	"github.com/rattantray/rattantray/internal/shedder"
 )
 
@@ -168,6 +169,7 @@
 	m.RegisterGauge("connections-shed", func() float64 { return float64(g.shedConnections.Load()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m)
+	mux.Handle("GET "+previewer.Path, g.whereHandler())
 	return mux
 }
 
