Show instances that are held back in previews

Cause: previews and the pace of targets were built side by side, so that 'where' preferred instances of plain services that had just started.

Change: Balancer.Preferences is told the instances that are held back, by the same function as real requests.

Result: the test of preferences compares them with pick; tests of forwarder, relayer and previewer pass.

--- a/internal/forwarder/preference.go
+++ b/internal/forwarder/preference.go
@@ -20,32 +20,41 @@
 	Allowed, Preferred bool
 	// Open is true while its breaker keeps attempts from the instance.
 	Open bool
+	// HeldBack is true if the instance gets an attempt only if no other may be tried.
+	HeldBack bool
 }
 
-// Preferences returns the standing of instances for the next request, the best first, and changes nothing.
-func (b *Balancer) Preferences(targets []cataloger.Target) []Preference {
+// Preferences returns the standing of instances for the next request, the best first, given the names of those that are held back. It
+// changes nothing.
+func (b *Balancer) Preferences(targets []cataloger.Target, heldBack []string) []Preference {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
 	var out []Preference
-	var allowed []cataloger.Target
+	var candidates, others []cataloger.Target
 	for _, t := range targets {
 		state := b.peek(t.Name)
 		p := Preference{Target: t, Outstanding: state.Outstanding(), Cost: state.performance.Cost(now, state.Outstanding()), Open: !state.Allows(now)}
-		if p.Allowed = t.State == cataloger.StateLive && !p.Open; p.Allowed {
-			allowed = append(allowed, t)
+		p.Allowed, p.HeldBack = t.State == cataloger.StateLive && !p.Open, slices.Contains(heldBack, t.Name)
+		switch {
+		case p.Allowed && p.HeldBack:
+			others = append(others, t)
+		case p.Allowed:
+			candidates = append(candidates, t)
 		}
 		out = append(out, p)
 	}
-	_, lowest := b.costs(allowed, now)
+	if len(candidates) == 0 {
+		candidates = others
+	}
+	_, lowest := b.costs(candidates, now)
 	for i := range out {
-		out[i].Preferred = out[i].Allowed && out[i].Cost <= costTolerance*lowest
+		isCandidate := slices.ContainsFunc(candidates, func(t cataloger.Target) bool { return t.Name == out[i].Target.Name })
+		out[i].Preferred = isCandidate && out[i].Cost <= costTolerance*lowest
 	}
 	slices.SortStableFunc(out, func(x, y Preference) int {
-		if x.Allowed != y.Allowed {
-			return cmp.Compare(boolToInt(y.Allowed), boolToInt(x.Allowed))
-		}
-		return cmp.Or(cmp.Compare(x.Cost, y.Cost), cmp.Compare(x.Target.Name, y.Target.Name))
+		return cmp.Or(cmp.Compare(boolToInt(y.Allowed), boolToInt(x.Allowed)), cmp.Compare(boolToInt(x.HeldBack), boolToInt(y.HeldBack)),
+			cmp.Compare(x.Cost, y.Cost), cmp.Compare(x.Target.Name, y.Target.Name))
 	})
 	return out
 }
--- a/internal/forwarder/preference_test.go
+++ b/internal/forwarder/preference_test.go
@@ -14,14 +14,14 @@
 	b := balancer(nil)
 	all := instances(5)
 	all[4] = all[4].WithState(cataloger.StateSuspect)
-	require.Len(t, b.Preferences(all), 5)
+	require.Len(t, b.Preferences(all, nil), 5)
 	require.Empty(t, b.instances, "asking adds no state")
 	b.state("i0").Start()
 	for range 20 {
 		b.state("i1").Fail(b.Clock.Now(), rand.New(rand.NewPCG(1, 1)))
 	}
 	before := *b.state("i1")
-	preferences := b.Preferences(all)
+	preferences := b.Preferences(all, nil)
 	require.Equal(t, before, *b.state("i1"))
 	var names []string
 	preferred := map[string]bool{}
@@ -40,4 +40,10 @@
 		require.True(t, preferred[picked.Name], picked.Name)
 		b.abandon(picked.Name)
 	}
+
+	held := []string{"i2", "i3"}
+	require.Equal(t, "i0", b.Preferences(all, held)[0].Target.Name)
+	picked, _ := b.pick(all, held)
+	require.Equal(t, "i0", picked.Name)
+	require.True(t, b.Preferences(all[2:4], held)[1].Preferred, "there are no others")
 }
--- a/internal/previewer/previewer.go
+++ b/internal/previewer/previewer.go
@@ -196,6 +196,8 @@
 			out.Obstacle = string(i.Target.State)
 		case i.Open:
 			out.Obstacle = "resting-after-failures"
+		case i.HeldBack && !i.Preferred:
+			out.Obstacle = "held-back"
 		}
 		if out.Preferred {
 			preferred++
--- a/internal/relayer/forward.go
+++ b/internal/relayer/forward.go
@@ -79,7 +79,7 @@
 	}, forwarder.Policy{
 		MaxAttempts: max(req.Route.MaxAttempts, 1),
 		Permit:      c.permit,
-		HeldBack:    func() []string { return slices.Collect(maps.Keys(r.Pacer.Verdicts(req.Service.Name))) },
+		HeldBack:    func() []string { return r.heldBack(req.Service.Name) },
 		Spend:       func() bool { return r.spendRetry(req) },
 	}, call.attempt)
 	switch {
@@ -100,6 +100,11 @@
 	return refusal
 }
 
+// heldBack returns the instances of a service that have started or come back and get requests only if no other may.
+func (r *Relayer) heldBack(service string) []string {
+	return slices.Collect(maps.Keys(r.Pacer.Verdicts(service)))
+}
+
 // quarantinedRequest returns the refusal of a request whose repeats crash targets.
 func quarantinedRequest() *refuser.Refusal {
 	return refuser.New(refuser.Quarantined, "this request has crashed its targets").WithFact(refuser.FactNotRun)
--- a/internal/relayer/preview.go
+++ b/internal/relayer/preview.go
@@ -111,7 +111,7 @@
 // previewPlain decides on a request to a plain service.
 func (r *Relayer) previewPlain(req *Request) Preview {
 	service := req.Service.Name
-	p := Preview{Instances: r.Balancer.Preferences(r.pickableInstances(service))}
+	p := Preview{Instances: r.Balancer.Preferences(r.pickableInstances(service), r.heldBack(service))}
 	keys := []quarantiner.Key{quarantiner.RequestKey(service, req.Method, req.URI, req.Body)}
 	if d := r.Quarantiner.Check(keys); d.Verdict == quarantiner.Quarantined {
 		p.Refusal = quarantinedRequest().WithRetryAfter(d.Wait)
