Change streams that would miss their deadlines, and send stalled ones again

When a target on such a pipeline is lost, that is found late, as the patience with a stream is six of its mean gaps and clients leave after 2 s. Requests whose answer is lost on the way wait until their clients leave, even where the first target says that it has no such request.

Change: package forecaster forecasts the end of each stream. One that misses its deadline leaves its slow stages (no repeat), or is handed over if the first one is slow or the gaps are twice the typical ones. Both use at most 0.4 of the budget of repeats, change a stream once in 2 s, and spread over 2 s. Patience is a second at most.

--- a/internal/chooser/repair.go
+++ b/internal/chooser/repair.go
@@ -48,3 +48,21 @@
 	c.RecordCrossings(d, path, next)
 	return next, RepairReplace
 }
+
+// Relieve returns the path of a stream with its slow stages replaced, or false if targets that are not slow have no room for them, or
+// would receive the stream over a full pipe. A target whose pace reaches slowPace is slow.
+func (c *Chooser) Relieve(d Demand, path []cataloger.Stage, slow map[string]bool, slowPace float64) ([]cataloger.Stage, bool) {
+	d.Precedence.Begun = true
+	d.PrefillTokens = d.Tokens
+	next, ok := c.Replace(d, path, slow)
+	if !ok || c.transferWait(d, path, next) > moveTransferWait {
+		return nil, false
+	}
+	for _, s := range next {
+		if v, found := c.Targets.Get(s.Target); !found || v.Pace >= slowPace && s.Target != path[0].Target {
+			return nil, false
+		}
+	}
+	c.RecordCrossings(d, path, next)
+	return next, true
+}
--- a/internal/chooser/repair_test.go
+++ b/internal/chooser/repair_test.go
@@ -173,3 +173,31 @@
 		require.Positive(t, taken[far[0].Target])
 	}
 }
+
+// TestRelieveSlowStages: streams of a target that turns slow go to targets of its data centre that are not slow, and stay where others
+// are slow as well or only a full pipe leads to them.
+func TestRelieveSlowStages(t *testing.T) {
+	const slowPace = 2
+	now := time.Unix(100, 0)
+	slow := map[string]bool{tail.name: true}
+	c := newTestChooser(&now, head, tail, spare, otherTail)
+	c.Targets.SetPace(tail.name, 12, now)
+	next, ok := c.Relieve(testDemand(), pathOf(head, tail), slow, slowPace)
+	require.True(t, ok)
+	require.Equal(t, pathOf(head, spare), next)
+
+	c = newTestChooser(&now, head, tail, spare)
+	c.Targets.SetPace(spare.name, 12, now)
+	_, ok = c.Relieve(testDemand(), pathOf(head, tail), slow, slowPace)
+	require.False(t, ok, "the spare target is slow")
+
+	c = newTestChooser(&now, head, tail, otherTail)
+	relieved := 0
+	for range 20 {
+		if _, ok := c.Relieve(testDemand(), pathOf(head, tail), slow, slowPace); ok {
+			relieved++
+		}
+	}
+	require.Positive(t, relieved)
+	require.Less(t, relieved, 20, "the pipe is full")
+}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -33,6 +33,7 @@
 	msgRefused          = "request refused"
 	msgSent             = "request sent"
 	msgEnded            = "request ended"
+	msgTooSlow          = "stream is too slow or has stalled"
 	msgConfig           = "configuration in force"
 	msgTargetListed     = "target listed"
 	msgTargetRemoved    = "target removed"
@@ -233,7 +234,7 @@
 // progress describes how far a request had come.
 func progress(lines []Line, end Line) string {
 	var sent *Line
-	sends, repaths := 0, 0
+	sends, repaths, tooSlow, changed := 0, 0, 0, 0
 	for i, l := range lines {
 		switch l.Message {
 		case msgSent:
@@ -241,17 +242,26 @@
 			sends++
 		case "stages replaced":
 			repaths++
+		case msgTooSlow:
+			tooSlow++
+			if taken, _ := l.Fields["taken"].(bool); taken {
+				changed++
+			}
 		}
 	}
+	slow := ""
+	if tooSlow > 0 {
+		slow = fmt.Sprintf("; found too slow or stalled %d times and changed %d times", tooSlow, changed)
+	}
 	switch {
 	case sent == nil:
 		return "it was never sent to a target"
 	case end.text("last") == "":
 		return fmt.Sprintf("sent %d times, the last to %s %.0f ms before, with no event; stages replaced %d times",
-			sends, sent.text("target"), end.Time.Sub(sent.Time).Seconds()*1000, repaths)
+			sends, sent.text("target"), end.Time.Sub(sent.Time).Seconds()*1000, repaths) + slow
 	}
 	return fmt.Sprintf("delivered up to event %s, longest gap %.0f ms, sent %d times, the last to %s; stages replaced %d times",
-		end.text("last"), end.number("longest-gap"), sends, sent.text("target"), repaths)
+		end.text("last"), end.number("longest-gap"), sends, sent.text("target"), repaths) + slow
 }
 
 // pacedTargetsText names the pace of other targets as a reason why a request was placed where it was.
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -58,6 +58,10 @@
 {"node":"a-1","request":"r1","time":1900,"message":"stream broke"}`, "stream-lost: cut; delivered up to event 2"},
 		{"the client left", sent + `{"node":"a-1","request":"r1","code":"canceled","last":"3","longest-gap":2000.2,"time":2500,"message":"request ended"}`,
 			"the client went away: delivered up to event 3, longest gap 2000 ms"},
+		{"a stream too slow for its deadline", sent + `{"node":"a-1","request":"r1","action":"replace","taken":true,"time":1600,"message":"stream is too slow or has stalled"}
+{"node":"a-1","request":"r1","action":"move","taken":false,"time":1700,"message":"stream is too slow or has stalled"}
+{"node":"a-1","request":"r1","code":"deadline-exceeded","last":"3","longest-gap":700,"time":2500,"message":"request ended"}`,
+			"stages replaced 0 times; found too slow or stalled 2 times and changed 1 times"},
 		{"a daemon that was killed", sent, `no line tells its end: the logs stop with "request sent" on a-1, as where the process was killed`},
 	}
 	for _, c := range cases {
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -11,6 +11,8 @@
 	// usableShare is the share of the budget that is used, since daemons differ slightly in their clocks and in the size of the
 	// fleet that they see.
 	usableShare = 0.75
+	// optionalShare is the share of the budget that is used for retries of requests that are still served where they are.
+	optionalShare = 0.4
 )
 
 // Budget bounds the retries of all daemons together in any window of time.
@@ -52,6 +54,16 @@
 // AllowRetry reports whether the budget allows a retry, and counts it if so. The argument daemons is the largest size of the fleet
 // within the window, as daemons that were lost since then may have used their shares.
 func (r *Rationer) AllowRetry(now time.Time, daemons int) bool {
+	return r.allow(now, daemons, usableShare)
+}
+
+// AllowOptionalRetry is like AllowRetry for a request that is still served where it is, and leaves a part of the budget to those that
+// are not.
+func (r *Rationer) AllowOptionalRetry(now time.Time, daemons int) bool {
+	return r.allow(now, daemons, optionalShare)
+}
+
+func (r *Rationer) allow(now time.Time, daemons int, share float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.sliceAt(now)
@@ -63,7 +75,7 @@
 		}
 	}
 	extra := r.budget.Extra / float64(max(daemons, 1)) * r.extraShare(now)
-	if retries+1 > usableShare*(r.budget.Ratio*requests+extra) {
+	if retries+1 > share*(r.budget.Ratio*requests+extra) {
 		return false
 	}
 	current.retries++
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -114,3 +114,20 @@
 	}
 	require.GreaterOrEqual(t, spent, 20)
 }
+
+// TestOptionalRetriesLeaveTheRest: streams that are moved though they are served must not use up the repeats of those that are lost.
+func TestOptionalRetriesLeaveTheRest(t *testing.T) {
+	const extra = 100
+	now := time.Unix(1000, 0)
+	r := New(Budget{Extra: extra, Window: 10 * time.Second})
+	count := func(allow func(time.Time, int) bool) int {
+		n := 0
+		for allow(now, 1) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, int(optionalShare*extra), count(r.AllowOptionalRetry))
+	require.Equal(t, int(usableShare*extra)-int(optionalShare*extra), count(r.AllowRetry))
+	require.Zero(t, count(r.AllowOptionalRetry))
+}
--- a/internal/relayer/generation.go
+++ b/internal/relayer/generation.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/exchanger"
+	"github.com/rattantray/rattantray/internal/forecaster"
 	"github.com/rattantray/rattantray/internal/quarantiner"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
@@ -76,6 +77,8 @@
 	lastProgress    time.Time
 	// lastEvent is the id of the last event that was delivered.
 	lastEvent string
+	// eventCount is the number of events with ids that were delivered.
+	eventCount int
 	// deliveredAt is when the last event was delivered.
 	deliveredAt time.Time
 	meanGap     time.Duration
@@ -101,6 +104,9 @@
 	repairAt time.Time
 	cancel   context.CancelCauseFunc
 	release  func()
+
+	// forecaster decides whether the stream is too slow; only the watchdog uses it.
+	forecaster forecaster.Forecaster
 }
 
 // sendResult is how a send ended.
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -33,6 +33,10 @@
 	// lastEvent is the last event that arrives before the stream falls silent, or breaks if breaks is true; 0 means that all arrive.
 	lastEvent int
 	breaks    bool
+	// slowAfter is the event after which the time between two events grows by slowGap, until the stages are replaced; 0 means that it
+	// does not.
+	slowAfter int
+	slowGap   time.Duration
 }
 
 // handoverFleet is a relayer with one stream of 60 events, one each 20 ms, whose sends are answered in order.
@@ -46,6 +50,8 @@
 	sentAt []time.Time
 	// endedAt holds when the relayer ended each send that was accepted, by call.
 	endedAt map[int]time.Time
+	// replaced is true once the stages of the stream were replaced.
+	replaced bool
 }
 
 // newHandoverFleet returns a fleet with spare pipelines whose budget allows a number of repeats.
@@ -105,12 +111,22 @@
 		if a.pauseAfter > 0 && body.next == a.pauseAfter+1 {
 			time.Sleep(a.pause)
 		}
+		if a.slowAfter > 0 && body.next > a.slowAfter && !f.isReplaced() {
+			time.Sleep(a.slowGap)
+		}
 		return ended() && !a.breaks
 	}
 	body.breaks = func() bool { return ended() && a.breaks }
 	return &Reply{Status: http.StatusOK, Header: http.Header{"Signature": {call.Target.Name}}, Body: body, Signed: true}, nil
 }
 
+// isReplaced reports whether the stages of the stream were replaced.
+func (f *handoverFleet) isReplaced() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replaced
+}
+
 // call returns the call of a send.
 func (f *handoverFleet) call(n int) Call {
 	f.mu.Lock()
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -1,10 +1,13 @@
 package relayer
 
 // prepayRetry takes the next send out of the budget, once; a send is abandoned only if that succeeds.
-func (g *generation) prepayRetry() bool {
+func (g *generation) prepayRetry() bool { return g.prepay(g.relayer.spendRetry) }
+
+// prepay takes the next send out of the budget, once, by a function that reports whether the budget allows it.
+func (g *generation) prepay(spend func(*Request) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryPrepaid = g.retryPrepaid || g.relayer.spendRetry(g.request)
+	g.retryPrepaid = g.retryPrepaid || spend(g.request)
 	return g.retryPrepaid
 }
 
@@ -119,6 +122,7 @@
 		g.relayer.Quarantiner.RecordContentAnswered(g.keys)
 	}
 	g.started = true
+	g.eventCount += n
 	g.lastProgress, g.lastEvent = now, g.events.last
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -236,6 +236,11 @@
 	return r.rationer(req.Service.Name).AllowRetry(r.Clock.Now(), r.Sharers())
 }
 
+// spendOptionalRetry is like spendRetry for a request that is still served where it is.
+func (r *Relayer) spendOptionalRetry(req *Request) bool {
+	return r.rationer(req.Service.Name).AllowOptionalRetry(r.Clock.Now(), r.Sharers())
+}
+
 // expired reports whether the request can't be answered any more: its deadline has passed, its client disconnected, or the daemon ends.
 func (r *Relayer) expired(ctx context.Context, req *Request) bool {
 	return ctx.Err() != nil || !r.Clock.Now().Before(req.Deadline)
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -19,6 +19,8 @@
 	// longer.
 	minPatience       = 250 * time.Millisecond
 	gapPatienceFactor = 6
+	// maxPatience bounds the patience with slow streams where daemons share their loads, as clients leave after two seconds.
+	maxPatience = time.Second
 	// Before the first event, a stream is checked after firstEventTimeoutFactor typical waits, within bounds; prompts wait
 	// for their prefill.
 	firstEventTimeoutFactor = 5
@@ -97,6 +99,9 @@
 	patience := g.relayer.firstEventTimeout()
 	if g.started {
 		patience = max(minPatience, gapPatienceFactor*g.meanGap)
+		if g.request.SharesLoads {
+			patience = min(patience, maxPatience)
+		}
 	}
 	return repairer.Stream{ID: g.request.ID, Path: g.path, Last: g.lastProgress, Patience: patience}
 }
@@ -130,6 +135,7 @@
 			continue
 		}
 		r.moveOffLeavingTarget(g, streams[i])
+		r.keepOnTime(ctx, g, streams[i], now)
 	}
 }
 
@@ -137,7 +143,7 @@
 func (r *Relayer) querySlowStage(ctx context.Context, generations []*generation, now time.Time) {
 	for _, g := range generations {
 		g.mu.Lock()
-		slow, path := g.started && g.meanGap > slowGapFactor*r.typicalGap(), g.path
+		slow, path := g.started && (g.meanGap > slowGapFactor*r.typicalGap() || g.forecaster.IsLate()), g.path
 		g.mu.Unlock()
 		if !slow {
 			continue
@@ -393,6 +399,12 @@
 	case RepathUnknown:
 		// Whatever path the target follows now, all parts of it hold their layers.
 		r.moveOrStay(g, current, "order to replace stages was not answered")
+	case RepathEnded:
+		if g.request.SharesLoads && g.isSilent() {
+			r.moveOrStay(g, current, "first target no longer has the request")
+			return
+		}
+		g.endRepair(current, nil)
 	default:
 		g.endRepair(current, nil)
 	}
@@ -410,11 +422,18 @@
 }
 
 // mayHandOver reports whether the stream may be moved to another pipeline now, and takes the send out of the budget.
-func (g *generation) mayHandOver() bool {
+func (g *generation) mayHandOver() bool { return g.mayHandOverIf(g.relayer.spendRetry) }
+
+// mayHandOverOptionally is like mayHandOver for a stream that is still served where it is.
+func (g *generation) mayHandOverOptionally() bool {
+	return g.mayHandOverIf(g.relayer.spendOptionalRetry)
+}
+
+func (g *generation) mayHandOverIf(spend func(*Request) bool) bool {
 	g.mu.Lock()
 	early := g.relayer.Clock.Now().Before(g.handOverAt)
 	g.mu.Unlock()
-	return !early && g.movable() && g.prepayRetry()
+	return !early && g.movable() && g.prepay(spend)
 }
 
 // endRepair ends a repair of a send, if it is still the current one; a new path replaces the old one.
--- a/internal/repairer/leave.go
+++ b/internal/repairer/leave.go
@@ -14,6 +14,10 @@
 // serveTime. The streams of all daemons leave one after the other, as each pauses longer the more are read again
 // together, and more of them leave late than early, as many end by themselves.
 func LeaveAfter(id string, serveTime time.Duration) time.Duration {
-	share := float64(xxhash.Sum64String(id)>>(64-hashBits)) / (1 << hashBits)
-	return time.Duration(math.Sqrt(share) * float64(serveTime))
+	return time.Duration(math.Sqrt(Share(id)) * float64(serveTime))
+}
+
+// Share returns the place of a stream among those that all daemons treat one after the other, uniform in [0,1).
+func Share(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>(64-hashBits)) / (1 << hashBits)
 }
