--- a/internal/relayer/slow_test.go
+++ b/internal/relayer/slow_test.go
@@ -93,3 +93,11 @@
 		})
 	}
 }
+
+// TestPatienceWithSlowStreams guards against targets that are found lost only after the clients of the slow streams there have left.
+func TestPatienceWithSlowStreams(t *testing.T) {
+	g := &generation{relayer: newTestRelayer(&fakeBackend{}), request: stream(true), started: true, meanGap: 400 * time.Millisecond}
+	require.Equal(t, gapPatienceFactor*g.meanGap, g.stream().Patience)
+	g.request.SharesLoads = true
+	require.Equal(t, maxPatience, g.stream().Patience)
+}
