Reuse the views of targets when a request is refused

A refusal copied the state of all targets up to three times into new memory, and looked at all of them also when the first few held every layer.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -215,6 +215,13 @@
 // viewBuffers reuses the slices of views, since each choice reads hundreds.
 var viewBuffers = sync.Pool{New: func() any { return new([]assessor.View) }}
 
+// views returns the listed targets of a service, which may be used until release is called.
+func (c *Chooser) views(service string) (views []assessor.View, release func()) {
+	buffer := viewBuffers.Get().(*[]assessor.View)
+	*buffer = c.Targets.AppendService((*buffer)[:0], service)
+	return *buffer, func() { viewBuffers.Put(buffer) }
+}
+
 // cheapestPath returns the cheapest path for a generation, or false if no path has the capacity.
 func (c *Chooser) cheapestPath(d Demand, avoid map[string]bool) ([]cataloger.Stage, bool) {
 	e := d.Engine
@@ -259,22 +266,22 @@
 	views, pace := c.Targets.Service(d.Service), c.paceFor(d)
 	mostUrgent := d
 	mostUrgent.Precedence.Ahead = 0
-	accepts := func(v assessor.View) bool { return v.Usable() && !v.Refusing && pace[v.Name] != pacer.Full }
+	accepts := func(v *assessor.View) bool { return v.Usable() && !v.Refusing && pace[v.Name] != pacer.Full }
 	checks := []struct {
 		what string
-		ok   func(assessor.View) bool
+		ok   func(*assessor.View) bool
 	}{
-		{"held by no target", func(assessor.View) bool { return true }},
-		{"held only by targets that leave or do not answer", assessor.View.Usable},
-		{"held only by targets that want no more for now", func(v assessor.View) bool { return v.Usable() && !v.Refusing }},
+		{"held by no target", func(*assessor.View) bool { return true }},
+		{"held only by targets that leave or do not answer", (*assessor.View).Usable},
+		{"held only by targets that want no more for now", func(v *assessor.View) bool { return v.Usable() && !v.Refusing }},
 		{"held only by targets that have just started or come back and get no more for now", accepts},
-		{"held only by targets without memory for it", func(v assessor.View) bool {
+		{"held only by targets without memory for it", func(v *assessor.View) bool {
 			first, end, _ := v.ReadyLayers()
-			return accepts(v) && mostUrgent.fits(v.TokenLayers, d.room(&v, end-first), end-first)
+			return accepts(v) && mostUrgent.fits(v.TokenLayers, d.room(v, end-first), end-first)
 		}},
-		{"held only by targets whose room is left to more urgent requests", func(v assessor.View) bool {
+		{"held only by targets whose room is left to more urgent requests", func(v *assessor.View) bool {
 			first, end, _ := v.ReadyLayers()
-			return accepts(v) && d.fits(v.TokenLayers, d.room(&v, end-first), end-first)
+			return accepts(v) && d.fits(v.TokenLayers, d.room(v, end-first), end-first)
 		}},
 	}
 	limits := c.Limits()
@@ -283,7 +290,7 @@
 			return fmt.Sprintf("layers %d to %d are %s", first, end, check.what)
 		}
 	}
-	if _, _, ok := firstUncovered(views, 1, func(v assessor.View) bool { return v.Usable() && !v.Refusing && limits[v.Name].Wait == 0 }); ok {
+	if _, _, ok := firstUncovered(views, 1, func(v *assessor.View) bool { return v.Usable() && !v.Refusing && limits[v.Name].Wait == 0 }); ok {
 		return "the first layer is held only by targets at their limits of requests"
 	}
 	if path, ok := c.cheapestPath(d, nil); ok {
@@ -294,7 +301,9 @@
 
 // CoversAllLayers reports whether usable targets hold every layer of the model.
 func (c *Chooser) CoversAllLayers(d Demand) bool {
-	_, _, missing := firstUncovered(c.Targets.Service(d.Service), d.Engine.Layers, assessor.View.Usable)
+	views, release := c.views(d.Service)
+	defer release()
+	_, _, missing := firstUncovered(views, d.Engine.Layers, (*assessor.View).Usable)
 	return !missing
 }
 
@@ -303,7 +312,10 @@
 func (c *Chooser) WaitForTarget(service string) time.Duration {
 	limits := c.Limits()
 	var shortest time.Duration
-	for _, v := range c.Targets.Service(service) {
+	views, release := c.views(service)
+	defer release()
+	for i := range views {
+		v := &views[i]
 		if !v.Usable() {
 			continue
 		}
@@ -324,16 +336,18 @@
 	if d.Engine.Layers == 0 {
 		return c.WaitForTarget(d.Service)
 	}
-	views, limits := c.Targets.Service(d.Service), c.Limits()
-	wait := func(v assessor.View) time.Duration {
+	views, release := c.views(d.Service)
+	defer release()
+	limits := c.Limits()
+	wait := func(v *assessor.View) time.Duration {
 		if first, _, _ := v.ReadyLayers(); first == 0 {
 			return max(v.Paused, limits[v.Name].Wait)
 		}
 		return v.Paused
 	}
 	var pauses []time.Duration
-	for _, v := range views {
-		if v.Usable() && wait(v) > 0 {
+	for i := range views {
+		if v := &views[i]; v.Usable() && wait(v) > 0 {
 			pauses = append(pauses, wait(v))
 		}
 	}
@@ -341,7 +355,7 @@
 	pauses = append([]time.Duration{0}, pauses...)
 	// The longer the pause, the more targets are available.
 	enough := sort.Search(len(pauses), func(i int) bool {
-		available := func(v assessor.View) bool { return v.Usable() && wait(v) <= pauses[i] }
+		available := func(v *assessor.View) bool { return v.Usable() && wait(v) <= pauses[i] }
 		_, _, missing := firstUncovered(views, d.Engine.Layers, available)
 		return !missing
 	})
@@ -361,12 +375,17 @@
 }
 
 // firstUncovered returns the first range of layers held by none of the targets that ok accepts.
-func firstUncovered(views []assessor.View, layers uint32, ok func(assessor.View) bool) (first, end uint32, found bool) {
+func firstUncovered(views []assessor.View, layers uint32, ok func(*assessor.View) bool) (first, end uint32, found bool) {
 	coverage := make([]bool, layers)
-	for _, v := range views {
+	left := layers
+	for i := 0; i < len(views) && left > 0; i++ {
+		v := &views[i]
 		if from, to, _ := v.ReadyLayers(); to > from && ok(v) {
 			for l := from; l < min(to, layers); l++ {
-				coverage[l] = true
+				if !coverage[l] {
+					coverage[l] = true
+					left--
+				}
 			}
 		}
 	}
