Load no spare layers while a large fleet in use has room

In a fleet of more than 256 targets that is in use, a move is now dropped while each of its layers has 64 holders, it fills no gap of its data centre and less than 0.4 of the room for requests is used. Smaller fleets are placed as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rattantray/rattantray/internal/assessor"
 	"github.com/rattantray/rattantray/internal/auditor"
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/chooser"
 	"github.com/rattantray/rattantray/internal/follower"
 	"github.com/rattantray/rattantray/internal/gossiper"
 	"github.com/rattantray/rattantray/internal/leaser"
@@ -294,6 +295,17 @@
 	g.prepareLinks()
 	r.LinkLostSince, r.CheckLink = g.links.LostSince, g.links.Check
 
+	g.prepareOrderer()
+
+	l := leaser.New(cataloger.Member{Name: g.Settings.Name, Epoch: g.epoch})
+	l.Store, l.Clock, l.Log, l.Duration = g.auditedStore(store), g.Clock, g.Log, leaseDuration
+	l.Random, l.Metrics = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), metrics.NewRegistry()
+	g.duty.leaser = l
+	g.client = newServer(g.countRequests(g.Adapter.Client))
+}
+
+// prepareOrderer connects the placement of layers.
+func (g *Gateway) prepareOrderer() {
 	g.orderer.Log = g.Log
 	g.orderer.Services = func() []matcher.Service {
 		if m := g.config.Load(); m != nil {
@@ -302,13 +314,11 @@
 		return nil
 	}
 	g.orderer.FirstStart = g.Settings.FirstStart
+	g.orderer.Fill = func(s matcher.Service) float64 {
+		m := g.config.Load()
+		return g.relayer.Chooser.Fill(chooser.Demand{Service: s.Name, Engine: s.Engine, SharesLoads: m != nil && m.SharesLoads(s.Name)})
+	}
 	g.orderer.HoldsDuty, g.orderer.Place, g.orderer.Report = g.holdsDuty, g.Adapter.Place, g.Adapter.Backend.Report
-
-	l := leaser.New(cataloger.Member{Name: g.Settings.Name, Epoch: g.epoch})
-	l.Store, l.Clock, l.Log, l.Duration = g.auditedStore(store), g.Clock, g.Log, leaseDuration
-	l.Random, l.Metrics = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), metrics.NewRegistry()
-	g.duty.leaser = l
-	g.client = newServer(g.countRequests(g.Adapter.Client))
 }
 
 // auditedStore returns the store with its writes reported to the auditor.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -38,6 +38,12 @@
 	maxStartOrders = 256
 	// maxOrdersAtOnce bounds the orders of one check of a large fleet, as each needs a connection.
 	maxOrdersAtOnce = 64
+	// In a large fleet in use, targets without layers stay so while each of the layers that one would load has spareHolders others and
+	// less than spareFill of the room for requests is used, as loads take bandwidth from the store of weights.
+	spareHolders = 64
+	spareFill    = 0.4
+	// fillInterval is the time between two looks at the used room.
+	fillInterval = time.Second
 	// retryDelay is the time after a failed order until the target may receive another one.
 	retryDelay = 500 * time.Millisecond
 )
@@ -92,6 +98,8 @@
 	HoldsDuty func() bool
 	// FirstStart is true if the whole fleet starts for the first time, before any request.
 	FirstStart bool
+	// Fill returns the used share of the room of a service for requests, at the layer that has least room.
+	Fill func(s matcher.Service) float64
 	// Place sends an order to a target.
 	Place func(ctx context.Context, target cataloger.Target, p Placement) (Result, error)
 	// Report asks a target for its state.
@@ -109,6 +117,14 @@
 	gaps map[string]map[placer.Gap]time.Time
 	// used is true once this daemon has sent a request to any target; only Run uses it.
 	used bool
+	// fills is the used room of each service at the last look; only Run uses it.
+	fills map[string]fillLook
+}
+
+// fillLook is the used share of the room for requests at a time.
+type fillLook struct {
+	fill float64
+	at   time.Time
 }
 
 // New returns an orderer that has issued no orders.
@@ -116,7 +132,7 @@
 	return &Orderer{
 		Targets: targets, Clock: clock, Log: zerolog.Nop(),
 		pending: map[string]Pending{}, counts: map[string]orderCount{}, lastTargets: map[string][]string{}, lastChanged: map[string]time.Time{},
-		gaps: map[string]map[placer.Gap]time.Time{},
+		gaps: map[string]map[placer.Gap]time.Time{}, Fill: func(matcher.Service) float64 { return 1 }, fills: map[string]fillLook{},
 	}
 }
 
@@ -167,14 +183,14 @@
 	problem := o.buildProblem(s.Engine, views)
 	o.recordGaps(s.Name, problem, now)
 	problem.KeepHeld = true
-	moves := problem.NextMoves(o.maxNewOrders(s.Engine, views))
+	moves := o.withoutSpares(s, problem, problem.NextMoves(o.maxNewOrders(s.Engine, views)), now)
 	if len(moves) == 0 {
 		problem.KeepHeld = false
 		wait := moveDelay
 		if !problem.Complete() {
 			wait = urgentMoveDelay
 		}
-		moves = o.overdueMoves(s.Name, problem, now, wait)
+		moves = o.withoutSpares(s, problem, o.overdueMoves(s.Name, problem, now, wait), now)
 	}
 	if len(moves) == 0 {
 		return
@@ -188,6 +204,42 @@
 	}
 }
 
+// starting reports whether the fleet starts for the first time and has had no request yet: loads are fast then.
+func (o *Orderer) starting() bool { return o.FirstStart && !o.used }
+
+// withoutSpares drops the moves that a large fleet in use has no need of.
+func (o *Orderer) withoutSpares(s matcher.Service, p placer.Problem, moves []placer.Move, now time.Time) []placer.Move {
+	if len(p.Targets) <= maxStartOrders || len(moves) == 0 || o.starting() {
+		return moves
+	}
+	holders, dataCentres := p.Holders(), map[string]cataloger.DataCentre{}
+	for _, t := range p.Targets {
+		dataCentres[t.Name] = t.DataCentre
+	}
+	needed := slices.DeleteFunc(slices.Clone(moves), func(m placer.Move) bool {
+		for layer := m.First; layer < m.End; layer++ {
+			if _, gap := o.gaps[s.Name][placer.Gap{DataCentre: dataCentres[m.Target], Layer: layer}]; gap || holders[layer] < spareHolders {
+				return false
+			}
+		}
+		return true
+	})
+	if len(needed) == len(moves) || o.fill(s, now) >= spareFill {
+		return moves
+	}
+	return needed
+}
+
+// fill returns the used share of the room of a service for requests at the last look.
+func (o *Orderer) fill(s matcher.Service, now time.Time) float64 {
+	look, ok := o.fills[s.Name]
+	if !ok || now.Sub(look.at) >= fillInterval {
+		look = fillLook{fill: o.Fill(s), at: now}
+		o.fills[s.Name] = look
+	}
+	return look.fill
+}
+
 // recordGaps records which layers are not held where they should be, and since when.
 func (o *Orderer) recordGaps(service string, p placer.Problem, now time.Time) {
 	since := map[placer.Gap]time.Time{}
@@ -258,7 +310,7 @@
 		return end > first
 	})
 	switch {
-	case large && (limit == 0 || o.FirstStart && !o.used):
+	case large && (limit == 0 || o.starting()):
 		limit = maxStartOrders
 	case !large && !holds || limit == 0:
 		return 0
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -300,3 +300,31 @@
 		})
 	}
 }
+
+// TestLargeFleetInUseLoadsNoSpares: loads compete with those of layers that are lost, so targets without layers wait until they are
+// needed.
+func TestLargeFleetInUseLoadsNoSpares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newFakeFleet()
+		for i := range 2 * (spareHolders + 10) {
+			e.put(fmt.Sprintf("t%04d", i), uint32(i%2*6), uint32(i%2*6+6))
+		}
+		for i := range maxStartOrders {
+			e.put(fmt.Sprintf("x%04d", i), 0, 0)
+		}
+		fill := 0.1
+		o := New(e.targets, timer.System{})
+		o.Fill = func(matcher.Service) float64 { return fill }
+		run(t, e, o)
+		time.Sleep(5 * time.Second)
+		require.Empty(t, e.orders())
+		for i := range 20 {
+			e.targets.Suspect(fmt.Sprintf("t%04d", 2*i), 1, time.Now())
+		}
+		time.Sleep(3 * time.Second)
+		require.Len(t, e.orders(), 10, "as many as there were before the loss, without the spares")
+		fill = 0.5
+		time.Sleep(5 * time.Second)
+		require.Greater(t, len(e.orders()), 30, "the room is in use")
+	})
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -162,6 +162,9 @@
 	return out
 }
 
+// Holders returns the number of targets that hold each layer, or were ordered to.
+func (p Problem) Holders() []int { return newState(p).fleetCoverage }
+
 // Complete reports whether every layer is held, or was ordered to be held, somewhere.
 func (p Problem) Complete() bool {
 	for _, n := range newState(p).fleetCoverage {
