--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -312,9 +313,14 @@
 		for i := range maxStartOrders {
 			e.put(fmt.Sprintf("x%04d", i), 0, 0)
 		}
-		fill := 0.1
+		var crowded atomic.Bool
 		o := New(e.targets, timer.System{})
-		o.Fill = func(matcher.Service) float64 { return fill }
+		o.Fill = func(matcher.Service) float64 {
+			if crowded.Load() {
+				return 0.5
+			}
+			return 0.1
+		}
 		run(t, e, o)
 		time.Sleep(5 * time.Second)
 		require.Empty(t, e.orders())
@@ -323,7 +329,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		require.Len(t, e.orders(), 10, "as many as there were before the loss, without the spares")
-		fill = 0.5
+		crowded.Store(true)
 		time.Sleep(5 * time.Second)
 		require.Greater(t, len(e.orders()), 30, "the room is in use")
 	})
