--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -149,7 +149,7 @@
 // grow doubles the memory of the body, and waits until it is free.
 func (b *bodyReader) grow(r *http.Request) error {
 	size := max(2*int64(cap(b.data)), firstBodyBytes)
-	if b.length > 0 {
+	if b.length > int64(cap(b.data)) {
 		size = min(size, b.length)
 	} else if b.limit > 0 {
 		// One byte more tells a body over the limit.
