Begin windows of paced targets with what their engines read in time

Targets of a fleet that starts were paced for their first 10 s, and some still were when requests came. Sums come later than 150 ms in large data centres.

Change: windows begin at what a target reads within half of the objective, from 4 to 64, and are full at 128. Nothing is paced while a service gets hardly a request.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,7 +289,6 @@
 	r.Throttler.Daemons = func() int { return g.fleetSize.Max(g.Clock.Now()) }
 	g.poster.Handle(permitRequestMethod, g.handlePermitRequest)
 	g.poster.Handle(permitReplyMethod, g.handlePermitReply)
-	g.preparePacer()
 	r.Quarantiner.Log, r.Quarantiner.TrialRank = g.Log, g.trialRank
 
 	g.prepareLinks()
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -11,13 +11,14 @@
 // paceSettleTime is the time after the start of a daemon in which targets that are new to it are not taken to have started.
 const paceSettleTime = 5 * time.Second
 
-// initialReadShare is the share of the objective for first events within which a target that is paced may read what waits there at first.
-const initialReadShare = 0.25
+// initialReadShare is the share of the objective for first events within which a target that is paced may read what waits there at
+// first; the rest is for the other stages.
+const initialReadShare = 0.5
 
 // preparePacer connects the pace of targets that have started or come back; it needs the tallier.
 func (g *Gateway) preparePacer() {
 	p := g.relayer.Pacer
-	p.Log, p.Enabled, p.HasSums = g.Log, g.pacesTargets, g.tallier.Fresh
+	p.Log, p.Enabled, p.HasSums, p.Lag = g.Log, g.pacesTargets, g.tallier.Fresh, g.tallier.Lag
 	p.InitialWindow = g.initialWindow
 	p.Daemons = func() int { return len(g.others()) + 1 }
 }
--- a/internal/gateway/tally.go
+++ b/internal/gateway/tally.go
@@ -37,6 +37,7 @@
 	g.tallier = t
 	g.poster.Handle(tallyMethod, g.handleTally)
 	g.relayer.Chooser.HasTally = t.Fresh
+	g.preparePacer()
 }
 
 // sharesLoads reports whether any service calls for the sums of loads; a mesh of daemons knows all loads anyway.
--- a/internal/pacer/counts.go
+++ b/internal/pacer/counts.go
@@ -21,12 +21,12 @@
 type Counts = map[uint32]uint32
 
 // rampKeys are the keys of a ramp in the counts.
-type rampKeys struct{ waiting, inTime, troubled, neutral, demand uint32 }
+type rampKeys struct{ waiting, inTime, troubled, neutral uint32 }
 
 // keysOf returns the keys of an incarnation of a target.
 func keysOf(t cataloger.Target) rampKeys {
 	name := t.Name + "/" + strconv.FormatUint(t.Incarnation, 10)
-	return rampKeys{key("waiting/" + name), key("in-time/" + name), key("troubled/" + name), key("neutral/" + name), demandKey(t.Service)}
+	return rampKeys{key("waiting/" + name), key("in-time/" + name), key("troubled/" + name), key("neutral/" + name)}
 }
 
 func demandKey(service string) uint32 { return key("demand/" + service) }
@@ -59,8 +59,10 @@
 
 // Own returns the counts of this daemon: its demand, and its requests at targets that are paced.
 func (p *Pacer) Own() Counts {
+	lag := max(p.Lag(), minSumLag)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lag = lag
 	now, out := p.Now(), Counts{}
 	p.removeObsolete(now)
 	add := func(key uint32, n int) {
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -11,6 +11,9 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 )
 
+// minRate is the number of requests a second for a service over the fleet from which its targets are paced.
+const minRate = 1
+
 // maxPacedShare is the share of the targets of a service up to which they are paced: it takes peers to compare with and to use instead.
 const maxPacedShare = 0.5
 
@@ -43,6 +46,8 @@
 	Daemons func() int
 	// HasSums reports whether the sums that Apply gets are recent.
 	HasSums func() bool
+	// Lag returns how old these sums may be.
+	Lag func() time.Duration
 	// Listed returns the number of listed targets of a service.
 	Listed func(service string) int
 	// InitialWindow returns how many requests a target that works as its engine is described may have waiting for a first event.
@@ -61,15 +66,18 @@
 	demands map[string]*demand
 	// others are the last counts of all other daemons.
 	others Counts
+	// lag is how old the sums may be, as of the last report.
+	lag time.Duration
 }
 
 // New returns a pacer for a single daemon that paces nothing.
 func New(now func() time.Time) *Pacer {
 	return &Pacer{
 		Now: now, Enabled: func(string) bool { return false }, Daemons: func() int { return 1 }, HasSums: func() bool { return false },
+		Lag:    func() time.Duration { return minSumLag },
 		Listed: func(string) int { return 0 }, Usable: func(string) bool { return true },
 		InitialWindow: func(cataloger.Target) float64 { return minInitialWindow }, Draw: rand.Float64, Log: zerolog.Nop(),
-		targets: map[string]*pacedTarget{}, demands: map[string]*demand{},
+		targets: map[string]*pacedTarget{}, demands: map[string]*demand{}, lag: minSumLag,
 	}
 }
 
@@ -91,7 +99,7 @@
 	return newEnd > newFirst && (end == first || version != newVersion || newFirst < first || newEnd > end)
 }
 
-// Begin starts to pace a target.
+// Begin starts to pace a target, unless its service gets hardly any requests, as where the whole fleet starts.
 func (p *Pacer) Begin(target cataloger.Target, why Reason) {
 	if !p.Enabled(target.Service) {
 		return
@@ -100,13 +108,21 @@
 	defer p.mu.Unlock()
 	now := p.Now()
 	p.removeObsolete(now)
-	if t, ok := p.targets[target.Name]; ok && t.target.Incarnation == target.Incarnation {
+	t, ok := p.targets[target.Name]
+	if ok && t.target.Incarnation != target.Incarnation {
+		p.remove(target.Name)
+		ok = false
+	}
+	switch {
+	case p.HasSums() && p.fleetRate(target.Service, now) < minRate:
+		return
+	case ok:
 		t.restart(now, p.InitialWindow(target))
 		t.hasSettled = false
-	} else {
+	default:
 		p.targets[target.Name] = &pacedTarget{ramp: newRamp(now, p.InitialWindow(target)), target: target, keys: keysOf(target)}
+		p.count.Store(int64(len(p.targets)))
 	}
-	p.count.Store(int64(len(p.targets)))
 	p.Log.Info().Str("target", target.Name).Uint64("incarnation", target.Incarnation).Str("reason", string(why)).Msg("target is paced")
 }
 
@@ -114,6 +130,11 @@
 func (p *Pacer) Forget(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.remove(name)
+}
+
+// remove removes a target; the caller holds mu.
+func (p *Pacer) remove(name string) {
 	delete(p.targets, name)
 	p.count.Store(int64(len(p.targets)))
 }
@@ -178,15 +199,26 @@
 // loadOf returns the load of a target over the fleet. Without sums, the other daemons are taken to do what this one does. The caller
 // holds mu.
 func (p *Pacer) loadOf(t *pacedTarget, now time.Time) load {
-	own := load{waiting: float64(t.own.waiting)}
-	if d, ok := p.demands[t.target.Service]; ok {
-		own.rate = d.rate(now)
+	l := load{waiting: float64(t.own.waiting), rate: p.fleetRate(t.target.Service, now), lag: p.lag}
+	if p.HasSums() {
+		l.waiting += float64(t.others.waiting)
+	} else {
+		l.waiting *= float64(max(p.Daemons(), 1))
+	}
+	return l
+}
+
+// fleetRate returns the requests a second for a service over the fleet. Without sums, the other daemons are taken to get as many as this
+// one. The caller holds mu.
+func (p *Pacer) fleetRate(service string, now time.Time) float64 {
+	own := 0.0
+	if d, ok := p.demands[service]; ok {
+		own = d.rate(now)
 	}
 	if p.HasSums() {
-		return load{own.waiting + float64(t.others.waiting), own.rate + float64(p.others[t.keys.demand])*rateUnit}
+		return own + float64(p.others[demandKey(service)])*rateUnit
 	}
-	daemons := float64(max(p.Daemons(), 1))
-	return load{own.waiting * daemons, own.rate * daemons}
+	return own * float64(max(p.Daemons(), 1))
 }
 
 // Send records that a request is sent to targets, given the typical wait for a first event; it returns nil if none of them is paced.
@@ -218,10 +250,9 @@
 				Int("troubled", t.own.troubled+t.others.troubled).Msg("target is no longer paced")
 		}
 		if t.isObsolete(now) {
-			delete(p.targets, name)
+			p.remove(name)
 		}
 	}
-	p.count.Store(int64(len(p.targets)))
 }
 
 // Sending is a request that waits for its first event at paced targets; a nil Sending is one that does not.
--- a/internal/pacer/ramp.go
+++ b/internal/pacer/ramp.go
@@ -6,10 +6,10 @@
 	// minInitialWindow and maxInitialWindow bound the window of a target that has just started or come back, over all daemons, and
 	// minWindow any window.
 	minInitialWindow = 4
-	maxInitialWindow = 32
+	maxInitialWindow = 64
 	minWindow        = 2
 	// fullWindow is the window at which a target has caught up with its peers: more requests than wait for a first event at any time.
-	fullWindow = 64
+	fullWindow = 128
 	// overflowFactor is how many times its window a target may get where no other has room, as a late answer is better than none.
 	overflowFactor = 4
 	// minTaken is the minimum share of the requests to which a target is open that are taken to be sent there.
@@ -20,8 +20,8 @@
 	calmTime = 10 * time.Second
 	// endedRetention is how long the counts of a target that has caught up are still reported, so that it ends on all daemons alike.
 	endedRetention = 2 * time.Second
-	// sumLag is how old the sum over the fleet may be: a report and its sum, each up to an interval apart.
-	sumLag = 300 * time.Millisecond
+	// minSumLag is how old the sum over the fleet may be at least.
+	minSumLag = 300 * time.Millisecond
 	// inTimeFactor and lateFactor bound the waits for a first event that widen and narrow a window, in typical waits.
 	inTimeFactor = 2
 	lateFactor   = 4
@@ -162,16 +162,18 @@
 type load struct {
 	// waiting is the number of requests that wait for a first event, and rate that of requests for the service, per second.
 	waiting, rate float64
+	// lag is how old the sums may be.
+	lag time.Duration
 }
 
-// openness returns the probability with which a request finds room in a window. Requests of the last sumLag are not known yet, so each
+// openness returns the probability with which a request finds room in a window. Requests within the lag of the sums are not known yet, so each
 // may use the room with the probability at which all of them together are expected to fill it once.
 func (r *ramp) openness(l load, window float64) float64 {
 	room := window - l.waiting
 	if room <= 0 {
 		return 0
 	}
-	unknown := l.rate * sumLag.Seconds() * r.taken()
+	unknown := l.rate * l.lag.Seconds() * r.taken()
 	if unknown <= room {
 		return 1
 	}
@@ -199,7 +201,7 @@
 func (r *ramp) observe(now time.Time, l load) {
 	n := l.rate * r.openness(l, r.window) * max(now.Sub(r.observedAt).Seconds(), 0)
 	r.recentOffers = append(r.recentOffers, offers{n, now})
-	for len(r.recentOffers) > 0 && now.Sub(r.recentOffers[0].at) >= sumLag {
+	for len(r.recentOffers) > 0 && now.Sub(r.recentOffers[0].at) >= l.lag {
 		r.offers += r.recentOffers[0].n
 		r.recentOffers = r.recentOffers[1:]
 	}
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -115,6 +115,9 @@
 	return max(Interval, time.Duration(float64(bytes)/maxCollectorBytes*float64(time.Second)))
 }
 
+// Lag returns about how old a sum may be: a report and the sum of it, each up to an interval apart.
+func (t *Tallier) Lag() time.Duration { return 2 * t.interval() }
+
 // Run reports and sums, at most every Interval, until ctx is done.
 func (t *Tallier) Run(ctx context.Context) error {
 	for pause := Interval; t.Clock.Sleep(ctx, pause) == nil; {
