--- a/internal/matcher/check.go
+++ b/internal/matcher/check.go
@@ -8,7 +8,7 @@
 )
 
 // Check returns an error that names every value of the document that makes no sense: negative priorities, times, weights and engine
-// figures, and routes whose shares all weigh nothing.
+// figures. Shares that all weigh nothing are valid: the last one gets all requests.
 func (d Document) Check() error {
 	var errs []error
 	for i := range d.Routes {
@@ -35,13 +35,8 @@
 		checkNotNegative(name+": latency objective", r.Objective.Seconds()),
 		checkNotNegative(name+": gap objective", r.GapObjective.Seconds()),
 	}
-	total := 0.0
 	for _, s := range r.Shares {
 		errs = append(errs, checkNotNegative(name+": weight of "+s.Service, s.Weight))
-		total += s.Weight
-	}
-	if len(r.Shares) > 0 && total == 0 {
-		errs = append(errs, errors.Newf("%s: no share has a weight", name))
 	}
 	return stderrors.Join(errs...)
 }
