Let only services with engines be contended

Cause: a plain service whose streaming routes have different priorities counted as contended. Serve then estimated the tokens of its requests by an engine that it does not have, which panics: each such request would have ended without an answer. No deployment at hand has such routes; found on reading the change again.

Change: the matcher passes over services without an engine, and those that the document does not name.

Result: the new line of TestUrgency fails without the change and passes with it; tests of matcher, relayer, chooser, previewer and ranker pass.

--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -58,7 +58,7 @@
 	return m
 }
 
-// findContended finds the services whose streams have routes of different priorities, and what urgencies these streams can have.
+// findContended finds the services with engines whose streams have routes of different priorities, and what urgencies these streams can have.
 func (m *Matcher) findContended() {
 	routes := map[string][]int{}
 	for i := range m.document.Routes {
@@ -71,6 +71,9 @@
 		}
 	}
 	for service, priorities := range routes {
+		if known, ok := m.services[service]; !ok || known.Engine == nil {
+			continue
+		}
 		slices.Sort(priorities)
 		priorities = slices.Compact(priorities)
 		if len(priorities) == 1 {
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -116,6 +116,8 @@
 		last = urgency
 	}
 	require.False(t, New(testDocument()).Contended("llm"))
+	d.Services[0].Engine = nil
+	require.False(t, New(d).Contended("llm"), "a plain service has no room to compete for")
 }
 
 // Loads are shared where streams compete, or where the targets of a service differ much in speed.
