--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -17,6 +17,7 @@
 	"github.com/rattantray/rattantray/internal/command/service"
 	"github.com/rattantray/rattantray/internal/command/target"
 	"github.com/rattantray/rattantray/internal/command/version"
+	"github.com/rattantray/rattantray/internal/command/where"
 	"github.com/rattantray/rattantray/internal/setter"
 )
 
@@ -56,6 +57,7 @@
 		target.NewCmdTarget(f),
 		model.NewCmdModel(f),
 		version.NewCmdVersion(f),
+		where.NewCmdWhere(f, nil),
 	)
 	return cmd
 }
--- /dev/null
+++ b/internal/command/where/doc.go
@@ -0,0 +1,2 @@
+// Package where implements the command 'where'.
+package where
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattantray/rattantray/internal/previewer"
 )
 
 const (
@@ -137,6 +139,7 @@
 	m.RegisterGauge("orders-pending", func() float64 { return float64(len(g.orderer.Pending())) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m)
+	mux.Handle("GET "+previewer.Path, g.whereHandler())
 	return mux
 }
 
