Review: a machine that is back uses servers that were removed

After the store has turned one machine away by silence, that machine, in touch again, sends to servers whose entries were removed over drain_ms before (DRAIN).

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,9 +22,10 @@
 
 // cases return whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
-	"leaving":  leaving,
-	"watchers": watchers,
-	"revoked":  revoked,
+	"leaving":   leaving,
+	"watchers":  watchers,
+	"revoked":   revoked,
+	"returning": returning,
 }
 
 func main() {
