Read the store when a confirmed change does not arrive

Cause: the lease holder read the departure, and nobody learned of it. A watcher does not notice that its calls are not answered until they end, up to 13.5 s later, and its followers took its silence for 'nothing has changed'. Changes of the configuration are announced; those of targets reached others by one random update each 250 ms, and whoever heard left its source for another of the same four. No gateway knew how current its copy was.

Change: the holder's writes, which it makes anyway, show each 0.67 s whether it has seen all changes. It now confirms this to the readers of the store, and they to the levels below, as datagrams that pass through gateways that lag themselves; updates carry it as well. A gateway that has lacked a confirmed version for too long reads the store itself, and interrupts what it waits for. How long that may be follows from the bound (drain_ms, config_apply_ms), the level and how often entries are renewed: an outage in which live targets lapse is noticed by a failed call before it is over. Why this works: what a gateway relies on is no longer that its source is silent, but that the store was seen to hold nothing newer.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -1,6 +1,7 @@
 package auditor
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,8 +20,9 @@
 // sequence, so an unseen revision between two writes is a missed change, or one of a kind that is not followed.
 type Auditor struct {
 	Clock timer.Clock
-	// OnMissed is called when changes were missed.
-	OnMissed func()
+	// OnMissed is called when changes were missed, and OnComplete with the time of a write before which all changes were seen.
+	OnMissed   func()
+	OnComplete func(sent time.Time)
 
 	mu sync.Mutex
 	// checkedUpTo is the revision up to which all changes were seen or reported as missed.
@@ -30,7 +32,7 @@
 
 // New returns an auditor without recorded revisions that calls onMissed when changes were missed.
 func New(clock timer.Clock, onMissed func()) *Auditor {
-	return &Auditor{Clock: clock, OnMissed: onMissed, seen: map[storer.Point]bool{}}
+	return &Auditor{Clock: clock, OnMissed: onMissed, OnComplete: func(time.Time) {}, seen: map[storer.Point]bool{}}
 }
 
 // RecordChange records the revision of a change that a watch or a list delivered.
@@ -42,35 +44,55 @@
 	}
 }
 
-// RecordWrite records the revision of a write of this daemon and checks after watchGrace whether all changes before it were
-// seen.
-func (a *Auditor) RecordWrite(revision storer.Point) {
+// RecordWrite records the revision of a write that this daemon sent at a time, and checks at once and after watchGrace whether all
+// changes before it were seen.
+func (a *Auditor) RecordWrite(revision storer.Point, sent time.Time) {
 	a.RecordChange(revision)
+	complete := a.isComplete(revision)
+	if complete {
+		a.OnComplete(sent)
+	}
 	a.Clock.AfterFunc(watchGrace, func() {
-		if a.check(revision) {
+		completeNow := !complete && a.isComplete(revision)
+		switch {
+		case a.check(revision):
 			a.OnMissed()
+		case completeNow:
+			a.OnComplete(sent)
 		}
 	})
 }
 
-// check marks the changes up to a revision as checked and reports whether some were missed.
-func (a *Auditor) check(revision storer.Point) bool {
+// isComplete reports whether all changes up to a revision were seen, as far as that can be told from the writes before.
+func (a *Auditor) isComplete(revision storer.Point) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if revision <= a.checkedUpTo {
+	if a.checkedUpTo == 0 || revision <= a.checkedUpTo {
 		return false
 	}
-	first := a.checkedUpTo == 0
-	seenCount := storer.Point(0)
+	return a.seenUpTo(revision) == revision-a.checkedUpTo
+}
+
+// seenUpTo returns how many changes that are not checked yet were seen up to a revision; the caller holds mu.
+func (a *Auditor) seenUpTo(revision storer.Point) storer.Point {
+	n := storer.Point(0)
 	for r := range a.seen {
 		if r > a.checkedUpTo && r <= revision {
-			seenCount++
-		}
-		if r <= revision {
-			delete(a.seen, r)
+			n++
 		}
 	}
-	missed := !first && seenCount < revision-a.checkedUpTo
+	return n
+}
+
+// check marks the changes up to a revision as checked and reports whether some were missed.
+func (a *Auditor) check(revision storer.Point) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if revision <= a.checkedUpTo {
+		return false
+	}
+	missed := a.checkedUpTo != 0 && a.seenUpTo(revision) < revision-a.checkedUpTo
+	maps.DeleteFunc(a.seen, func(r storer.Point, _ bool) bool { return r <= revision })
 	a.checkedUpTo = revision
 	return missed
 }
--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -32,7 +32,7 @@
 				var missed atomic.Int64
 				a := New(timer.System{}, func() { missed.Add(1) })
 				for _, w := range c.writes {
-					a.RecordWrite(w)
+					a.RecordWrite(w, time.Now())
 					time.Sleep(watchGrace / 2)
 					for _, s := range c.seen {
 						if s < w {
@@ -51,9 +51,9 @@
 func TestLateWatchEventIsNotMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := New(timer.System{}, func() { t.Error("nothing was missed") })
-		a.RecordWrite(10)
+		a.RecordWrite(10, time.Now())
 		time.Sleep(time.Second)
-		a.RecordWrite(12)
+		a.RecordWrite(12, time.Now())
 		time.Sleep(watchGrace - time.Millisecond)
 		a.RecordChange(11)
 		time.Sleep(time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,9 @@
 	DrainTime time.Duration
 	// ConfigApply is how long a change of the configuration may take until it is in force everywhere; 0 is unknown.
 	ConfigApply time.Duration
-	RetryBudget rationer.Budget
+	// TargetRenewal is how often targets renew their entries; 0 is unknown.
+	TargetRenewal time.Duration
+	RetryBudget   rationer.Budget
 	// ConfigPrefix and TargetsPrefix are the keys of the store that hold the configuration and the targets.
 	ConfigPrefix  string
 	TargetsPrefix string
@@ -131,6 +133,7 @@
 	configUpstream *upstream
 	targetUpstream *upstream
 	auditor        *auditor.Auditor
+	confirmations  confirmationTimes
 	duty           duty
 	// links opens connections to targets, and door carries those of other daemons.
 	links   *tunneler.Dialer
@@ -249,6 +252,7 @@
 	readStore, g.configUpstream = g.readThroughWatchers(store, g.Settings.ConfigPrefix)
 	g.configFollower = follower.New(readStore, g.Settings.ConfigPrefix, g.Clock)
 	g.auditor = auditor.New(g.Clock, g.handleMissedChanges)
+	g.auditor.OnComplete = g.confirmOwnCopies
 	g.configFollower.ObserveRevision = g.auditor.RecordChange
 	g.configFollower.Log, g.configFollower.Apply, g.configFollower.FetchFromPeer = g.Log, g.applyConfig, g.fetchNewerCopy
 	g.configFollower.Compare, g.configFollower.KeepMissing, g.configFollower.OnNewEra = g.compareConfigs, true, g.HandleNewEra
@@ -258,6 +262,7 @@
 	g.targetFollower.ObserveRevision = g.auditor.RecordChange
 	g.targetFollower.Log, g.targetFollower.Apply, g.targetFollower.FetchFromPeer = g.Log, g.applyTarget, g.fetchNewerCopy
 	g.targetFollower.Compare, g.targetFollower.OnNewEra = g.compareTargets, g.HandleNewEra
+	g.configFollower.OnList, g.targetFollower.OnList = g.configUpstream.recordList, g.targetUpstream.recordList
 	g.targetFollower.MaxRemovalDelay = max(g.Settings.DrainTime-removalSpread, 0)
 
 	g.poster = poster.New(g.Settings.Name, conn, g.Clock)
@@ -324,9 +329,10 @@
 func (g *Gateway) auditedStore(store storer.Store) storer.Store {
 	put := store.Put
 	store.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
+		sent := g.Clock.Now()
 		version, err := put(ctx, key, value, expected)
 		if err == nil {
-			g.auditor.RecordWrite(version)
+			g.auditor.RecordWrite(version, sent)
 		}
 		return version, err
 	}
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -109,6 +109,7 @@
 	var sent sentRevisions
 	for g.Clock.Sleep(ctx, lagInterval) == nil {
 		g.announceRevisions(&sent)
+		g.refreshCopies()
 		newest := g.peerRevisions.newest()
 		revision, _ := g.targetFollower.Revision()
 		missingConfigs = g.checkLag(missingConfigs.update(newest.config, g.configVersion(), g.Clock.Now()), g.configFollower, g.configUpstream)
@@ -158,6 +159,8 @@
 	if prefix == g.Settings.ConfigPrefix {
 		version, current = func(r revisions) uint64 { return r.config }, g.configVersion()
 	}
+	ctx, end := g.upstreamOf(prefix).interruptible(ctx)
+	defer end()
 	for _, m := range g.peersWithLaterVersion(version, current) {
 		c, err := g.fetchCopy(ctx, m.PeerAddress, prefix)
 		if err == nil && (c.Revision > revision || prefix == g.Settings.ConfigPrefix) {
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -32,8 +32,9 @@
 	loss   float64
 	random *rand.Rand
 	bytes  map[string]int
-	// cut is an address whose datagrams are dropped in both directions.
-	cut string
+	// cut is an address whose datagrams are dropped in both directions, and apart a set of addresses that exchange none with others.
+	cut   string
+	apart map[string]bool
 }
 
 type hubConn struct {
@@ -69,11 +70,18 @@
 	}
 }
 
+// separates reports whether one of two addresses is in the set apart, and the other is not.
+func (h *hub) separates(a, b string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.apart[a] != h.apart[b]
+}
+
 func (c *hubConn) WriteTo(p []byte, to net.Addr) (int, error) {
 	c.hub.mu.Lock()
 	defer c.hub.mu.Unlock()
 	c.hub.bytes[c.address] += len(p)
-	if peer := c.hub.conns[to.String()]; peer != nil && c.hub.cut != to.String() && c.hub.cut != c.address && c.hub.random.Float64() >= c.hub.loss {
+	if peer := c.hub.conns[to.String()]; peer != nil && c.hub.cut != to.String() && c.hub.cut != c.address && c.hub.apart[to.String()] == c.hub.apart[c.address] && c.hub.random.Float64() >= c.hub.loss {
 		select {
 		case peer.in <- slices.Clone(p):
 		default:
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -76,11 +76,7 @@
 	message := &peerv1.GatewayRevisions{
 		Epoch: g.epoch, ConfigVersion: sent.config, TargetsRevision: uint64(g.targetFollower.LastChange()), Unwatched: sent.unwatched,
 	}
-	for _, m := range recipients {
-		if err := g.poster.Notify(m.PeerAddress, revisionsMethod, message); err != nil {
-			g.Log.Debug().Err(err).Str("peer", m.Name).Msg("failed to send revisions")
-		}
-	}
+	g.sendRevisions(recipients, message)
 }
 
 // handleRevisions handles the revisions of another reader of the store; it is a linker.Handler. It immediately reads
@@ -93,7 +89,12 @@
 	if g.superseded(peer, m.GetEpoch()) {
 		return nil, nil
 	}
-	g.recordRevisions(peer, revisions{config: m.GetConfigVersion(), targets: storer.Point(m.GetTargetsRevision())})
+	r := decodeRevisions(m.GetConfigVersion(), m.GetTargetsRevision())
+	if age := m.GetConfirmedAgeMs(); age > 0 {
+		g.handleConfirmation(r, g.Clock.Now().Add(-time.Duration(age)*time.Millisecond))
+		return nil, nil
+	}
+	g.recordRevisions(peer, r)
 	if !m.GetUnwatched() {
 		return nil, nil
 	}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -150,6 +150,8 @@
 		version, _ := g.peerRevisions.newestConfig()
 		return float64(version)
 	})
+	m.RegisterGauge("config-age", func() float64 { return g.copyAge(g.configUpstream) })
+	m.RegisterGauge("targets-age", func() float64 { return g.copyAge(g.targetUpstream) })
 	m.RegisterGauge("targets-lost", func() float64 { return float64(len(g.targets.Suspicions())) })
 	m.RegisterGauge("cut-off", func() float64 { return boolToFloat(g.links.CutOff()) })
 	m.RegisterGauge("tunnels", func() float64 { return float64(g.door.Active()) })
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,8 +51,13 @@
 	cuts map[string]chan struct{}
 	// silentPeers is closed to stop the answers to all requests that peers have made before.
 	silentPeers chan struct{}
-	// configApply is the setting of all gateways.
-	configApply time.Duration
+	// written is the newest version of the configuration that was written, listCalls counts the lists of the store and calls all its calls.
+	written          uint64
+	listCalls, calls atomic.Int64
+	// turnedAway holds the names of the gateways that get no answer from the store.
+	turnedAway map[string]bool
+	// configApply and drain are settings of all gateways.
+	configApply, drain time.Duration
 	// linkRate is the rate at which each gateway sends to peers, in bytes a second; 0 is unlimited. linkFreeAt is, by address, when
 	// all that it is to send has left.
 	linkRate   float64
@@ -64,7 +70,7 @@
 // newSpreadFleet starts n gateways.
 func newSpreadFleet(t *testing.T, n int) *spreadFleet {
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cutOff: make(chan struct{}), silentOnes: map[string]chan struct{}{}, silentPeers: make(chan struct{}), configApply: applyBounds[n], cuts: map[string]chan struct{}{}, linkFreeAt: map[string]time.Time{}}
+	f := &spreadFleet{t: t, ctx: ctx, hub: newHub(), platform: platformfaker.New(platformfaker.Config{}), silent: make(chan struct{}), cutOff: make(chan struct{}), silentOnes: map[string]chan struct{}{}, silentPeers: make(chan struct{}), configApply: applyBounds[n], drain: drainTime, turnedAway: map[string]bool{}, cuts: map[string]chan struct{}{}, linkFreeAt: map[string]time.Time{}}
 	for i := range n {
 		f.start(i, true)
 	}
@@ -100,7 +106,7 @@
 	g := New(Settings{
 		Name: fmt.Sprintf("front-%03d", i), ClientListen: fmt.Sprint("client-", i), PeerListen: peerAddress(i), DataCentre: fmt.Sprint("dc-", i%3),
 		Seeds: []string{peerAddress(0), peerAddress(1), peerAddress(2)}, ConfigPrefix: "config/", TargetsPrefix: "servers/",
-		FirstStart: first, Grace: 8 * time.Second, DrainTime: drainTime, ConfigApply: f.configApply,
+		FirstStart: first, Grace: 8 * time.Second, DrainTime: f.drain, ConfigApply: f.configApply, TargetRenewal: renewal,
 	}, timer.System{}, zerolog.Nop())
 	g.Adapter.Store = f.store(g.Settings.Name)
 	g.Adapter.DecodeConfig = func(value []byte) (matcher.Document, error) {
@@ -112,7 +118,13 @@
 		return cataloger.Target{Name: strings.TrimPrefix(key, "servers/"), Service: "llm", Address: string(value), State: cataloger.StateLive, Incarnation: 1}, nil
 	}
 	g.prepare(f.hub.listen(peerAddress(i)))
-	g.fetch = f.fetch
+	g.fetch = func(ctx context.Context, address, path string, query url.Values) (*peerv1.GatewayObjects, error) {
+		if f.hub.separates(g.Settings.PeerListen, address) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return f.fetch(ctx, address, path, query)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.all = append(f.all, g)
@@ -140,8 +152,20 @@
 	return f.cuts[name]
 }
 
-// storeAccess returns the channel that is closed once a gateway is cut off from the store, or an error if it is already.
-func (f *spreadFleet) storeAccess(name string) (chan struct{}, error) {
+// storeCallTimeout is the time limit of a call of the store that does not wait for changes.
+const storeCallTimeout = 1500 * time.Millisecond
+
+// storeAccess returns the channel that is closed once a gateway is cut off from the store, or an error if it is already. For a gateway
+// that the store turns away, it returns after the time limit of a call.
+func (f *spreadFleet) storeAccess(ctx context.Context, name string) (chan struct{}, error) {
+	f.calls.Add(1)
+	f.mu.Lock()
+	turnedAway := f.turnedAway[name]
+	f.mu.Unlock()
+	if turnedAway {
+		_ = timer.System{}.Sleep(ctx, storeCallTimeout)
+		return nil, storer.ErrUnavailable
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.cutChannel(name)
@@ -158,25 +182,26 @@
 	store := f.platform.Store()
 	get, list, put, watch := store.Get, store.List, store.Put, store.Watch
 	store.Get = func(ctx context.Context, key string) (storer.Object, error) {
-		if _, err := f.storeAccess(name); err != nil {
+		if _, err := f.storeAccess(ctx, name); err != nil {
 			return storer.Object{}, err
 		}
 		return get(ctx, key)
 	}
 	store.List = func(ctx context.Context, prefix string) ([]storer.Object, storer.Point, error) {
-		if _, err := f.storeAccess(name); err != nil {
+		f.listCalls.Add(1)
+		if _, err := f.storeAccess(ctx, name); err != nil {
 			return nil, 0, err
 		}
 		return list(ctx, prefix)
 	}
 	store.Put = func(ctx context.Context, key string, value []byte, expected storer.Point) (storer.Point, error) {
-		if _, err := f.storeAccess(name); err != nil {
+		if _, err := f.storeAccess(ctx, name); err != nil {
 			return 0, err
 		}
 		return put(ctx, key, value, expected)
 	}
 	store.Watch = func(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
-		cut, err := f.storeAccess(name)
+		cut, err := f.storeAccess(ctx, name)
 		if err != nil {
 			return err
 		}
@@ -344,6 +369,7 @@
 
 // writePaddedConfig writes a version of the configuration with some text that gateways pass on.
 func (f *spreadFleet) writePaddedConfig(version uint64, text string) {
+	f.written = version
 	store := f.platform.Store()
 	var revision storer.Point
 	if o, err := store.Get(f.t.Context(), testConfigKey); err == nil {
@@ -375,8 +401,12 @@
 	return n
 }
 
-// drainTime is how long a target serves after its removal: that of the deployments with 4 gateways.
-const drainTime = 2 * time.Second
+// drainTime is how long a target serves after its removal, and renewal how often it renews its entry: those of the deployments with 4
+// gateways.
+const (
+	drainTime = 2 * time.Second
+	renewal   = 1200 * time.Millisecond
+)
 
 // applyBounds maps the size of the fleet to how long a change may take: the bounds of the deployments with 4, 31 and 118
 // gateways, and that of the design size. The bound of 4 is also that of 8, of which some follow others.
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -11,7 +11,6 @@
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/orderer"
 	"github.com/rattantray/rattantray/internal/pacer"
-	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tracker"
 )
 
@@ -33,6 +32,7 @@
 	now := g.Clock.Now()
 	n := &peerv1.GatewayUpdate{
 		Epoch: g.epoch, ConfigVersion: g.configVersion(), TargetsRevision: uint64(g.targetFollower.LastChange()), Loads: map[uint32]float32{},
+		ConfirmedAgeMs: confirmedAgeMS(now, g.confirmedAt()),
 	}
 	for _, d := range latest(g.targets.Suspicions(), func(d assessor.Suspicion) time.Time { return d.Since }) {
 		n.Doubts = append(n.Doubts, &peerv1.TargetDoubt{Target: d.Target, Incarnation: d.Incarnation, AgeMs: ageMS(now, d.Since)})
@@ -108,7 +108,11 @@
 	if g.superseded(peer, n.GetEpoch()) {
 		return false
 	}
-	g.recordRevisions(peer, revisions{config: n.GetConfigVersion(), targets: storer.Point(n.GetTargetsRevision())})
+	r := decodeRevisions(n.GetConfigVersion(), n.GetTargetsRevision())
+	g.recordRevisions(peer, r)
+	if age := n.GetConfirmedAgeMs(); age > 0 {
+		g.recordConfirmation(r, since(age))
+	}
 	if len(n.GetLoads()) > 0 || g.gossiper.Mesh() {
 		loads := map[uint32]float64{}
 		for key, tokens := range n.GetLoads() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -13,6 +13,7 @@
 	peerv1 "github.com/rattantray/rattantray/internal/api/rattantray/peer/v1"
 	"github.com/rattantray/rattantray/internal/cataloger"
 	"github.com/rattantray/rattantray/internal/follower"
+	"github.com/rattantray/rattantray/internal/refresher"
 	"github.com/rattantray/rattantray/internal/storer"
 	"github.com/rattantray/rattantray/internal/tracker"
 )
@@ -48,6 +49,13 @@
 	epoch  uint64
 	// large is true if the last list of the peer was large.
 	large bool
+	// stale is true while the copy is too old to be read from a peer. interrupt ends the call in progress, unless it is a list of the
+	// store; interruptedAt is when it was last called.
+	stale         bool
+	interrupt     context.CancelCauseFunc
+	interruptedAt time.Time
+	// copy tracks how current the objects are.
+	copy refresher.Copy
 	// source names the source of the last objects: sourceStore or a peer.
 	source atomic.Value
 }
@@ -81,12 +89,12 @@
 func (u *upstream) readsStore() bool { return u.sourceName() == sourceStore }
 
 // chooseWatcher returns the peer to follow, or nil if this daemon watches the store itself. A peer is followed for as
-// long as possible, as each change of peer reads the full list again. A peer in the same data centre is preferred.
+// long as possible, as each change of peer reads the full list again. A peer in the same data centre is preferred. The caller holds mu.
 func (u *upstream) chooseWatcher() *cataloger.Member {
 	g := u.gateway
 	// The holder of the duty notices through its own writes what no watch delivered, and must then read the store
 	// itself.
-	if !g.settled() || len(g.others()) < watcherCount || g.duty.isFirstChoice() {
+	if u.stale || !g.settled() || len(g.others()) < watcherCount || g.duty.isFirstChoice() {
 		return nil
 	}
 	levels, ownLevel := watchLevels(candidates(g.allMembers()), g.Settings.Name)
@@ -157,6 +165,8 @@
 	if peer == nil {
 		return u.store.List(ctx, prefix)
 	}
+	ctx, end := u.interruptible(ctx)
+	defer end()
 	timed, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	message, err := u.gateway.fetch(timed, peer.PeerAddress, objectsPath, url.Values{"prefix": {prefix}})
@@ -177,7 +187,7 @@
 // mu.
 func (u *upstream) handleFailure(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 	u.avoidUntil[u.peer.Name] = u.gateway.Clock.Now().Add(avoidTime)
 	u.gateway.Log.Info().Str("peer", u.peer.Name).Str("prefix", u.prefix).Err(err).Msg("watcher does not answer")
@@ -185,11 +195,13 @@
 }
 
 func (u *upstream) watch(ctx context.Context, prefix string, after storer.Point, emit func(storer.Event) error) error {
+	ctx, end := u.interruptible(ctx)
+	defer end()
 	u.mu.Lock()
 	peer := u.peer
 	u.mu.Unlock()
 	if peer == nil {
-		return u.store.Watch(ctx, prefix, after, func(e storer.Event) error {
+		err := u.store.Watch(ctx, prefix, after, func(e storer.Event) error {
 			if err := emit(e); err != nil || e.Object.Key != "" {
 				return err
 			}
@@ -200,6 +212,10 @@
 			}
 			return nil
 		})
+		if cause := context.Cause(ctx); errors.Is(cause, follower.ErrSourceChanged) {
+			return cause
+		}
+		return err
 	}
 	for {
 		message, err := u.fetchChanges(ctx, peer)
@@ -219,7 +235,7 @@
 		chosen, large := u.chooseWatcher(), u.large
 		u.mu.Unlock()
 		if large && u.gateway.Clock.Sleep(ctx, batchInterval) != nil {
-			return ctx.Err()
+			return context.Cause(ctx)
 		}
 		if chosen == nil || chosen.Name != peer.Name {
 			return follower.ErrSourceChanged
