Read the store when nobody confirms that nothing has changed

Cause: with the holder silent nobody reads the store. A gateway that hears nothing took that for 'nothing has changed'.

Change: a copy that nobody has confirmed for too long is read from the store, level after level, whether or not a change is known. Lists of the store confirm too, and are passed on while the holder's confirmations are overdue, so that the levels below need not read. The time counts from the request of the list, not from the wait for the fleet to settle that precedes it.

The longest time from the acknowledgement to the last gateway in touch, for a bound B: age of the copy 2/3 B (at most 1.4 renewals for targets), check 0.1 s, pause 0.1, list 0.02 (0.25 from a slow store): 1.55 (1.78) of 2 s, 2.22 (2.45) of 3 for the configuration, for every way in which news is held back, as no other gateway takes part in it.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,8 +54,8 @@
 	OnNewEra func(era uint64)
 	// Behind reports whether a peer has newer objects than the last list returned.
 	Behind func() bool
-	// OnList is called with the time at which a list began once its objects are applied.
-	OnList func(began time.Time)
+	// OnList is called once the objects of a list are applied.
+	OnList func()
 	// ObserveRevision is called with the revision of each change received, whether or not it is applied.
 	ObserveRevision func(revision storer.Point)
 	// FetchFromPeer returns the snapshot of a peer that has a later revision, and false if there is none; nil if there are no
@@ -96,7 +96,7 @@
 // New returns a follower without objects.
 func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
 	return &Follower{
-		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), ObserveRevision: func(storer.Point) {}, OnNewEra: func(uint64) {}, OnList: func(time.Time) {},
+		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), ObserveRevision: func(storer.Point) {}, OnNewEra: func(uint64) {}, OnList: func() {},
 		Behind: func() bool { return false }, MaxRemovalDelay: ReturnWindow,
 		objects: map[string]storer.Object{}, lapsed: map[string]time.Time{}, tombstones: map[string]tombstone{}, deferred: map[string]storer.Object{},
 		listRequested: make(chan struct{}, 1), feed: newFeed(),
@@ -156,13 +156,12 @@
 func (f *Follower) Run(ctx context.Context) error {
 	backoff := initialBackoff
 	for ctx.Err() == nil {
-		began := f.Clock.Now()
 		objects, revision, err := f.Store.List(ctx, f.Prefix)
 		listed := err == nil
 		if listed {
 			f.reconcile(objects, revision)
-			f.OnList(began)
-			began = f.Clock.Now()
+			f.OnList()
+			began := f.Clock.Now()
 			err = f.watch(ctx, revision)
 			if f.Clock.Now().Sub(began) >= maxBackoff {
 				backoff = 0
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -17,6 +17,9 @@
 const (
 	// minConfirmInterval is the minimum time between two confirmations that a gateway passes on.
 	minConfirmInterval = 100 * time.Millisecond
+	// confirmOverdue is the time without a confirmation by the lease holder after which others that have read the store confirm what
+	// they have read.
+	confirmOverdue = leaseDuration/3 + 200*time.Millisecond
 )
 
 // confirmationTimes holds the time of the latest confirmation that this gateway has sent; its zero value is ready to use.
@@ -87,14 +90,16 @@
 	return level
 }
 
-// recordList records that a list began at a time, which confirms the copy if the store itself was read.
-func (u *upstream) recordList(began time.Time) {
-	if u.readsStore() {
-		u.copy.Confirm(0, began)
+// recordList records that the objects of the last list are applied, which confirms the copy if the store itself was read.
+func (u *upstream) recordList() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.storeListedAt.IsZero() {
+		u.copy.Confirm(0, u.storeListedAt)
 	}
 }
 
-// refresh makes the follower read the store itself if the copy has lacked a confirmed version for too long. It returns the time as of which the copy is complete, or
+// refresh makes the follower read the store itself if the copy is too old. It returns the time as of which the copy is complete, or
 // the zero time before the first list.
 func (u *upstream) refresh(b refresher.Bounds) time.Time {
 	g, now := u.gateway, u.gateway.Clock.Now()
@@ -105,7 +110,7 @@
 		return asOf
 	}
 	age := now.Sub(asOf)
-	stale := lacking && age >= b.MaxAge(0) && age >= b.MaxAge(u.level())
+	stale := age >= b.MaxAge(0) && age >= b.MaxAge(u.level())
 	if !u.setStale(stale, b.MaxAge(0)) {
 		return asOf
 	}
@@ -117,15 +122,20 @@
 	return asOf
 }
 
-// refreshCopies reads from the store what is too old here.
+// refreshCopies reads from the store what is too old here, and confirms to the others what was read while the lease holder is silent.
 func (g *Gateway) refreshCopies() {
 	_, targetsListed := g.targetFollower.Revision()
 	_, configListed := g.configFollower.Revision()
 	if !targetsListed || !configListed {
 		return
 	}
-	g.configUpstream.refresh(g.Settings.configBounds())
-	g.targetUpstream.refresh(g.Settings.targetBounds())
+	asOf := g.configUpstream.refresh(g.Settings.configBounds())
+	if t := g.targetUpstream.refresh(g.Settings.targetBounds()); t.Before(asOf) {
+		asOf = t
+	}
+	if g.configUpstream.readsStore() && g.targetUpstream.readsStore() && g.confirmations.advance(asOf, confirmOverdue) {
+		g.sendConfirmation(g.ownRevisions(), asOf)
+	}
 }
 
 // version returns the version of the copy, as confirmations name it.
--- a/internal/gateway/turned_away_test.go
+++ b/internal/gateway/turned_away_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,15 @@
 	synctest.Wait()
 }
 
+// readmit ends what turnAway began; calls in progress stay silent.
+func (f *spreadFleet) readmit(all []*Gateway) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range all {
+		delete(f.turnedAway, g.Settings.Name)
+	}
+}
+
 // watchers returns the gateways that watch the store, with or without the holder of the lease.
 func (f *spreadFleet) watchers(withHolder bool) []*Gateway {
 	var out []*Gateway
@@ -73,6 +83,15 @@
 	playTurnedAway(t, false, func(f *spreadFleet) { f.removeTarget("gone") })
 }
 
+// TestWithdrawnKeyIsRefusedThoughNobodyReadsTheStore guards against gateways that serve withdrawn keys, as the store is silent for all
+// gateways that watch it and for the lease holder: nobody reads what changed, and nobody says that there is nothing new.
+func TestWithdrawnKeyIsRefusedThoughNobodyReadsTheStore(t *testing.T) {
+	playTurnedAway(t, true, func(f *spreadFleet) {
+		f.writeConfig(2)
+		f.removeTarget("gone")
+	})
+}
+
 // playTurnedAway makes a change while the watchers are turned away, in fleets with one, two and three levels of followers.
 func playTurnedAway(t *testing.T, withHolder bool, change func(f *spreadFleet)) {
 	for _, n := range []int{8, 31, 118, 400} {
@@ -97,6 +116,76 @@
 	}
 }
 
+// TestChangesAreKnownWhileSilenceMoves guards against gateways that miss changes, as the store turns away some of the gateways that
+// watch it, then others, and the first ones are back.
+func TestChangesAreKnownWhileSilenceMoves(t *testing.T) {
+	// A gateway is only held to the bound once it has been in touch for this long.
+	const contact = 3 * time.Second
+	for _, n := range []int{8, 31} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprint(n, " ", seed), func(t *testing.T) {
+				if n > 8 && raced {
+					t.Skip("larger fleets run without the race detector")
+				}
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					f := newBoundedFleet(t, n, drainTime)
+					awayUntil := map[*Gateway]time.Time{}
+					for version := uint64(2); version < 12; version++ {
+						away := f.watchers(seed%2 == 0)
+						away = away[:1+random.IntN(len(away))]
+						f.turnAway(away)
+						time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+						f.writeConfig(version)
+						time.Sleep(drainTime)
+						var excused []*Gateway
+						for g, until := range awayUntil {
+							if time.Now().Before(until.Add(contact + drainTime)) {
+								excused = append(excused, g)
+							}
+						}
+						require.Empty(t, f.stillUsing("none", version, append(excused, away...)))
+						f.readmit(away)
+						for _, g := range away {
+							awayUntil[g] = time.Now()
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestChangeIsKnownToTheFewInTouch guards against gateways that miss a change, as they are the only two of 28 in touch: the others are cut
+// off from them, from the store or from both.
+func TestChangeIsKnownToTheFewInTouch(t *testing.T) {
+	for first := range 8 {
+		t.Run(fmt.Sprint(first), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBoundedFleet(t, 28, drainTime)
+				var away []*Gateway
+				apart := map[string]bool{}
+				for i, g := range f.all {
+					if i/2 == first {
+						continue
+					}
+					away = append(away, g)
+					apart[g.Settings.PeerListen] = i%3 > 0
+				}
+				f.hub.mu.Lock()
+				f.hub.apart = apart
+				f.hub.mu.Unlock()
+				f.turnAway(away)
+				time.Sleep(time.Duration(first) * 300 * time.Millisecond)
+				f.writeConfig(2)
+				f.removeTarget("gone")
+				time.Sleep(drainTime)
+				require.Empty(t, f.stillUsing("gone", 2, away))
+			})
+		})
+	}
+}
+
 // TestUndisturbedFleetReadsTheStoreNoMore guards against copies that count as too old while nothing is wrong, for the shortest bound and,
 // with lost datagrams, for those of the deployments.
 func TestUndisturbedFleetReadsTheStoreNoMore(t *testing.T) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -54,6 +54,8 @@
 	stale         bool
 	interrupt     context.CancelCauseFunc
 	interruptedAt time.Time
+	// storeListedAt is when the last list of the store itself was requested; zero if the last list was of a peer.
+	storeListedAt time.Time
 	// copy tracks how current the objects are.
 	copy refresher.Copy
 	// source names the source of the last objects: sourceStore or a peer.
@@ -160,6 +162,10 @@
 	u.mu.Lock()
 	u.peer = u.chooseWatcher()
 	peer := u.peer
+	u.storeListedAt = time.Time{}
+	if peer == nil {
+		u.storeListedAt = u.gateway.Clock.Now()
+	}
 	u.mu.Unlock()
 	u.setSource(peer)
 	if peer == nil {
