Take a status that HTTP does not have for no answer

Cause and what each path did with such a status: the client for targets (plain requests and streams, directly or through a peer) took all under 200 for an interim answer and waited on: a booking ended with 504 at its deadline in place of 502 at once, and an answer to nothing that followed would have been taken. It passed 600 to 999 on. The forwarder of the project's own interface returned any status as the answer, and believed its 'not run'. A switch of protocols that was not asked for (101) counted as an answer or as interim.

Change: a status ends an exchange from 200 to 599, registered or not; 1xx but 101 announces another; all else is an error as soon as it arrives.

Held before: callers of the client library (Connect takes all but 200 for an error; the directory and engines are read the same way), copies and tunnels of peers, which accept 200 and 101 only.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -185,8 +185,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case IsFinalStatus(resp.StatusCode):
 			return resp, nil
+		case !isInterimStatus(resp.StatusCode):
+			return nil, errors.Wrapf(ErrInvalidStatus, "%q", resp.Status)
 		}
 	}
 }
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -102,6 +102,14 @@
 		{"no answer at all", [][]string{{""}}, []string{"!"}, 1},
 		{"reset", [][]string{{"reset"}}, []string{"!"}, 1},
 		{"bytes that are no answer", [][]string{{"hello\r\n\r\n"}}, []string{"!"}, 1},
+		{"status 000", [][]string{{"HTTP/1.1 000 \r\nId: 1\r\nContent-Length: 0\r\n\r\n"}}, []string{"!"}, 1},
+		{"status under 100", [][]string{{"HTTP/1.1 099 Odd\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"}}, []string{"!"}, 1},
+		{"status 000, then an answer", [][]string{{"HTTP/1.1 000 \r\n\r\n" + completeAnswer}}, []string{"!"}, 1},
+		{"switch of protocols that was not asked for", [][]string{{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + completeAnswer}}, []string{"!"}, 1},
+		{"status over 599", [][]string{{"HTTP/1.1 600 Odd\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"}}, []string{"!"}, 1},
+		{"status 999", [][]string{{"HTTP/1.1 999 Odd\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"}}, []string{"!"}, 1},
+		{"status that no RFC defines in a known class", [][]string{{"HTTP/1.1 299 Odd\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"}}, []string{"ok"}, 1},
+		{"two interim answers first", [][]string{{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 104 Odd\r\n\r\n" + completeAnswer}}, []string{"ok"}, 1},
 		{"interim answer first", [][]string{{"HTTP/1.1 103 Early Hints\r\n\r\n" + completeAnswer}}, []string{"ok"}, 1},
 	}
 	for _, c := range cases {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattantray/rattantray/internal/cataloger"
+	"github.com/rattantray/rattantray/internal/exchanger"
 	"github.com/rattantray/rattantray/internal/timer"
 	"github.com/rattantray/rattantray/pkg/refuser"
 )
@@ -179,6 +180,9 @@
 }
 
 func (f *Forwarder) answer(ctx context.Context, target cataloger.Target, resp *http.Response) (Answer, error) {
+	if !exchanger.IsFinalStatus(resp.StatusCode) {
+		return Answer{}, refuser.New(refuser.TargetFailed, "%s: %s: %q", target.Name, exchanger.ErrInvalidStatus, resp.Status).WithFact(refuser.FactMayHaveRun)
+	}
 	if strings.EqualFold(resp.Header.Get(HeaderNotRun), "true") {
 		return Answer{}, notRunRefusal(target, resp)
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -96,6 +96,27 @@
 	}
 }
 
+// TestInvalidStatusIsNoAnswer guards against callers that get a status that HTTP does not have as an answer, and against one that is
+// believed to prove that the request did not run.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 " + status + " Odd\r\n" + HeaderNotRun + ": true\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"))
+			_ = conn.Close()
+		}))
+		_, err := newForwarder(t).Forward(context.Background(), cataloger.Target{Name: "b", Address: server.Listener.Addr().String()}, booking())
+		server.Close()
+		require.Error(t, err, status)
+		refusal := refuser.From(err)
+		require.Equal(t, refuser.TargetFailed, refusal.Code, refusal.Message)
+		require.Equal(t, refuser.FactMayHaveRun, refusal.Fact, refusal.Message)
+	}
+}
+
 func TestNoConnectionIsNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
