Hold no removal back where the store turned this gateway alone away

Cause: a list that succeeds after one that failed was taken for the end of an outage, in which live targets lapse; what it lacks was held for 2.3 s, longer than a drain_ms of 2 s. That the store had answered others all the while was not known.

Change: confirmations show it. Where the store is known to have answered gateways without a gap in which an entry can lapse (1.4 renewals, the age at which copies are read anew), no removal is held back, neither after calls that failed nor after a watch that was cut off. Where it did answer nobody, nothing changes. 'store is back' says in the log which it was.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,6 +54,9 @@
 	OnNewEra func(era uint64)
 	// Behind reports whether a peer has newer objects than the last list returned.
 	Behind func() bool
+	// WasAvailable reports whether others are known to have had answers of the store since a time, without an outage in which objects
+	// lapse.
+	WasAvailable func(since time.Time) bool
 	// OnList is called once the objects of a list are applied.
 	OnList func()
 	// ObserveRevision is called with the revision of each change received, whether or not it is applied.
@@ -96,7 +99,7 @@
 // New returns a follower without objects.
 func New(store storer.Store, prefix string, clock timer.Clock) *Follower {
 	return &Follower{
-		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), ObserveRevision: func(storer.Point) {}, OnNewEra: func(uint64) {}, OnList: func() {},
+		Store: store, Prefix: prefix, Clock: clock, Log: zerolog.Nop(), ObserveRevision: func(storer.Point) {}, OnNewEra: func(uint64) {}, OnList: func() {}, WasAvailable: func(time.Time) bool { return false },
 		Behind: func() bool { return false }, MaxRemovalDelay: ReturnWindow,
 		objects: map[string]storer.Object{}, lapsed: map[string]time.Time{}, tombstones: map[string]tombstone{}, deferred: map[string]storer.Object{},
 		listRequested: make(chan struct{}, 1), feed: newFeed(),
@@ -257,17 +260,24 @@
 
 // recordAnswer records that the store has answered; the caller holds mu.
 func (f *Follower) recordAnswer() {
+	before := f.answeredAt
 	f.answeredAt = f.Clock.Now()
 	if !f.failing {
 		return
 	}
 	f.failing = false
-	f.returnUntil = f.answeredAt.Add(ReturnWindow)
-	f.Log.Info().Str("prefix", f.Prefix).Msg("store is back")
+	window := ReturnWindow
+	available := f.WasAvailable(before)
+	if available {
+		// The store turned this daemon alone away: the owners of the objects could renew them.
+		window = 0
+	}
+	f.returnUntil = f.answeredAt.Add(window)
+	f.Log.Info().Str("prefix", f.Prefix).Bool("available-to-others", available).Msg("store is back")
 	for key := range f.lapsed {
 		f.lapsed[key] = f.returnUntil
 	}
-	f.Clock.AfterFunc(ReturnWindow, f.dropLapsed)
+	f.Clock.AfterFunc(window, f.dropLapsed)
 }
 
 // returnTime returns how long lapsed objects may still reappear after an outage, or 0 if there was none lately; the caller holds mu.
@@ -278,7 +288,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An outage that begins and ends while a watch waits shows in no failed call.
-	mayHaveLapsed := f.watchEnded && f.Clock.Now().Sub(f.answeredAt) >= minOutage
+	mayHaveLapsed := f.watchEnded && f.Clock.Now().Sub(f.answeredAt) >= minOutage && !f.WasAvailable(f.answeredAt)
 	f.recordAnswer()
 	f.observeEra(revision)
 	hold := f.returnTime()
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -172,6 +172,11 @@
 	return revisions{config: g.configVersion(), targets: g.targetFollower.LastChange()}
 }
 
+// storeWasAvailable reports whether the store is known to have answered gateways since a time, without an outage in which entries lapse.
+func (g *Gateway) storeWasAvailable(since time.Time) bool {
+	return g.availability.Lasted(since, g.Clock.Now(), g.Settings.targetBounds())
+}
+
 // confirmOwnCopies records that this gateway's copies were complete at a time, and tells the others.
 func (g *Gateway) confirmOwnCopies(at time.Time) { g.handleConfirmation(g.ownRevisions(), at) }
 
@@ -185,6 +190,7 @@
 
 // recordConfirmation records that the store held nothing newer than some versions at a time.
 func (g *Gateway) recordConfirmation(r revisions, at time.Time) {
+	g.availability.Record(at, g.Settings.targetBounds())
 	g.configUpstream.copy.Confirm(r.config, at)
 	g.targetUpstream.copy.Confirm(uint64(r.targets), at)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/rattantray/rattantray/internal/orderer"
 	"github.com/rattantray/rattantray/internal/poster"
 	"github.com/rattantray/rattantray/internal/rationer"
+	"github.com/rattantray/rattantray/internal/refresher"
 	"github.com/rattantray/rattantray/internal/registrar"
 	"github.com/rattantray/rattantray/internal/relayer"
 	"github.com/rattantray/rattantray/internal/shedder"
@@ -134,6 +135,7 @@
 	targetUpstream *upstream
 	auditor        *auditor.Auditor
 	confirmations  confirmationTimes
+	availability   refresher.Availability
 	duty           duty
 	// links opens connections to targets, and door carries those of other daemons.
 	links   *tunneler.Dialer
@@ -263,6 +265,7 @@
 	g.targetFollower.Log, g.targetFollower.Apply, g.targetFollower.FetchFromPeer = g.Log, g.applyTarget, g.fetchNewerCopy
 	g.targetFollower.Compare, g.targetFollower.OnNewEra = g.compareTargets, g.HandleNewEra
 	g.configFollower.OnList, g.targetFollower.OnList = g.configUpstream.recordList, g.targetUpstream.recordList
+	g.targetFollower.WasAvailable = g.storeWasAvailable
 	g.targetFollower.MaxRemovalDelay = max(g.Settings.DrainTime-removalSpread, 0)
 
 	g.poster = poster.New(g.Settings.Name, conn, g.Clock)
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -37,7 +37,7 @@
 func (b Bounds) MaxAge(level int) time.Duration {
 	last := time.Duration(agingShare * float64(b.Apply))
 	if b.Renewal > 0 {
-		last = min(last, time.Duration(renewals*float64(b.Renewal)))
+		last = min(last, b.MaxGap())
 	}
 	return max(last-time.Duration(max(deepestLevel-level, 0))*levelDelay, minAge)
 }
--- a/internal/refresher/refresher_test.go
+++ b/internal/refresher/refresher_test.go
@@ -59,3 +59,32 @@
 		})
 	}
 }
+
+// TestAvailability checks that the store counts as available only over gaps in which no object lapses.
+func TestAvailability(t *testing.T) {
+	b, start := Bounds{Renewal: time.Second}, time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name     string
+		answers  []int
+		from, to int
+		lasted   bool
+	}{
+		{"no answer is known", nil, 0, 100, false},
+		{"answers all along", []int{0, 1000, 2000, 3000}, 0, 3500, true},
+		{"one was lost", []int{0, 1300, 2600}, 0, 3900, true},
+		{"an outage", []int{0, 3000, 4000}, 0, 4000, false},
+		{"an outage before", []int{0, 3000, 4000}, 3000, 4000, true},
+		{"no answer lately", []int{0, 1000}, 0, 3000, false},
+		{"an answer is told late", []int{0, 1400, 1000, 2700}, 0, 2700, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := &Availability{}
+			for _, ms := range c.answers {
+				a.Record(at(ms), b)
+			}
+			require.Equal(t, c.lasted, a.Lasted(at(c.from), at(c.to), b))
+		})
+	}
+}
