Contact absent addresses in turn

Callers saw: a gateway that was cut off and is back may be named to nobody for seconds.

Cause: one absent address was tried a second, drawn at random, so that an address at which nobody listens, as a seed that is down, could be drawn each time.

Change: the address that was tried longest ago is next; those never tried come first, in random order.

--- a/internal/tracker/contact.go
+++ b/internal/tracker/contact.go
@@ -1,6 +1,8 @@
 package tracker
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -26,11 +28,15 @@
 	m.lastContact = m.now
 	candidates := m.absentAddresses()
 	m.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	maps.DeleteFunc(m.contactedAt, func(address string, _ time.Duration) bool { return !slices.Contains(candidates, address) })
+	// In turn, so that addresses at which nobody listens cannot keep a daemon that is back from being found.
+	slices.SortStableFunc(candidates, func(a, b string) int { return cmp.Compare(m.contactedAt[a], m.contactedAt[b]) })
 	count := 1
 	if !m.synced {
 		count = firstContacts
 	}
 	for _, address := range candidates[:min(count, len(candidates))] {
+		m.contactedAt[address] = m.now
 		m.sendPing(address)
 	}
 }
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -62,9 +62,11 @@
 	started      time.Duration
 	watchesStale bool
 	// leaversWatch is set while leaving members have to watch as well, since too few others are left.
-	leaversWatch         bool
-	lastHeartbeat        time.Duration
-	lastContact          time.Duration
+	leaversWatch  bool
+	lastHeartbeat time.Duration
+	lastContact   time.Duration
+	// contactedAt is when each absent address was last contacted.
+	contactedAt          map[string]time.Duration
 	heartbeatSubscribers map[string]time.Duration
 	pendingVotes         map[string]*pendingVote
 	syncs                map[string]*syncState
@@ -110,6 +112,7 @@
 		targets:              map[string]*targetEntry{},
 		seeds:                slices.Clone(seeds),
 		listedAddresses:      map[string]string{},
+		contactedAt:          map[string]time.Duration{},
 		watched:              map[string]*livenessCheck{},
 		heartbeatSubscribers: map[string]time.Duration{},
 		pendingVotes:         map[string]*pendingVote{},
