Confirm nothing by what a peer said, or what was received late

A gateway that first listed a peer took that for a confirmation and passed it on, so that an outage in which gateways start could look like none. The age of such a copy now counts from the list, and it confirms nothing.

The messages that wait while a machine is frozen look as new as their senders said, and the first to be handled, the oldest, was passed on as of now. Confirmations are ignored for 0.2 s after a process did not run for over 0.5 s; the next ones come within 0.7 s. TestPauses shows the moments.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -104,12 +104,15 @@
 func (u *upstream) refresh(b refresher.Bounds) time.Time {
 	g, now := u.gateway, u.gateway.Clock.Now()
 	asOf, lacking := u.copy.Reach(u.version())
+	began := asOf
 	if asOf.IsZero() {
-		// The age counts from the first list, whatever its source.
-		u.copy.Confirm(0, now)
-		return asOf
+		// The age counts from the first list, whatever its source, and confirms nothing.
+		if u.firstListAt.IsZero() {
+			u.firstListAt = now
+		}
+		began = u.firstListAt
 	}
-	age := now.Sub(asOf)
+	age := now.Sub(began)
 	stale := age >= b.MaxAge(0) && age >= b.MaxAge(u.level())
 	if !u.setStale(stale, b.MaxAge(0)) {
 		return asOf
@@ -180,6 +183,14 @@
 // confirmOwnCopies records that this gateway's copies were complete at a time, and tells the others.
 func (g *Gateway) confirmOwnCopies(at time.Time) { g.handleConfirmation(g.ownRevisions(), at) }
 
+// receiveConfirmation handles a confirmation of a peer of some age, unless it may have waited to be received.
+func (g *Gateway) receiveConfirmation(r revisions, ageMS uint32, handle func(r revisions, at time.Time)) {
+	now := g.Clock.Now()
+	if ageMS > 0 && !g.pauses.JustEnded(now) {
+		handle(r, now.Add(-time.Duration(ageMS)*time.Millisecond))
+	}
+}
+
 // handleConfirmation records that the store held nothing newer than some versions at a time, and passes it on.
 func (g *Gateway) handleConfirmation(r revisions, at time.Time) {
 	g.recordConfirmation(r, at)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 	auditor        *auditor.Auditor
 	confirmations  confirmationTimes
 	availability   refresher.Availability
+	pauses         refresher.Pauses
 	duty           duty
 	// links opens connections to targets, and door carries those of other daemons.
 	links   *tunneler.Dialer
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -108,6 +108,7 @@
 	var missingConfigs, missingTargets missingRevisions
 	var sent sentRevisions
 	for g.Clock.Sleep(ctx, lagInterval) == nil {
+		g.pauses.Tick(g.Clock.Now())
 		g.announceRevisions(&sent)
 		g.refreshCopies()
 		newest := g.peerRevisions.newest()
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -91,7 +91,7 @@
 	}
 	r := decodeRevisions(m.GetConfigVersion(), m.GetTargetsRevision())
 	if age := m.GetConfirmedAgeMs(); age > 0 {
-		g.handleConfirmation(r, g.Clock.Now().Add(-time.Duration(age)*time.Millisecond))
+		g.receiveConfirmation(r, age, g.handleConfirmation)
 		return nil, nil
 	}
 	g.recordRevisions(peer, r)
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -110,9 +110,7 @@
 	}
 	r := decodeRevisions(n.GetConfigVersion(), n.GetTargetsRevision())
 	g.recordRevisions(peer, r)
-	if age := n.GetConfirmedAgeMs(); age > 0 {
-		g.recordConfirmation(r, since(age))
-	}
+	g.receiveConfirmation(r, n.GetConfirmedAgeMs(), g.recordConfirmation)
 	if len(n.GetLoads()) > 0 || g.gossiper.Mesh() {
 		loads := map[uint32]float64{}
 		for key, tokens := range n.GetLoads() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -56,6 +56,8 @@
 	interruptedAt time.Time
 	// storeListedAt is when the last list of the store itself was requested; zero if the last list was of a peer.
 	storeListedAt time.Time
+	// firstListAt is when the objects were first listed; only watchLag uses it.
+	firstListAt time.Time
 	// copy tracks how current the objects are.
 	copy refresher.Copy
 	// source names the source of the last objects: sourceStore or a peer.
--- a/internal/refresher/refresher_test.go
+++ b/internal/refresher/refresher_test.go
@@ -88,3 +88,20 @@
 		})
 	}
 }
+
+// TestPauses guards against messages that count as new, as they waited while the process did not run.
+func TestPauses(t *testing.T) {
+	p, start := &Pauses{}, time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	require.False(t, p.JustEnded(at(0)), "before the first tick")
+	for ms := 0; ms <= 1000; ms += 100 {
+		p.Tick(at(ms))
+	}
+	require.False(t, p.JustEnded(at(1090)))
+	require.True(t, p.JustEnded(at(5000)), "a message is handled before the first tick after a pause")
+	p.Tick(at(5000))
+	require.True(t, p.JustEnded(at(5100)), "there is a backlog")
+	p.Tick(at(5100))
+	p.Tick(at(5200))
+	require.False(t, p.JustEnded(at(5210)))
+}
