--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -70,6 +71,13 @@
 	}
 }
 
+// sentBytes returns how many bytes were sent from each address.
+func (h *hub) sentBytes() map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.bytes)
+}
+
 // separates reports whether one of two addresses is in the set apart, and the other is not.
 func (h *hub) separates(a, b string) bool {
 	h.mu.Lock()
--- a/internal/gateway/turned_away_test.go
+++ b/internal/gateway/turned_away_test.go
@@ -187,7 +187,7 @@
 }
 
 // TestUndisturbedFleetReadsTheStoreNoMore guards against copies that count as too old while nothing is wrong, for the shortest bound and,
-// with lost datagrams, for those of the deployments.
+// with lost datagrams, for those of the deployments, and against confirmations that take a gateway over its budget of bytes.
 func TestUndisturbedFleetReadsTheStoreNoMore(t *testing.T) {
 	for _, n := range []int{4, 31, 118} {
 		for _, loss := range []float64{0, 0.005} {
@@ -199,8 +199,11 @@
 					}
 					f := newBoundedFleet(t, n, bound)
 					f.hub.loss = loss
-					lists, calls := f.listCalls.Load(), f.calls.Load()
+					lists, calls, bytes := f.listCalls.Load(), f.calls.Load(), f.hub.sentBytes()
 					time.Sleep(time.Minute)
+					for address, sent := range f.hub.sentBytes() {
+						require.LessOrEqual(t, sent-bytes[address], 9_000*60, "9 KB/s")
+					}
 					if loss == 0 {
 						require.Equal(t, lists, f.listCalls.Load())
 					}
