Tell when the store answered with each confirmation

Found by reading: a confirmation counted as an answer of the store when it was received. A reader of the store may pass one on that it heard of by an update and that is a second old, so an outage could look shorter than it was. Confirmations name the time of the latest answer, as updates do.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -181,8 +181,8 @@
 	return g.availability.Lasted(since, g.Clock.Now(), g.Settings.targetBounds())
 }
 
-// recordStoreAnswer records that the store answered a gateway at a time. It is that of the answer: the call may have waited through an
-// outage.
+// recordStoreAnswer records that the store answered a gateway at a time. It is the time of the answer, as the call may have waited through
+// an outage.
 func (g *Gateway) recordStoreAnswer(at time.Time) {
 	g.availability.Record(at, g.Settings.targetBounds())
 }
@@ -204,7 +204,6 @@
 
 // handleConfirmation records that the store held nothing newer than some versions at a time, and passes it on.
 func (g *Gateway) handleConfirmation(r revisions, at time.Time) {
-	g.recordStoreAnswer(g.Clock.Now())
 	g.recordConfirmation(r, at)
 	if g.confirmations.advance(at, minConfirmInterval) {
 		g.sendConfirmation(r, at)
@@ -223,8 +222,10 @@
 	if g.targetUpstream.readsStore() {
 		recipients = slices.Concat(recipients, g.storeReaders())
 	}
+	now := g.Clock.Now()
 	g.sendRevisions(recipients, &peerv1.GatewayRevisions{
-		Epoch: g.epoch, ConfigVersion: r.config, TargetsRevision: uint64(r.targets), ConfirmedAgeMs: messageAge(g.Clock.Now(), at),
+		Epoch: g.epoch, ConfigVersion: r.config, TargetsRevision: uint64(r.targets),
+		ConfirmedAgeMs: messageAge(now, at), AnsweredAgeMs: messageAge(now, g.availability.Last()),
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -336,6 +336,7 @@
 		sent := g.Clock.Now()
 		version, err := put(ctx, key, value, expected)
 		if err == nil {
+			g.recordStoreAnswer(g.Clock.Now())
 			g.auditor.RecordWrite(version, sent)
 		}
 		return version, err
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -91,6 +91,9 @@
 	}
 	r := decodeRevisions(m.GetConfigVersion(), m.GetTargetsRevision())
 	if age := m.GetConfirmedAgeMs(); age > 0 {
+		if at, ok := g.messageTime(m.GetAnsweredAgeMs()); ok {
+			g.recordStoreAnswer(at)
+		}
 		if at, ok := g.messageTime(age); ok {
 			g.handleConfirmation(r, at)
 		}
