--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// setLoss sets the share of datagrams that are dropped.
+func (h *hub) setLoss(loss float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.loss = loss
+}
+
 // sentBytes returns how many bytes were sent from each address.
 func (h *hub) sentBytes() map[string]int {
 	h.mu.Lock()
