--- /dev/null
+++ b/review/standin-3/cases.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// oddEntry has another writer replace the entry of a replica of the notice service by one whose fields are missing and that names the
+// booking service.
+func oddEntry(w *world, trouble bool) bool {
+	for i := range 3 {
+		w.newReplica(fmt.Sprintf("i-book-%d", i), "booking", "")
+	}
+	var odd *replica
+	for i := range 3 {
+		odd = w.newReplica(fmt.Sprintf("i-note-%d", i), "notices", "")
+	}
+	w.store.Set("config", "main", config(7))
+	w.startGateways(4)
+	w.awaitReady()
+	time.Sleep(4 * time.Second)
+	if trouble {
+		go func() {
+			for range 4 {
+				w.note("another writer replaces the entry of %s: version, cold_remaining_ms, sequence and born are missing", odd.id)
+				w.store.Set("servers", odd.id, map[string]any{"service": "booking", "address": odd.address, "zone": odd.zone, "slots": 6, "state": "ready"})
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	wrong := 0
+	for i := range 100 {
+		g := w.gateways[i%len(w.gateways)]
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			res := w.send(g, "POST", "/book/1", bytes.Repeat([]byte("x"), 600), 2500)
+			for _, r := range w.runsOf(res.id) {
+				if r.replica.service != "booking" {
+					mu.Lock()
+					wrong++
+					mu.Unlock()
+				}
+			}
+		}()
+		time.Sleep(40 * time.Millisecond)
+	}
+	wg.Wait()
+	w.note("%d booking requests were run by the notice service", wrong)
+	return wrong > 0
+}
+
+// increasingIDs has replicas whose events have ids that increase by two, as an event holds two tokens.
+func increasingIDs(w *world, trouble bool) bool {
+	for i := range 3 {
+		r := w.newReplica(fmt.Sprintf("i-llm-%d", i), "assistant", "a100s")
+		r.slots = 192
+		if trouble {
+			r.step = 2
+		}
+	}
+	w.store.Set("config", "main", config(7))
+	w.startGateways(4)
+	w.awaitReady()
+	time.Sleep(6 * time.Second)
+	cut := 0
+	for i := range 24 {
+		res := w.send(w.gateways[i%len(w.gateways)], "POST", "/letters/1", []byte("{}"), 20000)
+		if res.err != nil && len(w.runsOf(res.id)) > 0 {
+			cut++
+		}
+	}
+	w.note("%d channels ended without a whole answer after their request was passed on", cut)
+	return cut > 3
+}
+
+// alias has another writer add entries, for two seconds, that name a service which is not in the configuration, at the addresses of the
+// replicas of the notice service. The route to that service was added after the others.
+func alias(w *world, trouble bool) bool {
+	for i := range 3 {
+		w.newReplica(fmt.Sprintf("i-book-%d", i), "booking", "")
+	}
+	var notices []*replica
+	for i := range 3 {
+		notices = append(notices, w.newReplica(fmt.Sprintf("i-note-%d", i), "notices", ""))
+	}
+	w.store.Set("config", "main", config(7))
+	w.startGateways(4)
+	w.awaitReady()
+	time.Sleep(4 * time.Second)
+	w.store.Set("config", "main", config(9))
+	w.note("configuration 9 with the route /notice/ is acknowledged")
+	time.Sleep(3 * time.Second)
+	w.share("/notice/1", "after it was added,", 20)
+	if trouble {
+		for i, r := range notices {
+			w.note("another writer adds an entry of an unknown service at %s", r.address)
+			e := r.entry()
+			e["service"], e["born"] = "notices-monitor", time.Now().UnixMilli()
+			w.store.Set("servers", fmt.Sprintf("m-%d", i), e)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range notices {
+			w.store.Remove("servers", fmt.Sprintf("m-%d", i))
+		}
+		w.note("the other writer removes its entries")
+	}
+	time.Sleep(20 * time.Second)
+	w.note("nothing has been disturbed for 20 s")
+	first := w.share("/book/1", "of the first routes", 60)
+	added := w.share("/notice/1", "of the added route", 60)
+	return first > 0 && added < first/4
+}
+
+// share sends requests to all gateways in turn and returns the share that is served. A requester repeats once after a promise.
+func (w *world) share(path, what string, n int) float64 {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	served := 0
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for try := range 2 {
+				res := w.send(w.gateways[(i+try)%len(w.gateways)], "POST", path, bytes.Repeat([]byte("x"), 600), 2500)
+				if res.err == nil && res.status == 200 && res.signed {
+					mu.Lock()
+					served++
+					mu.Unlock()
+					return
+				}
+				if res.status != 503 {
+					return
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	w.note("%s %d of %d requests were served", what, served, n)
+	return float64(served) / float64(n)
+}
