--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -126,7 +126,7 @@
 		go func() {
 			defer wg.Done()
 			for try := range 2 {
-				res := w.send(w.gateways[(i+try)%len(w.gateways)], "POST", path, bytes.Repeat([]byte("x"), 600), 2500)
+				res := w.send(w.gateways[(i+try)%len(w.gateways)], "POST", path, bytes.Repeat([]byte("x"), 600), budgetOf(path))
 				if res.err == nil && res.status == 200 && res.signed {
 					mu.Lock()
 					served++
@@ -145,3 +145,36 @@
 	w.note("%s %d of %d requests were served", what, served, n)
 	return float64(served) / float64(n)
 }
+
+// plainStreams adds a streaming route to a service without an engine.
+func plainStreams(w *world, trouble bool) bool {
+	for i := range 3 {
+		w.newReplica(fmt.Sprintf("i-book-%d", i), "booking", "")
+	}
+	for i := range 3 {
+		r := w.newReplica(fmt.Sprintf("i-note-%d", i), "notices", "")
+		r.events, r.gap = 40, 100*time.Millisecond
+	}
+	w.store.Set("config", "main", config(7))
+	w.startGateways(4)
+	w.awaitReady()
+	time.Sleep(4 * time.Second)
+	version, path := 9, "/notice/1"
+	if trouble {
+		version, path = 11, "/live/1"
+	}
+	w.store.Set("config", "main", config(version))
+	w.note("configuration %d is acknowledged", version)
+	time.Sleep(6 * time.Second)
+	first := w.share("/book/1", "of the first routes", 40)
+	added := w.share(path, "of the added route "+path, 40)
+	return first > 0 && added < first/4
+}
+
+// budgetOf returns the time budget of a request in milliseconds.
+func budgetOf(path string) int {
+	if isStream(path) {
+		return 20000
+	}
+	return 2500
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 	"odd-entry": oddEntry,
 	"alias":     alias,
 	"ids":       increasingIDs,
+	"plain":     plainStreams,
 }
 
 func main() {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -116,7 +116,7 @@
 	r.mu.Unlock()
 	r.world.ran(r, id, q)
 	w.Header().Set("X-Rattantray-Response-Signature", "sig-"+id)
-	if r.kind != "" {
+	if r.kind != "" || strings.HasPrefix(q.URL.Path, "/live/") {
 		r.stream(w, q, events, gap, step)
 		return
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -219,7 +220,15 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
 
-// send sends one request to a gateway and reads its answer.
+// maxGap is how long requesters wait for the next event of a stream, also for the first one: two seconds, as four times the objective
+// and eight times the pause of these routes are no longer.
+const maxGap = 2 * time.Second
+
+func isStream(path string) bool {
+	return strings.HasPrefix(path, "/letters/") || strings.HasPrefix(path, "/live/")
+}
+
+// send sends one request to a gateway and reads its answer. The requester leaves at its time budget, or as a stream is silent.
 func (w *world) send(g *gateway, method, path string, body []byte, deadlineMS int) result {
 	id := random()
 	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", g.ip, clientPort, path), bytes.NewReader(body))
@@ -235,13 +244,29 @@
 		req.Header.Set("X-Rattantray-Token-Usage", "200,80")
 		req.Header.Set("X-Rattantray-Prompt-Prefix", "5c1e07a2:40,"+id[:8]+":160")
 	}
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	gap := time.AfterFunc(time.Duration(deadlineMS)*time.Millisecond, leave)
+	if isStream(path) {
+		gap.Reset(maxGap)
+	}
 	res := result{id: id, sentAt: time.Now()}
-	resp, err := client.Do(req)
+	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		res.err, res.took = err, time.Since(res.sentAt)
 	} else {
 		res.status, res.signed = resp.StatusCode, resp.Header.Get("X-Rattantray-Response-Signature") != ""
-		res.body, res.err = io.ReadAll(resp.Body)
+		for part := make([]byte, 4<<10); res.err == nil; {
+			var n int
+			n, res.err = resp.Body.Read(part)
+			res.body = append(res.body, part[:n]...)
+			if isStream(path) {
+				gap.Reset(maxGap)
+			}
+		}
+		if res.err == io.EOF {
+			res.err = nil
+		}
 		_ = resp.Body.Close()
 		res.took = time.Since(res.sentAt)
 	}
@@ -316,7 +341,7 @@
 `
 
 // config returns a configuration with a booking service, a notice service and a model service. Versions over 7 have a route to the notice
-// service.
+// service, and those over 9 one for streams as well.
 func config(version int) map[string]any {
 	route := func(name, prefix, kind, service string, timeoutMS, attempts int, resumable bool) map[string]any {
 		return map[string]any{
@@ -334,6 +359,9 @@
 	if version > 7 {
 		routes = append(routes, route("notice", "/notice/", "non_idempotent", "notices", 1200, 1, false))
 	}
+	if version > 9 {
+		routes = append(routes, route("live", "/live/", "streaming", "notices", 20000, 2, true))
+	}
 	return map[string]any{
 		"version": version,
 		"routes":  routes,
