--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -116,7 +117,8 @@
 	return first > 0 && added < first/4
 }
 
-// share sends requests to all gateways in turn and returns the share that is served. A requester repeats once after a promise.
+// share sends requests to all gateways in turn and returns the share that is served. A requester repeats once after a promise, and an
+// idempotent request after any failure.
 func (w *world) share(path, what string, n int) float64 {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -133,10 +135,10 @@
 					mu.Unlock()
 					return
 				}
-				if res.status != 503 {
+				if res.status != 503 && !isIdempotent(path) {
 					return
 				}
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
 			}
 		}()
 		time.Sleep(50 * time.Millisecond)
@@ -171,6 +173,41 @@
 	return first > 0 && added < first/4
 }
 
+// halves adds a route for an idempotent operation that takes 0.7 s of the 1.2 s that its route allows.
+func halves(w *world, trouble bool) bool {
+	for i := range 3 {
+		w.newReplica(fmt.Sprintf("i-book-%d", i), "booking", "")
+	}
+	for i := range 3 {
+		r := w.newReplica(fmt.Sprintf("i-note-%d", i), "notices", "")
+		r.work = 700 * time.Millisecond
+	}
+	w.store.Set("config", "main", config(7))
+	w.startGateways(4)
+	w.awaitReady()
+	time.Sleep(4 * time.Second)
+	version, path := 9, "/notice/1"
+	if trouble {
+		version, path = 13, "/report/1"
+	}
+	w.store.Set("config", "main", config(version))
+	w.note("configuration %d is acknowledged", version)
+	time.Sleep(6 * time.Second)
+	first := w.share("/book/1", "of the first routes", 40)
+	added := w.share(path, "of the added route "+path, 40)
+	runs, ids := 0, 0
+	w.mu.Lock()
+	for _, r := range w.runs {
+		if r[0].path == path {
+			ids++
+			runs += len(r)
+		}
+	}
+	w.mu.Unlock()
+	w.note("%d requests on %s ran %d times", ids, path, runs)
+	return first > 0 && added < first/4
+}
+
 // budgetOf returns the time budget of a request in milliseconds.
 func budgetOf(path string) int {
 	if isStream(path) {
@@ -178,3 +215,5 @@
 	}
 	return 2500
 }
+
+func isIdempotent(path string) bool { return strings.HasPrefix(path, "/report/") }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 	"alias":     alias,
 	"ids":       increasingIDs,
 	"plain":     plainStreams,
+	"halves":    halves,
 }
 
 func main() {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -341,7 +341,7 @@
 `
 
 // config returns a configuration with a booking service, a notice service and a model service. Versions over 7 have a route to the notice
-// service, and those over 9 one for streams as well.
+// service, those over 9 one for streams as well, and those over 11 one for idempotent requests.
 func config(version int) map[string]any {
 	route := func(name, prefix, kind, service string, timeoutMS, attempts int, resumable bool) map[string]any {
 		return map[string]any{
@@ -362,6 +362,9 @@
 	if version > 9 {
 		routes = append(routes, route("live", "/live/", "streaming", "notices", 20000, 2, true))
 	}
+	if version > 11 {
+		routes = append(routes, route("report", "/report/", "idempotent", "notices", 1200, 2, false))
+	}
 	return map[string]any{
 		"version": version,
 		"routes":  routes,
