--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,9 +17,9 @@
 var cases = map[string]func(w *world, trouble bool) bool{
 	"odd-entry": oddEntry,
 	"alias":     alias,
-	"ids":       increasingIDs,
 	"plain":     plainStreams,
 	"halves":    halves,
+	"queued":    queued,
 }
 
 func main() {
